--- /dev/null
+++ b/src/base/event.h
@@ -0,0 +1,82 @@
+#ifndef BORAGEWINCH_BASE_EVENT_H_
+#define BORAGEWINCH_BASE_EVENT_H_
+
+#include <array>
+#include <optional>
+#include <string_view>
+
+namespace boragewinch {
+
+enum class EventLevel { kDebug, kInfo, kWarn, kError };
+
+/// \brief Numbered log events. Numbers are stable and never reused:
+/// 1xxx process, 2xxx replication and storage, 3xxx fleet state,
+/// 4xxx requests, 5xxx workers, 6xxx maintenance, 9xxx invariants.
+enum class EventId {
+  kProcessStarted = 1001,
+  kProcessStopping = 1002,
+  kProcessStopped = 1003,
+  kSettingInvalid = 1004,
+  kPortOpen = 1005,
+  kCallFailed = 1006,
+  kBoundReached = 1007,
+  kMalformedMessage = 1008,
+  kRoleChanged = 2001,
+  kLogTailCut = 2002,
+  kStorageFailed = 2003,
+  kSnapshotWritten = 2004,
+  kSnapshotInstalled = 2005,
+  kReplicaRejoined = 2006,
+  kCommandCommitted = 3001,
+  kCommandRefused = 3002,
+  kStateApplied = 3003,
+  kKeyWithdrawn = 3004,
+  kFreshnessLost = 3005,
+  kFreshnessRegained = 3006,
+  kAllotmentChanged = 3007,
+  kEntryRegistered = 3008,
+  kEntryLost = 3009,
+  kRequestAccepted = 4001,
+  kRequestRefused = 4002,
+  kRequestIntended = 4003,
+  kRequestStarted = 4004,
+  kRequestEnded = 4005,
+  kRequestUnknown = 4006,
+  kRequestTakenOver = 4007,
+  kOwnerFenced = 4008,
+  kResultRejected = 4009,
+  kWorkerJoined = 5001,
+  kWorkerLost = 5002,
+  kWorkerLeaving = 5003,
+  kWorkerSetAside = 5004,
+  kDrainGranted = 6001,
+  kDrainDone = 6002,
+  kDrainRefused = 6003,
+  kHostReturned = 6004,
+  kWaveProgress = 6005,
+  kInvariantViolated = 9001,
+};
+
+/// \brief Catalogue entry of an event.
+struct EventInfo {
+  EventId id;
+  EventLevel level;
+  std::string_view name;
+  std::string_view meaning;
+};
+
+/// \brief The catalogue. docs/events.md is checked against it by a test.
+[[nodiscard]] const EventInfo& event_info(EventId id) noexcept;
+
+/// \returns all catalogue entries, by number.
+struct EventCatalogue {
+  const EventInfo* first;
+  const EventInfo* last;
+  [[nodiscard]] const EventInfo* begin() const noexcept { return first; }
+  [[nodiscard]] const EventInfo* end() const noexcept { return last; }
+};
+[[nodiscard]] EventCatalogue event_catalogue() noexcept;
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_BASE_EVENT_H_
--- /dev/null
+++ b/src/base/event_log.h
@@ -0,0 +1,42 @@
+#ifndef BORAGEWINCH_BASE_EVENT_LOG_H_
+#define BORAGEWINCH_BASE_EVENT_LOG_H_
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "base/event.h"
+
+namespace boragewinch {
+
+/// \brief One named value of a log event.
+struct EventField {
+  EventField(std::string_view name, std::string value)
+      : name(name), value(std::move(value)) {}
+  EventField(std::string_view name, const char* value)
+      : name(name), value(value) {}
+  EventField(std::string_view name, std::string_view value)
+      : name(name), value(value) {}
+  EventField(std::string_view name, long value)
+      : name(name), value(std::to_string(value)) {}
+  EventField(std::string_view name, unsigned long value)
+      : name(name), value(std::to_string(value)) {}
+  EventField(std::string_view name, int value)
+      : name(name), value(std::to_string(value)) {}
+
+  std::string_view name;
+  std::string value;
+};
+
+/// \brief Sets up log4cxx: one line an event on standard error.
+/// \param process name shown in each line.
+/// \param level least severe level that is written.
+void ConfigureEventLog(std::string_view process, EventLevel level);
+
+/// \brief Writes "BW<number> <name> field=value ...".
+void LogEvent(EventId id, std::initializer_list<EventField> fields);
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_BASE_EVENT_LOG_H_
--- /dev/null
+++ b/src/base/fwd.h
@@ -0,0 +1,17 @@
+#ifndef BORAGEWINCH_BASE_FWD_H_
+#define BORAGEWINCH_BASE_FWD_H_
+
+namespace boragewinch {
+
+enum class ErrorCode;
+enum class EventId;
+enum class Invariant;
+struct Error;
+struct SourcePosition;
+class EventLog;
+class Metrics;
+class Settings;
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_BASE_FWD_H_
--- /dev/null
+++ b/src/base/json.h
@@ -0,0 +1,58 @@
+#ifndef BORAGEWINCH_BASE_JSON_H_
+#define BORAGEWINCH_BASE_JSON_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include <json/value.h>
+
+#include "base/result.h"
+
+namespace boragewinch {
+
+using Json = ::Json::Value;
+
+/// Nesting limit for JSON received from outside.
+inline constexpr int kMaxJsonDepth = 32;
+
+/// \brief Parses one JSON document.
+/// \returns the document, or kInvalidJson with the parser's position.
+[[nodiscard]] Result<Json> ParseJson(std::string_view text);
+
+/// \returns `value` on one line, without trailing newline.
+[[nodiscard]] std::string WriteJson(const Json& value);
+
+/// \brief Reads a required string member.
+/// \returns kMissingField, kInvalidField (wrong type) or kTooLarge.
+[[nodiscard]] Result<std::string> StringField(const Json& object,
+                                              const char* name,
+                                              std::size_t max_bytes = 128);
+
+/// \brief Reads a required integer member within [low, high].
+[[nodiscard]] Result<std::int64_t> IntField(const Json& object,
+                                            const char* name,
+                                            std::int64_t low,
+                                            std::int64_t high);
+
+/// \brief Like StringField, with a default for an absent member.
+[[nodiscard]] Result<std::string> StringFieldOr(const Json& object,
+                                                const char* name,
+                                                std::string fallback,
+                                                std::size_t max_bytes = 128);
+
+/// \brief Like IntField, with a default for an absent member.
+[[nodiscard]] Result<std::int64_t> IntFieldOr(const Json& object,
+                                              const char* name,
+                                              std::int64_t fallback,
+                                              std::int64_t low,
+                                              std::int64_t high);
+
+/// \brief Reads a boolean member, with a default for an absent one.
+[[nodiscard]] Result<bool> BoolFieldOr(const Json& object,
+                                       const char* name,
+                                       bool fallback);
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_BASE_JSON_H_
--- /dev/null
+++ b/src/base/result.h
@@ -0,0 +1,62 @@
+#ifndef BORAGEWINCH_BASE_RESULT_H_
+#define BORAGEWINCH_BASE_RESULT_H_
+
+#include <string>
+#include <utility>
+
+#include <boost/outcome/result.hpp>
+
+#include "base/error.h"
+
+namespace boragewinch {
+
+namespace outcome = BOOST_OUTCOME_V2_NAMESPACE;
+
+/// \brief A value of type T or a typed Error. Reading the wrong one terminates.
+template <typename T>
+using Result = outcome::basic_result<T, Error, outcome::policy::terminate>;
+
+/// \brief Success without a value, or a typed Error.
+using Status = Result<void>;
+
+/// \returns the failure state of any Result.
+[[nodiscard]] inline auto Fail(ErrorCode code, std::string detail) {
+  return outcome::failure(Error{code, std::move(detail), std::nullopt});
+}
+
+/// \returns the failure state of any Result, with a place in an input file.
+[[nodiscard]] inline auto FailAt(ErrorCode code,
+                                 std::string detail,
+                                 SourcePosition position) {
+  return outcome::failure(Error{code, std::move(detail), std::move(position)});
+}
+
+/// \returns the success state of a Status.
+[[nodiscard]] inline auto Ok() {
+  return outcome::success();
+}
+
+}  // namespace boragewinch
+
+#define BW_GLUE_INNER(a, b) a##b
+#define BW_GLUE(a, b) BW_GLUE_INNER(a, b)
+#define BW_TRY_INNER(temporary, target, expression)            \
+  auto temporary = (expression);                               \
+  if (!temporary)                                              \
+    return ::boragewinch::outcome::failure(temporary.error()); \
+  target = std::move(temporary).value()
+
+/// Evaluates a Result; assigns its value to `target` (a declaration or an
+/// lvalue) or returns its Error. BOOST_OUTCOME_TRY of Boost 1.74 accepts only
+/// a new variable.
+#define BW_TRY(target, expression) \
+  BW_TRY_INNER(BW_GLUE(bw_result_, __COUNTER__), target, expression)
+
+/// Evaluates a Status and returns its Error, if any.
+#define BW_CHECK(expression)                                     \
+  do {                                                           \
+    if (auto bw_status = (expression); !bw_status)               \
+      return ::boragewinch::outcome::failure(bw_status.error()); \
+  } while (false)
+
+#endif  // BORAGEWINCH_BASE_RESULT_H_
--- /dev/null
+++ b/src/base/settings.h
@@ -0,0 +1,110 @@
+#ifndef BORAGEWINCH_BASE_SETTINGS_H_
+#define BORAGEWINCH_BASE_SETTINGS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+
+namespace boragewinch {
+
+enum class SettingKind { kText, kInteger, kAddress, kAddressList, kFlag };
+
+/// \brief Declares one setting: `--name` or `BORAGEWINCH_NAME`.
+struct SettingSpec {
+  std::string name;
+  SettingKind kind = SettingKind::kText;
+  std::string help;
+  std::string fallback;
+  bool required = false;
+  std::int64_t low = 0;
+  std::int64_t high = 0;
+};
+
+/// \brief The checked settings of a process. A flag goes before the
+/// environment, which goes before the default.
+class Settings {
+ public:
+  [[nodiscard]] const std::string& text(std::string_view name) const;
+  [[nodiscard]] std::int64_t integer(std::string_view name) const;
+  [[nodiscard]] bool flag(std::string_view name) const;
+  /// \returns the elements of a comma-separated list.
+  [[nodiscard]] std::vector<std::string> list(std::string_view name) const;
+  /// \returns arguments that are not flags, in order.
+  [[nodiscard]] const std::vector<std::string>& arguments() const noexcept {
+    return arguments_;
+  }
+  [[nodiscard]] bool help_requested() const noexcept { return help_; }
+  [[nodiscard]] bool version_requested() const noexcept { return version_; }
+
+ private:
+  friend class SettingsBuilder;
+  std::map<std::string, std::string, std::less<>> values_;
+  std::vector<std::string> arguments_;
+  bool help_ = false;
+  bool version_ = false;
+};
+
+/// \brief Declares settings, then parses and checks all of them at once.
+class SettingsBuilder {
+ public:
+  explicit SettingsBuilder(std::string program, std::string summary);
+
+  SettingsBuilder& Text(std::string name,
+                        std::string help,
+                        std::string fallback = "");
+  SettingsBuilder& Required(std::string name, std::string help);
+  SettingsBuilder& Integer(std::string name,
+                           std::string help,
+                           std::int64_t fallback,
+                           std::int64_t low,
+                           std::int64_t high);
+  /// An "IP:port" that the process listens on or calls.
+  SettingsBuilder& Address(std::string name,
+                           std::string help,
+                           std::string fallback = "");
+  SettingsBuilder& RequiredAddress(std::string name, std::string help);
+  /// A comma-separated list of "IP:port" or "name=IP:port".
+  SettingsBuilder& AddressList(std::string name, std::string help);
+  SettingsBuilder& Flag(std::string name, std::string help);
+
+  /// \param errors receives one typed error for each fault found.
+  /// \returns the settings; valid only if `errors` stays empty.
+  [[nodiscard]] Settings Parse(int argc,
+                               const char* const* argv,
+                               std::vector<Error>* errors) const;
+  /// \returns the text for --help.
+  [[nodiscard]] std::string Help() const;
+
+ private:
+  std::string program_;
+  std::string summary_;
+  std::vector<SettingSpec> specs_;
+};
+
+/// \returns the environment variable of the setting `name`.
+[[nodiscard]] std::string EnvironmentName(std::string_view name);
+
+/// \brief Handles --help, --version and faulty settings of a main function.
+/// \returns the exit code to leave with (0 or 2), or nothing to go on.
+[[nodiscard]] std::optional<int> HandleStandardSettings(
+    const SettingsBuilder& builder,
+    const Settings& settings,
+    const std::vector<Error>& errors);
+
+/// Exit codes shared by all programs.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitFailed = 1;
+inline constexpr int kExitBadSettings = 2;
+inline constexpr int kExitUnavailable = 3;
+inline constexpr int kExitRefused = 4;
+
+inline constexpr std::string_view kVersion = "0.1.0";
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_BASE_SETTINGS_H_
--- /dev/null
+++ b/src/model/fleet_types.h
@@ -0,0 +1,94 @@
+#ifndef BORAGEWINCH_MODEL_FLEET_TYPES_H_
+#define BORAGEWINCH_MODEL_FLEET_TYPES_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/enum_table.h"
+#include "base/strong_id.h"
+
+namespace boragewinch {
+
+/// Version of the fleet state; grows by one with each operator-visible change.
+using FleetVersion = std::uint64_t;
+
+/// \brief A set of hosts with an availability budget.
+struct Pool {
+  PoolName name;
+  std::int64_t min_available = 0;      ///< workers that must stay in service
+  bool spare = false;                  ///< shared buffer of the other pools
+  std::int64_t maintenance_days = 35;  ///< each host once in this period
+  FleetVersion version = 0;            ///< last change
+};
+
+/// \brief A group of people who submit work.
+struct Team {
+  TeamName name;
+  std::int64_t share = 1;  ///< weight when the fleet is full
+  std::int64_t limit = 0;  ///< tasks running at once in the whole fleet
+  FleetVersion version = 0;
+};
+
+/// \brief Where work of a team enters a pool.
+struct Queue {
+  QueueName name;
+  PoolName pool;
+  TeamName team;      ///< whose share and limit the work counts against
+  bool open = false;  ///< takes work without a key
+  FleetVersion version = 0;
+};
+
+enum class HostState {
+  kActive,
+  kDraining,
+  kDrained,
+  kRebooting,
+  kReturning,
+  kLost,
+};
+
+inline constexpr EnumTable<HostState, 6> kHostStates{{{
+    {HostState::kActive, "active"},
+    {HostState::kDraining, "draining"},
+    {HostState::kDrained, "drained"},
+    {HostState::kRebooting, "rebooting"},
+    {HostState::kReturning, "returning"},
+    {HostState::kLost, "lost"},
+}}};
+
+/// \brief A worker's host and its only pool.
+struct Host {
+  HostName name;
+  PoolName pool;
+  ZoneName zone;
+  RackName rack;
+  HostState state = HostState::kActive;
+  FleetVersion assignment = 0;     ///< version of the last pool or drain change
+  std::int64_t maintained_at = 0;  ///< wall clock, Unix seconds; 0 is never
+  FleetVersion version = 0;
+};
+
+/// \brief A credential of a team. The secret itself is not kept.
+struct Key {
+  KeyId id;
+  TeamName team;
+  std::string secret_hash;
+  bool withdrawn = false;
+  FleetVersion version = 0;
+};
+
+/// \brief A process that serves callers, as the ledger knows it.
+struct EntryHost {
+  EntryName name;
+  ZoneName zone;
+  Incarnation incarnation;
+  std::string address;       ///< "IP:port" towards callers and workers
+  std::string peer_address;  ///< "IP:port" towards other processes
+  std::map<TeamName, std::int64_t> allotment;  ///< tasks it may run, by team
+  std::uint64_t allotment_version = 0;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_MODEL_FLEET_TYPES_H_
--- /dev/null
+++ b/src/model/resources.h
@@ -0,0 +1,47 @@
+#ifndef BORAGEWINCH_MODEL_RESOURCES_H_
+#define BORAGEWINCH_MODEL_RESOURCES_H_
+
+#include <compare>
+#include <cstdint>
+
+#include "base/json.h"
+#include "base/result.h"
+
+namespace boragewinch {
+
+/// \brief What a task needs or a worker has.
+struct Resources {
+  std::int64_t cpu_millis = 0;  ///< thousandths of a core
+  std::int64_t memory_mb = 0;
+  std::int64_t accelerators = 0;
+
+  /// \returns whether every component of this fits into `room`.
+  [[nodiscard]] constexpr bool FitsInto(const Resources& room) const noexcept {
+    return cpu_millis <= room.cpu_millis && memory_mb <= room.memory_mb &&
+           accelerators <= room.accelerators;
+  }
+  constexpr Resources& operator+=(const Resources& other) noexcept {
+    cpu_millis += other.cpu_millis;
+    memory_mb += other.memory_mb;
+    accelerators += other.accelerators;
+    return *this;
+  }
+  constexpr Resources& operator-=(const Resources& other) noexcept {
+    cpu_millis -= other.cpu_millis;
+    memory_mb -= other.memory_mb;
+    accelerators -= other.accelerators;
+    return *this;
+  }
+  friend bool operator==(const Resources&, const Resources&) = default;
+};
+
+/// \returns {"cpu_millis": .., "memory_mb": .., "accelerators": ..}.
+[[nodiscard]] Json ToJson(const Resources& resources);
+
+/// \brief Reads the object written by ToJson; absent members count as 0.
+/// \returns kInvalidField for a negative or excessive value.
+[[nodiscard]] Result<Resources> ResourcesFromJson(const Json& json);
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_MODEL_RESOURCES_H_
