--- /dev/null
+++ b/src/kernel/event_loop.h
@@ -0,0 +1,66 @@
+#ifndef BORAGEWINCH_KERNEL_EVENT_LOOP_H_
+#define BORAGEWINCH_KERNEL_EVENT_LOOP_H_
+
+#include <functional>
+#include <memory>
+
+#include "base/time.h"
+
+namespace boragewinch {
+
+/// \brief Cancels its timer, descriptor or signal watch when destroyed.
+class Watch {
+ public:
+  virtual ~Watch() = default;
+};
+
+using WatchHandle = std::unique_ptr<Watch>;
+
+/// \brief What a watched descriptor is ready for.
+struct Readiness {
+  bool readable = false;
+  bool writable = false;
+};
+
+/// \brief The libev loop of a process. Single-threaded; the only place, with
+/// the programs' main functions, that reads a clock.
+class EventLoop {
+ public:
+  EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
+  ~EventLoop();
+
+  /// \returns the monotonic clock, read at the call.
+  [[nodiscard]] TimePoint now() const noexcept;
+  /// \returns seconds since the Unix epoch, for records that outlive a boot.
+  [[nodiscard]] std::int64_t unix_seconds() const noexcept;
+
+  /// \brief Calls `callback` once from the loop, after the present callback.
+  void Post(std::function<void()> callback);
+  /// \brief Calls `callback` every `interval` until the handle is destroyed.
+  [[nodiscard]] WatchHandle Every(Millis interval,
+                                  std::function<void(TimePoint)> callback);
+  /// \brief Calls `callback` once after `delay` unless the handle is destroyed.
+  [[nodiscard]] WatchHandle After(Millis delay,
+                                  std::function<void(TimePoint)> callback);
+  /// \brief Calls `callback` while `descriptor` is ready as asked.
+  [[nodiscard]] WatchHandle OnReady(int descriptor,
+                                    Readiness interest,
+                                    std::function<void(Readiness)> callback);
+  /// \brief Calls `callback` for each arrival of `signal_number`.
+  [[nodiscard]] WatchHandle OnSignal(int signal_number,
+                                     std::function<void()> callback);
+
+  /// \brief Runs until Stop is called.
+  void Run();
+  void Stop();
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_KERNEL_EVENT_LOOP_H_
--- /dev/null
+++ b/src/kernel/kernel.cc
@@ -0,0 +1,64 @@
+#include "kernel/kernel.h"
+
+#include <csignal>
+
+#include "base/event_log.h"
+#include "base/settings.h"
+
+namespace boragewinch {
+
+Kernel::Kernel() = default;
+
+Kernel::~Kernel() {
+  while (!services_.empty())
+    services_.pop_back();
+}
+
+void Kernel::Add(std::string name, std::unique_ptr<Service> service) {
+  services_.emplace_back(std::move(name), std::move(service));
+}
+
+Service* Kernel::FindService(std::string_view name) const {
+  for (const auto& [known, service] : services_) {
+    if (known == name)
+      return service.get();
+  }
+  return nullptr;
+}
+
+Status Kernel::Run() {
+  // A peer that closes its socket must not end this process.
+  std::signal(SIGPIPE, SIG_IGN);
+  for (const auto& [name, service] : services_) {
+    BW_CHECK(service->Start(*this));
+    ++running_;
+  }
+  const WatchHandle terminate =
+      loop_.OnSignal(SIGTERM, [this] { RequestStop(); });
+  const WatchHandle interrupt =
+      loop_.OnSignal(SIGINT, [this] { RequestStop(); });
+  LogEvent(EventId::kProcessStarted, {{"version", kVersion}});
+  loop_.Run();
+  LogEvent(EventId::kProcessStopped, {});
+  return Ok();
+}
+
+void Kernel::RequestStop() {
+  if (stopping_)
+    return;
+  stopping_ = true;
+  LogEvent(EventId::kProcessStopping, {});
+  StopNext();
+}
+
+void Kernel::StopNext() {
+  if (running_ == 0) {
+    loop_.Stop();
+    return;
+  }
+  --running_;
+  services_[running_].second->Stop(
+      [this] { loop_.Post([this] { StopNext(); }); });
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/kernel/kernel.h
@@ -0,0 +1,54 @@
+#ifndef BORAGEWINCH_KERNEL_KERNEL_H_
+#define BORAGEWINCH_KERNEL_KERNEL_H_
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/result.h"
+#include "kernel/event_loop.h"
+#include "kernel/service.h"
+
+namespace boragewinch {
+
+/// \brief Owns the services of a process, starts them in the order in which
+/// they were added and stops them in the opposite order.
+class Kernel {
+ public:
+  Kernel();
+  ~Kernel();
+
+  [[nodiscard]] EventLoop& loop() noexcept { return loop_; }
+
+  /// \brief Takes over `service` under a name that is unique in the process.
+  void Add(std::string name, std::unique_ptr<Service> service);
+
+  /// \returns the service called `name`, or nullptr if there is none or it is
+  /// of another type.
+  template <typename T>
+  [[nodiscard]] T* Find(std::string_view name) const {
+    return dynamic_cast<T*>(FindService(name));
+  }
+
+  /// \brief Starts all services, then runs until SIGTERM or SIGINT and the
+  /// planned stop that follows.
+  /// \returns the first error of a service's start.
+  [[nodiscard]] Status Run();
+
+  /// \brief Begins the planned stop; further calls have no effect.
+  void RequestStop();
+
+ private:
+  [[nodiscard]] Service* FindService(std::string_view name) const;
+  void StopNext();
+
+  EventLoop loop_;
+  std::vector<std::pair<std::string, std::unique_ptr<Service>>> services_;
+  std::size_t running_ = 0;
+  bool stopping_ = false;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_KERNEL_KERNEL_H_
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,209 @@
+#include "net/http_client.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace boragewinch {
+
+namespace {
+
+constexpr long kMaxConnectMs = 1'000;
+
+struct Transfer {
+  CURL* easy = nullptr;
+  curl_slist* headers = nullptr;
+  HttpCall call;
+  HttpClient::Done done;
+  HttpResponse response;
+  std::size_t max_bytes = 0;
+  bool too_large = false;
+
+  ~Transfer() {
+    curl_slist_free_all(headers);
+    curl_easy_cleanup(easy);
+  }
+};
+
+std::size_t OnBody(char* data,
+                   std::size_t size,
+                   std::size_t count,
+                   void* self) {
+  auto* transfer = static_cast<Transfer*>(self);
+  const std::size_t bytes = size * count;
+  if (transfer->response.body.size() + bytes > transfer->max_bytes) {
+    transfer->too_large = true;
+    return 0;
+  }
+  transfer->response.body.append(data, bytes);
+  return bytes;
+}
+
+// The connect time can't decide this: it is 0 on a reused connection too.
+[[nodiscard]] bool NothingSent(const Transfer& transfer) {
+  long sent_bytes = 0;
+  curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  return sent_bytes == 0;
+}
+
+[[nodiscard]] Result<HttpResponse> ToResult(CURLcode code, Transfer& transfer) {
+  if (transfer.too_large)
+    return Fail(ErrorCode::kTooLarge, "response of " + transfer.call.url);
+  const std::string detail = transfer.call.method + " " + transfer.call.url +
+                             ": " + curl_easy_strerror(code);
+  switch (code) {
+    case CURLE_OK: {
+      long status = 0;
+      curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &status);
+      transfer.response.status = static_cast<int>(status);
+      return std::move(transfer.response);
+    }
+    case CURLE_OPERATION_TIMEDOUT:
+      return Fail(
+          NothingSent(transfer) ? ErrorCode::kTransport : ErrorCode::kTimeout,
+          detail);
+    default:
+      return Fail(
+          NothingSent(transfer) ? ErrorCode::kTransport : ErrorCode::kProtocol,
+          detail);
+  }
+}
+
+}  // namespace
+
+struct HttpClient::Impl {
+  Impl(EventLoop& event_loop, HttpClientLimits client_limits)
+      : loop(event_loop), limits(client_limits), multi(curl_multi_init()) {
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &Impl::OnSocket);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &Impl::OnTimer);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                      limits.max_connections_per_host);
+  }
+
+  static int OnSocket(CURL*,
+                      curl_socket_t socket,
+                      int what,
+                      void* self,
+                      void*) {
+    auto* impl = static_cast<Impl*>(self);
+    if (what == CURL_POLL_REMOVE) {
+      impl->sockets.erase(socket);
+      return 0;
+    }
+    const Readiness interest{(what & CURL_POLL_IN) != 0,
+                             (what & CURL_POLL_OUT) != 0};
+    impl->sockets.erase(socket);
+    impl->sockets[socket] =
+        impl->loop.OnReady(socket, interest, [impl, socket](Readiness ready) {
+          const int events = (ready.readable ? CURL_CSELECT_IN : 0) |
+                             (ready.writable ? CURL_CSELECT_OUT : 0);
+          impl->Act(socket, events);
+        });
+    return 0;
+  }
+
+  static int OnTimer(CURLM*, long wait_ms, void* self) {
+    auto* impl = static_cast<Impl*>(self);
+    impl->timer.reset();
+    if (wait_ms >= 0) {
+      impl->timer = impl->loop.After(Millis(wait_ms), [impl](TimePoint) {
+        impl->Act(CURL_SOCKET_TIMEOUT, 0);
+      });
+    }
+    return 0;
+  }
+
+  void Act(curl_socket_t socket, int events) {
+    int running = 0;
+    curl_multi_socket_action(multi, socket, events, &running);
+    CollectFinished();
+  }
+
+  void CollectFinished() {
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi, &left)) {
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      const CURLcode code = message->data.result;
+      const auto found = transfers.find(message->easy_handle);
+      curl_multi_remove_handle(multi, message->easy_handle);
+      const std::unique_ptr<Transfer> transfer = std::move(found->second);
+      transfers.erase(found);
+      auto result = ToResult(code, *transfer);
+      loop.Post(
+          [done = std::move(transfer->done),
+           result = std::move(result)]() mutable { done(std::move(result)); });
+    }
+  }
+
+  EventLoop& loop;
+  HttpClientLimits limits;
+  CURLM* multi;
+  std::map<CURL*, std::unique_ptr<Transfer>> transfers;
+  std::map<curl_socket_t, WatchHandle> sockets;
+  WatchHandle timer;
+};
+
+HttpClient::HttpClient(EventLoop& loop, HttpClientLimits limits)
+    : impl_(std::make_unique<Impl>(loop, limits)) {}
+
+HttpClient::~HttpClient() {
+  for (const auto& [easy, transfer] : impl_->transfers)
+    curl_multi_remove_handle(impl_->multi, easy);
+  impl_->transfers.clear();
+  curl_multi_cleanup(impl_->multi);
+}
+
+void HttpClient::Send(HttpCall call, Done done) {
+  if (impl_->transfers.size() >= impl_->limits.max_calls) {
+    impl_->loop.Post([done = std::move(done)] {
+      done(Fail(ErrorCode::kTableFull, "too many calls in flight"));
+    });
+    return;
+  }
+  auto transfer = std::make_unique<Transfer>();
+  transfer->easy = curl_easy_init();
+  transfer->call = std::move(call);
+  transfer->done = std::move(done);
+  transfer->max_bytes = impl_->limits.max_response_bytes;
+
+  CURL* easy = transfer->easy;
+  const HttpCall& sent = transfer->call;
+  curl_slist* headers = curl_slist_append(nullptr, "Expect:");
+  headers = curl_slist_append(headers, "Content-Type: application/json");
+  for (const auto& [name, value] : sent.headers)
+    headers = curl_slist_append(headers, (name + ": " + value).c_str());
+  transfer->headers = headers;
+  const long timeout_ms = std::max<long>(1, sent.timeout.count());
+  curl_easy_setopt(easy, CURLOPT_URL, sent.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, sent.method.c_str());
+  if (!sent.body.empty() || sent.method == "POST" || sent.method == "PUT") {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(sent.body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, sent.body.c_str());
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, sent.method.c_str());
+  }
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
+  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+                   std::min(timeout_ms, kMaxConnectMs));
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  // Addresses are those of the settings; no proxy of the environment applies.
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  impl_->transfers.emplace(easy, std::move(transfer));
+  curl_multi_add_handle(impl_->multi, easy);
+}
+
+std::size_t HttpClient::open_calls() const noexcept {
+  return impl_->transfers.size();
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/net/http_client.h
@@ -0,0 +1,48 @@
+#ifndef BORAGEWINCH_NET_HTTP_CLIENT_H_
+#define BORAGEWINCH_NET_HTTP_CLIENT_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+
+#include "base/result.h"
+#include "kernel/event_loop.h"
+#include "net/http_types.h"
+
+namespace boragewinch {
+
+/// \brief Bounds of a client.
+struct HttpClientLimits {
+  std::size_t max_response_bytes = 16 * 1024 * 1024;
+  std::size_t max_calls = 4'096;  ///< in flight or waiting for a connection
+  long max_connections_per_host = 64;
+};
+
+/// \brief HTTP/1.1 client: libcurl's multi interface driven by the event loop.
+/// A call that times out has its connection closed, so a connection that went
+/// silent serves no second call.
+class HttpClient {
+ public:
+  using Done = std::function<void(Result<HttpResponse>)>;
+
+  HttpClient(EventLoop& loop, HttpClientLimits limits);
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+  ~HttpClient();
+
+  /// \brief Starts `call`; `done` is called once, from the loop.
+  /// \returns through `done`: the response of whatever status; kTransport
+  /// or kTableFull when no byte of the request was sent; kTimeout, kProtocol
+  /// or kTooLarge when the other side may have acted.
+  void Send(HttpCall call, Done done);
+
+  [[nodiscard]] std::size_t open_calls() const noexcept;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/src/net/http_types.h
@@ -0,0 +1,38 @@
+#ifndef BORAGEWINCH_NET_HTTP_TYPES_H_
+#define BORAGEWINCH_NET_HTTP_TYPES_H_
+
+#include <map>
+#include <string>
+
+#include "base/time.h"
+
+namespace boragewinch {
+
+/// \brief A request that a server received.
+struct HttpRequest {
+  std::string method;
+  std::string path;  ///< without query
+  std::map<std::string, std::string> query;
+  std::map<std::string, std::string> headers;  ///< names in lower case
+  std::string body;
+};
+
+/// \brief An answer to send or one that was received.
+struct HttpResponse {
+  int status = 200;
+  std::string body;
+  std::string content_type = "application/json";
+};
+
+/// \brief A call to another process.
+struct HttpCall {
+  std::string method = "GET";
+  std::string url;
+  std::map<std::string, std::string> headers;
+  std::string body;
+  Millis timeout{2'000};
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_NET_HTTP_TYPES_H_
--- /dev/null
+++ b/src/net/rpc_client.h
@@ -0,0 +1,40 @@
+#ifndef BORAGEWINCH_NET_RPC_CLIENT_H_
+#define BORAGEWINCH_NET_RPC_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "base/json.h"
+#include "base/result.h"
+#include "net/http_client.h"
+
+namespace boragewinch {
+
+/// \brief Calls JSON-RPC 2.0 methods of the project's other processes.
+///
+/// libjsonrpccpp's client blocks, so only its message format is used here.
+class RpcClient {
+ public:
+  using Done = std::function<void(Result<Json>)>;
+
+  RpcClient(HttpClient& http, std::string secret);
+
+  /// \brief Calls `method` at `address` ("IP:port").
+  /// \returns through `done`: the result, the remote Error, or the transport's
+  /// Error (kTransport: the other side has not seen the call).
+  void Call(const std::string& address,
+            const std::string& method,
+            const Json& body,
+            Millis timeout,
+            Done done);
+
+ private:
+  HttpClient& http_;
+  std::string secret_;
+  std::uint64_t next_id_ = 1;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_NET_RPC_CLIENT_H_
--- /dev/null
+++ b/src/net/rpc_server.h
@@ -0,0 +1,51 @@
+#ifndef BORAGEWINCH_NET_RPC_SERVER_H_
+#define BORAGEWINCH_NET_RPC_SERVER_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/json.h"
+#include "base/result.h"
+#include "net/http_server.h"
+#include "net/http_types.h"
+
+namespace boragewinch {
+
+/// \brief Answers one JSON-RPC call, at any later time, once.
+using RpcReply = std::function<void(Result<Json>)>;
+
+/// \brief Handles one method. The parameter is the object "body" of the call.
+using RpcMethod = std::function<void(const Json& body, RpcReply reply)>;
+
+/// \brief Serves JSON-RPC 2.0 calls of the project's other processes.
+///
+/// libjsonrpccpp parses, validates and dispatches; HttpServer carries the
+/// bytes. libjsonrpccpp answers synchronously, so a method that replies later
+/// leaves a placeholder which is replaced when its reply comes.
+class RpcServer {
+ public:
+  /// \param secret shared by the processes of an installation; calls without
+  /// it are refused.
+  explicit RpcServer(const std::string& secret);
+  RpcServer(const RpcServer&) = delete;
+  RpcServer& operator=(const RpcServer&) = delete;
+  ~RpcServer();
+
+  /// \brief Binds `method`; each name can be bound once.
+  void Bind(const std::string& name, RpcMethod method);
+
+  /// \brief Handles one HTTP request that carries a call.
+  void Serve(const HttpRequest& request, const HttpResponder& respond);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+/// Header with the installation's shared secret.
+inline constexpr char kClusterSecretHeader[] = "x-boragewinch-cluster";
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_NET_RPC_SERVER_H_
--- /dev/null
+++ b/tests/net_test.cc
@@ -0,0 +1,192 @@
+#define BOOST_TEST_MODULE net
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <vector>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/rpc_client.h"
+#include "net/rpc_server.h"
+
+namespace boragewinch {
+namespace {
+
+constexpr Millis kGiveUp{20'000};
+
+struct Fixture {
+  EventLoop loop;
+  HttpClient client{loop, {}};
+  WatchHandle give_up = loop.After(kGiveUp, [this](TimePoint) { loop.Stop(); });
+
+  Result<HttpResponse> Call(HttpCall call) {
+    Result<HttpResponse> answer = Fail(ErrorCode::kTimeout, "no answer");
+    client.Send(std::move(call), [&](Result<HttpResponse> result) {
+      answer = std::move(result);
+      loop.Stop();
+    });
+    loop.Run();
+    return answer;
+  }
+};
+
+// Guards against an answer that is lost because it comes after the handler.
+BOOST_FIXTURE_TEST_CASE(LateAnswerArrives, Fixture) {
+  WatchHandle later;
+  HttpServer server(loop, {}, [&](HttpRequest request, HttpResponder respond) {
+    later = loop.After(Millis(20), [respond, request](TimePoint) {
+      respond({201, request.method + request.body});
+    });
+  });
+  BOOST_REQUIRE(server.Listen("127.0.0.1:0"));
+  const auto answer =
+      Call({"PUT", "http://" + server.address() + "/x", {}, "body"});
+  BOOST_REQUIRE(answer);
+  BOOST_TEST(answer.value().status == 201);
+  BOOST_TEST(answer.value().body == "PUTbody");
+}
+
+// Guards against a handler that keeps a responder longer than its connection.
+BOOST_FIXTURE_TEST_CASE(AnswerAfterCallerLeftIsIgnored, Fixture) {
+  std::vector<HttpResponder> kept;
+  HttpServer server(loop, {}, [&](HttpRequest, HttpResponder respond) {
+    kept.push_back(respond);
+  });
+  BOOST_REQUIRE(server.Listen("127.0.0.1:0"));
+  HttpCall call{"GET", "http://" + server.address() + "/"};
+  call.timeout = Millis(100);
+  const auto answer = Call(std::move(call));
+  BOOST_REQUIRE(!answer);
+  BOOST_TEST((answer.error().code == ErrorCode::kTimeout));
+  BOOST_REQUIRE(kept.size() == 1U);
+  kept.front()({200, "late"});
+}
+
+// Guards against a refused connection being reported as "may have run".
+BOOST_FIXTURE_TEST_CASE(RefusedConnectionWasNotSent, Fixture) {
+  std::string address;
+  {
+    HttpServer server(loop, {}, [](HttpRequest, HttpResponder) {});
+    BOOST_REQUIRE(server.Listen("127.0.0.1:0"));
+    address = server.address();
+  }
+  const auto answer = Call({"GET", "http://" + address + "/"});
+  BOOST_REQUIRE(!answer);
+  BOOST_TEST((answer.error().code == ErrorCode::kTransport));
+}
+
+// Guards against a time-out on a reused connection being reported as "not
+// sent": libcurl gives a connect time of 0 for such a call.
+BOOST_FIXTURE_TEST_CASE(TimeoutOnReusedConnectionMayHaveRun, Fixture) {
+  int requests = 0;
+  std::vector<HttpResponder> kept;
+  HttpServer server(loop, {}, [&](HttpRequest, HttpResponder respond) {
+    if (++requests == 1)
+      respond({200, "first"});
+    else
+      kept.push_back(respond);
+  });
+  BOOST_REQUIRE(server.Listen("127.0.0.1:0"));
+  HttpCall call{"POST", "http://" + server.address() + "/", {}, "a"};
+  call.timeout = Millis(200);
+  BOOST_REQUIRE(Call(call));
+  const auto answer = Call(call);
+  BOOST_REQUIRE(!answer);
+  BOOST_TEST((answer.error().code == ErrorCode::kTimeout));
+  BOOST_TEST(requests == 2);
+}
+
+// Guards against unbounded memory for one caller's body.
+BOOST_FIXTURE_TEST_CASE(OversizedBodyIsRefused, Fixture) {
+  HttpServerLimits limits;
+  limits.max_body_bytes = 10;
+  HttpServer server(loop, limits, [](HttpRequest, HttpResponder respond) {
+    respond({200, ""});
+  });
+  BOOST_REQUIRE(server.Listen("127.0.0.1:0"));
+  const auto answer = Call(
+      {"POST", "http://" + server.address() + "/", {}, std::string(11, 'x')});
+  BOOST_REQUIRE(answer);
+  BOOST_TEST(answer.value().status == 413);
+}
+
+struct RpcFixture : Fixture {
+  RpcServer rpc{"secret"};
+  HttpServer server{loop,
+                    {},
+                    [this](HttpRequest request, HttpResponder respond) {
+                      rpc.Serve(request, respond);
+                    }};
+  WatchHandle later;
+
+  RpcFixture() {
+    BOOST_REQUIRE(server.Listen("127.0.0.1:0"));
+    rpc.Bind("echo", [](const Json& body, RpcReply reply) { reply(body); });
+    rpc.Bind("late", [this](const Json& body, RpcReply reply) {
+      later = loop.After(Millis(10), [body, reply](TimePoint) { reply(body); });
+    });
+    rpc.Bind("refuse", [](const Json&, RpcReply reply) {
+      reply(Fail(ErrorCode::kFenced, "owner is fenced"));
+    });
+  }
+
+  Result<Json> Rpc(const std::string& method, const std::string& secret) {
+    RpcClient rpc_client(client, secret);
+    Json body;
+    body["n"] = 7;
+    Result<Json> answer = Fail(ErrorCode::kTimeout, "no answer");
+    rpc_client.Call(server.address(), method, body, Millis(5'000),
+                    [&](Result<Json> result) {
+                      answer = std::move(result);
+                      loop.Stop();
+                    });
+    loop.Run();
+    return answer;
+  }
+};
+
+// Guards against a result that is lost when a method replies later.
+BOOST_FIXTURE_TEST_CASE(RpcAnswersAtOnceAndLater, RpcFixture) {
+  for (const char* method : {"echo", "late"}) {
+    const auto answer = Rpc(method, "secret");
+    BOOST_REQUIRE(answer);
+    BOOST_TEST(answer.value()["n"].asInt() == 7);
+  }
+}
+
+// Guards against a remote error that arrives without its type.
+BOOST_FIXTURE_TEST_CASE(RpcErrorKeepsItsType, RpcFixture) {
+  const struct {
+    const char* method;
+    const char* secret;
+    ErrorCode code;
+  } cases[] = {
+      {"refuse", "secret", ErrorCode::kFenced},
+      {"missing", "secret", ErrorCode::kProtocol},
+      {"echo", "wrong", ErrorCode::kUnauthorized},
+  };
+  for (const auto& test : cases) {
+    const auto answer = Rpc(test.method, test.secret);
+    BOOST_REQUIRE(!answer);
+    BOOST_TEST(kErrorCodes.Name(answer.error().code) ==
+               kErrorCodes.Name(test.code));
+  }
+}
+
+// Guards against a crash or a stuck connection on malformed calls.
+BOOST_FIXTURE_TEST_CASE(MalformedRpcIsAnswered, RpcFixture) {
+  for (const char* body :
+       {"", "[", "[]", "7", "{}", R"({"jsonrpc":"2.0","method":"echo","id":1})",
+        R"({"jsonrpc":"2.0","method":"echo","id":1,"params":[1]})",
+        R"({"jsonrpc":"2.0","method":"echo","id":1,"params":{"body":3}})",
+        R"({"jsonrpc":"2.0","method":"echo","params":{"body":{}}})"}) {
+    HttpCall call{"POST", "http://" + server.address() + "/rpc", {}, body};
+    call.headers[kClusterSecretHeader] = "secret";
+    BOOST_TEST_CONTEXT(body) {
+      BOOST_TEST(Call(std::move(call)).has_value());
+    }
+  }
+}
+
+}  // namespace
+}  // namespace boragewinch
