--- a/src/base/result.h
+++ b/src/base/result.h
@@ -31,6 +31,12 @@
   return outcome::failure(Error{code, std::move(detail), std::move(position)});
 }
 
+/// \returns the value of `result`, or `fallback` for a failure.
+template <typename T>
+[[nodiscard]] T ValueOr(const Result<T>& result, T fallback) {
+  return result ? result.value() : std::move(fallback);
+}
+
 /// \returns the success state of a Status.
 [[nodiscard]] inline auto Ok() {
   return outcome::success();
--- /dev/null
+++ b/src/fakes/fake_worker.h
@@ -0,0 +1,95 @@
+#ifndef BORAGEWINCH_FAKES_FAKE_WORKER_H_
+#define BORAGEWINCH_FAKES_FAKE_WORKER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "model/worker_types.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace boragewinch {
+
+/// \brief Settings of one stand-in worker.
+struct FakeWorkerConfig {
+  HostName host;
+  ZoneName zone;
+  RackName rack;
+  std::string listen = "127.0.0.1:0";
+  std::vector<std::string> entries;  ///< "IP:port" of the zone's entry hosts
+  std::string platform;              ///< "IP:port", may be empty
+  Resources total{16'000, 32'768, 0};
+  std::int64_t slots = kMaxSlotsPerWorker;
+  Millis heartbeat = kHeartbeatInterval;
+  bool fail_all = false;  ///< every task fails at once
+  /// Called with the task id at the start of each execution.
+  std::function<void(const TaskId&)> on_execute;
+};
+
+/// \brief Stand-in for a backend server's worker. Payloads are JSON:
+/// {"run_ms": duration, "fail": bool, "echo": text}; the result is the text.
+/// A payload that is not JSON runs for kDefaultRun and is returned whole.
+class FakeWorker {
+ public:
+  FakeWorker(EventLoop& loop, HttpClient& client, FakeWorkerConfig config);
+  ~FakeWorker();
+
+  /// \brief Opens the port and begins to send heartbeats.
+  [[nodiscard]] Status Start();
+  [[nodiscard]] const std::string& address() const noexcept;
+  /// \brief Refuses new tasks and says so to one entry host.
+  void Leave();
+  [[nodiscard]] std::size_t running() const noexcept;
+
+ private:
+  struct Task {
+    TaskReport report;
+    TimePoint lease_until;
+    WatchHandle timer;
+    std::string body;  ///< of the result
+    bool ended = false;
+    int posts = 0;  ///< attempts to deliver the result
+    WatchHandle retry;
+  };
+
+  void Serve(const HttpRequest& request, const HttpResponder& respond);
+  [[nodiscard]] Result<StartAnswer> StartTask(const Json& body, TimePoint now);
+  void EndTask(const TaskId& id, TaskState state);
+  void PostResult(const TaskId& id);
+  void SendHeartbeats();
+  void OnHeartbeatAnswer(const Json& answer, TimePoint sent);
+  void ExpireLeases(TimePoint now);
+  void Restart();
+  void PollPlatform();
+  void ForgetEnded(const TaskId& id);
+
+  EventLoop& loop_;
+  HttpClient& client_;
+  FakeWorkerConfig config_;
+  HttpServer server_;
+  Incarnation incarnation_;
+  std::uint64_t sequence_ = 0;
+  std::map<TaskId, Task> tasks_;
+  std::set<TaskId> seen_;  ///< started or forbidden, never started again
+  std::set<TaskId> forbidden_;
+  bool leaving_ = false;
+  bool rebooting_ = false;
+  std::int64_t boots_ = 0;
+  FleetVersion assignment_ = 0;
+  PoolName pool_;
+  bool drain_ = false;
+  std::size_t next_entry_ = 0;
+  WatchHandle heartbeat_;
+  WatchHandle platform_poll_;
+};
+
+/// Run time of a payload that names none.
+inline constexpr Millis kDefaultRun{5};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_FAKES_FAKE_WORKER_H_
