--- a/src/fakes/load_generator.cc
+++ b/src/fakes/load_generator.cc
@@ -88,7 +88,7 @@
 
 void LoadGenerator::TakeTicket(std::int64_t number) {
   client_.Send(CallFor(open_.at(number), "POST", "/v1/tickets"),
-               [this, number](Result<HttpResponse> result) {
+               [this, number](const Result<HttpResponse>& result) {
                  if (!open_.contains(number))
                    return;
                  if (result && result.value().status == 200) {
@@ -108,15 +108,16 @@
   const Job& job = open_.at(number);
   HttpCall call = CallFor(job, "PUT", "/v1/jobs/" + job.id);
   call.body = job.body;
-  client_.Send(std::move(call), [this, number](Result<HttpResponse> result) {
-    OnAnswer(number, result);
-  });
+  client_.Send(std::move(call),
+               [this, number](const Result<HttpResponse>& result) {
+                 OnAnswer(number, result);
+               });
 }
 
 void LoadGenerator::Poll(std::int64_t number) {
   const Job& job = open_.at(number);
   client_.Send(CallFor(job, "GET", "/v1/jobs/" + job.id + kWaitQuery),
-               [this, number](Result<HttpResponse> result) {
+               [this, number](const Result<HttpResponse>& result) {
                  OnAnswer(number, result);
                });
 }
@@ -176,7 +177,7 @@
 void LoadGenerator::FetchResult(std::int64_t number) {
   const Job& job = open_.at(number);
   client_.Send(CallFor(job, "GET", "/v1/jobs/" + job.id + "/result"),
-               [this, number](Result<HttpResponse> result) {
+               [this, number](const Result<HttpResponse>& result) {
                  if (!open_.contains(number))
                    return;
                  if (!result || result.value().status != 200) {
