--- a/src/fakes/fake_worker.cc
+++ b/src/fakes/fake_worker.cc
@@ -44,6 +44,23 @@
   return {200, WriteJson(json)};
 }
 
+enum class Delivery { kDone, kKeep, kRetry };
+
+// A refusal is final, unless the body was torn on the way (400).
+[[nodiscard]] Delivery DeliveryOf(const Result<HttpResponse>& result) {
+  if (!result)
+    return Delivery::kRetry;
+  const int status = result.value().status;
+  if (status == 404 || status == 409)
+    return Delivery::kDone;
+  const auto json = ParseJson(result.value().body);
+  if (status != 200 || !json || !json.value().isObject())
+    return Delivery::kRetry;
+  return ValueOr(BoolFieldOr(json.value(), "acknowledged", false), false)
+             ? Delivery::kDone
+             : Delivery::kKeep;
+}
+
 [[nodiscard]] std::vector<TaskId> TaskList(const Json& array) {
   std::vector<TaskId> tasks;
   if (!array.isArray())
@@ -134,8 +151,13 @@
     // A task that was never started here can't be started from now on.
     if (seen_.insert(task.value()).second)
       forbidden_.insert(task.value());
-    const bool forbidden = forbidden_.contains(task.value());
-    respond(Answer("answer", forbidden ? "forbidden" : "started"));
+    Json answer;
+    answer["incarnation"] = incarnation_.str();
+    if (forbidden_.contains(task.value()))
+      answer["answer"] = "forbidden";
+    else
+      answer["answer"] = running ? "running" : "ended";
+    respond({200, WriteJson(answer)});
     return;
   }
   if (request.path.ends_with("/stop") ||
@@ -158,6 +180,10 @@
   BW_TRY(const auto assignment,
          IntFieldOr(body, "assignment", 0, 0, INT64_MAX));
   BW_TRY(const Resources declared, ResourcesFromJson(body));
+  BW_TRY(const auto incarnation,
+         StringFieldOr(body, "worker_incarnation", "", kMaxNameBytes));
+  if (!incarnation.empty() && incarnation != incarnation_.str())
+    return StartAnswer::kLeaving;
   if (seen_.contains(id))
     return StartAnswer::kDuplicate;
   if (leaving_ || drain_ || static_cast<FleetVersion>(assignment) < assignment_)
@@ -221,8 +247,10 @@
     const auto ended = tasks_.find(id);
     if (ended == tasks_.end())
       return;
-    if (result && result.value().status == 200) {
-      ForgetEnded(id);
+    if (const auto answer = DeliveryOf(result); answer != Delivery::kRetry) {
+      // A kept result goes when a heartbeat answer acknowledges it.
+      if (answer == Delivery::kDone)
+        ForgetEnded(id);
       return;
     }
     ended->second.retry =
