--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -37,6 +37,8 @@
      "A snapshot from the leader replaced the local state."},
     {EventId::kReplicaRejoined, kWarn, "replica_rejoined",
      "A replica without its data folder joined under a new identity."},
+    {EventId::kReplicaRegressed, kError, "replica_regressed",
+     "A replica runs with an old copy of its data folder and is demoted."},
     {EventId::kCommandCommitted, kInfo, "command_committed",
      "A command is synced on a majority of control replicas."},
     {EventId::kCommandRefused, kInfo, "command_refused",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -27,6 +27,7 @@
   kSnapshotWritten = 2004,
   kSnapshotInstalled = 2005,
   kReplicaRejoined = 2006,
+  kReplicaRegressed = 2007,
   kCommandCommitted = 3001,
   kCommandRefused = 3002,
   kStateApplied = 3003,
--- /dev/null
+++ b/src/raft/message.cc
@@ -0,0 +1,207 @@
+#include "raft/message.h"
+
+#include <charconv>
+#include <limits>
+#include <utility>
+
+#include "base/hash.h"
+#include "raft/configuration.h"
+
+namespace boragewinch::raft {
+
+namespace {
+
+constexpr std::size_t kMaxEntries = 4096;
+constexpr std::size_t kHashDigits = 16;
+/// A command of the largest size must fit into one message.
+constexpr std::size_t kMaxDataBytes = kMaxCommandBytes;
+
+void PutNumber(Json* json, const char* name, std::uint64_t value) {
+  if (value != 0)
+    (*json)[name] = ::Json::Int64(value);
+}
+
+[[nodiscard]] Result<std::uint64_t> NumberField(
+    const Json& json,
+    const char* name,
+    std::uint64_t high = kMaxIndex) {
+  BW_TRY(const auto value,
+         IntFieldOr(json, name, 0, 0, static_cast<std::int64_t>(high)));
+  return static_cast<std::uint64_t>(value);
+}
+
+[[nodiscard]] Result<std::uint64_t> HashField(const Json& json,
+                                              const char* name) {
+  BW_TRY(const auto text, StringFieldOr(json, name, "0", kHashDigits));
+  std::uint64_t value = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value, 16);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return Fail(ErrorCode::kInvalidField,
+                "field \"" + std::string(name) + "\" must be hexadecimal");
+  }
+  return value;
+}
+
+[[nodiscard]] Result<std::string> DataField(const Json& json,
+                                            const char* name) {
+  // BytesToText doubles bytes from 128 up.
+  BW_TRY(const auto text, StringFieldOr(json, name, "", 2 * kMaxDataBytes));
+  BW_TRY(auto bytes, BytesFromText(text));
+  if (bytes.size() > kMaxDataBytes) {
+    return Fail(ErrorCode::kTooLarge,
+                "field \"" + std::string(name) + "\" holds " +
+                    std::to_string(bytes.size()) + " bytes, at most " +
+                    std::to_string(kMaxDataBytes) + " are allowed");
+  }
+  return bytes;
+}
+
+[[nodiscard]] Result<std::vector<Entry>> EntriesField(const Json& json) {
+  std::vector<Entry> entries;
+  if (!json.isMember("entries"))
+    return entries;
+  const Json& list = json["entries"];
+  if (!list.isArray())
+    return Fail(ErrorCode::kInvalidField, "field \"entries\" must be a list");
+  if (list.size() > kMaxEntries) {
+    return Fail(ErrorCode::kTooLarge,
+                "field \"entries\" has " + std::to_string(list.size()) +
+                    " elements, at most " + std::to_string(kMaxEntries) +
+                    " are allowed");
+  }
+  entries.reserve(list.size());
+  for (const Json& item : list) {
+    if (!item.isObject())
+      return Fail(ErrorCode::kInvalidField, "an entry must be an object");
+    Entry entry;
+    BW_TRY(entry.term, NumberField(item, "term"));
+    BW_TRY(const auto name, StringField(item, "kind", kMaxIdBytes));
+    const auto kind = kEntryKinds.Parse(name);
+    if (!kind)
+      return Fail(ErrorCode::kInvalidField, "unknown kind of entry");
+    entry.kind = *kind;
+    BW_TRY(entry.data, DataField(item, "data"));
+    if (entry.kind == EntryKind::kConfiguration) {
+      BW_TRY(const Json members, ParseJson(entry.data));
+      BW_CHECK(ConfigurationFromJson(members));
+    }
+    entries.push_back(std::move(entry));
+  }
+  return entries;
+}
+
+}  // namespace
+
+std::string BytesToText(std::string_view bytes) {
+  std::string text;
+  text.reserve(bytes.size());
+  for (const char c : bytes) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (byte < 0x80) {
+      text.push_back(c);
+    } else {
+      text.push_back(static_cast<char>(0xc0 | (byte >> 6)));
+      text.push_back(static_cast<char>(0x80 | (byte & 0x3f)));
+    }
+  }
+  return text;
+}
+
+Result<std::string> BytesFromText(std::string_view text) {
+  std::string bytes;
+  bytes.reserve(text.size());
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const auto first = static_cast<unsigned char>(text[i]);
+    if (first < 0x80) {
+      bytes.push_back(text[i]);
+      continue;
+    }
+    const auto second =
+        i + 1 < text.size() ? static_cast<unsigned char>(text[i + 1]) : 0;
+    if ((first != 0xc2 && first != 0xc3) || (second & 0xc0) != 0x80) {
+      return Fail(ErrorCode::kInvalidField,
+                  "text with a code point above 255 can't hold bytes");
+    }
+    bytes.push_back(static_cast<char>((first & 0x03) << 6 | (second & 0x3f)));
+    ++i;
+  }
+  return bytes;
+}
+
+Json ToJson(const Message& message) {
+  Json json(::Json::objectValue);
+  json["kind"] = std::string(kMessageKinds.Name(message.kind));
+  json["cluster"] = message.cluster;
+  json["from"] = message.from.str();
+  json["to"] = message.to.str();
+  json["session"] = message.session;
+  PutNumber(&json, "boots", message.boots);
+  PutNumber(&json, "term", message.term);
+  PutNumber(&json, "index", message.index);
+  PutNumber(&json, "log_term", message.log_term);
+  PutNumber(&json, "last_index", message.last_index);
+  PutNumber(&json, "commit", message.commit);
+  PutNumber(&json, "config_index", message.config_index);
+  PutNumber(&json, "offset", message.offset);
+  PutNumber(&json, "total", message.total);
+  json["sent_ms"] = ::Json::Int64(message.sent_ms);
+  if (message.chain != 0)
+    json["chain"] = Hex64(message.chain);
+  if (message.hash != 0)
+    json["hash"] = Hex64(message.hash);
+  if (message.granted)
+    json["granted"] = true;
+  if (message.transfer)
+    json["transfer"] = true;
+  if (!message.data.empty())
+    json["data"] = BytesToText(message.data);
+  for (const Entry& entry : message.entries) {
+    Json item(::Json::objectValue);
+    item["term"] = ::Json::Int64(entry.term);
+    item["kind"] = std::string(kEntryKinds.Name(entry.kind));
+    item["data"] = BytesToText(entry.data);
+    json["entries"].append(std::move(item));
+  }
+  return json;
+}
+
+Result<Message> MessageFromJson(const Json& json) {
+  if (!json.isObject())
+    return Fail(ErrorCode::kInvalidField, "a message must be a JSON object");
+  Message message;
+  BW_TRY(const auto name, StringField(json, "kind", kMaxIdBytes));
+  const auto kind = kMessageKinds.Parse(name);
+  if (!kind)
+    return Fail(ErrorCode::kInvalidField, "unknown kind of message");
+  message.kind = *kind;
+  BW_TRY(message.cluster, StringField(json, "cluster", kMaxIdBytes));
+  BW_TRY(auto from, StringField(json, "from", kMaxIdBytes));
+  BW_TRY(auto to, StringField(json, "to", kMaxIdBytes));
+  if (from.empty())
+    return Fail(ErrorCode::kInvalidField, "field \"from\" is empty");
+  message.from = ReplicaId(std::move(from));
+  message.to = ReplicaId(std::move(to));
+  BW_TRY(message.session, StringField(json, "session", kMaxIdBytes));
+  BW_TRY(message.boots, NumberField(json, "boots"));
+  BW_TRY(message.term, NumberField(json, "term"));
+  BW_TRY(message.index, NumberField(json, "index"));
+  BW_TRY(message.log_term, NumberField(json, "log_term"));
+  BW_TRY(message.last_index, NumberField(json, "last_index"));
+  BW_TRY(message.commit, NumberField(json, "commit"));
+  BW_TRY(message.config_index, NumberField(json, "config_index"));
+  BW_TRY(message.offset, NumberField(json, "offset", kMaxSnapshotBytes));
+  BW_TRY(message.total, NumberField(json, "total", kMaxSnapshotBytes));
+  BW_TRY(message.sent_ms,
+         IntFieldOr(json, "sent_ms", 0, 0,
+                    std::numeric_limits<std::int64_t>::max() / 2));
+  BW_TRY(message.chain, HashField(json, "chain"));
+  BW_TRY(message.hash, HashField(json, "hash"));
+  BW_TRY(message.granted, BoolFieldOr(json, "granted", false));
+  BW_TRY(message.transfer, BoolFieldOr(json, "transfer", false));
+  BW_TRY(message.data, DataField(json, "data"));
+  BW_TRY(message.entries, EntriesField(json));
+  return message;
+}
+
+}  // namespace boragewinch::raft
--- /dev/null
+++ b/src/raft/raft_log.h
@@ -0,0 +1,77 @@
+#ifndef BORAGEWINCH_RAFT_RAFT_LOG_H_
+#define BORAGEWINCH_RAFT_RAFT_LOG_H_
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "raft/configuration.h"
+#include "raft/entry.h"
+#include "raft/snapshot.h"
+
+namespace boragewinch::raft {
+
+/// \brief The entries in memory behind a base, which stands for all entries
+/// before them, and the configurations that they contain.
+class RaftLog {
+ public:
+  /// \param snapshot source of the base and its configuration.
+  /// \param first index of the first of `entries`, at most snapshot index + 1.
+  RaftLog(const Snapshot& snapshot,
+          std::uint64_t first,
+          const std::vector<Entry>& entries);
+
+  [[nodiscard]] std::uint64_t base_index() const noexcept { return base_; }
+  [[nodiscard]] std::uint64_t last_index() const noexcept {
+    return base_ + items_.size();
+  }
+  [[nodiscard]] std::uint64_t last_term() const {
+    return *TermAt(last_index());
+  }
+
+  /// \returns the term of the entry `index`, or nothing if it is not known.
+  [[nodiscard]] std::optional<std::uint64_t> TermAt(std::uint64_t index) const;
+  /// \returns ChainHash at `index`, or nothing if it is not known.
+  [[nodiscard]] std::optional<std::uint64_t> ChainAt(std::uint64_t index) const;
+  /// \param index greater than base_index() and at most last_index().
+  [[nodiscard]] const Entry& At(std::uint64_t index) const {
+    return items_.at(index - base_ - 1).entry;
+  }
+
+  void Append(Entry entry);
+  /// \brief Removes the entries from `from` on, which is above the base.
+  void TruncateSuffix(std::uint64_t from);
+  /// \brief Moves the base up to `index`, whose entry must be known.
+  void DropPrefix(std::uint64_t index);
+  /// \brief Removes all entries; the snapshot becomes the base.
+  void Reset(const Snapshot& snapshot);
+
+  /// \returns the newest configuration, committed or not.
+  [[nodiscard]] const Configuration& configuration() const {
+    return configurations_.back().second;
+  }
+  /// \returns the index of the entry that holds configuration().
+  [[nodiscard]] std::uint64_t configuration_index() const {
+    return configurations_.back().first;
+  }
+  /// \returns the configuration in force at `index`, not below the base.
+  [[nodiscard]] const Configuration& ConfigurationAt(std::uint64_t index) const;
+
+ private:
+  struct Item {
+    Entry entry;
+    std::uint64_t chain = 0;
+  };
+
+  std::uint64_t base_ = 0;
+  std::uint64_t base_term_ = 0;
+  std::uint64_t base_chain_ = 0;
+  std::deque<Item> items_;
+  std::vector<std::pair<std::uint64_t, Configuration>> configurations_;
+};
+
+}  // namespace boragewinch::raft
+
+#endif  // BORAGEWINCH_RAFT_RAFT_LOG_H_
--- /dev/null
+++ b/src/raft/replica.cc
@@ -0,0 +1,671 @@
+#include "raft/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/hash.h"
+#include "base/invariant.h"
+
+namespace boragewinch::raft {
+
+namespace {
+
+constexpr std::size_t kMaxPeers = 4 * kMaxReplicas;
+/// The entry that forms a cluster; every first member stores the same one.
+constexpr std::uint64_t kFormTerm = 1;
+
+}  // namespace
+
+Replica::Replica(FileSystem file_system,
+                 ReplicaOptions options,
+                 ReplicaHooks hooks,
+                 RandomSource random)
+    : file_system_(std::move(file_system)),
+      options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      random_(std::move(random)),
+      identity_(file_system_, options_.folder),
+      snapshot_file_(file_system_, options_.folder, "snapshot"),
+      log_(file_system_, options_.folder, options_.log) {
+  std::sort(options_.hosts.begin(), options_.hosts.end());
+}
+
+Replica::~Replica() {
+  if (lock_)
+    file_system_.close(*lock_);
+}
+
+Role Replica::role() const noexcept {
+  return failure_ ? Role::kFollower : node_->role();
+}
+
+// --- Start ---
+
+Status Replica::Start(TimePoint now) {
+  BW_TRY(lock_, file_system_.lock(options_.folder + "/lock"));
+  BW_CHECK(ReadFolder(now));
+  join_at_ = now;
+  return Ok();
+}
+
+Status Replica::ReadFolder(TimePoint now) {
+  BW_TRY(const auto identity, identity_.Read());
+  BW_TRY(const auto names, file_system_.list(options_.folder));
+  const bool has_data =
+      std::any_of(names.begin(), names.end(), [](const std::string& name) {
+        return name == "snapshot" || name.starts_with("log-");
+      });
+  if (!identity && has_data) {
+    return Fail(ErrorCode::kStorageMissing,
+                "data folder \"" + options_.folder +
+                    "\" has a log or snapshot and no identity file");
+  }
+  if (identity) {
+    hard_ = *identity;
+  } else {
+    hard_.replica = options_.host + "." + Hex64(random_());
+  }
+  id_ = ReplicaId(hard_.replica);
+  if (HostOf(id_) != options_.host) {
+    return Fail(ErrorCode::kConflict, "data folder \"" + options_.folder +
+                                          "\" belongs to host " + HostOf(id_));
+  }
+  // Synced before the first message, so that no two starts share a number.
+  ++hard_.boots;
+  session_ = Hex64(random_());
+  BW_CHECK(identity_.Write(hard_));
+
+  BW_TRY(const auto stored, snapshot_file_.Read());
+  Snapshot snapshot;
+  if (stored) {
+    BW_TRY(snapshot, DecodeSnapshot(*stored));
+    BW_CHECK(hooks_.restore(snapshot.state));
+  }
+  applied_ = snapshot_index_ = snapshot.index;
+  applied_chain_ = snapshot.chain;
+  BW_TRY(const NodeState state,
+         ReadLog(std::make_shared<const Snapshot>(std::move(snapshot))));
+  node_ = std::make_unique<Node>(id_, options_.node, random_, state, now);
+  return Ok();
+}
+
+Result<NodeState> Replica::ReadLog(SnapshotPtr snapshot) {
+  BW_TRY(LogRecovery recovery, log_.Open());
+  if (recovery.cut_bytes > 0) {
+    LogEvent(EventId::kLogTailCut, {{"folder", options_.folder},
+                                    {"bytes", recovery.cut_bytes},
+                                    {"next_index", log_.next_index()}});
+  }
+  if (hard_.has_log && recovery.records.empty() && snapshot->index == 0) {
+    return Fail(ErrorCode::kStorageMissing,
+                "the log in \"" + options_.folder + "\" is gone");
+  }
+  if (hard_.cluster.empty() && !recovery.records.empty()) {
+    // A crash has interrupted FormCluster before its last step.
+    BW_CHECK(log_.Reset(1));
+    recovery = LogRecovery();
+  }
+  if (recovery.first_index > snapshot->index + 1) {
+    return Fail(ErrorCode::kStorageCorrupt,
+                "the log in \"" + options_.folder + "\" begins at entry " +
+                    std::to_string(recovery.first_index) +
+                    ", the snapshot ends at entry " +
+                    std::to_string(snapshot->index));
+  }
+  NodeState state;
+  state.term = hard_.term;
+  state.vote = ReplicaId(hard_.vote);
+  state.first_index = recovery.first_index;
+  for (const std::string& record : recovery.records) {
+    BW_TRY(Entry entry, DecodeEntry(record));
+    state.entries.push_back(std::move(entry));
+  }
+  // A crash between the installation of a snapshot and the removal of the log
+  // leaves entries that the snapshot replaces.
+  const std::uint64_t last = log_.next_index() - 1;
+  const bool holds_last =
+      snapshot->index >= recovery.first_index && snapshot->index <= last;
+  const bool other_log =
+      holds_last &&
+      state.entries[snapshot->index - recovery.first_index].term !=
+          snapshot->term;
+  if (last < snapshot->index || other_log) {
+    state.entries.clear();
+    state.first_index = snapshot->index + 1;
+    BW_CHECK(log_.Reset(state.first_index));
+  }
+  state.snapshot = std::move(snapshot);
+  return state;
+}
+
+// --- Calls of the owner ---
+
+Status Replica::CheckUsable() const {
+  if (failure_)
+    return outcome::failure(*failure_);
+  return Ok();
+}
+
+void Replica::Tick(TimePoint now) {
+  if (failure_)
+    return;
+  node_->Tick(now);
+  Flush(now);
+  if (failure_ || now < join_at_)
+    return;
+  join_at_ = now + options_.join_interval;
+  if (role() == Role::kLeader) {
+    if (options_.manage_members)
+      ManageMembers(now);
+  } else if (!hard_.member && !configuration().IsMember(id_)) {
+    MaybeForm(now);
+    for (const std::string& host : options_.hosts) {
+      if (host != options_.host && !failure_ && !hard_.member)
+        SendJoin(ReplicaId(), host);
+    }
+  }
+  Flush(now);
+}
+
+Result<std::uint64_t> Replica::Propose(std::string command, TimePoint now) {
+  std::vector<std::string> commands;
+  commands.push_back(std::move(command));
+  return ProposeBatch(std::move(commands), now);
+}
+
+Result<std::uint64_t> Replica::ProposeBatch(std::vector<std::string> commands,
+                                            TimePoint now) {
+  BW_CHECK(CheckUsable());
+  std::optional<std::uint64_t> first;
+  std::optional<Error> refused;
+  for (std::string& command : commands) {
+    const auto index = node_->Propose(std::move(command), now);
+    if (!index) {
+      refused = index.error();
+      break;
+    }
+    if (!first)
+      first = index.value();
+  }
+  Flush(now);
+  BW_CHECK(CheckUsable());
+  if (refused)
+    return outcome::failure(*refused);
+  if (!first)
+    return Fail(ErrorCode::kInvalidField, "a batch without commands");
+  return *first;
+}
+
+Result<std::uint64_t> Replica::Change(MemberChange change,
+                                      const ReplicaId& id,
+                                      TimePoint now) {
+  BW_CHECK(CheckUsable());
+  auto index = node_->Change(change, id, now);
+  Flush(now);
+  BW_CHECK(CheckUsable());
+  return index;
+}
+
+Status Replica::TransferLeadership(TimePoint now) {
+  BW_CHECK(CheckUsable());
+  if (role() != Role::kLeader)
+    return Fail(ErrorCode::kNotLeader, "only the leader moves leadership");
+  for (const ReplicaId& id : configuration().voters) {
+    if (id != id_ && node_->IsCaughtUp(id, now)) {
+      Status status = node_->TransferLeadership(id, now);
+      Flush(now);
+      return status;
+    }
+  }
+  return Fail(ErrorCode::kUnavailable, "no other voter has all entries");
+}
+
+Status Replica::RequestConfirmation(TimePoint now) {
+  BW_CHECK(CheckUsable());
+  Status status = node_->RequestConfirmation(now);
+  Flush(now);
+  return status;
+}
+
+std::optional<TimePoint> Replica::ConfirmedAt(TimePoint now) const {
+  return failure_ ? std::nullopt : node_->ConfirmedAt(now);
+}
+
+Status Replica::Receive(const Message& message, TimePoint now) {
+  BW_CHECK(CheckUsable());
+  if (message.kind == MessageKind::kJoin) {
+    if (message.to.empty() || message.to == id_)
+      HandleJoin(message, now);
+    Flush(now);
+    return CheckUsable();
+  }
+  if (message.to != id_ || message.cluster.empty()) {
+    return Fail(
+        ErrorCode::kConflict,
+        "message for replica " + message.to.str() + " reached " + id_.str());
+  }
+  if (message.kind == MessageKind::kForm)
+    return HandleForm(message, now);
+  if (hard_.cluster.empty() && (message.kind == MessageKind::kAppend ||
+                                message.kind == MessageKind::kSnapshot)) {
+    // Only a leader whose log names this replica knows its new id.
+    hard_.cluster = message.cluster;
+    if (Status written = identity_.Write(hard_); !written) {
+      Stop(written.error());
+      return written;
+    }
+  }
+  if (message.cluster != hard_.cluster) {
+    return Fail(ErrorCode::kConflict,
+                "message from cluster " + message.cluster +
+                    " reached a member of " + hard_.cluster);
+  }
+  if (Status current = CheckSession(message, now); !current) {
+    Flush(now);
+    return current;
+  }
+  node_->Step(message, now);
+  Flush(now);
+  return CheckUsable();
+}
+
+// Each start of a replica has a higher number and its own session text. A
+// lower number comes from a delayed message or an old copy of the data folder;
+// an equal number with another text only from a copy.
+Status Replica::CheckSession(const Message& message, TimePoint now) {
+  if (peers_.size() >= kMaxPeers && peers_.count(message.from) == 0) {
+    std::erase_if(peers_, [this](const auto& item) {
+      return !configuration().IsMember(item.first);
+    });
+  }
+  Peer& peer = peers_[message.from];
+  if (message.boots > peer.boots) {
+    peer = {message.boots, message.session, now};
+    return Ok();
+  }
+  if (message.boots == peer.boots && message.session == peer.session)
+    return Ok();
+  const bool answers_me = (message.kind == MessageKind::kAppendReply ||
+                           message.kind == MessageKind::kSnapshotReply) &&
+                          role() == Role::kLeader &&
+                          message.term == node_->term() &&
+                          FromMillis(message.sent_ms) > peer.since;
+  if (message.boots == peer.boots || answers_me) {
+    ReportRegression(message.from, "start " + std::to_string(message.boots) +
+                                       " after start " +
+                                       std::to_string(peer.boots));
+  }
+  return Fail(ErrorCode::kFenced,
+              "message from an earlier start of replica " + message.from.str());
+}
+
+void Replica::ReportRegression(const ReplicaId& id,
+                               const std::string& evidence) {
+  if (!regressed_.insert(id).second)
+    return;
+  LogEvent(EventId::kReplicaRegressed,
+           {{"replica", id.str()}, {"evidence", evidence}});
+  if (hooks_.on_error) {
+    hooks_.on_error(Error{ErrorCode::kConflict,
+                          "replica " + id.str() +
+                              " runs with an old copy of its data folder (" +
+                              evidence + ")",
+                          std::nullopt});
+  }
+}
+
+// --- Work of the node ---
+
+void Replica::Send(Message message) {
+  message.from = id_;
+  message.cluster = hard_.cluster;
+  message.boots = hard_.boots;
+  message.session = session_;
+  hooks_.send(HostOf(message.to), message);
+}
+
+// Hooks may call the replica again; the outermost call does their work.
+void Replica::Flush(TimePoint now) {
+  if (flushing_ || failure_)
+    return;
+  flushing_ = true;
+  const auto step = [&]() -> Result<bool> {
+    Actions actions = node_->TakeActions();
+    const bool store = actions.install || actions.hard_state ||
+                       actions.truncate_from || actions.append_from;
+    if (!store && actions.messages.empty() && actions.regressed.empty() &&
+        applied_ == node_->commit_index()) {
+      return false;
+    }
+    const std::uint64_t last = node_->log().last_index();
+    if (store)
+      BW_CHECK(Persist(actions));
+    for (Message& message : actions.messages)
+      Send(std::move(message));
+    for (const ReplicaId& id : actions.regressed)
+      ReportRegression(id, "acknowledged entries are gone");
+    if (store)
+      node_->Persisted(last, now);
+    BW_CHECK(ApplyCommitted());
+    BW_CHECK(MaybeSnapshot());
+    return true;
+  };
+  for (;;) {
+    const auto more = step();
+    if (!more)
+      Stop(more.error());
+    if (!more || !more.value())
+      break;
+  }
+  flushing_ = false;
+  ReportRole();
+}
+
+Status Replica::Persist(const Actions& actions) {
+  if (actions.install)
+    BW_CHECK(Install(*actions.install));
+  if (actions.hard_state) {
+    hard_.term = node_->term();
+    hard_.vote = node_->vote().str();
+    BW_CHECK(identity_.Write(hard_));
+  }
+  BW_CHECK(PersistLog(actions));
+  if (!hard_.has_log && (actions.install || actions.append_from)) {
+    hard_.has_log = true;
+    BW_CHECK(identity_.Write(hard_));
+  }
+  return Ok();
+}
+
+Status Replica::PersistLog(const Actions& actions) {
+  if (actions.install && actions.reset_log)
+    BW_CHECK(log_.Reset(actions.install->index + 1));
+  if (actions.truncate_from)
+    BW_CHECK(log_.TruncateSuffix(*actions.truncate_from));
+  if (!actions.append_from)
+    return Ok();
+  const RaftLog& entries = node_->log();
+  for (std::uint64_t index = *actions.append_from;
+       index <= entries.last_index(); ++index) {
+    BW_CHECK(log_.Append(EncodeEntry(entries.At(index))));
+  }
+  return log_.Sync();
+}
+
+Status Replica::Install(const Snapshot& snapshot) {
+  if (!CheckInvariant(Invariant::kConfiguration, snapshot.index >= applied_,
+                      "a snapshot is older than the applied state")) {
+    return Fail(ErrorCode::kConflict, "refused an older snapshot");
+  }
+  BW_CHECK(snapshot_file_.Write(EncodeSnapshot(snapshot)));
+  BW_CHECK(hooks_.restore(snapshot.state));
+  applied_ = snapshot_index_ = snapshot.index;
+  applied_chain_ = snapshot.chain;
+  LogEvent(EventId::kSnapshotInstalled,
+           {{"replica", id_.str()}, {"index", snapshot.index}});
+  return NoteMembership(snapshot.configuration);
+}
+
+Status Replica::NoteMembership(const Configuration& configuration) {
+  if (hard_.member || !configuration.IsMember(id_))
+    return Ok();
+  hard_.member = true;
+  return identity_.Write(hard_);
+}
+
+Status Replica::ApplyCommitted() {
+  const std::uint64_t before = applied_;
+  while (applied_ < node_->commit_index()) {
+    const RaftLog& log = node_->log();
+    if (!CheckInvariant(Invariant::kConfiguration,
+                        log.ChainAt(applied_) == applied_chain_,
+                        "an applied entry has changed in the log")) {
+      return Fail(ErrorCode::kConflict, "log before entry " +
+                                            std::to_string(applied_ + 1) +
+                                            " differs from what was applied");
+    }
+    ++applied_;
+    applied_chain_ = *log.ChainAt(applied_);
+    const Entry& entry = log.At(applied_);
+    if (entry.kind == EntryKind::kCommand)
+      hooks_.apply(applied_, entry.data);
+    else if (entry.kind == EntryKind::kConfiguration)
+      BW_CHECK(NoteMembership(log.ConfigurationAt(applied_)));
+  }
+  CheckInvariant(Invariant::kConfiguration,
+                 applied_ >= before && applied_ == node_->commit_index(),
+                 "the applied index moved backwards");
+  if (applied_ > before && hooks_.on_commit)
+    hooks_.on_commit(applied_);
+  return Ok();
+}
+
+Status Replica::MaybeSnapshot() {
+  if (applied_ - snapshot_index_ < options_.snapshot_entries)
+    return Ok();
+  const RaftLog& log = node_->log();
+  auto snapshot = std::make_shared<const Snapshot>(
+      Snapshot{applied_, *log.TermAt(applied_), applied_chain_,
+               log.ConfigurationAt(applied_), hooks_.take_snapshot()});
+  const std::string bytes = EncodeSnapshot(*snapshot);
+  if (bytes.size() > kMaxSnapshotBytes) {
+    return Fail(ErrorCode::kTooLarge,
+                "a snapshot of " + std::to_string(bytes.size()) + " bytes");
+  }
+  BW_CHECK(snapshot_file_.Write(bytes));
+  snapshot_index_ = applied_;
+  const std::uint64_t drop_to =
+      applied_ - std::min(applied_, options_.retain_entries);
+  node_->Compact(std::move(snapshot), drop_to);
+  BW_CHECK(log_.DropPrefix(drop_to + 1));
+  LogEvent(EventId::kSnapshotWritten, {{"replica", id_.str()},
+                                       {"index", snapshot_index_},
+                                       {"bytes", bytes.size()}});
+  return Ok();
+}
+
+// The replica sends nothing from now on: what it has stored is unknown.
+void Replica::Stop(const Error& error) {
+  if (failure_)
+    return;
+  failure_ = error;
+  LogEvent(EventId::kStorageFailed,
+           {{"replica", id_.str()}, {"error", error.Text()}});
+  if (hooks_.on_error)
+    hooks_.on_error(error);
+  ReportRole();
+}
+
+void Replica::ReportRole() {
+  if (reported_role_ == role() && reported_term_ == term() &&
+      reported_leader_ == leader()) {
+    return;
+  }
+  if (reported_role_ != role()) {
+    LogEvent(EventId::kRoleChanged, {{"replica", id_.str()},
+                                     {"role", kRoles.Name(role())},
+                                     {"term", term()}});
+  }
+  reported_role_ = role();
+  reported_term_ = term();
+  reported_leader_ = leader();
+  if (hooks_.on_role)
+    hooks_.on_role(reported_role_, reported_term_, reported_leader_);
+}
+
+// --- Forming a cluster and joining one ---
+
+void Replica::SendJoin(const ReplicaId& to, const std::string& host) {
+  Message message;
+  message.kind = MessageKind::kJoin;
+  message.from = id_;
+  message.to = to;
+  message.cluster = hard_.cluster;
+  message.boots = hard_.boots;
+  message.session = session_;
+  hooks_.send(host, message);
+}
+
+void Replica::HandleJoin(const Message& message, TimePoint now) {
+  const std::string host = HostOf(message.from);
+  if (host == options_.host ||
+      !std::binary_search(options_.hosts.begin(), options_.hosts.end(), host)) {
+    return;
+  }
+  if (!message.cluster.empty() && message.cluster != hard_.cluster)
+    return;
+  if (hard_.cluster.empty()) {
+    // Only an answer to this replica's own question shows that the other one
+    // has no cluster now.
+    if (message.to == id_)
+      joining_[host] = {message.from, now};
+    else
+      SendJoin(message.from, host);
+    return;
+  }
+  const RaftLog& log = node_->log();
+  if (configuration().IsVoter(message.from) && message.cluster.empty() &&
+      log.base_index() == 0 && log.last_index() > 0) {
+    // The message that formed the cluster was lost.
+    Message form;
+    form.kind = MessageKind::kForm;
+    form.to = message.from;
+    form.term = kFormTerm;
+    form.entries = {log.At(1)};
+    Send(std::move(form));
+  } else {
+    joining_[host] = {message.from, now};
+  }
+}
+
+// A cluster is formed only when every host has just answered that it has none,
+// so a replica that has lost its folder can't form a second one while any
+// member of the first still runs.
+void Replica::MaybeForm(TimePoint now) {
+  if (!hard_.cluster.empty() || options_.hosts.empty() ||
+      options_.hosts.front() != options_.host) {
+    return;
+  }
+  Configuration members;
+  members.voters.insert(id_);
+  for (const auto& [host, joining] : joining_) {
+    if (now - joining.at <= 2 * options_.join_interval)
+      members.voters.insert(joining.id);
+  }
+  if (members.voters.size() != options_.hosts.size())
+    return;
+  const Entry entry{kFormTerm, EntryKind::kConfiguration,
+                    WriteJson(ToJson(members))};
+  if (Status formed = FormCluster(Hex64(random_()), entry, now); !formed) {
+    Stop(formed.error());
+    return;
+  }
+  joining_.clear();
+  for (const ReplicaId& id : members.voters) {
+    if (id == id_)
+      continue;
+    Message form;
+    form.kind = MessageKind::kForm;
+    form.to = id;
+    form.term = kFormTerm;
+    form.entries = {entry};
+    Send(std::move(form));
+  }
+}
+
+Status Replica::HandleForm(const Message& message, TimePoint now) {
+  if (!hard_.cluster.empty())
+    return Ok();
+  if (message.entries.size() != 1 || message.entries[0].term != kFormTerm ||
+      message.entries[0].kind != EntryKind::kConfiguration) {
+    return Fail(ErrorCode::kProtocol, "a form message without members");
+  }
+  BW_TRY(const Json json, ParseJson(message.entries[0].data));
+  BW_TRY(const Configuration members, ConfigurationFromJson(json));
+  if (!members.IsVoter(id_)) {
+    return Fail(ErrorCode::kConflict,
+                "the cluster being formed does not contain " + id_.str());
+  }
+  if (Status formed = FormCluster(message.cluster, message.entries[0], now);
+      !formed) {
+    Stop(formed.error());
+    return formed;
+  }
+  joining_.clear();
+  return Ok();
+}
+
+Status Replica::FormCluster(const std::string& cluster,
+                            const Entry& members,
+                            TimePoint now) {
+  // The identity goes last: until it names the cluster, the log does not count.
+  BW_CHECK(log_.Append(EncodeEntry(members)));
+  BW_CHECK(log_.Sync());
+  hard_.cluster = cluster;
+  hard_.term = kFormTerm;
+  hard_.has_log = true;
+  hard_.member = true;
+  BW_CHECK(identity_.Write(hard_));
+  NodeState state;
+  state.term = kFormTerm;
+  state.snapshot = std::make_shared<const Snapshot>();
+  state.entries = {members};
+  node_ = std::make_unique<Node>(id_, options_.node, random_, state, now);
+  return Ok();
+}
+
+// One due change at a time. The new replica of a host becomes a voter before
+// the lost one is removed, so the majority never gets smaller than before.
+void Replica::ManageMembers(TimePoint now) {
+  if (node_->change_pending())
+    return;
+  const Configuration members = configuration();
+  const auto change = [&](MemberChange kind, const ReplicaId& id) {
+    // A refusal is met again at the next interval.
+    const auto index = node_->Change(kind, id, now);
+    if (index && kind == MemberChange::kAddLearner) {
+      LogEvent(EventId::kReplicaRejoined,
+               {{"replica", id.str()}, {"index", index.value()}});
+    }
+    return index.has_value();
+  };
+  for (const ReplicaId& id : members.voters) {
+    if (id != id_ && regressed_.count(id) > 0 &&
+        change(MemberChange::kDemote, id)) {
+      return;
+    }
+  }
+  for (const ReplicaId& id : members.learners) {
+    if (members.retired.count(id) == 0 && node_->IsCaughtUp(id, now) &&
+        change(MemberChange::kPromote, id)) {
+      return;
+    }
+  }
+  const auto replaced = [&](const ReplicaId& id, const ReplicaId& other) {
+    return id != other && HostOf(id) == HostOf(other) && other != id_ &&
+           node_->IsInContact(other, now) &&
+           (members.IsVoter(other) || !members.IsVoter(id));
+  };
+  for (const auto* ids : {&members.voters, &members.learners}) {
+    for (const ReplicaId& id : *ids) {
+      if (id == id_ || node_->IsInContact(id, now))
+        continue;
+      for (const auto* others : {&members.voters, &members.learners}) {
+        for (const ReplicaId& other : *others) {
+          if (replaced(id, other) && change(MemberChange::kRemove, id))
+            return;
+        }
+      }
+    }
+  }
+  for (const auto& [host, joining] : joining_) {
+    if (now - joining.at <= 2 * options_.join_interval &&
+        !members.IsMember(joining.id) &&
+        change(MemberChange::kAddLearner, joining.id)) {
+      return;
+    }
+  }
+}
+
+}  // namespace boragewinch::raft
--- /dev/null
+++ b/src/raft/replica.h
@@ -0,0 +1,212 @@
+#ifndef BORAGEWINCH_RAFT_REPLICA_H_
+#define BORAGEWINCH_RAFT_REPLICA_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "raft/node.h"
+#include "storage/identity_file.h"
+#include "storage/log_file.h"
+#include "storage/snapshot_file.h"
+
+namespace boragewinch::raft {
+
+struct ReplicaOptions {
+  std::string folder;  ///< data folder, which exists
+  std::string host;    ///< name of this host
+  /// Names of all hosts that run a replica, this one included.
+  std::vector<std::string> hosts;
+  NodeOptions node;
+  LogFileOptions log;
+  /// A snapshot is taken after this many applied entries. It bounds the
+  /// entries that a restart has to read and apply again.
+  std::uint64_t snapshot_entries = 8192;
+  /// Entries kept behind a snapshot for followers that are a little behind.
+  std::uint64_t retain_entries = 1024;
+  /// How often a replica without a cluster asks for one, and how often the
+  /// leader looks for a due change of members.
+  Millis join_interval{500};
+  /// Whether the leader adds, promotes, demotes and removes members by itself.
+  bool manage_members = true;
+};
+
+/// \brief What a replica needs from its surroundings. The hooks with `on` in
+/// their name may be empty.
+struct ReplicaHooks {
+  /// Sends a message to the replica of `host`; it may be lost.
+  std::function<void(const std::string& host, const Message& message)> send;
+  /// Applies a committed command. Called once for each index in this process,
+  /// in order, and again from the last snapshot on after a restart.
+  std::function<void(std::uint64_t index, const std::string& command)> apply;
+  /// \returns the state after all commands applied so far.
+  std::function<std::string()> take_snapshot;
+  /// Replaces the state by one from take_snapshot.
+  std::function<Status(const std::string& state)> restore;
+  /// Called after commands up to `index` have been applied.
+  std::function<void(std::uint64_t index)> on_commit;
+  /// Called when the role, the term or the known leader has changed.
+  std::function<void(Role role, std::uint64_t term, const ReplicaId& leader)>
+      on_role;
+  /// Called once with the error that stopped the replica (kStorageWrite and
+  /// so on), and with kConflict for each replica found to have regressed.
+  std::function<void(const Error& error)> on_error;
+};
+
+/// \brief One replica of the state machine: the algorithm with its log,
+/// snapshot and identity. It has no thread, socket or clock; the owner passes
+/// messages and the time, and calls Tick at least every 20 ms.
+class Replica {
+ public:
+  Replica(FileSystem file_system,
+          ReplicaOptions options,
+          ReplicaHooks hooks,
+          RandomSource random);
+  ~Replica();
+  Replica(const Replica&) = delete;
+  Replica& operator=(const Replica&) = delete;
+
+  /// \brief Locks the data folder, reads it and restores the state machine.
+  /// An empty folder gives a replica with a new id and no cluster.
+  /// \returns kConflict if another process holds the folder, kStorageCorrupt
+  /// or kStorageMissing if a part of it is damaged or gone.
+  [[nodiscard]] Status Start(TimePoint now);
+
+  /// \returns why the message was not taken; the caller may ignore this.
+  /// kFenced: from an older start of a replica, or from an old copy of its
+  /// data folder. kConflict: from another cluster or for another replica.
+  [[nodiscard]] Status Receive(const Message& message, TimePoint now);
+
+  void Tick(TimePoint now);
+
+  /// \brief Appends a command to the log. It is committed when apply is called
+  /// with the returned index in the same term; after a change of the term it
+  /// may be lost.
+  /// \returns the index, or kNotLeader, kUnavailable, kTableFull, kTooLarge.
+  [[nodiscard]] Result<std::uint64_t> Propose(std::string command,
+                                              TimePoint now);
+
+  /// \brief Like Propose, with one sync for all commands.
+  /// \returns the index of the first; the others follow. On an error the
+  /// commands before the failed one are in the log.
+  [[nodiscard]] Result<std::uint64_t> ProposeBatch(
+      std::vector<std::string> commands,
+      TimePoint now);
+
+  /// \returns the index of the entry, or the errors of Node::Change.
+  [[nodiscard]] Result<std::uint64_t> Change(MemberChange change,
+                                             const ReplicaId& id,
+                                             TimePoint now);
+
+  /// \brief Moves leadership to the voter that is furthest ahead in contact.
+  /// \returns kNotLeader, kUnavailable without another voter in contact.
+  [[nodiscard]] Status TransferLeadership(TimePoint now);
+
+  /// \brief Sends a round of heartbeats. "I was still leader at time t" is
+  /// confirmed once ConfirmedAt returns t or later.
+  [[nodiscard]] Status RequestConfirmation(TimePoint now);
+
+  /// \returns Node::ConfirmedAt, and nothing after a storage failure.
+  [[nodiscard]] std::optional<TimePoint> ConfirmedAt(TimePoint now) const;
+
+  [[nodiscard]] const ReplicaId& id() const noexcept { return id_; }
+  /// \returns the id of the cluster, empty until the replica has one.
+  [[nodiscard]] const std::string& cluster() const noexcept {
+    return hard_.cluster;
+  }
+  [[nodiscard]] Role role() const noexcept;
+  [[nodiscard]] std::uint64_t term() const noexcept { return node_->term(); }
+  [[nodiscard]] const ReplicaId& leader() const noexcept {
+    return node_->leader();
+  }
+  [[nodiscard]] std::uint64_t commit_index() const noexcept {
+    return node_->commit_index();
+  }
+  [[nodiscard]] std::uint64_t applied_index() const noexcept {
+    return applied_;
+  }
+  [[nodiscard]] const Configuration& configuration() const {
+    return node_->configuration();
+  }
+  [[nodiscard]] const Node& node() const noexcept { return *node_; }
+  /// \returns the error that stopped the replica until its restart, if any.
+  [[nodiscard]] const std::optional<Error>& failure() const noexcept {
+    return failure_;
+  }
+
+ private:
+  /// The newest start that is known of another replica.
+  struct Peer {
+    std::uint64_t boots = 0;
+    std::string session;
+    TimePoint since;
+  };
+  struct Joining {
+    ReplicaId id;
+    TimePoint at;
+  };
+
+  [[nodiscard]] Status ReadFolder(TimePoint now);
+  [[nodiscard]] Result<NodeState> ReadLog(SnapshotPtr snapshot);
+  [[nodiscard]] Status CheckUsable() const;
+  [[nodiscard]] Status CheckSession(const Message& message, TimePoint now);
+
+  void Flush(TimePoint now);
+  [[nodiscard]] Status Persist(const Actions& actions);
+  [[nodiscard]] Status PersistLog(const Actions& actions);
+  [[nodiscard]] Status Install(const Snapshot& snapshot);
+  [[nodiscard]] Status ApplyCommitted();
+  [[nodiscard]] Status MaybeSnapshot();
+  [[nodiscard]] Status NoteMembership(const Configuration& configuration);
+  void Stop(const Error& error);
+  void ReportRole();
+  void Send(Message message);
+
+  void HandleJoin(const Message& message, TimePoint now);
+  [[nodiscard]] Status HandleForm(const Message& message, TimePoint now);
+  [[nodiscard]] Status FormCluster(const std::string& cluster,
+                                   const Entry& members,
+                                   TimePoint now);
+  void SendJoin(const ReplicaId& to, const std::string& host);
+  void MaybeForm(TimePoint now);
+  void ManageMembers(TimePoint now);
+  void ReportRegression(const ReplicaId& id, const std::string& evidence);
+
+  FileSystem file_system_;
+  ReplicaOptions options_;
+  ReplicaHooks hooks_;
+  RandomSource random_;
+  IdentityFile identity_;
+  SnapshotFile snapshot_file_;
+  LogFile log_;
+  std::optional<int> lock_;
+  std::optional<Error> failure_;
+  HardState hard_;
+  ReplicaId id_;
+  std::string session_;
+  std::unique_ptr<Node> node_;
+  std::uint64_t applied_ = 0;
+  std::uint64_t applied_chain_ = 0;
+  std::uint64_t snapshot_index_ = 0;
+  bool flushing_ = false;
+
+  Role reported_role_ = Role::kFollower;
+  std::uint64_t reported_term_ = 0;
+  ReplicaId reported_leader_;
+
+  std::map<ReplicaId, Peer> peers_;
+  std::map<std::string, Joining> joining_;  ///< by host
+  std::set<ReplicaId> regressed_;
+  TimePoint join_at_;
+};
+
+}  // namespace boragewinch::raft
+
+#endif  // BORAGEWINCH_RAFT_REPLICA_H_
--- /dev/null
+++ b/src/raft/types.h
@@ -0,0 +1,45 @@
+#ifndef BORAGEWINCH_RAFT_TYPES_H_
+#define BORAGEWINCH_RAFT_TYPES_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include "base/enum_table.h"
+#include "base/strong_id.h"
+
+namespace boragewinch::raft {
+
+/// \brief `<host>.<16 hexadecimal digits>`. The digits are drawn for each new
+/// data folder, so a replica that lost its folder is a new replica.
+using ReplicaId = StrongId<struct ReplicaTag>;
+
+/// \returns the host part of a replica id.
+[[nodiscard]] inline std::string HostOf(const ReplicaId& id) {
+  return id.str().substr(0, id.str().rfind('.'));
+}
+
+/// \brief Source of random numbers; the caller seeds it.
+using RandomSource = std::function<std::uint64_t()>;
+
+enum class Role { kFollower, kPreCandidate, kCandidate, kLeader };
+
+inline constexpr EnumTable<Role, 4> kRoles{{{
+    {Role::kFollower, "follower"},
+    {Role::kPreCandidate, "pre_candidate"},
+    {Role::kCandidate, "candidate"},
+    {Role::kLeader, "leader"},
+}}};
+
+/// Bounds on input from other replicas.
+inline constexpr std::size_t kMaxReplicas = 15;
+inline constexpr std::size_t kMaxIdBytes = 96;
+inline constexpr std::size_t kMaxCommandBytes = 4UL * 1024 * 1024;
+inline constexpr std::size_t kMaxSnapshotBytes = 256UL * 1024 * 1024;
+/// Terms and indexes stay below 2^53, which every JSON number type holds.
+inline constexpr std::uint64_t kMaxIndex = (1ULL << 53) - 1;
+
+}  // namespace boragewinch::raft
+
+#endif  // BORAGEWINCH_RAFT_TYPES_H_
--- /dev/null
+++ b/src/storage/file_system.h
@@ -0,0 +1,50 @@
+#ifndef BORAGEWINCH_STORAGE_FILE_SYSTEM_H_
+#define BORAGEWINCH_STORAGE_FILE_SYSTEM_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/result.h"
+
+namespace boragewinch {
+
+/// \brief The file operations that storage needs, as replaceable hooks.
+/// Failures are kStorageWrite unless stated otherwise.
+struct FileSystem {
+  /// Opens a file for appending and creates it if it does not exist.
+  std::function<Result<int>(const std::string& path)> open;
+  /// Appends a part of the bytes. \returns how many were taken, at least one.
+  std::function<Result<std::size_t>(int file, std::string_view bytes)> append;
+  /// Makes the content of the file durable.
+  std::function<Status(int file)> sync;
+  std::function<Status(int file, std::uint64_t bytes)> truncate;
+  std::function<void(int file)> close;
+  /// \returns the whole content, or kStorageMissing.
+  std::function<Result<std::string>(const std::string& path)> read;
+  std::function<Status(const std::string& from, const std::string& to)> rename;
+  std::function<Status(const std::string& path)> remove;
+  /// \returns the names in a folder, sorted.
+  std::function<Result<std::vector<std::string>>(const std::string& folder)>
+      list;
+  /// Makes created, renamed and removed names of the folder durable.
+  std::function<Status(const std::string& folder)> sync_folder;
+  /// Creates a file and holds it against other processes until it is closed.
+  /// \returns the file, or kConflict if another process holds it.
+  std::function<Result<int>(const std::string& path)> lock;
+};
+
+/// \returns the file system of the operating system.
+[[nodiscard]] FileSystem PosixFileSystem();
+
+/// \brief Appends all bytes, continuing after short writes.
+[[nodiscard]] Status AppendAll(const FileSystem& file_system,
+                               int file,
+                               std::string_view bytes);
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_STORAGE_FILE_SYSTEM_H_
--- /dev/null
+++ b/tests/memory_disk.h
@@ -0,0 +1,189 @@
+#ifndef BORAGEWINCH_TESTS_MEMORY_DISK_H_
+#define BORAGEWINCH_TESTS_MEMORY_DISK_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "storage/file_system.h"
+
+namespace boragewinch {
+
+/// \brief A disk in memory that forgets at a crash what was not synced. Of
+/// unsynced appends a random prefix survives, possibly with damaged bytes; of
+/// unsynced names (created, renamed, removed) a random number of steps.
+class MemoryDisk {
+ public:
+  using Random = std::function<std::uint64_t()>;
+
+  struct File {
+    std::string data;
+    std::size_t synced = 0;
+    std::optional<std::string> before_truncate;
+  };
+  using Names = std::map<std::string, std::shared_ptr<File>>;
+
+  std::size_t capacity = SIZE_MAX;    ///< bytes that all files may hold
+  std::size_t max_append = SIZE_MAX;  ///< longer writes are cut short
+  bool fail_sync = false;
+  bool ignore_sync = false;  ///< reports success and makes nothing durable
+
+  [[nodiscard]] FileSystem Hooks() {
+    FileSystem system;
+    system.open = [this](const std::string& path) -> Result<int> {
+      if (names_.count(path) == 0) {
+        names_[path] = std::make_shared<File>();
+        pending_.push_back(names_);
+      }
+      open_[++last_file_] = names_[path];
+      return last_file_;
+    };
+    system.append = [this](int file,
+                           std::string_view bytes) -> Result<std::size_t> {
+      std::size_t used = 0;
+      for (const auto& [path, content] : names_)
+        used += content->data.size();
+      const std::size_t room = capacity > used ? capacity - used : 0;
+      const std::size_t count = std::min({bytes.size(), max_append, room});
+      if (count == 0)
+        return Fail(ErrorCode::kStorageWrite, "disk full");
+      open_.at(file)->data.append(bytes.substr(0, count));
+      return count;
+    };
+    system.sync = [this](int file) -> Status {
+      if (fail_sync)
+        return Fail(ErrorCode::kStorageWrite, "sync failed");
+      if (ignore_sync)
+        return Ok();
+      File& content = *open_.at(file);
+      content.synced = content.data.size();
+      content.before_truncate.reset();
+      return Ok();
+    };
+    system.truncate = [this](int file, std::uint64_t bytes) -> Status {
+      File& content = *open_.at(file);
+      if (bytes < content.synced && !content.before_truncate)
+        content.before_truncate = content.data.substr(0, content.synced);
+      content.data.resize(bytes);
+      content.synced = std::min<std::size_t>(content.synced, bytes);
+      return Ok();
+    };
+    system.close = [this](int file) {
+      open_.erase(file);
+      std::erase_if(locks_, [&](auto& lock) { return lock.second == file; });
+    };
+    system.read = [this](const std::string& path) -> Result<std::string> {
+      if (const auto found = names_.find(path); found != names_.end())
+        return found->second->data;
+      return Fail(ErrorCode::kStorageMissing, "no file " + path);
+    };
+    system.rename = [this](const std::string& from,
+                           const std::string& to) -> Status {
+      names_[to] = names_.at(from);
+      names_.erase(from);
+      pending_.push_back(names_);
+      return Ok();
+    };
+    system.remove = [this](const std::string& path) -> Status {
+      names_.erase(path);
+      pending_.push_back(names_);
+      return Ok();
+    };
+    system.list =
+        [this](const std::string& folder) -> Result<std::vector<std::string>> {
+      std::vector<std::string> list;
+      for (const auto& [path, content] : names_) {
+        if (path.starts_with(folder + "/"))
+          list.push_back(path.substr(folder.size() + 1));
+      }
+      return list;
+    };
+    system.sync_folder = [this](const std::string&) -> Status {
+      if (fail_sync)
+        return Fail(ErrorCode::kStorageWrite, "sync failed");
+      if (ignore_sync)
+        return Ok();
+      durable_ = names_;
+      pending_.clear();
+      return Ok();
+    };
+    system.lock = [this](const std::string& path) -> Result<int> {
+      if (locks_.count(path) > 0)
+        return Fail(ErrorCode::kConflict, "locked " + path);
+      return locks_[path] = ++last_file_;
+    };
+    return system;
+  }
+
+  /// \brief Loses unsynced data. The process that used the disk is gone.
+  void Crash(const Random& random) {
+    if (const std::size_t steps = random() % (pending_.size() + 1); steps > 0)
+      durable_ = pending_[steps - 1];
+    pending_.clear();
+    names_ = durable_;
+    open_.clear();
+    locks_.clear();
+    for (auto& [path, file] : names_) {
+      if (file->before_truncate && random() % 2 == 0) {
+        file->data = *file->before_truncate;
+      } else if (const std::size_t loose = file->data.size() - file->synced;
+                 loose > 0) {
+        file->data.resize(file->synced + random() % (loose + 1));
+        if (file->data.size() > file->synced && random() % 4 == 0)
+          file->data[file->synced +
+                     random() % (file->data.size() - file->synced)] ^= 0x55;
+      }
+      file->before_truncate.reset();
+      file->synced = file->data.size();
+    }
+  }
+
+  /// \brief Loses everything.
+  void Wipe() {
+    for (Names* names : {&names_, &durable_})
+      names->clear();
+    pending_.clear();
+    open_.clear();
+    locks_.clear();
+  }
+
+  /// \returns a copy of all files, for Restore.
+  [[nodiscard]] std::map<std::string, std::string> Copy() const {
+    std::map<std::string, std::string> copy;
+    for (const auto& [path, file] : names_)
+      copy[path] = file->data;
+    return copy;
+  }
+
+  /// \brief Replaces all files by an older copy.
+  void Restore(const std::map<std::string, std::string>& copy) {
+    Wipe();
+    for (const auto& [path, data] : copy)
+      names_[path] = std::make_shared<File>(File{data, data.size(), {}});
+    durable_ = names_;
+  }
+
+  /// \returns the content of a file, for tests that damage it.
+  [[nodiscard]] std::string& data(const std::string& path) {
+    return names_.at(path)->data;
+  }
+
+ private:
+  Names names_;
+  Names durable_;
+  std::vector<Names> pending_;
+  std::map<int, std::shared_ptr<File>> open_;
+  std::map<std::string, int> locks_;
+  int last_file_ = 0;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_TESTS_MEMORY_DISK_H_
--- /dev/null
+++ b/tests/raft_cluster.h
@@ -0,0 +1,214 @@
+#ifndef BORAGEWINCH_TESTS_RAFT_CLUSTER_H_
+#define BORAGEWINCH_TESTS_RAFT_CLUSTER_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/random/mersenne_twister.hpp>
+
+#include "base/hash.h"
+#include "memory_disk.h"
+#include "raft/replica.h"
+
+namespace boragewinch::raft {
+
+/// \brief Hosts with replicas, disks and a message queue in one thread, with
+/// a state machine that keeps the list of its commands.
+class Cluster {
+ public:
+  struct Host {
+    std::string name;
+    MemoryDisk disk;
+    std::unique_ptr<Replica> replica;
+    std::vector<std::string> commands;  ///< state of the state machine
+    std::vector<Error> errors;
+    bool frozen = false;
+  };
+  struct Sent {
+    std::string from_host;
+    std::string to_host;
+    std::string text;  ///< JSON, as on the wire
+    TimePoint at;
+  };
+
+  ReplicaOptions options;
+  TimePoint now{Millis(1'000'000)};
+  std::vector<std::unique_ptr<Host>> hosts;
+  /// Decides on each message: delivery times, none for a lost one.
+  std::function<std::vector<Millis>(const Sent&)> network = [](const Sent&) {
+    return std::vector<Millis>{Millis(1)};
+  };
+  /// Reports a broken promise; set by the test.
+  std::function<void(const std::string&)> fault;
+
+  Cluster(std::size_t count, std::uint64_t seed) : random_(seed) {
+    options.folder = "d";
+    for (std::size_t i = 0; i < count; ++i) {
+      hosts.push_back(std::make_unique<Host>());
+      hosts.back()->name = "h" + std::to_string(i);
+      options.hosts.push_back(hosts.back()->name);
+    }
+  }
+
+  [[nodiscard]] std::uint64_t Random() { return random_(); }
+
+  [[nodiscard]] Status Start(Host& host) {
+    ReplicaOptions own = options;
+    own.host = host.name;
+    ReplicaHooks hooks;
+    hooks.send = [this, &host](const std::string& to, const Message& message) {
+      Post({host.name, to, WriteJson(ToJson(message)), now});
+    };
+    hooks.apply = [this, &host](std::uint64_t index,
+                                const std::string& command) {
+      host.commands.push_back(command);
+      NoteApplied(index, command, host);
+    };
+    hooks.take_snapshot = [&host] {
+      Json list(::Json::arrayValue);
+      for (const std::string& command : host.commands)
+        list.append(command);
+      return WriteJson(list);
+    };
+    hooks.restore = [&host](const std::string& state) -> Status {
+      BW_TRY(const Json list, ParseJson(state));
+      host.commands.clear();
+      for (const Json& item : list)
+        host.commands.push_back(item.asString());
+      return Ok();
+    };
+    hooks.on_error = [&host](const Error& error) {
+      host.errors.push_back(error);
+    };
+    hooks.on_role = [this, &host](Role role, std::uint64_t term,
+                                  const ReplicaId&) {
+      if (role == Role::kLeader)
+        NoteLeader(term, host);
+    };
+    host.commands.clear();
+    host.frozen = false;
+    host.replica = std::make_unique<Replica>(host.disk.Hooks(), own, hooks,
+                                             [this] { return random_(); });
+    Status status = host.replica->Start(now);
+    if (!status)
+      host.replica.reset();
+    return status;
+  }
+
+  /// \brief Kills the process and loses what was not synced.
+  void Crash(Host& host) {
+    host.replica.reset();
+    host.disk.Crash([this] { return random_(); });
+  }
+
+  /// \brief Advances the clock by `step`, delivering what is due.
+  void Step(Millis step) {
+    now += step;
+    for (auto it = queue_.begin(); it != queue_.end() && it->first <= now;
+         it = queue_.erase(it)) {
+      Host& to = *Find(it->second.to_host);
+      if (!to.replica || to.frozen)
+        continue;
+      // The messages cross as JSON text, which also tests the codec.
+      const auto json = ParseJson(it->second.text);
+      const auto message =
+          json ? MessageFromJson(json.value()) : Result<Message>(json.error());
+      if (!message) {
+        fault("codec: " + message.error().Text());
+        continue;
+      }
+      (void)to.replica->Receive(message.value(), now);
+    }
+    for (const auto& host : hosts) {
+      if (host->replica && !host->frozen)
+        host->replica->Tick(now);
+    }
+  }
+
+  /// \brief Steps until `done` or for `limit`.
+  bool RunUntil(const std::function<bool()>& done, Millis limit) {
+    for (const TimePoint end = now + limit; now < end;) {
+      if (done())
+        return true;
+      Step(Millis(10));
+    }
+    return done();
+  }
+
+  [[nodiscard]] Host* Find(const std::string& name) {
+    for (const auto& host : hosts) {
+      if (host->name == name)
+        return host.get();
+    }
+    return nullptr;
+  }
+
+  /// \returns the running leader of the highest term, or null.
+  [[nodiscard]] Host* leader() {
+    Host* found = nullptr;
+    for (const auto& host : hosts) {
+      if (host->replica && host->replica->role() == Role::kLeader &&
+          (!found || host->replica->term() > found->replica->term())) {
+        found = host.get();
+      }
+    }
+    return found;
+  }
+
+  /// \returns whether all hosts are voters with the same commands.
+  [[nodiscard]] bool Converged() {
+    Host* first = leader();
+    if (!first)
+      return false;
+    const Replica& lead = *first->replica;
+    const auto same = [&](const auto& host) {
+      return host->replica && !host->replica->failure() &&
+             lead.configuration().IsVoter(host->replica->id()) &&
+             host->replica->applied_index() == lead.node().log().last_index();
+    };
+    return lead.configuration().voters.size() == hosts.size() &&
+           lead.configuration().learners.empty() &&
+           std::all_of(hosts.begin(), hosts.end(), same);
+  }
+
+  /// Commands that some replica has applied, by index.
+  std::map<std::uint64_t, std::string> applied;
+
+ private:
+  void Post(const Sent& sent) {
+    for (const Millis delay : network(sent))
+      queue_.emplace(now + delay, sent);
+  }
+
+  void NoteApplied(std::uint64_t index,
+                   const std::string& command,
+                   const Host& host) {
+    const auto [at, fresh] = applied.emplace(index, command);
+    if (!fresh && at->second != command) {
+      fault("entry " + std::to_string(index) + " of " + host.name + " is " +
+            command + ", was " + at->second);
+    }
+  }
+
+  void NoteLeader(std::uint64_t term, const Host& host) {
+    const auto [at, fresh] = leaders_.emplace(term, host.replica->id());
+    if (!fresh && at->second != host.replica->id())
+      fault("two leaders in term " + std::to_string(term));
+  }
+
+  boost::random::mt19937_64 random_;
+  std::multimap<TimePoint, Sent> queue_;
+  std::map<std::uint64_t, ReplicaId> leaders_;
+};
+
+}  // namespace boragewinch::raft
+
+#endif  // BORAGEWINCH_TESTS_RAFT_CLUSTER_H_
