--- /dev/null
+++ b/src/entry/allotment_book.cc
@@ -0,0 +1,48 @@
+#include "entry/allotment_book.h"
+
+#include <utility>
+
+namespace boragewinch {
+
+void AllotmentBook::Update(std::uint64_t version,
+                           std::map<TeamName, std::int64_t> units) {
+  if (version < version_)
+    return;
+  version_ = version;
+  units_ = std::move(units);
+  confirmed_ = true;
+}
+
+void AllotmentBook::Count(const TaskId& task, CountedTask counted) {
+  const TeamName team = counted.team;
+  if (tasks_.emplace(task, std::move(counted)).second)
+    ++in_use_[team];
+}
+
+void AllotmentBook::Release(const TaskId& task) {
+  const auto found = tasks_.find(task);
+  if (found == tasks_.end())
+    return;
+  if (const auto count = in_use_.find(found->second.team);
+      --count->second == 0) {
+    in_use_.erase(count);
+  }
+  tasks_.erase(found);
+}
+
+void AllotmentBook::MarkMoved(const TaskId& task, const EntryName& entry) {
+  if (const auto found = tasks_.find(task); found != tasks_.end())
+    found->second.moved_to = entry;
+}
+
+std::int64_t AllotmentBook::allotment(const TeamName& team) const {
+  const auto found = units_.find(team);
+  return found == units_.end() ? 0 : found->second;
+}
+
+std::int64_t AllotmentBook::in_use(const TeamName& team) const {
+  const auto found = in_use_.find(team);
+  return found == in_use_.end() ? 0 : found->second;
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/entry/allotment_book.h
@@ -0,0 +1,68 @@
+#ifndef BORAGEWINCH_ENTRY_ALLOTMENT_BOOK_H_
+#define BORAGEWINCH_ENTRY_ALLOTMENT_BOOK_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "base/strong_id.h"
+#include "base/time.h"
+#include "entry/request_record.h"
+#include "model/worker_types.h"
+
+namespace boragewinch {
+
+/// \brief One task that counts against its team's allotment.
+struct CountedTask {
+  TeamName team;
+  HostName worker;
+  /// Set for a task whose record went to a peer after a fence. It counts
+  /// until its worker or that peer no longer lists it.
+  EntryName moved_to;
+  std::optional<ReplicaOwner> taken_from;  ///< set for a taken-over task
+  TimePoint counted_at;
+};
+
+/// \brief The allotments in hand and the tasks counted against them.
+class AllotmentBook {
+ public:
+  /// \brief Takes the ledger's numbers; older versions are ignored.
+  void Update(std::uint64_t version, std::map<TeamName, std::int64_t> units);
+  /// \brief Forgets that the numbers were confirmed; nothing may start.
+  void Suspend() noexcept { confirmed_ = false; }
+
+  void Count(const TaskId& task, CountedTask counted);
+  void Release(const TaskId& task);
+  void MarkMoved(const TaskId& task, const EntryName& entry);
+
+  [[nodiscard]] std::int64_t allotment(const TeamName& team) const;
+  [[nodiscard]] std::int64_t in_use(const TeamName& team) const;
+  /// \returns whether one more task of `team` may be counted.
+  [[nodiscard]] bool HasRoom(const TeamName& team) const {
+    return confirmed_ && in_use(team) < allotment(team);
+  }
+  [[nodiscard]] bool confirmed() const noexcept { return confirmed_; }
+  [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
+  [[nodiscard]] const std::map<TeamName, std::int64_t>& units() const noexcept {
+    return units_;
+  }
+  [[nodiscard]] const std::map<TeamName, std::int64_t>& counts()
+      const noexcept {
+    return in_use_;
+  }
+  [[nodiscard]] const std::map<TaskId, CountedTask>& tasks() const noexcept {
+    return tasks_;
+  }
+
+ private:
+  bool confirmed_ = false;
+  std::uint64_t version_ = 0;
+  std::map<TeamName, std::int64_t> units_;
+  std::map<TeamName, std::int64_t> in_use_;
+  std::map<TaskId, CountedTask> tasks_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_ENTRY_ALLOTMENT_BOOK_H_
--- /dev/null
+++ b/src/entry/call_table.h
@@ -0,0 +1,71 @@
+#ifndef BORAGEWINCH_ENTRY_CALL_TABLE_H_
+#define BORAGEWINCH_ENTRY_CALL_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/strong_id.h"
+#include "base/time.h"
+#include "entry/peer_message.h"
+
+namespace boragewinch {
+
+/// \brief What an open call waits for.
+enum class CallWait { kRecord, kForward, kFind };
+
+/// \brief A call of a caller, or one that a peer forwarded.
+struct OpenCall {
+  CallKind kind = CallKind::kQuery;
+  std::string key;
+  RequestId request;
+  std::optional<JobSpec> spec;
+  TimePoint deadline;
+  std::uint32_t hops = 0;
+  EntryName origin;  ///< empty for a call of a caller
+  Incarnation origin_incarnation;
+  std::uint64_t origin_reference = 0;
+  CallWait wait = CallWait::kRecord;
+  std::set<EntryName> awaited;    ///< peers that have not answered
+  std::vector<EntryName> spares;  ///< peers asked at widen_at
+  TimePoint widen_at = TimePoint::max();
+  TimePoint next_send = TimePoint::max();
+  std::uint32_t tries = 0;
+  TimePoint due = TimePoint::max();
+};
+
+/// \brief Open calls by number, by request and by due time.
+class CallTable {
+ public:
+  OpenCall& Insert(std::uint64_t id, OpenCall call);
+  [[nodiscard]] OpenCall* Find(std::uint64_t id);
+  void Erase(std::uint64_t id);
+  /// \brief Sets the request that the call is about.
+  void SetRequest(std::uint64_t id, const RequestId& request);
+  /// \brief Recomputes when the call has to be looked at.
+  void Reschedule(std::uint64_t id);
+  [[nodiscard]] std::vector<std::uint64_t> TakeDue(TimePoint now);
+  /// \returns the calls that wait for a record of this process.
+  [[nodiscard]] std::vector<std::uint64_t> Waiting(
+      const RequestId& request) const;
+  /// \returns the open call that a peer forwarded under `reference`.
+  [[nodiscard]] bool HasForwarded(const EntryName& origin,
+                                  const Incarnation& incarnation,
+                                  std::uint64_t reference) const;
+  [[nodiscard]] std::size_t size() const noexcept { return calls_.size(); }
+
+ private:
+  using Origin = std::pair<std::pair<EntryName, Incarnation>, std::uint64_t>;
+  std::map<std::uint64_t, OpenCall> calls_;
+  std::set<std::pair<RequestId, std::uint64_t>> by_request_;
+  std::set<std::pair<TimePoint, std::uint64_t>> due_;
+  std::set<Origin> forwarded_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_ENTRY_CALL_TABLE_H_
--- /dev/null
+++ b/src/entry/entry_actions.h
@@ -0,0 +1,135 @@
+#ifndef BORAGEWINCH_ENTRY_ENTRY_ACTIONS_H_
+#define BORAGEWINCH_ENTRY_ENTRY_ACTIONS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/strong_id.h"
+#include "base/time.h"
+#include "entry/peer_message.h"
+#include "model/fleet_types.h"
+#include "model/job.h"
+#include "model/worker_types.h"
+
+namespace boragewinch {
+
+/// Number of an open call; the service counts up from 1 (below 2^63).
+using CallId = std::uint64_t;
+
+/// \brief A caller's submit.
+struct SubmitCall {
+  CallId call = 0;
+  std::string key;   ///< "<key id>.<secret>"; empty without a key
+  RequestId ticket;  ///< empty for a plain POST
+  JobSpec spec;
+  TimePoint deadline;  ///< of the call
+};
+
+/// \brief A caller's status, result or cancel call.
+struct RequestCall {
+  CallId call = 0;
+  std::string key;
+  RequestId request;
+  TimePoint deadline;
+};
+
+/// \brief Answers a caller. Emitted exactly once for each call.
+struct AnswerCaller {
+  CallId call = 0;
+  JobAnswer answer;
+};
+
+struct SendPeer {
+  EntryName entry;
+  PeerMessage message;
+};
+
+/// \brief Starts a task. The service sends it once, never twice, and reports
+/// the answer or its loss with OnStartAnswer. The worker refuses a start that
+/// names another worker incarnation or an older assignment with `leaving`.
+struct StartTask {
+  HostName host;
+  std::string address;
+  Incarnation worker_incarnation;
+  TaskId task;
+  JobSpec spec;
+  PoolName pool;
+  FleetVersion assignment = 0;
+  Millis lease = kTaskLease;
+};
+
+struct StopTask {
+  HostName host;
+  std::string address;
+  TaskId task;
+};
+
+/// \brief Asks a worker to refuse `task` from now on. Answered by
+/// OnForbidAnswer.
+struct ForbidTask {
+  HostName host;
+  std::string address;
+  TaskId task;
+};
+
+using EntryAction =
+    std::variant<AnswerCaller, SendPeer, StartTask, StopTask, ForbidTask>;
+
+enum class ForbidState { kForbidden, kRunning, kEnded };
+
+/// \brief What a worker knows about a forbidden task.
+struct ForbidAnswer {
+  ForbidState state = ForbidState::kForbidden;
+  Incarnation incarnation;  ///< of the worker
+};
+
+/// \brief Answer to a worker's heartbeat.
+struct WorkerReportAnswer {
+  std::vector<TaskId> renewed;  ///< lease counts from the heartbeat's sending
+  std::vector<TaskId> stop;
+  std::vector<TaskId> acknowledged;  ///< results that need not be kept
+  bool drain = false;
+  PoolName pool;
+  FleetVersion assignment = 0;
+};
+
+enum class ResultAnswer {
+  kAcknowledged,  ///< the worker may drop the result
+  kKept,  ///< the worker keeps it until a heartbeat answer acknowledges it
+};
+
+/// \brief What the control leader's answer to control.sync contains.
+struct ControlAnswer {
+  TimePoint confirmed_at;  ///< when the answered call was sent
+  bool registered = true;  ///< the ledger knows this incarnation
+  std::uint64_t allotment_version = 0;
+  std::map<TeamName, std::int64_t> allotment;
+  std::vector<KeyId> tombstones;
+  std::vector<EntryHost> entries;  ///< of all zones
+};
+
+/// \brief Records of another incarnation that this process renews.
+struct TakenOver {
+  EntryName entry;
+  Incarnation incarnation;
+  std::map<TeamName, std::int64_t> running;
+};
+
+/// \brief What this process tells the control leader.
+struct ControlReport {
+  FleetVersion version = 0;
+  std::uint64_t allotment_version = 0;
+  std::map<TeamName, std::int64_t> running;  ///< counted against allotments
+  std::map<TeamName, std::int64_t> wanted;   ///< running and queued
+  std::map<TeamName, std::int64_t> returnable;
+  std::vector<TakenOver> taken_over;
+  std::vector<SilentPeer> silent;
+  std::vector<KeyId> tombstones;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_ENTRY_ENTRY_ACTIONS_H_
--- /dev/null
+++ b/src/entry/entry_config.h
@@ -0,0 +1,47 @@
+#ifndef BORAGEWINCH_ENTRY_ENTRY_CONFIG_H_
+#define BORAGEWINCH_ENTRY_ENTRY_CONFIG_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "base/strong_id.h"
+#include "base/time.h"
+
+namespace boragewinch {
+
+/// Keyed work is refused when no leader confirmation is younger than this.
+inline constexpr Millis kFreshnessBound{5'000};
+/// Without an answered own call for this long, nothing is dispatched.
+inline constexpr Millis kIsolationBound{10'000};
+/// A backup takes over the records of an owner silent for this long.
+inline constexpr Millis kOwnerSilence{3'000};
+inline constexpr Millis kGossipInterval{250};
+
+/// \brief Identity and bounds of one entry host process.
+struct EntryConfig {
+  ZoneName zone;
+  EntryName name;
+  Incarnation incarnation;
+
+  std::size_t max_records = 100'000;  ///< own records and replicas together
+  std::size_t max_queued_per_queue = 20'000;
+  std::size_t max_calls = 20'000;
+  std::size_t max_results = 50'000;
+  std::size_t max_result_bytes = 128UL * 1024 * 1024;
+  std::size_t max_peers = 64;
+  std::size_t max_workers = 10'000;
+  std::size_t max_tombstones = 100'000;
+  Millis result_retention{10L * 60 * 1000};
+  Millis ticket_lifetime{10L * 60 * 1000};  ///< at most result_retention
+  Millis start_timeout{5'000};      ///< without an answer the start is unknown
+  Millis store_fallback{1'000};     ///< then a repeatable job needs one copy
+  Millis closing_patience{30'000};  ///< then the outcome is unknown
+  Millis find_timeout{1'000};       ///< for the search of a client_request_id
+  Millis retry_first{200};
+  Millis retry_limit{2'000};
+  std::uint32_t max_attempts = 20;  ///< starts refused as bad_task and alike
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_ENTRY_ENTRY_CONFIG_H_
--- /dev/null
+++ b/src/entry/entry_core.h
@@ -0,0 +1,273 @@
+#ifndef BORAGEWINCH_ENTRY_ENTRY_CORE_H_
+#define BORAGEWINCH_ENTRY_ENTRY_CORE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/result.h"
+#include "base/time.h"
+#include "entry/allotment_book.h"
+#include "entry/backoff.h"
+#include "entry/call_table.h"
+#include "entry/entry_actions.h"
+#include "entry/entry_config.h"
+#include "entry/freshness.h"
+#include "entry/key_ring.h"
+#include "entry/peer_table.h"
+#include "entry/request_table.h"
+#include "entry/scheduler_hooks.h"
+#include "entry/worker_table.h"
+#include "model/fleet_view.h"
+
+namespace boragewinch {
+
+/// \brief Counters for metrics.
+struct EntryCounters {
+  std::uint64_t accepted = 0;
+  std::uint64_t refused = 0;
+  std::uint64_t starts = 0;
+  std::uint64_t taken_over = 0;
+  std::uint64_t results_rejected = 0;
+};
+
+/// \brief The decisions of an entry host. Inputs are methods with the present
+/// time; outputs are actions, taken with TakeActions after each input.
+class EntryCore {
+ public:
+  EntryCore(EntryConfig config,
+            SchedulerHooks hooks,
+            RandomHook random,
+            TimePoint now);
+
+  /// Calls of callers. Each gets one AnswerCaller, at its deadline at last.
+  /// \returns a fresh request id, or kUnavailable while stopping.
+  [[nodiscard]] Result<RequestId> NewTicket(TimePoint now);
+  void Submit(SubmitCall call, TimePoint now);
+  void Query(RequestCall call, TimePoint now);
+  void Cancel(RequestCall call, TimePoint now);
+  void FetchResult(RequestCall call, TimePoint now);
+
+  /// Messages of other entry hosts.
+  void OnPeerMessage(const EntryName& from, PeerMessage message, TimePoint now);
+
+  /// Workers.
+  [[nodiscard]] WorkerReportAnswer OnWorkerReport(const WorkerReport& report,
+                                                  TimePoint now);
+  /// \brief Marks the worker and relays the mark to the zone's peers.
+  void OnWorkerLeave(const LeavingWorker& worker, TimePoint now);
+  /// \param answer an Error means that the answer is lost.
+  void OnStartAnswer(const TaskId& task,
+                     const HostName& host,
+                     const Result<StartAnswer>& answer,
+                     TimePoint now);
+  void OnForbidAnswer(const TaskId& task,
+                      const HostName& host,
+                      const Result<ForbidAnswer>& answer,
+                      TimePoint now);
+  /// \returns kProtocol (torn), kConflict (second or stale attempt) or
+  /// kNotFound (foreign); the worker drops refused results except torn ones.
+  [[nodiscard]] Result<ResultAnswer> OnResult(TaskResult result, TimePoint now);
+
+  /// Control.
+  void OnFleetUpdate(FleetView view, TimePoint now);
+  void OnControlAnswer(const ControlAnswer& answer, TimePoint now);
+  void OnKeyWithdrawn(const KeyId& key, TimePoint now);
+  [[nodiscard]] ControlReport BuildControlReport(TimePoint now) const;
+
+  /// \brief Begins the planned stop; `stopped` tells when it is complete.
+  void Stop(TimePoint now);
+  /// \brief Call at least every 100 ms.
+  void Tick(TimePoint now);
+  [[nodiscard]] std::vector<EntryAction> TakeActions();
+
+  [[nodiscard]] bool stopping() const noexcept { return stopping_; }
+  /// \returns whether all requests have ended or have another owner and all
+  /// calls are answered.
+  [[nodiscard]] bool stopped() const noexcept;
+  [[nodiscard]] std::size_t open_requests() const noexcept {
+    return table_.open();
+  }
+  [[nodiscard]] bool fresh(TimePoint now) const noexcept {
+    return freshness_.Within(now);
+  }
+  [[nodiscard]] bool isolated(TimePoint now) const noexcept {
+    return !isolation_.Within(now);
+  }
+  [[nodiscard]] const FleetView& view() const noexcept { return view_; }
+  [[nodiscard]] const RequestTable& requests() const noexcept { return table_; }
+  [[nodiscard]] const WorkerTable& workers() const noexcept { return workers_; }
+  [[nodiscard]] const PeerTable& peers() const noexcept { return peers_; }
+  [[nodiscard]] const AllotmentBook& allotments() const noexcept {
+    return book_;
+  }
+  [[nodiscard]] const KeyRing& keys() const noexcept { return ring_; }
+  [[nodiscard]] const EntryCounters& counters() const noexcept {
+    return counters_;
+  }
+
+ private:
+  using Phase = RequestPhase;
+
+  // entry_core.cc: calls and admission.
+  void Enter(TimePoint now);
+  void Leave(TimePoint now);
+  void Emit(EntryAction action) { actions_.push_back(std::move(action)); }
+  void OpenLocal(CallId id, OpenCall call, TimePoint now);
+  void Route(CallId id, TimePoint now);
+  void RouteForeign(CallId id, const RequestId& request, TimePoint now);
+  void Answer(CallId id, JobAnswer answer);
+  void AnswerWith(CallId id, Outcome outcome, RefusalReason reason);
+  void AnswerAtDeadline(CallId id, TimePoint now);
+  void ServeRecord(CallId id, RequestRecord& record, TimePoint now);
+  void AdmitNew(CallId id, TimePoint now);
+  void CreateRecord(CallId id, TimePoint now);
+  [[nodiscard]] RefusalReason AdmissionReason(OpenCall& call, TimePoint now);
+  [[nodiscard]] RefusalReason AccessReason(const RequestRecord& record,
+                                           const std::string& key) const;
+  [[nodiscard]] JobAnswer StatusOf(const RequestRecord& record,
+                                   bool with_body) const;
+  void Notify(const RequestRecord& record);
+  void CancelRecord(RequestRecord& record, TimePoint now);
+  [[nodiscard]] RequestId NextId();
+
+  // entry_forward.cc: calls that need a peer.
+  void Forward(CallId id,
+               const std::vector<EntryName>& first,
+               std::vector<EntryName> spares,
+               TimePoint now);
+  void SendCall(CallId id, OpenCall& call, TimePoint now);
+  void ReviewCall(CallId id, TimePoint now);
+  void StartFind(CallId id, TimePoint now);
+  void FinishFind(CallId id, TimePoint now);
+  void Receive(const EntryName& from,
+               const Incarnation& incarnation,
+               PeerForward message,
+               TimePoint now);
+  void Receive(const EntryName& from, PeerForwardAnswer message, TimePoint now);
+  void Receive(const EntryName& from,
+               const Incarnation& incarnation,
+               const PeerFind& message);
+  void Receive(const EntryName& from, const PeerFound& message, TimePoint now);
+
+  // entry_replication.cc: copies, fences, take-over, hand-over.
+  void SendTo(const EntryName& entry, PeerBody body);
+  void AssignCopy(RequestRecord& record, const EntryName& entry, TimePoint now);
+  void Bump(RequestRecord& record, TimePoint now);
+  void SendCopy(RequestRecord& record, TimePoint now);
+  void OnReplicated(RequestRecord& record, TimePoint now);
+  void OnCopyGone(RequestRecord& record, bool may_have_fenced, TimePoint now);
+  void PlaceCopy(RequestRecord& record, TimePoint now);
+  void OnPeerReplaced(const EntryName& entry,
+                      const PeerReplaced& replaced,
+                      TimePoint now);
+  void TakeOver(const EntryName& entry,
+                const Incarnation& incarnation,
+                std::uint64_t epoch,
+                TimePoint now);
+  void TakeOverRecord(RequestRecord& record, TimePoint now);
+  void Fence(const EntryName& entry, TimePoint now);
+  void LetGo(RequestRecord& record, const EntryName& to, TimePoint now);
+  [[nodiscard]] bool Refused(const EntryName& from,
+                             const RecordVersion& version);
+  void Receive(const EntryName& from, PeerStore message, TimePoint now);
+  void Receive(const EntryName& from, const PeerIntend& message, TimePoint now);
+  void Receive(const EntryName& from, PeerClose message, TimePoint now);
+  void Receive(const EntryName& from, const PeerAck& message, TimePoint now);
+  void Receive(const EntryName& from, const PeerFenced& message, TimePoint now);
+  void Receive(const EntryName& from,
+               const PeerHandOver& message,
+               TimePoint now);
+  void ReceiveGossip(const EntryName& from,
+                     const PeerMessage& message,
+                     TimePoint now);
+
+  // entry_dispatch.cc: starting tasks and closing requests.
+  void Enqueue(RequestRecord& record, TimePoint now);
+  [[nodiscard]] PendingJob ToPending(const RequestRecord& record) const;
+  void Pump(TimePoint now);
+  [[nodiscard]] bool Dispatch(RequestRecord& record, TimePoint now);
+  void Start(RequestRecord& record, TimePoint now);
+  [[nodiscard]] bool MayStart(const RequestRecord& record, TimePoint now);
+  void ReleaseTask(const RequestRecord& record);
+  void Requeue(RequestRecord& record, TimePoint now);
+  void Unconfirm(RequestRecord& record, Millis forbid_after, TimePoint now);
+  void NotRun(RequestRecord& record, TimePoint now);
+  void LeaseExpired(RequestRecord& record, TimePoint now);
+  void BeginClose(RequestRecord& record,
+                  Outcome outcome,
+                  RefusalReason reason,
+                  TimePoint now);
+  void End(RequestRecord& record, Closing closing, TimePoint now);
+  void Review(RequestRecord& record, TimePoint now);
+  void Touch(RequestRecord& record);
+
+  // entry_workers.cc: reports and results.
+  void ReviewReported(RequestRecord& record,
+                      const TaskReport& task,
+                      const WorkerReport& report,
+                      WorkerReportAnswer& answer,
+                      TimePoint now);
+  void ReviewRunning(RequestRecord& record,
+                     const TaskReport& task,
+                     const WorkerReport& report,
+                     WorkerReportAnswer& answer,
+                     TimePoint now);
+  void ReviewUnlisted(const WorkerReport& report, TimePoint now);
+  void Adopt(RequestRecord& record,
+             const TaskReport& task,
+             const WorkerReport& report,
+             TimePoint now);
+  [[nodiscard]] Result<ResultAnswer> HandleResult(TaskResult result,
+                                                  bool pass_on,
+                                                  TimePoint now);
+
+  // entry_tick.cc: periodic work.
+  void SendGossip(TimePoint now);
+  void FenceSilentPeers(TimePoint now);
+  void PlaceMissingCopies(TimePoint now);
+  void AdvanceStop(TimePoint now);
+  void ReleaseMovedTasks(TimePoint now);
+  void NoteFreshness(TimePoint now);
+
+  EntryConfig config_;
+  SchedulerHooks hooks_;
+  RandomHook random_;
+  TimePoint started_;
+  TimePoint last_tick_;
+  TimePoint next_gossip_;
+  TimePoint next_sweep_;
+  bool stopping_ = false;
+  bool was_fresh_ = false;
+  bool dirty_ = true;  ///< something may have become startable
+  std::uint64_t next_sequence_ = 1;
+  std::uint64_t next_internal_call_ = std::uint64_t{1} << 63;
+  /// (time, first sequence issued after it), for the age of tickets.
+  std::deque<std::pair<TimePoint, std::uint64_t>> sequence_times_;
+  std::uint64_t expired_below_ = 0;
+
+  FleetView view_;
+  KeyRing ring_;
+  AnsweredCalls freshness_;
+  AnsweredCalls isolation_;
+  AllotmentBook book_;
+  WorkerTable workers_;
+  PeerTable peers_;
+  RequestTable table_;
+  CallTable calls_;
+  RetryBudget retries_;
+  std::set<RequestId> uncopied_;
+  std::map<std::pair<TeamName, std::string>, CallId> finding_;
+  std::map<RequestId, EntryName> moved_;
+  std::deque<std::pair<TimePoint, RequestId>> moved_times_;
+  EntryCounters counters_;
+  std::vector<EntryAction> actions_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_ENTRY_ENTRY_CORE_H_
--- /dev/null
+++ b/src/entry/entry_dispatch.cc
@@ -0,0 +1,455 @@
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/invariant.h"
+#include "entry/entry_core.h"
+
+namespace boragewinch {
+
+namespace {
+
+// Keeps one input's work short; the next tick goes on.
+constexpr int kMaxStartsPerPump = 64;
+
+}  // namespace
+
+PendingJob EntryCore::ToPending(const RequestRecord& record) const {
+  PendingJob job;
+  job.id = record.id;
+  job.team = record.spec.team;
+  job.queue = record.spec.queue;
+  if (const auto queue = view_.queues.find(record.spec.queue);
+      queue != view_.queues.end()) {
+    job.pool = queue->second.pool;
+  }
+  job.customer = record.spec.customer;
+  job.declared = record.spec.declared;
+  job.declared_run_time = record.spec.declared_run_time;
+  job.urgency = record.spec.urgency;
+  job.repeatable = record.spec.repeatable;
+  job.submitted = record.created;
+  job.deadline = record.deadline;
+  return job;
+}
+
+void EntryCore::Enqueue(RequestRecord& record, TimePoint now) {
+  table_.SetPhase(record, Phase::kQueued, now);
+  hooks_.enqueue(ToPending(record), now);
+  dirty_ = true;
+  Touch(record);
+}
+
+void EntryCore::Pump(TimePoint now) {
+  if (isolated(now) || view_.version == 0 || !book_.confirmed())
+    return;
+  // While stopping, queued work is left to the peer that takes it over.
+  if (stopping_) {
+    for (const EntryName& name : peers_.zone_peers()) {
+      if (peers_.alive(name, now))
+        return;
+    }
+  }
+  std::map<PoolName, bool> pool_has_room;
+  std::set<RequestId> unplaceable;
+  const auto startable = [&](const PendingJob& job) {
+    if (!book_.HasRoom(job.team) || unplaceable.contains(job.id))
+      return false;
+    const RequestRecord* record = table_.Own(job.id);
+    if (record == nullptr)
+      return false;
+    const auto queue = view_.queues.find(job.queue);
+    if (queue == view_.queues.end())
+      return false;
+    // The backup has to hold a non-repeatable request before its intent.
+    if (!record->spec.repeatable && record->copy &&
+        record->copy->acknowledged == 0) {
+      return false;
+    }
+    const PoolName& pool = queue->second.pool;
+    const auto [room, added] = pool_has_room.try_emplace(pool, false);
+    if (added)
+      room->second = !workers_.Candidates(pool, view_, now).empty();
+    return room->second;
+  };
+  for (int i = 0; i < kMaxStartsPerPump; ++i) {
+    const auto id = hooks_.next(now, startable);
+    if (!id)
+      return;
+    RequestRecord* record = table_.Own(*id);
+    if (record == nullptr || record->phase != Phase::kQueued)
+      continue;
+    if (!Dispatch(*record, now)) {
+      unplaceable.insert(*id);
+      hooks_.enqueue(ToPending(*record), now);
+    }
+    pool_has_room.clear();
+  }
+  dirty_ = true;
+}
+
+bool EntryCore::Dispatch(RequestRecord& record, TimePoint now) {
+  const PendingJob job = ToPending(record);
+  const auto candidates = workers_.Candidates(job.pool, view_, now);
+  const auto host = hooks_.choose_worker(job, candidates, now);
+  WorkerEntry* worker = host ? workers_.Find(*host) : nullptr;
+  if (worker == nullptr)
+    return false;
+  record.intent =
+      Intent{std::max(record.intent.attempt + 1, record.next_attempt), *host,
+             worker->report.incarnation, worker->report.address};
+  // Counted before the first byte, so that two starts can't share a unit.
+  book_.Count(record.task(),
+              CountedTask{record.spec.team, *host, {}, std::nullopt, now});
+  worker->own_tasks[record.task()] = record.spec.declared;
+  table_.SetPhase(record, Phase::kIntending, now);
+  Bump(record, now);
+  // A repeatable request may run twice, so it need not wait for the backup.
+  if (record.spec.repeatable || record.replicated())
+    Start(record, now);
+  Touch(record);
+  return true;
+}
+
+bool EntryCore::MayStart(const RequestRecord& record, TimePoint now) {
+  const WorkerEntry* worker = workers_.Find(record.intent.worker);
+  const auto queue = view_.queues.find(record.spec.queue);
+  if (isolated(now) || worker == nullptr || queue == view_.queues.end())
+    return false;
+  return worker->report.incarnation == record.intent.worker_incarnation &&
+         workers_.Usable(*worker, queue->second.pool, view_, now) &&
+         book_.confirmed() &&
+         book_.in_use(record.spec.team) <= book_.allotment(record.spec.team);
+}
+
+void EntryCore::Start(RequestRecord& record, TimePoint now) {
+  if (!MayStart(record, now)) {
+    ReleaseTask(record);
+    Requeue(record, now);
+    return;
+  }
+  const WorkerEntry& worker = *workers_.Find(record.intent.worker);
+  const Queue& queue = view_.queues.find(record.spec.queue)->second;
+  const Host& host = view_.hosts.find(record.intent.worker)->second;
+  const bool once = CheckInvariant(
+      Invariant::kAtMostOnce,
+      record.spec.repeatable || (record.replicated() && !record.may_have_run),
+      "a non-repeatable start needs the backup's acknowledgement");
+  const bool within_limit = CheckInvariant(
+      Invariant::kTeamLimit,
+      book_.tasks().contains(record.task()) &&
+          book_.in_use(record.spec.team) <= book_.allotment(record.spec.team),
+      "a start must be counted within the team's allotment");
+  const bool stays = CheckInvariant(
+      Invariant::kLeavingWorker,
+      !workers_.leaving(worker) && !worker.report.acknowledged_drain,
+      "a leaving worker gets no start");
+  if (!once || !within_limit || !stays) {
+    ReleaseTask(record);
+    Requeue(record, now);
+    return;
+  }
+  LogEvent(EventId::kRequestIntended, {{"task", record.task().Text()},
+                                       {"host", record.intent.worker.str()}});
+  ++counters_.starts;
+  record.started = true;
+  record.lease_until = now + config_.start_timeout + GranterLease(kTaskLease);
+  record.missing_reports = 0;
+  table_.SetPhase(record, Phase::kStarting, now);
+  Emit(StartTask{record.intent.worker, record.intent.worker_address,
+                 record.intent.worker_incarnation, record.task(), record.spec,
+                 queue.pool, host.assignment, kTaskLease});
+  hooks_.on_started(ToPending(record), record.intent.worker, now);
+  Touch(record);
+}
+
+// The task is known to have ended, or not to have begun.
+void EntryCore::ReleaseTask(const RequestRecord& record) {
+  book_.Release(record.task());
+  if (WorkerEntry* worker = workers_.Find(record.intent.worker);
+      worker != nullptr) {
+    worker->own_tasks.erase(record.task());
+  }
+  dirty_ = true;
+}
+
+void EntryCore::Requeue(RequestRecord& record, TimePoint now) {
+  if (record.cancel_requested) {
+    BeginClose(record, Outcome::kCancelled, RefusalReason::kNone, now);
+  } else if (now >= record.deadline) {
+    table_.SetPhase(record, Phase::kQueued, now);
+    BeginClose(record, Outcome::kRefusedNotRun, RefusalReason::kDeadline, now);
+  } else {
+    Enqueue(record, now);
+  }
+}
+
+void EntryCore::Unconfirm(RequestRecord& record,
+                          Millis forbid_after,
+                          TimePoint now) {
+  table_.SetPhase(record, Phase::kUnconfirmed, now);
+  record.next_forbid = now + forbid_after;
+  record.forbid_tries = 0;
+  Touch(record);
+}
+
+// The worker has promised that the attempt never runs.
+void EntryCore::NotRun(RequestRecord& record, TimePoint now) {
+  ReleaseTask(record);
+  record.started = record.may_have_run;
+  Requeue(record, now);
+}
+
+void EntryCore::OnStartAnswer(const TaskId& task,
+                              const HostName& host,
+                              const Result<StartAnswer>& answer,
+                              TimePoint now) {
+  Enter(now);
+  RequestRecord* found = table_.Own(task.request);
+  if (found == nullptr || found->phase != Phase::kStarting ||
+      found->task() != task || found->intent.worker != host) {
+    return;
+  }
+  RequestRecord& record = *found;
+  WorkerEntry* worker = workers_.Find(host);
+  // The start may have arrived at any time until now.
+  record.lease_until = now + GranterLease(kTaskLease);
+  if (!answer) {
+    workers_.StartFailed(host, view_, now);
+    // The next heartbeat shows a task that has started.
+    Unconfirm(record, kHeartbeatInterval * 2, now);
+    return;
+  }
+  switch (answer.value()) {
+    case StartAnswer::kStarted:
+      workers_.StartSucceeded(host);
+      LogEvent(EventId::kRequestStarted, {{"task", task.Text()}});
+      table_.SetPhase(record, Phase::kRunning, now);
+      Touch(record);
+      break;
+    case StartAnswer::kDuplicate:
+      Unconfirm(record, Millis(0), now);
+      break;
+    case StartAnswer::kBadTask:
+      workers_.StartFailed(host, view_, now);
+      if (++record.bad_starts >= config_.max_attempts) {
+        ReleaseTask(record);
+        record.started = record.may_have_run;
+        table_.SetPhase(record, Phase::kQueued, now);
+        BeginClose(record, Outcome::kRefusedNotRun, RefusalReason::kMalformed,
+                   now);
+        break;
+      }
+      NotRun(record, now);
+      break;
+    case StartAnswer::kBusy:
+    case StartAnswer::kLeaving:
+      if (worker != nullptr)
+        worker->full = true;
+      NotRun(record, now);
+      break;
+  }
+  Leave(now);
+}
+
+void EntryCore::OnForbidAnswer(const TaskId& task,
+                               const HostName& host,
+                               const Result<ForbidAnswer>& answer,
+                               TimePoint now) {
+  Enter(now);
+  RequestRecord* record = table_.Own(task.request);
+  if (record == nullptr || record->phase != Phase::kUnconfirmed ||
+      record->task() != task || record->intent.worker != host || !answer ||
+      answer.value().incarnation != record->intent.worker_incarnation) {
+    // Another incarnation of the worker can't vouch for the one that got the
+    // start; the lease decides.
+    return;
+  }
+  switch (answer.value().state) {
+    case ForbidState::kForbidden:
+      NotRun(*record, now);
+      break;
+    case ForbidState::kRunning:
+      table_.SetPhase(*record, Phase::kRunning, now);
+      record->missing_reports = 0;
+      Touch(*record);
+      break;
+    case ForbidState::kEnded:
+      break;
+  }
+  Leave(now);
+}
+
+// Nobody has renewed the attempt for a whole lease.
+void EntryCore::LeaseExpired(RequestRecord& record, TimePoint now) {
+  ReleaseTask(record);
+  record.may_have_run = true;
+  if (!record.spec.repeatable) {
+    End(record, Closing{Outcome::kUnknownMayHaveRun}, now);
+    return;
+  }
+  table_.SetPhase(record, Phase::kQueued, now);
+  if (record.cancel_requested) {
+    End(record, Closing{Outcome::kCancelled}, now);
+    return;
+  }
+  // An accepted request that had started is repeated even if it is late.
+  record.deadline = std::max(record.deadline, now + kTaskLease);
+  Enqueue(record, now);
+}
+
+// "Not run" may be answered once the backup has acknowledged it.
+void EntryCore::BeginClose(RequestRecord& record,
+                           Outcome outcome,
+                           RefusalReason reason,
+                           TimePoint now) {
+  if (record.phase == Phase::kIntending)
+    ReleaseTask(record);
+  hooks_.remove(record.id);
+  Closing closing{outcome, reason};
+  if (record.may_have_run) {
+    if (outcome == Outcome::kRefusedNotRun)
+      closing.outcome = Outcome::kUnknownMayHaveRun;
+    table_.SetPhase(record, Phase::kQueued, now);
+    End(record, std::move(closing), now);
+    return;
+  }
+  table_.SetClosing(record, std::move(closing));
+  table_.SetPhase(record, Phase::kClosing, now);
+  uncopied_.erase(record.id);
+  Bump(record, now);
+  if (record.replicated())
+    OnReplicated(record, now);
+  Touch(record);
+}
+
+void EntryCore::End(RequestRecord& record, Closing closing, TimePoint now) {
+  if (record.phase == Phase::kQueued)
+    hooks_.remove(record.id);
+  const bool had_task = record.has_task();
+  const bool agreed = record.phase == Phase::kClosing &&
+                      closing.outcome == record.closing.outcome;
+  if (closing.outcome == Outcome::kRefusedNotRun) {
+    const bool true_refusal =
+        record.replicated() && !record.may_have_run && !had_task;
+    if (!CheckInvariant(Invariant::kNotRunIsTrue, true_refusal,
+                        "a refusal needs the backup's acknowledgement")) {
+      closing.outcome = Outcome::kUnknownMayHaveRun;
+    }
+  }
+  LogEvent(closing.outcome == Outcome::kUnknownMayHaveRun
+               ? EventId::kRequestUnknown
+               : EventId::kRequestEnded,
+           {{"request", record.id.str()},
+            {"outcome", kOutcomes.Name(closing.outcome)},
+            {"reason", kRefusalReasons.Name(closing.reason)}});
+  if (had_task) {
+    hooks_.on_ended({record.id, record.intent.worker, closing.outcome,
+                     std::chrono::duration_cast<Millis>(now - record.since)},
+                    now);
+  }
+  uncopied_.erase(record.id);
+  table_.SetClosing(record, std::move(closing));
+  table_.SetPhase(record, Phase::kEnded, now);
+  if (!agreed)
+    Bump(record, now);
+  Notify(record);
+  Touch(record);
+}
+
+// Puts the record on the due list for its next possible change.
+void EntryCore::Touch(RequestRecord& record) {
+  TimePoint due = TimePoint::max();
+  const auto at = [&due](TimePoint time) { due = std::min(due, time); };
+  if (!record.owner && !record.replicated())
+    at(record.copy->next_send);
+  switch (record.phase) {
+    case Phase::kStoring:
+      if (record.spec.repeatable)
+        at(record.since + config_.store_fallback);
+      at(record.deadline);
+      break;
+    case Phase::kQueued:
+    case Phase::kIntending:
+      if (!record.owner)
+        at(record.deadline);
+      break;
+    case Phase::kStarting:
+      at(record.since + config_.start_timeout);
+      break;
+    case Phase::kUnconfirmed:
+      at(record.next_forbid);
+      at(record.lease_until);
+      break;
+    case Phase::kRunning:
+      at(record.lease_until);
+      break;
+    case Phase::kClosing:
+      at(record.since + config_.closing_patience);
+      break;
+    case Phase::kEnded:
+      at(record.since + config_.result_retention);
+      break;
+  }
+  table_.SetDue(record, due);
+}
+
+void EntryCore::Review(RequestRecord& record, TimePoint now) {
+  if (!record.owner && !record.replicated() && now >= record.copy->next_send)
+    SendCopy(record, now);
+  switch (record.phase) {
+    case Phase::kStoring:
+      if (now >= record.deadline) {
+        BeginClose(record, Outcome::kRefusedNotRun, RefusalReason::kDeadline,
+                   now);
+      } else if (record.spec.repeatable &&
+                 now >= record.since + config_.store_fallback) {
+        OnReplicated(record, now);
+      }
+      break;
+    case Phase::kQueued:
+    case Phase::kIntending:
+      if (!record.owner && now >= record.deadline) {
+        BeginClose(record, Outcome::kRefusedNotRun, RefusalReason::kDeadline,
+                   now);
+      }
+      break;
+    case Phase::kStarting:
+      if (now >= record.since + config_.start_timeout) {
+        record.lease_until = now + GranterLease(kTaskLease);
+        Unconfirm(record, Millis(0), now);
+      }
+      break;
+    case Phase::kUnconfirmed:
+      if (now >= record.lease_until) {
+        LeaseExpired(record, now);
+      } else if (now >= record.next_forbid) {
+        Emit(ForbidTask{record.intent.worker, record.intent.worker_address,
+                        record.task()});
+        record.next_forbid =
+            now + config_.retry_first +
+            BackoffDelay(config_.retry_first, config_.retry_limit,
+                         record.forbid_tries++, random_);
+      }
+      break;
+    case Phase::kRunning:
+      if (now >= record.lease_until)
+        LeaseExpired(record, now);
+      break;
+    case Phase::kClosing:
+      if (now >= record.since + config_.closing_patience)
+        End(record, Closing{Outcome::kUnknownMayHaveRun}, now);
+      break;
+    case Phase::kEnded:
+      if (now >= record.since + config_.result_retention) {
+        table_.Erase(record.id);
+        return;
+      }
+      break;
+  }
+  Touch(record);
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/entry/entry_replication.cc
@@ -0,0 +1,454 @@
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "base/event_log.h"
+#include "entry/entry_core.h"
+
+namespace boragewinch {
+
+void EntryCore::SendTo(const EntryName& entry, PeerBody body) {
+  const Peer* peer = peers_.Find(entry);
+  Emit(SendPeer{entry,
+                PeerMessage{config_.incarnation,
+                            peer == nullptr ? Incarnation() : peer->incarnation,
+                            std::move(body)}});
+}
+
+void EntryCore::AssignCopy(RequestRecord& record,
+                           const EntryName& entry,
+                           TimePoint now) {
+  const Peer& peer = *peers_.Find(entry);
+  uncopied_.erase(record.id);
+  record.copy = BackupCopy{entry, peer.incarnation, peer.own_epoch};
+  record.copy->sent = now;
+  SendCopy(record, now);
+}
+
+void EntryCore::Bump(RequestRecord& record, TimePoint now) {
+  ++record.revision;
+  if (record.copy) {
+    record.copy->sent = now;
+    record.copy->tries = 0;
+    SendCopy(record, now);
+  }
+}
+
+void EntryCore::SendCopy(RequestRecord& record, TimePoint now) {
+  BackupCopy& copy = *record.copy;
+  const RecordVersion version{record.id, copy.epoch, record.generation,
+                              record.revision};
+  const bool ended =
+      record.phase == Phase::kEnded || record.phase == Phase::kClosing;
+  PeerBody body;
+  if (copy.acknowledged > 0 && ended) {
+    body = PeerClose{version, record.started, record.closing};
+  } else if (copy.acknowledged > 0 && record.intent.attempt > 0) {
+    body = PeerIntend{version, record.intent};
+  } else {
+    body = PeerStore{version,
+                     record.spec,
+                     record.open_queue,
+                     ended,
+                     record.may_have_run,
+                     record.started,
+                     record.cancel_requested,
+                     std::max(record.deadline - now, Millis(0)),
+                     record.intent,
+                     record.closing};
+  }
+  SendTo(copy.entry, std::move(body));
+  copy.next_send = now + BackoffDelay(config_.retry_first, config_.retry_limit,
+                                      copy.tries++, random_);
+  Touch(record);
+}
+
+void EntryCore::OnReplicated(RequestRecord& record, TimePoint now) {
+  switch (record.phase) {
+    case Phase::kStoring:
+      if (!record.taken_over) {
+        ++counters_.accepted;
+        LogEvent(EventId::kRequestAccepted, {{"request", record.id.str()}});
+      }
+      Enqueue(record, now);
+      Notify(record);
+      break;
+    case Phase::kIntending:
+      // After a fence the backup may have resolved the intent. An old
+      // acknowledgement may have been sent before one.
+      if (record.copy &&
+          now - record.copy->sent >= HolderLease(kOwnerSilence)) {
+        Bump(record, now);
+      } else {
+        Start(record, now);
+      }
+      break;
+    case Phase::kClosing:
+      End(record, record.closing, now);
+      break;
+    default:
+      break;
+  }
+}
+
+// Stores a record without a copy at a reachable peer, if there is one.
+void EntryCore::PlaceCopy(RequestRecord& record, TimePoint now) {
+  if (const auto backup = peers_.ChooseBackup(record.id, now); backup) {
+    AssignCopy(record, *backup, now);
+  } else {
+    uncopied_.insert(record.id);
+  }
+}
+
+void EntryCore::OnCopyGone(RequestRecord& record,
+                           bool may_have_fenced,
+                           TimePoint now) {
+  record.copy.reset();
+  if (record.phase == Phase::kEnded)
+    return;
+  if (may_have_fenced) {
+    // The old backup may have taken the record over and started it.
+    if (!record.spec.repeatable && !record.has_task()) {
+      if (record.phase == Phase::kIntending)
+        ReleaseTask(record);
+      hooks_.remove(record.id);
+      record.may_have_run = true;
+      End(record, Closing{Outcome::kUnknownMayHaveRun}, now);
+      return;
+    }
+    record.may_have_run = true;
+  }
+  if (record.phase == Phase::kClosing) {
+    OnReplicated(record, now);
+    return;
+  }
+  PlaceCopy(record, now);
+  if (record.phase == Phase::kIntending) {
+    ReleaseTask(record);
+    Enqueue(record, now);
+  }
+  if (record.phase != Phase::kStoring || record.copy)
+    return;
+  if (record.spec.repeatable || record.taken_over) {
+    OnReplicated(record, now);
+  } else {
+    BeginClose(record, Outcome::kRefusedNotRun, RefusalReason::kNoBackup, now);
+  }
+}
+
+void EntryCore::OnPeerReplaced(const EntryName& entry,
+                               const PeerReplaced& replaced,
+                               TimePoint now) {
+  TakeOver(entry, replaced.old_incarnation,
+           std::numeric_limits<std::uint64_t>::max(), now);
+  std::vector<RequestId> gone;
+  for (auto& [id, record] : table_.records()) {
+    if (!record.owner && record.copy && record.copy->entry == entry &&
+        record.copy->incarnation == replaced.old_incarnation) {
+      gone.push_back(id);
+    }
+  }
+  for (const RequestId& id : gone)
+    OnCopyGone(*table_.Find(id), replaced.may_have_fenced, now);
+}
+
+void EntryCore::TakeOver(const EntryName& entry,
+                         const Incarnation& incarnation,
+                         std::uint64_t epoch,
+                         TimePoint now) {
+  std::vector<RequestId> taken;
+  for (const auto& [id, record] : table_.records()) {
+    if (record.owner && record.owner->entry == entry &&
+        record.owner->incarnation == incarnation &&
+        record.owner->epoch <= epoch) {
+      taken.push_back(id);
+    }
+  }
+  if (taken.empty())
+    return;
+  LogEvent(EventId::kRequestTakenOver,
+           {{"owner", entry.str()}, {"records", taken.size()}});
+  counters_.taken_over += taken.size();
+  for (const RequestId& id : taken)
+    TakeOverRecord(*table_.Find(id), now);
+}
+
+void EntryCore::TakeOverRecord(RequestRecord& record, TimePoint now) {
+  const ReplicaOwner owner = *record.owner;
+  table_.SetOwner(record, std::nullopt);
+  record.taken_over = true;
+  ++record.generation;
+  record.copy.reset();
+  if (record.phase == Phase::kEnded) {
+    Touch(record);
+    return;
+  }
+  // The old owner starts repeatable requests without an acknowledged intent.
+  record.may_have_run = record.may_have_run || record.spec.repeatable;
+  constexpr std::uint32_t kAttemptsPerOwner = 1'000;
+  record.next_attempt =
+      (record.intent.attempt / kAttemptsPerOwner + 1) * kAttemptsPerOwner + 1;
+  const bool intended = record.intent.attempt > 0;
+  if (intended) {
+    book_.Count(
+        record.task(),
+        CountedTask{record.spec.team, record.intent.worker, {}, owner, now});
+    // The old owner's start may still be under way.
+    record.lease_until = now + config_.start_timeout + GranterLease(kTaskLease);
+    table_.SetPhase(record, Phase::kUnconfirmed, now);
+    record.next_forbid = now;
+    record.forbid_tries = 0;
+    PlaceCopy(record, now);
+    Touch(record);
+    return;
+  }
+  table_.SetPhase(record, Phase::kStoring, now);
+  PlaceCopy(record, now);
+  if (!record.copy)
+    OnReplicated(record, now);
+  Touch(record);
+}
+
+void EntryCore::Fence(const EntryName& entry, TimePoint now) {
+  Peer* peer = peers_.Find(entry);
+  std::uint64_t epoch = peer->gossip.epoch;
+  for (const auto& [id, record] : table_.records()) {
+    if (record.owner && record.owner->entry == entry &&
+        record.owner->incarnation == peer->incarnation) {
+      epoch = std::max(epoch, record.owner->epoch);
+    }
+  }
+  if (peer->fenced_epoch && *peer->fenced_epoch >= epoch)
+    return;
+  peer->fenced_epoch = epoch;
+  LogEvent(EventId::kOwnerFenced, {{"owner", entry.str()}, {"epoch", epoch}});
+  TakeOver(entry, peer->incarnation, epoch, now);
+}
+
+// The backup owns the record from now on.
+void EntryCore::LetGo(RequestRecord& record,
+                      const EntryName& to,
+                      TimePoint now) {
+  const RequestId id = record.id;
+  if (record.phase == Phase::kIntending) {
+    ReleaseTask(record);
+  } else if (record.has_task()) {
+    // The task runs on; the new owner renews it.
+    book_.MarkMoved(record.task(), to);
+    if (WorkerEntry* worker = workers_.Find(record.intent.worker);
+        worker != nullptr) {
+      worker->own_tasks.erase(record.task());
+    }
+  }
+  hooks_.remove(id);
+  uncopied_.erase(id);
+  moved_[id] = to;
+  moved_times_.emplace_back(now, id);
+  const std::vector<std::uint64_t> waiting = calls_.Waiting(id);
+  table_.Erase(id);
+  for (const std::uint64_t call : waiting)
+    Forward(call, {to}, {}, now);
+}
+
+bool EntryCore::Refused(const EntryName& from, const RecordVersion& version) {
+  const Peer& peer = *peers_.Find(from);
+  if (!peer.fenced_epoch || version.epoch > *peer.fenced_epoch)
+    return false;
+  SendTo(from, PeerFenced{*peer.fenced_epoch, {}});
+  return true;
+}
+
+void EntryCore::Receive(const EntryName& from,
+                        PeerStore message,
+                        TimePoint now) {
+  const RecordVersion& version = message.version;
+  if (Refused(from, version))
+    return;
+  RequestRecord* record = table_.Find(version.id);
+  if (record != nullptr && !record->owner) {
+    if (version.generation <= record->generation) {
+      SendTo(from, PeerFenced{0, version.id});
+      return;
+    }
+    // A peer took the record over while this process was silent.
+    LetGo(*record, from, now);
+    record = nullptr;
+  }
+  if (record != nullptr && version.generation < record->generation) {
+    // A later owner has stored it here.
+    SendTo(from, PeerFenced{0, version.id});
+    return;
+  }
+  if (record != nullptr && version.generation == record->generation &&
+      version.revision <= record->revision) {
+    SendTo(from, PeerAck{version, true});
+    return;
+  }
+  if (record == nullptr && table_.size() >= config_.max_records) {
+    LogEvent(EventId::kBoundReached, {{"table", "records"}});
+    SendTo(from, PeerAck{version, false});
+    return;
+  }
+  if (record != nullptr)
+    table_.Erase(version.id);
+  RequestRecord replica;
+  replica.id = version.id;
+  replica.spec = std::move(message.spec);
+  replica.open_queue = message.open_queue;
+  replica.phase = message.ended ? Phase::kEnded : Phase::kQueued;
+  replica.intent = std::move(message.intent);
+  replica.closing = std::move(message.closing);
+  replica.started = message.started;
+  replica.may_have_run = message.may_have_run;
+  replica.cancel_requested = message.cancel_requested;
+  replica.created = now;
+  replica.since = now;
+  replica.deadline = now + message.deadline_left;
+  replica.generation = version.generation;
+  replica.revision = version.revision;
+  replica.owner =
+      ReplicaOwner{from, peers_.Find(from)->incarnation, version.epoch};
+  moved_.erase(replica.id);
+  Touch(table_.Insert(std::move(replica)));
+  SendTo(from, PeerAck{version, true});
+}
+
+void EntryCore::Receive(const EntryName& from,
+                        const PeerIntend& message,
+                        TimePoint now) {
+  static_cast<void>(now);
+  const RecordVersion& version = message.version;
+  if (Refused(from, version))
+    return;
+  RequestRecord* record = table_.Find(version.id);
+  if (record != nullptr &&
+      (!record->owner || version.generation < record->generation)) {
+    SendTo(from, PeerFenced{0, version.id});
+    return;
+  }
+  if (record == nullptr || record->generation != version.generation) {
+    SendTo(from, PeerAck{version, false});
+    return;
+  }
+  if (version.revision > record->revision) {
+    record->revision = version.revision;
+    record->intent = message.intent;
+  }
+  SendTo(from, PeerAck{version, true});
+}
+
+void EntryCore::Receive(const EntryName& from,
+                        PeerClose message,
+                        TimePoint now) {
+  const RecordVersion& version = message.version;
+  if (Refused(from, version))
+    return;
+  RequestRecord* record = table_.Find(version.id);
+  if (record != nullptr &&
+      (!record->owner || version.generation < record->generation)) {
+    SendTo(from, PeerFenced{0, version.id});
+    return;
+  }
+  if (record == nullptr || record->generation != version.generation) {
+    SendTo(from, PeerAck{version, false});
+    return;
+  }
+  if (version.revision > record->revision) {
+    record->revision = version.revision;
+    record->started = message.started;
+    table_.SetClosing(*record, std::move(message.closing));
+    table_.SetPhase(*record, Phase::kEnded, now);
+    Touch(*record);
+  }
+  SendTo(from, PeerAck{version, true});
+}
+
+void EntryCore::Receive(const EntryName& from,
+                        const PeerAck& message,
+                        TimePoint now) {
+  const RecordVersion& version = message.version;
+  RequestRecord* record = table_.Own(version.id);
+  if (record == nullptr || !record->copy || record->copy->entry != from ||
+      record->copy->incarnation != peers_.Find(from)->incarnation ||
+      record->copy->epoch != version.epoch ||
+      record->generation != version.generation) {
+    return;
+  }
+  if (!message.known) {
+    // The whole record is sent again at the next retry.
+    record->copy->acknowledged = 0;
+    Touch(*record);
+    return;
+  }
+  const bool was_replicated = record->replicated();
+  record->copy->acknowledged =
+      std::max(record->copy->acknowledged, version.revision);
+  if (!was_replicated && record->replicated())
+    OnReplicated(*record, now);
+}
+
+void EntryCore::Receive(const EntryName& from,
+                        const PeerFenced& message,
+                        TimePoint now) {
+  Peer& peer = *peers_.Find(from);
+  std::vector<RequestId> fenced;
+  if (!message.request.empty()) {
+    fenced.push_back(message.request);
+  } else {
+    peer.own_epoch = std::max(peer.own_epoch, message.epoch + 1);
+    for (const auto& [id, record] : table_.records()) {
+      if (!record.owner && record.copy && record.copy->entry == from &&
+          record.copy->incarnation == peer.incarnation &&
+          record.copy->epoch <= message.epoch) {
+        fenced.push_back(id);
+      }
+    }
+  }
+  for (const RequestId& id : fenced) {
+    RequestRecord* record = table_.Own(id);
+    if (record == nullptr || !record->copy || record->copy->entry != from)
+      continue;
+    const bool held =
+        record->copy->acknowledged > 0 || !message.request.empty();
+    if (held) {
+      LetGo(*record, from, now);
+      continue;
+    }
+    // The backup may hold the record: its acknowledgement may be lost.
+    OnCopyGone(*record, true, now);
+  }
+}
+
+void EntryCore::Receive(const EntryName& from,
+                        const PeerHandOver& message,
+                        TimePoint now) {
+  Peer& peer = *peers_.Find(from);
+  peer.gossip.epoch = std::max(peer.gossip.epoch, message.epoch);
+  Fence(from, now);
+  SendTo(from, PeerHandedOver{*peer.fenced_epoch});
+}
+
+void EntryCore::ReceiveGossip(const EntryName& from,
+                              const PeerMessage& message,
+                              TimePoint now) {
+  const auto& gossip = std::get<PeerGossip>(message.body);
+  std::optional<PeerReplaced> replaced;
+  if (peers_.Gossip(from, message.from, gossip, now, &replaced) ==
+      PeerContact::kStale) {
+    return;
+  }
+  if (replaced)
+    OnPeerReplaced(from, *replaced, now);
+  for (const KeyId& key : gossip.tombstones)
+    ring_.Withdraw(key);
+  for (const LeavingWorker& worker : gossip.leaving)
+    workers_.MarkLeaving(worker);
+  SendTo(from, PeerGossipAnswer{gossip.sequence});
+  const Peer& peer = *peers_.Find(from);
+  if (message.to == config_.incarnation && peer.fenced_epoch &&
+      gossip.epoch <= *peer.fenced_epoch) {
+    SendTo(from, PeerFenced{*peer.fenced_epoch, {}});
+  }
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/entry/entry_workers.cc
@@ -0,0 +1,281 @@
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/hash.h"
+#include "base/invariant.h"
+#include "entry/entry_core.h"
+#include "entry/request_id.h"
+
+namespace boragewinch {
+
+namespace {
+
+// A report may have been generated before the start that it does not list.
+constexpr std::uint32_t kMissingReportsBeforeForbid = 3;
+
+}  // namespace
+
+WorkerReportAnswer EntryCore::OnWorkerReport(const WorkerReport& report,
+                                             TimePoint now) {
+  Enter(now);
+  WorkerReportAnswer answer;
+  if (const auto host = view_.hosts.find(report.host);
+      host != view_.hosts.end()) {
+    answer.drain = host->second.state != HostState::kActive;
+    answer.pool = host->second.pool;
+    answer.assignment = host->second.assignment;
+  }
+  if (!workers_.Report(report, now))
+    return answer;
+  dirty_ = true;
+  for (const TaskReport& task : report.tasks) {
+    if (RequestRecord* record = table_.Own(task.task.request);
+        record != nullptr) {
+      ReviewReported(*record, task, report, answer, now);
+      continue;
+    }
+    // A task of a record that this process had and has forgotten.
+    const auto parts = RequestIdParts::Parse(task.task.request);
+    const bool forgotten = parts && parts.value().entry == config_.name &&
+                           parts.value().incarnation == config_.incarnation &&
+                           table_.Find(task.task.request) == nullptr &&
+                           !moved_.contains(task.task.request);
+    if (forgotten && task.state == TaskState::kRunning)
+      answer.stop.push_back(task.task);
+    else if (forgotten && task.state != TaskState::kForbidden)
+      answer.acknowledged.push_back(task.task);
+  }
+  ReviewUnlisted(report, now);
+  Leave(now);
+  return answer;
+}
+
+void EntryCore::ReviewReported(RequestRecord& record,
+                               const TaskReport& task,
+                               const WorkerReport& report,
+                               WorkerReportAnswer& answer,
+                               TimePoint now) {
+  const bool present = task.task.attempt == record.intent.attempt &&
+                       report.host == record.intent.worker;
+  switch (task.state) {
+    case TaskState::kRunning:
+      ReviewRunning(record, task, report, answer, now);
+      return;
+    case TaskState::kForbidden:
+      if (present && record.phase == Phase::kUnconfirmed &&
+          report.incarnation == record.intent.worker_incarnation) {
+        NotRun(record, now);
+      }
+      return;
+    case TaskState::kStopped:
+      if (present && record.has_task()) {
+        ReleaseTask(record);
+        if (!record.cancel_requested && record.spec.repeatable) {
+          record.may_have_run = true;
+          Enqueue(record, now);
+        } else {
+          End(record,
+              Closing{record.cancel_requested ? Outcome::kCancelled
+                                              : Outcome::kFailed},
+              now);
+        }
+      }
+      break;
+    case TaskState::kFinished:
+    case TaskState::kFailed:
+      break;
+  }
+  const bool result_stored =
+      record.phase == Phase::kEnded &&
+      record.closing.outcome != Outcome::kUnknownMayHaveRun &&
+      record.replicated();
+  const bool stale = task.task.attempt < record.intent.attempt;
+  if (stale || result_stored)
+    answer.acknowledged.push_back(task.task);
+}
+
+void EntryCore::ReviewRunning(RequestRecord& record,
+                              const TaskReport& task,
+                              const WorkerReport& report,
+                              WorkerReportAnswer& answer,
+                              TimePoint now) {
+  const bool present = task.task.attempt == record.intent.attempt &&
+                       report.host == record.intent.worker;
+  const bool unknown = record.phase == Phase::kEnded &&
+                       record.closing.outcome == Outcome::kUnknownMayHaveRun;
+  // A later attempt was started by the former owner.
+  const bool later = task.task.attempt > record.intent.attempt &&
+                     record.taken_over && record.phase == Phase::kQueued;
+  if ((present && unknown) || later)
+    Adopt(record, task, report, now);
+  else if (!present || !record.has_task()) {
+    answer.stop.push_back(task.task);
+    return;
+  }
+  record.missing_reports = 0;
+  if (record.phase != Phase::kRunning) {
+    workers_.StartSucceeded(report.host);
+    table_.SetPhase(record, Phase::kRunning, now);
+  }
+  if (record.cancel_requested) {
+    answer.stop.push_back(task.task);
+  } else if (!isolated(now)) {
+    answer.renewed.push_back(task.task);
+    record.lease_until = now + GranterLease(kTaskLease);
+  }
+  Touch(record);
+}
+
+// Takes over a running task that the record does not expect.
+void EntryCore::Adopt(RequestRecord& record,
+                      const TaskReport& task,
+                      const WorkerReport& report,
+                      TimePoint now) {
+  hooks_.remove(record.id);
+  record.intent = Intent{task.task.attempt, report.host, report.incarnation,
+                         report.address};
+  record.next_attempt = std::max(record.next_attempt, task.task.attempt + 1);
+  record.may_have_run = true;
+  record.lease_until = now + GranterLease(kTaskLease);
+  book_.Count(
+      record.task(),
+      CountedTask{record.spec.team, report.host, {}, std::nullopt, now});
+  if (WorkerEntry* worker = workers_.Find(report.host); worker != nullptr)
+    worker->own_tasks[record.task()] = record.spec.declared;
+  table_.SetPhase(record, Phase::kRunning, now);
+  Bump(record, now);
+}
+
+// Looks at this process's tasks that the report does not list as running.
+void EntryCore::ReviewUnlisted(const WorkerReport& report, TimePoint now) {
+  std::set<TaskId> listed;
+  for (const TaskReport& task : report.tasks)
+    listed.insert(task.task);
+  std::vector<TaskId> unlisted;
+  for (const auto& [task, resources] : workers_.Find(report.host)->own_tasks) {
+    if (!listed.contains(task))
+      unlisted.push_back(task);
+  }
+  for (const TaskId& task : unlisted) {
+    RequestRecord* record = table_.Own(task.request);
+    if (record == nullptr || record->task() != task ||
+        record->phase != Phase::kRunning) {
+      continue;
+    }
+    if (++record->missing_reports >= kMissingReportsBeforeForbid) {
+      record->missing_reports = 0;
+      // It has run, whatever the worker answers now.
+      record->may_have_run = true;
+      Unconfirm(*record, kTaskLease, now);
+    }
+  }
+  std::vector<TaskId> moved_and_ended;
+  for (const auto& [task, counted] : book_.tasks()) {
+    if (!counted.moved_to.empty() && counted.worker == report.host &&
+        !listed.contains(task) &&
+        now - counted.counted_at > config_.start_timeout + kWorkerLostAfter) {
+      moved_and_ended.push_back(task);
+    }
+  }
+  for (const TaskReport& task : report.tasks) {
+    if (task.state != TaskState::kRunning) {
+      const auto counted = book_.tasks().find(task.task);
+      if (counted != book_.tasks().end() && !counted->second.moved_to.empty())
+        moved_and_ended.push_back(task.task);
+    }
+  }
+  for (const TaskId& task : moved_and_ended)
+    book_.Release(task);
+}
+
+void EntryCore::OnWorkerLeave(const LeavingWorker& worker, TimePoint now) {
+  Enter(now);
+  workers_.MarkLeaving(worker);
+  for (const EntryName& name : peers_.zone_peers())
+    SendTo(name, PeerLeave{worker});
+}
+
+Result<ResultAnswer> EntryCore::OnResult(TaskResult result, TimePoint now) {
+  Enter(now);
+  auto answer = HandleResult(std::move(result), true, now);
+  Leave(now);
+  return answer;
+}
+
+Result<ResultAnswer> EntryCore::HandleResult(TaskResult result,
+                                             bool pass_on,
+                                             TimePoint now) {
+  const auto reject = [&](ErrorCode code, const char* detail) {
+    ++counters_.results_rejected;
+    LogEvent(EventId::kResultRejected,
+             {{"task", result.task.Text()}, {"detail", detail}});
+    return Fail(code, std::string(detail) + ": " + result.task.Text());
+  };
+  if (result.length != result.body.size() ||
+      Hash64(result.body) != result.hash) {
+    return reject(ErrorCode::kProtocol,
+                  "the body does not match its length and checksum");
+  }
+  if (result.body.size() > kMaxResultBytes)
+    return reject(ErrorCode::kTooLarge, "the body is too large");
+  if (result.state == TaskState::kRunning ||
+      result.state == TaskState::kForbidden) {
+    return reject(ErrorCode::kProtocol, "the task has not ended");
+  }
+  RequestRecord* found = table_.Own(result.task.request);
+  if (found == nullptr) {
+    const auto parts = RequestIdParts::Parse(result.task.request);
+    if (!parts)
+      return reject(ErrorCode::kNotFound, "no such request");
+    RequestRecord* replica = table_.Find(result.task.request);
+    const auto moved = moved_.find(result.task.request);
+    const bool own_id = parts.value().entry == config_.name &&
+                        parts.value().incarnation == config_.incarnation;
+    if (own_id && replica == nullptr && moved == moved_.end())
+      return reject(ErrorCode::kNotFound, "no such request");
+    if (pass_on && replica != nullptr) {
+      SendTo(replica->owner->entry, PeerResult{result});
+    } else if (pass_on) {
+      for (const EntryName& name : peers_.zone_peers())
+        SendTo(name, PeerResult{result});
+    }
+    return ResultAnswer::kKept;
+  }
+  RequestRecord& record = *found;
+  if (result.task.attempt != record.intent.attempt)
+    return reject(ErrorCode::kConflict, "another attempt is expected");
+  const bool unknown = record.phase == Phase::kEnded &&
+                       record.closing.outcome == Outcome::kUnknownMayHaveRun;
+  const bool late_attempt =
+      record.phase == Phase::kQueued && record.may_have_run;
+  if (record.phase == Phase::kEnded && !unknown) {
+    const bool same =
+        record.closing.body_hash == result.hash && record.started_or_taken();
+    if (!same)
+      return reject(ErrorCode::kConflict, "the request has ended");
+    return record.replicated() ? ResultAnswer::kAcknowledged
+                               : ResultAnswer::kKept;
+  }
+  if (!record.has_task() && !unknown && !late_attempt) {
+    CheckInvariant(Invariant::kAtMostOnce, record.spec.repeatable,
+                   "a result of an attempt that was proved not to have run");
+    return reject(ErrorCode::kConflict, "the attempt was not started");
+  }
+  Closing closing;
+  if (result.state == TaskState::kFinished)
+    closing.outcome = Outcome::kFinished;
+  else if (result.state == TaskState::kStopped && record.cancel_requested)
+    closing.outcome = Outcome::kCancelled;
+  else
+    closing.outcome = Outcome::kFailed;
+  closing.body = std::move(result.body);
+  closing.body_hash = result.hash;
+  ReleaseTask(record);
+  End(record, std::move(closing), now);
+  return record.replicated() ? ResultAnswer::kAcknowledged
+                             : ResultAnswer::kKept;
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/entry/simple_scheduler.cc
@@ -0,0 +1,62 @@
+#include <deque>
+#include <memory>
+
+#include "entry/scheduler_hooks.h"
+
+namespace boragewinch {
+
+namespace {
+
+struct SimpleQueue {
+  std::deque<PendingJob> urgent;
+  std::deque<PendingJob> normal;
+};
+
+}  // namespace
+
+SchedulerHooks MakeSimpleScheduler() {
+  auto queue = std::make_shared<SimpleQueue>();
+  SchedulerHooks hooks;
+  hooks.enqueue = [queue](const PendingJob& job, TimePoint) {
+    (job.urgency == Urgency::kUrgent ? queue->urgent : queue->normal)
+        .push_back(job);
+  };
+  hooks.remove = [queue](const RequestId& id) {
+    for (auto* jobs : {&queue->urgent, &queue->normal})
+      std::erase_if(*jobs, [&](const PendingJob& job) { return job.id == id; });
+  };
+  hooks.next = [queue](TimePoint, const SchedulerHooks::Startable& startable)
+      -> std::optional<RequestId> {
+    for (auto* jobs : {&queue->urgent, &queue->normal}) {
+      for (auto job = jobs->begin(); job != jobs->end(); ++job) {
+        if (startable(*job)) {
+          RequestId id = job->id;
+          jobs->erase(job);
+          return id;
+        }
+      }
+    }
+    return std::nullopt;
+  };
+  hooks.choose_worker = [](const PendingJob& job,
+                           const std::vector<WorkerCandidate>& candidates,
+                           TimePoint) -> std::optional<HostName> {
+    const WorkerCandidate* best = nullptr;
+    for (const WorkerCandidate& candidate : candidates) {
+      Resources room = candidate.total;
+      room -= candidate.declared_in_use;
+      if (job.declared.FitsInto(room) &&
+          (best == nullptr || candidate.free_slots > best->free_slots)) {
+        best = &candidate;
+      }
+    }
+    if (best == nullptr)
+      return std::nullopt;
+    return best->host;
+  };
+  hooks.on_started = [](const PendingJob&, const HostName&, TimePoint) {};
+  hooks.on_ended = [](const EndedTask&, TimePoint) {};
+  return hooks;
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/entry/worker_table.cc
@@ -0,0 +1,180 @@
+#include "entry/worker_table.h"
+
+#include <algorithm>
+
+#include "base/event_log.h"
+
+namespace boragewinch {
+
+namespace {
+
+constexpr std::uint32_t kFailuresBeforeSetAside = 3;
+constexpr Millis kSetAsideTime{10'000};
+// Hosts that stay away this long and their marks are forgotten.
+constexpr Millis kForgetAfter{10L * 60 * 1000};
+
+[[nodiscard]] std::int64_t FreeSlots(const WorkerEntry& worker) {
+  std::set<TaskId> held;
+  for (const TaskReport& task : worker.report.tasks) {
+    if (task.state == TaskState::kRunning)
+      held.insert(task.task);
+  }
+  for (const auto& [task, resources] : worker.own_tasks)
+    held.insert(task);
+  return worker.report.slots - static_cast<std::int64_t>(held.size());
+}
+
+}  // namespace
+
+bool WorkerTable::Report(const WorkerReport& report, TimePoint now) {
+  auto found = workers_.find(report.host);
+  if (found == workers_.end()) {
+    if (workers_.size() >= max_workers_) {
+      LogEvent(EventId::kBoundReached, {{"table", "workers"}});
+      return false;
+    }
+    found = workers_.try_emplace(report.host).first;
+  }
+  WorkerEntry& worker = found->second;
+  const bool same = worker.report.incarnation == report.incarnation;
+  if (same && report.sequence <= worker.report.sequence)
+    return false;
+  if (!same) {
+    LogEvent(EventId::kWorkerJoined,
+             {{"host", report.host.str()},
+              {"incarnation", report.incarnation.str()}});
+    std::erase_if(leaving_, [&](const LeavingWorker& mark) {
+      return mark.host == report.host &&
+             mark.incarnation == worker.report.incarnation;
+    });
+  }
+  worker.report = report;
+  worker.heard = now;
+  worker.lost = false;
+  worker.full = false;
+  if (report.leaving)
+    MarkLeaving({report.host, report.incarnation});
+  return true;
+}
+
+void WorkerTable::Tick(TimePoint now) {
+  for (auto& [host, worker] : workers_) {
+    if (!worker.lost && now - worker.heard >= kWorkerLostAfter) {
+      worker.lost = true;
+      LogEvent(EventId::kWorkerLost, {{"host", host.str()}});
+    }
+  }
+  std::erase_if(workers_, [&](const auto& entry) {
+    return entry.second.own_tasks.empty() &&
+           now - entry.second.heard >= kForgetAfter;
+  });
+}
+
+bool WorkerTable::MarkLeaving(const LeavingWorker& worker) {
+  // Marks of unknown incarnations are kept too: gossip may be earlier than
+  // the report. They are bounded like the workers.
+  if (leaving_.size() >= max_workers_ && !leaving_.contains(worker))
+    leaving_.erase(leaving_.begin());
+  const bool added = leaving_.insert(worker).second;
+  if (added)
+    LogEvent(EventId::kWorkerLeaving, {{"host", worker.host.str()}});
+  return added;
+}
+
+void WorkerTable::StartFailed(const HostName& host,
+                              const FleetView& view,
+                              TimePoint now) {
+  WorkerEntry* worker = Find(host);
+  if (worker == nullptr)
+    return;
+  if (++worker->start_failures < kFailuresBeforeSetAside)
+    return;
+  // A worker is set aside only if its pool keeps its availability budget.
+  const PoolName& pool_name = worker->report.acknowledged_pool;
+  const auto pool = view.pools.find(pool_name);
+  const auto others =
+      std::count_if(workers_.begin(), workers_.end(), [&](const auto& entry) {
+        return entry.first != host &&
+               Usable(entry.second, pool_name, view, now);
+      });
+  if (pool == view.pools.end() || others < pool->second.min_available ||
+      others == 0) {
+    return;
+  }
+  worker->set_aside_until = now + kSetAsideTime;
+  LogEvent(EventId::kWorkerSetAside, {{"host", host.str()}});
+}
+
+void WorkerTable::StartSucceeded(const HostName& host) {
+  if (WorkerEntry* worker = Find(host); worker != nullptr)
+    worker->start_failures = 0;
+}
+
+WorkerEntry* WorkerTable::Find(const HostName& host) {
+  const auto found = workers_.find(host);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+const WorkerEntry* WorkerTable::Find(const HostName& host) const {
+  const auto found = workers_.find(host);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+bool WorkerTable::leaving(const WorkerEntry& worker) const {
+  return worker.report.leaving ||
+         leaving_.contains({worker.report.host, worker.report.incarnation});
+}
+
+bool WorkerTable::Usable(const WorkerEntry& worker,
+                         const PoolName& pool,
+                         const FleetView& view,
+                         TimePoint now) const {
+  const auto host = view.hosts.find(worker.report.host);
+  return host != view.hosts.end() && host->second.pool == pool &&
+         host->second.state == HostState::kActive && !worker.lost &&
+         now - worker.heard < kWorkerLostAfter && !leaving(worker) &&
+         !worker.report.acknowledged_drain &&
+         worker.report.acknowledged_pool == pool &&
+         worker.report.acknowledged_assignment == host->second.assignment &&
+         now >= worker.set_aside_until;
+}
+
+std::vector<WorkerCandidate> WorkerTable::Candidates(const PoolName& pool,
+                                                     const FleetView& view,
+                                                     TimePoint now) const {
+  std::vector<WorkerCandidate> candidates;
+  for (const auto& [host, worker] : workers_) {
+    if (worker.full || !Usable(worker, pool, view, now))
+      continue;
+    const std::int64_t free_slots = FreeSlots(worker);
+    if (free_slots <= 0)
+      continue;
+    WorkerCandidate candidate{host, worker.report.rack, worker.report.total};
+    for (const auto& [task, resources] : worker.own_tasks)
+      candidate.declared_in_use += resources;
+    for (const TaskReport& task : worker.report.tasks)
+      candidate.usage += task.usage;
+    candidate.slots = worker.report.slots;
+    candidate.free_slots = free_slots;
+    candidate.start_failures = worker.start_failures;
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+bool WorkerTable::CouldFit(const PoolName& pool,
+                           const FleetView& view,
+                           const Resources& need) const {
+  bool any = false;
+  for (const auto& [host, worker] : workers_) {
+    const auto known = view.hosts.find(host);
+    if (known == view.hosts.end() || known->second.pool != pool)
+      continue;
+    any = true;
+    if (need.FitsInto(worker.report.total))
+      return true;
+  }
+  return !any;
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/tests/entry_world.h
@@ -0,0 +1,151 @@
+#ifndef BORAGEWINCH_TESTS_ENTRY_WORLD_H_
+#define BORAGEWINCH_TESTS_ENTRY_WORLD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/hash.h"
+#include "base/secret.h"
+#include "entry/entry_core.h"
+
+namespace boragewinch::testing {
+
+/// \brief A worker: 8 slots, one execution per task id, forbids, leases,
+/// results kept until acknowledged.
+struct FakeWorker {
+  struct Task {
+    TaskState state = TaskState::kRunning;
+    TeamName team;
+    TimePoint end_at;
+    TimePoint lease_until;
+    std::string body;
+  };
+  HostName host;
+  Incarnation incarnation;
+  std::uint64_t sequence = 0;
+  bool leaving = false;
+  bool drain = false;
+  PoolName pool{"pool"};
+  FleetVersion assignment = 1;
+  std::map<TaskId, Task> tasks;
+  std::set<TaskId> forbidden;
+
+  [[nodiscard]] std::int64_t running() const;
+  [[nodiscard]] WorkerReport Report();
+};
+
+/// \brief The allotments as the control group keeps them.
+struct FakeLedger {
+  struct Share {
+    std::map<TeamName, std::int64_t> offered;
+    std::map<TeamName, std::int64_t> counted;  ///< what it may still run
+    std::uint64_t version = 1;
+    ControlReport report;
+  };
+  std::map<TeamName, std::int64_t> limit;
+  std::map<Incarnation, Share> shares;
+
+  [[nodiscard]] std::int64_t Sum(const TeamName& team) const;
+  void Report(const Incarnation& incarnation, const ControlReport& report);
+  void Reclaim(const EntryName& entry, const Incarnation& incarnation);
+};
+
+struct Link {
+  int drop_percent = 0;
+  int duplicate_percent = 0;
+  int tear_percent = 0;
+  std::int64_t max_delay_ms = 1;
+};
+
+/// \brief Entry cores of one zone, workers, the ledger and a message queue
+/// that loses, delays, duplicates and reorders. Checks I3 to I8 from outside.
+class World {
+ public:
+  World(int entries, int workers, std::uint64_t seed);
+
+  void Run(Millis time);
+  void Crash(int entry);
+  /// \brief Holds everything for the entry host back until `until`.
+  void Freeze(int entry, Millis time) { frozen_until[entry] = now + time; }
+  void CrashWorker(int worker);
+  [[nodiscard]] JobSpec Job(bool repeatable) const;
+  [[nodiscard]] CallId Submit(int entry,
+                              JobSpec spec,
+                              RequestId ticket = {},
+                              std::string key = "k1.secret");
+  [[nodiscard]] CallId Ask(int entry,
+                           CallKind kind,
+                           const RequestId& request,
+                           std::string key = "k1.secret");
+  [[nodiscard]] const JobAnswer* answer(CallId call) const;
+  [[nodiscard]] bool Chance(int percent) {
+    return static_cast<int>(random() % 100) < percent;
+  }
+  void Apply(int entry);
+  /// \returns whether entry and other can exchange messages; -1 is control.
+  [[nodiscard]] bool Connected(int entry, int other) const {
+    return !cut.contains({entry, other}) && !cut.contains({other, entry});
+  }
+
+  TimePoint now = FromMillis(1'000'000);
+  std::mt19937_64 random;
+  Link link;
+  FleetView view;
+  FakeLedger ledger;
+  std::vector<EntryName> names;
+  std::vector<Incarnation> incarnations;
+  std::vector<std::unique_ptr<EntryCore>> cores;
+  std::vector<TimePoint> frozen_until;
+  std::vector<FakeWorker> workers;
+  std::set<std::pair<int, int>> cut;
+  std::set<KeyId> withdrawn;
+  std::function<bool(const EntryAction&, int entry)> intercept;
+  std::map<RequestId, int> executions;
+  std::vector<std::string> faults;  ///< violated promises
+  Millis run_time{500};
+
+ private:
+  struct Event {
+    int entry;  ///< held back while it is frozen; -1 for none
+    Incarnation incarnation;
+    std::function<void()> run;
+  };
+  void Post(Millis delay, int entry, std::function<void()> run);
+  /// \brief Passes a message over the link: lost, late or twice.
+  void Send(int entry, const std::function<void()>& run);
+  void Boot(int entry);
+  void StartAt(int entry, const StartTask& start);
+  [[nodiscard]] StartAnswer Execute(FakeWorker& worker, const StartTask& start);
+  void StepWorker(FakeWorker& worker);
+  void SendReport(FakeWorker& worker, int entry);
+  void PostResult(const FakeWorker& worker, const TaskId& task);
+  void Sync(int entry);
+  void Record(const AnswerCaller& action);
+  [[nodiscard]] FakeWorker* Worker(const HostName& host);
+  [[nodiscard]] Millis Delay() {
+    return Millis(
+        1 + static_cast<std::int64_t>(
+                random() % static_cast<std::uint64_t>(link.max_delay_ms)));
+  }
+
+  std::multimap<TimePoint, Event> events_;
+  CallId next_call_ = 1;
+  int next_incarnation_ = 1;
+  std::map<CallId, RequestId> call_request_;
+  std::map<CallId, std::pair<CallKind, JobSpec>> calls_;
+  std::map<CallId, JobAnswer> answers_;
+  std::set<RequestId> not_run_;
+  TimePoint next_second_;
+};
+
+}  // namespace boragewinch::testing
+
+#include "entry_world_impl.h"
+
+#endif  // BORAGEWINCH_TESTS_ENTRY_WORLD_H_
