--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -188,7 +188,7 @@
 
   // entry_dispatch.cc: starting tasks and closing requests.
   void Enqueue(RequestRecord& record, TimePoint now);
-  [[nodiscard]] PendingJob ToPending(const RequestRecord& record) const;
+  [[nodiscard]] QueuedJob ToPending(const RequestRecord& record) const;
   void Pump(TimePoint now);
   [[nodiscard]] bool Dispatch(RequestRecord& record, TimePoint now);
   void Start(RequestRecord& record, TimePoint now);
--- a/src/entry/entry_dispatch.cc
+++ b/src/entry/entry_dispatch.cc
@@ -16,8 +16,8 @@
 
 }  // namespace
 
-PendingJob EntryCore::ToPending(const RequestRecord& record) const {
-  PendingJob job;
+QueuedJob EntryCore::ToPending(const RequestRecord& record) const {
+  QueuedJob job;
   job.id = record.id;
   job.team = record.spec.team;
   job.queue = record.spec.queue;
@@ -54,7 +54,7 @@
   }
   std::map<PoolName, bool> pool_has_room;
   std::set<RequestId> unplaceable;
-  const auto startable = [&](const PendingJob& job) {
+  const auto startable = [&](const QueuedJob& job) {
     if (!book_.HasRoom(job.team) || unplaceable.contains(job.id))
       return false;
     const RequestRecord* record = table_.Own(job.id);
@@ -91,7 +91,7 @@
 }
 
 bool EntryCore::Dispatch(RequestRecord& record, TimePoint now) {
-  const PendingJob job = ToPending(record);
+  const QueuedJob job = ToPending(record);
   const auto candidates = workers_.Candidates(job.pool, view_, now);
   const auto host = hooks_.choose_worker(job, candidates, now);
   WorkerEntry* worker = host ? workers_.Find(*host) : nullptr;
--- a/src/entry/scheduler_hooks.h
+++ b/src/entry/scheduler_hooks.h
@@ -14,7 +14,7 @@
 namespace boragewinch {
 
 /// \brief A queued request, as the scheduling policy sees it.
-struct PendingJob {
+struct QueuedJob {
   RequestId id;
   TeamName team;
   QueueName queue;
@@ -50,17 +50,17 @@
 
 /// \brief The scheduling policy.
 struct SchedulerHooks {
-  using Startable = std::function<bool(const PendingJob&)>;
+  using Startable = std::function<bool(const QueuedJob&)>;
 
-  std::function<void(const PendingJob&, TimePoint now)> enqueue;
+  std::function<void(const QueuedJob&, TimePoint now)> enqueue;
   std::function<void(const RequestId&)> remove;
   /// Takes the next job that is startable out of the queue.
   std::function<std::optional<RequestId>(TimePoint now, const Startable&)> next;
-  std::function<std::optional<HostName>(const PendingJob&,
+  std::function<std::optional<HostName>(const QueuedJob&,
                                         const std::vector<WorkerCandidate>&,
                                         TimePoint now)>
       choose_worker;
-  std::function<void(const PendingJob&, const HostName&, TimePoint now)>
+  std::function<void(const QueuedJob&, const HostName&, TimePoint now)>
       on_started;
   std::function<void(const EndedTask&, TimePoint now)> on_ended;
 };
--- a/src/entry/simple_scheduler.cc
+++ b/src/entry/simple_scheduler.cc
@@ -8,8 +8,8 @@
 namespace {
 
 struct SimpleQueue {
-  std::deque<PendingJob> urgent;
-  std::deque<PendingJob> normal;
+  std::deque<QueuedJob> urgent;
+  std::deque<QueuedJob> normal;
 };
 
 }  // namespace
@@ -17,13 +17,13 @@
 SchedulerHooks MakeSimpleScheduler() {
   auto queue = std::make_shared<SimpleQueue>();
   SchedulerHooks hooks;
-  hooks.enqueue = [queue](const PendingJob& job, TimePoint) {
+  hooks.enqueue = [queue](const QueuedJob& job, TimePoint) {
     (job.urgency == Urgency::kUrgent ? queue->urgent : queue->normal)
         .push_back(job);
   };
   hooks.remove = [queue](const RequestId& id) {
     for (auto* jobs : {&queue->urgent, &queue->normal})
-      std::erase_if(*jobs, [&](const PendingJob& job) { return job.id == id; });
+      std::erase_if(*jobs, [&](const QueuedJob& job) { return job.id == id; });
   };
   hooks.next = [queue](TimePoint, const SchedulerHooks::Startable& startable)
       -> std::optional<RequestId> {
@@ -38,7 +38,7 @@
     }
     return std::nullopt;
   };
-  hooks.choose_worker = [](const PendingJob& job,
+  hooks.choose_worker = [](const QueuedJob& job,
                            const std::vector<WorkerCandidate>& candidates,
                            TimePoint) -> std::optional<HostName> {
     const WorkerCandidate* best = nullptr;
@@ -54,7 +54,7 @@
       return std::nullopt;
     return best->host;
   };
-  hooks.on_started = [](const PendingJob&, const HostName&, TimePoint) {};
+  hooks.on_started = [](const QueuedJob&, const HostName&, TimePoint) {};
   hooks.on_ended = [](const EndedTask&, TimePoint) {};
   return hooks;
 }
