Add the fleet state machine and the sheet

FleetState applies the commands of the replicated log: sheets, keys, drains, moves, registrations and the allotment ledger.

An operator's expected version conflicts only with changes of operators; host states observed by the control service change too often to count.

--- /dev/null
+++ b/src/fleet/answer_table.cc
@@ -0,0 +1,77 @@
+#include "fleet/answer_table.h"
+
+#include <utility>
+
+#include "base/hash.h"
+#include "fleet/codec.h"
+
+namespace boragewinch {
+
+const StoredAnswer* AnswerTable::Find(const OperationId& id) const noexcept {
+  const auto it = answers_.find(id);
+  return it == answers_.end() ? nullptr : &it->second;
+}
+
+void AnswerTable::Store(const OperationId& id, StoredAnswer answer) {
+  if (!answers_.emplace(id, std::move(answer)).second)
+    return;
+  order_.push_back(id);
+  if (order_.size() > kMaxAnswers) {
+    answers_.erase(order_.front());
+    order_.pop_front();
+  }
+}
+
+std::string AnswerTable::FirstChangeAfter(FleetVersion version) const {
+  std::string text;
+  for (auto id = order_.rbegin(); id != order_.rend(); ++id) {
+    const StoredAnswer& stored = answers_.at(*id);
+    // Versions grow along the order, so older ones can't match any more.
+    if (stored.answer.version <= version)
+      break;
+    if (stored.answer.changed) {
+      text = "operation " + id->str() + " (" + stored.command + " by " +
+             stored.operator_name + ")";
+    }
+  }
+  return text;
+}
+
+Json AnswerTable::Save() const {
+  Json json(::Json::arrayValue);
+  for (const OperationId& id : order_) {
+    const StoredAnswer& stored = answers_.at(id);
+    Json item = ToJson(stored.answer);
+    item["operation_id"] = id.str();
+    item["fingerprint"] = Hex64(stored.fingerprint);
+    item["operator"] = stored.operator_name;
+    item["command"] = stored.command;
+    json.append(std::move(item));
+  }
+  return json;
+}
+
+Result<AnswerTable> AnswerTable::Load(const Json& json) {
+  AnswerTable table;
+  for (const Json& item : json) {
+    StoredAnswer stored;
+    BW_TRY(const auto id, NameField<OperationId>(item, "operation_id"));
+    BW_TRY(const auto fingerprint, NameText(item, "fingerprint"));
+    BW_TRY(stored.operator_name, StringField(item, "operator"));
+    BW_TRY(stored.command, StringField(item, "command"));
+    BW_TRY(stored.answer, CommandAnswerFromJson(item));
+    for (const char digit : fingerprint) {
+      const int value = digit <= '9' ? digit - '0' : digit - 'a' + 10;
+      if (value < 0 || value > 15) {
+        return Fail(ErrorCode::kInvalidField,
+                    "field \"fingerprint\" must be hexadecimal");
+      }
+      stored.fingerprint =
+          stored.fingerprint << 4 | static_cast<std::uint64_t>(value);
+    }
+    table.Store(id, std::move(stored));
+  }
+  return table;
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/fleet/answer_table.h
@@ -0,0 +1,49 @@
+#ifndef BORAGEWINCH_FLEET_ANSWER_TABLE_H_
+#define BORAGEWINCH_FLEET_ANSWER_TABLE_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "base/json.h"
+#include "base/result.h"
+#include "base/strong_id.h"
+#include "fleet/command_answer.h"
+
+namespace boragewinch {
+
+/// \brief First answer to an operation, and who asked for what.
+struct StoredAnswer {
+  std::uint64_t fingerprint = 0;
+  std::string operator_name;
+  std::string command;  ///< name of the command's kind
+  CommandAnswer answer;
+};
+
+/// \brief First answers by operation id. The oldest of more than kMaxAnswers
+/// is dropped.
+class AnswerTable {
+ public:
+  /// \returns the stored answer, or null.
+  [[nodiscard]] const StoredAnswer* Find(const OperationId& id) const noexcept;
+
+  void Store(const OperationId& id, StoredAnswer answer);
+
+  /// \returns "operation <id> (<command> by <operator>)" of the first stored
+  /// change after `version`, or an empty string.
+  [[nodiscard]] std::string FirstChangeAfter(FleetVersion version) const;
+
+  [[nodiscard]] std::size_t size() const noexcept { return order_.size(); }
+
+  [[nodiscard]] Json Save() const;
+  [[nodiscard]] static Result<AnswerTable> Load(const Json& json);
+
+ private:
+  std::map<OperationId, StoredAnswer> answers_;
+  std::deque<OperationId> order_;  ///< oldest first
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_FLEET_ANSWER_TABLE_H_
--- /dev/null
+++ b/src/fleet/apply_hosts.cc
@@ -0,0 +1,227 @@
+#include "base/invariant.h"
+#include "fleet/fleet_state.h"
+
+namespace boragewinch {
+
+Result<Host*> FleetState::FindHost(const HostName& name) {
+  const auto it = view_.hosts.find(name);
+  if (it == view_.hosts.end()) {
+    return Fail(ErrorCode::kUnknownName,
+                "host \"" + name.str() + "\" does not exist");
+  }
+  return &it->second;
+}
+
+bool FleetState::InSparePool(const Host& host) const {
+  const auto pool = view_.pools.find(host.pool);
+  return pool != view_.pools.end() && pool->second.spare;
+}
+
+Status FleetState::CheckBudget(const Host& host,
+                               const std::set<HostName>& lost) const {
+  // A host that is not available can't lower the number of available ones.
+  if (host.state != HostState::kActive || lost.contains(host.name))
+    return Ok();
+  const Pool& pool = view_.pools.at(host.pool);
+  const std::int64_t available = AvailableWorkers(view_, host.pool, lost);
+  if (available - 1 >= pool.min_available)
+    return Ok();
+  return Fail(ErrorCode::kBudgetExceeded,
+              "pool \"" + pool.name.str() + "\" has " +
+                  std::to_string(available) +
+                  " available workers and must keep " +
+                  std::to_string(pool.min_available));
+}
+
+Status FleetState::TakeOutOfService(const std::set<HostName>& lost,
+                                    HostState state,
+                                    Host* host) {
+  BW_CHECK(CheckBudget(*host, lost));
+  const HostState old_state = host->state;
+  const std::int64_t before = AvailableWorkers(view_, host->pool, lost);
+  host->state = state;
+  const std::int64_t after = AvailableWorkers(view_, host->pool, lost);
+  const Pool& pool = view_.pools.at(host->pool);
+  if (CheckInvariant(Invariant::kAvailabilityBudget,
+                     after == before || after >= pool.min_available,
+                     "a drain or move would violate the promise of pool " +
+                         pool.name.str())) {
+    return Ok();
+  }
+  host->state = old_state;
+  return Fail(ErrorCode::kBudgetExceeded, "the drain is refused");
+}
+
+Status FleetState::StartDrain(const std::set<HostName>& lost,
+                              const OperatorCall& call,
+                              Host* host,
+                              CommandAnswer* answer) {
+  const bool in_service =
+      host->state == HostState::kActive || host->state == HostState::kReturning;
+  if (drains_.contains(host->name))
+    return Ok();
+  BW_CHECK(TakeOutOfService(
+      lost, in_service ? HostState::kDraining : host->state, host));
+  host->version = host->assignment = Bump(answer);
+  drains_[host->name] = {host->version, call.operator_name};
+  return Ok();
+}
+
+void FleetState::EndDrain(Host* host, CommandAnswer* answer) {
+  if (host->state != HostState::kLost)
+    host->state = HostState::kReturning;
+  host->version = host->assignment = Bump(answer);
+  drains_.erase(host->name);
+  if (const auto move = moves_.find(host->name);
+      move != moves_.end() && move->second.moved) {
+    moves_.erase(move);
+  }
+}
+
+Status FleetState::Execute(const DrainHost& body,
+                           const OperatorCall& call,
+                           CommandAnswer* answer) {
+  BW_TRY(Host * host, FindHost(body.host));
+  return StartDrain(body.lost, call, host, answer);
+}
+
+Status FleetState::Execute(const ReturnHost& body,
+                           const OperatorCall& call,
+                           CommandAnswer* answer) {
+  BW_TRY(Host * host, FindHost(body.host));
+  if (!call.operation_id.empty() && moves_.erase(body.host) > 0)
+    Bump(answer);
+  if (drains_.contains(body.host))
+    EndDrain(host, answer);
+  return Ok();
+}
+
+Status FleetState::Execute(const MoveHost& body,
+                           const OperatorCall& call,
+                           CommandAnswer* answer) {
+  BW_TRY(Host * host, FindHost(body.host));
+  if (!view_.pools.contains(body.pool)) {
+    return Fail(ErrorCode::kUnknownName,
+                "pool \"" + body.pool.str() + "\" does not exist");
+  }
+  const auto pending = moves_.find(body.host);
+  if (host->pool == body.pool) {
+    if (pending != moves_.end() && !pending->second.moved) {
+      moves_.erase(pending);
+      Bump(answer);
+    }
+    return Ok();
+  }
+  const bool return_after =
+      body.drain_first ||
+      (pending != moves_.end() && pending->second.pool == body.pool);
+  const bool from_spare =
+      InSparePool(*host) && (host->state == HostState::kActive ||
+                             host->state == HostState::kReturning);
+  if (host->state == HostState::kDrained || from_spare) {
+    if (from_spare)
+      BW_CHECK(TakeOutOfService(body.lost, HostState::kReturning, host));
+    if (!CheckInvariant(
+            Invariant::kOnePoolPerHost,
+            host->state == HostState::kDrained || InSparePool(*host),
+            "host " + body.host.str() +
+                " would move while tasks of its pool may run")) {
+      return Fail(ErrorCode::kConflict, "the move is refused");
+    }
+    host->pool = body.pool;
+    host->version = host->assignment = Bump(answer);
+    moves_.erase(body.host);
+    if (return_after && !from_spare)
+      moves_[body.host] = {body.pool, true, host->version, call.operator_name};
+    return Ok();
+  }
+  if (!body.drain_first) {
+    return Fail(ErrorCode::kConflict,
+                "host \"" + body.host.str() + "\" is " +
+                    std::string(kHostStates.Name(host->state)) +
+                    "; a host moves when it is drained or spare");
+  }
+  BW_CHECK(StartDrain(body.lost, call, host, answer));
+  moves_[body.host] = {body.pool, false, Bump(answer), call.operator_name};
+  return Ok();
+}
+
+Status FleetState::Execute(const SetHostState& body,
+                           const OperatorCall& /*call*/,
+                           CommandAnswer* answer) {
+  BW_TRY(Host * host, FindHost(body.host));
+  // An observation made before the last drain, return or move proves nothing.
+  if (body.assignment != host->assignment) {
+    return Fail(ErrorCode::kVersionConflict,
+                "host \"" + body.host.str() + "\" has assignment " +
+                    std::to_string(host->assignment) + ", observed was " +
+                    std::to_string(body.assignment));
+  }
+  if (body.state == host->state)
+    return Ok();
+  if (!IsHostTransition(host->state, body.state, drains_.contains(body.host))) {
+    return Fail(ErrorCode::kConflict,
+                "host \"" + body.host.str() + "\" can't go from " +
+                    std::string(kHostStates.Name(host->state)) + " to " +
+                    std::string(kHostStates.Name(body.state)));
+  }
+  if (host->state == HostState::kRebooting && body.state != HostState::kLost) {
+    host->maintained_at = body.wall_seconds;
+  }
+  if (body.state == HostState::kReturning && drains_.contains(body.host)) {
+    EndDrain(host, answer);
+  } else {
+    host->state = body.state;
+    host->version = Bump(answer);
+  }
+  return Ok();
+}
+
+Status FleetState::Execute(const RegisterHost& body,
+                           const OperatorCall& /*call*/,
+                           CommandAnswer* answer) {
+  if (view_.hosts.contains(body.host))
+    return Ok();
+  const Pool* spare = nullptr;
+  for (const auto& [name, pool] : view_.pools) {
+    if (pool.spare)
+      spare = &pool;
+  }
+  if (!spare) {
+    return Fail(ErrorCode::kUnavailable,
+                "there is no spare pool yet; a sheet must be applied first");
+  }
+  if (view_.hosts.size() >= kMaxHosts) {
+    return Fail(ErrorCode::kTableFull,
+                "the fleet has " + std::to_string(kMaxHosts) + " hosts");
+  }
+  Host host{.name = body.host, .pool = spare->name};
+  host.zone = body.zone;
+  host.rack = body.rack;
+  host.state = HostState::kReturning;
+  host.version = host.assignment = Bump(answer);
+  view_.hosts.emplace(body.host, std::move(host));
+  return Ok();
+}
+
+MoveStep FleetState::NextMoveStep(const HostName& name) const {
+  const auto move = moves_.find(name);
+  const auto it = view_.hosts.find(name);
+  if (move == moves_.end() || it == view_.hosts.end())
+    return MoveStep::kNone;
+  const Host& host = it->second;
+  if (move->second.moved) {
+    return drains_.contains(name) && host.state == HostState::kDrained
+               ? MoveStep::kReturn
+               : MoveStep::kWait;
+  }
+  if (host.state == HostState::kDrained)
+    return MoveStep::kMove;
+  if (InSparePool(host) && (host.state == HostState::kActive ||
+                            host.state == HostState::kReturning)) {
+    return MoveStep::kMove;
+  }
+  return drains_.contains(name) ? MoveStep::kWait : MoveStep::kDrain;
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/fleet/apply_sheet.cc
@@ -0,0 +1,171 @@
+#include <algorithm>
+#include <utility>
+
+#include "base/invariant.h"
+#include "fleet/fleet_state.h"
+#include "fleet/sheet_diff.h"
+
+namespace boragewinch {
+
+namespace {
+
+template <typename Id, typename T>
+[[nodiscard]] std::set<Id> Listed(const std::vector<SheetRow<T>>& rows) {
+  std::set<Id> names;
+  for (const auto& row : rows)
+    names.insert(row.value.name);
+  return names;
+}
+
+[[nodiscard]] bool Same(const Pool& a, const Pool& b) {
+  return a.min_available == b.min_available && a.spare == b.spare &&
+         a.maintenance_days == b.maintenance_days;
+}
+
+[[nodiscard]] bool Same(const Team& a, const Team& b) {
+  return a.share == b.share && a.limit == b.limit;
+}
+
+[[nodiscard]] bool Same(const Queue& a, const Queue& b) {
+  return a.pool == b.pool && a.team == b.team && a.open == b.open;
+}
+
+}  // namespace
+
+Status FleetState::Execute(const ApplySheet& body,
+                           const OperatorCall& call,
+                           CommandAnswer* answer) {
+  SheetErrors errors(body.sheet.file);
+  CheckSheet(body.sheet, &errors);
+  answer->errors = errors.TakeSorted();
+  if (!answer->errors.empty())
+    return outcome::failure(answer->errors.front());
+  TeamCounts in_use = ledger_.Totals();
+  for (const auto& [team, running] : body.running)
+    in_use[team] = std::max(in_use[team], running);
+  const SheetDiff diff = DiffSheet(view_, body.sheet, in_use);
+  answer->errors = diff.conflicts;
+  if (!body.allow_lowering) {
+    for (const SheetWarning& warning : diff.warnings) {
+      if (!warning.needs_confirmation)
+        continue;
+      answer->errors.push_back(
+          Error{ErrorCode::kNeedsConfirmation,
+                std::string(kEntityKinds.Name(warning.kind)) + " " +
+                    warning.name + ": " + warning.text,
+                std::nullopt});
+    }
+  }
+  const auto added_hosts = std::count_if(
+      body.sheet.hosts.begin(), body.sheet.hosts.end(),
+      [&](const auto& row) { return !view_.hosts.contains(row.value.name); });
+  if (view_.hosts.size() + static_cast<std::size_t>(added_hosts) > kMaxHosts) {
+    answer->errors.push_back(Error{ErrorCode::kTableFull,
+                                   "the fleet would have more than " +
+                                       std::to_string(kMaxHosts) + " hosts",
+                                   std::nullopt});
+  }
+  if (!answer->errors.empty())
+    return outcome::failure(answer->errors.front());
+  for (const SheetWarning& warning : diff.warnings) {
+    answer->notes.push_back(std::string(kEntityKinds.Name(warning.kind)) + " " +
+                            warning.name + ": " + warning.text);
+  }
+  if (!body.sheet.hosts.empty())
+    ApplyHosts(body, call, answer);
+  ApplyTables(body, answer);
+  for (const auto& [name, host] : view_.hosts) {
+    CheckInvariant(Invariant::kOnePoolPerHost, view_.pools.contains(host.pool),
+                   "the pool of host " + name.str() + " does not exist");
+  }
+  return Ok();
+}
+
+void FleetState::ApplyTables(const ApplySheet& body, CommandAnswer* answer) {
+  const auto update = [&](EntityKind kind, const auto& rows, auto* table) {
+    using Id = typename std::decay_t<decltype(*table)>::key_type;
+    for (const auto& [value, place] : rows) {
+      const auto it = table->find(value.name);
+      if (it != table->end() && Same(it->second, value))
+        continue;
+      auto& entity = (*table)[value.name];
+      entity = value;
+      entity.version = Bump(answer);
+    }
+    const auto listed = Listed<Id>(rows);
+    for (auto it = table->begin(); it != table->end();) {
+      if (listed.contains(it->first)) {
+        ++it;
+        continue;
+      }
+      Bump(answer);
+      AddRemoval(kind, it->first.str());
+      it = table->erase(it);
+    }
+  };
+  update(EntityKind::kPool, body.sheet.pools, &view_.pools);
+  update(EntityKind::kTeam, body.sheet.teams, &view_.teams);
+  update(EntityKind::kQueue, body.sheet.queues, &view_.queues);
+  for (auto& [id, key] : view_.keys) {
+    if (!key.team.empty() && !view_.teams.contains(key.team))
+      Withdraw(&key, answer);
+  }
+  for (auto it = moves_.begin(); it != moves_.end();) {
+    if (view_.pools.contains(it->second.pool)) {
+      ++it;
+      continue;
+    }
+    answer->notes.push_back("the pending move of host " + it->first.str() +
+                            " is dropped with its pool " +
+                            it->second.pool.str());
+    Bump(answer);
+    it = moves_.erase(it);
+  }
+}
+
+void FleetState::ApplyHosts(const ApplySheet& body,
+                            const OperatorCall& call,
+                            CommandAnswer* answer) {
+  for (const auto& [row, place] : body.sheet.hosts) {
+    const auto it = view_.hosts.find(row.name);
+    if (it == view_.hosts.end()) {
+      Host host{.name = row.name, .pool = row.pool};
+      host.zone = row.zone;
+      host.rack = row.rack;
+      host.version = host.assignment = Bump(answer);
+      view_.hosts.emplace(row.name, std::move(host));
+      continue;
+    }
+    Host& host = it->second;
+    if (host.zone != row.zone || host.rack != row.rack) {
+      host.zone = row.zone;
+      host.rack = row.rack;
+      host.version = Bump(answer);
+    }
+    const auto move = moves_.find(row.name);
+    if (host.pool != row.pool) {
+      if (move == moves_.end() || move->second.pool != row.pool)
+        moves_[row.name] = {row.pool, false, Bump(answer), call.operator_name};
+    } else if (move != moves_.end() && !move->second.moved) {
+      Bump(answer);
+      moves_.erase(move);
+    }
+  }
+  const auto listed = Listed<HostName>(body.sheet.hosts);
+  for (auto it = view_.hosts.begin(); it != view_.hosts.end();) {
+    const HostState state = it->second.state;
+    const bool removable =
+        state == HostState::kDrained || state == HostState::kLost;
+    if (listed.contains(it->first) || !removable) {
+      ++it;
+      continue;
+    }
+    Bump(answer);
+    AddRemoval(EntityKind::kHost, it->first.str());
+    drains_.erase(it->first);
+    moves_.erase(it->first);
+    it = view_.hosts.erase(it);
+  }
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/fleet/fwd.h
@@ -0,0 +1,20 @@
+#ifndef BORAGEWINCH_FLEET_FWD_H_
+#define BORAGEWINCH_FLEET_FWD_H_
+
+namespace boragewinch {
+
+struct Command;
+struct CommandAnswer;
+struct EntryReport;
+struct FleetDelta;
+struct Ledger;
+struct Sheet;
+struct SheetDiff;
+class AllotmentPlanner;
+class AnswerTable;
+class FleetState;
+class ReclaimPlanner;
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_FLEET_FWD_H_
