Add admission queue and placement

JobQueue orders waiting jobs by weighted dominant share over a decayed window, with urgent work first within a team's rights and a bound on waiting. Placement keeps the room of each pool's workers in a tree of component-wise maxima, so that full parts of a large pool are passed over.

--- a/src/base/strong_id.h
+++ b/src/base/strong_id.h
@@ -20,6 +20,8 @@
   [[nodiscard]] const std::string& str() const noexcept { return value_; }
   [[nodiscard]] bool empty() const noexcept { return value_.empty(); }
 
+  // clang-tidy 14 takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const StrongId&, const StrongId&) = default;
   friend std::ostream& operator<<(std::ostream& out, const StrongId& id) {
     return out << id.value_;
--- /dev/null
+++ b/src/policy/customer_lane.cc
@@ -0,0 +1,81 @@
+#include "policy/customer_lane.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+#include <vector>
+
+namespace boragewinch {
+
+namespace {
+
+// A class spans a factor of two in each resource.
+[[nodiscard]] std::uint32_t SizeClassOf(const Resources& demand) noexcept {
+  const auto width = [](std::int64_t amount, std::int64_t unit) {
+    return static_cast<std::uint32_t>(
+        std::bit_width(static_cast<std::uint64_t>(amount / unit)));
+  };
+  return width(demand.cpu_millis, 250) << 16 |
+         width(demand.memory_mb, 256) << 8 | width(demand.accelerators, 1);
+}
+
+}  // namespace
+
+void CustomerLane::Add(const PendingJob& job, std::uint64_t sequence) {
+  classes_[SizeClassOf(job.demand)].jobs.emplace(Order(job.enqueued, sequence),
+                                                 &job);
+  ++size_;
+}
+
+void CustomerLane::Remove(const PendingJob& job, std::uint64_t sequence) {
+  const auto found = classes_.find(SizeClassOf(job.demand));
+  if (found == classes_.end())
+    return;
+  size_ -= found->second.jobs.erase(Order(job.enqueued, sequence));
+  if (found->second.jobs.empty())
+    classes_.erase(found);
+}
+
+const PendingJob* CustomerLane::Find(
+    std::size_t tries,
+    const std::function<bool(const PendingJob&)>& startable,
+    std::uint64_t& tried) {
+  std::vector<SizeClass*> oldest_first;
+  oldest_first.reserve(classes_.size());
+  for (auto& [key, size_class] : classes_)
+    oldest_first.push_back(&size_class);
+  std::sort(oldest_first.begin(), oldest_first.end(),
+            [](const SizeClass* a, const SizeClass* b) {
+              return a->jobs.begin()->first < b->jobs.begin()->first;
+            });
+  for (SizeClass* size_class : oldest_first) {
+    auto& jobs = size_class->jobs;
+    ++tried;
+    if (startable(*jobs.begin()->second))
+      return jobs.begin()->second;
+    auto next = jobs.upper_bound(
+        std::max(size_class->passed_over, jobs.begin()->first));
+    for (std::size_t i = 1; i < tries && next != jobs.end(); ++i, ++next) {
+      ++tried;
+      if (startable(*next->second))
+        return next->second;
+      size_class->passed_over = next->first;
+    }
+    if (next == jobs.end())
+      size_class->passed_over = Order();
+  }
+  return nullptr;
+}
+
+void CustomerLane::Charge(double cost, Millis window, TimePoint now) {
+  // usage(t) = sum of cost * exp((start - t) / window). Left out is the factor
+  // exp(-t / window), which is the same for all customers.
+  const double added =
+      std::log(std::max(cost, 1e-12)) +
+      static_cast<double>(ToMillis(now)) / static_cast<double>(window.count());
+  const double high = std::max(added, log_usage_);
+  const double low = std::min(added, log_usage_);
+  log_usage_ = high + std::log1p(std::exp(low - high));
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/policy/job_queue.cc
@@ -0,0 +1,497 @@
+#include "policy/job_queue.h"
+
+#include <algorithm>
+#include <string>
+#include <tuple>
+
+#include "policy/customer_lane.h"
+
+namespace boragewinch {
+
+namespace {
+
+struct TeamState {
+  TeamName name;
+  double weight = 1;
+  UsageVector own{};
+  UsageVector peers{};
+  UsageAverage usage;
+  std::size_t waiting = 0;
+  std::set<PoolName> pools;  // in which the team has waiting jobs
+  bool active = false;
+
+  [[nodiscard]] UsageVector Sum() const noexcept {
+    UsageVector sum = own;
+    for (std::size_t i = 0; i < sum.size(); ++i)
+      sum[i] += peers[i];
+    return sum;
+  }
+};
+
+struct LaneKey {
+  TeamName team;
+  Urgency urgency;
+  CustomerName customer;
+};
+
+// The lanes of one team in one pool with one urgency.
+struct TeamLanes {
+  std::map<CustomerName, CustomerLane> customers;
+  std::set<std::pair<double, CustomerName>> least_served;  // non-empty lanes
+};
+
+using Turn = std::tuple<TimePoint, TeamName, Urgency, CustomerName>;
+
+struct PoolState {
+  PoolName name;
+  std::map<TeamName, std::pair<TeamState*, std::array<TeamLanes, 2>>> teams;
+  std::set<Turn> turns;  // non-empty lanes by the start of their wait
+  std::map<std::uint64_t, LaneKey> overdue;  // non-empty, taken out of `turns`
+  std::uint64_t starts = 0;
+  bool retry_pending = false;
+  std::size_t waiting = 0;
+  std::size_t urgent = 0;
+  std::uint32_t starts_by_share = 0;
+  std::uint64_t armed = 0;  // position in the round of armed pools; 0 is none
+  bool armed_urgent = false;
+};
+
+struct JobEntry {
+  PendingJob job;
+  std::uint64_t sequence;
+};
+
+// Customers without waiting jobs are remembered, so that their usage counts
+// when they come back; beyond this number the idle ones are dropped.
+constexpr std::size_t kMaxIdleCustomers = 1'024;
+
+}  // namespace
+
+struct JobQueue::Impl {
+  explicit Impl(const JobQueueConfig& checked) : config(checked) {}
+
+  TeamState& Team(const TeamName& name) {
+    std::unique_ptr<TeamState>& team = teams[name];
+    if (!team) {
+      team = std::make_unique<TeamState>();
+      team->name = name;
+      if (const auto found = shares.find(name); found != shares.end())
+        team->weight =
+            static_cast<double>(std::max<std::int64_t>(found->second, 1));
+    }
+    return *team;
+  }
+
+  void UpdateActive(TeamState& team) {
+    const UsageVector& running = team.usage.running();
+    const bool active = team.waiting > 0 || running[0] > 0.5;
+    if (active == team.active)
+      return;
+    team.active = active;
+    active_weight += active ? team.weight : -team.weight;
+  }
+
+  void SetRunning(TeamState& team, TimePoint now) {
+    team.usage.Set(team.Sum(), config.window, now);
+    UpdateActive(team);
+  }
+
+  [[nodiscard]] double Entitled(const TeamState& team) const noexcept {
+    const double sum = active_weight + (team.active ? 0 : team.weight);
+    return sum > 0 ? team.weight / sum : 1;
+  }
+
+  // The weighted dominant share by which teams are ordered, lowest first.
+  [[nodiscard]] double ShareKey(TeamState& team, TimePoint now) const {
+    team.usage.Advance(config.window, now);
+    const double history = config.history_percent / 100.0;
+    return ((1 - history) * DominantShare(team.usage.running(), capacity) +
+            history * DominantShare(team.usage.average(), capacity)) /
+           team.weight;
+  }
+
+  void Arm(PoolState& pool) {
+    const bool urgent = pool.urgent > 0;
+    if (pool.waiting == 0 || (pool.armed != 0 && pool.armed_urgent == urgent))
+      return;
+    Disarm(pool);
+    pool.armed = ++round;
+    pool.armed_urgent = urgent;
+    armed.emplace(!urgent, pool.armed, &pool);
+  }
+
+  void Disarm(PoolState& pool) {
+    if (pool.armed == 0)
+      return;
+    armed.erase({!pool.armed_urgent, pool.armed, &pool});
+    pool.armed = 0;
+  }
+
+  static void AddTurn(PoolState& pool,
+                      const PendingJob& job,
+                      const CustomerLane& lane) {
+    pool.turns.emplace(lane.turn_since, job.team, job.urgency, job.customer);
+  }
+
+  static void RemoveTurn(PoolState& pool,
+                         const PendingJob& job,
+                         CustomerLane& lane) {
+    pool.turns.erase({lane.turn_since, job.team, job.urgency, job.customer});
+    if (lane.overdue != 0)
+      pool.overdue.erase(lane.overdue);
+    lane.overdue = 0;
+  }
+
+  [[nodiscard]] static CustomerLane& LaneOf(PoolState& pool,
+                                            const LaneKey& key) {
+    return pool.teams.at(key.team)
+        .second[static_cast<std::size_t>(key.urgency)]
+        .customers.at(key.customer);
+  }
+
+  // Puts a lane behind the other overdue ones of its pool.
+  void MarkOverdue(PoolState& pool, LaneKey key) {
+    CustomerLane& lane = LaneOf(pool, key);
+    lane.overdue = ++next_overdue;
+    lane.served_by = pool.starts + kOverdueEvery * (pool.overdue.size() + 1);
+    pool.overdue.emplace(lane.overdue, std::move(key));
+  }
+
+  void Insert(const JobEntry& entry) {
+    const PendingJob& job = entry.job;
+    PoolState& pool = pools[job.pool];
+    pool.name = job.pool;
+    TeamState& team = Team(job.team);
+    auto& [owner, by_urgency] = pool.teams[job.team];
+    owner = &team;
+    TeamLanes& lanes = by_urgency[static_cast<std::size_t>(job.urgency)];
+    if (lanes.customers.size() > kMaxIdleCustomers) {
+      std::erase_if(lanes.customers,
+                    [](const auto& item) { return item.second.empty(); });
+    }
+    CustomerLane& lane = lanes.customers[job.customer];
+    if (lane.empty()) {
+      lane.turn_since = std::max(lane.last_start, job.enqueued);
+      lanes.least_served.emplace(lane.log_usage(), job.customer);
+      AddTurn(pool, job, lane);
+    }
+    lane.Add(job, entry.sequence);
+    ++pool.waiting;
+    pool.urgent += job.urgency == Urgency::kUrgent ? 1 : 0;
+    ++team.waiting;
+    team.pools.insert(job.pool);
+    UpdateActive(team);
+    Arm(pool);
+  }
+
+  // Takes a job out of all indexes; `start_cost` is negative if it does not
+  // start.
+  void Erase(const JobEntry& entry, double start_cost, TimePoint now) {
+    const PendingJob& job = entry.job;
+    PoolState& pool = pools.at(job.pool);
+    auto& [owner, by_urgency] = pool.teams.at(job.team);
+    TeamState& team = *owner;
+    TeamLanes& lanes = by_urgency[static_cast<std::size_t>(job.urgency)];
+    CustomerLane& lane = lanes.customers.at(job.customer);
+    lanes.least_served.erase({lane.log_usage(), job.customer});
+    lane.Remove(job, entry.sequence);
+    if (start_cost >= 0 || lane.empty())
+      RemoveTurn(pool, job, lane);
+    if (start_cost >= 0) {
+      lane.Charge(start_cost, config.window, now);
+      lane.last_start = lane.turn_since = now;
+      if (!lane.empty())
+        AddTurn(pool, job, lane);
+    }
+    if (!lane.empty())
+      lanes.least_served.emplace(lane.log_usage(), job.customer);
+    --pool.waiting;
+    pool.urgent -= job.urgency == Urgency::kUrgent ? 1 : 0;
+    --team.waiting;
+    if (by_urgency[0].least_served.empty() &&
+        by_urgency[1].least_served.empty()) {
+      team.pools.erase(job.pool);
+    }
+    UpdateActive(team);
+    if (pool.waiting == 0)
+      Disarm(pool);
+  }
+
+  void CollectOverdue(PoolState& pool, TimePoint now) {
+    while (!pool.turns.empty()) {
+      const auto& [since, team, urgency, customer] = *pool.turns.begin();
+      if (since + config.turn_bound > now)
+        break;
+      MarkOverdue(pool, {team, urgency, customer});
+      pool.turns.erase(pool.turns.begin());
+    }
+  }
+
+  [[nodiscard]] const PendingJob* FindOverdue(PoolState& pool,
+                                              const Startable& startable) {
+    std::vector<std::uint64_t> passed_over;
+    const PendingJob* found = nullptr;
+    for (const auto& [order, key] : pool.overdue) {
+      if (passed_over.size() >= config.customers_per_team)
+        break;
+      found = LaneOf(pool, key).Find(config.tries_per_class, startable,
+                                     stats.tried);
+      if (found != nullptr)
+        break;
+      passed_over.push_back(order);
+    }
+    // Customers that can't start go behind the other overdue ones; otherwise
+    // a few of them could use up the tries of every decision.
+    for (const std::uint64_t order : passed_over)
+      MarkOverdue(pool, std::move(pool.overdue.extract(order).mapped()));
+    return found;
+  }
+
+  [[nodiscard]] const PendingJob* FindByShare(PoolState& pool,
+                                              TimePoint now,
+                                              const Startable& startable) {
+    struct Candidate {
+      bool behind;  // not entitled to go first with urgent work
+      double key;
+      std::array<TeamLanes, 2>* lanes;
+    };
+    std::vector<Candidate> order;
+    for (auto& [name, item] : pool.teams) {
+      auto& [team, lanes] = item;
+      const bool urgent = !lanes[static_cast<std::size_t>(Urgency::kUrgent)]
+                               .least_served.empty();
+      if (!urgent && lanes[static_cast<std::size_t>(Urgency::kNormal)]
+                         .least_served.empty())
+        continue;
+      const double key = ShareKey(*team, now);
+      const bool within_rights =
+          DominantShare(team->usage.running(), capacity) < Entitled(*team);
+      order.push_back({!(urgent && within_rights), key, &lanes});
+    }
+    std::sort(order.begin(), order.end(),
+              [](const Candidate& a, const Candidate& b) {
+                return std::tie(a.behind, a.key) < std::tie(b.behind, b.key);
+              });
+    for (const Candidate& candidate : order) {
+      for (const Urgency urgency : {Urgency::kUrgent, Urgency::kNormal}) {
+        TeamLanes& lanes =
+            (*candidate.lanes)[static_cast<std::size_t>(urgency)];
+        std::size_t tries = config.customers_per_team;
+        for (const auto& [usage, customer] : lanes.least_served) {
+          if (tries-- == 0)
+            break;
+          const PendingJob* job = lanes.customers.at(customer).Find(
+              config.tries_per_class, startable, stats.tried);
+          if (job != nullptr)
+            return job;
+        }
+      }
+    }
+    return nullptr;
+  }
+
+  [[nodiscard]] std::optional<PendingJob> Take(PoolState& pool,
+                                               TimePoint now,
+                                               const Startable& startable) {
+    const PendingJob* found = nullptr;
+    CollectOverdue(pool, now);
+    if (pool.starts_by_share + 1 >= kOverdueEvery) {
+      found = FindOverdue(pool, startable);
+      if (found != nullptr) {
+        pool.starts_by_share = 0;
+        ++stats.overdue_started;
+      }
+    }
+    if (found == nullptr) {
+      found = FindByShare(pool, now, startable);
+      if (found != nullptr && pool.starts_by_share < kOverdueEvery)
+        ++pool.starts_by_share;
+    }
+    if (found == nullptr)
+      return std::nullopt;
+    ++stats.started;
+    ++pool.starts;
+    const CustomerLane& lane =
+        LaneOf(pool, {found->team, found->urgency, found->customer});
+    if (lane.overdue != 0 && pool.starts > lane.served_by)
+      ++stats.bound_missed;
+    auto entry = jobs.extract(found->id);
+    const UsageVector demand = ToUsage(entry.mapped().job.demand);
+    Erase(entry.mapped(), DominantShare(demand, capacity), now);
+    return std::move(entry.mapped().job);
+  }
+
+  JobQueueConfig config;
+  JobQueueStats stats;
+  UsageVector capacity{};
+  double active_weight = 0;
+  std::map<TeamName, std::int64_t> shares;
+  std::unordered_map<TeamName, std::unique_ptr<TeamState>> teams;
+  std::unordered_map<PoolName, PoolState> pools;
+  std::unordered_map<RequestId, JobEntry> jobs;
+  std::set<std::tuple<bool, std::uint64_t, PoolState*>> armed;
+  std::deque<std::pair<TimePoint, PoolName>> retries;
+  std::uint64_t round = 0;
+  std::uint64_t next_sequence = 0;
+  std::uint64_t next_overdue = 0;
+};
+
+Result<JobQueue> JobQueue::Make(const JobQueueConfig& config) {
+  BW_CHECK(config.Check());
+  return JobQueue(std::make_unique<Impl>(config));
+}
+
+JobQueue::JobQueue(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+JobQueue::JobQueue(JobQueue&&) noexcept = default;
+JobQueue& JobQueue::operator=(JobQueue&&) noexcept = default;
+JobQueue::~JobQueue() = default;
+
+Status JobQueue::Push(PendingJob job, TimePoint now) {
+  job.enqueued = std::min(job.enqueued, now);
+  const RequestId id = job.id;
+  const auto [entry, added] = impl_->jobs.try_emplace(
+      id, JobEntry{std::move(job), impl_->next_sequence});
+  if (!added) {
+    return Fail(ErrorCode::kDuplicateName,
+                "job " + id.str() + " is in the queue already");
+  }
+  ++impl_->next_sequence;
+  impl_->Insert(entry->second);
+  return Ok();
+}
+
+bool JobQueue::Remove(const RequestId& id) {
+  const auto found = impl_->jobs.find(id);
+  if (found == impl_->jobs.end())
+    return false;
+  impl_->Erase(found->second, -1, TimePoint());
+  impl_->jobs.erase(found);
+  return true;
+}
+
+std::optional<PendingJob> JobQueue::Next(TimePoint now,
+                                         const Startable& startable) {
+  auto& retries = impl_->retries;
+  while (!retries.empty() && retries.front().first <= now) {
+    PoolState& pool = impl_->pools.at(retries.front().second);
+    pool.retry_pending = false;
+    impl_->Arm(pool);
+    retries.pop_front();
+  }
+  while (!impl_->armed.empty()) {
+    PoolState& pool = *std::get<2>(*impl_->armed.begin());
+    auto job = impl_->Take(pool, now, startable);
+    impl_->Disarm(pool);
+    if (job) {
+      impl_->Arm(pool);
+      return job;
+    }
+    if (!std::exchange(pool.retry_pending, true))
+      retries.emplace_back(now + kRetryInterval, pool.name);
+  }
+  return std::nullopt;
+}
+
+std::optional<PendingJob> JobQueue::NextIn(const PoolName& pool,
+                                           TimePoint now,
+                                           const Startable& startable) {
+  const auto found = impl_->pools.find(pool);
+  if (found == impl_->pools.end() || found->second.waiting == 0)
+    return std::nullopt;
+  return impl_->Take(found->second, now, startable);
+}
+
+void JobQueue::OnStarted(const TeamName& team,
+                         const CustomerName& customer,
+                         const Resources& demand,
+                         TimePoint now) {
+  // Customers are charged when their job is taken out.
+  (void)customer;
+  TeamState& state = impl_->Team(team);
+  const UsageVector added = ToUsage(demand);
+  for (std::size_t i = 0; i < added.size(); ++i)
+    state.own[i] += added[i];
+  impl_->SetRunning(state, now);
+}
+
+void JobQueue::OnEnded(const TeamName& team,
+                       const CustomerName& customer,
+                       const Resources& demand,
+                       TimePoint now,
+                       const PoolName& pool) {
+  (void)customer;
+  TeamState& state = impl_->Team(team);
+  const UsageVector removed = ToUsage(demand);
+  for (std::size_t i = 0; i < removed.size(); ++i)
+    state.own[i] = std::max(0.0, state.own[i] - removed[i]);
+  impl_->SetRunning(state, now);
+  if (pool.empty()) {
+    ArmAll();
+    return;
+  }
+  Arm(pool);
+  // The team may have been at its limit in its other pools.
+  for (const PoolName& other : state.pools)
+    Arm(other);
+}
+
+void JobQueue::Arm(const PoolName& pool) {
+  if (const auto found = impl_->pools.find(pool); found != impl_->pools.end())
+    impl_->Arm(found->second);
+}
+
+void JobQueue::ArmAll() {
+  for (auto& [name, pool] : impl_->pools)
+    impl_->Arm(pool);
+}
+
+void JobQueue::SetShares(const std::map<TeamName, std::int64_t>& shares) {
+  impl_->shares = shares;
+  impl_->active_weight = 0;
+  for (auto& [name, team] : impl_->teams) {
+    const auto found = shares.find(name);
+    team->weight =
+        found == shares.end()
+            ? 1.0
+            : static_cast<double>(std::max<std::int64_t>(found->second, 1));
+    impl_->active_weight += team->active ? team->weight : 0;
+  }
+}
+
+void JobQueue::SetZoneUsage(const std::map<TeamName, UsageVector>& usage,
+                            TimePoint now) {
+  for (const auto& [name, peers] : usage)
+    impl_->Team(name).peers = peers;
+  for (auto& [name, team] : impl_->teams) {
+    if (!usage.contains(name))
+      team->peers = UsageVector{};
+    impl_->SetRunning(*team, now);
+  }
+}
+
+void JobQueue::SetCapacity(const UsageVector& total) noexcept {
+  impl_->capacity = total;
+}
+
+std::size_t JobQueue::size() const noexcept {
+  return impl_->jobs.size();
+}
+
+const JobQueueStats& JobQueue::stats() const noexcept {
+  return impl_->stats;
+}
+
+TeamStanding JobQueue::Standing(const TeamName& team, TimePoint now) {
+  TeamState& state = impl_->Team(team);
+  state.usage.Advance(impl_->config.window, now);
+  return {DominantShare(state.usage.running(), impl_->capacity),
+          DominantShare(state.usage.average(), impl_->capacity),
+          impl_->Entitled(state), state.waiting};
+}
+
+const PendingJob* JobQueue::Find(const RequestId& id) const {
+  const auto found = impl_->jobs.find(id);
+  return found == impl_->jobs.end() ? nullptr : &found->second.job;
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/policy/job_queue.h
@@ -0,0 +1,127 @@
+#ifndef BORAGEWINCH_POLICY_JOB_QUEUE_H_
+#define BORAGEWINCH_POLICY_JOB_QUEUE_H_
+
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "policy/job_queue_config.h"
+#include "policy/pending_job.h"
+#include "policy/usage_average.h"
+
+namespace boragewinch {
+
+/// \brief What a team holds, relative to what it is entitled to.
+struct TeamStanding {
+  double running = 0;   ///< dominant share now, as a fraction of capacity
+  double average = 0;   ///< the same over the window
+  double entitled = 0;  ///< weight over the weights of all active teams
+  std::size_t waiting = 0;
+};
+
+/// \brief Counts since the queue was made.
+struct JobQueueStats {
+  std::uint64_t started = 0;
+  std::uint64_t overdue_started = 0;  ///< of these by the bound on waiting
+  std::uint64_t tried = 0;            ///< calls of `startable`
+  std::uint64_t bound_missed = 0;     ///< turns later than the stated bound
+};
+
+/// \brief Admission order of the waiting jobs of one entry host.
+///
+/// In each pool: every `kOverdueEvery`-th start goes to the customer whose turn
+/// is overdue for longest, if any. Otherwise teams with urgent work that run
+/// less than they are entitled to go first, then the team with the lowest
+/// weighted dominant share. Within a team urgent jobs go first, then the
+/// customer that was served least, then the oldest job. A job that can't start
+/// is passed over. A decision looks at the teams with work in the pool and at
+/// a bounded number of jobs of each; all else is logarithmic.
+class JobQueue {
+ public:
+  using Startable = std::function<bool(const PendingJob&)>;
+
+  /// Part of the starts of a pool that may go to overdue customers; the others
+  /// go by share, so that many customers do not buy a team more than its share.
+  static constexpr std::uint32_t kOverdueEvery = 4;
+  /// A pool without a startable job is tried again after this time even if
+  /// nothing was reported about it.
+  static constexpr Millis kRetryInterval{250};
+
+  /// \returns kInvalidSetting for a configuration out of range.
+  [[nodiscard]] static Result<JobQueue> Make(const JobQueueConfig& config = {});
+
+  JobQueue(JobQueue&&) noexcept;
+  JobQueue& operator=(JobQueue&&) noexcept;
+  ~JobQueue();
+
+  /// \brief Adds a job. A job that is handed back after a failed start keeps
+  /// its place through its `enqueued`.
+  /// \returns kDuplicateName if the id is waiting already.
+  Status Push(PendingJob job, TimePoint now);
+
+  /// \returns whether `id` was waiting.
+  bool Remove(const RequestId& id);
+
+  /// \brief Takes out the job to start next in any pool.
+  /// \param startable whether the team's limit and the pool's workers allow a
+  /// start of the job now; called a bounded number of times for each team.
+  [[nodiscard]] std::optional<PendingJob> Next(TimePoint now,
+                                               const Startable& startable);
+
+  /// \brief Like Next, for one pool.
+  [[nodiscard]] std::optional<PendingJob> NextIn(const PoolName& pool,
+                                                 TimePoint now,
+                                                 const Startable& startable);
+
+  /// \brief Counts a running task for its team.
+  void OnStarted(const TeamName& team,
+                 const CustomerName& customer,
+                 const Resources& demand,
+                 TimePoint now);
+
+  /// \brief Reverses OnStarted. `pool` limits which pools Next tries again;
+  /// without it all are.
+  void OnEnded(const TeamName& team,
+               const CustomerName& customer,
+               const Resources& demand,
+               TimePoint now,
+               const PoolName& pool = PoolName());
+
+  /// \brief Lets Next try `pool` again, since it has room now.
+  void Arm(const PoolName& pool);
+  void ArmAll();
+
+  /// \brief Replaces the weights. Teams without one have weight 1.
+  void SetShares(const std::map<TeamName, std::int64_t>& shares);
+
+  /// \brief Replaces what the zone's other entry hosts run, by team.
+  void SetZoneUsage(const std::map<TeamName, UsageVector>& usage,
+                    TimePoint now);
+
+  /// \brief Sets the size of the zone: slots, processors, memory, accelerators.
+  void SetCapacity(const UsageVector& total) noexcept;
+
+  [[nodiscard]] std::size_t size() const noexcept;
+  [[nodiscard]] const JobQueueStats& stats() const noexcept;
+  [[nodiscard]] TeamStanding Standing(const TeamName& team, TimePoint now);
+  /// \returns the waiting job, or nullptr.
+  [[nodiscard]] const PendingJob* Find(const RequestId& id) const;
+
+ private:
+  struct Impl;
+  explicit JobQueue(std::unique_ptr<Impl> impl);
+
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_POLICY_JOB_QUEUE_H_
--- /dev/null
+++ b/src/policy/placement.h
@@ -0,0 +1,68 @@
+#ifndef BORAGEWINCH_POLICY_PLACEMENT_H_
+#define BORAGEWINCH_POLICY_PLACEMENT_H_
+
+#include <memory>
+#include <optional>
+
+#include "policy/pending_job.h"
+#include "policy/placement_config.h"
+#include "policy/worker_view.h"
+
+namespace boragewinch {
+
+/// \brief Incremental index of the workers of a zone or a fleet.
+class Placement {
+ public:
+  /// \returns kInvalidSetting for a configuration out of range.
+  [[nodiscard]] static Result<Placement> Make(
+      const PlacementConfig& config = {});
+
+  Placement(Placement&&) noexcept;
+  Placement& operator=(Placement&&) noexcept;
+  ~Placement();
+
+  /// \brief Adds a worker or replaces what is known of it. Its tasks stay
+  /// counted unless it changes its pool or host place.
+  void UpdateWorker(const WorkerView& worker, TimePoint now);
+
+  /// \returns whether the worker was known.
+  bool RemoveWorker(const HostName& host);
+
+  /// \brief Selects a worker of the job's pool. Changes nothing.
+  [[nodiscard]] std::optional<HostName> Choose(const PendingJob& job,
+                                               TimePoint now) const;
+
+  /// \brief Takes a slot and the demand off the worker until its next
+  /// UpdateWorker and counts the task for the spread of its queue.
+  void OnPlaced(const PendingJob& job, const HostName& host);
+
+  /// \brief Ends the count of a task of `queue`; gives back its slot and
+  /// `demand` until the next UpdateWorker.
+  void OnEnded(const QueueName& queue,
+               const Resources& demand,
+               const HostName& host);
+
+  /// \returns whether `pool` has workers and none of them, even if idle, could
+  /// hold `demand`. Unknown pools are not refused: their workers may not have
+  /// announced themselves yet.
+  [[nodiscard]] bool NeverFits(const Resources& demand,
+                               const PoolName& pool) const;
+
+  /// \returns the worker as last updated, less what was placed since.
+  [[nodiscard]] std::optional<WorkerView> Find(const HostName& host) const;
+
+  /// \returns free slots of the accepting workers of `pool`.
+  [[nodiscard]] std::int64_t FreeSlots(const PoolName& pool) const;
+
+  [[nodiscard]] std::size_t size() const noexcept;
+
+ private:
+  struct Impl;
+  explicit Placement(std::unique_ptr<Impl> impl);
+
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_POLICY_PLACEMENT_H_
--- /dev/null
+++ b/src/policy/room_tree.h
@@ -0,0 +1,58 @@
+#ifndef BORAGEWINCH_POLICY_ROOM_TREE_H_
+#define BORAGEWINCH_POLICY_ROOM_TREE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <vector>
+
+#include "model/resources.h"
+
+namespace boragewinch {
+
+/// \brief Free room of a worker.
+struct Room {
+  std::int64_t slots = 0;
+  Resources free;
+
+  [[nodiscard]] bool Holds(const Resources& demand) const noexcept {
+    return slots > 0 && demand.FitsInto(free);
+  }
+};
+
+/// \brief The free room of the workers of a pool, with the component-wise
+/// largest room of each subtree, so that a search passes over full parts.
+/// A position without a worker has no room.
+class RoomTree {
+ public:
+  static constexpr std::size_t kNone = std::numeric_limits<std::size_t>::max();
+
+  /// \brief Sets the room at `position`, which may be the first unused one.
+  void Set(std::size_t position, const Room& room);
+
+  /// \returns the first position >= `from` whose room holds `demand`, or kNone.
+  [[nodiscard]] std::size_t Find(std::size_t from,
+                                 const Resources& demand) const noexcept;
+
+  [[nodiscard]] const Room& at(std::size_t position) const noexcept {
+    return nodes_[leaves_ + position];
+  }
+  [[nodiscard]] std::size_t size() const noexcept { return size_; }
+
+ private:
+  void Grow(std::size_t size);
+  void Combine(std::size_t node) noexcept;
+  [[nodiscard]] std::size_t FindIn(std::size_t node,
+                                   std::size_t low,
+                                   std::size_t width,
+                                   std::size_t from,
+                                   const Resources& demand) const noexcept;
+
+  std::vector<Room> nodes_;  // heap order, root at 1
+  std::size_t leaves_ = 0;
+  std::size_t size_ = 0;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_POLICY_ROOM_TREE_H_
