--- a/src/model/worker_types.h
+++ b/src/model/worker_types.h
@@ -25,6 +25,8 @@
   RequestId request;
   std::uint32_t attempt = 1;
 
+  // clang-tidy 14 takes the generated comparison with 0 for a null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const TaskId&, const TaskId&) = default;
   [[nodiscard]] std::string Text() const {
     return request.str() + "/" + std::to_string(attempt);
--- /dev/null
+++ b/src/policy/buffer_planner.cc
@@ -0,0 +1,276 @@
+#include "policy/buffer_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace boragewinch {
+
+namespace {
+
+using Place = std::pair<BufferCase, std::string>;
+
+// Workers that each case would take.
+struct CaseLoss {
+  std::map<PoolName, std::int64_t> by_pool;
+  std::int64_t spares = 0;
+};
+
+struct Planner {
+  const FleetView& fleet;
+  const std::set<HostName>& lost;
+  const BufferConfig& config;
+  BufferPlan plan;
+  std::map<PoolName, std::size_t> index;  // into plan.pools
+  std::map<Place, CaseLoss> cases;
+  std::vector<const Host*> free_spares;
+  std::map<std::pair<PoolName, ZoneName>, std::int64_t> zone_size;
+
+  [[nodiscard]] bool IsLost(const Host& host) const {
+    return host.state == HostState::kLost || lost.contains(host.name);
+  }
+  [[nodiscard]] std::vector<Place> CasesOf(const Host& host) const;
+  void Count();
+  void Size();
+  void SizeForSpikes();
+  void Fill();
+  void Return();
+  void Charge(const CaseLoss* binding);
+  void Move(const Host& host, const PoolName& to);
+  [[nodiscard]] const Host* TakeSpare(const PoolName& pool);
+};
+
+std::vector<Place> Planner::CasesOf(const Host& host) const {
+  std::vector<Place> places = {{BufferCase::kHost, host.name.str()}};
+  if (config.cover_rack) {
+    places.emplace_back(BufferCase::kRack,
+                        host.zone.str() + "/" + host.rack.str());
+  }
+  if (config.cover_zone)
+    places.emplace_back(BufferCase::kZone, host.zone.str());
+  return places;
+}
+
+void Planner::Count() {
+  std::set<ZoneName> zones;
+  for (const auto& [name, pool] : fleet.pools) {
+    if (pool.spare)
+      continue;
+    index[name] = plan.pools.size();
+    plan.pools.push_back({.pool = name, .promised = pool.min_available});
+  }
+  for (const auto& [name, host] : fleet.hosts) {
+    const auto pool = fleet.pools.find(host.pool);
+    if (pool == fleet.pools.end())
+      continue;
+    zones.insert(host.zone);
+    const bool alive = !IsLost(host);
+    if (pool->second.spare) {
+      plan.spares += alive ? 1 : 0;
+      if (alive && host.state == HostState::kActive)
+        free_spares.push_back(&host);
+    } else {
+      PoolTarget& target = plan.pools[index.at(host.pool)];
+      ++target.size;
+      target.alive += alive ? 1 : 0;
+      zone_size[{host.pool, host.zone}] += alive ? 1 : 0;
+    }
+    if (!alive)
+      continue;
+    for (const Place& place : CasesOf(host)) {
+      CaseLoss& loss = cases[place];
+      if (pool->second.spare)
+        ++loss.spares;
+      else
+        ++loss.by_pool[host.pool];
+    }
+  }
+  plan.one_each = static_cast<std::int64_t>(plan.pools.size() * zones.size());
+  for (PoolTarget& target : plan.pools)
+    target.target = target.alive;
+}
+
+// A case is covered if the spares that survive it fill up every pool to its
+// promise. Only one case is assumed at a time; what is lost already counts.
+void Planner::Size() {
+  const CaseLoss* binding = nullptr;
+  for (const auto& [place, loss] : cases) {
+    std::int64_t needed = 0;
+    for (const auto& [pool, count] : loss.by_pool) {
+      const PoolTarget& target = plan.pools[index.at(pool)];
+      needed += std::max<std::int64_t>(
+          0, std::min(count, target.promised - (target.alive - count)));
+    }
+    if (needed > 0)
+      needed += loss.spares;
+    if (needed > plan.spares_needed) {
+      plan.spares_needed = needed;
+      std::tie(plan.binding, plan.binding_place) = place;
+      binding = &loss;
+    }
+  }
+  SizeForSpikes();
+  Charge(plan.binding == BufferCase::kSpike ? nullptr : binding);
+}
+
+// Spikes alternate between queues, so the largest need is enough for all.
+void Planner::SizeForSpikes() {
+  for (PoolTarget& target : plan.pools) {
+    const auto demand = config.demand.find(target.pool);
+    if (demand == config.demand.end() || target.alive == 0)
+      continue;
+    const double length =
+        static_cast<double>(demand->second.spike_length.count());
+    const double peak = demand->second.mean_busy * demand->second.spike_factor;
+    const double own = static_cast<double>(target.alive);
+    // Work that arrives in the spike and waits at its end, in host time.
+    const double backlog = std::max(0.0, peak - own) * length;
+    target.spike_wait = Millis(std::llround(backlog / own));
+    if (demand->second.spike_length < config.move_time)
+      continue;
+    const double wait = static_cast<double>(config.spike_wait.count());
+    const auto extra = static_cast<std::int64_t>(
+        std::ceil(peak * length / (length + wait) - own));
+    if (extra > plan.spares_needed) {
+      plan.spares_needed = extra;
+      plan.binding = BufferCase::kSpike;
+      plan.binding_place = target.pool.str();
+    }
+  }
+}
+
+void Planner::Charge(const CaseLoss* binding) {
+  const auto spares = static_cast<double>(plan.spares_needed);
+  double sum = 0;
+  std::map<PoolName, double> weights;
+  for (const PoolTarget& target : plan.pools) {
+    double weight = 0;
+    if (binding != nullptr) {
+      const auto count = binding->by_pool.find(target.pool);
+      if (count != binding->by_pool.end()) {
+        weight = static_cast<double>(std::max<std::int64_t>(
+            0, target.promised - (target.alive - count->second)));
+      }
+    } else if (plan.binding_place == target.pool.str()) {
+      weight = 1;
+    }
+    weights[target.pool] = weight;
+    sum += weight;
+  }
+  if (sum <= 0)
+    return;
+  std::map<PoolName, std::map<TeamName, double>> teams;
+  for (const auto& [name, queue] : fleet.queues) {
+    const auto team = fleet.teams.find(queue.team);
+    if (team != fleet.teams.end())
+      teams[queue.pool][queue.team] = static_cast<double>(team->second.share);
+  }
+  for (PoolTarget& target : plan.pools) {
+    target.cost_hosts = spares * weights[target.pool] / sum;
+    double shares = 0;
+    for (const auto& [team, share] : teams[target.pool])
+      shares += share;
+    for (const auto& [team, share] : teams[target.pool]) {
+      if (shares > 0)
+        plan.cost_by_team[team] += target.cost_hosts * share / shares;
+    }
+  }
+}
+
+// Prefers the zone in which the pool has the fewest workers.
+const Host* Planner::TakeSpare(const PoolName& pool) {
+  const auto best = std::min_element(
+      free_spares.begin(), free_spares.end(),
+      [&](const Host* a, const Host* b) {
+        return std::tuple(zone_size[{pool, a->zone}], a->name) <
+               std::tuple(zone_size[{pool, b->zone}], b->name);
+      });
+  if (best == free_spares.end())
+    return nullptr;
+  const Host* host = *best;
+  free_spares.erase(best);
+  return host;
+}
+
+void Planner::Move(const Host& host, const PoolName& to) {
+  plan.moves.push_back({host.name, host.pool, to});
+  ++zone_size[{to, host.zone}];
+}
+
+// Fills up pools below their promise, the largest gap first.
+void Planner::Fill() {
+  std::vector<PoolTarget*> below;
+  for (PoolTarget& target : plan.pools) {
+    if (target.target < target.promised)
+      below.push_back(&target);
+  }
+  while (!below.empty()) {
+    const auto worst = std::max_element(
+        below.begin(), below.end(),
+        [](const PoolTarget* a, const PoolTarget* b) {
+          return a->promised - a->target < b->promised - b->target;
+        });
+    PoolTarget& target = **worst;
+    const Host* spare = TakeSpare(target.pool);
+    if (spare == nullptr)
+      break;
+    Move(*spare, target.pool);
+    --plan.spares;
+    if (++target.target >= target.promised)
+      below.erase(worst);
+  }
+  for (const PoolTarget* target : below)
+    plan.missing += target->promised - target->target;
+}
+
+void Planner::Return() {
+  const auto spare =
+      std::find_if(fleet.pools.begin(), fleet.pools.end(),
+                   [](const auto& item) { return item.second.spare; });
+  if (spare == fleet.pools.end())
+    return;
+  for (const auto& [name, host] : fleet.hosts) {
+    if (plan.spares >= plan.spares_needed)
+      return;
+    const auto base = config.base_size.find(host.pool);
+    const auto position = index.find(host.pool);
+    if (base == config.base_size.end() || position == index.end() ||
+        IsLost(host) || host.state != HostState::kActive) {
+      continue;
+    }
+    PoolTarget& target = plan.pools[position->second];
+    if (target.target <= std::max(base->second, target.promised))
+      continue;
+    Move(host, spare->first);
+    --target.target;
+    ++plan.spares;
+  }
+}
+
+}  // namespace
+
+Status BufferConfig::Check() const {
+  if (move_time < Millis(0) || spike_wait < Millis(1))
+    return Fail(ErrorCode::kInvalidSetting, "times must not be negative");
+  for (const auto& [pool, item] : demand) {
+    if (item.mean_busy < 0 || item.spike_factor < 1 ||
+        item.spike_length < Millis(1)) {
+      return Fail(ErrorCode::kInvalidSetting,
+                  "demand of pool " + pool.str() + " is out of range");
+    }
+  }
+  return Ok();
+}
+
+BufferPlan PlanBuffers(const FleetView& fleet,
+                       const std::set<HostName>& lost,
+                       const BufferConfig& config) {
+  Planner planner{fleet, lost, config, {}, {}, {}, {}, {}};
+  planner.Count();
+  planner.Size();
+  planner.Fill();
+  planner.Return();
+  return std::move(planner.plan);
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/policy/buffer_planner.h
@@ -0,0 +1,91 @@
+#ifndef BORAGEWINCH_POLICY_BUFFER_PLANNER_H_
+#define BORAGEWINCH_POLICY_BUFFER_PLANNER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/enum_table.h"
+#include "base/result.h"
+#include "base/time.h"
+#include "model/fleet_view.h"
+
+namespace boragewinch {
+
+/// \brief A loss that the buffer covers, or a spike of demand.
+enum class BufferCase { kNone, kHost, kRack, kZone, kSpike };
+
+inline constexpr EnumTable<BufferCase, 5> kBufferCases{{{
+    {BufferCase::kNone, "none"},
+    {BufferCase::kHost, "host"},
+    {BufferCase::kRack, "rack"},
+    {BufferCase::kZone, "zone"},
+    {BufferCase::kSpike, "spike"},
+}}};
+
+/// \brief Demand of a pool, for the spike case.
+struct PoolDemand {
+  double mean_busy = 0;     ///< hosts busy on average
+  double spike_factor = 5;  ///< peak over mean
+  Millis spike_length{4'000};
+};
+
+/// \brief Parameters of PlanBuffers.
+struct BufferConfig {
+  bool cover_rack = true;
+  bool cover_zone = true;
+  /// Time from the decision to a spare host's first task in another pool. A
+  /// shorter spike is served by the queue, since spares would arrive after it.
+  Millis move_time{10'000};
+  Millis spike_wait{5'000};  ///< accepted wait at the end of a spike
+  std::map<PoolName, PoolDemand> demand;
+  /// Hosts of each pool without borrowed ones. A pool that has more returns
+  /// them while the spare pool has fewer than it needs.
+  std::map<PoolName, std::int64_t> base_size;
+
+  /// \returns kInvalidSetting for a value out of range.
+  [[nodiscard]] Status Check() const;
+};
+
+struct PoolTarget {
+  PoolName pool;
+  std::int64_t size = 0;      ///< hosts now, lost ones included
+  std::int64_t alive = 0;     ///< not lost
+  std::int64_t promised = 0;  ///< min_available
+  std::int64_t target = 0;    ///< alive hosts after the moves
+  Millis spike_wait{0};       ///< expected wait at the end of a spike
+  double cost_hosts = 0;      ///< its part of the spare hosts
+};
+
+struct HostMove {
+  HostName host;
+  PoolName from;
+  PoolName to;
+
+  friend bool operator==(const HostMove&, const HostMove&) = default;
+};
+
+struct BufferPlan {
+  std::vector<PoolTarget> pools;  ///< by name, without spare pools
+  std::vector<HostMove> moves;    ///< most urgent first
+  std::int64_t spares = 0;        ///< alive hosts of the spare pools
+  std::int64_t spares_needed = 0;
+  BufferCase binding = BufferCase::kNone;  ///< what decides spares_needed
+  std::string binding_place;               ///< name of the host, rack or zone
+  std::int64_t missing = 0;   ///< workers below promises after all moves
+  std::int64_t one_each = 0;  ///< spares with one for each pool and zone
+  std::map<TeamName, double> cost_by_team;  ///< spare hosts, by share
+};
+
+/// \brief Plans one shared buffer: promised availability first, then the
+/// fewest spares, then the fewest moves.
+/// \param lost hosts that are silent, in any state.
+[[nodiscard]] BufferPlan PlanBuffers(const FleetView& fleet,
+                                     const std::set<HostName>& lost,
+                                     const BufferConfig& config);
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_POLICY_BUFFER_PLANNER_H_
--- /dev/null
+++ b/src/policy/explain.cc
@@ -0,0 +1,126 @@
+#include "policy/explain.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragewinch {
+
+namespace {
+
+[[nodiscard]] std::string Percent(double fraction) {
+  return std::to_string(std::lround(fraction * 100)) + "%";
+}
+
+[[nodiscard]] std::string Of(std::int64_t part, std::int64_t whole) {
+  return std::to_string(part) + " of " + std::to_string(whole);
+}
+
+}  // namespace
+
+Why ExplainJob(const RequestId& id,
+               JobQueue& queue,
+               const Placement& placement,
+               std::int64_t team_running,
+               std::int64_t team_limit,
+               TimePoint now) {
+  const PendingJob* job = queue.Find(id);
+  if (job == nullptr)
+    return {WhyReason::kNotWaiting, "job " + id.str() + " is not waiting"};
+  const std::string subject = "job " + id.str() + " waits " +
+                              std::to_string((now - job->enqueued).count()) +
+                              " ms: ";
+  if (placement.NeverFits(job->demand, job->pool)) {
+    return {WhyReason::kNeverFits, subject + "no worker of pool " +
+                                       job->pool.str() + " could hold it"};
+  }
+  if (team_running >= team_limit) {
+    return {WhyReason::kTeamLimit, subject + "team " + job->team.str() +
+                                       " runs " + Of(team_running, team_limit) +
+                                       " tasks of its limit"};
+  }
+  if (placement.FreeSlots(job->pool) <= 0) {
+    return {WhyReason::kPoolFull,
+            subject + "pool " + job->pool.str() + " has no free slot"};
+  }
+  if (!placement.Choose(*job, now)) {
+    return {WhyReason::kNoRoom, subject + "no free slot of pool " +
+                                    job->pool.str() + " has the resources"};
+  }
+  const TeamStanding standing = queue.Standing(job->team, now);
+  if (standing.running > standing.entitled) {
+    return {WhyReason::kOtherTeams, subject + "team " + job->team.str() +
+                                        " runs " + Percent(standing.running) +
+                                        " of capacity and is entitled to " +
+                                        Percent(standing.entitled)};
+  }
+  return {WhyReason::kNext, subject + "it can start now"};
+}
+
+Why ExplainHost(const Host& host,
+                const std::set<HostName>& lost,
+                const WavePlan& plan) {
+  const std::string subject =
+      "host " + host.name.str() + " of pool " + host.pool.str() + " ";
+  if (host.state == HostState::kLost || lost.contains(host.name))
+    return {WhyReason::kLost, subject + "is silent"};
+  if (host.state != HostState::kActive) {
+    return {WhyReason::kMaintenance,
+            subject + "is " + std::string(kHostStates.Name(host.state))};
+  }
+  if (std::find(plan.start.begin(), plan.start.end(), host.name) !=
+      plan.start.end()) {
+    return {WhyReason::kDueSoon, subject + "drains now"};
+  }
+  return {WhyReason::kServes, subject + "takes work"};
+}
+
+Why ExplainTeam(const Team& team,
+                JobQueue& queue,
+                std::int64_t running,
+                TimePoint now) {
+  const TeamStanding standing = queue.Standing(team.name, now);
+  const std::string subject =
+      "team " + team.name.str() + " runs " + std::to_string(running) +
+      " tasks, " + Percent(standing.running) + " of capacity, entitled to " +
+      Percent(standing.entitled) + ", " + std::to_string(standing.waiting) +
+      " waiting: ";
+  if (running >= team.limit)
+    return {WhyReason::kTeamLimit,
+            subject + "at its limit of " + std::to_string(team.limit)};
+  // Shares are met to the slot; two percent is the target of the bench.
+  constexpr double kTolerance = 0.02;
+  if (standing.running > standing.entitled + kTolerance)
+    return {WhyReason::kBorrows, subject + "uses what other teams leave"};
+  if (standing.running < standing.entitled - kTolerance)
+    return {WhyReason::kBelowShare, subject + "below its share"};
+  return {WhyReason::kAtShare, subject + "at its share"};
+}
+
+Why ExplainPool(const PoolName& pool,
+                const WavePlan& waves,
+                const BufferPlan& buffers) {
+  std::string text = "pool " + pool.str();
+  WhyReason reason = WhyReason::kQuiet;
+  for (const PoolWave& wave : waves.pools) {
+    if (wave.pool != pool)
+      continue;
+    text += ": " + Of(wave.available, wave.hosts) + " workers available, " +
+            std::to_string(wave.min_available) + " promised, " +
+            std::to_string(wave.in_work) + " in maintenance, " +
+            std::to_string(wave.due) + " due (" +
+            std::string(kWaveWaits.Name(wave.wait)) + ")";
+    if (wave.available < wave.min_available)
+      reason = WhyReason::kBelowBudget;
+    else if (wave.due + wave.in_work > 0)
+      reason = WhyReason::kWave;
+  }
+  for (const PoolTarget& target : buffers.pools) {
+    if (target.pool == pool) {
+      text += ", target size " + std::to_string(target.target) + ", " +
+              std::to_string(buffers.spares) + " shared spares";
+    }
+  }
+  return {reason, text};
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/policy/wave_planner.cc
@@ -0,0 +1,247 @@
+#include "policy/wave_planner.h"
+
+#include <algorithm>
+#include <map>
+#include <tuple>
+
+namespace boragewinch {
+
+namespace {
+
+struct PoolHosts {
+  std::vector<const Host*> all;
+  std::vector<const Host*> due;  // active, not lost
+};
+
+struct Plan {
+  const std::set<HostName>& lost;
+  const WaveConfig& config;
+  std::int64_t wall;
+
+  [[nodiscard]] bool IsLost(const Host& host) const {
+    return host.state == HostState::kLost || lost.contains(host.name);
+  }
+
+  [[nodiscard]] static bool IsInWork(const Host& host) noexcept {
+    return host.state == HostState::kDraining ||
+           host.state == HostState::kDrained ||
+           host.state == HostState::kRebooting ||
+           host.state == HostState::kReturning;
+  }
+
+  [[nodiscard]] std::int64_t Deadline(const Host& host,
+                                      std::int64_t period) const noexcept {
+    return host.maintained_at + period;
+  }
+
+  // Hosts that may be in work at once, losses not counted.
+  [[nodiscard]] std::int64_t AtOnce(std::int64_t slack) const noexcept {
+    return slack > config.loss_reserve ? slack - config.loss_reserve
+                                       : std::min<std::int64_t>(slack, 1);
+  }
+
+  [[nodiscard]] std::int64_t Duration(std::int64_t hosts,
+                                      std::int64_t at_once) const noexcept {
+    return (hosts + at_once - 1) / at_once * config.host_seconds;
+  }
+
+  PoolWave Examine(const Pool& pool, PoolHosts& hosts) const;
+  void Order(std::int64_t period, PoolHosts& hosts) const;
+  void GiveWay(PoolWave& wave, const PoolHosts& hosts, WavePlan& plan) const;
+  void Start(PoolWave& wave, const PoolHosts& hosts, WavePlan& plan) const;
+};
+
+PoolWave Plan::Examine(const Pool& pool, PoolHosts& hosts) const {
+  PoolWave wave;
+  wave.pool = pool.name;
+  wave.min_available = pool.min_available;
+  wave.hosts = static_cast<std::int64_t>(hosts.all.size());
+  std::int64_t alive = 0;
+  for (const Host* host : hosts.all) {
+    const bool lost_now = IsLost(*host);
+    alive += lost_now ? 0 : 1;
+    wave.available += !lost_now && host->state == HostState::kActive ? 1 : 0;
+    wave.in_work += IsInWork(*host) ? 1 : 0;
+  }
+  wave.at_once = std::max<std::int64_t>(0, AtOnce(alive - pool.min_available));
+
+  const std::int64_t period = pool.maintenance_days * config.seconds_per_day;
+  const std::int64_t usual = AtOnce(wave.hosts - pool.min_available);
+  // A lost host is out of service already. It is maintained once it is back.
+  std::vector<const Host*> next;
+  for (const Host* host : hosts.all) {
+    wave.overdue += wall > Deadline(*host, period) ? 1 : 0;
+    if (host->state == HostState::kActive && !IsLost(*host))
+      next.push_back(host);
+  }
+  std::sort(next.begin(), next.end(), [](const Host* a, const Host* b) {
+    return std::tie(a->maintained_at, a->name) <
+           std::tie(b->maintained_at, b->name);
+  });
+  // The n hosts with the first n deadlines have to be begun early enough for
+  // the last of them, for each n.
+  bool needed = false;
+  for (auto count = static_cast<std::int64_t>(next.size()); count > 0;
+       --count) {
+    const Host* host = next[static_cast<std::size_t>(count - 1)];
+    const std::int64_t lead =
+        usual > 0 ? std::min(period / 2,
+                             Duration(count, usual) * config.lead_percent / 100)
+                  : period / 2;
+    needed = needed || wall >= Deadline(*host, period) - lead;
+    if (needed || host->maintained_at < config.rollout_since)
+      hosts.due.push_back(host);
+    else
+      ++wave.done;
+  }
+  wave.due = static_cast<std::int64_t>(hosts.due.size());
+  if (wave.due > 0) {
+    wave.lend_wanted = std::max<std::int64_t>(
+        0, 1 + config.loss_reserve - (alive - pool.min_available));
+  }
+  const std::int64_t open = wave.due + wave.in_work;
+  if (wave.at_once > 0 && open > 0)
+    wave.end_estimate = wall + Duration(open, wave.at_once);
+  Order(period, hosts);
+  return wave;
+}
+
+// Hosts of one rack go together: tasks that leave the first ones are then not
+// placed on workers of other racks that are drained soon, and a loss of the
+// rack in work costs the pool fewer workers.
+void Plan::Order(std::int64_t period, PoolHosts& hosts) const {
+  struct Rack {
+    bool idle = true;
+    std::int64_t deadline = 0;
+  };
+  std::map<std::pair<ZoneName, RackName>, Rack> racks;
+  if (config.rack_by_rack) {
+    for (const Host* host : hosts.due) {
+      const auto [rack, added] = racks.try_emplace({host->zone, host->rack});
+      const std::int64_t deadline = Deadline(*host, period);
+      rack->second.deadline =
+          added ? deadline : std::min(rack->second.deadline, deadline);
+    }
+    for (const Host* host : hosts.all) {
+      const auto rack = racks.find({host->zone, host->rack});
+      if (rack != racks.end() && IsInWork(*host))
+        rack->second.idle = false;
+    }
+  }
+  const auto key = [&](const Host* host) {
+    const std::int64_t deadline = Deadline(*host, period);
+    if (!config.rack_by_rack) {
+      return std::tuple(true, deadline, ZoneName(), RackName(), deadline,
+                        host->name);
+    }
+    const Rack& rack = racks.at({host->zone, host->rack});
+    return std::tuple(rack.idle, rack.deadline, host->zone, host->rack,
+                      deadline, host->name);
+  };
+  std::sort(hosts.due.begin(), hosts.due.end(),
+            [&](const Host* a, const Host* b) { return key(a) < key(b); });
+}
+
+// The latest undone drain yields first: it has moved the least work.
+void Plan::GiveWay(PoolWave& wave,
+                   const PoolHosts& hosts,
+                   WavePlan& plan) const {
+  std::vector<const Host*> draining;
+  for (const Host* host : hosts.all) {
+    if (host->state == HostState::kDraining && !IsLost(*host))
+      draining.push_back(host);
+  }
+  std::sort(draining.begin(), draining.end(), [](const Host* a, const Host* b) {
+    return std::tie(b->assignment, a->name) < std::tie(a->assignment, b->name);
+  });
+  const auto missing =
+      static_cast<std::size_t>(wave.min_available - wave.available);
+  draining.resize(std::min(draining.size(), missing));
+  for (const Host* host : draining)
+    plan.cancel.push_back(host->name);
+  wave.wait = draining.empty() ? WaveWait::kLosses : WaveWait::kGivesWay;
+}
+
+void Plan::Start(PoolWave& wave, const PoolHosts& hosts, WavePlan& plan) const {
+  const std::int64_t by_budget = wave.available - wave.min_available;
+  std::int64_t count = std::min(by_budget, wave.at_once - wave.in_work);
+  if (wave.due == 0) {
+    wave.wait = wave.in_work > 0 ? WaveWait::kInWork : WaveWait::kNothingDue;
+    return;
+  }
+  if (count <= 0) {
+    const bool losses =
+        std::any_of(hosts.all.begin(), hosts.all.end(),
+                    [this](const Host* host) { return IsLost(*host); });
+    if (wave.hosts <= wave.min_available)
+      wave.wait = WaveWait::kNoSlack;
+    else if (by_budget > 0)
+      wave.wait = WaveWait::kLossReserve;
+    else
+      wave.wait = losses ? WaveWait::kLosses : WaveWait::kBudget;
+    return;
+  }
+  count = std::min(count, wave.due);
+  if (config.max_in_work > 0) {
+    const std::int64_t room = config.max_in_work - plan.in_work -
+                              static_cast<std::int64_t>(plan.start.size());
+    count = std::min(count, std::max<std::int64_t>(room, 0));
+  }
+  wave.wait = count > 0 ? WaveWait::kNone : WaveWait::kFleetCap;
+  for (std::int64_t i = 0; i < count; ++i)
+    plan.start.push_back(hosts.due[static_cast<std::size_t>(i)]->name);
+}
+
+}  // namespace
+
+Status WaveConfig::Check() const {
+  if (seconds_per_day < 1 || host_seconds < 1)
+    return Fail(ErrorCode::kInvalidSetting, "durations must be at least 1 s");
+  if (loss_reserve < 0 || max_in_work < 0)
+    return Fail(ErrorCode::kInvalidSetting, "counts must not be negative");
+  if (lead_percent < 100) {
+    return Fail(ErrorCode::kInvalidSetting,
+                "lead_percent must be at least 100, or hosts become overdue");
+  }
+  return Ok();
+}
+
+WavePlan PlanWave(const FleetView& fleet,
+                  const std::set<HostName>& lost,
+                  std::int64_t wall,
+                  const WaveConfig& config) {
+  std::map<PoolName, PoolHosts> by_pool;
+  for (const auto& [name, host] : fleet.hosts)
+    by_pool[host.pool].all.push_back(&host);
+  const Plan planner{lost, config, wall};
+  WavePlan plan;
+  std::vector<std::pair<PoolHosts*, std::size_t>> order;
+  for (const auto& [name, pool] : fleet.pools) {
+    PoolHosts& hosts = by_pool[name];
+    plan.pools.push_back(planner.Examine(pool, hosts));
+    const PoolWave& wave = plan.pools.back();
+    plan.due += wave.due;
+    plan.in_work += wave.in_work;
+    if (wave.end_estimate)
+      plan.end_estimate =
+          std::max(plan.end_estimate.value_or(0), *wave.end_estimate);
+    order.emplace_back(&hosts, plan.pools.size() - 1);
+  }
+  // Under the cap of the fleet, the pool that would end last goes first.
+  std::stable_sort(order.begin(), order.end(), [&](auto& a, auto& b) {
+    return plan.pools[a.second].end_estimate.value_or(0) >
+           plan.pools[b.second].end_estimate.value_or(0);
+  });
+  for (const auto& [hosts, index] : order) {
+    PoolWave& wave = plan.pools[index];
+    if (wave.available < wave.min_available &&
+        (wave.in_work > 0 || wave.due > 0)) {
+      planner.GiveWay(wave, *hosts, plan);
+    } else {
+      planner.Start(wave, *hosts, plan);
+    }
+  }
+  return plan;
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/policy/worker_health.cc
@@ -0,0 +1,138 @@
+#include "policy/worker_health.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace boragewinch {
+
+Status WorkerHealthConfig::Check() const {
+  if (half_life < Millis(1) || try_interval < Millis(1) ||
+      first_aside < Millis(1) || max_aside < first_aside) {
+    return Fail(ErrorCode::kInvalidSetting,
+                "times must be at least 1 ms and max_aside >= first_aside");
+  }
+  if (min_failures < 1 || pool_factor < 1 || max_aside_fleet < 0)
+    return Fail(ErrorCode::kInvalidSetting, "thresholds must be at least 1");
+  return Ok();
+}
+
+Result<WorkerHealth> WorkerHealth::Make(const WorkerHealthConfig& config) {
+  BW_CHECK(config.Check());
+  return WorkerHealth(config);
+}
+
+void WorkerHealth::SetBudget(const PoolName& pool, std::int64_t workers) {
+  budgets_[pool] = workers;
+}
+
+void WorkerHealth::Decay(Counts& counts, TimePoint now) const {
+  if (now <= counts.updated)
+    return;
+  const double elapsed = static_cast<double>((now - counts.updated).count());
+  const double keep =
+      std::exp2(-elapsed / static_cast<double>(config_.half_life.count()));
+  counts.ok *= keep;
+  counts.failed *= keep;
+  counts.updated = now;
+}
+
+bool WorkerHealth::MaySetAside(const PoolName& pool, TimePoint now) const {
+  std::int64_t in_pool = 0;
+  std::int64_t in_fleet = 0;
+  for (const auto& [host, worker] : workers_) {
+    if (worker.aside_until <= now)
+      continue;
+    ++in_fleet;
+    in_pool += worker.pool == pool ? 1 : 0;
+  }
+  const auto budget = budgets_.find(pool);
+  return budget != budgets_.end() && in_pool < budget->second &&
+         in_fleet < config_.max_aside_fleet;
+}
+
+HealthState WorkerHealth::OnStart(const HostName& host,
+                                  const PoolName& pool,
+                                  bool ok,
+                                  TimePoint now) {
+  Worker& worker = workers_[host];
+  Counts& all = pools_[pool];
+  worker.pool = pool;
+  Decay(worker.counts, now);
+  Decay(all, now);
+  (ok ? worker.counts.ok : worker.counts.failed) += 1;
+  (ok ? all.ok : all.failed) += 1;
+  if (ok) {
+    // A success ends the special treatment, but not the memory of it: the
+    // next time aside is longer until failures have decayed.
+    worker.few_tries = false;
+    if (worker.counts.failed < 1)
+      worker.next_aside = Millis(0);
+    return State(host, now);
+  }
+  const double tries = worker.counts.ok + worker.counts.failed;
+  const double rate = worker.counts.failed / tries;
+  // The pool without this worker; one success is assumed, so that a pool of
+  // which nothing is known does not hide a bad worker.
+  const double pool_failed = std::max(0.0, all.failed - worker.counts.failed);
+  const double pool_ok = std::max(0.0, all.ok - worker.counts.ok) + 1;
+  const double pool_rate = pool_failed / (pool_failed + pool_ok);
+  // If most of the pool fails, the jobs are at fault and not the worker.
+  if (worker.counts.failed < config_.min_failures ||
+      rate < std::min(0.9, std::max(0.2, config_.pool_factor * pool_rate)) ||
+      pool_rate > 0.5) {
+    return State(host, now);
+  }
+  const bool again = worker.few_tries || worker.next_aside > Millis(0);
+  worker.few_tries = true;
+  if (again && worker.aside_until <= now && MaySetAside(pool, now)) {
+    worker.next_aside =
+        worker.next_aside == Millis(0)
+            ? config_.first_aside
+            : std::min(worker.next_aside * 2, config_.max_aside);
+    worker.aside_until = now + worker.next_aside;
+  }
+  return State(host, now);
+}
+
+bool WorkerHealth::Allows(const HostName& host, TimePoint now) const {
+  switch (State(host, now)) {
+    case HealthState::kNormal:
+      return true;
+    case HealthState::kFewTries:
+      return now - workers_.at(host).last_try >= config_.try_interval;
+    case HealthState::kSetAside:
+      return false;
+  }
+  return true;
+}
+
+void WorkerHealth::OnTried(const HostName& host, TimePoint now) {
+  if (const auto found = workers_.find(host); found != workers_.end())
+    found->second.last_try = now;
+}
+
+HealthState WorkerHealth::State(const HostName& host, TimePoint now) const {
+  const auto found = workers_.find(host);
+  if (found == workers_.end())
+    return HealthState::kNormal;
+  if (found->second.aside_until > now)
+    return HealthState::kSetAside;
+  return found->second.few_tries ? HealthState::kFewTries
+                                 : HealthState::kNormal;
+}
+
+std::vector<HostName> WorkerHealth::SetAside(TimePoint now) const {
+  std::vector<HostName> hosts;
+  for (const auto& [host, worker] : workers_) {
+    if (worker.aside_until > now)
+      hosts.push_back(host);
+  }
+  std::sort(hosts.begin(), hosts.end());
+  return hosts;
+}
+
+void WorkerHealth::Forget(const HostName& host) {
+  workers_.erase(host);
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/policy/worker_health.h
@@ -0,0 +1,99 @@
+#ifndef BORAGEWINCH_POLICY_WORKER_HEALTH_H_
+#define BORAGEWINCH_POLICY_WORKER_HEALTH_H_
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+#include "base/enum_table.h"
+#include "base/result.h"
+#include "base/strong_id.h"
+#include "base/time.h"
+
+namespace boragewinch {
+
+enum class HealthState {
+  kNormal,    ///< gets work as any other
+  kFewTries,  ///< gets one start at a time in `try_interval`
+  kSetAside,  ///< gets none until its time is over
+};
+
+inline constexpr EnumTable<HealthState, 3> kHealthStates{{{
+    {HealthState::kNormal, "normal"},
+    {HealthState::kFewTries, "few_tries"},
+    {HealthState::kSetAside, "set_aside"},
+}}};
+
+/// \brief Parameters of WorkerHealth.
+struct WorkerHealthConfig {
+  Millis half_life{60'000};  ///< of the weight of past starts
+  double min_failures = 3;   ///< decayed failures before a worker stands out
+  /// A worker stands out if it fails this many times as often as its pool.
+  double pool_factor = 3;
+  Millis try_interval{2'000};
+  Millis first_aside{30'000};  ///< doubles with each further time
+  Millis max_aside{30L * 60'000};
+  std::int64_t max_aside_fleet = 22;
+
+  /// \returns kInvalidSetting for a value out of range.
+  [[nodiscard]] Status Check() const;
+};
+
+/// \brief Finds workers that fail what they start.
+class WorkerHealth {
+ public:
+  /// \returns kInvalidSetting for a configuration out of range.
+  [[nodiscard]] static Result<WorkerHealth> Make(
+      const WorkerHealthConfig& config = {});
+
+  /// \brief Sets how many workers of `pool` may be set aside at once: what its
+  /// available workers exceed min_available by. 0 until it is set.
+  void SetBudget(const PoolName& pool, std::int64_t workers);
+
+  /// \brief Learns from a start that was refused or whose task failed at once
+  /// (`ok` false) or ran (`ok` true).
+  /// \returns the state after it.
+  HealthState OnStart(const HostName& host,
+                      const PoolName& pool,
+                      bool ok,
+                      TimePoint now);
+
+  /// \returns whether the worker may get a start now. With kFewTries that is
+  /// once in `try_interval`; the caller reports a start by OnTried.
+  [[nodiscard]] bool Allows(const HostName& host, TimePoint now) const;
+  void OnTried(const HostName& host, TimePoint now);
+
+  [[nodiscard]] HealthState State(const HostName& host, TimePoint now) const;
+  [[nodiscard]] std::vector<HostName> SetAside(TimePoint now) const;
+
+  void Forget(const HostName& host);
+
+ private:
+  struct Counts {
+    double ok = 0;
+    double failed = 0;
+    TimePoint updated;
+  };
+  struct Worker {
+    PoolName pool;
+    Counts counts;
+    bool few_tries = false;
+    TimePoint aside_until;
+    TimePoint last_try;
+    Millis next_aside{0};
+  };
+
+  explicit WorkerHealth(const WorkerHealthConfig& config) : config_(config) {}
+  void Decay(Counts& counts, TimePoint now) const;
+  [[nodiscard]] bool MaySetAside(const PoolName& pool, TimePoint now) const;
+
+  WorkerHealthConfig config_;
+  std::unordered_map<HostName, Worker> workers_;
+  std::unordered_map<PoolName, Counts> pools_;
+  std::unordered_map<PoolName, std::int64_t> budgets_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_POLICY_WORKER_HEALTH_H_
--- /dev/null
+++ b/tests/wave_test.cc
@@ -0,0 +1,224 @@
+#define BOOST_TEST_MODULE wave
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <map>
+#include <random>
+#include <string>
+
+#include "policy/buffer_planner.h"
+#include "policy/sheet_transition.h"
+#include "policy/wave_planner.h"
+
+namespace boragewinch {
+namespace {
+
+constexpr std::int64_t kStart = 1'000'000;
+
+// Hosts are dealt out to three zones with racks of four.
+FleetView Fleet(int pools, int hosts, std::int64_t min_available) {
+  FleetView fleet;
+  int index = 0;
+  for (int p = 0; p < pools; ++p) {
+    const PoolName pool("p" + std::to_string(p));
+    fleet.pools[pool] = {.name = pool, .min_available = min_available};
+    for (int h = 0; h < hosts; ++h, ++index) {
+      const std::string zone = "z" + std::to_string(index % 3);
+      const HostName name("h" + std::to_string(index));
+      fleet.hosts[name] = {name,
+                           pool,
+                           ZoneName(zone),
+                           RackName(zone + "r" + std::to_string(index / 12)),
+                           HostState::kActive,
+                           1,
+                           kStart};
+    }
+  }
+  return fleet;
+}
+
+int Available(const FleetView& fleet,
+              const std::set<HostName>& lost,
+              const PoolName& pool) {
+  return static_cast<int>(std::count_if(
+      fleet.hosts.begin(), fleet.hosts.end(), [&](const auto& item) {
+        return item.second.pool == pool && !lost.contains(item.first) &&
+               item.second.state == HostState::kActive;
+      }));
+}
+
+const WaveConfig kDemo{.seconds_per_day = 1, .host_seconds = 2};
+
+// Guards against drains beyond the budget, hosts past their period and hosts
+// maintained twice in a period, with a period of 35 s.
+BOOST_AUTO_TEST_CASE(EveryHostOnceInItsPeriod) {
+  FleetView fleet = Fleet(3, 9, 6);
+  std::map<HostName, std::int64_t> ends;
+  std::map<HostName, int> times;
+  for (std::int64_t wall = kStart; wall < kStart + 70; ++wall) {
+    for (auto& [name, host] : fleet.hosts) {
+      if (host.state == HostState::kDraining && ends[name] <= wall) {
+        host.state = HostState::kActive;
+        host.maintained_at = wall;
+        ++times[name];
+      }
+    }
+    const WavePlan plan = PlanWave(fleet, {}, wall, kDemo);
+    BOOST_TEST((plan == PlanWave(FleetView(fleet), {}, wall, kDemo)));
+    for (const HostName& host : plan.start) {
+      fleet.hosts[host].state = HostState::kDraining;
+      ends[host] = wall + kDemo.host_seconds;
+    }
+    for (const PoolWave& wave : plan.pools) {
+      BOOST_TEST(Available(fleet, {}, wave.pool) >= wave.min_available);
+      BOOST_TEST(wave.overdue == 0);
+    }
+  }
+  for (const auto& [name, host] : fleet.hosts) {
+    BOOST_TEST(times[name] >= 1);
+    BOOST_TEST(times[name] <= 3);  // the lead is long in so short a period
+  }
+}
+
+// Guards against a wave that goes on after losses have used up its budget.
+BOOST_AUTO_TEST_CASE(LossesPauseAndCancel) {
+  FleetView fleet = Fleet(1, 9, 6);
+  const std::int64_t wall = kStart + 35;
+  WavePlan plan = PlanWave(fleet, {}, wall, kDemo);
+  BOOST_TEST(plan.start.size() == 2u);  // one of three is kept for a loss
+  FleetVersion version = 10;
+  for (const HostName& host : plan.start) {
+    fleet.hosts[host].state = HostState::kDraining;
+    fleet.hosts[host].assignment = version++;
+  }
+  const HostName latest = plan.start.back();
+  plan = PlanWave(fleet, {}, wall, kDemo);
+  BOOST_TEST((plan.pools[0].wait == WaveWait::kLossReserve));
+  std::set<HostName> lost;
+  for (const auto& [name, host] : fleet.hosts) {
+    if (host.state == HostState::kActive && lost.size() < 1)
+      lost.insert(name);
+  }
+  plan = PlanWave(fleet, lost, wall, kDemo);
+  BOOST_TEST((plan.pools[0].wait == WaveWait::kLosses));
+  BOOST_TEST(plan.cancel.empty());
+  for (const auto& [name, host] : fleet.hosts) {
+    if (host.state == HostState::kActive && lost.size() < 2)
+      lost.insert(name);
+  }
+  plan = PlanWave(fleet, lost, wall, kDemo);
+  BOOST_TEST((plan.pools[0].wait == WaveWait::kGivesWay));
+  BOOST_REQUIRE(plan.cancel.size() == 1u);
+  BOOST_TEST(plan.cancel[0] == latest);
+  // A host that reboots can't be put back.
+  for (auto& [name, host] : fleet.hosts) {
+    if (host.state == HostState::kDraining)
+      host.state = HostState::kRebooting;
+  }
+  BOOST_TEST(PlanWave(fleet, lost, wall, kDemo).cancel.empty());
+}
+
+// Guards against a pool without slack being drained, and against a pool with
+// the smallest slack never being maintained.
+BOOST_AUTO_TEST_CASE(SmallSlack) {
+  const std::int64_t wall = kStart + 35;
+  WavePlan plan = PlanWave(Fleet(1, 6, 6), {}, wall, kDemo);
+  BOOST_TEST(plan.start.empty());
+  BOOST_TEST((plan.pools[0].wait == WaveWait::kNoSlack));
+  BOOST_TEST(plan.pools[0].lend_wanted == 2);
+  BOOST_TEST(!plan.end_estimate);
+  plan = PlanWave(Fleet(1, 7, 6), {}, wall, kDemo);
+  BOOST_TEST(plan.start.size() == 1u);
+  BOOST_TEST(*plan.end_estimate == wall + 7 * kDemo.host_seconds);
+}
+
+// Guards against more hosts in work than the fleet's cap, and against hosts
+// of many racks being in work at once.
+BOOST_AUTO_TEST_CASE(CapAndRacks) {
+  WaveConfig config = kDemo;
+  config.max_in_work = 5;
+  const FleetView fleet = Fleet(2, 24, 8);
+  const WavePlan capped = PlanWave(fleet, {}, kStart + 35, config);
+  BOOST_TEST(capped.start.size() == 5u);
+  const WavePlan plan = PlanWave(Fleet(1, 24, 19), {}, kStart + 35, kDemo);
+  std::set<RackName> racks;
+  for (const HostName& host : plan.start)
+    racks.insert(fleet.hosts.at(host).rack);
+  BOOST_TEST(plan.start.size() == 4u);
+  BOOST_TEST(racks.size() == 1u);
+}
+
+FleetView FleetWithSpares(int spares) {
+  FleetView fleet = Fleet(5, 9, 6);
+  const PoolName spare("spare");
+  fleet.pools[spare] = {.name = spare, .spare = true};
+  for (int i = 0; i < spares; ++i) {
+    const std::string zone = "z" + std::to_string(i % 3);
+    const HostName name("s" + std::to_string(i));
+    fleet.hosts[name] = {name, spare, ZoneName(zone), RackName(zone + "s")};
+  }
+  return fleet;
+}
+
+// Guards against spares that stay idle while a promise is broken, and against
+// moves that no promise needs.
+BOOST_AUTO_TEST_CASE(SparesFillPromisesWithFewestMoves) {
+  const FleetView fleet = FleetWithSpares(3);
+  BOOST_TEST(PlanBuffers(fleet, {}, {}).moves.empty());
+  std::set<HostName> lost;
+  for (int i = 0; i < 5; ++i)
+    lost.insert(HostName("h" + std::to_string(i)));
+  const BufferPlan plan = PlanBuffers(fleet, lost, {});
+  BOOST_TEST(plan.moves.size() == 2u);
+  for (const HostMove& move : plan.moves)
+    BOOST_TEST(move.to == PoolName("p0"));
+  BOOST_TEST(plan.missing == 0);
+  for (int i = 5; i < 8; ++i)
+    lost.insert(HostName("h" + std::to_string(i)));
+  BOOST_TEST(PlanBuffers(fleet, lost, {}).missing == 2);
+}
+
+// Guards against a buffer that does not cover a zone, or covers it with more
+// than one spare for each pool and zone.
+BOOST_AUTO_TEST_CASE(BufferIsSizedForTheWorstLoss) {
+  FleetView fleet = FleetWithSpares(3);
+  for (auto& [name, pool] : fleet.pools)
+    pool.min_available = pool.spare ? 0 : 7;
+  const BufferPlan plan = PlanBuffers(fleet, {}, {});
+  BOOST_TEST((plan.binding == BufferCase::kZone));
+  BOOST_TEST(plan.spares_needed == 6);  // one for each pool, one lost with it
+  BOOST_TEST(plan.one_each == 15);
+  double cost = 0;
+  for (const PoolTarget& target : plan.pools)
+    cost += target.cost_hosts;
+  BOOST_TEST(cost == 6, boost::test_tools::tolerance(1e-9));
+}
+
+// Guards against a transition that breaks a budget or moves a host twice.
+BOOST_AUTO_TEST_CASE(SheetMovesKeepBudgets) {
+  FleetView before = Fleet(2, 4, 3);
+  before.teams[TeamName("a")] = {TeamName("a"), 1, 30};
+  before.teams[TeamName("b")] = {TeamName("b"), 1, 30};
+  FleetView after = before;
+  after.teams[TeamName("a")].share = 3;
+  after.teams[TeamName("b")].limit = 10;
+  // Both pools swap two hosts; each can spare only one at a time.
+  for (const char* host : {"h0", "h1"})
+    after.hosts[HostName(host)].pool = PoolName("p1");
+  for (const char* host : {"h4", "h5"})
+    after.hosts[HostName(host)].pool = PoolName("p0");
+  const SheetPlan plan =
+      PlanSheet({before, after, {}, {{TeamName("b"), 20}}, 64, Millis(1000)});
+  BOOST_TEST(plan.moves.size() == 4u);
+  BOOST_TEST(plan.blocked.empty());
+  BOOST_TEST(plan.moves.back().step == 1);
+  BOOST_REQUIRE(plan.teams.size() == 2u);
+  BOOST_TEST(plan.teams[0].slots_after == 48);
+  BOOST_TEST(plan.teams[1].to_end == 10);
+  BOOST_TEST((plan.settle == Millis(693)));
+  const auto half = BlendShares(before, after, Millis(50), Millis(100));
+  BOOST_TEST(half.at(TeamName("a")) == 625'000);
+}
+
+}  // namespace
+}  // namespace boragewinch
