--- /dev/null
+++ b/src/ctl/boragectl_changes.cc
@@ -0,0 +1,329 @@
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "base/hash.h"
+#include "base/secret.h"
+#include "ctl/boragectl.h"
+#include "ctl/table.h"
+
+namespace boragewinch {
+
+namespace {
+
+constexpr Millis kInForcePoll{250};
+// A sheet line has about 40 bytes; this is room for 50,000 lines.
+constexpr std::size_t kMaxSheetBytes = 2 * 1024 * 1024;
+
+[[nodiscard]] Result<FleetVersion> VersionOf(const Json& answer) {
+  BW_TRY(const auto version, IntField(answer, "version", 0, INT64_MAX));
+  return static_cast<FleetVersion>(version);
+}
+
+[[nodiscard]] bool IsInForce(const CallAnswer& answer) {
+  return answer.ok() &&
+         ValueOr(BoolFieldOr(answer.body, "in_force", false), false);
+}
+
+// "e1 (zone a, version 7), ..." from the list of GET /v1/in-force.
+[[nodiscard]] std::string MissingText(const Json& missing) {
+  std::string text;
+  for (const Json& item : Rows(missing)) {
+    text += (text.empty() ? "" : ", ") + CellText(item["entry"]) + " (zone " +
+            CellText(item["zone"]) + ", version " + CellText(item["version"]) +
+            ")";
+  }
+  return text.empty() ? "entry hosts that are not known yet" : text;
+}
+
+[[nodiscard]] std::string SheetText(const Json& answer) {
+  std::string text;
+  for (const Json& warning : Rows(answer["warnings"]))
+    text += "warning: " + CellText(warning) + "\n";
+  const std::vector<Json> diff = Rows(answer["diff"]);
+  const bool table = std::all_of(
+      diff.begin(), diff.end(), [](const Json& row) { return row.isObject(); });
+  if (diff.empty())
+    return text + "no change\n";
+  if (table)
+    return text + FormatTable(diff);
+  for (const Json& line : diff)
+    text += CellText(line) + "\n";
+  return text;
+}
+
+[[nodiscard]] Json Command(const char* type) {
+  Json command;
+  command["type"] = type;
+  return command;
+}
+
+}  // namespace
+
+Json Boragectl::MakeOperation() const {
+  Json body;
+  body["operation_id"] = config_.operation_id.empty()
+                             ? RandomHex64() + RandomHex64()
+                             : config_.operation_id;
+  body["operator"] = config_.operator_name;
+  return body;
+}
+
+CallAnswer Boragectl::FindVersion(FleetVersion* version) {
+  CallAnswer answer;
+  if (config_.expected_version) {
+    *version = *config_.expected_version;
+    return answer;
+  }
+  answer = client_.Control("GET", "/v1/fleet");
+  if (!answer.ok())
+    return answer;
+  if (auto found = VersionOf(answer.body); found)
+    *version = found.value();
+  else
+    answer.error = found.error();
+  return answer;
+}
+
+int Boragectl::Operate(Json command,
+                       bool with_version,
+                       const std::string& done) {
+  Json body = MakeOperation();
+  if (with_version) {
+    FleetVersion version = 0;
+    if (const CallAnswer found = FindVersion(&version); !found.ok())
+      return Report(found);
+    body["expected_version"] = ::Json::UInt64(version);
+  }
+  body["command"] = std::move(command);
+  CallAnswer answer = client_.Control("POST", "/v1/operations", body);
+  if (!answer.ok())
+    return Report(answer, body["operation_id"].asString());
+  return FinishChange(std::move(answer.body), done);
+}
+
+CallAnswer Boragectl::WaitInForce(FleetVersion version) {
+  const std::string path = "/v1/in-force?version=" + std::to_string(version);
+  const TimePoint deadline = client_.now() + client_.timeout();
+  for (;;) {
+    CallAnswer answer = client_.Control("GET", path);
+    if (!answer.ok() || IsInForce(answer) || client_.now() >= deadline)
+      return answer;
+    client_.Describe("version " + std::to_string(version) + " waits for " +
+                     MissingText(answer.body["missing"]));
+    client_.Pause(kInForcePoll);
+  }
+}
+
+int Boragectl::FinishChange(Json document, const std::string& done) {
+  const auto version = VersionOf(document);
+  if (!version) {
+    CallAnswer answer;
+    answer.error = Error{ErrorCode::kProtocol, version.error().detail, {}};
+    return Report(answer);
+  }
+  client_.Describe("committed as version " + std::to_string(version.value()));
+  const CallAnswer wait = WaitInForce(version.value());
+  document["in_force"] = IsInForce(wait);
+  if (wait.ok())
+    document["missing"] = wait.body["missing"];
+  else
+    document["detail"] = wait.error->Text();
+  const std::string committed =
+      done + ", version " + std::to_string(version.value());
+  if (IsInForce(wait)) {
+    Print(document, committed + ", in force\n");
+    return kExitOk;
+  }
+  Print(document, committed + ", not in force\n");
+  if (wait.ok()) {
+    Err() << "boragectl: version " << version.value()
+          << " is committed but not confirmed by "
+          << MissingText(wait.body["missing"]) << "\n";
+  } else {
+    Err() << "boragectl: version " << version.value()
+          << " is committed; whether it is in force is not known: "
+          << CellText(Json(wait.error->Text())) << "\n";
+  }
+  return kExitFailed;
+}
+
+CallAnswer Boragectl::SendSheet(const std::string& file,
+                                const char* mode,
+                                Json body) {
+  CallAnswer answer;
+  auto text = ReadWholeFile(file, kMaxSheetBytes);
+  if (!text) {
+    answer.error = Error{ErrorCode::kInvalidSetting, text.error().detail, {}};
+    return answer;
+  }
+  body["mode"] = mode;
+  body["file"] = file;
+  body["text"] = std::move(text).value();
+  body["allow_lowering"] = config_.allow_lowering;
+  return client_.Control("POST", "/v1/sheets", body);
+}
+
+int Boragectl::SheetView(const std::string& file, const char* mode) {
+  const CallAnswer answer = SendSheet(file, mode, MakeOperation());
+  if (!answer.ok())
+    return Report(answer);
+  Print(answer.body, SheetText(answer.body));
+  return kExitOk;
+}
+
+int Boragectl::SheetCheck(const std::string& file) {
+  return SheetView(file, "check");
+}
+
+int Boragectl::SheetDiff(const std::string& file) {
+  return SheetView(file, "diff");
+}
+
+int Boragectl::SheetApply(const std::string& file) {
+  Json body = MakeOperation();
+  FleetVersion version = 0;
+  if (const CallAnswer found = FindVersion(&version); !found.ok())
+    return Report(found);
+  body["expected_version"] = ::Json::UInt64(version);
+  CallAnswer answer = SendSheet(file, "apply", body);
+  if (!answer.ok())
+    return Report(answer, body["operation_id"].asString());
+  if (!config_.json)
+    Print(answer.body, SheetText(answer.body));
+  return FinishChange(std::move(answer.body), "applied " + file);
+}
+
+int Boragectl::HostMove(const std::string& host, const std::string& pool) {
+  Json command = Command("move_host");
+  command["host"] = host;
+  command["pool"] = pool;
+  return Operate(std::move(command), true, "moved " + host + " to " + pool);
+}
+
+int Boragectl::HostDrain(const std::string& host) {
+  Json command = Command("drain_host");
+  command["host"] = host;
+  return Operate(std::move(command), true, "drain of " + host + " granted");
+}
+
+int Boragectl::HostReturn(const std::string& host) {
+  Json command = Command("return_host");
+  command["host"] = host;
+  return Operate(std::move(command), false, "returned " + host);
+}
+
+int Boragectl::WaveStart(const std::string& pool) {
+  Json command = Command("start_wave");
+  command["pool"] = pool == "all" ? "" : pool;
+  return Operate(std::move(command), false, "wave of " + pool + " started");
+}
+
+int Boragectl::EntryDeclareLost(const std::string& entry) {
+  Json command = Command("declare_entry_lost");
+  command["entry"] = entry;
+  return Operate(std::move(command), false, "declared " + entry + " lost");
+}
+
+int Boragectl::KeyCreate(const std::string& team) {
+  if (!config_.operation_id.empty()) {
+    return BadUsage(
+        "key create takes no --operation-id, since the first answer belongs to "
+        "a secret that is not kept; withdraw that key and create another");
+  }
+  const std::string id = "k" + RandomHex64();
+  const std::string secret = RandomHex64() + RandomHex64();
+  Json body = MakeOperation();
+  Json command = Command("create_key");
+  command["id"] = id;
+  command["team"] = team;
+  command["secret_hash"] = HashSecret(secret);
+  body["command"] = std::move(command);
+  CallAnswer answer = client_.Control("POST", "/v1/operations", body);
+  if (!answer.ok()) {
+    const int code = Report(answer);
+    if (answer.may_have_acted) {
+      err_ << "Key " << id << " may have been created; withdraw it with "
+           << "\"boragectl key withdraw " << id << "\".\n";
+    }
+    return code;
+  }
+  // Printed before the wait, so that an interrupted wait doesn't lose it.
+  if (!config_.json)
+    Print(answer.body, id + "." + secret + "\n");
+  answer.body["key"] = id + "." + secret;
+  return FinishChange(std::move(answer.body), "created key " + id);
+}
+
+int Boragectl::KeyWithdraw(const std::string& id) {
+  // Entry hosts first: during a partition they may be all that is reachable.
+  std::vector<EntryAddress> open = entries();
+  Json confirmed(::Json::arrayValue);
+  const std::string path = "/v1/keys/" + id + "/withdraw";
+  const auto send = [&] {
+    const auto answers = client_.Each(Addresses(open), "POST", path);
+    std::vector<EntryAddress> left;
+    for (std::size_t i = 0; i < open.size(); ++i) {
+      if (answers[i].ok() &&
+          ValueOr(BoolFieldOr(answers[i].body, "withdrawn", false), false))
+        confirmed.append(open[i].Text());
+      else
+        left.push_back(open[i]);
+    }
+    open = std::move(left);
+  };
+  if (!open.empty())
+    send();
+  Json body = MakeOperation();
+  Json command = Command("withdraw_key");
+  command["id"] = id;
+  body["command"] = std::move(command);
+  const CallAnswer control = client_.Control("POST", "/v1/operations", body);
+  if (!open.empty())
+    send();
+
+  Json document;
+  Json missing(::Json::arrayValue);
+  for (const EntryAddress& entry : open)
+    missing.append(entry.Text());
+  if (control.ok()) {
+    confirmed.append("control group");
+    if (const auto version = VersionOf(control.body)) {
+      document["version"] = ::Json::UInt64(version.value());
+      const CallAnswer wait = WaitInForce(version.value());
+      document["in_force"] = IsInForce(wait);
+      if (!IsInForce(wait))
+        missing.append(wait.ok() ? MissingText(wait.body["missing"])
+                                 : "entry hosts not asked");
+    }
+  } else {
+    missing.append("control group");
+    document["detail"] = control.error->Text();
+  }
+  document["id"] = id;
+  document["confirmed"] = confirmed;
+  document["not_confirmed"] = missing;
+  const bool in_force =
+      document["in_force"].isBool() && document["in_force"].asBool();
+  // A given entry host that no longer exists doesn't answer; the control
+  // group's rule covers every registered one.
+  Print(document,
+        "key " + id + " withdrawn at: " + CellText(confirmed) +
+            (missing.empty()
+                 ? "\n"
+                 : "\nnot confirmed by: " + CellText(missing) + "\n"));
+  if (!control.ok())
+    Err() << "boragectl: " << CellText(Json(control.error->Text())) << "\n";
+  if (!missing.empty()) {
+    Err() << "Entry hosts that have not confirmed refuse keyed work within 10 "
+             "seconds after they lose contact with the control group.\n";
+  }
+  if (control.ok() && missing.empty() && in_force)
+    return kExitOk;
+  if (!control.ok() &&
+      (confirmed.empty() || ExitCodeOf(control.error->code) == kExitRefused))
+    return ExitCodeOf(control.error->code);
+  return kExitFailed;
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/ctl/boragectl_views.cc
@@ -0,0 +1,257 @@
+#include <algorithm>
+#include <utility>
+
+#include "ctl/boragectl.h"
+#include "ctl/table.h"
+
+namespace boragewinch {
+
+namespace {
+
+constexpr char kNoEntries[] = "--entries names no entry host of this zone";
+
+[[nodiscard]] CallAnswer Unreachable(const std::string& detail) {
+  CallAnswer answer;
+  answer.error = Error{ErrorCode::kUnavailable, detail, std::nullopt};
+  return answer;
+}
+
+// A list of the answer, which may also be the answer's member `name`.
+[[nodiscard]] std::vector<Json> RowsOf(const Json& answer, const char* name) {
+  return answer.isObject() ? Rows(answer[name]) : Rows(answer);
+}
+
+// Adds the broken invariants of `body` as lines for people.
+[[nodiscard]] std::string ViolationText(const std::string& process,
+                                        const Json& body) {
+  std::string text;
+  const Json& invariants = body["invariants"];
+  if (!invariants.isObject())
+    return text;
+  for (const std::string& name : invariants.getMemberNames()) {
+    const Json& counts = invariants[name];
+    if (!counts.isObject())
+      continue;
+    if (auto violated = IntFieldOr(counts, "violated", 0, 0, INT64_MAX);
+        violated && violated.value() > 0) {
+      text += process + ": invariant " + name + " violated " +
+              std::to_string(violated.value()) + " times\n";
+    }
+  }
+  return text;
+}
+
+}  // namespace
+
+int Boragectl::ShowControl(const std::string& path) {
+  const CallAnswer answer = client_.Control("GET", path);
+  if (!answer.ok())
+    return Report(answer);
+  Print(answer.body, FormatDocument(answer.body));
+  return kExitOk;
+}
+
+int Boragectl::SheetHistory() {
+  return ShowControl("/v1/history");
+}
+
+int Boragectl::WaveStatus() {
+  return ShowControl("/v1/waves");
+}
+
+int Boragectl::List(const char* part, const std::vector<std::string>& members) {
+  const CallAnswer answer = client_.Control("GET", "/v1/fleet");
+  if (!answer.ok())
+    return Report(answer);
+  Json document;
+  document["version"] = answer.body["version"];
+  Json& shown = document[part] = Json(::Json::arrayValue);
+  std::vector<Json> rows;
+  for (const Json& row : Rows(answer.body[part])) {
+    const bool other_zone = !config_.zone.empty() && row.isObject() &&
+                            row.isMember("zone") &&
+                            CellText(row["zone"]) != config_.zone;
+    if (other_zone)
+      continue;
+    shown.append(row);
+    rows.push_back(row);
+  }
+  Print(document, FormatTable(members, rows));
+  return kExitOk;
+}
+
+int Boragectl::JobShow(const std::string& id) {
+  std::vector<EntryAddress> order = entries();
+  if (order.empty())
+    return BadUsage(kNoEntries);
+  // Any entry host finds the job; one of its own zone answers from memory.
+  std::stable_partition(
+      order.begin(), order.end(), [&](const EntryAddress& entry) {
+        return !entry.zone.empty() && id.starts_with(entry.zone + ".");
+      });
+  CallAnswer answer;
+  for (const EntryAddress& entry : order) {
+    answer = std::move(
+        client_.Each({entry.address}, "GET", "/v1/jobs/" + id).front());
+    // The status code follows the outcome, so a refusal is an answer too.
+    if (answer.body.isObject() && answer.body.isMember("outcome")) {
+      Print(answer.body, FormatDocument(answer.body));
+      return CellText(answer.body["reason"]) == "unknown_request" ? kExitRefused
+                                                                  : kExitOk;
+    }
+    if (answer.ok()) {
+      Print(answer.body, FormatDocument(answer.body));
+      return kExitOk;
+    }
+    if (!IsUnreachable(answer.error->code))
+      break;
+  }
+  return Report(answer);
+}
+
+int Boragectl::JobList() {
+  const std::vector<EntryAddress> asked = entries();
+  if (asked.empty())
+    return BadUsage(kNoEntries);
+  const auto answers =
+      client_.Each(Addresses(asked), "GET",
+                   "/v1/jobs?limit=" + std::to_string(config_.list_limit));
+  Json document;
+  Json& jobs = document["jobs"] = Json(::Json::arrayValue);
+  Json& failed = document["not_reached"] = Json(::Json::arrayValue);
+  std::vector<Json> rows;
+  const CallAnswer* first_error = nullptr;
+  for (std::size_t i = 0; i < asked.size(); ++i) {
+    if (!answers[i].ok()) {
+      failed.append(asked[i].Text());
+      if (first_error == nullptr)
+        first_error = &answers[i];
+      continue;
+    }
+    for (Json row : RowsOf(answers[i].body, "jobs")) {
+      jobs.append(row);
+      rows.push_back(std::move(row));
+    }
+  }
+  if (failed.size() == asked.size())
+    return Report(*first_error);
+  Print(document, FormatTable({"id", "team", "queue", "customer", "urgency",
+                               "state", "outcome", "reason", "worker"},
+                              rows));
+  if (!failed.empty()) {
+    Err() << "boragectl: not reached: " << CellText(failed) << "\n";
+    return kExitFailed;
+  }
+  return kExitOk;
+}
+
+int Boragectl::ShowStatus() {
+  std::vector<std::string> names;
+  std::vector<std::string> addresses;
+  if (config_.zone.empty()) {
+    for (const std::string& address : config_.control) {
+      names.push_back("control " + address);
+      addresses.push_back(address);
+    }
+  }
+  for (const EntryAddress& entry : entries()) {
+    names.push_back("entry " + entry.Text());
+    addresses.push_back(entry.address);
+  }
+  if (addresses.empty())
+    return BadUsage("--control and --entries name no process");
+  const auto answers = client_.Each(addresses, "GET", "/v1/status");
+  Json document;
+  Json& processes = document["processes"] = Json(::Json::arrayValue);
+  std::vector<Json> rows;
+  std::string violations;
+  std::size_t reached = 0;
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    Json row = answers[i].body.isObject() ? answers[i].body
+                                          : Json(::Json::objectValue);
+    row["process"] = names[i];
+    row["answer"] = answers[i].ok()
+                        ? "ok"
+                        : std::string(kErrorCodes.Name(answers[i].error->code));
+    if (answers[i].ok())
+      ++reached;
+    violations += ViolationText(names[i], row);
+    processes.append(row);
+    rows.push_back(std::move(row));
+  }
+  if (reached == 0)
+    return Report(answers.front());
+  Print(document,
+        FormatTable({"process", "answer", "role", "leader", "term", "commit",
+                     "version", "entry", "zone", "fresh", "queued", "running"},
+                    rows));
+  if (!violations.empty())
+    Err() << violations;
+  return reached == answers.size() && violations.empty() ? kExitOk
+                                                         : kExitFailed;
+}
+
+int Boragectl::ShowMetrics() {
+  const std::vector<EntryAddress> asked = entries();
+  if (asked.empty())
+    return BadUsage(kNoEntries);
+  const auto answers = client_.Each(Addresses(asked), "GET", "/v1/metrics");
+  Json document;
+  Json& failed = document["not_reached"] = Json(::Json::arrayValue);
+  std::vector<Json> values;
+  std::vector<Json> durations;
+  for (std::size_t i = 0; i < asked.size(); ++i) {
+    if (!answers[i].ok()) {
+      failed.append(asked[i].Text());
+      continue;
+    }
+    for (const char* part : {"counters", "gauges", "durations"}) {
+      for (Json row : RowsOf(answers[i].body, part)) {
+        row["entry"] = asked[i].Text();
+        document[part].append(row);
+        auto& rows = std::string_view(part) == "durations" ? durations : values;
+        rows.push_back(std::move(row));
+      }
+    }
+  }
+  if (failed.size() == asked.size())
+    return Report(answers.front().error ? answers.front()
+                                        : Unreachable("no entry host"));
+  Print(document,
+        FormatTable({"entry", "name", "team", "class", "value"}, values) +
+            "\n" +
+            FormatTable({"entry", "name", "team", "class", "count", "median_ms",
+                         "p99_ms", "max_ms"},
+                        durations));
+  if (!failed.empty()) {
+    Err() << "boragectl: not reached: " << CellText(failed) << "\n";
+    return kExitFailed;
+  }
+  return kExitOk;
+}
+
+int Boragectl::Explain(const std::string& kind, const std::string& name) {
+  const std::string path = "/v1/explain?kind=" + kind + "&name=" + name;
+  if (kind == "host" || kind == "pool" || kind == "team")
+    return ShowControl(path);
+  if (kind != "job")
+    return BadUsage("explain takes job, host, team or pool");
+  const std::vector<EntryAddress> asked = entries();
+  if (asked.empty())
+    return BadUsage(kNoEntries);
+  CallAnswer answer;
+  for (const EntryAddress& entry : asked) {
+    answer = std::move(client_.Each({entry.address}, "GET", path).front());
+    if (answer.ok()) {
+      Print(answer.body, FormatDocument(answer.body));
+      return kExitOk;
+    }
+    // Only the entry hosts that hold the job's record can explain it.
+    if (!IsUnreachable(answer.error->code) &&
+        answer.error->code != ErrorCode::kNotFound)
+      break;
+  }
+  return Report(answer);
+}
+
+}  // namespace boragewinch
