--- /dev/null
+++ b/src/control/leader_duties.cc
@@ -0,0 +1,380 @@
+#include "control/leader_duties.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "model/worker_types.h"
+#include "policy/explain.h"
+
+namespace boragewinch {
+
+namespace {
+
+constexpr Millis kDutyInterval{100};
+// A new leader waits this long for reports before it calls a host lost.
+constexpr Millis kObservationTime{5'000};
+constexpr std::size_t kMaxRegistrationsPerTick = 64;
+
+}  // namespace
+
+LeaderDuties::LeaderDuties(EventLoop& loop,
+                           PlatformClient& platform,
+                           const FleetState& state,
+                           const EntryReports& reports,
+                           WaveConfig waves,
+                           Submit submit)
+    : loop_(loop),
+      platform_(platform),
+      state_(state),
+      reports_(reports),
+      waves_(waves),
+      submit_(std::move(submit)) {}
+
+void LeaderDuties::OnLeadership(bool /*leads*/, TimePoint now) {
+  leading_since_ = now;
+  next_tick_ = now;
+  under_way_.clear();
+  silent_since_.clear();
+  before_reboot_.clear();
+}
+
+void LeaderDuties::SubmitOnce(const std::string& key, CommandBody body) {
+  if (!under_way_.insert(key).second)
+    return;
+  Command command;
+  command.body = std::move(body);
+  submit_(command, [this, key](const Result<CommandAnswer>& answer) {
+    under_way_.erase(key);
+    if (answer && answer.value().accepted)
+      return;
+    const Error& error =
+        answer ? answer.value().errors.front() : answer.error();
+    LogEvent(EventId::kCommandRefused,
+             {{"command", key}, {"error", error.Text()}});
+  });
+}
+
+void LeaderDuties::OnReport(const SyncReport& report, TimePoint /*now*/) {
+  WithdrawReported(report);
+  if (report.retiring)
+    RetireStopped(report);
+}
+
+void LeaderDuties::WithdrawReported(const SyncReport& report) {
+  if (report.tombstones.empty())
+    return;
+  const std::set<KeyId> known = state_.Tombstones();
+  WithdrawKey body;
+  for (const KeyId& key : report.tombstones) {
+    if (!known.contains(key))
+      body.ids.push_back(key);
+  }
+  if (!body.ids.empty())
+    SubmitOnce("withdraw " + body.ids.front().str(), std::move(body));
+}
+
+void LeaderDuties::RetireStopped(const SyncReport& report) {
+  SubmitOnce("retire " + report.entry.str(),
+             RetireEntry{{report.entry, report.incarnation},
+                         TransfersFrom(report.entry)});
+}
+
+std::vector<AllotmentTransfer> LeaderDuties::TransfersFrom(
+    const EntryName& entry) const {
+  std::vector<AllotmentTransfer> transfers;
+  for (const auto& [name, held] : reports_.held()) {
+    for (const TakeOverReport& taken : held.report.taken_over) {
+      if (taken.entry != entry)
+        continue;
+      for (const auto& [team, count] : taken.running) {
+        transfers.push_back({{name, held.report.incarnation}, team, count});
+      }
+    }
+  }
+  return transfers;
+}
+
+void LeaderDuties::Tick(TimePoint now) {
+  if (now < next_tick_)
+    return;
+  next_tick_ = now + kDutyInterval;
+  RegisterAnnounced();
+  MoveAllotments();
+  ProgressHosts(now);
+  ProgressMoves(now);
+  ProgressWaves(now);
+}
+
+void LeaderDuties::MoveAllotments() {
+  const Ledger& ledger = state_.ledger();
+  ChangeAllotments body;
+  for (const auto& [name, entry] : ledger.entries) {
+    AllotmentChange change{
+        {name, entry.incarnation}, entry.allotment_version, {}};
+    for (const auto& [team_name, team] : state_.view().teams) {
+      const auto held = entry.allotment.find(team_name);
+      const std::int64_t share =
+          team.limit / static_cast<std::int64_t>(ledger.entries.size());
+      const std::int64_t free = team.limit - ledger.Total(team_name);
+      const std::int64_t missing =
+          share - (held == entry.allotment.end() ? 0 : held->second);
+      if (missing > 0 && free >= missing)
+        change.deltas[team_name] = missing;
+    }
+    if (!change.deltas.empty()) {
+      body.changes.push_back(std::move(change));
+      break;
+    }
+  }
+  if (!body.changes.empty())
+    SubmitOnce("allotments", std::move(body));
+}
+
+void LeaderDuties::RegisterAnnounced() {
+  std::size_t submitted = 0;
+  for (const auto& [entry, held] : reports_.held()) {
+    for (const auto& [host, worker] : held.workers) {
+      if (state_.view().hosts.contains(host) || state_.view().pools.empty())
+        continue;
+      if (++submitted > kMaxRegistrationsPerTick)
+        return;
+      SubmitOnce(
+          "register " + host.str(),
+          RegisterHost{host, worker.zone, worker.rack, loop_.unix_seconds()});
+    }
+  }
+}
+
+void LeaderDuties::ProgressHosts(TimePoint now) {
+  for (const auto& [name, host] : state_.view().hosts)
+    ProgressHost(host, now);
+}
+
+Millis LeaderDuties::SilenceOf(const HostName& host,
+                               bool alive,
+                               TimePoint now) {
+  if (alive) {
+    silent_since_.erase(host);
+    return Millis(0);
+  }
+  return now - silent_since_.try_emplace(host, now).first->second;
+}
+
+void LeaderDuties::ProgressHost(const Host& host, TimePoint now) {
+  const auto status = reports_.StatusOf(host.name, now);
+  const bool alive = status && !status->lost;
+  // Nothing is concluded from the silence of a whole zone: it may be cut off
+  // and serving.
+  const bool observed = reports_.ZoneIsFresh(host.zone, now) &&
+                        now - leading_since_ > kObservationTime;
+  const Millis silence = SilenceOf(host.name, alive || !observed, now);
+  const bool drained = alive && status->idle && status->acknowledged_drain &&
+                       status->acknowledged_assignment == host.assignment;
+  switch (host.state) {
+    case HostState::kActive:
+      if (observed && !alive && silence > kWorkerLostAfter)
+        Observe(host, HostState::kLost);
+      break;
+    case HostState::kDraining:
+      // After a lost worker's task lease no task of it can run any more.
+      if (drained)
+        Observe(host, HostState::kDrained);
+      else if (observed && silence > GranterLease(kTaskLease))
+        Observe(host, HostState::kLost);
+      break;
+    case HostState::kDrained:
+    case HostState::kRebooting:
+      ProgressReboot(host, alive);
+      break;
+    case HostState::kReturning:
+      if (alive && !status->acknowledged_drain &&
+          status->acknowledged_assignment == host.assignment)
+        Observe(host, HostState::kActive);
+      else if (observed && silence > GranterLease(kTaskLease))
+        Observe(host, HostState::kLost);
+      break;
+    case HostState::kLost:
+      if (!alive)
+        break;
+      if (!state_.drains().contains(host.name))
+        Observe(host, HostState::kActive);
+      else
+        Observe(host, drained ? HostState::kDrained : HostState::kDraining);
+      break;
+  }
+}
+
+void LeaderDuties::Observe(const Host& host, HostState state) {
+  if (state == HostState::kLost)
+    LogEvent(EventId::kWorkerLost, {{"host", host.name.str()}});
+  if (state == HostState::kDrained)
+    LogEvent(EventId::kDrainDone, {{"host", host.name.str()}});
+  if (state == HostState::kActive)
+    LogEvent(EventId::kHostReturned, {{"host", host.name.str()}});
+  SubmitOnce(
+      "state " + host.name.str(),
+      SetHostState{host.name, state, host.assignment, loop_.unix_seconds()});
+}
+
+void LeaderDuties::ProgressReboot(const Host& host, bool alive) {
+  const auto drain = state_.drains().find(host.name);
+  // An operator's drain stays until the operator returns the host.
+  const bool maintenance =
+      drain != state_.drains().end() && drain->second.operator_name.empty();
+  if (!maintenance || !platform_.available() ||
+      state_.pending_moves().contains(host.name))
+    return;
+  const std::string key = "reboot " + host.name.str();
+  if (!under_way_.insert(key).second)
+    return;
+  const auto done = [this, key, host,
+                     alive](const Result<PlatformHost>& answer) {
+    under_way_.erase(key);
+    if (!answer) {
+      LogEvent(EventId::kCallFailed,
+               {{"call", key}, {"error", answer.error().Text()}});
+      return;
+    }
+    if (host.state == HostState::kDrained)
+      Observe(host, HostState::kRebooting);
+    else if (answer.value().up && alive)
+      Observe(host, HostState::kReturning);
+  };
+  // The order is repeated by a new leader only while the host is still
+  // "drained": the state is stored after the platform took the order.
+  if (host.state == HostState::kDrained)
+    platform_.Reboot(host.name, done);
+  else
+    platform_.Query(host.name, done);
+}
+
+void LeaderDuties::ProgressMoves(TimePoint now) {
+  for (const auto& [name, move] : state_.pending_moves()) {
+    const std::string key = "move " + name.str();
+    switch (state_.NextMoveStep(name)) {
+      case MoveStep::kNone:
+      case MoveStep::kWait:
+        break;
+      case MoveStep::kDrain:
+        SubmitOnce(key,
+                   DrainHost{name, reports_.Unavailable(state_.view(), now)});
+        break;
+      case MoveStep::kMove:
+        SubmitOnce(key, MoveHost{name, move.pool, false,
+                                 reports_.Unavailable(state_.view(), now)});
+        break;
+      case MoveStep::kReturn:
+        SubmitOnce(key, ReturnHost{name});
+        break;
+    }
+  }
+}
+
+WavePlan LeaderDuties::Plan(TimePoint now) const {
+  return PlanWave(state_.view(), reports_.Unavailable(state_.view(), now),
+                  loop_.unix_seconds(), waves_);
+}
+
+void LeaderDuties::ProgressWaves(TimePoint now) {
+  if (state_.view().version == 0 || !platform_.available())
+    return;
+  const WavePlan plan = Plan(now);
+  const std::set<HostName> unavailable =
+      reports_.Unavailable(state_.view(), now);
+  for (const HostName& host : plan.cancel)
+    SubmitOnce("wave " + host.str(), ReturnHost{host});
+  for (const HostName& host : plan.start) {
+    LogEvent(EventId::kDrainGranted, {{"host", host.str()}});
+    SubmitOnce("wave " + host.str(), DrainHost{host, unavailable});
+  }
+  const std::string text =
+      std::to_string(plan.due) + " " + std::to_string(plan.in_work);
+  if (text != last_wave_text_ && (plan.due > 0 || plan.in_work > 0)) {
+    LogEvent(EventId::kWaveProgress,
+             {{"due", static_cast<long>(plan.due)},
+              {"in_work", static_cast<long>(plan.in_work)}});
+  }
+  last_wave_text_ = text;
+}
+
+Json LeaderDuties::WavesJson(TimePoint now) const {
+  const WavePlan plan = Plan(now);
+  Json json;
+  json["due"] = ::Json::Int64(plan.due);
+  json["in_work"] = ::Json::Int64(plan.in_work);
+  if (plan.end_estimate)
+    json["end_estimate"] = ::Json::Int64(*plan.end_estimate);
+  Json pools(::Json::arrayValue);
+  for (const PoolWave& wave : plan.pools) {
+    Json item;
+    item["pool"] = wave.pool.str();
+    item["hosts"] = ::Json::Int64(wave.hosts);
+    item["available"] = ::Json::Int64(wave.available);
+    item["min_available"] = ::Json::Int64(wave.min_available);
+    item["due"] = ::Json::Int64(wave.due);
+    item["in_work"] = ::Json::Int64(wave.in_work);
+    item["done"] = ::Json::Int64(wave.done);
+    item["wait"] = std::string(kWaveWaits.Name(wave.wait));
+    if (wave.end_estimate)
+      item["end_estimate"] = ::Json::Int64(*wave.end_estimate);
+    pools.append(std::move(item));
+  }
+  json["pools"] = std::move(pools);
+  return json;
+}
+
+Result<Json> LeaderDuties::Explain(const std::string& kind,
+                                   const std::string& name,
+                                   TimePoint now) const {
+  const FleetView& view = state_.view();
+  const std::set<HostName> lost = reports_.Unavailable(view, now);
+  std::string text;
+  if (kind == "host") {
+    const auto host = view.hosts.find(HostName(name));
+    if (host == view.hosts.end())
+      return Fail(ErrorCode::kNotFound, "no host \"" + name + "\"");
+    text = ExplainHost(host->second, lost, Plan(now)).text;
+  } else if (kind == "pool") {
+    if (!view.pools.contains(PoolName(name)))
+      return Fail(ErrorCode::kNotFound, "no pool \"" + name + "\"");
+    text = ExplainPool(PoolName(name), Plan(now),
+                       PlanBuffers(view, lost, BufferConfig()))
+               .text;
+  } else if (kind == "team") {
+    const auto team = view.teams.find(TeamName(name));
+    if (team == view.teams.end())
+      return Fail(ErrorCode::kNotFound, "no team \"" + name + "\"");
+    text = ExplainTeamUse(team->second);
+  } else {
+    return Fail(ErrorCode::kInvalidField, "kind must be host, pool or team");
+  }
+  Json json;
+  json["kind"] = kind;
+  json["name"] = name;
+  json["text"] = text;
+  return json;
+}
+
+std::string LeaderDuties::ExplainTeamUse(const Team& team) const {
+  std::int64_t running = 0;
+  std::int64_t wanted = 0;
+  for (const auto& [entry, held] : reports_.held()) {
+    const auto count = [&team](const TeamCounts& counts) {
+      const auto found = counts.find(team.name);
+      return found == counts.end() ? 0 : found->second;
+    };
+    running += count(held.report.running);
+    wanted += count(held.report.wanted);
+  }
+  std::int64_t shares = 0;
+  for (const auto& [name, other] : state_.view().teams)
+    shares += other.share;
+  return "team " + team.name.str() + " runs " + std::to_string(running) +
+         " of at most " + std::to_string(team.limit) + ", wants " +
+         std::to_string(wanted) + ", holds allotments of " +
+         std::to_string(state_.ledger().Total(team.name)) + "; share " +
+         std::to_string(team.share) + " of " + std::to_string(shares);
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/src/control/leader_duties.h
@@ -0,0 +1,89 @@
+#ifndef BORAGEWINCH_CONTROL_LEADER_DUTIES_H_
+#define BORAGEWINCH_CONTROL_LEADER_DUTIES_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/entry_reports.h"
+#include "control/platform_client.h"
+#include "control/proposals.h"
+#include "fleet/command.h"
+#include "fleet/fleet_state.h"
+#include "kernel/event_loop.h"
+#include "policy/wave_planner.h"
+
+namespace boragewinch {
+
+/// \brief What only the control leader does: it turns reports of entry hosts
+/// and plans of the policy into commands.
+class LeaderDuties {
+ public:
+  using Submit = std::function<void(const Command&, Proposals::Reply)>;
+
+  LeaderDuties(EventLoop& loop,
+               PlatformClient& platform,
+               const FleetState& state,
+               const EntryReports& reports,
+               WaveConfig waves,
+               Submit submit);
+
+  /// \brief Leadership was won or lost: forgets everything observed.
+  void OnLeadership(bool leads, TimePoint now);
+  /// \brief An entry host has reported.
+  void OnReport(const SyncReport& report, TimePoint now);
+  /// \brief Submits what is due; cheap when nothing is.
+  void Tick(TimePoint now);
+
+  /// \returns tasks of `entry` that peers have taken over, for the command
+  /// that declares it lost.
+  [[nodiscard]] std::vector<AllotmentTransfer> TransfersFrom(
+      const EntryName& entry) const;
+
+  [[nodiscard]] Json WavesJson(TimePoint now) const;
+  /// \returns one line on a host, team or pool, or kNotFound.
+  [[nodiscard]] Result<Json> Explain(const std::string& kind,
+                                     const std::string& name,
+                                     TimePoint now) const;
+
+ private:
+  /// \brief Submits `command` unless one with the same key is under way.
+  void SubmitOnce(const std::string& key, CommandBody body);
+  void WithdrawReported(const SyncReport& report);
+  void RetireStopped(const SyncReport& report);
+  void RegisterAnnounced();
+  void MoveAllotments();
+  void ProgressHosts(TimePoint now);
+  void ProgressHost(const Host& host, TimePoint now);
+  void Observe(const Host& host, HostState state);
+  void ProgressReboot(const Host& host, bool alive);
+  void ProgressMoves(TimePoint now);
+  void ProgressWaves(TimePoint now);
+  [[nodiscard]] WavePlan Plan(TimePoint now) const;
+  [[nodiscard]] std::string ExplainTeamUse(const Team& team) const;
+  [[nodiscard]] Millis SilenceOf(const HostName& host,
+                                 bool alive,
+                                 TimePoint now);
+
+  EventLoop& loop_;
+  PlatformClient& platform_;
+  const FleetState& state_;
+  const EntryReports& reports_;
+  WaveConfig waves_;
+  Submit submit_;
+  TimePoint leading_since_;
+  TimePoint next_tick_;
+  std::set<std::string> under_way_;
+  std::map<HostName, TimePoint> silent_since_;
+  /// Incarnations of workers when their reboot was ordered.
+  std::map<HostName, Incarnation> before_reboot_;
+  std::string last_wave_text_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_CONTROL_LEADER_DUTIES_H_
--- /dev/null
+++ b/src/control/operator_api.h
@@ -0,0 +1,50 @@
+#ifndef BORAGEWINCH_CONTROL_OPERATOR_API_H_
+#define BORAGEWINCH_CONTROL_OPERATOR_API_H_
+
+#include <functional>
+#include <string>
+
+#include "control/leader_duties.h"
+#include "fleet/command.h"
+#include "fleet/sheet.h"
+#include "kernel/event_loop.h"
+#include "net/http_types.h"
+
+namespace boragewinch {
+
+class ControlService;
+
+/// \brief The operators' HTTP interface of the control group; see docs/api.md.
+class ControlOperatorApi {
+ public:
+  using Respond = std::function<void(HttpResponse)>;
+
+  ControlOperatorApi(ControlService& service,
+                     LeaderDuties& duties,
+                     EventLoop& loop);
+
+  /// \returns whether `request` shows the operators' credential.
+  [[nodiscard]] bool Authorized(const HttpRequest& request) const;
+  /// \returns whether a replica that does not lead may answer.
+  [[nodiscard]] bool ServedByAny(const HttpRequest& request) const;
+  void Serve(const HttpRequest& request, const Respond& respond);
+
+ private:
+  void Operate(const HttpRequest& request, const Respond& respond);
+  void Submit(Command command, const Respond& respond);
+  void HandleSheet(const HttpRequest& request, const Respond& respond);
+  void FillIn(Command* command) const;
+  [[nodiscard]] Json StatusJson() const;
+  [[nodiscard]] Json FleetJson() const;
+  [[nodiscard]] Json HistoryJson() const;
+  [[nodiscard]] Json InForceJson(const HttpRequest& request) const;
+
+  ControlService& service_;
+  LeaderDuties& duties_;
+  EventLoop& loop_;
+  std::string secret_hash_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_CONTROL_OPERATOR_API_H_
--- /dev/null
+++ b/src/entry/boraged_entry_main.cc
@@ -0,0 +1,85 @@
+// boraged-entry: serves callers, workers and operators of one availability
+// zone.
+
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/settings.h"
+#include "entry/entry_service.h"
+#include "kernel/kernel.h"
+#include "model/job.h"
+
+namespace boragewinch {
+namespace {
+
+void CheckName(const Settings& settings,
+               const char* setting,
+               std::vector<Error>* errors) {
+  const std::string& value = settings.text(setting);
+  if (!value.empty() && !IsValidName(value)) {
+    errors->push_back({ErrorCode::kInvalidSetting,
+                       "--" + std::string(setting) + " is \"" + value +
+                           "\"; allowed are 1 to 64 characters of A-Z a-z 0-9 "
+                           "_ -",
+                       std::nullopt});
+  }
+}
+
+int Main(int argc, const char* const* argv) {
+  SettingsBuilder builder("boraged-entry",
+                          "entry host of the boragewinch fleet manager");
+  builder.Required("name", "name of this entry host, unique in the fleet")
+      .Required("zone", "availability zone of this entry host")
+      .RequiredAddress("listen", "address for callers, workers and operators")
+      .RequiredAddress("peer-listen", "address for other boragewinch processes")
+      .AddressList("control", "control hosts, at least one")
+      .Required("cluster-secret", "secret shared by all processes")
+      .Required("operator-secret", "credential that operators show")
+      .Integer("stop-timeout-ms", "longest planned stop", 60'000, 0, 3'600'000)
+      .Flag("verbose", "writes debug events");
+  std::vector<Error> errors;
+  const Settings settings = builder.Parse(argc, argv, &errors);
+  CheckName(settings, "name", &errors);
+  CheckName(settings, "zone", &errors);
+  if (settings.list("control").empty()) {
+    errors.push_back({ErrorCode::kInvalidSetting,
+                      "--control (BORAGEWINCH_CONTROL) must name at least one "
+                      "control host",
+                      std::nullopt});
+  }
+  if (auto code = HandleStandardSettings(builder, settings, errors))
+    return *code;
+  ConfigureEventLog(
+      "boraged-entry/" + settings.text("name"),
+      settings.flag("verbose") ? EventLevel::kDebug : EventLevel::kInfo);
+  EntryOptions options;
+  options.name = EntryName(settings.text("name"));
+  options.zone = ZoneName(settings.text("zone"));
+  options.listen = settings.text("listen");
+  options.peer_listen = settings.text("peer-listen");
+  for (const std::string& address : settings.list("control"))
+    options.control.push_back(address.substr(address.find('=') + 1));
+  options.cluster_secret = settings.text("cluster-secret");
+  options.operator_secret = settings.text("operator-secret");
+  options.stop_timeout = Millis(settings.integer("stop-timeout-ms"));
+
+  Kernel kernel;
+  kernel.Add("entry", std::make_unique<EntryService>(std::move(options)));
+  if (Status status = kernel.Run(); !status) {
+    std::fprintf(stderr, "%s\n", status.error().Text().c_str());
+    return kExitFailed;
+  }
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace boragewinch
+
+int main(int argc, char** argv) {
+  return boragewinch::Main(argc, argv);
+}
--- /dev/null
+++ b/src/entry/control_link.cc
@@ -0,0 +1,184 @@
+#include "entry/control_link.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace boragewinch {
+
+namespace {
+
+constexpr Millis kTickInterval{50};
+// A changed demand is reported at once, but no more often than this.
+constexpr Millis kMinSyncInterval{100};
+constexpr Millis kSyncTimeout{1'500};
+
+[[nodiscard]] WorkerStatus StatusOf(const WorkerEntry& worker, bool leaving) {
+  const WorkerReport& report = worker.report;
+  WorkerStatus status;
+  status.host = report.host;
+  status.zone = report.zone;
+  status.rack = report.rack;
+  status.incarnation = report.incarnation;
+  status.lost = worker.lost;
+  status.leaving = leaving;
+  status.acknowledged_drain = report.acknowledged_drain;
+  status.acknowledged_assignment = report.acknowledged_assignment;
+  status.idle = report.acknowledged_drain &&
+                std::none_of(report.tasks.begin(), report.tasks.end(),
+                             [](const TaskReport& task) {
+                               return task.state == TaskState::kRunning;
+                             });
+  return status;
+}
+
+}  // namespace
+
+ControlLink::ControlLink(EventLoop& loop,
+                         RpcClient& rpc,
+                         EntryCore& core,
+                         const EntryOptions& options,
+                         Incarnation incarnation,
+                         std::function<void()> flush)
+    : loop_(loop),
+      rpc_(rpc),
+      core_(core),
+      options_(options),
+      incarnation_(std::move(incarnation)),
+      flush_(std::move(flush)) {}
+
+void ControlLink::Start(std::string address, std::string peer_address) {
+  address_ = std::move(address);
+  peer_address_ = std::move(peer_address);
+  tick_ = loop_.Every(kTickInterval, [this](TimePoint now) { Tick(now); });
+  loop_.Post([this] { Sync(loop_.now()); });
+}
+
+void ControlLink::Tick(TimePoint now) {
+  if (calling_)
+    return;
+  const bool demand_changed =
+      now + kSyncInterval >= next_sync_ + kMinSyncInterval &&
+      core_.BuildControlReport(now).wanted != reported_wanted_;
+  if (now >= next_sync_ || demand_changed)
+    Sync(now);
+}
+
+void ControlLink::Sync(TimePoint now) {
+  const SyncReport report = BuildReport(now);
+  const std::string& target =
+      options_.control[target_ % options_.control.size()];
+  calling_ = true;
+  next_sync_ = now + kSyncInterval;
+  reported_wanted_ = report.wanted;
+  rpc_.Call(target, "control.sync", ToJson(report), kSyncTimeout,
+            [this, report, now](const Result<Json>& result) {
+              calling_ = false;
+              OnAnswer(result, report, now);
+            });
+}
+
+SyncReport ControlLink::BuildReport(TimePoint now) {
+  const ControlReport decided = core_.BuildControlReport(now);
+  SyncReport report;
+  report.entry = options_.name;
+  report.zone = options_.zone;
+  report.incarnation = incarnation_;
+  report.address = address_;
+  report.peer_address = peer_address_;
+  report.version = decided.version;
+  report.allotment_version = decided.allotment_version;
+  report.entries_hash = entries_hash_;
+  report.retiring = core_.stopping() && core_.stopped();
+  report.running = decided.running;
+  report.wanted = decided.wanted;
+  report.returnable = decided.returnable;
+  for (const TakenOver& taken : decided.taken_over) {
+    report.taken_over.push_back(
+        {taken.entry, taken.incarnation, taken.running});
+  }
+  for (const SilentPeer& peer : decided.silent) {
+    report.silent.push_back(
+        {peer.entry, peer.incarnation, peer.silence, peer.fenced});
+  }
+  // Those that the fleet state already has need not be sent again.
+  for (const KeyId& key : decided.tombstones) {
+    const auto known = core_.view().keys.find(key);
+    if (known == core_.view().keys.end() || !known->second.withdrawn)
+      report.tombstones.push_back(key);
+  }
+  AddWorkers(&report);
+  return report;
+}
+
+void ControlLink::AddWorkers(SyncReport* report) const {
+  report->workers_base = workers_base_;
+  report->workers_sequence = workers_sequence_ + 1;
+  for (const auto& [host, worker] : core_.workers().workers()) {
+    const WorkerStatus status =
+        StatusOf(worker, core_.workers().leaving(worker));
+    const auto known = acknowledged_workers_.find(host);
+    if (workers_base_ == 0 || known == acknowledged_workers_.end() ||
+        known->second != status)
+      report->workers.push_back(status);
+  }
+}
+
+void ControlLink::OnAnswer(const Result<Json>& result,
+                           const SyncReport& report,
+                           TimePoint sent) {
+  Status status = result ? Apply(result.value(), report, sent)
+                         : Status(outcome::failure(result.error()));
+  if (!status) {
+    LogEvent(EventId::kCallFailed,
+             {{"method", "control.sync"}, {"error", status.error().Text()}});
+    // Another control host may reach the leader, or be it. The base is only
+    // known to one leader, so all workers are sent again.
+    ++target_;
+    workers_base_ = 0;
+  }
+  flush_();
+}
+
+Status ControlLink::Apply(const Json& json,
+                          const SyncReport& report,
+                          TimePoint sent) {
+  BW_TRY(SyncAnswer answer, SyncAnswerFromJson(json));
+  const TimePoint now = loop_.now();
+  if (answer.delta.changed.version > core_.view().version) {
+    FleetView view = core_.view();
+    BW_CHECK(ApplyDelta(answer.delta, &view));
+    LogEvent(EventId::kStateApplied,
+             {{"version", static_cast<unsigned long>(view.version)}});
+    core_.OnFleetUpdate(std::move(view), now);
+  }
+  if (answer.entries) {
+    entries_ = std::move(*answer.entries);
+    entries_hash_ = HashOf(entries_);
+  }
+  ControlAnswer control;
+  control.confirmed_at = sent;
+  control.registered = answer.registered;
+  control.allotment_version = answer.allotment_version;
+  control.allotment = std::move(answer.allotment);
+  control.entries = entries_;
+  for (const auto& [id, key] : core_.view().keys) {
+    if (key.withdrawn)
+      control.tombstones.push_back(id);
+  }
+  core_.OnControlAnswer(control, now);
+  if (answer.resend_workers) {
+    workers_base_ = 0;
+    next_sync_ = now;
+    return Ok();
+  }
+  for (const WorkerStatus& worker : report.workers)
+    acknowledged_workers_[worker.host] = worker;
+  workers_sequence_ = report.workers_sequence;
+  workers_base_ = report.workers_sequence;
+  return Ok();
+}
+
+}  // namespace boragewinch
--- a/src/entry/entry_config.h
+++ b/src/entry/entry_config.h
@@ -6,13 +6,12 @@
 
 #include "base/strong_id.h"
 #include "base/time.h"
+#include "fleet/bounds.h"
 
 namespace boragewinch {
 
 /// Keyed work is refused when no leader confirmation is younger than this.
 inline constexpr Millis kFreshnessBound{5'000};
-/// Without an answered own call for this long, nothing is dispatched.
-inline constexpr Millis kIsolationBound{10'000};
 /// A backup takes over the records of an owner silent for this long.
 inline constexpr Millis kOwnerSilence{3'000};
 inline constexpr Millis kGossipInterval{250};
--- /dev/null
+++ b/src/entry/entry_options.h
@@ -0,0 +1,26 @@
+#ifndef BORAGEWINCH_ENTRY_ENTRY_OPTIONS_H_
+#define BORAGEWINCH_ENTRY_ENTRY_OPTIONS_H_
+
+#include <string>
+#include <vector>
+
+#include "base/strong_id.h"
+#include "base/time.h"
+
+namespace boragewinch {
+
+/// \brief The checked settings of boraged-entry.
+struct EntryOptions {
+  ZoneName zone;
+  EntryName name;
+  std::string listen;                ///< callers, workers and operators
+  std::string peer_listen;           ///< other processes
+  std::vector<std::string> control;  ///< "IP:port" of control hosts
+  std::string cluster_secret;
+  std::string operator_secret;
+  Millis stop_timeout{60'000};
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_ENTRY_ENTRY_OPTIONS_H_
--- /dev/null
+++ b/src/entry/task_link.cc
@@ -0,0 +1,209 @@
+#include "entry/task_link.h"
+
+#include <cstdlib>
+#include <utility>
+
+#include "base/event_log.h"
+#include "model/job.h"
+
+namespace boragewinch {
+
+namespace {
+
+constexpr char kHeartbeatPath[] = "/v1/workers/heartbeat";
+constexpr char kLeavePath[] = "/v1/workers/leave";
+constexpr char kResultPath[] = "/v1/tasks/result";
+constexpr std::size_t kMaxTaskIdBytes = 256;
+// Shorter than the core's start time-out, which counts the start as unknown.
+constexpr Millis kStartTimeout{3'000};
+constexpr Millis kStopTimeout{2'000};
+
+inline constexpr EnumTable<ForbidState, 3> kForbidStates{{{
+    {ForbidState::kForbidden, "forbidden"},
+    {ForbidState::kRunning, "running"},
+    {ForbidState::kEnded, "ended"},
+}}};
+
+[[nodiscard]] Result<Json> BodyOf(const Result<HttpResponse>& response) {
+  if (!response)
+    return outcome::failure(response.error());
+  BW_TRY(Json json, ParseJson(response.value().body));
+  if (response.value().status != 200 || !json.isObject()) {
+    return Fail(ErrorCode::kProtocol,
+                "status " + std::to_string(response.value().status));
+  }
+  return json;
+}
+
+[[nodiscard]] Result<StartAnswer> ReadStartAnswer(
+    const Result<HttpResponse>& response) {
+  BW_TRY(const Json json, BodyOf(response));
+  BW_TRY(const auto name, StringField(json, "answer"));
+  const auto answer = kStartAnswers.Parse(name);
+  if (!answer)
+    return Fail(ErrorCode::kProtocol, "unknown answer \"" + name + "\"");
+  return *answer;
+}
+
+[[nodiscard]] Result<ForbidAnswer> ReadForbidAnswer(
+    const Result<HttpResponse>& response) {
+  BW_TRY(const Json json, BodyOf(response));
+  BW_TRY(const auto name, StringField(json, "answer"));
+  BW_TRY(auto incarnation, StringField(json, "incarnation", kMaxNameBytes));
+  const auto state = kForbidStates.Parse(name);
+  if (!state)
+    return Fail(ErrorCode::kProtocol, "unknown answer \"" + name + "\"");
+  return ForbidAnswer{*state, Incarnation(std::move(incarnation))};
+}
+
+[[nodiscard]] Json TaskTexts(const std::vector<TaskId>& tasks) {
+  Json array(::Json::arrayValue);
+  for (const TaskId& task : tasks)
+    array.append(task.Text());
+  return array;
+}
+
+[[nodiscard]] HttpCall CallOf(const std::string& address,
+                              const char* path,
+                              const Json& body,
+                              Millis timeout) {
+  HttpCall call{"POST", "http://" + address + path};
+  call.body = WriteJson(body);
+  call.timeout = timeout;
+  return call;
+}
+
+[[nodiscard]] HttpResponse RefusalOf(const Error& error) {
+  Json json;
+  json["error"] = std::string(kErrorCodes.Name(error.code));
+  json["detail"] = error.detail;
+  const bool conflict = error.code == ErrorCode::kConflict;
+  const bool missing = error.code == ErrorCode::kNotFound;
+  return {conflict ? 409 : missing ? 404 : 400, WriteJson(json)};
+}
+
+}  // namespace
+
+TaskLink::TaskLink(EventLoop& loop,
+                   HttpClient& client,
+                   EntryCore& core,
+                   std::function<void()> flush)
+    : loop_(loop), client_(client), core_(core), flush_(std::move(flush)) {}
+
+void TaskLink::Start(const StartTask& action) {
+  Json body = ToJson(action.spec.declared);
+  body["task"] = action.task.Text();
+  body["team"] = action.spec.team.str();
+  body["pool"] = action.pool.str();
+  body["assignment"] = ::Json::UInt64(action.assignment);
+  body["lease_ms"] = ::Json::Int64(action.lease.count());
+  body["worker_incarnation"] = action.worker_incarnation.str();
+  body["payload"] = action.spec.payload;
+  client_.Send(CallOf(action.address, "/tasks", body, kStartTimeout),
+               [this, task = action.task,
+                host = action.host](const Result<HttpResponse>& response) {
+                 Result<StartAnswer> answer = ReadStartAnswer(response);
+                 // Without a byte sent, the worker can't have started the task.
+                 if (!answer && (answer.error().code == ErrorCode::kTransport ||
+                                 answer.error().code == ErrorCode::kTableFull))
+                   answer = StartAnswer::kBusy;
+                 core_.OnStartAnswer(task, host, answer, loop_.now());
+                 flush_();
+               });
+}
+
+void TaskLink::Stop(const StopTask& action) {
+  Json body;
+  body["task"] = action.task.Text();
+  // Not retried here: the core names the task again in the next report answer.
+  client_.Send(CallOf(action.address, "/tasks/stop", body, kStopTimeout),
+               [](const Result<HttpResponse>&) {});
+}
+
+void TaskLink::Forbid(const ForbidTask& action) {
+  Json body;
+  body["task"] = action.task.Text();
+  client_.Send(CallOf(action.address, "/tasks/forbid", body, kStopTimeout),
+               [this, task = action.task,
+                host = action.host](const Result<HttpResponse>& response) {
+                 core_.OnForbidAnswer(task, host, ReadForbidAnswer(response),
+                                      loop_.now());
+                 flush_();
+               });
+}
+
+bool TaskLink::Handles(const HttpRequest& request) {
+  return request.path == kHeartbeatPath || request.path == kLeavePath ||
+         request.path == kResultPath;
+}
+
+HttpResponse TaskLink::Serve(const HttpRequest& request) {
+  const Result<Json> body = ParseJson(request.body);
+  const auto answer = [&]() -> Result<Json> {
+    if (!body)
+      return outcome::failure(body.error());
+    if (!body.value().isObject())
+      return Fail(ErrorCode::kInvalidField, "the body must be an object");
+    if (request.path == kHeartbeatPath)
+      return OnHeartbeat(body.value());
+    if (request.path == kLeavePath)
+      return OnLeave(body.value());
+    return OnResult(body.value());
+  }();
+  flush_();
+  if (answer)
+    return {200, WriteJson(answer.value())};
+  LogEvent(EventId::kMalformedMessage,
+           {{"path", request.path}, {"error", answer.error().Text()}});
+  return RefusalOf(answer.error());
+}
+
+Result<Json> TaskLink::OnHeartbeat(const Json& body) {
+  BW_TRY(const WorkerReport report, WorkerReportFromJson(body));
+  const WorkerReportAnswer answer = core_.OnWorkerReport(report, loop_.now());
+  Json json;
+  json["renew"] = TaskTexts(answer.renewed);
+  json["stop"] = TaskTexts(answer.stop);
+  json["acknowledged"] = TaskTexts(answer.acknowledged);
+  json["lease_ms"] = ::Json::Int64(kTaskLease.count());
+  json["assignment"] = ::Json::UInt64(answer.assignment);
+  json["pool"] = answer.pool.str();
+  json["drain"] = answer.drain;
+  return json;
+}
+
+Result<Json> TaskLink::OnLeave(const Json& body) {
+  BW_TRY(auto host, StringField(body, "host", kMaxNameBytes));
+  BW_TRY(auto incarnation, StringField(body, "incarnation", kMaxNameBytes));
+  core_.OnWorkerLeave(
+      {HostName(std::move(host)), Incarnation(std::move(incarnation))},
+      loop_.now());
+  Json json;
+  json["leaving"] = true;
+  return json;
+}
+
+Result<Json> TaskLink::OnResult(const Json& body) {
+  TaskResult result;
+  BW_TRY(const auto task, StringField(body, "task", kMaxTaskIdBytes));
+  BW_TRY(result.task, TaskId::Parse(task));
+  BW_TRY(const auto state, StringField(body, "state"));
+  BW_TRY(result.body, StringField(body, "body", kMaxResultBytes));
+  BW_TRY(
+      const auto length,
+      IntField(body, "length", 0, static_cast<std::int64_t>(kMaxResultBytes)));
+  BW_TRY(const auto hash, StringField(body, "hash", 16));
+  const auto parsed = kTaskStates.Parse(state);
+  if (!parsed)
+    return Fail(ErrorCode::kInvalidField, "unknown state \"" + state + "\"");
+  result.state = *parsed;
+  result.length = static_cast<std::uint64_t>(length);
+  result.hash = std::strtoull(hash.c_str(), nullptr, 16);
+  BW_TRY(const ResultAnswer answer,
+         core_.OnResult(std::move(result), loop_.now()));
+  Json json;
+  json["acknowledged"] = answer == ResultAnswer::kAcknowledged;
+  return json;
+}
+
+}  // namespace boragewinch
--- a/src/fleet/answer_table.h
+++ b/src/fleet/answer_table.h
@@ -35,6 +35,10 @@
   [[nodiscard]] std::string FirstChangeAfter(FleetVersion version) const;
 
   [[nodiscard]] std::size_t size() const noexcept { return order_.size(); }
+  /// \returns the operation ids in the table, oldest first.
+  [[nodiscard]] const std::deque<OperationId>& order() const noexcept {
+    return order_;
+  }
 
   [[nodiscard]] Json Save() const;
   [[nodiscard]] static Result<AnswerTable> Load(const Json& json);
--- a/src/fleet/apply_hosts.cc
+++ b/src/fleet/apply_hosts.cc
@@ -199,11 +199,29 @@
   host.zone = body.zone;
   host.rack = body.rack;
   host.state = HostState::kReturning;
+  host.maintained_at = body.wall_seconds;
   host.version = host.assignment = Bump(answer);
   view_.hosts.emplace(body.host, std::move(host));
   return Ok();
 }
 
+Status FleetState::Execute(const StartWave& body,
+                           const OperatorCall& /*call*/,
+                           CommandAnswer* answer) {
+  if (!body.pool.empty() && !view_.pools.contains(body.pool)) {
+    return Fail(ErrorCode::kUnknownName,
+                "pool \"" + body.pool.str() + "\" does not exist");
+  }
+  for (auto& [name, pool] : view_.pools) {
+    const bool meant = body.pool.empty() || name == body.pool;
+    if (!meant || pool.wave_since >= body.wall_seconds)
+      continue;
+    pool.wave_since = body.wall_seconds;
+    pool.version = Bump(answer);
+  }
+  return Ok();
+}
+
 MoveStep FleetState::NextMoveStep(const HostName& name) const {
   const auto move = moves_.find(name);
   const auto it = view_.hosts.find(name);
--- a/src/fleet/apply_sheet.cc
+++ b/src/fleet/apply_sheet.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <type_traits>
 #include <utility>
 
 #include "base/invariant.h"
@@ -89,7 +90,13 @@
       if (it != table->end() && Same(it->second, value))
         continue;
       auto& entity = (*table)[value.name];
-      entity = value;
+      if constexpr (std::is_same_v<Id, PoolName>) {
+        const std::int64_t wave_since = entity.wave_since;
+        entity = value;
+        entity.wave_since = wave_since;
+      } else {
+        entity = value;
+      }
       entity.version = Bump(answer);
     }
     const auto listed = Listed<Id>(rows);
@@ -132,6 +139,8 @@
       Host host{.name = row.name, .pool = row.pool};
       host.zone = row.zone;
       host.rack = row.rack;
+      // A new host's first period begins now.
+      host.maintained_at = body.wall_seconds;
       host.version = host.assignment = Bump(answer);
       view_.hosts.emplace(row.name, std::move(host));
       continue;
--- a/src/fleet/codec.cc
+++ b/src/fleet/codec.cc
@@ -17,6 +17,7 @@
   json["min_available"] = ::Json::Int64(pool.min_available);
   json["spare"] = pool.spare;
   json["maintenance_days"] = ::Json::Int64(pool.maintenance_days);
+  json["wave_since"] = ::Json::Int64(pool.wave_since);
   json["version"] = Counter(pool.version);
   return json;
 }
@@ -91,6 +92,7 @@
   BW_TRY(pool.maintenance_days,
          IntFieldOr(json, "maintenance_days", pool.maintenance_days, 1,
                     kMaxMaintenanceDays));
+  BW_TRY(pool.wave_since, IntFieldOr(json, "wave_since", 0, 0, kMaxCounter));
   BW_TRY(pool.version, CounterField(json, "version"));
   return pool;
 }
--- a/src/fleet/command.cc
+++ b/src/fleet/command.cc
@@ -16,11 +16,11 @@
 constexpr std::size_t kMaxCommandBytes = 8 * 1024 * 1024;
 
 constexpr std::array<std::string_view, std::variant_size_v<CommandBody>>
-    kCommandNames{"apply_sheet",      "create_key",         "withdraw_key",
-                  "drain_host",       "return_host",        "move_host",
-                  "set_host_state",   "register_host",      "register_entry",
-                  "reclaim_entry",    "declare_entry_lost", "retire_entry",
-                  "change_allotments"};
+    kCommandNames{"apply_sheet",       "create_key",         "withdraw_key",
+                  "drain_host",        "return_host",        "move_host",
+                  "set_host_state",    "register_host",      "register_entry",
+                  "reclaim_entry",     "declare_entry_lost", "retire_entry",
+                  "change_allotments", "start_wave"};
 
 void WriteRun(const EntryRun& run, Json* json) {
   (*json)["entry"] = run.entry.str();
@@ -55,12 +55,15 @@
   (*json)["sheet"] = ToJson(body.sheet);
   (*json)["allow_lowering"] = body.allow_lowering;
   (*json)["running"] = ToJson(body.running);
+  (*json)["wall_seconds"] = ::Json::Int64(body.wall_seconds);
 }
 
 [[nodiscard]] Status Read(const Json& json, ApplySheet* body) {
   BW_TRY(body->sheet, SheetFromJson(json["sheet"]));
   BW_TRY(body->allow_lowering, BoolFieldOr(json, "allow_lowering", false));
   BW_TRY(body->running, CountsField(json, "running"));
+  BW_TRY(body->wall_seconds,
+         IntFieldOr(json, "wall_seconds", 0, 0, kMaxCounter));
   return Ok();
 }
 
@@ -153,12 +156,15 @@
   (*json)["host"] = body.host.str();
   (*json)["zone"] = body.zone.str();
   (*json)["rack"] = body.rack.str();
+  (*json)["wall_seconds"] = ::Json::Int64(body.wall_seconds);
 }
 
 [[nodiscard]] Status Read(const Json& json, RegisterHost* body) {
   BW_TRY(body->host, NameField<HostName>(json, "host"));
   BW_TRY(body->zone, NameField<ZoneName>(json, "zone"));
   BW_TRY(body->rack, NameField<RackName>(json, "rack"));
+  BW_TRY(body->wall_seconds,
+         IntFieldOr(json, "wall_seconds", 0, 0, kMaxCounter));
   return Ok();
 }
 
@@ -236,6 +242,18 @@
   return Ok();
 }
 
+void Write(const StartWave& body, Json* json) {
+  (*json)["pool"] = body.pool.str();
+  (*json)["wall_seconds"] = ::Json::Int64(body.wall_seconds);
+}
+
+[[nodiscard]] Status Read(const Json& json, StartWave* body) {
+  BW_TRY(body->pool, OptionalName<PoolName>(json, "pool"));
+  BW_TRY(body->wall_seconds,
+         IntFieldOr(json, "wall_seconds", 0, 0, kMaxCounter));
+  return Ok();
+}
+
 /// Reads the body whose name is `name`, trying each kind in turn.
 template <std::size_t I = 0>
 [[nodiscard]] Result<CommandBody> ReadBody(const Json& json,
@@ -256,7 +274,7 @@
     std::is_same_v<Body, ApplySheet> || std::is_same_v<Body, CreateKey> ||
     std::is_same_v<Body, WithdrawKey> || std::is_same_v<Body, DrainHost> ||
     std::is_same_v<Body, ReturnHost> || std::is_same_v<Body, MoveHost> ||
-    std::is_same_v<Body, DeclareEntryLost>;
+    std::is_same_v<Body, DeclareEntryLost> || std::is_same_v<Body, StartWave>;
 
 }  // namespace
 
@@ -296,8 +314,12 @@
                 "an operator's command needs \"operation_id\" and "
                 "\"operator\"");
   }
-  if (!command.call.expected_version &&
-      !std::holds_alternative<WithdrawKey>(command.body)) {
+  // Withdrawals never wait for a version; a new key and a roll-out conflict
+  // with no other change.
+  const bool versioned = !std::holds_alternative<WithdrawKey>(command.body) &&
+                         !std::holds_alternative<CreateKey>(command.body) &&
+                         !std::holds_alternative<StartWave>(command.body);
+  if (!command.call.expected_version && versioned) {
     return Fail(ErrorCode::kMissingField,
                 "command " + std::string(CommandName(command.body)) +
                     " needs \"expected_version\"");
@@ -351,7 +373,7 @@
 
 std::uint64_t CommandFingerprint(const Command& command) {
   Json json = ToJson(command);
-  for (const char* filled_in : {"lost", "running", "transfers"})
+  for (const char* filled_in : {"lost", "running", "transfers", "wall_seconds"})
     json.removeMember(filled_in);
   return Hash64(WriteJson(json));
 }
--- a/src/fleet/command.h
+++ b/src/fleet/command.h
@@ -29,8 +29,9 @@
 /// \brief Makes the fleet look like the sheet, all of it or nothing.
 struct ApplySheet {
   Sheet sheet;
-  bool allow_lowering = false;  ///< accepts changes that need confirmation
-  TeamCounts running;           ///< filled in by the control leader
+  bool allow_lowering = false;    ///< accepts changes that need confirmation
+  TeamCounts running;             ///< filled in by the control leader
+  std::int64_t wall_seconds = 0;  ///< filled in by the control leader
 };
 
 struct CreateKey {
@@ -77,6 +78,7 @@
   HostName host;
   ZoneName zone;
   RackName rack;
+  std::int64_t wall_seconds = 0;
 };
 
 struct RegisterEntry {
@@ -124,6 +126,12 @@
   std::vector<AllotmentChange> changes;
 };
 
+/// \brief Starts a roll-out: each host of the pool is maintained once.
+struct StartWave {
+  PoolName pool;                  ///< empty for all pools
+  std::int64_t wall_seconds = 0;  ///< filled in by the control leader
+};
+
 using CommandBody = std::variant<ApplySheet,
                                  CreateKey,
                                  WithdrawKey,
@@ -136,7 +144,8 @@
                                  ReclaimEntry,
                                  DeclareEntryLost,
                                  RetireEntry,
-                                 ChangeAllotments>;
+                                 ChangeAllotments,
+                                 StartWave>;
 
 /// \brief One entry of the replicated log.
 struct Command {
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -53,6 +53,8 @@
       const noexcept {
     return moves_;
   }
+  /// \returns the first answers to operators' calls.
+  [[nodiscard]] const AnswerTable& answers() const noexcept { return answers_; }
   /// \returns the ids of all withdrawn keys.
   [[nodiscard]] std::set<KeyId> Tombstones() const;
 
@@ -115,6 +117,9 @@
   [[nodiscard]] Status Execute(const ChangeAllotments& body,
                                const OperatorCall& call,
                                CommandAnswer* answer);
+  [[nodiscard]] Status Execute(const StartWave& body,
+                               const OperatorCall& call,
+                               CommandAnswer* answer);
 
   FleetVersion Bump(CommandAnswer* answer);
   void AddRemoval(EntityKind kind, const std::string& name);
--- a/src/model/fleet_types.h
+++ b/src/model/fleet_types.h
@@ -19,7 +19,10 @@
   std::int64_t min_available = 0;      ///< workers that must stay in service
   bool spare = false;                  ///< shared buffer of the other pools
   std::int64_t maintenance_days = 35;  ///< each host once in this period
-  FleetVersion version = 0;            ///< last change
+  /// Start of the last roll-out, Unix seconds: hosts that were maintained
+  /// before are due. 0 is none. A sheet doesn't change it.
+  std::int64_t wave_since = 0;
+  FleetVersion version = 0;  ///< last change
 };
 
 /// \brief A group of people who submit work.
--- a/src/policy/wave_planner.cc
+++ b/src/policy/wave_planner.cc
@@ -80,6 +80,8 @@
   });
   // The n hosts with the first n deadlines have to be begun early enough for
   // the last of them, for each n.
+  const std::int64_t rollout_since =
+      std::max(config.rollout_since, pool.wave_since);
   bool needed = false;
   for (auto count = static_cast<std::int64_t>(next.size()); count > 0;
        --count) {
@@ -89,7 +91,7 @@
                              Duration(count, usual) * config.lead_percent / 100)
                   : period / 2;
     needed = needed || wall >= Deadline(*host, period) - lead;
-    if (needed || host->maintained_at < config.rollout_since)
+    if (needed || host->maintained_at < rollout_since)
       hosts.due.push_back(host);
     else
       ++wave.done;
