--- a/src/fleet/apply_ledger.cc
+++ b/src/fleet/apply_ledger.cc
@@ -34,22 +34,16 @@
     return Ok();
   }
   if (it != ledger_.entries.end()) {
-    const EntryRun old_run{body.entry, it->second.incarnation};
-    const bool holds_any =
-        std::any_of(it->second.allotment.begin(), it->second.allotment.end(),
-                    [](const auto& item) { return item.second > 0; });
-    if (holds_any && ledger_.reserved.size() >= kMaxReserved) {
+    if (ledger_.reserved.size() >= kMaxReserved) {
       return Fail(ErrorCode::kTableFull,
                   std::to_string(kMaxReserved) +
                       " old allotments wait to be reclaimed");
     }
-    // Tasks of the old run may still run, so its allotment stays reserved.
-    if (holds_any) {
-      ledger_.reserved[old_run] = {it->second.zone,
-                                   std::move(it->second.allotment)};
-    } else {
-      Forget(old_run);
-    }
+    // Tasks of the old run may still run, so its allotment stays reserved. A
+    // run without one is kept too: it may have taken over tasks of others, and
+    // reclaims in its zone wait until its lease is over.
+    ledger_.reserved[{body.entry, it->second.incarnation}] = {
+        it->second.zone, std::move(it->second.allotment)};
   }
   EntryHost& entry = ledger_.entries[body.entry];
   entry = {};
@@ -101,7 +95,10 @@
       ledger_.entries.erase(run.entry);
     Forget(run);
   }
+  ++ledger_.version;
   for (const AllotmentTransfer& transfer : transfers) {
+    if (transfer.count == 0)
+      continue;
     EntryHost& peer = ledger_.entries.at(transfer.to.entry);
     peer.allotment[transfer.team] += transfer.count;
     peer.allotment_version = ++ledger_.version;
--- a/src/fleet/command.cc
+++ b/src/fleet/command.cc
@@ -280,13 +280,16 @@
   return kCommandNames[body.index()];
 }
 
-Status CheckOperatorCall(const Command& command) {
-  const bool allowed = std::visit(
-      [](const auto& body) {
-        return kOfOperator<std::decay_t<decltype(body)>>;
+bool IsOperatorCommand(const CommandBody& body) noexcept {
+  return std::visit(
+      [](const auto& kind) {
+        return kOfOperator<std::decay_t<decltype(kind)>>;
       },
-      command.body);
-  if (!allowed) {
+      body);
+}
+
+Status CheckOperatorCall(const Command& command) {
+  if (!IsOperatorCommand(command.body)) {
     return Fail(ErrorCode::kUnauthorized,
                 "command " + std::string(CommandName(command.body)) +
                     " is reserved for the control service");
--- a/src/fleet/command.h
+++ b/src/fleet/command.h
@@ -151,6 +151,9 @@
 /// \returns the wire name of the command's kind, such as "drain_host".
 [[nodiscard]] std::string_view CommandName(const CommandBody& body) noexcept;
 
+/// \returns whether operators may submit commands of this kind.
+[[nodiscard]] bool IsOperatorCommand(const CommandBody& body) noexcept;
+
 /// \brief Checks what an operator may submit: the kind, a name, and an expected
 /// version unless the command is a withdrawal.
 /// \returns kUnauthorized or kMissingField.
--- /dev/null
+++ b/src/fleet/reclaim_planner.cc
@@ -0,0 +1,124 @@
+#include "fleet/reclaim_planner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fleet/bounds.h"
+#include "model/worker_types.h"
+
+namespace boragewinch {
+
+namespace {
+
+/// Tasks that nobody renews have ended after this time.
+constexpr Millis kLeaseOver = GranterLease(kTaskLease);
+/// Rule 2: the entry host has stopped itself and its tasks have ended.
+constexpr Millis kIsolationOver = GranterLease(kIsolationBound + kTaskLease);
+
+[[nodiscard]] const SilentPeer* Find(const EntryReport& report,
+                                     const EntryRun& run) {
+  const auto it =
+      std::find_if(report.silent_peers.begin(), report.silent_peers.end(),
+                   [&](const SilentPeer& peer) { return peer.run == run; });
+  return it == report.silent_peers.end() ? nullptr : &*it;
+}
+
+/// \returns the reclaim of `run`. A peer that reports more than the allotment
+/// has gets what is left, since a refused reclaim would never end.
+[[nodiscard]] ReclaimEntry Reclaim(
+    const EntryRun& run,
+    TeamCounts left,
+    const std::vector<const EntryReport*>& peers) {
+  ReclaimEntry reclaim{run, {}};
+  for (const EntryReport* report : peers) {
+    const SilentPeer* peer = Find(*report, run);
+    if (!peer)
+      continue;
+    for (const auto& [team, taken_over] : peer->taken_over) {
+      const std::int64_t count = std::min(taken_over, left[team]);
+      if (count <= 0)
+        continue;
+      left[team] -= count;
+      reclaim.transfers.push_back({report->run, team, count});
+    }
+  }
+  return reclaim;
+}
+
+}  // namespace
+
+void ReclaimPlanner::Observe(EntryReport report, TimePoint now) {
+  reports_.Observe(std::move(report), now);
+}
+
+std::vector<ReclaimEntry> ReclaimPlanner::Plan(const Ledger& ledger,
+                                               TimePoint now) {
+  reports_.Prune(ledger);
+  std::erase_if(reserved_since_, [&](const auto& item) {
+    return !ledger.reserved.contains(item.first);
+  });
+  for (const auto& [run, record] : ledger.reserved)
+    reserved_since_.emplace(run, now);
+
+  std::vector<ReclaimEntry> reclaims;
+  for (const auto& [run, record] : ledger.reserved) {
+    if (!ZoneSettled(ledger, record.zone, now))
+      continue;
+    if (const auto peers = ZoneReports(ledger, record.zone, run.entry, now))
+      reclaims.push_back(Reclaim(run, record.allotment, *peers));
+  }
+  for (const auto& [name, entry] : ledger.entries) {
+    const EntryRun run{name, entry.incarnation};
+    if (!ZoneSettled(ledger, entry.zone, now))
+      continue;
+    const auto peers = ZoneReports(ledger, entry.zone, name, now);
+    if (peers && IsLost(run, *peers, now))
+      reclaims.push_back(Reclaim(run, entry.allotment, *peers));
+  }
+  return reclaims;
+}
+
+std::optional<std::vector<const EntryReport*>> ReclaimPlanner::ZoneReports(
+    const Ledger& ledger,
+    const ZoneName& zone,
+    const EntryName& except,
+    TimePoint now) const {
+  std::vector<const EntryReport*> reports;
+  for (const auto& [name, entry] : ledger.entries) {
+    if (name == except || entry.zone != zone)
+      continue;
+    const EntryReport* report = reports_.Fresh({name, entry.incarnation}, now);
+    if (!report)
+      return std::nullopt;
+    reports.push_back(report);
+  }
+  return reports;
+}
+
+bool ReclaimPlanner::ZoneSettled(const Ledger& ledger,
+                                 const ZoneName& zone,
+                                 TimePoint now) const {
+  // The peers of a run that ended a moment ago may not have taken over its
+  // tasks yet, among them tasks that it had taken over itself.
+  return std::all_of(
+      ledger.reserved.begin(), ledger.reserved.end(), [&](const auto& item) {
+        return item.second.zone != zone ||
+               now - reserved_since_.at(item.first) >= kLeaseOver;
+      });
+}
+
+bool ReclaimPlanner::IsLost(const EntryRun& run,
+                            const std::vector<const EntryReport*>& peers,
+                            TimePoint now) const {
+  const TimePoint heard =
+      std::max(reports_.HeardAt(run).value_or(leading_since_), leading_since_);
+  if (peers.empty() || now - heard < kIsolationOver)
+    return false;
+  return std::all_of(
+      peers.begin(), peers.end(), [&](const EntryReport* report) {
+        const SilentPeer* peer = Find(*report, run);
+        return peer && peer->fenced && peer->silent_for >= kIsolationOver;
+      });
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/tests/fleet_random_test.cc
@@ -0,0 +1,387 @@
+#define BOOST_TEST_MODULE fleet_random
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <set>
+
+#include <boost/random/mersenne_twister.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+
+#include "base/invariant.h"
+#include "fleet/allotment_planner.h"
+#include "fleet/fleet_state.h"
+#include "fleet/reclaim_planner.h"
+#include "model/worker_types.h"
+
+namespace boragewinch {
+namespace {
+
+constexpr int kSteps = 2'000;
+constexpr int kPools = 3;
+constexpr int kTeams = 3;
+constexpr int kHosts = 14;
+constexpr int kKeys = 40;
+constexpr int kEntries = 4;
+
+[[nodiscard]] std::uint64_t FromEnvironment(const char* name,
+                                            std::uint64_t fallback) {
+  const char* text = std::getenv(name);
+  return text ? std::strtoull(text, nullptr, 10) : fallback;
+}
+
+/// Fails the test at the violation of an invariant.
+void FailOnViolation(Invariant invariant, std::string_view detail) {
+  BOOST_FAIL("invariant " << kInvariants.Name(invariant) << ": " << detail);
+}
+
+class Random {
+ public:
+  explicit Random(std::uint64_t seed) : engine_(seed) {}
+  /// \returns a number from 0 to `bound` - 1.
+  [[nodiscard]] int Below(int bound) {
+    return boost::random::uniform_int_distribution<int>(0, bound - 1)(engine_);
+  }
+  [[nodiscard]] bool OneIn(int n) { return Below(n) == 0; }
+  template <typename Id>
+  [[nodiscard]] Id Name(const char* prefix, int bound) {
+    return Id(prefix + std::to_string(Below(bound)));
+  }
+
+ private:
+  boost::random::mt19937_64 engine_;
+};
+
+/// BOOST_REQUIRE costs about a microsecond each time; this one only on failure.
+#define REQUIRE_FAST(condition)                 \
+  do {                                          \
+    if (!(condition))                           \
+      BOOST_REQUIRE_MESSAGE(false, #condition); \
+  } while (false)
+
+/// Runs `body(random)` for every seed; a failure names its seed.
+template <typename Body>
+void ForEachSeed(const char* what, Body body) {
+  const auto runs = FromEnvironment("BORAGEWINCH_RANDOM_RUNS", 100);
+  const auto base = FromEnvironment("BORAGEWINCH_RANDOM_SEED", 1);
+  std::cout << what << ": seeds " << base << " to " << base + runs - 1 << ", "
+            << kSteps << " steps each\n";
+  SetInvariantHandler(FailOnViolation);
+  for (std::uint64_t seed = base; seed < base + runs; ++seed) {
+    BOOST_TEST_CONTEXT(
+        "BORAGEWINCH_RANDOM_RUNS=1 BORAGEWINCH_RANDOM_SEED=" << seed) {
+      Random random(seed);
+      body(random);
+    }
+  }
+}
+
+[[nodiscard]] Sheet RandomSheet(Random& random) {
+  Sheet sheet;
+  sheet.pools.push_back({Pool{.name = PoolName("spare"), .spare = true}});
+  for (int i = 0; i < kPools; ++i) {
+    Pool pool{.name = PoolName("p" + std::to_string(i))};
+    pool.min_available = random.Below(3);
+    sheet.pools.push_back({pool});
+  }
+  for (int i = 0; i < kTeams; ++i) {
+    if (i > 0 && random.OneIn(6))
+      continue;
+    Team team{.name = TeamName("t" + std::to_string(i))};
+    team.limit = random.Below(30);
+    sheet.teams.push_back({team});
+  }
+  Queue queue{.name = random.Name<QueueName>("q", 3), .pool = PoolName("p0")};
+  queue.team = TeamName("t0");
+  queue.open = random.OneIn(2);
+  sheet.queues.push_back({queue});
+  if (random.OneIn(3))
+    return sheet;
+  for (int i = 0; i < kHosts; ++i) {
+    if (random.OneIn(8))
+      continue;
+    Host host{.name = HostName("h" + std::to_string(i))};
+    host.pool =
+        sheet.pools[(i + random.Below(8) / 7) % (kPools + 1)].value.name;
+    host.zone = ZoneName("za");
+    host.rack = RackName("r" + std::to_string(i / 4));
+    sheet.hosts.push_back({host});
+  }
+  return sheet;
+}
+
+/// Draws commands of every kind, most of them sensible for `state`.
+class CommandSource {
+ public:
+  CommandSource(Random* random, const FleetState* state)
+      : random_(*random), state_(*state) {}
+
+  [[nodiscard]] Command Next() {
+    // A lost answer: the operator sends the same command again.
+    if (!sent_.empty() && random_.OneIn(10))
+      return sent_[random_.Below(static_cast<int>(sent_.size()))];
+    Command command{{}, Body()};
+    const bool operators_only =
+        std::holds_alternative<ApplySheet>(command.body) ||
+        std::holds_alternative<CreateKey>(command.body) ||
+        std::holds_alternative<DeclareEntryLost>(command.body);
+    const bool of_operator = IsOperatorCommand(command.body);
+    if (operators_only || (of_operator && random_.OneIn(2))) {
+      command.call = {OperationId("o" + std::to_string(++operations_)), "ivan",
+                      state_.version()};
+      // Races: several operators submit under a version that one of them has
+      // made stale.
+      if (random_.OneIn(4) && state_.version() > 2)
+        command.call.expected_version = state_.version() - random_.Below(3);
+      sent_.push_back(command);
+    }
+    return command;
+  }
+
+ private:
+  [[nodiscard]] HostName SomeHost() {
+    return random_.Name<HostName>("h", kHosts + 1);
+  }
+  [[nodiscard]] PoolName SomePool() {
+    return random_.OneIn(4) ? PoolName("spare")
+                            : random_.Name<PoolName>("p", kPools);
+  }
+  [[nodiscard]] EntryRun SomeRun() {
+    return {random_.Name<EntryName>("e", kEntries),
+            random_.Name<Incarnation>("i", 1 + operations_ / 20)};
+  }
+  [[nodiscard]] EntryRun KnownRun() {
+    const EntryRun run = SomeRun();
+    const auto it = state_.ledger().entries.find(run.entry);
+    return it == state_.ledger().entries.end()
+               ? run
+               : EntryRun{run.entry, it->second.incarnation};
+  }
+  [[nodiscard]] std::set<HostName> Lost() {
+    std::set<HostName> lost;
+    while (random_.OneIn(3))
+      lost.insert(SomeHost());
+    return lost;
+  }
+  [[nodiscard]] std::vector<AllotmentTransfer> Transfers() {
+    std::vector<AllotmentTransfer> transfers;
+    while (random_.OneIn(2)) {
+      transfers.push_back(
+          {KnownRun(), random_.Name<TeamName>("t", kTeams), random_.Below(5)});
+    }
+    return transfers;
+  }
+
+  [[nodiscard]] CommandBody Body() {
+    const auto& reserved = state_.ledger().reserved;
+    switch (random_.Below(16)) {
+      case 0:
+        // A sheet costs as much time as ten other commands.
+        if (operations_ > 0 && !random_.OneIn(5))
+          return WithdrawKey{{random_.Name<KeyId>("k", kKeys)}};
+        return ApplySheet{RandomSheet(random_), !random_.OneIn(3), {}};
+      case 1:
+        return CreateKey{random_.Name<KeyId>("k", kKeys),
+                         random_.Name<TeamName>("t", kTeams),
+                         std::string(64, 'a')};
+      case 2:
+      case 3:
+      case 4:
+        return DrainHost{SomeHost(), Lost()};
+      case 5:
+        return ReturnHost{SomeHost()};
+      case 6:
+        return MoveHost{SomeHost(), SomePool(), random_.OneIn(2), Lost()};
+      case 7:
+      case 8:
+      case 9: {
+        SetHostState set{SomeHost()};
+        set.state = kHostStates.entries[random_.Below(6)].first;
+        const auto it = state_.view().hosts.find(set.host);
+        if (it != state_.view().hosts.end())
+          set.assignment = it->second.assignment - random_.Below(8) / 7;
+        return set;
+      }
+      case 10:
+        return RegisterHost{SomeHost(), ZoneName("zb"), RackName("r")};
+      case 11: {
+        const EntryRun run = SomeRun();
+        return RegisterEntry{run.entry, ZoneName("za"), run.incarnation,
+                             "127.0.0.1:1", "127.0.0.1:2"};
+      }
+      case 12:
+        if (random_.OneIn(4))
+          return DeclareEntryLost{SomeRun().entry, Transfers()};
+        if (random_.OneIn(3))
+          return RetireEntry{KnownRun(), Transfers()};
+        return ReclaimEntry{
+            reserved.empty() ? SomeRun() : reserved.begin()->first,
+            Transfers()};
+      default: {
+        ChangeAllotments changes;
+        for (int i = 1 + random_.Below(3); i > 0; --i) {
+          AllotmentChange change{KnownRun()};
+          const auto it = state_.ledger().entries.find(change.run.entry);
+          if (it != state_.ledger().entries.end())
+            change.allotment_version =
+                it->second.allotment_version - random_.Below(8) / 7;
+          change.deltas[random_.Name<TeamName>("t", kTeams)] =
+              random_.Below(20) - 8;
+          changes.changes.push_back(std::move(change));
+        }
+        return changes;
+      }
+    }
+  }
+
+  Random& random_;
+  const FleetState& state_;
+  std::vector<Command> sent_;
+  int operations_ = 0;
+};
+
+/// What must hold between the state before and after one command, worked out
+/// without the code under test.
+class Watch {
+ public:
+  explicit Watch(const FleetState* state) : state_(*state) {}
+
+  void Before(const Command& command) {
+    // Copying only after a change saves a third of the test's time.
+    if (version_ != state_.version())
+      hosts_ = state_.view().hosts;
+    version_ = state_.version();
+    if (ledger_version_ != state_.ledger().version)
+      totals_ = state_.ledger().Totals();
+    ledger_version_ = state_.ledger().version;
+    lost_.clear();
+    if (const auto* drain = std::get_if<DrainHost>(&command.body))
+      lost_ = drain->lost;
+    if (const auto* move = std::get_if<MoveHost>(&command.body))
+      lost_ = move->lost;
+  }
+
+  void After(const Command& command, const CommandAnswer& answer) {
+    const FleetView& view = state_.view();
+    REQUIRE_FAST(view.version >= version_);
+    REQUIRE_FAST(view.version <= version_ + 1);
+    const bool observed = std::holds_alternative<SetHostState>(command.body);
+    const bool sheet = std::holds_alternative<ApplySheet>(command.body);
+    for (const auto& [name, pool] : view.pools) {
+      const auto before = Available(hosts_, name);
+      const auto after = Available(view.hosts, name);
+      if (after < before && !observed && !sheet)
+        REQUIRE_FAST(after >= pool.min_available);
+    }
+    for (const auto& [name, host] : view.hosts) {
+      REQUIRE_FAST(view.pools.contains(host.pool));
+      const auto old = hosts_.find(name);
+      if (old == hosts_.end() || old->second.pool == host.pool)
+        continue;
+      REQUIRE_FAST((old->second.state == HostState::kDrained ||
+                    old->second.pool == PoolName("spare")));
+      REQUIRE_FAST(host.assignment > old->second.assignment);
+      REQUIRE_FAST(host.state != HostState::kActive);
+    }
+    for (const auto& [team, total] : state_.ledger().Totals()) {
+      const auto limit = view.teams.find(team);
+      const auto most =
+          std::max(limit == view.teams.end() ? 0 : limit->second.limit,
+                   totals_.contains(team) ? totals_[team] : 0);
+      REQUIRE_FAST(total <= most);
+    }
+    CheckKeys(command, answer);
+    CheckOperator(command, answer);
+  }
+
+ private:
+  [[nodiscard]] std::int64_t Available(const std::map<HostName, Host>& hosts,
+                                       const PoolName& pool) const {
+    std::int64_t count = 0;
+    for (const auto& [name, host] : hosts) {
+      count += host.pool == pool && host.state == HostState::kActive &&
+               !lost_.contains(name);
+    }
+    return count;
+  }
+
+  void CheckKeys(const Command& command, const CommandAnswer& answer) {
+    if (const auto* body = std::get_if<WithdrawKey>(&command.body);
+        body && answer.accepted) {
+      withdrawn_.insert(body->ids.begin(), body->ids.end());
+    }
+    for (const KeyId& id : withdrawn_)
+      REQUIRE_FAST(state_.view().keys.at(id).withdrawn);
+  }
+
+  void CheckOperator(const Command& command, const CommandAnswer& answer) {
+    if (!command.from_operator())
+      return;
+    const auto [first, is_new] =
+        answers_.emplace(command.call.operation_id, answer);
+    REQUIRE_FAST(answer.resent == !is_new);
+    REQUIRE_FAST(answer.accepted == first->second.accepted);
+    REQUIRE_FAST(answer.version == first->second.version);
+    REQUIRE_FAST(answer.index == first->second.index);
+    if (!is_new) {
+      REQUIRE_FAST(state_.version() == version_);
+      return;
+    }
+    if (answer.accepted && command.call.expected_version)
+      REQUIRE_FAST(*command.call.expected_version >= last_operator_change_);
+    if (answer.changed)
+      last_operator_change_ = answer.version;
+  }
+
+  const FleetState& state_;
+  std::map<HostName, Host> hosts_;
+  FleetVersion version_ = 0;
+  std::uint64_t ledger_version_ = 0;
+  TeamCounts totals_;
+  std::set<HostName> lost_;
+  std::set<KeyId> withdrawn_;
+  std::map<OperationId, CommandAnswer> answers_;
+  FleetVersion last_operator_change_ = 0;
+};
+
+// Guards against a sequence of racing, resent, stale and senseless commands
+// that breaks an invariant, makes replicas differ, or leads an entry host that
+// follows by deltas to another view.
+BOOST_AUTO_TEST_CASE(RandomCommandsKeepTheInvariants) {
+  ForEachSeed("random commands", [](Random& random) {
+    FleetState state;
+    FleetState replica;
+    FleetView follower;
+    CommandSource source(&random, &state);
+    Watch watch(&state);
+    // The replica joins with a snapshot; 0 is from the beginning.
+    const int restore_at = random.OneIn(5) ? 0 : random.Below(kSteps);
+    for (int step = 1; step <= kSteps; ++step) {
+      const Command command = source.Next();
+      const std::string bytes = EncodeCommand(command);
+      watch.Before(command);
+      watch.After(command, state.Apply(step, bytes));
+      if (step > restore_at)
+        replica.Apply(step, bytes);
+      if (step == restore_at) {
+        const std::string snapshot = state.Snapshot();
+        auto restored = FleetState::Restore(snapshot);
+        REQUIRE_FAST(restored);
+        replica = std::move(restored).value();
+        REQUIRE_FAST(replica.Snapshot() == snapshot);
+      }
+      if (random.OneIn(100)) {
+        const auto delta =
+            FleetDeltaFromJson(ToJson(state.DeltaSince(follower.version)));
+        REQUIRE_FAST(delta);
+        REQUIRE_FAST(ApplyDelta(delta.value(), &follower));
+        REQUIRE_FAST(WriteJson(ToJson(follower)) ==
+                     WriteJson(ToJson(state.view())));
+      }
+    }
+    REQUIRE_FAST(replica.hash() == state.hash());
+  });
+}
+
+}  // namespace
+}  // namespace boragewinch
--- /dev/null
+++ b/tests/ledger_test.cc
@@ -0,0 +1,465 @@
+#define BOOST_TEST_MODULE ledger
+#include <boost/test/unit_test.hpp>
+
+#include "base/invariant.h"
+#include "fleet/allotment_planner.h"
+#include "fleet/fleet_state.h"
+#include "fleet/reclaim_planner.h"
+#include "model/worker_types.h"
+
+namespace boragewinch {
+namespace {
+
+const TeamName kTeam("t");
+
+[[nodiscard]] EntryRun Run(const std::string& entry, const std::string& run) {
+  return {EntryName(entry), Incarnation(run)};
+}
+
+/// A fleet with one team of limit 12.
+struct Fleet {
+  Fleet() { SetLimit(12); }
+  ~Fleet() { BOOST_TEST(invariant_count(Invariant::kTeamLimit).violated == 0); }
+
+  CommandAnswer Submit(CommandBody body, OperatorCall call = {}) {
+    return state.Apply(++index,
+                       EncodeCommand({std::move(call), std::move(body)}));
+  }
+  OperatorCall Call() {
+    return {OperationId("op-" + std::to_string(index)), "ivan",
+            state.version()};
+  }
+  void SetLimit(std::int64_t limit) {
+    ApplySheet body;
+    body.allow_lowering = true;
+    body.sheet.pools.push_back({Pool{.name = PoolName("s"), .spare = true}});
+    body.sheet.teams.push_back({Team{.name = kTeam, .limit = limit}});
+    BOOST_REQUIRE(Submit(body, Call()).accepted);
+  }
+  CommandAnswer Register(const EntryRun& run, const std::string& zone = "za") {
+    return Submit(RegisterEntry{run.entry, ZoneName(zone), run.incarnation,
+                                "127.0.0.1:1", "127.0.0.1:2"});
+  }
+  [[nodiscard]] std::uint64_t VersionOf(const EntryRun& run) const {
+    return state.ledger().entries.at(run.entry).allotment_version;
+  }
+  void Change(const EntryRun& run, std::int64_t delta) {
+    Submit(ChangeAllotments{{{run, VersionOf(run), {{kTeam, delta}}}}});
+  }
+  [[nodiscard]] std::int64_t Allotment(const EntryRun& run) const {
+    const TeamCounts* counts = state.ledger().AllotmentOf(run);
+    if (!counts || !counts->contains(kTeam))
+      return 0;
+    return counts->at(kTeam);
+  }
+  [[nodiscard]] std::int64_t Total() const {
+    return state.ledger().Total(kTeam);
+  }
+
+  FleetState state;
+  std::uint64_t index = 0;
+};
+
+// Guards against grants above the limit, in one command and over several.
+BOOST_AUTO_TEST_CASE(SumOfAllotmentsStaysWithinTheLimit) {
+  Fleet fleet;
+  const auto a = Run("a", "1");
+  const auto b = Run("b", "1");
+  fleet.Register(a);
+  fleet.Register(b);
+  fleet.Submit(ChangeAllotments{{{a, fleet.VersionOf(a), {{kTeam, 8}}},
+                                 {b, fleet.VersionOf(b), {{kTeam, 8}}}}});
+  BOOST_TEST(fleet.Allotment(a) == 8);
+  BOOST_TEST(fleet.Allotment(b) == 4);
+  fleet.Change(b, 1);
+  BOOST_TEST(fleet.Total() == 12);
+  // What one gives back can be granted in the same entry.
+  fleet.Submit(ChangeAllotments{{{a, fleet.VersionOf(a), {{kTeam, -3}}},
+                                 {b, fleet.VersionOf(b), {{kTeam, 3}}}}});
+  BOOST_TEST(fleet.Allotment(a) == 5);
+  BOOST_TEST(fleet.Allotment(b) == 7);
+}
+
+// Guards against grants while partitioned entry hosts hold more than a lowered
+// limit.
+BOOST_AUTO_TEST_CASE(LoweredLimitGrantsNothingUntilTheSumHasShrunk) {
+  Fleet fleet;
+  const auto a = Run("a", "1");
+  fleet.Register(a);
+  fleet.Change(a, 10);
+  fleet.SetLimit(6);
+  fleet.Change(a, 1);
+  BOOST_TEST(fleet.Total() == 10);
+  fleet.Change(a, -5);
+  fleet.Change(a, 4);
+  BOOST_TEST(fleet.Total() == 6);
+}
+
+// Guards against one offer being taken twice, and against an offer of more
+// than is held.
+BOOST_AUTO_TEST_CASE(ChangeOfAnOlderVersionHasNoEffect) {
+  Fleet fleet;
+  const auto a = Run("a", "1");
+  fleet.Register(a);
+  fleet.Change(a, 10);
+  const ChangeAllotments decrease{{{a, fleet.VersionOf(a), {{kTeam, -4}}}}};
+  fleet.Submit(decrease);
+  fleet.Submit(decrease);
+  BOOST_TEST(fleet.Allotment(a) == 6);
+  fleet.Change(a, -7);
+  BOOST_TEST(fleet.Allotment(a) == 6);
+}
+
+// Guards against the units of a restarted entry host being granted while its
+// old tasks run, and against the old process coming back.
+BOOST_AUTO_TEST_CASE(OldRunStaysReservedUntilItIsReclaimed) {
+  Fleet fleet;
+  const auto old_run = Run("a", "1");
+  const auto new_run = Run("a", "2");
+  const auto peer = Run("b", "1");
+  fleet.Register(old_run);
+  fleet.Register(peer);
+  fleet.Change(old_run, 12);
+  BOOST_TEST(fleet.Register(new_run).accepted);
+  BOOST_TEST(fleet.Allotment(new_run) == 0);
+  fleet.Change(new_run, 1);
+  BOOST_TEST(fleet.Allotment(new_run) == 0);
+  BOOST_TEST(static_cast<int>(fleet.Register(old_run).errors.at(0).code) ==
+             static_cast<int>(ErrorCode::kFenced));
+  BOOST_REQUIRE(
+      fleet.Submit(ReclaimEntry{old_run, {{peer, kTeam, 5}}}).accepted);
+  BOOST_TEST(fleet.Allotment(peer) == 5);
+  BOOST_TEST(fleet.Total() == 5);
+  // The reclaim is resent after a change of leaders.
+  BOOST_REQUIRE(
+      fleet.Submit(ReclaimEntry{old_run, {{peer, kTeam, 5}}}).accepted);
+  BOOST_TEST(fleet.Total() == 5);
+  BOOST_TEST(!fleet.Register(old_run).accepted);
+}
+
+// Guards against transfers that create units or give them to an ended run.
+BOOST_AUTO_TEST_CASE(TransferMovesOnlyWhatEnds) {
+  Fleet fleet;
+  const auto a = Run("a", "1");
+  const auto b = Run("b", "1");
+  fleet.Register(a);
+  fleet.Register(b);
+  fleet.Change(a, 3);
+  const std::vector<std::vector<AllotmentTransfer>> bad = {
+      {{b, kTeam, 4}},         {{b, kTeam, 2}, {b, kTeam, 2}},
+      {{b, TeamName("u"), 1}}, {{Run("b", "0"), kTeam, 1}},
+      {{a, kTeam, 1}},
+  };
+  for (const auto& transfers : bad)
+    BOOST_TEST(!fleet.Submit(RetireEntry{a, transfers}).accepted);
+  BOOST_TEST(fleet.Allotment(a) == 3);
+  BOOST_TEST(fleet.Submit(RetireEntry{a, {{b, kTeam, 3}}}).accepted);
+  BOOST_TEST(fleet.Allotment(b) == 3);
+  BOOST_TEST(!fleet.state.ledger().entries.contains(a.entry));
+}
+
+// Guards against an operator's declaration that leaves an older run's part.
+BOOST_AUTO_TEST_CASE(DeclaredLostEndsEveryRun) {
+  Fleet fleet;
+  const auto old_run = Run("a", "1");
+  const auto new_run = Run("a", "2");
+  fleet.Register(old_run);
+  fleet.Change(old_run, 7);
+  fleet.Register(new_run);
+  fleet.Change(new_run, 5);
+  BOOST_TEST(fleet.Submit(DeclareEntryLost{EntryName("a"), {}}, fleet.Call())
+                 .accepted);
+  BOOST_TEST(fleet.Total() == 0);
+  BOOST_TEST(!fleet.Register(new_run).accepted);
+  BOOST_TEST(!fleet.Submit(DeclareEntryLost{EntryName("x"), {}}, fleet.Call())
+                  .accepted);
+}
+
+// Guards against a ledger that differs after a restart of a control host.
+BOOST_AUTO_TEST_CASE(LedgerSurvivesASnapshot) {
+  Fleet fleet;
+  fleet.Register(Run("a", "1"));
+  fleet.Change(Run("a", "1"), 7);
+  fleet.Register(Run("a", "2"));
+  fleet.Register(Run("b", "1"));
+  fleet.Submit(RetireEntry{Run("b", "1"), {}});
+  const auto restored = FleetState::Restore(fleet.state.Snapshot());
+  BOOST_REQUIRE(restored);
+  BOOST_TEST(restored.value().hash() == fleet.state.hash());
+  BOOST_TEST(restored.value().ledger().Total(kTeam) == 7);
+}
+
+// ReclaimPlanner -----------------------------------------------------------
+
+/// Two entry hosts in zone za and one in zb; a holds 6 units.
+struct Zone : Fleet {
+  Zone() {
+    Register(a);
+    Register(b);
+    Register(Run("c", "1"), "zb");
+    Change(a, 6);
+    Change(b, 2);
+  }
+
+  /// Sends a report of `run` each second for `seconds`.
+  std::size_t Pass(int seconds,
+                   const std::vector<EntryRun>& alive,
+                   const SilentPeer& silent) {
+    std::size_t reclaims = 0;
+    for (int i = 0; i < seconds; ++i) {
+      now += Millis(1'000);
+      for (const EntryRun& run : alive) {
+        EntryReport report{run};
+        report.silent_peers = {silent};
+        const auto decoded = EntryReportFromJson(ToJson(report));
+        BOOST_REQUIRE(decoded);
+        planner.Observe(decoded.value(), now);
+      }
+      last = planner.Plan(state.ledger(), now);
+      reclaims += last.size();
+    }
+    return reclaims;
+  }
+
+  EntryRun a = Run("a", "1");
+  EntryRun b = Run("b", "1");
+  TimePoint now = FromMillis(1'000'000);
+  ReclaimPlanner planner{now};
+  std::vector<ReclaimEntry> last;
+};
+
+constexpr Millis kLong{600'000};
+
+// Guards against a reclaim before the tasks of the old run have ended, and
+// against one that forgets tasks which a peer renews (rule 1).
+BOOST_AUTO_TEST_CASE(RestartedEntryIsReclaimedAfterOneLease) {
+  Zone zone;
+  const auto new_run = Run("a", "2");
+  zone.Register(new_run);
+  const SilentPeer silent{zone.a, kLong, true, {{kTeam, 4}}};
+  BOOST_TEST(zone.Pass(31, {new_run, zone.b}, silent) == 0);
+  BOOST_TEST(zone.Pass(1, {new_run, zone.b}, silent) == 1);
+  BOOST_REQUIRE(zone.last.size() == 1);
+  BOOST_TEST((zone.last[0].run == zone.a));
+  BOOST_REQUIRE(zone.last[0].transfers.size() == 1);
+  BOOST_TEST((zone.last[0].transfers[0].to == zone.b));
+  BOOST_TEST(zone.last[0].transfers[0].count == 4);
+  BOOST_TEST(zone.Submit(zone.last[0]).accepted);
+  BOOST_TEST(zone.Total() == 6);
+  BOOST_TEST(zone.Pass(5, {new_run, zone.b}, silent) == 0);
+}
+
+// Guards against a reclaim while the peer that may have taken over is silent.
+BOOST_AUTO_TEST_CASE(RestartedEntryWaitsForASilentPeer) {
+  Zone zone;
+  const auto new_run = Run("a", "2");
+  zone.Register(new_run);
+  BOOST_TEST(zone.Pass(100, {new_run}, {zone.a}) == 0);
+}
+
+// Guards against a peer's restart hiding the tasks that it had taken over.
+BOOST_AUTO_TEST_CASE(RestartOfAPeerRestartsTheWait) {
+  Zone zone;
+  const auto a2 = Run("a", "2");
+  const auto b2 = Run("b", "2");
+  zone.Register(a2);
+  BOOST_TEST(zone.Pass(25, {a2, zone.b}, {zone.a}) == 0);
+  zone.Register(b2);
+  BOOST_TEST(zone.Pass(31, {a2, b2}, {zone.a}) == 0);
+  BOOST_TEST(zone.Pass(1, {a2, b2}, {zone.a}) == 2);
+}
+
+// Guards against a peer that reports more than the run had: the reclaim would
+// be refused for ever.
+BOOST_AUTO_TEST_CASE(ExcessiveTakeOverIsCutToTheAllotment) {
+  Zone zone;
+  zone.Register(Run("a", "2"));
+  zone.Pass(32, {Run("a", "2"), zone.b},
+            {zone.a, kLong, true, {{kTeam, 9}, {TeamName("u"), 1}}});
+  BOOST_REQUIRE(zone.last.size() == 1);
+  BOOST_TEST(zone.last[0].transfers.at(0).count == 6);
+  BOOST_TEST(zone.last[0].transfers.size() == 1);
+  BOOST_TEST(zone.Submit(zone.last[0]).accepted);
+}
+
+struct Silence {
+  const char* what;
+  Millis silent_for;
+  bool fenced;
+  bool peer_reports;
+  int seconds;
+  bool reclaimed;
+};
+
+// Guards against a reclaim from an entry host that may still act (rule 2): the
+// leader and every zone peer must have heard nothing for 40 s plus drift, and
+// each peer must have fenced it.
+BOOST_AUTO_TEST_CASE(SilentEntryIsReclaimedOnlyWhenAllHaveFencedIt) {
+  const Silence cases[] = {
+      {"all conditions hold", kLong, true, true, 41, true},
+      {"the leader's silence is too short", kLong, true, true, 40, false},
+      {"the peer's silence is too short", Millis(40'399), true, true, 60,
+       false},
+      {"the peer has not fenced it", kLong, false, true, 60, false},
+      {"the peer is silent too", kLong, true, false, 60, false},
+  };
+  for (const Silence& silence : cases) {
+    BOOST_TEST_CONTEXT(silence.what) {
+      Zone zone;
+      std::vector<EntryRun> alive = {Run("c", "1")};
+      if (silence.peer_reports)
+        alive.push_back(zone.b);
+      const auto reclaims =
+          zone.Pass(silence.seconds, alive,
+                    {zone.a, silence.silent_for, silence.fenced, {}});
+      BOOST_TEST((reclaims > 0) == silence.reclaimed);
+    }
+  }
+}
+
+// Guards against an entry host without zone peers being reclaimed by time.
+BOOST_AUTO_TEST_CASE(LoneEntryOfAZoneIsNeverReclaimedByTime) {
+  Zone zone;
+  BOOST_TEST(
+      zone.Pass(200, {zone.a, zone.b}, {Run("c", "1"), kLong, true, {}}) == 0);
+}
+
+// Guards against a new leader that counts silence from before its election.
+BOOST_AUTO_TEST_CASE(NewLeaderStartsItsOwnMeasurement) {
+  Zone zone;
+  const SilentPeer silent{zone.a, kLong, true, {}};
+  BOOST_TEST(zone.Pass(40, {zone.b}, silent) == 0);
+  zone.planner = ReclaimPlanner(zone.now);
+  BOOST_TEST(zone.Pass(40, {zone.b}, silent) == 0);
+  BOOST_TEST(zone.Pass(1, {zone.b}, silent) == 1);
+}
+
+// AllotmentPlanner ---------------------------------------------------------
+
+/// Three entry hosts that report what they run and want.
+struct Planned : Fleet {
+  Planned() {
+    for (const EntryRun& run : runs)
+      Register(run);
+  }
+
+  void Report(const EntryRun& run,
+              std::int64_t running,
+              std::int64_t wanted,
+              std::int64_t returned = 0) {
+    EntryReport report{run, VersionOf(run)};
+    report.running[kTeam] = running;
+    report.wanted[kTeam] = wanted;
+    report.returned[kTeam] = returned;
+    planner.Observe(report, now);
+  }
+  AllotmentPlan Step() {
+    AllotmentPlan plan = planner.Plan(state.view().teams, state.ledger(), now);
+    Submit(plan.command);
+    return plan;
+  }
+  [[nodiscard]] std::vector<std::int64_t> Allotments() const {
+    return {Allotment(runs[0]), Allotment(runs[1]), Allotment(runs[2])};
+  }
+
+  std::vector<EntryRun> runs = {Run("a", "1"), Run("b", "1"), Run("c", "1")};
+  AllotmentPlanner planner;
+  TimePoint now = FromMillis(1'000);
+};
+
+using Counts = std::vector<std::int64_t>;
+
+// Guards against idle entry hosts having nothing when a partition comes.
+BOOST_AUTO_TEST_CASE(IdleEntryHostsGetTheirFloor) {
+  Planned fleet;
+  for (const auto& run : fleet.runs)
+    fleet.Report(run, 0, 0);
+  fleet.Step();
+  BOOST_TEST(fleet.Allotments() == (Counts{2, 2, 2}),
+             boost::test_tools::per_element());
+}
+
+// Guards against one entry host taking all units, and against units that
+// nobody can use while somebody wants them.
+BOOST_AUTO_TEST_CASE(WantedUnitsAreSharedFairly) {
+  Planned fleet;
+  fleet.Report(fleet.runs[0], 0, 100);
+  fleet.Report(fleet.runs[1], 0, 3);
+  fleet.Report(fleet.runs[2], 0, 100);
+  fleet.Step();
+  BOOST_TEST(fleet.Allotments() == (Counts{5, 3, 4}),
+             boost::test_tools::per_element());
+  BOOST_TEST(fleet.Total() == 12);
+}
+
+// Guards against an alternating demand finding its units stuck at the entry
+// host that needed them before, and against a decrease that the entry host has
+// not offered.
+BOOST_AUTO_TEST_CASE(UnusedUnitsMoveOnlyByOffer) {
+  Planned fleet;
+  fleet.Report(fleet.runs[0], 0, 12);
+  fleet.Report(fleet.runs[1], 0, 0);
+  fleet.Report(fleet.runs[2], 0, 0);
+  fleet.Step();
+  BOOST_TEST(fleet.Allotment(fleet.runs[0]) == 12);
+  fleet.Report(fleet.runs[0], 1, 0);
+  fleet.Report(fleet.runs[1], 0, 9);
+  fleet.Report(fleet.runs[2], 0, 0);
+  const auto asked = fleet.Step();
+  BOOST_TEST(asked.command.changes.empty());
+  BOOST_TEST(asked.caps.at(EntryName("a")).at(kTeam) == 2);
+  fleet.Report(fleet.runs[0], 1, 0, 10);
+  fleet.Step();
+  BOOST_TEST(fleet.Allotments() == (Counts{2, 9, 1}),
+             boost::test_tools::per_element());
+}
+
+// Guards against an offer that nobody answers: its units would be lost.
+BOOST_AUTO_TEST_CASE(UnneededOfferIsResolved) {
+  Planned fleet;
+  for (const auto& run : fleet.runs)
+    fleet.Report(run, 0, 0);
+  fleet.Step();
+  const auto version = fleet.VersionOf(fleet.runs[0]);
+  for (const auto& run : fleet.runs)
+    fleet.Report(run, 0, 0, 1);
+  fleet.Step();
+  BOOST_TEST(fleet.VersionOf(fleet.runs[0]) > version);
+  BOOST_TEST(fleet.Total() == 6);
+}
+
+// Guards against a decision on an outdated report or for a silent entry host.
+BOOST_AUTO_TEST_CASE(SilentAndOutdatedReportsChangeNothing) {
+  Planned fleet;
+  fleet.Report(fleet.runs[0], 0, 5);
+  fleet.now += kReportFresh + Millis(1);
+  fleet.Report(fleet.runs[1], 0, 5);
+  fleet.Change(fleet.runs[1], 1);
+  BOOST_TEST(fleet.Step().command.changes.empty());
+}
+
+// Guards against a lowered limit that never comes into force, and against
+// units reserved for an old run being granted.
+BOOST_AUTO_TEST_CASE(LoweredLimitShrinksReachableEntryHosts) {
+  Planned fleet;
+  for (const auto& run : fleet.runs) {
+    fleet.Report(run, 0, 4);
+    fleet.Step();
+  }
+  BOOST_TEST(fleet.Total() == 12);
+  fleet.Register(Run("c", "2"));  // 4 units are reserved
+  fleet.SetLimit(8);
+  fleet.Report(fleet.runs[0], 4, 4);
+  fleet.Report(fleet.runs[1], 4, 4);
+  const auto plan = fleet.Step();
+  BOOST_TEST(plan.caps.at(EntryName("a")).at(kTeam) == 2);
+  BOOST_TEST(plan.caps.at(EntryName("b")).at(kTeam) == 2);
+  fleet.Report(fleet.runs[0], 2, 4, 2);
+  fleet.Report(fleet.runs[1], 2, 4, 2);
+  fleet.Step();
+  BOOST_TEST(fleet.Total() == 8);
+  BOOST_TEST(fleet.Allotment(fleet.runs[0]) == 2);
+}
+
+}  // namespace
+}  // namespace boragewinch
