Move allotments on demand and reclaim those of lost entry hosts

The planners of src/fleet run on the control leader. An entry host offers idle units only when the leader gives it a cap, and spends no offered unit until a newer allotment version arrives; before, a unit reported as idle could be spent here while it was granted elsewhere.

--- a/scripts/run-fleet.sh
+++ b/scripts/run-fleet.sh
@@ -27,6 +27,7 @@
   fi
 }
 trap finish EXIT
+trap 'exit 1' INT TERM
 
 start() { # name, program, arguments
   local name="$1"
--- a/src/control/control_service.cc
+++ b/src/control/control_service.cc
@@ -254,6 +254,7 @@
   if (answer.registered) {
     answer.allotment_version = entry->second.allotment_version;
     answer.allotment = entry->second.allotment;
+    answer.caps = duties_->CapsOf(report.entry);
   }
   std::vector<EntryHost> entries;
   for (const auto& [name, host] : ledger.entries) {
@@ -360,7 +361,7 @@
     return;
   was_leading_ = leads;
   reports_.Clear();
-  duties_->OnLeadership(leads, loop_->now());
+  duties_->OnLeadership(loop_->now());
   if (!leads)
     proposals_.FailAll();
 }
--- a/src/control/leader_duties.cc
+++ b/src/control/leader_duties.cc
@@ -14,8 +14,37 @@
 constexpr Millis kDutyInterval{100};
 // A new leader waits this long for reports before it calls a host lost.
 constexpr Millis kObservationTime{5'000};
+constexpr char kAllotmentsKey[] = "allotments";
 constexpr std::size_t kMaxRegistrationsPerTick = 64;
 
+[[nodiscard]] EntryReport ToEntryReport(const SyncReport& report) {
+  EntryReport entry;
+  entry.run = {report.entry, report.incarnation};
+  entry.allotment_version = report.allotment_version;
+  entry.running = report.running;
+  entry.wanted = report.wanted;
+  entry.returned = report.returned;
+  for (const SilenceReport& silent : report.silent) {
+    entry.silent_peers.push_back({{silent.entry, silent.incarnation},
+                                  silent.silence,
+                                  silent.fenced,
+                                  {}});
+  }
+  for (const TakeOverReport& taken : report.taken_over) {
+    const EntryRun run{taken.entry, taken.incarnation};
+    const auto known = std::find_if(
+        entry.silent_peers.begin(), entry.silent_peers.end(),
+        [&run](const SilentRun& silent) { return silent.run == run; });
+    if (known != entry.silent_peers.end()) {
+      known->taken_over = taken.running;
+    } else {
+      // Replaced by a newer incarnation, so it is known to have ended.
+      entry.silent_peers.push_back({run, Millis(0), true, taken.running});
+    }
+  }
+  return entry;
+}
+
 }  // namespace
 
 LeaderDuties::LeaderDuties(EventLoop& loop,
@@ -31,12 +60,14 @@
       waves_(waves),
       submit_(std::move(submit)) {}
 
-void LeaderDuties::OnLeadership(bool /*leads*/, TimePoint now) {
+void LeaderDuties::OnLeadership(TimePoint now) {
   leading_since_ = now;
   next_tick_ = now;
   under_way_.clear();
   silent_since_.clear();
-  before_reboot_.clear();
+  caps_.clear();
+  reclaims_ = ReclaimPlanner(now);
+  allotments_ = AllotmentPlanner();
 }
 
 void LeaderDuties::SubmitOnce(const std::string& key, CommandBody body) {
@@ -55,7 +86,9 @@
   });
 }
 
-void LeaderDuties::OnReport(const SyncReport& report, TimePoint /*now*/) {
+void LeaderDuties::OnReport(const SyncReport& report, TimePoint now) {
+  reclaims_.Observe(ToEntryReport(report), now);
+  allotments_.Observe(ToEntryReport(report), now);
   WithdrawReported(report);
   if (report.retiring)
     RetireStopped(report);
@@ -100,35 +133,35 @@
     return;
   next_tick_ = now + kDutyInterval;
   RegisterAnnounced();
-  MoveAllotments();
+  MoveAllotments(now);
+  ReclaimLost(now);
   ProgressHosts(now);
   ProgressMoves(now);
   ProgressWaves(now);
 }
 
-void LeaderDuties::MoveAllotments() {
-  const Ledger& ledger = state_.ledger();
-  ChangeAllotments body;
-  for (const auto& [name, entry] : ledger.entries) {
-    AllotmentChange change{
-        {name, entry.incarnation}, entry.allotment_version, {}};
-    for (const auto& [team_name, team] : state_.view().teams) {
-      const auto held = entry.allotment.find(team_name);
-      const std::int64_t share =
-          team.limit / static_cast<std::int64_t>(ledger.entries.size());
-      const std::int64_t free = team.limit - ledger.Total(team_name);
-      const std::int64_t missing =
-          share - (held == entry.allotment.end() ? 0 : held->second);
-      if (missing > 0 && free >= missing)
-        change.deltas[team_name] = missing;
-    }
-    if (!change.deltas.empty()) {
-      body.changes.push_back(std::move(change));
-      break;
-    }
+void LeaderDuties::MoveAllotments(TimePoint now) {
+  if (under_way_.contains(kAllotmentsKey))
+    return;
+  AllotmentPlan plan =
+      allotments_.Plan(state_.view().teams, state_.ledger(), now);
+  caps_ = std::move(plan.caps);
+  if (!plan.command.changes.empty())
+    SubmitOnce(kAllotmentsKey, std::move(plan.command));
+}
+
+TeamCounts LeaderDuties::CapsOf(const EntryName& entry) const {
+  const auto caps = caps_.find(entry);
+  return caps == caps_.end() ? TeamCounts() : caps->second;
+}
+
+void LeaderDuties::ReclaimLost(TimePoint now) {
+  for (ReclaimEntry& reclaim : reclaims_.Plan(state_.ledger(), now)) {
+    LogEvent(EventId::kEntryLost,
+             {{"entry", reclaim.run.entry.str()},
+              {"incarnation", reclaim.run.incarnation.str()}});
+    SubmitOnce("reclaim " + reclaim.run.entry.str(), std::move(reclaim));
   }
-  if (!body.changes.empty())
-    SubmitOnce("allotments", std::move(body));
 }
 
 void LeaderDuties::RegisterAnnounced() {
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -12,8 +12,10 @@
 #include "control/entry_reports.h"
 #include "control/platform_client.h"
 #include "control/proposals.h"
+#include "fleet/allotment_planner.h"
 #include "fleet/command.h"
 #include "fleet/fleet_state.h"
+#include "fleet/reclaim_planner.h"
 #include "kernel/event_loop.h"
 #include "policy/wave_planner.h"
 
@@ -33,12 +35,15 @@
                Submit submit);
 
   /// \brief Leadership was won or lost: forgets everything observed.
-  void OnLeadership(bool leads, TimePoint now);
+  void OnLeadership(TimePoint now);
   /// \brief An entry host has reported.
   void OnReport(const SyncReport& report, TimePoint now);
   /// \brief Submits what is due; cheap when nothing is.
   void Tick(TimePoint now);
 
+  /// \returns what `entry` shall shrink its allotment to, by team.
+  [[nodiscard]] TeamCounts CapsOf(const EntryName& entry) const;
+
   /// \returns tasks of `entry` that peers have taken over, for the command
   /// that declares it lost.
   [[nodiscard]] std::vector<AllotmentTransfer> TransfersFrom(
@@ -56,7 +61,8 @@
   void WithdrawReported(const SyncReport& report);
   void RetireStopped(const SyncReport& report);
   void RegisterAnnounced();
-  void MoveAllotments();
+  void MoveAllotments(TimePoint now);
+  void ReclaimLost(TimePoint now);
   void ProgressHosts(TimePoint now);
   void ProgressHost(const Host& host, TimePoint now);
   void Observe(const Host& host, HostState state);
@@ -75,12 +81,13 @@
   const EntryReports& reports_;
   WaveConfig waves_;
   Submit submit_;
+  ReclaimPlanner reclaims_{TimePoint()};
+  AllotmentPlanner allotments_;
+  std::map<EntryName, TeamCounts> caps_;
   TimePoint leading_since_;
   TimePoint next_tick_;
   std::set<std::string> under_way_;
   std::map<HostName, TimePoint> silent_since_;
-  /// Incarnations of workers when their reboot was ordered.
-  std::map<HostName, Incarnation> before_reboot_;
   std::string last_wave_text_;
 };
 
--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -1,5 +1,6 @@
 #include "entry/allotment_book.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace boragewinch {
@@ -8,11 +9,22 @@
                            std::map<TeamName, std::int64_t> units) {
   if (version < version_)
     return;
+  if (version > version_)
+    offered_.clear();
   version_ = version;
   units_ = std::move(units);
   confirmed_ = true;
 }
 
+void AllotmentBook::Offer(const std::map<TeamName, std::int64_t>& caps) {
+  for (const auto& [team, cap] : caps) {
+    const std::int64_t idle =
+        allotment(team) - std::max(in_use(team), cap) - offered(team);
+    if (idle > 0)
+      offered_[team] += idle;
+  }
+}
+
 void AllotmentBook::Count(const TaskId& task, CountedTask counted) {
   const TeamName team = counted.team;
   if (tasks_.emplace(task, std::move(counted)).second)
@@ -40,6 +52,11 @@
   return found == units_.end() ? 0 : found->second;
 }
 
+std::int64_t AllotmentBook::offered(const TeamName& team) const {
+  const auto found = offered_.find(team);
+  return found == offered_.end() ? 0 : found->second;
+}
+
 std::int64_t AllotmentBook::in_use(const TeamName& team) const {
   const auto found = in_use_.find(team);
   return found == in_use_.end() ? 0 : found->second;
--- a/src/entry/allotment_book.h
+++ b/src/entry/allotment_book.h
@@ -29,6 +29,10 @@
  public:
   /// \brief Takes the ledger's numbers; older versions are ignored.
   void Update(std::uint64_t version, std::map<TeamName, std::int64_t> units);
+  /// \brief Offers the idle units above `caps` to the control leader. Offered
+  /// units are not spent until a newer version of the allotment arrives: the
+  /// leader may have granted them to another entry host.
+  void Offer(const std::map<TeamName, std::int64_t>& caps);
   /// \brief Forgets that the numbers were confirmed; nothing may start.
   void Suspend() noexcept { confirmed_ = false; }
 
@@ -40,7 +44,12 @@
   [[nodiscard]] std::int64_t in_use(const TeamName& team) const;
   /// \returns whether one more task of `team` may be counted.
   [[nodiscard]] bool HasRoom(const TeamName& team) const {
-    return confirmed_ && in_use(team) < allotment(team);
+    return confirmed_ && in_use(team) < allotment(team) - offered(team);
+  }
+  [[nodiscard]] std::int64_t offered(const TeamName& team) const;
+  [[nodiscard]] const std::map<TeamName, std::int64_t>& offers()
+      const noexcept {
+    return offered_;
   }
   [[nodiscard]] bool confirmed() const noexcept { return confirmed_; }
   [[nodiscard]] std::uint64_t version() const noexcept { return version_; }
@@ -59,6 +68,7 @@
   bool confirmed_ = false;
   std::uint64_t version_ = 0;
   std::map<TeamName, std::int64_t> units_;
+  std::map<TeamName, std::int64_t> offered_;
   std::map<TeamName, std::int64_t> in_use_;
   std::map<TaskId, CountedTask> tasks_;
 };
--- a/src/entry/control_link.cc
+++ b/src/entry/control_link.cc
@@ -61,8 +61,9 @@
     return;
   const bool demand_changed =
       now + kSyncInterval >= next_sync_ + kMinSyncInterval &&
-      core_.BuildControlReport(now).wanted != reported_wanted_;
-  if (now >= next_sync_ || demand_changed)
+      core_.requests().queued_by_team() != reported_wanted_;
+  const bool retiring = core_.stopping() && core_.stopped() && !retired_;
+  if (now >= next_sync_ || demand_changed || retiring)
     Sync(now);
 }
 
@@ -93,8 +94,8 @@
   report.entries_hash = entries_hash_;
   report.retiring = core_.stopping() && core_.stopped();
   report.running = decided.running;
-  report.wanted = decided.wanted;
-  report.returnable = decided.returnable;
+  report.wanted = core_.requests().queued_by_team();
+  report.returned = decided.returned;
   for (const TakenOver& taken : decided.taken_over) {
     report.taken_over.push_back(
         {taken.entry, taken.incarnation, taken.running});
@@ -129,6 +130,10 @@
 void ControlLink::OnAnswer(const Result<Json>& result,
                            const SyncReport& report,
                            TimePoint sent) {
+  if (report.retiring && !result && result.error().code == ErrorCode::kFenced) {
+    retired_ = true;
+    return;
+  }
   Status status = result ? Apply(result.value(), report, sent)
                          : Status(outcome::failure(result.error()));
   if (!status) {
@@ -169,6 +174,10 @@
       control.tombstones.push_back(id);
   }
   core_.OnControlAnswer(control, now);
+  core_.OfferAllotment(answer.caps);
+  // An offer is worth a report at once: another entry host waits for it.
+  if (!core_.allotments().offers().empty())
+    next_sync_ = std::min(next_sync_, now + kMinSyncInterval);
   if (answer.resend_workers) {
     workers_base_ = 0;
     next_sync_ = now;
--- a/src/entry/control_link.h
+++ b/src/entry/control_link.h
@@ -35,6 +35,10 @@
     return entries_;
   }
 
+  /// \returns whether the leader has taken note of this process's planned
+  /// stop, so that its allotment is free at once.
+  [[nodiscard]] bool retired() const noexcept { return retired_; }
+
  private:
   void Tick(TimePoint now);
   void Sync(TimePoint now);
@@ -57,6 +61,7 @@
   std::string peer_address_;
   WatchHandle tick_;
   bool calling_ = false;
+  bool retired_ = false;
   std::size_t target_ = 0;  ///< index of the control host to call
   TimePoint next_sync_;
   std::map<TeamName, std::int64_t> reported_wanted_;
--- a/src/entry/entry_actions.h
+++ b/src/entry/entry_actions.h
@@ -122,9 +122,9 @@
 struct ControlReport {
   FleetVersion version = 0;
   std::uint64_t allotment_version = 0;
-  std::map<TeamName, std::int64_t> running;  ///< counted against allotments
-  std::map<TeamName, std::int64_t> wanted;   ///< running and queued
-  std::map<TeamName, std::int64_t> returnable;
+  std::map<TeamName, std::int64_t> running;   ///< counted against allotments
+  std::map<TeamName, std::int64_t> wanted;    ///< running and queued
+  std::map<TeamName, std::int64_t> returned;  ///< offered, not spent
   std::vector<TakenOver> taken_over;
   std::vector<SilentPeer> silent;
   std::vector<KeyId> tombstones;
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -77,6 +77,10 @@
   void OnFleetUpdate(FleetView view, TimePoint now);
   void OnControlAnswer(const ControlAnswer& answer, TimePoint now);
   void OnKeyWithdrawn(const KeyId& key, TimePoint now);
+  /// \brief Offers idle units above the leader's caps, by team.
+  void OfferAllotment(const std::map<TeamName, std::int64_t>& caps) {
+    book_.Offer(caps);
+  }
   [[nodiscard]] ControlReport BuildControlReport(TimePoint now) const;
 
   /// \brief Begins the planned stop; `stopped` tells when it is complete.
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -14,6 +14,7 @@
 
 constexpr Millis kTickInterval{50};
 constexpr Millis kPeerTimeout{1'000};
+constexpr Millis kRetireWait{2'000};
 constexpr std::size_t kMaxPublicBodyBytes = 2UL * 1024 * 1024;
 constexpr std::size_t kMaxPeerBodyBytes = 16UL * 1024 * 1024;
 
@@ -169,8 +170,13 @@
   Flush();
   if (!stopped_)
     return;
+  const bool quiet = core_->stopped() && public_server_->open_requests() == 0;
+  if (!quiet)
+    quiet_since_ = now;
+  // The leader frees the allotment sooner if it hears of the stop, but may be
+  // out of reach.
   const bool finished =
-      core_->stopped() && public_server_->open_requests() == 0;
+      quiet && (control_->retired() || now - quiet_since_ > kRetireWait);
   if (finished || now >= stop_until_) {
     LogEvent(EventId::kProcessStopping,
              {{"open_requests",
@@ -184,6 +190,7 @@
   const TimePoint now = loop_->now();
   stopped_ = done;
   stop_until_ = now + options_.stop_timeout;
+  quiet_since_ = now;
   public_server_->StopAccepting();
   core_->Stop(now);
   Flush();
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -54,6 +54,7 @@
   WatchHandle tick_;
   std::function<void()> stopped_;
   TimePoint stop_until_;
+  TimePoint quiet_since_;  ///< during a stop: last time something was open
   bool flushing_ = false;
 };
 
--- a/src/entry/entry_tick.cc
+++ b/src/entry/entry_tick.cc
@@ -164,13 +164,7 @@
     report.taken_over.push_back(
         {owner.first, owner.second, std::move(running)});
   }
-  for (const auto& [team, units] : book_.units()) {
-    const auto wanted = report.wanted.find(team);
-    const std::int64_t used =
-        wanted == report.wanted.end() ? 0 : wanted->second;
-    if (units > used)
-      report.returnable[team] = units - used;
-  }
+  report.returned = book_.offers();
   for (const auto& [name, peer] : peers_.peers()) {
     if (peer.zone != config_.zone || peer.incarnation.empty() ||
         now - peer.heard < kOwnerSilence) {
--- a/src/fleet/entry_report.cc
+++ b/src/fleet/entry_report.cc
@@ -20,7 +20,7 @@
 
 }  // namespace
 
-Json ToJson(const SilentPeer& peer) {
+Json ToJson(const SilentRun& peer) {
   Json json(::Json::objectValue);
   WriteRun(peer.run, &json);
   json["silent_ms"] = ::Json::Int64(peer.silent_for.count());
@@ -49,7 +49,7 @@
   BW_TRY(report.returned, CountsField(json, "returned"));
   BW_TRY(const auto peers, ArrayField(json, "silent_peers", kMaxIdsPerCommand));
   for (const Json& item : peers) {
-    SilentPeer peer;
+    SilentRun peer;
     BW_TRY(peer.run, ReadRun(item));
     BW_TRY(const auto silent, IntField(item, "silent_ms", 0, kMaxCounter));
     peer.silent_for = Millis(silent);
--- a/src/fleet/entry_report.h
+++ b/src/fleet/entry_report.h
@@ -14,7 +14,7 @@
 
 /// \brief What an entry host knows of another run in its zone that is silent or
 /// has been replaced.
-struct SilentPeer {
+struct SilentRun {
   EntryRun run;
   Millis silent_for{0};
   bool fenced = false;  ///< refuses intents and closings of `run`
@@ -33,10 +33,10 @@
   /// Units that the entry host spends no more until it sees a newer allotment
   /// version.
   TeamCounts returned;
-  std::vector<SilentPeer> silent_peers;
+  std::vector<SilentRun> silent_peers;
 };
 
-[[nodiscard]] Json ToJson(const SilentPeer& peer);
+[[nodiscard]] Json ToJson(const SilentRun& peer);
 [[nodiscard]] Json ToJson(const EntryReport& report);
 [[nodiscard]] Result<EntryReport> EntryReportFromJson(const Json& json);
 
--- a/src/fleet/reclaim_planner.cc
+++ b/src/fleet/reclaim_planner.cc
@@ -15,11 +15,11 @@
 /// Rule 2: the entry host has stopped itself and its tasks have ended.
 constexpr Millis kIsolationOver = GranterLease(kIsolationBound + kTaskLease);
 
-[[nodiscard]] const SilentPeer* Find(const EntryReport& report,
-                                     const EntryRun& run) {
+[[nodiscard]] const SilentRun* Find(const EntryReport& report,
+                                    const EntryRun& run) {
   const auto it =
       std::find_if(report.silent_peers.begin(), report.silent_peers.end(),
-                   [&](const SilentPeer& peer) { return peer.run == run; });
+                   [&](const SilentRun& peer) { return peer.run == run; });
   return it == report.silent_peers.end() ? nullptr : &*it;
 }
 
@@ -31,7 +31,7 @@
     const std::vector<const EntryReport*>& peers) {
   ReclaimEntry reclaim{run, {}};
   for (const EntryReport* report : peers) {
-    const SilentPeer* peer = Find(*report, run);
+    const SilentRun* peer = Find(*report, run);
     if (!peer)
       continue;
     for (const auto& [team, taken_over] : peer->taken_over) {
@@ -116,7 +116,7 @@
     return false;
   return std::all_of(
       peers.begin(), peers.end(), [&](const EntryReport* report) {
-        const SilentPeer* peer = Find(*report, run);
+        const SilentRun* peer = Find(*report, run);
         return peer && peer->fenced && peer->silent_for >= kIsolationOver;
       });
 }
--- a/src/fleet/sync_message.cc
+++ b/src/fleet/sync_message.cc
@@ -134,7 +134,7 @@
   json["retiring"] = report.retiring;
   json["running"] = ToJson(report.running);
   json["wanted"] = ToJson(report.wanted);
-  json["returnable"] = ToJson(report.returnable);
+  json["returned"] = ToJson(report.returned);
   json["taken_over"] = ObjectsOf(report.taken_over);
   json["silent"] = ObjectsOf(report.silent);
   json["tombstones"] = ArrayOfIds(report.tombstones);
@@ -159,7 +159,7 @@
   BW_TRY(report.retiring, BoolFieldOr(json, "retiring", false));
   BW_TRY(report.running, CountsField(json, "running"));
   BW_TRY(report.wanted, CountsField(json, "wanted"));
-  BW_TRY(report.returnable, CountsField(json, "returnable"));
+  BW_TRY(report.returned, CountsField(json, "returned"));
   BW_CHECK(ReadArray(json, "taken_over", kMaxReportedPeers, TakeOverFromJson,
                      &report.taken_over));
   BW_CHECK(ReadArray(json, "silent", kMaxReportedPeers, SilenceFromJson,
@@ -179,6 +179,7 @@
   json["delta"] = ToJson(answer.delta);
   json["allotment_version"] = Counter(answer.allotment_version);
   json["allotment"] = ToJson(answer.allotment);
+  json["caps"] = ToJson(answer.caps);
   if (answer.entries)
     json["entries"] = ArrayOf(*answer.entries);
   json["resend_workers"] = answer.resend_workers;
@@ -193,6 +194,7 @@
   BW_TRY(answer.delta, FleetDeltaFromJson(json["delta"]));
   BW_TRY(answer.allotment_version, CounterField(json, "allotment_version"));
   BW_TRY(answer.allotment, CountsField(json, "allotment"));
+  BW_TRY(answer.caps, CountsField(json, "caps"));
   BW_TRY(answer.resend_workers, BoolFieldOr(json, "resend_workers", false));
   if (json.isMember("entries")) {
     answer.entries.emplace();
--- a/src/fleet/sync_message.h
+++ b/src/fleet/sync_message.h
@@ -60,8 +60,8 @@
   std::uint64_t entries_hash = 0;  ///< of the list of entry hosts it holds
   bool retiring = false;           ///< a planned stop is under way
   TeamCounts running;
-  TeamCounts wanted;
-  TeamCounts returnable;
+  TeamCounts wanted;    ///< queued
+  TeamCounts returned;  ///< offered back and not spent any more
   std::vector<TakeOverReport> taken_over;
   std::vector<SilenceReport> silent;
   std::vector<KeyId> tombstones;
@@ -78,6 +78,7 @@
   FleetDelta delta;
   std::uint64_t allotment_version = 0;
   TeamCounts allotment;
+  TeamCounts caps;  ///< offer what is idle above these
   std::optional<std::vector<EntryHost>> entries;  ///< if the hash differed
   bool resend_workers = false;  ///< `workers_base` is not known here
 };
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -204,7 +204,7 @@
   /// Sends a report of `run` each second for `seconds`.
   std::size_t Pass(int seconds,
                    const std::vector<EntryRun>& alive,
-                   const SilentPeer& silent) {
+                   const SilentRun& silent) {
     std::size_t reclaims = 0;
     for (int i = 0; i < seconds; ++i) {
       now += Millis(1'000);
@@ -236,7 +236,7 @@
   Zone zone;
   const auto new_run = Run("a", "2");
   zone.Register(new_run);
-  const SilentPeer silent{zone.a, kLong, true, {{kTeam, 4}}};
+  const SilentRun silent{zone.a, kLong, true, {{kTeam, 4}}};
   BOOST_TEST(zone.Pass(31, {new_run, zone.b}, silent) == 0);
   BOOST_TEST(zone.Pass(1, {new_run, zone.b}, silent) == 1);
   BOOST_REQUIRE(zone.last.size() == 1);
@@ -327,7 +327,7 @@
 // Guards against a new leader that counts silence from before its election.
 BOOST_AUTO_TEST_CASE(NewLeaderStartsItsOwnMeasurement) {
   Zone zone;
-  const SilentPeer silent{zone.a, kLong, true, {}};
+  const SilentRun silent{zone.a, kLong, true, {}};
   BOOST_TEST(zone.Pass(40, {zone.b}, silent) == 0);
   zone.planner = ReclaimPlanner(zone.now);
   BOOST_TEST(zone.Pass(40, {zone.b}, silent) == 0);
