Run the policy module in the entry host

Admission order, placement, estimates, worker health and the urgent rule now decide in boraged-entry through the core's hooks.

--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -73,6 +73,11 @@
   /// kNotFound (foreign); the worker drops refused results except torn ones.
   [[nodiscard]] Result<ResultAnswer> OnResult(TaskResult result, TimePoint now);
 
+  /// \brief Stops a running repeatable request of this process; it is queued
+  /// again when its worker confirms the stop.
+  /// \returns whether the request may be stopped.
+  bool Preempt(const RequestId& request, TimePoint now);
+
   /// Control.
   void OnFleetUpdate(FleetView view, TimePoint now);
   void OnControlAnswer(const ControlAnswer& answer, TimePoint now);
@@ -209,6 +214,7 @@
   void End(RequestRecord& record, Closing closing, TimePoint now);
   void Review(RequestRecord& record, TimePoint now);
   void Touch(RequestRecord& record);
+  [[nodiscard]] Resources UsageOf(const RequestRecord& record) const;
 
   // entry_workers.cc: reports and results.
   void ReviewReported(RequestRecord& record,
--- a/src/entry/entry_dispatch.cc
+++ b/src/entry/entry_dispatch.cc
@@ -347,7 +347,8 @@
             {"reason", kRefusalReasons.Name(closing.reason)}});
   if (had_task) {
     hooks_.on_ended({record.id, record.intent.worker, closing.outcome,
-                     std::chrono::duration_cast<Millis>(now - record.since)},
+                     std::chrono::duration_cast<Millis>(now - record.since),
+                     UsageOf(record)},
                     now);
   }
   uncopied_.erase(record.id);
@@ -359,6 +360,30 @@
   Touch(record);
 }
 
+Resources EntryCore::UsageOf(const RequestRecord& record) const {
+  const WorkerEntry* worker = workers_.Find(record.intent.worker);
+  if (worker != nullptr) {
+    for (const TaskReport& task : worker->report.tasks) {
+      if (task.task == record.task())
+        return task.usage;
+    }
+  }
+  return record.spec.declared;
+}
+
+bool EntryCore::Preempt(const RequestId& request, TimePoint now) {
+  Enter(now);
+  RequestRecord* record = table_.Own(request);
+  const bool allowed = record != nullptr && record->spec.repeatable &&
+                       record->phase == Phase::kRunning;
+  if (allowed) {
+    Emit(StopTask{record->intent.worker, record->intent.worker_address,
+                  record->task()});
+  }
+  Leave(now);
+  return allowed;
+}
+
 // Puts the record on the due list for its next possible change.
 void EntryCore::Touch(RequestRecord& record) {
   TimePoint due = TimePoint::max();
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -6,7 +6,6 @@
 #include "base/event_log.h"
 #include "base/hash.h"
 #include "base/secret.h"
-#include "entry/policy_scheduler.h"
 
 namespace boragewinch {
 
@@ -41,7 +40,7 @@
   config.incarnation = incarnation_;
   std::random_device seed;
   core_ = std::make_unique<EntryCore>(
-      config, MakePolicyScheduler(),
+      config, scheduler_.hooks(),
       [generator = std::mt19937_64(seed())](std::uint64_t bound) mutable {
         return generator() % bound;
       },
@@ -55,8 +54,8 @@
   tasks_ = std::make_unique<TaskLink>(*loop_, *client_, *core_, flush);
   control_ = std::make_unique<ControlLink>(*loop_, *rpc_client_, *core_,
                                            options_, incarnation_, flush);
-  operators_ =
-      std::make_unique<OperatorApi>(*loop_, *core_, options_, metrics_, flush);
+  operators_ = std::make_unique<OperatorApi>(*loop_, *core_, options_, metrics_,
+                                             scheduler_, flush);
   BindPeerMethods();
 
   HttpServerLimits public_limits;
@@ -165,7 +164,35 @@
   }
 }
 
+void EntryService::RunPolicy(TimePoint now) {
+  if (now >= next_policy_update_) {
+    next_policy_update_ = now + kGossipInterval;
+    ZoneState zone;
+    for (const auto& [host, worker] : core_->workers().workers()) {
+      if (worker.lost)
+        continue;
+      const UsageVector total = ToUsage(
+          worker.report.total, static_cast<double>(worker.report.slots));
+      for (std::size_t i = 0; i < total.size(); ++i)
+        zone.capacity[i] += total[i];
+    }
+    for (const auto& [name, peer] : core_->peers().peers()) {
+      if (!core_->peers().alive(name, now))
+        continue;
+      for (const auto& [team, count] : peer.gossip.running)
+        zone.peer_usage[team][0] += static_cast<double>(count);
+    }
+    scheduler_.Update(core_->view(), zone, now);
+  }
+  const auto may_start = [this](const TeamName& team) {
+    return core_->allotments().HasRoom(team);
+  };
+  for (const RequestId& request : scheduler_.PlanStops(may_start, now))
+    core_->Preempt(request, now);
+}
+
 void EntryService::OnTick(TimePoint now) {
+  RunPolicy(now);
   core_->Tick(now);
   Flush();
   if (!stopped_)
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -9,6 +9,7 @@
 #include "entry/entry_core.h"
 #include "entry/entry_options.h"
 #include "entry/operator_api.h"
+#include "entry/policy_scheduler.h"
 #include "entry/task_link.h"
 #include "kernel/kernel.h"
 #include "net/http_client.h"
@@ -36,10 +37,13 @@
   void Perform(const EntryAction& action);
   void SendToPeer(const SendPeer& action);
   void OnTick(TimePoint now);
+  void RunPolicy(TimePoint now);
 
   EntryOptions options_;
   Incarnation incarnation_;
   EventLoop* loop_ = nullptr;
+  PolicyScheduler scheduler_;
+  TimePoint next_policy_update_;
   std::unique_ptr<EntryCore> core_;
   std::unique_ptr<HttpClient> client_;
   std::unique_ptr<RpcClient> rpc_client_;
--- a/src/entry/entry_workers.cc
+++ b/src/entry/entry_workers.cc
@@ -263,6 +263,14 @@
                    "a result of an attempt that was proved not to have run");
     return reject(ErrorCode::kConflict, "the attempt was not started");
   }
+  // A stopped attempt of a repeatable request is no result: it runs again.
+  if (result.state == TaskState::kStopped && record.spec.repeatable &&
+      !record.cancel_requested && record.has_task()) {
+    ReleaseTask(record);
+    record.may_have_run = true;
+    Enqueue(record, now);
+    return ResultAnswer::kAcknowledged;
+  }
   Closing closing;
   if (result.state == TaskState::kFinished)
     closing.outcome = Outcome::kFinished;
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -69,11 +69,13 @@
                          EntryCore& core,
                          const EntryOptions& options,
                          Metrics& metrics,
+                         PolicyScheduler& scheduler,
                          std::function<void()> flush)
     : loop_(loop),
       core_(core),
       options_(options),
       metrics_(metrics),
+      scheduler_(scheduler),
       flush_(std::move(flush)),
       secret_hash_(HashSecret(options.operator_secret)) {}
 
@@ -163,7 +165,21 @@
   const auto found = core_.requests().records().find(id);
   if (found == core_.requests().records().end())
     return Fail(ErrorCode::kNotFound, "request " + id.str() + " is not here");
-  return JobJson(found->second);
+  const RequestRecord& record = found->second;
+  Json json = JobJson(record);
+  if (record.phase == RequestPhase::kQueued) {
+    const TeamName& team = record.spec.team;
+    json["text"] =
+        scheduler_.Explain(id, core_.allotments().in_use(team),
+                           core_.allotments().allotment(team), loop_.now());
+  } else {
+    json["text"] =
+        "request " + id.str() + " is " +
+        std::string(kRequestPhases.Name(record.phase)) +
+        (record.intent.worker.empty() ? ""
+                                      : " on " + record.intent.worker.str());
+  }
+  return json;
 }
 
 Result<Json> OperatorApi::Withdraw(const HttpRequest& request) {
--- a/src/entry/operator_api.h
+++ b/src/entry/operator_api.h
@@ -7,6 +7,7 @@
 #include "base/metrics.h"
 #include "entry/entry_core.h"
 #include "entry/entry_options.h"
+#include "entry/policy_scheduler.h"
 #include "kernel/event_loop.h"
 #include "net/http_types.h"
 
@@ -22,6 +23,7 @@
               EntryCore& core,
               const EntryOptions& options,
               Metrics& metrics,
+              PolicyScheduler& scheduler,
               std::function<void()> flush);
 
   /// \returns whether `request` is an operator's although its path could be a
@@ -42,6 +44,7 @@
   EntryCore& core_;
   const EntryOptions& options_;
   Metrics& metrics_;
+  PolicyScheduler& scheduler_;
   std::function<void()> flush_;
   std::string secret_hash_;
 };
--- a/src/entry/policy_scheduler.h
+++ b/src/entry/policy_scheduler.h
@@ -1,12 +1,58 @@
 #ifndef BORAGEWINCH_ENTRY_POLICY_SCHEDULER_H_
 #define BORAGEWINCH_ENTRY_POLICY_SCHEDULER_H_
 
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "base/result.h"
 #include "entry/scheduler_hooks.h"
+#include "model/fleet_view.h"
+#include "policy/usage_average.h"
 
 namespace boragewinch {
 
-/// \returns the hooks of an entry host, backed by the policy module.
-[[nodiscard]] SchedulerHooks MakePolicyScheduler();
+/// \brief What the policy has to know of the zone, refreshed periodically.
+struct ZoneState {
+  UsageVector capacity{};  ///< of the workers that are heard
+  /// Tasks that the other entry hosts of the zone run, by team.
+  std::map<TeamName, UsageVector> peer_usage;
+};
+
+/// \brief Puts the policy module behind the hooks of an entry host's core.
+class PolicyScheduler {
+ public:
+  /// Whether `team` may start one more task now.
+  using MayStart = std::function<bool(const TeamName&)>;
+
+  PolicyScheduler();
+  ~PolicyScheduler();
+  PolicyScheduler(const PolicyScheduler&) = delete;
+  PolicyScheduler& operator=(const PolicyScheduler&) = delete;
+
+  /// \returns hooks that use this object, which must outlive them.
+  [[nodiscard]] SchedulerHooks hooks();
+
+  /// \brief Takes new shares, budgets and zone figures.
+  void Update(const FleetView& view, const ZoneState& zone, TimePoint now);
+
+  /// \brief Looks at urgent jobs that wait.
+  /// \returns own repeatable tasks to stop, so that urgent work starts within
+  /// kUrgentStartBound.
+  [[nodiscard]] std::vector<RequestId> PlanStops(const MayStart& may_start,
+                                                 TimePoint now);
+
+  /// \returns one line on why a waiting job waits.
+  [[nodiscard]] std::string Explain(const RequestId& id,
+                                    std::int64_t team_running,
+                                    std::int64_t team_limit,
+                                    TimePoint now);
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
 
 }  // namespace boragewinch
 
--- a/src/entry/scheduler_hooks.h
+++ b/src/entry/scheduler_hooks.h
@@ -46,6 +46,7 @@
   HostName host;
   Outcome outcome = Outcome::kFinished;
   Millis run_time{0};
+  Resources used;  ///< as its worker last reported, else as declared
 };
 
 /// \brief The scheduling policy.
