Let hosts return from maintenance; record waits, runs and answer times

Cause: the drain mark in the heartbeat answer was set for every state but active, so a returning host never acknowledged the end of its drain and a wave stopped after its first hosts (seen: due 40, in work 10 for 60 s). Ruled out: the platform stand-in (its hosts were up) and the wave planner (it waited for returning hosts, as it should). A host found again also gets a new assignment, since a worker restarted while lost may have acknowledged a mark that is wrong now.

--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -20,6 +20,7 @@
 constexpr Millis kFirstPoll{10};
 constexpr Millis kLongestPoll{200};
 constexpr std::size_t kMaxRequestIdBytes = 256;
+constexpr const char* kKindNames[] = {"submit", "status", "cancel", "result"};
 
 [[nodiscard]] HttpResponse Malformed(const std::string& detail) {
   JobAnswer answer;
@@ -96,8 +97,9 @@
 
 CallerApi::CallerApi(EventLoop& loop,
                      EntryCore& core,
+                     Metrics& metrics,
                      std::function<void()> flush)
-    : loop_(loop), core_(core), flush_(std::move(flush)) {}
+    : loop_(loop), core_(core), metrics_(metrics), flush_(std::move(flush)) {}
 
 bool CallerApi::Handles(const HttpRequest& request) {
   return request.path == kTicketsPath || request.path == kJobsPath ||
@@ -157,7 +159,7 @@
   call.spec = std::move(spec).value();
   call.deadline = now + kCallDeadline;
   calls_.emplace(call.call, Call{Kind::kSubmit, respond, call.ticket, call.key,
-                                 now, Millis(0), nullptr});
+                                 now, now, Millis(0), nullptr});
   core_.Submit(std::move(call), now);
   flush_();
 }
@@ -176,7 +178,7 @@
   const RequestCall call{next_call_++, HeaderOf(request, kKeyHeader),
                          RequestId(std::move(id)), now + kCallDeadline};
   const Millis wait = kind == Kind::kStatus ? WaitOf(request) : Millis(0);
-  calls_.emplace(call.call, Call{kind, respond, call.request, call.key,
+  calls_.emplace(call.call, Call{kind, respond, call.request, call.key, now,
                                  now + wait, kFirstPoll, nullptr});
   switch (kind) {
     case Kind::kResult:
@@ -206,6 +208,8 @@
     call.poll = std::min(call.poll * 2, kLongestPoll);
     return;
   }
+  metrics_.Observe("answer", {"", kKindNames[static_cast<int>(call.kind)]},
+                   now - call.opened);
   if (call.kind == Kind::kResult && answer.outcome == Outcome::kFinished) {
     call.respond({200, answer.body, "application/octet-stream"});
   } else {
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 
+#include "base/metrics.h"
 #include "entry/entry_core.h"
 #include "kernel/event_loop.h"
 #include "net/http_server.h"
@@ -27,7 +28,10 @@
 class CallerApi {
  public:
   /// \param flush carries out the core's actions after a call.
-  CallerApi(EventLoop& loop, EntryCore& core, std::function<void()> flush);
+  CallerApi(EventLoop& loop,
+            EntryCore& core,
+            Metrics& metrics,
+            std::function<void()> flush);
 
   /// \returns whether `request` belongs to this interface.
   [[nodiscard]] static bool Handles(const HttpRequest& request);
@@ -46,6 +50,7 @@
     HttpResponder respond;
     RequestId request;
     std::string key;
+    TimePoint opened;
     TimePoint wait_until;  ///< a status call waits for the end until then
     Millis poll{0};        ///< pause before the next look at the request
     WatchHandle timer;
@@ -59,6 +64,7 @@
 
   EventLoop& loop_;
   EntryCore& core_;
+  Metrics& metrics_;
   std::function<void()> flush_;
   std::map<CallId, Call> calls_;
   CallId next_call_ = 1;
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -25,6 +25,41 @@
       PeerMessage{{}, {}, std::variant_alternative_t<Index, PeerBody>()})...};
 }
 
+/// \returns `hooks` that also record waits and run times by team and urgency.
+[[nodiscard]] SchedulerHooks WithMetrics(SchedulerHooks hooks,
+                                         Metrics& metrics) {
+  struct Running {
+    TeamName team;
+    Urgency urgency = Urgency::kNormal;
+  };
+  auto running = std::make_shared<std::map<RequestId, Running>>();
+  const auto labels = [](const TeamName& team, Urgency urgency) {
+    return MetricLabels{team.str(), std::string(kUrgencies.Name(urgency))};
+  };
+  hooks.on_started = [=, &metrics, next = std::move(hooks.on_started)](
+                         const QueuedJob& job, const HostName& host,
+                         TimePoint now) {
+    metrics.Observe("wait", labels(job.team, job.urgency), now - job.submitted);
+    running->insert_or_assign(job.id, Running{job.team, job.urgency});
+    next(job, host, now);
+  };
+  hooks.on_ended = [=, &metrics, next = std::move(hooks.on_ended)](
+                       const EndedTask& ended, TimePoint now) {
+    if (const auto node = running->extract(ended.id); !node.empty()) {
+      const Running& task = node.mapped();
+      metrics.Observe("run", labels(task.team, task.urgency), ended.run_time);
+      metrics.Count("ended_" + std::string(kOutcomes.Name(ended.outcome)),
+                    labels(task.team, task.urgency));
+    }
+    next(ended, now);
+  };
+  hooks.remove = [=, next = std::move(hooks.remove)](const RequestId& id) {
+    running->erase(id);
+    next(id);
+  };
+  return hooks;
+}
+
 }  // namespace
 
 EntryService::EntryService(EntryOptions options)
@@ -40,7 +75,7 @@
   config.incarnation = incarnation_;
   std::random_device seed;
   core_ = std::make_unique<EntryCore>(
-      config, scheduler_.hooks(),
+      config, WithMetrics(scheduler_.hooks(), metrics_),
       [generator = std::mt19937_64(seed())](std::uint64_t bound) mutable {
         return generator() % bound;
       },
@@ -50,7 +85,7 @@
   client_ = std::make_unique<HttpClient>(*loop_, HttpClientLimits{});
   rpc_client_ = std::make_unique<RpcClient>(*client_, options_.cluster_secret);
   rpc_server_ = std::make_unique<RpcServer>(options_.cluster_secret);
-  callers_ = std::make_unique<CallerApi>(*loop_, *core_, flush);
+  callers_ = std::make_unique<CallerApi>(*loop_, *core_, metrics_, flush);
   tasks_ = std::make_unique<TaskLink>(*loop_, *client_, *core_, flush);
   control_ = std::make_unique<ControlLink>(*loop_, *rpc_client_, *core_,
                                            options_, incarnation_, flush);
--- a/src/entry/entry_workers.cc
+++ b/src/entry/entry_workers.cc
@@ -23,7 +23,8 @@
   WorkerReportAnswer answer;
   if (const auto host = view_.hosts.find(report.host);
       host != view_.hosts.end()) {
-    answer.drain = host->second.state != HostState::kActive;
+    answer.drain = host->second.state != HostState::kActive &&
+                   host->second.state != HostState::kReturning;
     answer.pool = host->second.pool;
     answer.assignment = host->second.assignment;
   }
--- a/src/fleet/apply_hosts.cc
+++ b/src/fleet/apply_hosts.cc
@@ -171,8 +171,13 @@
   if (body.state == HostState::kReturning && drains_.contains(body.host)) {
     EndDrain(host, answer);
   } else {
+    const bool was_lost = host->state == HostState::kLost;
     host->state = body.state;
     host->version = Bump(answer);
+    // A worker that restarted while it was lost has acknowledged a drain mark
+    // that may be wrong now; only a newer assignment replaces it.
+    if (was_lost)
+      host->assignment = host->version;
   }
   return Ok();
 }
