--- a/src/raft/node.cc
+++ b/src/raft/node.cc
@@ -250,7 +250,10 @@
     // The answer tells a leader that was cut off about the newer term.
     if (message.kind == MessageKind::kAppend ||
         message.kind == MessageKind::kSnapshot) {
-      Send(MessageKind::kAppendReply, message.from);
+      // By now the sender may lead the newer term, so the numbers must be true.
+      Message& reply = Send(MessageKind::kAppendReply, message.from);
+      reply.index = log_.last_index();
+      reply.last_index = log_.last_index();
     }
     return;
   }
@@ -446,14 +449,16 @@
 }
 
 bool Node::IsInContact(const ReplicaId& id, TimePoint now) const {
+  if (role_ != Role::kLeader || id == self_)
+    return role_ == Role::kLeader;
   const auto found = progress_.find(id);
-  return role_ == Role::kLeader && found != progress_.end() &&
-         found->second.contact &&
+  return found != progress_.end() && found->second.contact &&
          now - *found->second.contact <= options_.election_timeout;
 }
 
 bool Node::IsCaughtUp(const ReplicaId& id, TimePoint now) const {
-  return IsInContact(id, now) && progress_.at(id).match >= commit_;
+  return IsInContact(id, now) &&
+         (id == self_ || progress_.at(id).match >= commit_);
 }
 
 void Node::Broadcast(bool heartbeat, TimePoint now) {
--- a/src/raft/replica.cc
+++ b/src/raft/replica.cc
@@ -643,13 +643,13 @@
     }
   }
   const auto replaced = [&](const ReplicaId& id, const ReplicaId& other) {
-    return id != other && HostOf(id) == HostOf(other) && other != id_ &&
+    return id != other && HostOf(id) == HostOf(other) &&
            node_->IsInContact(other, now) &&
            (members.IsVoter(other) || !members.IsVoter(id));
   };
   for (const auto* ids : {&members.voters, &members.learners}) {
     for (const ReplicaId& id : *ids) {
-      if (id == id_ || node_->IsInContact(id, now))
+      if (node_->IsInContact(id, now))
         continue;
       for (const auto* others : {&members.voters, &members.learners}) {
         for (const ReplicaId& other : *others) {
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -62,7 +62,8 @@
 
 /// \brief One replica of the state machine: the algorithm with its log,
 /// snapshot and identity. It has no thread, socket or clock; the owner passes
-/// messages and the time, and calls Tick at least every 20 ms.
+/// messages and the time, and calls Tick at least every 20 ms. All calls
+/// except Start need a successful Start.
 class Replica {
  public:
   Replica(FileSystem file_system,
@@ -105,8 +106,8 @@
                                              const ReplicaId& id,
                                              TimePoint now);
 
-  /// \brief Moves leadership to the voter that is furthest ahead in contact.
-  /// \returns kNotLeader, kUnavailable without another voter in contact.
+  /// \brief Moves leadership to a voter in contact with all committed entries.
+  /// \returns kNotLeader, kUnavailable without such a voter.
   [[nodiscard]] Status TransferLeadership(TimePoint now);
 
   /// \brief Sends a round of heartbeats. "I was still leader at time t" is
