--- a/src/ctl/table.cc
+++ b/src/ctl/table.cc
@@ -1,6 +1,7 @@
 #include "ctl/table.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace boragewinch {
@@ -71,14 +72,14 @@
                         const std::vector<Json>& rows) {
   std::vector<std::vector<std::string>> columns;
   for (const std::string& member : members) {
-    std::vector<std::string> cells;
-    cells.reserve(rows.size() + 1);
-    cells.push_back(Printable(member));
-    bool empty = true;
-    for (const Json& row : rows) {
-      cells.push_back(row.isObject() ? CellText(row[member]) : "");
-      empty = empty && cells.back().empty();
-    }
+    std::vector<std::string> cells{Printable(member)};
+    std::transform(rows.begin(), rows.end(), std::back_inserter(cells),
+                   [&](const Json& row) {
+                     return row.isObject() ? CellText(row[member]) : "";
+                   });
+    const bool empty =
+        std::all_of(cells.begin() + 1, cells.end(),
+                    [](const std::string& cell) { return cell.empty(); });
     if (!empty)
       columns.push_back(std::move(cells));
   }
