--- a/src/ctl/table.cc
+++ b/src/ctl/table.cc
@@ -71,6 +71,7 @@
 std::string FormatTable(const std::vector<std::string>& members,
                         const std::vector<Json>& rows) {
   std::vector<std::vector<std::string>> columns;
+  columns.reserve(members.size());
   for (const std::string& member : members) {
     std::vector<std::string> cells{Printable(member)};
     std::transform(rows.begin(), rows.end(), std::back_inserter(cells),
