--- a/src/ctl/table.cc
+++ b/src/ctl/table.cc
@@ -71,7 +71,6 @@
 std::string FormatTable(const std::vector<std::string>& members,
                         const std::vector<Json>& rows) {
   std::vector<std::vector<std::string>> columns;
-  columns.reserve(members.size());
   for (const std::string& member : members) {
     std::vector<std::string> cells{Printable(member)};
     std::transform(rows.begin(), rows.end(), std::back_inserter(cells),
@@ -87,6 +86,7 @@
   if (columns.empty())
     return "(none)\n";
   std::vector<std::size_t> widths;
+  widths.reserve(columns.size());
   for (const auto& cells : columns) {
     widths.push_back(std::max_element(cells.begin(), cells.end(),
                                       [](const auto& a, const auto& b) {
