--- a/src/ctl/boragectl.cc
+++ b/src/ctl/boragectl.cc
@@ -209,36 +209,45 @@
   return code;
 }
 
-int Boragectl::Report(const CallAnswer& answer,
-                      const std::string& operation_id) {
+int Boragectl::Report(const CallAnswer& answer, const Json& sent) {
   const Error& error = *answer.error;
+  const std::vector<Json> errors =
+      Rows(answer.body.isObject() ? answer.body["errors"] : Json());
   if (config_.json) {
     Json document =
         answer.body.isObject() ? answer.body : Json(::Json::objectValue);
     document["error"] = std::string(kErrorCodes.Name(error.code));
     document["detail"] = error.detail;
-    if (!operation_id.empty()) {
-      document["operation_id"] = operation_id;
+    if (sent.isObject()) {
+      document["operation_id"] = sent["operation_id"];
+      document["expected_version"] = sent["expected_version"];
       document["may_have_acted"] = answer.may_have_acted;
     }
     out_ << WriteJson(document) << "\n";
   }
   Err() << "boragectl: " << CellText(Json(error.Text())) << "\n";
-  const Json& errors =
-      answer.body.isObject() ? answer.body["errors"] : Json::nullSingleton();
-  for (const Json& item : Rows(errors)) {
+  bool confirm = error.code == ErrorCode::kNeedsConfirmation;
+  for (const Json& item : errors) {
     if (!item.isObject())
       continue;
-    err_ << CellText(item["file"]) << ":" << CellText(item["line"]) << ":"
-         << CellText(item["column"]) << ": " << CellText(item["detail"])
-         << "\n";
+    confirm = confirm || CellText(item["code"]) ==
+                             kErrorCodes.Name(ErrorCode::kNeedsConfirmation);
+    if (item.isMember("line")) {
+      err_ << CellText(item["file"]) << ":" << CellText(item["line"]) << ":"
+           << CellText(item["column"]) << ": ";
+    } else if (CellText(item["detail"]) == CellText(Json(error.detail))) {
+      continue;
+    }
+    err_ << CellText(item["detail"]) << "\n";
   }
-  if (error.code == ErrorCode::kNeedsConfirmation)
+  if (confirm)
     err_ << "To go on, add --allow-lowering.\n";
-  if (answer.may_have_acted && !operation_id.empty()) {
-    err_ << "The change may have been made. To learn which, send it again "
-            "with --operation-id="
-         << operation_id << "\n";
+  if (answer.may_have_acted && sent.isObject()) {
+    err_ << "The change may have been made. To learn which, repeat it with "
+            "--operation-id="
+         << CellText(sent["operation_id"])
+         << " --expected-version=" << CellText(sent["expected_version"])
+         << "\n";
   }
   return ExitCodeOf(error.code);
 }
--- a/src/ctl/boragectl.h
+++ b/src/ctl/boragectl.h
@@ -59,10 +59,11 @@
   int WaveStatus();
 
   /// \brief Sends a command and waits until it is in force.
-  int Operate(Json command, bool with_version, const std::string& done);
+  int Operate(Json command, const std::string& done);
   [[nodiscard]] Json MakeOperation() const;
-  /// \returns --expected-version or the present version of the fleet.
-  [[nodiscard]] CallAnswer FindVersion(FleetVersion* version);
+  /// \brief Sets "expected_version" to --expected-version or the present one.
+  /// \returns success, or the answer that failed.
+  [[nodiscard]] CallAnswer AddVersion(Json* body);
   [[nodiscard]] CallAnswer SendSheet(const std::string& file,
                                      const char* mode,
                                      Json body);
@@ -76,8 +77,10 @@
   int ShowControl(const std::string& path);
 
   /// \brief Prints a failed answer and, if the change may have been made, how
-  /// to send it again. \returns the exit code.
-  int Report(const CallAnswer& answer, const std::string& operation_id = "");
+  /// to send it again.
+  /// \param sent the operation, or null.
+  /// \returns the exit code.
+  int Report(const CallAnswer& answer, const Json& sent = Json());
   int BadUsage(const std::string& detail);
   /// \brief Prints `document` with --json, else `text`.
   void Print(const Json& document, const std::string& text);
--- a/src/ctl/boragectl_changes.cc
+++ b/src/ctl/boragectl_changes.cc
@@ -6,14 +6,13 @@
 #include "base/secret.h"
 #include "ctl/boragectl.h"
 #include "ctl/table.h"
+#include "fleet/sheet.h"
 
 namespace boragewinch {
 
 namespace {
 
 constexpr Millis kInForcePoll{250};
-// A sheet line has about 40 bytes; this is room for 50,000 lines.
-constexpr std::size_t kMaxSheetBytes = 2 * 1024 * 1024;
 
 [[nodiscard]] Result<FleetVersion> VersionOf(const Json& answer) {
   BW_TRY(const auto version, IntField(answer, "version", 0, INT64_MAX));
@@ -36,20 +35,35 @@
   return text.empty() ? "entry hosts that are not known yet" : text;
 }
 
+// "changed team orders: limit 40 -> 30" from one change of a sheet's diff.
+[[nodiscard]] std::string ChangeText(const Json& change) {
+  if (!change.isObject())
+    return CellText(change);
+  std::string text = CellText(change["action"]) + " " +
+                     CellText(change["kind"]) + " " + CellText(change["name"]);
+  const char* separator = ": ";
+  for (const Json& field : Rows(change["fields"])) {
+    text += separator + CellText(field["name"]) + " " + CellText(field["old"]) +
+            " -> " + CellText(field["new"]);
+    separator = ", ";
+  }
+  return text;
+}
+
 [[nodiscard]] std::string SheetText(const Json& answer) {
   std::string text;
-  for (const Json& warning : Rows(answer["warnings"]))
-    text += "warning: " + CellText(warning) + "\n";
-  const std::vector<Json> diff = Rows(answer["diff"]);
-  const bool table = std::all_of(
-      diff.begin(), diff.end(), [](const Json& row) { return row.isObject(); });
-  if (diff.empty())
-    return text + "no change\n";
-  if (table)
-    return text + FormatTable(diff);
-  for (const Json& line : diff)
-    text += CellText(line) + "\n";
-  return text;
+  for (const Json& warning : Rows(answer["warnings"])) {
+    text += "warning: " +
+            (warning.isObject()
+                 ? CellText(warning["kind"]) + " " + CellText(warning["name"]) +
+                       ": " + CellText(warning["text"])
+                 : CellText(warning)) +
+            "\n";
+  }
+  const std::vector<Json> changes = Rows(answer["diff"]);
+  for (const Json& change : changes)
+    text += ChangeText(change) + "\n";
+  return changes.empty() ? text + "no change\n" : text;
 }
 
 [[nodiscard]] Json Command(const char* type) {
@@ -69,36 +83,39 @@
   return body;
 }
 
-CallAnswer Boragectl::FindVersion(FleetVersion* version) {
+CallAnswer Boragectl::AddVersion(Json* body) {
   CallAnswer answer;
+  Json& expected = (*body)["expected_version"];
   if (config_.expected_version) {
-    *version = *config_.expected_version;
+    expected = ::Json::UInt64(*config_.expected_version);
+    return answer;
+  }
+  if (!config_.operation_id.empty()) {
+    // The control group tells a resend from another command by its content.
+    answer.error = Error{ErrorCode::kInvalidSetting,
+                         "--operation-id needs the --expected-version of the "
+                         "first attempt",
+                         std::nullopt};
     return answer;
   }
   answer = client_.Control("GET", "/v1/fleet");
   if (!answer.ok())
     return answer;
   if (auto found = VersionOf(answer.body); found)
-    *version = found.value();
+    expected = ::Json::UInt64(found.value());
   else
     answer.error = found.error();
   return answer;
 }
 
-int Boragectl::Operate(Json command,
-                       bool with_version,
-                       const std::string& done) {
+int Boragectl::Operate(Json command, const std::string& done) {
   Json body = MakeOperation();
-  if (with_version) {
-    FleetVersion version = 0;
-    if (const CallAnswer found = FindVersion(&version); !found.ok())
-      return Report(found);
-    body["expected_version"] = ::Json::UInt64(version);
-  }
+  if (const CallAnswer found = AddVersion(&body); !found.ok())
+    return Report(found);
   body["command"] = std::move(command);
   CallAnswer answer = client_.Control("POST", "/v1/operations", body);
   if (!answer.ok())
-    return Report(answer, body["operation_id"].asString());
+    return Report(answer, body);
   return FinishChange(std::move(answer.body), done);
 }
 
@@ -129,8 +146,10 @@
     document["missing"] = wait.body["missing"];
   else
     document["detail"] = wait.error->Text();
-  const std::string committed =
-      done + ", version " + std::to_string(version.value());
+  std::string committed;
+  for (const Json& note : Rows(document["notes"]))
+    committed += "note: " + CellText(note) + "\n";
+  committed += done + ", version " + std::to_string(version.value());
   if (IsInForce(wait)) {
     Print(document, committed + ", in force\n");
     return kExitOk;
@@ -182,13 +201,11 @@
 
 int Boragectl::SheetApply(const std::string& file) {
   Json body = MakeOperation();
-  FleetVersion version = 0;
-  if (const CallAnswer found = FindVersion(&version); !found.ok())
+  if (const CallAnswer found = AddVersion(&body); !found.ok())
     return Report(found);
-  body["expected_version"] = ::Json::UInt64(version);
   CallAnswer answer = SendSheet(file, "apply", body);
   if (!answer.ok())
-    return Report(answer, body["operation_id"].asString());
+    return Report(answer, body);
   if (!config_.json)
     Print(answer.body, SheetText(answer.body));
   return FinishChange(std::move(answer.body), "applied " + file);
@@ -198,31 +215,34 @@
   Json command = Command("move_host");
   command["host"] = host;
   command["pool"] = pool;
-  return Operate(std::move(command), true, "moved " + host + " to " + pool);
+  command["drain_first"] = config_.drain_first;
+  return Operate(std::move(command),
+                 (config_.drain_first ? "move of " : "moved ") + host + " to " +
+                     pool + (config_.drain_first ? " begun" : ""));
 }
 
 int Boragectl::HostDrain(const std::string& host) {
   Json command = Command("drain_host");
   command["host"] = host;
-  return Operate(std::move(command), true, "drain of " + host + " granted");
+  return Operate(std::move(command), "drain of " + host + " granted");
 }
 
 int Boragectl::HostReturn(const std::string& host) {
   Json command = Command("return_host");
   command["host"] = host;
-  return Operate(std::move(command), false, "returned " + host);
+  return Operate(std::move(command), "returned " + host);
 }
 
 int Boragectl::WaveStart(const std::string& pool) {
   Json command = Command("start_wave");
   command["pool"] = pool == "all" ? "" : pool;
-  return Operate(std::move(command), false, "wave of " + pool + " started");
+  return Operate(std::move(command), "wave of " + pool + " started");
 }
 
 int Boragectl::EntryDeclareLost(const std::string& entry) {
   Json command = Command("declare_entry_lost");
   command["entry"] = entry;
-  return Operate(std::move(command), false, "declared " + entry + " lost");
+  return Operate(std::move(command), "declared " + entry + " lost");
 }
 
 int Boragectl::KeyCreate(const std::string& team) {
@@ -234,6 +254,8 @@
   const std::string id = "k" + RandomHex64();
   const std::string secret = RandomHex64() + RandomHex64();
   Json body = MakeOperation();
+  if (const CallAnswer found = AddVersion(&body); !found.ok())
+    return Report(found);
   Json command = Command("create_key");
   command["id"] = id;
   command["team"] = team;
@@ -276,7 +298,7 @@
     send();
   Json body = MakeOperation();
   Json command = Command("withdraw_key");
-  command["id"] = id;
+  command["ids"].append(id);
   body["command"] = std::move(command);
   const CallAnswer control = client_.Control("POST", "/v1/operations", body);
   if (!open.empty())
@@ -305,8 +327,6 @@
   document["not_confirmed"] = missing;
   const bool in_force =
       document["in_force"].isBool() && document["in_force"].asBool();
-  // A given entry host that no longer exists doesn't answer; the control
-  // group's rule covers every registered one.
   Print(document,
         "key " + id + " withdrawn at: " + CellText(confirmed) +
             (missing.empty()
--- a/src/ctl/ctl_config.cc
+++ b/src/ctl/ctl_config.cc
@@ -74,6 +74,7 @@
                "force",
                30'000, 100, 3'600'000)
       .Flag("allow-lowering", "apply a sheet that lowers limits")
+      .Flag("drain-first", "host move: drain the host, move it, return it")
       .Flag("json", "print one JSON document");
   return builder;
 }
@@ -106,6 +107,7 @@
   config.list_limit = settings.integer("limit");
   config.timeout = Millis(settings.integer("timeout-ms"));
   config.json = settings.flag("json");
+  config.drain_first = settings.flag("drain-first");
   config.allow_lowering = settings.flag("allow-lowering");
   return config;
 }
--- a/src/ctl/ctl_config.h
+++ b/src/ctl/ctl_config.h
@@ -38,6 +38,7 @@
   Millis try_timeout{3'000};
   bool json = false;
   bool allow_lowering = false;
+  bool drain_first = false;  ///< for a move: drain, move, return
 };
 
 /// \returns the settings that boragectl declares.
--- a/src/ctl/fleet_client.cc
+++ b/src/ctl/fleet_client.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "fleet/command_answer.h"
+
 namespace boragewinch {
 
 namespace {
@@ -28,6 +30,16 @@
   }
 }
 
+// The reason of a command that the control group has refused.
+[[nodiscard]] Error FirstError(const Json& errors) {
+  Error error{ErrorCode::kConflict, "refused without a reason", std::nullopt};
+  if (errors.isArray() && !errors.empty()) {
+    if (const Status read = ReadError(errors[0], &error); !read)
+      error.detail = read.error().detail;
+  }
+  return error;
+}
+
 [[nodiscard]] CallAnswer ReadAnswer(const Result<HttpResponse>& result) {
   CallAnswer answer;
   if (!result) {
@@ -41,8 +53,11 @@
   auto json = ParseJson(response.body);
   if (json && json.value().isObject())
     answer.body = std::move(json).value();
-  if (succeeded && !answer.body.isNull())
+  if (succeeded && !answer.body.isNull()) {
+    if (!ValueOr(BoolFieldOr(answer.body, "accepted", true), true))
+      answer.error = FirstError(answer.body["errors"]);
     return answer;
+  }
   // A server error or a cut answer says nothing about what was done.
   answer.may_have_acted = succeeded || response.status >= 500;
   const std::string name =
--- a/tests/boragectl_test.cc
+++ b/tests/boragectl_test.cc
@@ -13,6 +13,7 @@
 
 #include "base/secret.h"
 #include "ctl/boragectl.h"
+#include "fleet/command.h"
 #include "net/http_server.h"
 
 namespace boragewinch {
@@ -187,6 +188,22 @@
      kExitRefused,
      "",
      "version_conflict: operation x won"},
+    {"refused with status 200",
+     {"host", "drain", "h1"},
+     [](Fixture& f) {
+       Answer(f.control, "POST /v1/operations", 200,
+              R"({"accepted":false,"version":8,"errors":[
+                {"code":"needs_confirmation","detail":"pool p: w"}]})");
+     },
+     kExitRefused,
+     "",
+     "pool p: w\nTo go on, add --allow-lowering"},
+    {"resend without its version",
+     {"host", "drain", "h1"},
+     [](Fixture& f) { f.config.operation_id = "op-1"; },
+     kExitBadSettings,
+     "",
+     "--expected-version"},
     {"wrong secret",
      {"pool", "list"},
      [](Fixture& f) {
@@ -221,10 +238,11 @@
      [](Fixture& f) {
        f.control.silent = f.second.silent = 100;
        f.config.operation_id = "op-1";
+       f.config.expected_version = 7;
      },
      kExitUnavailable,
      "",
-     "--operation-id=op-1"},
+     "--operation-id=op-1 --expected-version=7"},
     {"answer without version",
      {"host", "return", "h1"},
      [](Fixture& f) { Answer(f.control, "POST /v1/operations", 200, "{}"); },
@@ -254,10 +272,14 @@
      {"sheet", "apply", "boragectl_test_sheet.csv"},
      [](Fixture& f) {
        Answer(f.control, "POST /v1/sheets", 200,
-              R"({"version":9,"diff":["team t: limit 3"],"warnings":["w"]})");
+              R"({"version":9,
+                "diff":[{"kind":"team","action":"changed","name":"t",
+                         "fields":{"limit":{"old":"4","new":"3"}}}],
+                "warnings":[{"kind":"team","name":"t","text":"w"}]})");
      },
      kExitOk,
-     "warning: w\nteam t: limit 3\napplied boragectl_test_sheet.csv, version "
+     "warning: team t: w\nchanged team t: limit 4 -> 3\napplied "
+     "boragectl_test_sheet.csv, version "
      "9, in force",
      ""},
     {"not in force",
@@ -378,6 +400,44 @@
              "s");
 }
 
+// Guards against commands that the control group can't read or refuses for a
+// missing field.
+BOOST_AUTO_TEST_CASE(CommandsAreThoseOfTheFleet) {
+  const struct {
+    Words arguments;
+    const char* name;
+  } cases[] = {
+      {{"host", "drain", "h1"}, "drain_host"},
+      {{"host", "move", "h1", "p"}, "move_host"},
+      {{"host", "return", "h1"}, "return_host"},
+      {{"key", "create", "t"}, "create_key"},
+      {{"key", "withdraw", "k1"}, "withdraw_key"},
+      {{"entry", "declare-lost", "e1"}, "declare_entry_lost"},
+  };
+  for (const auto& test : cases) {
+    BOOST_TEST_CONTEXT(test.name) {
+      Fixture fixture;
+      fixture.config.entries.clear();
+      BOOST_TEST(fixture.Run(test.arguments) == kExitOk);
+      const Json body = fixture.control.BodyOf("/v1/operations");
+      Json flat = body["command"];
+      flat["command"] = flat["type"];
+      for (const char* member :
+           {"operation_id", "operator", "expected_version"}) {
+        if (body.isMember(member))
+          flat[member] = body[member];
+      }
+      const auto command = CommandFromJson(flat);
+      BOOST_REQUIRE(command);
+      BOOST_TEST(CommandName(command.value().body) == test.name);
+      BOOST_TEST(CheckOperatorCall(command.value()).has_value());
+      if (const auto* withdrawal =
+              std::get_if<WithdrawKey>(&command.value().body))
+        BOOST_TEST(withdrawal->ids.size() == 1U);
+    }
+  }
+}
+
 // Guards against two changes sharing an operation id, of which the second
 // would get the first one's answer without being made.
 BOOST_FIXTURE_TEST_CASE(EachOperationHasAFreshId, Fixture) {
