--- a/src/ctl/boragectl.cc
+++ b/src/ctl/boragectl.cc
@@ -230,7 +230,7 @@
   for (const Json& item : errors) {
     if (!item.isObject())
       continue;
-    confirm = confirm || CellText(item["code"]) ==
+    confirm = confirm || CellText(item["error"]) ==
                              kErrorCodes.Name(ErrorCode::kNeedsConfirmation);
     if (item.isMember("line")) {
       err_ << CellText(item["file"]) << ":" << CellText(item["line"]) << ":"
--- a/src/ctl/boragectl_changes.cc
+++ b/src/ctl/boragectl_changes.cc
@@ -37,14 +37,14 @@
 
 // "changed team orders: limit 40 -> 30" from one change of a sheet's diff.
 [[nodiscard]] std::string ChangeText(const Json& change) {
-  if (!change.isObject())
-    return CellText(change);
   std::string text = CellText(change["action"]) + " " +
                      CellText(change["kind"]) + " " + CellText(change["name"]);
   const char* separator = ": ";
   for (const Json& field : Rows(change["fields"])) {
-    text += separator + CellText(field["name"]) + " " + CellText(field["old"]) +
-            " -> " + CellText(field["new"]);
+    const std::string before = CellText(field["old"]);
+    const std::string after = CellText(field["new"]);
+    text += separator + CellText(field["name"]) + " " + before +
+            (before.empty() || after.empty() ? "" : " -> ") + after;
     separator = ", ";
   }
   return text;
@@ -53,14 +53,12 @@
 [[nodiscard]] std::string SheetText(const Json& answer) {
   std::string text;
   for (const Json& warning : Rows(answer["warnings"])) {
-    text += "warning: " +
-            (warning.isObject()
-                 ? CellText(warning["kind"]) + " " + CellText(warning["name"]) +
-                       ": " + CellText(warning["text"])
-                 : CellText(warning)) +
-            "\n";
+    text += "warning: " + CellText(warning["kind"]) + " " +
+            CellText(warning["name"]) + ": " + CellText(warning["text"]) + "\n";
   }
-  const std::vector<Json> changes = Rows(answer["diff"]);
+  for (const Json& conflict : Rows(answer["conflicts"]))
+    text += "conflict: " + CellText(conflict["detail"]) + "\n";
+  const std::vector<Json> changes = Rows(answer["changes"]);
   for (const Json& change : changes)
     text += ChangeText(change) + "\n";
   return changes.empty() ? text + "no change\n" : text;
@@ -188,7 +186,8 @@
   if (!answer.ok())
     return Report(answer);
   Print(answer.body, SheetText(answer.body));
-  return kExitOk;
+  // Such a sheet would be refused by "sheet apply" at present.
+  return Rows(answer.body["conflicts"]).empty() ? kExitOk : kExitRefused;
 }
 
 int Boragectl::SheetCheck(const std::string& file) {
@@ -206,8 +205,6 @@
   CallAnswer answer = SendSheet(file, "apply", body);
   if (!answer.ok())
     return Report(answer, body);
-  if (!config_.json)
-    Print(answer.body, SheetText(answer.body));
   return FinishChange(std::move(answer.body), "applied " + file);
 }
 
--- a/src/ctl/boragectl_views.cc
+++ b/src/ctl/boragectl_views.cc
@@ -135,9 +135,10 @@
   }
   if (failed.size() == asked.size())
     return Report(*first_error);
-  Print(document, FormatTable({"id", "team", "queue", "customer", "urgency",
-                               "state", "outcome", "reason", "worker"},
-                              rows));
+  Print(document,
+        FormatTable({"id", "team", "queue", "customer", "urgency", "phase",
+                     "outcome", "reason", "worker", "replica"},
+                    rows));
   if (!failed.empty()) {
     Err() << "boragectl: not reached: " << CellText(failed) << "\n";
     return kExitFailed;
--- a/src/ctl/fleet_client.cc
+++ b/src/ctl/fleet_client.cc
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include "fleet/command_answer.h"
-
 namespace boragewinch {
 
 namespace {
 
+constexpr char kSecretHeader[] = "X-Boragewinch-Operator";
 constexpr Millis kFirstBackoff{100};
 constexpr Millis kMaxBackoff{2'000};
 constexpr Millis kProgressInterval{1'000};
@@ -30,16 +29,6 @@
   }
 }
 
-// The reason of a command that the control group has refused.
-[[nodiscard]] Error FirstError(const Json& errors) {
-  Error error{ErrorCode::kConflict, "refused without a reason", std::nullopt};
-  if (errors.isArray() && !errors.empty()) {
-    if (const Status read = ReadError(errors[0], &error); !read)
-      error.detail = read.error().detail;
-  }
-  return error;
-}
-
 [[nodiscard]] CallAnswer ReadAnswer(const Result<HttpResponse>& result) {
   CallAnswer answer;
   if (!result) {
@@ -53,11 +42,8 @@
   auto json = ParseJson(response.body);
   if (json && json.value().isObject())
     answer.body = std::move(json).value();
-  if (succeeded && !answer.body.isNull()) {
-    if (!ValueOr(BoolFieldOr(answer.body, "accepted", true), true))
-      answer.error = FirstError(answer.body["errors"]);
+  if (succeeded && !answer.body.isNull())
     return answer;
-  }
   // A server error or a cut answer says nothing about what was done.
   answer.may_have_acted = succeeded || response.status >= 500;
   const std::string name =
@@ -116,7 +102,7 @@
                                const std::string& path,
                                Millis timeout) const {
   HttpCall call{method, "http://" + address + path};
-  call.headers[kOperatorHeader] = secret_;
+  call.headers[kSecretHeader] = secret_;
   call.timeout = timeout;
   return call;
 }
--- a/src/ctl/fleet_client.h
+++ b/src/ctl/fleet_client.h
@@ -14,9 +14,6 @@
 
 namespace boragewinch {
 
-/// Header with the operators' secret.
-inline constexpr char kOperatorHeader[] = "X-Boragewinch-Operator";
-
 /// \brief Answer to one call of the operators' interface.
 struct CallAnswer {
   Json body;                   ///< the server's document, also of a refusal
--- a/tests/boragectl_test.cc
+++ b/tests/boragectl_test.cc
@@ -188,16 +188,17 @@
      kExitRefused,
      "",
      "version_conflict: operation x won"},
-    {"refused with status 200",
+    {"refused for several reasons",
      {"host", "drain", "h1"},
      [](Fixture& f) {
-       Answer(f.control, "POST /v1/operations", 200,
-              R"({"accepted":false,"version":8,"errors":[
-                {"code":"needs_confirmation","detail":"pool p: w"}]})");
+       Answer(f.control, "POST /v1/operations", 409,
+              R"({"error":"conflict","detail":"first","errors":[
+                {"error":"conflict","detail":"first"},
+                {"error":"needs_confirmation","detail":"pool p: w"}]})");
      },
      kExitRefused,
      "",
-     "pool p: w\nTo go on, add --allow-lowering"},
+     "conflict: first\npool p: w\nTo go on, add --allow-lowering"},
     {"resend without its version",
      {"host", "drain", "h1"},
      [](Fixture& f) { f.config.operation_id = "op-1"; },
@@ -268,19 +269,32 @@
      kExitRefused,
      "",
      "--allow-lowering"},
+    {"sheet that can't be applied yet",
+     {"sheet", "diff", "boragectl_test_sheet.csv"},
+     [](Fixture& f) {
+       Answer(f.control, "POST /v1/sheets", 200,
+              R"({"version":9,
+                "changes":[{"kind":"team","action":"changed","name":"t",
+                            "fields":{"limit":{"old":"4","new":"3"}}},
+                           {"kind":"pool","action":"added","name":"q",
+                            "fields":{"spare":{"old":"","new":"yes"}}}],
+                "warnings":[{"kind":"team","name":"t","text":"w"}],
+                "conflicts":[{"code":"conflict","detail":"h1 is not drained"}]})");
+     },
+     kExitRefused,
+     "warning: team t: w\nconflict: h1 is not drained\n"
+     "changed team t: limit 4 -> 3\nadded pool q: spare yes\n",
+     ""},
     {"sheet applied",
      {"sheet", "apply", "boragectl_test_sheet.csv"},
      [](Fixture& f) {
        Answer(f.control, "POST /v1/sheets", 200,
               R"({"version":9,
-                "diff":[{"kind":"team","action":"changed","name":"t",
-                         "fields":{"limit":{"old":"4","new":"3"}}}],
-                "warnings":[{"kind":"team","name":"t","text":"w"}]})");
+                "notes":["limit of t counts from now"]})");
      },
      kExitOk,
-     "warning: team t: w\nchanged team t: limit 4 -> 3\napplied "
-     "boragectl_test_sheet.csv, version "
-     "9, in force",
+     "note: limit of t counts from now\napplied "
+     "boragectl_test_sheet.csv, version 9, in force",
      ""},
     {"not in force",
      {"host", "return", "h1"},
@@ -504,7 +518,8 @@
       BOOST_TEST(json.value().isObject());
       if (test.code == kExitRefused || test.code == kExitUnavailable)
         BOOST_TEST((json.value().isMember("error") ||
-                    json.value().isMember("outcome")));
+                    json.value().isMember("outcome") ||
+                    json.value().isMember("conflicts")));
     }
   }
 }
