--- a/src/ctl/fleet_client.cc
+++ b/src/ctl/fleet_client.cc
@@ -7,6 +7,7 @@
 
 namespace {
 
+constexpr char kSecretHeader[] = "X-Boragewinch-Operator";
 constexpr Millis kFirstBackoff{100};
 constexpr Millis kMaxBackoff{2'000};
 constexpr Millis kProgressInterval{1'000};
@@ -101,7 +102,7 @@
                                const std::string& path,
                                Millis timeout) const {
   HttpCall call{method, "http://" + address + path};
-  call.headers[kOperatorHeader] = secret_;
+  call.headers[kSecretHeader] = secret_;
   call.timeout = timeout;
   return call;
 }
