Test the entry core under faults and fix what the runs found

Faults it found: - a refused ticket could still run through a late copy of its submit; - a refusal by a restarted worker was taken as proof that the former incarnation had not run the task (StartReply now names the incarnation); - attempts of a former and a new owner could share a number; - a former owner refused the result of a newer attempt.

--- a/src/entry/entry_actions.h
+++ b/src/entry/entry_actions.h
@@ -16,7 +16,7 @@
 
 namespace boragewinch {
 
-/// Number of an open call; the service counts up from 1 (below 2^63).
+/// Number of an open call; the service counts up from 1 (below 2^62).
 using CallId = std::uint64_t;
 
 /// \brief A caller's submit.
@@ -49,7 +49,9 @@
 
 /// \brief Starts a task. The service sends it once, never twice, and reports
 /// the answer or its loss with OnStartAnswer. The worker refuses a start that
-/// names another worker incarnation or an older assignment with `leaving`.
+/// names another worker incarnation or an older assignment with `leaving`,
+/// and refuses a task id for good once it has refused it: a repeated copy of
+/// a refused start must not run.
 struct StartTask {
   HostName host;
   std::string address;
@@ -78,6 +80,17 @@
 using EntryAction =
     std::variant<AnswerCaller, SendPeer, StartTask, StopTask, ForbidTask>;
 
+/// \brief A worker's answer to a start. A refusal by another incarnation than
+/// the start names does not prove that the named one did not run it: an HTTP
+/// client may repeat a request whose connection broke.
+struct StartReply {
+  StartAnswer answer = StartAnswer::kStarted;
+  Incarnation incarnation;  ///< of the worker that answers
+};
+
+/// kForbidden is a promise: this incarnation has not started the task and never
+/// will. A worker remembers the ids of ended tasks for that, also after their
+/// results were acknowledged.
 enum class ForbidState { kForbidden, kRunning, kEnded };
 
 /// \brief What a worker knows about a forbidden task.
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -399,7 +399,7 @@
     }
   }
   if (reason != RefusalReason::kNone) {
-    AnswerWith(id, Outcome::kRefusedNotRun, reason);
+    Refuse(id, reason, now);
     return;
   }
   RequestRecord created;
@@ -421,6 +421,29 @@
   }
 }
 
+// A refused ticket stays refused: a late copy of the submit must not run
+// after its caller has been told that it has not.
+void EntryCore::Refuse(CallId id, RefusalReason reason, TimePoint now) {
+  const RequestId ticket = calls_.Find(id)->request;
+  if (ticket.empty()) {
+    AnswerWith(id, Outcome::kRefusedNotRun, reason);
+    return;
+  }
+  if (table_.size() >= config_.max_records) {
+    AnswerWith(id, Outcome::kUnknownMayHaveRun, RefusalReason::kFull);
+    return;
+  }
+  RequestRecord refused;
+  refused.id = ticket;
+  refused.open_queue = true;  // It holds nothing but the refusal.
+  refused.phase = Phase::kEnded;
+  refused.closing = Closing{Outcome::kRefusedNotRun, reason};
+  refused.created = now;
+  refused.since = now;
+  Touch(table_.Insert(std::move(refused)));
+  AnswerWith(id, Outcome::kRefusedNotRun, reason);
+}
+
 void EntryCore::CancelRecord(RequestRecord& record, TimePoint now) {
   switch (record.phase) {
     case Phase::kStoring:
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -60,10 +60,10 @@
                                                   TimePoint now);
   /// \brief Marks the worker and relays the mark to the zone's peers.
   void OnWorkerLeave(const LeavingWorker& worker, TimePoint now);
-  /// \param answer an Error means that the answer is lost.
+  /// \param reply an Error means that the answer is lost.
   void OnStartAnswer(const TaskId& task,
                      const HostName& host,
-                     const Result<StartAnswer>& answer,
+                     const Result<StartReply>& reply,
                      TimePoint now);
   void OnForbidAnswer(const TaskId& task,
                       const HostName& host,
@@ -126,6 +126,7 @@
   void ServeRecord(CallId id, RequestRecord& record, TimePoint now);
   void AdmitNew(CallId id, TimePoint now);
   void CreateRecord(CallId id, TimePoint now);
+  void Refuse(CallId id, RefusalReason reason, TimePoint now);
   [[nodiscard]] RefusalReason AdmissionReason(OpenCall& call, TimePoint now);
   [[nodiscard]] RefusalReason AccessReason(const RequestRecord& record,
                                            const std::string& key) const;
@@ -245,7 +246,7 @@
   bool was_fresh_ = false;
   bool dirty_ = true;  ///< something may have become startable
   std::uint64_t next_sequence_ = 1;
-  std::uint64_t next_internal_call_ = std::uint64_t{1} << 63;
+  std::uint64_t next_internal_call_ = std::uint64_t{1} << 62;
   /// (time, first sequence issued after it), for the age of tickets.
   std::deque<std::pair<TimePoint, std::uint64_t>> sequence_times_;
   std::uint64_t expired_below_ = 0;
--- a/src/entry/entry_dispatch.cc
+++ b/src/entry/entry_dispatch.cc
@@ -199,12 +199,16 @@
 void EntryCore::NotRun(RequestRecord& record, TimePoint now) {
   ReleaseTask(record);
   record.started = record.may_have_run;
-  Requeue(record, now);
+  // The worker may have run the task and forgotten it.
+  if (record.may_have_run && !record.spec.repeatable)
+    End(record, Closing{Outcome::kUnknownMayHaveRun}, now);
+  else
+    Requeue(record, now);
 }
 
 void EntryCore::OnStartAnswer(const TaskId& task,
                               const HostName& host,
-                              const Result<StartAnswer>& answer,
+                              const Result<StartReply>& reply,
                               TimePoint now) {
   Enter(now);
   RequestRecord* found = table_.Own(task.request);
@@ -216,13 +220,13 @@
   WorkerEntry* worker = workers_.Find(host);
   // The start may have arrived at any time until now.
   record.lease_until = now + GranterLease(kTaskLease);
-  if (!answer) {
+  if (!reply || reply.value().incarnation != record.intent.worker_incarnation) {
     workers_.StartFailed(host, view_, now);
     // The next heartbeat shows a task that has started.
     Unconfirm(record, kHeartbeatInterval * 2, now);
     return;
   }
-  switch (answer.value()) {
+  switch (reply.value().answer) {
     case StartAnswer::kStarted:
       workers_.StartSucceeded(host);
       LogEvent(EventId::kRequestStarted, {{"task", task.Text()}});
--- a/src/entry/entry_replication.cc
+++ b/src/entry/entry_replication.cc
@@ -119,7 +119,10 @@
     record.may_have_run = true;
   }
   if (record.phase == Phase::kClosing) {
-    OnReplicated(record, now);
+    if (record.may_have_run)
+      BeginClose(record, record.closing.outcome, record.closing.reason, now);
+    else
+      OnReplicated(record, now);
     return;
   }
   PlaceCopy(record, now);
@@ -185,9 +188,10 @@
   }
   // The old owner starts repeatable requests without an acknowledged intent.
   record.may_have_run = record.may_have_run || record.spec.repeatable;
-  constexpr std::uint32_t kAttemptsPerOwner = 1'000;
+  // The old owner may have counted on from the attempt known here.
+  constexpr std::uint64_t kAttemptsPerOwner = 1'000;
   record.next_attempt =
-      (record.intent.attempt / kAttemptsPerOwner + 1) * kAttemptsPerOwner + 1;
+      static_cast<std::uint32_t>(record.generation * kAttemptsPerOwner + 1);
   const bool intended = record.intent.attempt > 0;
   if (intended) {
     book_.Count(
--- a/src/entry/entry_workers.cc
+++ b/src/entry/entry_workers.cc
@@ -225,6 +225,14 @@
     return reject(ErrorCode::kProtocol, "the task has not ended");
   }
   RequestRecord* found = table_.Own(result.task.request);
+  if (found != nullptr && result.task.attempt > found->intent.attempt) {
+    // A peer has taken the record over and started the task.
+    if (pass_on) {
+      for (const EntryName& name : peers_.zone_peers())
+        SendTo(name, PeerResult{result});
+    }
+    return ResultAnswer::kKept;
+  }
   if (found == nullptr) {
     const auto parts = RequestIdParts::Parse(result.task.request);
     if (!parts)
--- a/tests/entry_core_test.cc
+++ b/tests/entry_core_test.cc
@@ -1,11 +1,19 @@
 #define BOOST_TEST_MODULE entry_core
 #include <boost/test/unit_test.hpp>
 
+#include <boost/test/data/test_case.hpp>
+
+#include "base/event_log.h"
 #include "entry_world.h"
 
 namespace boragewinch::testing {
 namespace {
 
+struct QuietLog {
+  QuietLog() { ConfigureEventLog("entry_core_test", EventLevel::kError); }
+};
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
 [[nodiscard]] std::string Shown(const JobAnswer* answer) {
   if (answer == nullptr)
     return "no answer";
@@ -15,6 +23,11 @@
   return text;
 }
 
+// A running zone of `entries` entry hosts and one worker.
+struct Zone : World {
+  explicit Zone(int entries) : World(entries, 1, 1) { Run(Millis(3'000)); }
+};
+
 // Guards against a step missing from the path of a request.
 BOOST_AUTO_TEST_CASE(SubmitRunsAndReturnsItsResult) {
   for (const int entries : {1, 2}) {
@@ -39,5 +52,258 @@
   }
 }
 
+struct Admission {
+  const char* name;
+  const char* expected;
+  void (*change)(World&, JobSpec&, std::string&);
+};
+
+std::ostream& operator<<(std::ostream& out, const Admission& row) {
+  return out << row.name;
+}
+
+constexpr Admission kAdmissions[] = {
+    {"valid key", "accepted", [](World&, JobSpec&, std::string&) {}},
+    {"no key", "refused_not_run/bad_key",
+     [](World&, JobSpec&, std::string& key) { key.clear(); }},
+    {"wrong secret", "refused_not_run/bad_key",
+     [](World&, JobSpec&, std::string& key) { key = "k1.guess"; }},
+    {"key of another team", "refused_not_run/wrong_team",
+     [](World&, JobSpec&, std::string& key) { key = "d1.secret"; }},
+    {"job names another team", "refused_not_run/wrong_team",
+     [](World&, JobSpec& spec, std::string&) {
+       spec.team = TeamName("dispatch");
+     }},
+    {"withdrawn key", "refused_not_run/withdrawn_key",
+     [](World& world, JobSpec&, std::string&) {
+       world.cores[0]->OnKeyWithdrawn(KeyId("k1"), world.now);
+     }},
+    {"key withdrawn at a peer", "refused_not_run/withdrawn_key",
+     [](World& world, JobSpec&, std::string&) {
+       world.cores[1]->OnKeyWithdrawn(KeyId("k1"), world.now);
+       world.Run(Millis(600));
+     }},
+    {"withdrawal not in a later fleet state", "refused_not_run/withdrawn_key",
+     [](World& world, JobSpec&, std::string&) {
+       world.cores[0]->OnKeyWithdrawn(KeyId("k1"), world.now);
+       ++world.view.version;
+       world.Run(Millis(2'000));
+     }},
+    {"unknown queue", "refused_not_run/unknown_queue",
+     [](World&, JobSpec& spec, std::string&) {
+       spec.queue = QueueName("none");
+     }},
+    {"too large for each worker", "refused_not_run/never_fits",
+     [](World&, JobSpec& spec, std::string&) {
+       spec.declared.memory_mb = 1'000'000;
+     }},
+    {"control silent for 4 s", "accepted",
+     [](World& world, JobSpec&, std::string&) {
+       world.cut.emplace(0, -1);
+       world.Run(Millis(3'500));
+     }},
+    {"control silent for 6 s", "refused_not_run/stale_configuration",
+     [](World& world, JobSpec&, std::string&) {
+       world.cut.emplace(0, -1);
+       world.Run(Millis(6'000));
+     }},
+    {"control silent, open queue", "accepted",
+     [](World& world, JobSpec& spec, std::string& key) {
+       world.cut.emplace(0, -1);
+       world.Run(Millis(6'000));
+       spec.queue = QueueName("open");
+       key.clear();
+     }},
+    {"no reachable peer", "refused_not_run/no_backup",
+     [](World& world, JobSpec&, std::string&) {
+       world.cut.emplace(0, 1);
+       world.Run(Millis(2'000));
+     }},
+    {"no reachable peer, repeatable", "accepted",
+     [](World& world, JobSpec& spec, std::string&) {
+       world.cut.emplace(0, 1);
+       world.Run(Millis(2'000));
+       spec.repeatable = true;
+     }},
+    {"stopping", "refused_not_run/stopping",
+     [](World& world, JobSpec&, std::string&) {
+       world.cores[0]->Stop(world.now);
+     }},
+};
+
+// Guards I3 and the reasons of refusals at admission.
+BOOST_DATA_TEST_CASE(AdmissionFollowsTheRules, kAdmissions, row) {
+  Zone world(2);
+  JobSpec spec = world.Job(false);
+  std::string key = "k1.secret";
+  row.change(world, spec, key);
+  const CallId call = world.Submit(0, spec, {}, key);
+  world.Run(Millis(1'000));
+  BOOST_TEST(Shown(world.answer(call)) == row.expected);
+}
+
+// Guards against a full table that grows on.
+BOOST_AUTO_TEST_CASE(BoundsRefuseWithFull) {
+  EntryConfig base;
+  base.max_queued_per_queue = 3;
+  World world(2, 0, 1, base);
+  world.Run(Millis(3'000));
+  CallId last = 0;
+  for (int i = 0; i < 4; ++i) {
+    last = world.Submit(0, world.Job(false));
+    world.Run(Millis(200));
+  }
+  BOOST_TEST(Shown(world.answer(last)) == "refused_not_run/full");
+}
+
+// Guards I4: all jobs run in the end, never more at once than the limit.
+BOOST_AUTO_TEST_CASE(RunningStaysWithinTheLimit) {
+  World world(2, 2, 1);
+  world.ledger.limit[TeamName("intake")] = 3;
+  world.Run(Millis(3'000));
+  for (int i = 0; i < 12; ++i) {
+    static_cast<void>(world.Submit(i % 2, world.Job(false)));
+    world.Run(Millis(50));
+  }
+  std::int64_t most = 0;
+  for (int i = 0; i < 400; ++i) {
+    world.Run(Millis(50));
+    std::int64_t running = 0;
+    for (const FakeWorker& worker : world.workers)
+      running += worker.running();
+    most = std::max(most, running);
+  }
+  BOOST_TEST(most <= 3);
+  BOOST_TEST(most >= 2);
+  BOOST_TEST(world.executions.size() == 12U);
+  BOOST_TEST(world.faults.size() == 0U);
+}
+
+// Guards I8: a worker that announced its leave to one entry host gets no
+// start from another one.
+BOOST_AUTO_TEST_CASE(LeavingWorkerGetsNoStart) {
+  Zone world(2);
+  int starts = 0;
+  world.intercept = [&](const EntryAction& action, int) {
+    starts += std::holds_alternative<StartTask>(action) ? 1 : 0;
+    return true;
+  };
+  world.cores[0]->OnWorkerLeave(
+      {world.workers[0].host, world.workers[0].incarnation}, world.now);
+  world.Apply(0);
+  world.Run(Millis(100));
+  static_cast<void>(world.Submit(1, world.Job(false)));
+  world.Run(Millis(5'000));
+  BOOST_TEST(starts == 0);
+  // The mark is of one incarnation; its successor gets work.
+  world.CrashWorker(0);
+  world.Run(Millis(5'000));
+  BOOST_TEST(starts == 1);
+}
+
+// Guards I5 and 4.2: only the request's own team learns its state.
+BOOST_AUTO_TEST_CASE(CallsNeedAKeyOfTheTeam) {
+  Zone world(2);
+  const CallId submit = world.Submit(0, world.Job(false));
+  world.Run(Millis(200));
+  const RequestId id = world.answer(submit)->request;
+  for (const int entry : {0, 1}) {
+    const CallId foreign = world.Ask(entry, CallKind::kCancel, id, "d1.secret");
+    const CallId none = world.Ask(entry, CallKind::kResult, id, "");
+    world.Run(Millis(200));
+    BOOST_TEST(Shown(world.answer(foreign)) ==
+               "unknown_may_have_run/wrong_team");
+    BOOST_TEST(Shown(world.answer(none)) == "unknown_may_have_run/bad_key");
+  }
+  world.Run(Millis(8'000));
+  BOOST_TEST(world.executions[id] == 1);
+}
+
+// Guards against a second run by a retry at another entry host.
+BOOST_AUTO_TEST_CASE(ClientRequestIdFindsTheFirstAttempt) {
+  Zone world(3);
+  JobSpec spec = world.Job(false);
+  spec.client_request_id = "order-7";
+  const CallId first = world.Submit(0, spec);
+  world.Run(Millis(300));
+  BOOST_REQUIRE_EQUAL(Shown(world.answer(first)), "accepted");
+  for (const int entry : {0, 1, 2}) {
+    const CallId retry = world.Submit(entry, spec);
+    world.Run(Millis(300));
+    BOOST_REQUIRE(world.answer(retry) != nullptr);
+    BOOST_TEST(world.answer(retry)->request == world.answer(first)->request);
+  }
+  // An entry host that can't ask all others does not take a new one.
+  world.cut.emplace(2, 0);
+  spec.client_request_id = "order-8";
+  const CallId unsure = world.Submit(2, spec);
+  world.Run(Millis(3'000));
+  BOOST_TEST(Shown(world.answer(unsure)) == "unknown_may_have_run");
+  world.Run(Millis(8'000));
+  BOOST_TEST(world.executions.size() == 1U);
+}
+
+// Guards I6 and I7 for tickets: a retry at any entry host finds the request,
+// and a refused ticket stays refused.
+BOOST_AUTO_TEST_CASE(TicketIsUsedOnce) {
+  Zone world(2);
+  const RequestId ticket = world.cores[0]->NewTicket(world.now).value();
+  for (const int entry : {1, 0, 1}) {
+    const CallId call = world.Submit(entry, world.Job(false), ticket);
+    world.Run(Millis(3'000));
+    BOOST_TEST(world.answer(call)->request == ticket);
+  }
+  BOOST_TEST(world.executions[ticket] == 1);
+  const RequestId refused = world.cores[0]->NewTicket(world.now).value();
+  for (const char* key : {"k1.guess", "k1.secret"}) {
+    const CallId call = world.Submit(1, world.Job(false), refused, key);
+    world.Run(Millis(3'000));
+    BOOST_TEST(Shown(world.answer(call)) == "refused_not_run/bad_key");
+  }
+  BOOST_TEST(world.executions[refused] == 0);
+  BOOST_TEST(world.faults.size() == 0U);
+}
+
+// Guards against a call that is never answered, with no answer from anyone.
+BOOST_AUTO_TEST_CASE(EachCallIsAnsweredByItsDeadline) {
+  Zone world(2);
+  const RequestId ticket = world.cores[1]->NewTicket(world.now).value();
+  world.cut.emplace(0, 1);
+  const CallId calls[] = {
+      world.Submit(0, world.Job(false)),
+      world.Submit(0, world.Job(true), ticket),
+      world.Ask(0, CallKind::kQuery, ticket),
+      world.Ask(0, CallKind::kQuery, RequestId("z.e9.i9.1")),
+      world.Ask(0, CallKind::kQuery, RequestId("nonsense")),
+  };
+  const char* expected[] = {
+      "unknown_may_have_run", "unknown_may_have_run", "unknown_may_have_run",
+      "unknown_may_have_run/unknown_request", "refused_not_run/malformed"};
+  world.Run(Millis(4'200));
+  for (std::size_t i = 0; i < std::size(calls); ++i) {
+    // A peer's missing answer and its missing record look alike.
+    const std::string shown = Shown(world.answer(calls[i]));
+    BOOST_TEST(shown.substr(0, 20) == std::string(expected[i]).substr(0, 20),
+               i << ": " << shown);
+  }
+}
+
+// Guards against a queued job that runs after it was cancelled or too late.
+BOOST_AUTO_TEST_CASE(ClosedRequestsDoNotRun) {
+  World world(2, 0, 1);
+  world.Run(Millis(3'000));
+  const CallId cancelled = world.Submit(0, world.Job(false));
+  const CallId late = world.Submit(0, world.Job(false));
+  world.Run(Millis(500));
+  const RequestId id = world.answer(cancelled)->request;
+  const CallId cancel = world.Ask(1, CallKind::kCancel, id);
+  world.Run(Millis(21'000));
+  BOOST_TEST(Shown(world.answer(cancel)) == "cancelled");
+  const CallId query =
+      world.Ask(0, CallKind::kQuery, world.answer(late)->request);
+  world.Run(Millis(200));
+  BOOST_TEST(Shown(world.answer(query)) == "refused_not_run/deadline");
+}
+
 }  // namespace
 }  // namespace boragewinch::testing
--- a/tests/entry_world.h
+++ b/tests/entry_world.h
@@ -35,6 +35,7 @@
   FleetVersion assignment = 1;
   std::map<TaskId, Task> tasks;
   std::set<TaskId> forbidden;
+  std::set<TaskId> done;  ///< ended and acknowledged
 
   [[nodiscard]] std::int64_t running() const;
   [[nodiscard]] WorkerReport Report();
@@ -47,6 +48,7 @@
     std::map<TeamName, std::int64_t> counted;  ///< what it may still run
     std::uint64_t version = 1;
     ControlReport report;
+    TimePoint heard;
   };
   std::map<TeamName, std::int64_t> limit;
   std::map<Incarnation, Share> shares;
@@ -67,7 +69,10 @@
 /// that loses, delays, duplicates and reorders. Checks I3 to I8 from outside.
 class World {
  public:
-  World(int entries, int workers, std::uint64_t seed);
+  World(int entries, int workers, std::uint64_t seed, EntryConfig base = {});
+
+  World(const World&) = delete;  // Hooks and events refer to this object.
+  World& operator=(const World&) = delete;
 
   void Run(Millis time);
   void Crash(int entry);
@@ -104,10 +109,14 @@
   std::vector<TimePoint> frozen_until;
   std::vector<FakeWorker> workers;
   std::set<std::pair<int, int>> cut;
-  std::set<KeyId> withdrawn;
+  std::map<KeyId, TimePoint> withdrawn;  ///< in the control log since then
   std::function<bool(const EntryAction&, int entry)> intercept;
   std::map<RequestId, int> executions;
   std::vector<std::string> faults;  ///< violated promises
+  /// Whether the same client_request_id must not run twice. It is kept in two
+  /// memories only, so not after crashes.
+  bool check_client_ids = false;
+  int reclaimed = 0;
   Millis run_time{500};
 
  private:
@@ -126,6 +135,8 @@
   void SendReport(FakeWorker& worker, int entry);
   void PostResult(const FakeWorker& worker, const TaskId& task);
   void Sync(int entry);
+  /// \brief Reclaims from entry hosts that nobody has heard (4.3, rule 2).
+  void ReclaimSilent();
   void Record(const AnswerCaller& action);
   [[nodiscard]] FakeWorker* Worker(const HostName& host);
   [[nodiscard]] Millis Delay() {
@@ -134,13 +145,22 @@
                 random() % static_cast<std::uint64_t>(link.max_delay_ms)));
   }
 
+  EntryConfig base_;
   std::multimap<TimePoint, Event> events_;
   CallId next_call_ = 1;
   int next_incarnation_ = 1;
   std::map<CallId, RequestId> call_request_;
-  std::map<CallId, std::pair<CallKind, JobSpec>> calls_;
+  struct Call {
+    CallKind kind;
+    KeyId key;
+    TimePoint at;
+  };
+  std::map<CallId, Call> calls_;
+  std::set<CallId> not_new_keyed_work_;
+  std::set<RequestId> tickets_;
   std::map<CallId, JobAnswer> answers_;
   std::set<RequestId> not_run_;
+  std::map<std::pair<TeamName, std::string>, RequestId> client_ids_;
   TimePoint next_second_;
 };
 
--- a/tests/entry_world_impl.h
+++ b/tests/entry_world_impl.h
@@ -91,8 +91,11 @@
   }
 }
 
-inline World::World(int entries, int worker_count, std::uint64_t seed)
-    : random(seed) {
+inline World::World(int entries,
+                    int worker_count,
+                    std::uint64_t seed,
+                    EntryConfig base)
+    : random(seed), base_(std::move(base)) {
   view.version = 1;
   view.pools[PoolName("pool")] = Pool{PoolName("pool"), 1};
   for (const char* team : {"intake", "dispatch"}) {
@@ -130,7 +133,7 @@
 
 inline void World::Boot(int entry) {
   const auto index = static_cast<std::size_t>(entry);
-  EntryConfig config;
+  EntryConfig config = base_;
   config.zone = ZoneName("z");
   config.name = names[index];
   config.incarnation = Incarnation("i" + std::to_string(next_incarnation_++));
@@ -138,7 +141,7 @@
   cores[index] = std::make_unique<EntryCore>(
       config, MakeSimpleScheduler(),
       [this](std::uint64_t bound) { return random() % bound; }, now);
-  ledger.shares[config.incarnation];
+  ledger.shares[config.incarnation].heard = now;
   cores[index]->OnFleetUpdate(view, now);
 }
 
@@ -160,6 +163,7 @@
   crashed.leaving = false;
   crashed.tasks.clear();
   crashed.forbidden.clear();
+  crashed.done.clear();
 }
 
 inline void World::Post(Millis delay, int entry, std::function<void()> run) {
@@ -192,7 +196,13 @@
                             RequestId ticket,
                             std::string key) {
   const CallId call = next_call_++;
-  calls_[call] = {CallKind::kSubmit, spec};
+  calls_[call] = {CallKind::kSubmit, KeyId(key.substr(0, 2)), now};
+  // Not new keyed work: the open queue, and retries of accepted requests.
+  const bool retry = !ticket.empty() && !tickets_.insert(ticket).second;
+  if (spec.queue == QueueName("open") || retry ||
+      !spec.client_request_id.empty()) {
+    not_new_keyed_work_.insert(call);
+  }
   call_request_[call] = ticket;
   cores[static_cast<std::size_t>(entry)]->Submit(
       {call, std::move(key), std::move(ticket), std::move(spec),
@@ -207,7 +217,7 @@
                          const RequestId& request,
                          std::string key) {
   const CallId call = next_call_++;
-  calls_[call] = {kind, {}};
+  calls_[call] = {kind, KeyId(key.substr(0, 2)), now};
   call_request_[call] = request;
   EntryCore& core = *cores[static_cast<std::size_t>(entry)];
   RequestCall asked{call, std::move(key), request, now + Millis(4'000)};
@@ -233,6 +243,14 @@
   const RequestId& asked = call_request_[action.call];
   if (!asked.empty() && asked != answer.request)
     faults.push_back("I5: answer of another request");
+  const Call& call = calls_.at(action.call);
+  const auto gone = withdrawn.find(call.key);
+  // 5 s of freshness and the time of the last answers.
+  if (call.kind == CallKind::kSubmit && answer.outcome == Outcome::kAccepted &&
+      gone != withdrawn.end() && call.at > gone->second + Millis(8'000) &&
+      !not_new_keyed_work_.contains(action.call)) {
+    faults.push_back("I3: withdrawn key: " + answer.request.str());
+  }
   if (!answer.body.empty() && answer.body != "done:" + answer.request.str())
     faults.push_back("I5: foreign or torn body for " + answer.request.str());
   if (answer.outcome == Outcome::kRefusedNotRun && !answer.request.empty()) {
@@ -252,16 +270,19 @@
 
 inline StartAnswer World::Execute(FakeWorker& worker, const StartTask& start) {
   if (worker.forbidden.contains(start.task) ||
-      worker.tasks.contains(start.task)) {
+      worker.done.contains(start.task) || worker.tasks.contains(start.task)) {
     return StartAnswer::kDuplicate;
   }
   if (worker.leaving || worker.drain || start.pool != worker.pool ||
       start.assignment < worker.assignment ||
       start.worker_incarnation != worker.incarnation) {
+    worker.forbidden.insert(start.task);
     return StartAnswer::kLeaving;
   }
-  if (worker.running() >= kMaxSlotsPerWorker)
+  if (worker.running() >= kMaxSlotsPerWorker) {
+    worker.forbidden.insert(start.task);
     return StartAnswer::kBusy;
+  }
   FakeWorker::Task task;
   task.team = start.spec.team;
   task.end_at =
@@ -272,6 +293,13 @@
   const int count = ++executions[start.task.request];
   if (!start.spec.repeatable && count > 1)
     faults.push_back("I7: ran twice: " + start.task.request.str());
+  if (check_client_ids && !start.spec.repeatable &&
+      !start.spec.client_request_id.empty()) {
+    const auto [known, added] = client_ids_.try_emplace(
+        {start.spec.team, start.spec.client_request_id}, start.task.request);
+    if (!added && known->second != start.task.request)
+      faults.push_back("I7: client_request_id ran twice");
+  }
   if (not_run_.contains(start.task.request))
     faults.push_back("I6: run after a refusal: " + start.task.request.str());
   std::int64_t running = 0;
@@ -290,10 +318,10 @@
 // The worker hears the start within 1.8 s or never; the caller knows after
 // 2 s at the latest that the answer is lost.
 inline void World::StartAt(int entry, const StartTask& start) {
-  auto answer = std::make_shared<std::optional<StartAnswer>>();
+  auto answer = std::make_shared<std::optional<StartReply>>();
   const auto deliver = [this, start, answer] {
     if (FakeWorker* worker = Worker(start.host); worker != nullptr) {
-      const StartAnswer given = Execute(*worker, start);
+      const StartReply given{Execute(*worker, start), worker->incarnation};
       if (!*answer && !Chance(link.drop_percent))
         *answer = given;
     }
@@ -303,9 +331,9 @@
   if (Chance(link.duplicate_percent))
     Post(std::min(Delay(), Millis(1'800)), -1, deliver);
   const auto conclude = [this, entry, start, answer] {
-    const Result<StartAnswer> result =
-        *answer ? Result<StartAnswer>(**answer)
-                : Result<StartAnswer>(Fail(ErrorCode::kTimeout, "no answer"));
+    const Result<StartReply> result =
+        *answer ? Result<StartReply>(**answer)
+                : Result<StartReply>(Fail(ErrorCode::kTimeout, "no answer"));
     cores[static_cast<std::size_t>(entry)]->OnStartAnswer(
         start.task, start.host, result, now);
   };
@@ -353,7 +381,9 @@
         FakeWorker& worker = *Worker(host);
         ForbidAnswer answer{ForbidState::kForbidden, worker.incarnation};
         if (const auto found = worker.tasks.find(task);
-            found == worker.tasks.end()) {
+            found == worker.tasks.end() && worker.done.contains(task)) {
+          answer.state = ForbidState::kEnded;
+        } else if (found == worker.tasks.end()) {
           worker.forbidden.insert(task);
         } else {
           answer.state = found->second.state == TaskState::kRunning
@@ -400,9 +430,7 @@
       }
       for (const TaskId& task : answer.acknowledged)
         heard.tasks.erase(task);
-      // A dropped task is never run again.
-      heard.forbidden.insert(answer.acknowledged.begin(),
-                             answer.acknowledged.end());
+      heard.done.insert(answer.acknowledged.begin(), answer.acknowledged.end());
     });
   });
 }
@@ -422,7 +450,7 @@
         cores[static_cast<std::size_t>(entry)]->OnResult(result, now);
     if (answer && answer.value() == ResultAnswer::kAcknowledged) {
       Worker(host)->tasks.erase(result.task);
-      Worker(host)->forbidden.insert(result.task);
+      Worker(host)->done.insert(result.task);
     }
   });
 }
@@ -450,12 +478,14 @@
     if (!ledger.shares.contains(incarnation))
       return;
     ledger.Report(incarnation, report);
-    const FakeLedger::Share& share = ledger.shares[incarnation];
+    FakeLedger::Share& share = ledger.shares[incarnation];
+    share.heard = now;
     ControlAnswer answer;
     answer.confirmed_at = sent_at;
     answer.allotment_version = share.version;
     answer.allotment = share.offered;
-    answer.tombstones.assign(withdrawn.begin(), withdrawn.end());
+    for (const auto& [key, at] : withdrawn)
+      answer.tombstones.push_back(key);
     for (std::size_t i = 0; i < names.size(); ++i)
       answer.entries.push_back({names[i], ZoneName("z"), incarnations[i]});
     Send(entry, [this, entry, incarnation, answer, fleet = view] {
@@ -468,6 +498,35 @@
   });
 }
 
+inline void World::ReclaimSilent() {
+  const Millis bound =
+      GranterLease(kIsolationBound) + GranterLease(kTaskLease) + Millis(5'000);
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    const auto own = ledger.shares.find(incarnations[i]);
+    if (now - own->second.heard < bound)
+      continue;
+    bool all_silent = true;
+    for (std::size_t j = 0; j < names.size(); ++j) {
+      const auto& silent = ledger.shares[incarnations[j]].report.silent;
+      all_silent =
+          all_silent &&
+          (i == j || std::any_of(silent.begin(), silent.end(),
+                                 [&](const SilentPeer& peer) {
+                                   return peer.incarnation == incarnations[i] &&
+                                          peer.silence >= bound && peer.fenced;
+                                 }));
+    }
+    if (!all_silent)
+      continue;
+    const std::uint64_t version = own->second.version;
+    ledger.Reclaim(names[i], incarnations[i]);
+    ++reclaimed;
+    // It registers again and starts with nothing.
+    ledger.shares[incarnations[i]].version = version + 1;
+    ledger.shares[incarnations[i]].heard = now;
+  }
+}
+
 inline void World::Run(Millis time) {
   constexpr Millis kStep{50};
   for (const TimePoint end = now + time; now < end; now += kStep) {
@@ -499,6 +558,7 @@
     if (now < next_second_)
       continue;
     next_second_ = now + kHeartbeatInterval;
+    ReclaimSilent();
     for (std::size_t i = 0; i < cores.size(); ++i) {
       for (FakeWorker& worker : workers) {
         // Pairs (entry, 100 + worker) are cut links to workers.
--- /dev/null
+++ b/tests/request_replication_test.cc
@@ -0,0 +1,290 @@
+#define BOOST_TEST_MODULE request_replication
+#include <boost/test/unit_test.hpp>
+
+#include <boost/test/data/test_case.hpp>
+
+#include "base/event_log.h"
+#include "entry_world.h"
+
+namespace boragewinch::testing {
+namespace {
+
+struct QuietLog {
+  QuietLog() {
+    ConfigureEventLog("request_replication_test", EventLevel::kError);
+  }
+};
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
+template <typename Body>
+[[nodiscard]] bool Sends(const EntryAction& action) {
+  const auto* send = std::get_if<SendPeer>(&action);
+  return send != nullptr && std::holds_alternative<Body>(send->message.body);
+}
+
+// Where the owner stops: at its first action of a kind, which is still passed
+// on or is lost.
+struct Stop {
+  const char* name;
+  bool (*at)(const EntryAction&, int entry);
+  bool passed_on;
+  const char* outcome;
+};
+
+std::ostream& operator<<(std::ostream& out, const Stop& stop) {
+  return out << stop.name;
+}
+
+[[nodiscard]] bool AtStore(const EntryAction& action, int entry) {
+  return entry == 0 && Sends<PeerStore>(action);
+}
+[[nodiscard]] bool AtIntend(const EntryAction& action, int entry) {
+  return entry == 0 && Sends<PeerIntend>(action);
+}
+[[nodiscard]] bool AtIntendAck(const EntryAction& action, int entry) {
+  const auto* send = std::get_if<SendPeer>(&action);
+  const auto* ack =
+      send == nullptr ? nullptr : std::get_if<PeerAck>(&send->message.body);
+  return entry == 1 && ack != nullptr && ack->version.revision == 2;
+}
+[[nodiscard]] bool AtStart(const EntryAction& action, int entry) {
+  return entry == 0 && std::holds_alternative<StartTask>(action);
+}
+[[nodiscard]] bool AtClose(const EntryAction& action, int entry) {
+  return entry == 0 && Sends<PeerClose>(action);
+}
+
+constexpr Stop kStops[] = {
+    {"store lost", AtStore, false, "unknown_may_have_run"},
+    {"store sent", AtStore, true, "finished"},
+    {"intent lost", AtIntend, false, "finished"},
+    {"intent sent", AtIntend, true, "finished"},
+    {"intent acknowledged", AtIntendAck, true, "finished"},
+    {"start lost", AtStart, false, "finished"},
+    {"start sent", AtStart, true, "finished"},
+    {"closing lost", AtClose, false, "finished"},
+    {"closing sent", AtClose, true, "finished"},
+};
+
+struct Stopped {
+  std::string outcome;
+  int executions = 0;
+  std::uint64_t starts_of_owner = 0;
+  std::size_t faults = 0;
+};
+
+// Runs one non-repeatable request whose owner stops as `stop` says.
+[[nodiscard]] Stopped RunStopped(const Stop& stop, bool freeze) {
+  World world(2, 2, 1);
+  world.Run(Millis(3'000));
+  bool seen = false;
+  bool due = false;
+  world.intercept = [&](const EntryAction& action, int entry) {
+    if (seen || !stop.at(action, entry))
+      return true;
+    seen = due = true;
+    if (freeze)
+      world.Freeze(0, Millis(8'000));
+    return stop.passed_on;
+  };
+  const RequestId ticket = world.cores[0]->NewTicket(world.now).value();
+  static_cast<void>(world.Submit(0, world.Job(false), ticket));
+  for (int i = 0; i < 1'600; ++i) {
+    if (std::exchange(due, false) && !freeze)
+      world.Crash(0);
+    world.Run(Millis(50));
+  }
+  const CallId query = world.Ask(1, CallKind::kQuery, ticket);
+  world.Run(Millis(5'000));
+  Stopped result;
+  if (const JobAnswer* answer = world.answer(query); answer != nullptr)
+    result.outcome = kOutcomes.Name(answer->outcome);
+  result.executions = world.executions[ticket];
+  result.starts_of_owner = world.cores[0]->counters().starts;
+  result.faults = world.faults.size();
+  return result;
+}
+
+// Guards I7 and the take-over: the owner is killed at each step.
+BOOST_DATA_TEST_CASE(OwnerKilledAtEachStep, kStops, stop) {
+  const Stopped result = RunStopped(stop, false);
+  BOOST_TEST(result.outcome == stop.outcome);
+  BOOST_TEST(result.executions == (result.outcome == "finished" ? 1 : 0));
+  BOOST_TEST(result.faults == 0U);
+}
+
+// Guards I7 and the fence: the owner freezes at each step, its backup takes
+// over, and the owner wakes with its old messages.
+BOOST_DATA_TEST_CASE(OwnerFrozenAtEachStep, kStops, stop) {
+  const Stopped result = RunStopped(stop, true);
+  BOOST_TEST(result.executions <= 1);
+  if (std::string(stop.name) != "store lost")
+    BOOST_TEST(result.outcome == "finished");
+  BOOST_TEST(result.faults == 0U);
+}
+
+// Guards the race of a fence against an acknowledged intent: the backup has
+// resolved the intent when the owner wakes, so the owner must not start.
+BOOST_AUTO_TEST_CASE(WokenOwnerDoesNotStart) {
+  const Stop at_ack{"", AtIntendAck, true, "finished"};
+  const Stopped result = RunStopped(at_ack, true);
+  BOOST_TEST(result.starts_of_owner == 0U);
+  BOOST_TEST(result.executions == 1);
+}
+
+// Guards against a second start after a lost answer, whether or not the
+// worker got the first one.
+BOOST_AUTO_TEST_CASE(LostStartAnswerIsResolved) {
+  for (const bool delivered : {true, false}) {
+    World world(2, 2, 1);
+    world.run_time = Millis(6'000);
+    world.Run(Millis(3'000));
+    bool started = false;
+    world.intercept = [&](const EntryAction& action, int) {
+      if (started || !std::holds_alternative<StartTask>(action))
+        return true;
+      started = true;
+      world.link.max_delay_ms = 150;
+      world.link.drop_percent = delivered ? 0 : 100;
+      return true;
+    };
+    const CallId submit = world.Submit(0, world.Job(false));
+    while (!started)
+      world.Run(Millis(50));
+    world.link.drop_percent = 100;
+    world.Run(Millis(2'500));
+    world.link = Link{};
+    world.Run(Millis(30'000));
+    const RequestId id = world.answer(submit)->request;
+    const CallId query = world.Ask(0, CallKind::kQuery, id);
+    world.Run(Millis(500));
+    BOOST_TEST((world.answer(query)->outcome == Outcome::kFinished));
+    BOOST_TEST(world.executions[id] == 1);
+    BOOST_TEST(world.faults.size() == 0U);
+  }
+}
+
+// Guards I6: without the backup's acknowledgement of the closing the answer
+// is not "not run".
+BOOST_AUTO_TEST_CASE(ClosingWithoutAcknowledgementIsUnknown) {
+  World world(2, 0, 1);
+  world.Run(Millis(3'000));
+  const CallId submit = world.Submit(0, world.Job(false));
+  world.Run(Millis(200));
+  world.cut.emplace(0, 1);
+  const CallId cancel =
+      world.Ask(0, CallKind::kCancel, world.answer(submit)->request);
+  world.Run(Millis(4'200));
+  BOOST_TEST((world.answer(cancel)->outcome == Outcome::kUnknownMayHaveRun));
+}
+
+// Guards I7: a restarted backup may have fenced the owner before it ended.
+BOOST_AUTO_TEST_CASE(LostBackupIsReplacedOnlyIfItCantHaveFenced) {
+  for (const bool cut_before : {false, true}) {
+    World world(2, 0, 1);
+    world.Run(Millis(3'000));
+    const CallId submit = world.Submit(0, world.Job(false));
+    world.Run(Millis(500));
+    BOOST_REQUIRE((world.answer(submit)->outcome == Outcome::kAccepted));
+    if (cut_before) {
+      world.cut.emplace(0, 1);
+      world.Run(Millis(5'000));
+    }
+    world.Crash(1);
+    world.cut.clear();
+    world.Run(Millis(1'000));
+    const CallId query =
+        world.Ask(0, CallKind::kQuery, world.answer(submit)->request);
+    world.Run(Millis(500));
+    const Outcome expected =
+        cut_before ? Outcome::kUnknownMayHaveRun : Outcome::kAccepted;
+    BOOST_TEST((world.answer(query)->outcome == expected));
+  }
+}
+
+struct BadResult {
+  const char* name;
+  const char* expected;
+  void (*change)(TaskResult&);
+};
+
+std::ostream& operator<<(std::ostream& out, const BadResult& row) {
+  return out << row.name;
+}
+
+constexpr BadResult kBadResults[] = {
+    {"repeated", "acknowledged", [](TaskResult&) {}},
+    {"torn", "protocol", [](TaskResult& result) { result.body.pop_back(); }},
+    {"changed", "protocol", [](TaskResult& result) { result.body[0] = '#'; }},
+    {"of another attempt", "conflict",
+     [](TaskResult& result) { result.task.attempt = 0; }},
+    {"second with another body", "conflict",
+     [](TaskResult& result) {
+       result.body = "other";
+       result.length = 5;
+       result.hash = Hash64("other");
+     }},
+    {"of an unknown request", "not_found",
+     [](TaskResult& result) {
+       result.task.request = RequestId("z.e0.i1.999");
+     }},
+    {"not an end", "protocol",
+     [](TaskResult& result) { result.state = TaskState::kRunning; }},
+};
+
+// Guards I5: only the whole result of the present attempt is stored, once.
+BOOST_DATA_TEST_CASE(ResultsAreMatchedToTheirAttempt, kBadResults, row) {
+  World world(2, 1, 1);
+  world.Run(Millis(3'000));
+  const CallId submit = world.Submit(0, world.Job(false));
+  world.Run(Millis(8'000));
+  TaskResult result;
+  result.task = {world.answer(submit)->request, 1};
+  result.body = "done:" + result.task.request.str();
+  result.length = result.body.size();
+  result.hash = Hash64(result.body);
+  row.change(result);
+  const auto answer = world.cores[0]->OnResult(result, world.now);
+  const std::string shown =
+      !answer ? std::string(kErrorCodes.Name(answer.error().code))
+      : answer.value() == ResultAnswer::kAcknowledged ? "acknowledged"
+                                                      : "kept";
+  BOOST_TEST(shown == row.expected);
+  const CallId fetch =
+      world.Ask(0, CallKind::kResult, world.answer(submit)->request);
+  BOOST_TEST(world.answer(fetch)->body ==
+             "done:" + world.answer(submit)->request.str());
+}
+
+// Guards I9: a planned stop hands queued and running requests over.
+BOOST_AUTO_TEST_CASE(PlannedStopInterruptsNothing) {
+  World world(2, 1, 1);
+  world.run_time = Millis(40'000);
+  world.Run(Millis(3'000));
+  std::vector<CallId> submits;
+  for (int i = 0; i < 10; ++i) {
+    JobSpec spec = world.Job(false);
+    spec.start_deadline = Millis(200'000);
+    submits.push_back(world.Submit(0, spec));
+    world.Run(Millis(300));
+  }
+  const CallId open = world.Ask(0, CallKind::kQuery, RequestId("z.e1.x.1"));
+  world.cores[0]->Stop(world.now);
+  for (int i = 0; i < 100 && !world.cores[0]->stopped(); ++i)
+    world.Run(Millis(100));
+  BOOST_TEST(world.cores[0]->stopped());
+  BOOST_TEST(world.answer(open) != nullptr);
+  world.Crash(0);
+  world.Run(Millis(150'000));
+  for (const CallId submit : submits) {
+    const RequestId id = world.answer(submit)->request;
+    const CallId query = world.Ask(1, CallKind::kQuery, id);
+    world.Run(Millis(200));
+    BOOST_TEST((world.answer(query)->outcome == Outcome::kFinished));
+    BOOST_TEST(world.executions[id] == 1);
+  }
+  BOOST_TEST(world.faults.size() == 0U);
+}
+
+}  // namespace
+}  // namespace boragewinch::testing
