--- /dev/null
+++ b/bench/policy_driver.cc
@@ -0,0 +1,504 @@
+#include "bench/policy_driver.h"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+namespace boragewinch::bench {
+
+namespace {
+
+constexpr Millis kTick{100};
+constexpr Millis kFailTime{150};
+constexpr std::size_t kMaxAttempts = 8;
+
+template <typename T>
+[[nodiscard]] T Require(Result<T> result) {
+  // The parameters are constants of this program.
+  return std::move(result).value();
+}
+
+[[nodiscard]] RequestId IdOf(std::size_t job) {
+  return RequestId("j" + std::to_string(job));
+}
+
+[[nodiscard]] std::size_t IndexOf(const RequestId& id) {
+  return std::stoul(id.str().substr(1));
+}
+
+[[nodiscard]] Resources Smaller(const Resources& a, const Resources& b) {
+  return {std::min(a.cpu_millis, b.cpu_millis),
+          std::min(a.memory_mb, b.memory_mb),
+          std::min(a.accelerators, b.accelerators)};
+}
+
+}  // namespace
+
+Driver::Driver(const Trace& trace, const PolicyParams& params)
+    : trace_(trace),
+      params_(params),
+      jobs_(trace.jobs.size()),
+      queue_(Require(JobQueue::Make(params.queue))),
+      placement_(Require(Placement::Make(params.placement))),
+      estimator_(Require(Estimator::Make(params.estimator))),
+      health_(Require(WorkerHealth::Make())),
+      team_running_(trace.teams.size()),
+      running_(kServicePools, std::vector<std::int64_t>(trace.teams.size())),
+      waiting_(running_),
+      lines_(kServicePools,
+             std::vector<std::set<std::pair<TimePoint, std::size_t>>>(
+                 trace.teams.size())),
+      end_rate_(kServicePools),
+      below_since_(kServicePools, TimePoint::max()),
+      had_(trace.teams.size()),
+      due_(trace.teams.size()) {
+  std::map<TeamName, std::int64_t> shares;
+  for (std::size_t i = 0; i < trace.teams.size(); ++i) {
+    team_index_[trace.teams[i]] = i;
+    shares[trace.teams[i]] = trace.shares[i];
+    fleet_.teams[trace.teams[i]] = {trace.teams[i], trace.shares[i],
+                                    trace.limits[i]};
+  }
+  queue_.SetShares(shares);
+  queue_.SetChecks(
+      [this](const PoolName& pool) { return placement_.FreeSlots(pool) > 0; },
+      [this](const TeamName& team) {
+        const std::size_t index = team_index_.at(team);
+        return team_running_[index] < trace_.limits[index];
+      });
+  const double slots = kServiceHosts * 8.0;
+  const double hosts = kServiceHosts;
+  queue_.SetCapacity({slots,
+                      hosts * static_cast<double>(trace.worker.cpu_millis),
+                      hosts * static_cast<double>(trace.worker.memory_mb), 0});
+  AddHosts();
+}
+
+RunFigures Driver::Play() {
+  std::size_t job = 0;
+  std::size_t incident = 0;
+  TimePoint tick;
+  const TimePoint end = FromMillis(0) + kTraceLength + Millis(120'000);
+  while (now_ < end) {
+    TimePoint next = tick;
+    if (job < trace_.jobs.size())
+      next = std::min(next, trace_.jobs[job].arrival);
+    if (incident < trace_.incidents.size())
+      next = std::min(next, trace_.incidents[incident].at);
+    if (!events_.empty())
+      next = std::min(next, events_.top().at);
+    now_ = next;
+    while (incident < trace_.incidents.size() &&
+           trace_.incidents[incident].at <= now_) {
+      Apply(trace_.incidents[incident++]);
+    }
+    while (!events_.empty() && events_.top().at <= now_) {
+      const Event event = events_.top();
+      events_.pop();
+      Handle(event);
+    }
+    while (job < trace_.jobs.size() && trace_.jobs[job].arrival <= now_)
+      Arrive(job++);
+    if (tick <= now_) {
+      tick += kTick;
+      DetectLosses();
+      AdvanceDrains();
+      if (ToMillis(now_) % 1'000 == 0)
+        Maintain();
+      ServeUrgent();
+      Measure();
+    }
+    Dispatch();
+  }
+  for (const JobState& state : jobs_)
+    figures_.unfinished += state.done ? 0 : 1;
+  const double thousands = static_cast<double>(jobs_.size()) / 1'000;
+  figures_.lost_starts /= thousands;
+  figures_.stopped /= thousands;
+  figures_.lost_work = lost_work_ms_ / all_work_ms_;
+  figures_.held_back = idle_slot_ticks_ / all_slot_ticks_;
+  figures_.buffer_hosts = static_cast<double>(params_.spares);
+  figures_.bound_missed =
+      static_cast<std::int64_t>(queue_.stats().bound_missed);
+  if (roll_out_end_) {
+    // What the budgets alone allow: their slack in work all the time, with
+    // nothing but the reboot.
+    constexpr std::int64_t kSlack = kHostsPerPool - kMinAvailable;
+    constexpr std::int64_t kRounds = (kHostsPerPool + kSlack - 1) / kSlack;
+    const Millis took = *roll_out_end_ - (FromMillis(0) + kRollOutStart);
+    figures_.roll_out = static_cast<double>(took.count()) /
+                        static_cast<double>((kRounds * kRebootTime).count());
+  }
+  double sum = 0;
+  for (const double distance : distances_) {
+    sum += distance;
+    figures_.distance_max = std::max(figures_.distance_max, distance);
+  }
+  if (!distances_.empty())
+    figures_.distance_mean = sum / static_cast<double>(distances_.size());
+  return std::move(figures_);
+}
+
+void Driver::Schedule(TimePoint at,
+                      EventKind kind,
+                      std::size_t index,
+                      std::uint64_t tag) {
+  events_.push({at, next_order_++, kind, index, tag});
+}
+
+void Driver::Arrive(std::size_t job) {
+  const TraceJob& source = trace_.jobs[job];
+  PendingJob& pending = jobs_[job].pending;
+  pending.id = IdOf(job);
+  pending.team = trace_.teams[source.team];
+  pending.customer = CustomerName("c" + std::to_string(source.customer));
+  pending.pool = PoolAt(source.pool);
+  pending.queue = QueueName(pending.pool.str() + "-" + pending.team.str());
+  pending.urgency = source.urgency;
+  pending.enqueued = now_;
+  Enqueue(job);
+}
+
+void Driver::Enqueue(std::size_t job) {
+  const TraceJob& source = trace_.jobs[job];
+  JobState& state = jobs_[job];
+  const bool learned = params_.learn_sizes && state.attempts < 3;
+  state.pending.demand =
+      learned ? estimator_
+                    .Estimate(state.pending.team, state.pending.queue,
+                              source.declared, source.declared_run_time)
+                    .demand
+              : source.declared;
+  if (state.attempts > 0) {
+    // A task that failed may have been too large for the room it got.
+    state.pending.demand.memory_mb <<= state.attempts;
+  }
+  state.pending.demand = Smaller(state.pending.demand, trace_.worker);
+  ++waiting_[source.pool][source.team];
+  if (params_.admission == Admission::kShares) {
+    (void)queue_.Push(state.pending, now_);
+  } else {
+    lines_[source.pool][source.team].emplace(state.pending.enqueued, job);
+  }
+}
+
+void Driver::Handle(const Event& event) {
+  switch (event.kind) {
+    case EventKind::kEnd:
+    case EventKind::kFail: {
+      JobState& state = jobs_[event.index];
+      if (!state.running || state.run != event.tag)
+        return;
+      const HostName& host = hosts_[state.host].name;
+      const bool ok = event.kind == EventKind::kEnd;
+      if (params_.watch_health) {
+        health_.OnStart(host, state.pending.pool, ok, now_);
+        Refresh(state.host);
+      }
+      figures_.lost_starts += ok ? 0 : 1;
+      End(event.index, ok);
+      if (!ok)
+        Restart(event.index, true);
+      return;
+    }
+    case EventKind::kStopped: {
+      JobState& state = jobs_[event.index];
+      const std::size_t urgent = state.stop_for;
+      state.stop_for = kNone;
+      const bool waits = urgent != kNone && !jobs_[urgent].running &&
+                         !jobs_[urgent].done &&
+                         jobs_[urgent].stopping == event.index;
+      if (waits)
+        jobs_[urgent].stopping = kNone;
+      if (!state.running || state.run != event.tag)
+        return;
+      if (!waits)
+        return;  // it has started elsewhere; the task goes on
+      const std::size_t host = state.host;
+      figures_.stopped += 1;
+      lost_work_ms_ += static_cast<double>((now_ - state.start).count());
+      End(event.index, false);
+      Restart(event.index, false);
+      if (hosts_[host].up && queue_.Remove(jobs_[urgent].pending.id)) {
+        const TraceJob& source = trace_.jobs[urgent];
+        --waiting_[source.pool][source.team];
+        Start(urgent, host);
+      }
+      return;
+    }
+    case EventKind::kBack: {
+      HostState& host = hosts_[event.index];
+      if (host.up || host.incident != event.tag)
+        return;
+      host.up = true;
+      host.known_lost = false;
+      lost_.erase(host.name);
+      if (fleet_.hosts[host.name].state != boragewinch::HostState::kActive)
+        Schedule(now_ + kRebootTime, EventKind::kRebooted, event.index,
+                 host.incident);
+      Refresh(event.index);
+      return;
+    }
+    case EventKind::kRebooted: {
+      HostState& host = hosts_[event.index];
+      if (!host.up || host.incident != event.tag)
+        return;
+      fleet_.hosts[host.name].state = boragewinch::HostState::kActive;
+      fleet_.hosts[host.name].maintained_at = Wall();
+      Refresh(event.index);
+      return;
+    }
+    case EventKind::kMoved:
+      hosts_[event.index].moving = false;
+      Refresh(event.index);
+      return;
+  }
+}
+
+void Driver::Apply(const Incident& incident) {
+  switch (incident.kind) {
+    case IncidentKind::kLoss:
+      Lose(incident.host, incident.length);
+      return;
+    case IncidentKind::kBadWorker:
+      hosts_[incident.host].bad_until = now_ + incident.length;
+      return;
+    case IncidentKind::kCancel:
+      Cancel(incident.fraction);
+      return;
+  }
+}
+
+void Driver::Cancel(double fraction) {
+  const auto step = static_cast<std::size_t>(std::lround(1 / (1 - fraction)));
+  std::size_t kept = 0;
+  for (std::size_t job = 0; job < jobs_.size(); ++job) {
+    JobState& state = jobs_[job];
+    if (trace_.jobs[job].arrival > now_)
+      break;
+    if (state.running || state.done)
+      continue;
+    const TraceJob& source = trace_.jobs[job];
+    const bool waits = params_.admission == Admission::kShares
+                           ? queue_.Find(state.pending.id) != nullptr
+                           : lines_[source.pool][source.team].contains(
+                                 {state.pending.enqueued, job});
+    const bool keep =
+        fraction >= 0.5 ? kept++ % step == 0 : kept++ % 10 >= 10 * fraction;
+    if (!waits || keep)
+      continue;
+    queue_.Remove(state.pending.id);
+    lines_[source.pool][source.team].erase({state.pending.enqueued, job});
+    --waiting_[source.pool][source.team];
+    state.done = true;
+  }
+}
+
+bool Driver::Startable(const PendingJob& job) {
+  const std::size_t team = team_index_.at(job.team);
+  if (team_running_[team] >= trace_.limits[team])
+    return false;
+  if (placement_.FreeSlots(job.pool) <= 0)
+    return false;
+  if (job.urgency == Urgency::kNormal && params_.urgent.headroom_percent > 0 &&
+      placement_.FreeSlots(job.pool) <=
+          HeadroomSlots(PoolSlots(pool_index_.at(job.pool)), params_.urgent)) {
+    return false;
+  }
+  const auto host = placement_.Choose(job, now_);
+  if (host)
+    chosen_ = *host;
+  return host.has_value();
+}
+
+std::optional<PendingJob> Driver::NextStatic(std::size_t pool) {
+  constexpr int kTries = 16;  // jobs passed over by one that can't start
+  std::int64_t shares = 0;
+  for (const std::int64_t share : trace_.shares)
+    shares += share;
+  std::optional<std::pair<TimePoint, std::size_t>> best;
+  HostName best_host;
+  for (std::size_t team = 0; team < trace_.teams.size(); ++team) {
+    const std::int64_t part = PoolSlots(pool) * trace_.shares[team] / shares;
+    if (params_.admission == Admission::kStaticShares &&
+        running_[pool][team] >= std::max<std::int64_t>(part, 1)) {
+      continue;
+    }
+    int tries = kTries;
+    for (const auto& entry : lines_[pool][team]) {
+      if (tries-- == 0 || (best && *best < entry))
+        break;
+      if (!Startable(jobs_[entry.second].pending))
+        continue;
+      best = entry;
+      best_host = chosen_;
+      break;
+    }
+  }
+  if (!best)
+    return std::nullopt;
+  chosen_ = best_host;
+  lines_[pool][trace_.jobs[best->second].team].erase(*best);
+  return jobs_[best->second].pending;
+}
+
+void Driver::Dispatch() {
+  const auto start = [this](const PendingJob& next) {
+    const std::size_t job = IndexOf(next.id);
+    const TraceJob& source = trace_.jobs[job];
+    --waiting_[source.pool][source.team];
+    Start(job, host_index_.at(chosen_));
+  };
+  if (params_.admission == Admission::kShares) {
+    while (auto next = queue_.Next(
+               now_, [this](const PendingJob& job) { return Startable(job); }))
+      start(*next);
+    return;
+  }
+  for (std::size_t pool = 0; pool < kServicePools; ++pool) {
+    if (placement_.FreeSlots(PoolAt(pool)) <= 0)
+      continue;
+    while (auto next = NextStatic(pool))
+      start(*next);
+  }
+}
+
+void Driver::Start(std::size_t job, std::size_t host_index) {
+  JobState& state = jobs_[job];
+  HostState& host = hosts_[host_index];
+  const TraceJob& source = trace_.jobs[job];
+  if (!host.up) {
+    // The call fails; the worker is known as lost only later.
+    figures_.lost_starts += 1;
+    Enqueue(job);
+    WorkerView view = *placement_.Find(host.name);
+    view.accepting = false;
+    placement_.UpdateWorker(view, now_);
+    return;
+  }
+  placement_.OnPlaced(state.pending, host.name);
+  queue_.OnStarted(state.pending.team, state.pending.customer,
+                   state.pending.demand, now_);
+  state.running = true;
+  state.host = host_index;
+  state.run = ++next_run_;
+  state.start = now_;
+  host.tasks.insert(job);
+  host.used += source.used;
+  ++running_[source.pool][source.team];
+  if (++team_running_[source.team] > trace_.limits[source.team])
+    ++figures_.limit_violations;
+  if (params_.watch_health &&
+      health_.State(host.name, now_) == HealthState::kFewTries) {
+    health_.OnTried(host.name, now_);
+    Refresh(host_index);
+  }
+  const bool fails =
+      host.bad_until > now_ || host.used.memory_mb > trace_.worker.memory_mb;
+  if (!fails && !state.started) {
+    state.started = true;
+    const auto wait = static_cast<double>((now_ - source.arrival).count());
+    figures_.waits[static_cast<std::size_t>(source.urgency)].push_back(wait);
+  }
+  Schedule(now_ + (fails ? kFailTime : source.run_time),
+           fails ? EventKind::kFail : EventKind::kEnd, job, state.run);
+}
+
+void Driver::End(std::size_t job, bool finished) {
+  JobState& state = jobs_[job];
+  HostState& host = hosts_[state.host];
+  const TraceJob& source = trace_.jobs[job];
+  state.running = false;
+  host.tasks.erase(job);
+  host.used -= source.used;
+  --running_[source.pool][source.team];
+  --team_running_[source.team];
+  end_rate_[source.pool] += 0.5;  // decays with a time constant of 2 s
+  all_work_ms_ += static_cast<double>((now_ - state.start).count());
+  placement_.OnEnded(state.pending.queue, state.pending.demand, host.name);
+  queue_.OnEnded(state.pending.team, state.pending.customer,
+                 state.pending.demand, now_, state.pending.pool);
+  if (!finished)
+    return;
+  state.done = true;
+  estimator_.Observe(state.pending.team, state.pending.queue, source.declared,
+                     source.declared_run_time, source.used, source.run_time);
+}
+
+void Driver::Restart(std::size_t job, bool failed) {
+  JobState& state = jobs_[job];
+  state.attempts += failed ? 1 : 0;
+  if (state.attempts > kMaxAttempts) {
+    state.done = true;
+    return;
+  }
+  Enqueue(job);
+}
+
+void Driver::ServeUrgent() {
+  for (double& rate : end_rate_)
+    rate *= std::exp(-0.05);
+  if (params_.admission != Admission::kShares || !params_.urgent.preempt)
+    return;
+  std::vector<bool> over(trace_.teams.size());
+  for (std::size_t team = 0; team < over.size(); ++team) {
+    const TeamStanding standing = queue_.Standing(trace_.teams[team], now_);
+    over[team] = standing.running > standing.entitled;
+  }
+  for (std::size_t pool = 0; pool < kServicePools; ++pool) {
+    std::int64_t ahead = 0;
+    for (const PendingJob& job : queue_.UrgentWaiting(PoolAt(pool), 32)) {
+      const std::size_t index = IndexOf(job.id);
+      if (jobs_[index].stopping != kNone)
+        continue;
+      const std::size_t team = team_index_.at(job.team);
+      if (team_running_[team] >= trace_.limits[team] || PoolSlots(pool) == 0) {
+        continue;
+      }
+      UrgentState state;
+      state.free_slots = 0;
+      state.ahead = ahead++;
+      state.ends_per_second = end_rate_[pool];
+      state.waited = now_ - job.enqueued;
+      state.within_rights = !over[team];
+      for (const HostState& host : hosts_) {
+        if (!host.up)
+          continue;
+        for (const std::size_t task : host.tasks) {
+          const TraceJob& source = trace_.jobs[task];
+          if (source.pool != pool || jobs_[task].stop_for != kNone ||
+              fleet_.hosts[host.name].state !=
+                  boragewinch::HostState::kActive) {
+            continue;
+          }
+          state.running.push_back({{jobs_[task].pending.id, 1},
+                                   host.name,
+                                   now_ - jobs_[task].start,
+                                   source.repeatable,
+                                   false,
+                                   over[source.team],
+                                   source.team == team,
+                                   source.urgency == Urgency::kUrgent});
+        }
+      }
+      const UrgentDecision decision = DecideUrgent(state, params_.urgent);
+      if (decision.action != UrgentAction::kStop)
+        continue;
+      const std::size_t task = IndexOf(decision.stop->task.request);
+      jobs_[task].stop_for = index;
+      jobs_[index].stopping = task;
+      Schedule(now_ + params_.urgent.stop_time, EventKind::kStopped, task,
+               jobs_[task].run);
+    }
+  }
+}
+
+std::int64_t Driver::PoolSlots(std::size_t pool) const {
+  return Available(PoolAt(pool)) * 8;
+}
+
+RunFigures Run(const Trace& trace, const PolicyParams& params) {
+  return Driver(trace, params).Play();
+}
+
+}  // namespace boragewinch::bench
--- /dev/null
+++ b/bench/policy_run.h
@@ -0,0 +1,74 @@
+#ifndef BORAGEWINCH_BENCH_POLICY_RUN_H_
+#define BORAGEWINCH_BENCH_POLICY_RUN_H_
+
+#include <array>
+#include <cstdint>
+#include <vector>
+
+#include "base/enum_table.h"
+#include "bench/policy_trace.h"
+#include "policy/buffer_planner.h"
+#include "policy/estimator.h"
+#include "policy/job_queue_config.h"
+#include "policy/placement_config.h"
+#include "policy/urgent_headroom.h"
+#include "policy/wave_planner.h"
+#include "policy/worker_health.h"
+
+namespace boragewinch::bench {
+
+enum class PolicyKind { kFcfs, kStaticShares, kPrevious, kOurs };
+
+inline constexpr EnumTable<PolicyKind, 4> kPolicyKinds{{{
+    {PolicyKind::kFcfs, "fcfs"},
+    {PolicyKind::kStaticShares, "static_shares"},
+    {PolicyKind::kPrevious, "previous"},
+    {PolicyKind::kOurs, "ours"},
+}}};
+
+enum class Admission { kFcfs, kStaticShares, kShares };
+
+/// \brief All parameters of a compared policy.
+struct PolicyParams {
+  Admission admission = Admission::kShares;
+  bool learn_sizes = true;
+  bool watch_health = true;
+  bool shared_spares = true;  ///< else one spare for each pool and zone
+  bool lend_to_waves = true;
+  std::size_t spares = 7;
+  JobQueueConfig queue;
+  PlacementConfig placement;
+  EstimatorConfig estimator;
+  UrgentConfig urgent;
+  WaveConfig wave;
+};
+
+[[nodiscard]] PolicyParams ParamsOf(PolicyKind kind);
+
+/// \brief Figures of one run. Waits are in milliseconds.
+struct RunFigures {
+  double held_back = 0;     ///< part of slot time kept idle on purpose
+  double buffer_hosts = 0;  ///< spare hosts
+  double roll_out = 0;      ///< over the lower bound; 0 if not completed
+  double host_moves = 0;    ///< in the trace with its one wave
+  double task_moves = 0;    ///< by drains
+  double drained_slots = 0;
+  double lost_starts = 0;    ///< starts that failed, per 1,000 jobs
+  double stopped = 0;        ///< tasks stopped for urgent work, per 1,000 jobs
+  double lost_work = 0;      ///< of stopped tasks, part of all work
+  double distance_mean = 0;  ///< to share, part of capacity
+  double distance_max = 0;
+  std::array<std::vector<double>, 2> waits;  ///< normal, urgent
+  std::int64_t limit_violations = 0;
+  std::int64_t budget_violations = 0;
+  std::int64_t broken_seconds = 0;  ///< below a promise beyond the move time
+  std::int64_t below_seconds = 0;   ///< below a promise at all
+  std::int64_t bound_missed = 0;
+  std::int64_t unfinished = 0;
+};
+
+[[nodiscard]] RunFigures Run(const Trace& trace, const PolicyParams& params);
+
+}  // namespace boragewinch::bench
+
+#endif  // BORAGEWINCH_BENCH_POLICY_RUN_H_
--- /dev/null
+++ b/bench/policy_trace.cc
@@ -0,0 +1,195 @@
+#include "bench/policy_trace.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <numeric>
+#include <random>
+#include <string>
+
+namespace boragewinch::bench {
+
+namespace {
+
+// Demand of a pool: five times the mean for 4 of 20 s, each pool in its turn,
+// and a twentieth of it in between.
+constexpr std::int64_t kTurnMillis = 4'000;
+constexpr double kSpike = 5;
+constexpr double kLull = 0.05;
+// Mean demand over what the pool's workers can hold.
+constexpr double kMeanLoad = 0.6;
+constexpr std::int64_t kSlots = 8;
+constexpr double kUrgentPart = 0.03;
+constexpr std::array<double, kServicePools> kMeanRunMillis = {1'000, 1'500, 700,
+                                                              3'000, 8'000};
+// Two of the six customers send most of the work.
+constexpr std::array<double, 6> kCustomerWeights = {35, 30, 12, 10, 8, 5};
+
+using Random = std::mt19937_64;
+
+[[nodiscard]] double Uniform(Random& random, double low, double high) {
+  return std::uniform_real_distribution<double>(low, high)(random);
+}
+
+[[nodiscard]] std::int64_t Around(Random& random, double mean, double sigma) {
+  // A log-normal value with this mean.
+  const double log_mean = std::log(mean) - sigma * sigma / 2;
+  return std::max<std::int64_t>(
+      1, std::llround(
+             std::lognormal_distribution<double>(log_mean, sigma)(random)));
+}
+
+// Declared sizes are off by up to ten times in either direction.
+[[nodiscard]] std::int64_t Declare(Random& random, std::int64_t used) {
+  return std::max<std::int64_t>(
+      1, std::llround(static_cast<double>(used) *
+                      std::pow(10.0, Uniform(random, -1, 1))));
+}
+
+[[nodiscard]] TraceJob MakeJob(Random& random, std::size_t pool) {
+  TraceJob job;
+  job.pool = pool;
+  job.customer = std::discrete_distribution<std::size_t>(
+      kCustomerWeights.begin(), kCustomerWeights.end())(random);
+  job.urgency =
+      Uniform(random, 0, 1) < kUrgentPart ? Urgency::kUrgent : Urgency::kNormal;
+  job.repeatable = Uniform(random, 0, 1) < 0.7;
+  job.used = {Around(random, 1'200, 0.4),
+              Around(random, 1'500.0 + 300.0 * static_cast<double>(pool), 0.5),
+              0};
+  job.run_time = Millis(std::min<std::int64_t>(
+      Around(random, kMeanRunMillis.at(pool), 0.6), 60'000));
+  job.declared = {Declare(random, job.used.cpu_millis),
+                  Declare(random, job.used.memory_mb), 0};
+  job.declared_run_time = Millis(Declare(random, job.run_time.count()));
+  return job;
+}
+
+void AddJobs(Random& random, Trace& trace) {
+  for (std::size_t pool = 0; pool < kServicePools; ++pool) {
+    const double per_milli = kMeanLoad *
+                             static_cast<double>(kHostsPerPool * kSlots) /
+                             kMeanRunMillis.at(pool);
+    std::vector<double> weights(trace.teams.size(), 1);
+    std::int64_t turn_of_weights = -1;
+    double now = 0;
+    while (true) {
+      const auto turn = static_cast<std::int64_t>(now) / kTurnMillis;
+      if (turn != turn_of_weights) {
+        // In each turn other teams send most of the work.
+        turn_of_weights = turn;
+        for (double& weight : weights)
+          weight = std::exp(Uniform(random, -1.2, 1.2));
+      }
+      const bool spike = static_cast<std::size_t>(turn) % kServicePools == pool;
+      const double rate = per_milli * (spike ? kSpike : kLull);
+      const double gap = std::exponential_distribution<double>(rate)(random);
+      const double turn_end = static_cast<double>((turn + 1) * kTurnMillis);
+      if (now + gap > turn_end) {
+        now = turn_end;
+        if (now >= static_cast<double>(kTraceLength.count()))
+          break;
+        continue;
+      }
+      now += gap;
+      TraceJob job = MakeJob(random, pool);
+      job.arrival = FromMillis(std::llround(now));
+      job.team = std::discrete_distribution<std::size_t>(weights.begin(),
+                                                         weights.end())(random);
+      trace.jobs.push_back(job);
+    }
+  }
+  std::stable_sort(trace.jobs.begin(), trace.jobs.end(),
+                   [](const TraceJob& a, const TraceJob& b) {
+                     return a.arrival < b.arrival;
+                   });
+}
+
+void AddIncidents(Random& random, Trace& trace) {
+  const auto at = [&](double low, double high) {
+    return FromMillis(std::llround(static_cast<double>(kTraceLength.count()) *
+                                   Uniform(random, low, high)));
+  };
+  const auto host = [&] { return random() % kServiceHosts; };
+  // Single losses; the second comes right after the return of the first.
+  const TimePoint first = at(0.1, 0.3);
+  const std::size_t lost = host();
+  trace.incidents.push_back({first, IncidentKind::kLoss, lost, Millis(90'000)});
+  trace.incidents.push_back({first + Millis(92'000), IncidentKind::kLoss,
+                             (lost + 3) % kServiceHosts, Millis(60'000)});
+  trace.incidents.push_back(
+      {at(0.5, 0.8), IncidentKind::kLoss, host(), Millis(120'000)});
+  for (int i = 0; i < 2; ++i) {
+    trace.incidents.push_back(
+        {at(0.05, 0.8), IncidentKind::kBadWorker, host(), Millis(150'000)});
+  }
+  for (int i = 0; i < 2; ++i) {
+    trace.incidents.push_back(
+        {at(0.1, 0.9), IncidentKind::kCancel, 0, Millis(0), 0.3});
+  }
+  if (KindOf(trace.seed) == TraceKind::kRackLoss) {
+    const TimePoint when = kRollOutStart + FromMillis(90'000);
+    const RackName rack = RackAt(host());
+    for (std::size_t i = 0; i < kServiceHosts; ++i) {
+      if (RackAt(i) == rack) {
+        trace.incidents.push_back(
+            {when, IncidentKind::kLoss, i, Millis(150'000)});
+      }
+    }
+  }
+  if (KindOf(trace.seed) == TraceKind::kCancelStorm) {
+    for (int i = 0; i < 20; ++i) {
+      trace.incidents.push_back(
+          {at(0.2, 0.8), IncidentKind::kCancel, 0, Millis(0), 0.8});
+    }
+  }
+  std::stable_sort(
+      trace.incidents.begin(), trace.incidents.end(),
+      [](const Incident& a, const Incident& b) { return a.at < b.at; });
+}
+
+}  // namespace
+
+TraceKind KindOf(std::uint64_t seed) noexcept {
+  if (seed % 10 == 9)
+    return TraceKind::kRackLoss;
+  return seed % 10 == 0 ? TraceKind::kCancelStorm : TraceKind::kUsual;
+}
+
+PoolName PoolAt(std::size_t index) {
+  return PoolName("service" + std::to_string(index));
+}
+
+ZoneName ZoneAt(std::size_t host) {
+  return ZoneName("z" + std::to_string(host % 3));
+}
+
+RackName RackAt(std::size_t host) {
+  return RackName(ZoneAt(host).str() + "r" + std::to_string(host / 12));
+}
+
+Trace MakeTrace(User user, std::uint64_t seed) {
+  Trace trace{.user = user, .seed = seed};
+  if (user == User::kZapisnik) {
+    trace.teams = {TeamName("orders"), TeamName("printing")};
+    trace.shares = {3, 2};
+    trace.worker = {16'000, 32 * 1024, 0};
+  } else {
+    trace.teams = {TeamName("intake"), TeamName("hygiene"),
+                   TeamName("dispatch"), TeamName("laundry")};
+    trace.shares = {4, 2, 3, 1};
+    trace.worker = {16'000, 64 * 1024, 0};
+  }
+  const std::int64_t sum = std::accumulate(trace.shares.begin(),
+                                           trace.shares.end(), std::int64_t{0});
+  const auto slots = static_cast<std::int64_t>(kServiceHosts) * kSlots;
+  // The upper limits let a team borrow, but not all of the fleet.
+  for (const std::int64_t share : trace.shares)
+    trace.limits.push_back(std::min(slots * share / sum * 2, slots * 9 / 10));
+  Random random(seed * 2 + static_cast<std::uint64_t>(user));
+  AddJobs(random, trace);
+  AddIncidents(random, trace);
+  return trace;
+}
+
+}  // namespace boragewinch::bench
--- a/src/policy/buffer_planner.cc
+++ b/src/policy/buffer_planner.cc
@@ -34,6 +34,7 @@
   void Size();
   void SizeForSpikes();
   void Fill();
+  void Lend();
   void Return();
   void Charge(const CaseLoss* binding);
   void Move(const Host& host, const PoolName& to);
@@ -223,6 +224,22 @@
     plan.missing += target->promised - target->target;
 }
 
+void Planner::Lend() {
+  for (const auto& [pool, count] : config.wanted) {
+    const auto position = index.find(pool);
+    if (position == index.end())
+      continue;
+    for (std::int64_t i = 0; i < count; ++i) {
+      const Host* spare = TakeSpare(pool);
+      if (spare == nullptr)
+        return;
+      Move(*spare, pool);
+      --plan.spares;
+      ++plan.pools[position->second].target;
+    }
+  }
+}
+
 void Planner::Return() {
   const auto spare =
       std::find_if(fleet.pools.begin(), fleet.pools.end(),
@@ -269,7 +286,9 @@
   planner.Count();
   planner.Size();
   planner.Fill();
-  planner.Return();
+  planner.Lend();
+  if (config.wanted.empty())
+    planner.Return();
   return std::move(planner.plan);
 }
 
--- a/src/policy/buffer_planner.h
+++ b/src/policy/buffer_planner.h
@@ -41,6 +41,9 @@
   Millis move_time{10'000};
   Millis spike_wait{5'000};  ///< accepted wait at the end of a spike
   std::map<PoolName, PoolDemand> demand;
+  /// Hosts that waves ask to borrow (PoolWave::lend_wanted). A lent host covers
+  /// losses of its new pool, so it counts as part of the buffer.
+  std::map<PoolName, std::int64_t> wanted;
   /// Hosts of each pool without borrowed ones. A pool that has more returns
   /// them while the spare pool has fewer than it needs.
   std::map<PoolName, std::int64_t> base_size;
--- a/src/policy/customer_lane.cc
+++ b/src/policy/customer_lane.cc
@@ -37,32 +37,49 @@
 }
 
 const PendingJob* CustomerLane::Find(
-    std::size_t tries,
-    const std::function<bool(const PendingJob&)>& startable,
-    std::uint64_t& tried) {
-  std::vector<SizeClass*> oldest_first;
-  oldest_first.reserve(classes_.size());
+    std::size_t& tries,
+    const std::function<bool(const PendingJob&)>& startable) {
+  ++finds_;
+  // The oldest job goes first. Classes whose jobs couldn't start lately come
+  // last, so that each class gets its turn.
+  std::vector<SizeClass*> order;
+  order.reserve(classes_.size());
   for (auto& [key, size_class] : classes_)
-    oldest_first.push_back(&size_class);
-  std::sort(oldest_first.begin(), oldest_first.end(),
+    order.push_back(&size_class);
+  std::sort(order.begin(), order.end(),
             [](const SizeClass* a, const SizeClass* b) {
-              return a->jobs.begin()->first < b->jobs.begin()->first;
+              return std::pair(a->tried_at, a->jobs.begin()->first) <
+                     std::pair(b->tried_at, b->jobs.begin()->first);
             });
-  for (SizeClass* size_class : oldest_first) {
+  for (SizeClass* size_class : order) {
+    if (tries == 0)
+      return nullptr;
     auto& jobs = size_class->jobs;
-    ++tried;
-    if (startable(*jobs.begin()->second))
+    --tries;
+    if (startable(*jobs.begin()->second)) {
+      size_class->tried_at = 0;
       return jobs.begin()->second;
-    auto next = jobs.upper_bound(
-        std::max(size_class->passed_over, jobs.begin()->first));
-    for (std::size_t i = 1; i < tries && next != jobs.end(); ++i, ++next) {
-      ++tried;
+    }
+    size_class->tried_at = finds_;
+  }
+  for (bool more = true; more;) {
+    more = false;
+    for (SizeClass* size_class : order) {
+      if (tries == 0)
+        return nullptr;
+      auto& jobs = size_class->jobs;
+      const auto next = jobs.upper_bound(
+          std::max(size_class->passed_over, jobs.begin()->first));
+      if (next == jobs.end()) {
+        size_class->passed_over = Order();
+        continue;
+      }
+      more = true;
+      --tries;
       if (startable(*next->second))
         return next->second;
       size_class->passed_over = next->first;
     }
-    if (next == jobs.end())
-      size_class->passed_over = Order();
   }
   return nullptr;
 }
--- a/src/policy/customer_lane.h
+++ b/src/policy/customer_lane.h
@@ -22,15 +22,13 @@
   void Remove(const PendingJob& job, std::uint64_t sequence);
   [[nodiscard]] bool empty() const noexcept { return size_ == 0; }
 
-  /// \brief Looks for a startable job, oldest class first. When the oldest
-  /// jobs of a class can't start, later calls go on behind those tried.
-  /// \param tries jobs tried in a class.
-  /// \param tried grows with each call of `startable`.
+  /// \brief Looks for a startable job: the oldest one of each class, then
+  /// those behind them. Where the tries end without one, the next call goes on.
+  /// \param tries is reduced by the calls of `startable`.
   /// \returns the job, or nullptr.
   [[nodiscard]] const PendingJob* Find(
-      std::size_t tries,
-      const std::function<bool(const PendingJob&)>& startable,
-      std::uint64_t& tried);
+      std::size_t& tries,
+      const std::function<bool(const PendingJob&)>& startable);
 
   /// \brief Adds the cost of a start to the decayed usage.
   void Charge(double cost, Millis window, TimePoint now);
@@ -47,11 +45,13 @@
  private:
   struct SizeClass {
     std::map<Order, const PendingJob*> jobs;
-    Order passed_over{};  ///< last job that was tried and couldn't start
+    Order passed_over{};         ///< last job that was tried and couldn't start
+    std::uint64_t tried_at = 0;  ///< call of Find that tried it last
   };
 
   std::map<std::uint32_t, SizeClass> classes_;
   std::size_t size_ = 0;
+  std::uint64_t finds_ = 0;
   double log_usage_ = -std::numeric_limits<double>::infinity();
 };
 
--- a/src/policy/job_queue.cc
+++ b/src/policy/job_queue.cc
@@ -1,6 +1,7 @@
 #include "policy/job_queue.h"
 
 #include <algorithm>
+#include <limits>
 #include <string>
 #include <tuple>
 
@@ -38,6 +39,8 @@
 struct TeamLanes {
   std::map<CustomerName, CustomerLane> customers;
   std::set<std::pair<double, CustomerName>> least_served;  // non-empty lanes
+  // Where the tries of the last decision ended without a start.
+  std::pair<double, CustomerName> resume;
 };
 
 using Turn = std::tuple<TimePoint, TeamName, Urgency, CustomerName>;
@@ -50,7 +53,7 @@
   std::uint64_t starts = 0;
   bool retry_pending = false;
   std::size_t waiting = 0;
-  std::size_t urgent = 0;
+  std::map<CustomerLane::Order, const PendingJob*> urgent;
   std::uint32_t starts_by_share = 0;
   std::uint64_t armed = 0;  // position in the round of armed pools; 0 is none
   bool armed_urgent = false;
@@ -111,7 +114,7 @@
   }
 
   void Arm(PoolState& pool) {
-    const bool urgent = pool.urgent > 0;
+    const bool urgent = !pool.urgent.empty();
     if (pool.waiting == 0 || (pool.armed != 0 && pool.armed_urgent == urgent))
       return;
     Disarm(pool);
@@ -177,7 +180,8 @@
     }
     lane.Add(job, entry.sequence);
     ++pool.waiting;
-    pool.urgent += job.urgency == Urgency::kUrgent ? 1 : 0;
+    if (job.urgency == Urgency::kUrgent)
+      pool.urgent.emplace(std::pair(job.enqueued, entry.sequence), &job);
     ++team.waiting;
     team.pools.insert(job.pool);
     UpdateActive(team);
@@ -206,7 +210,7 @@
     if (!lane.empty())
       lanes.least_served.emplace(lane.log_usage(), job.customer);
     --pool.waiting;
-    pool.urgent -= job.urgency == Urgency::kUrgent ? 1 : 0;
+    pool.urgent.erase({job.enqueued, entry.sequence});
     --team.waiting;
     if (by_urgency[0].least_served.empty() &&
         by_urgency[1].least_served.empty()) {
@@ -227,18 +231,56 @@
     }
   }
 
+  [[nodiscard]] bool TeamOpen(const TeamName& team) const {
+    return !team_open || team_open(team);
+  }
+
+  [[nodiscard]] const PendingJob* FindIn(CustomerLane& lane,
+                                         std::size_t& tries,
+                                         const Startable& startable) {
+    std::size_t left = std::min(tries, config.tries_per_customer);
+    const std::size_t before = left;
+    const PendingJob* job = lane.Find(left, startable);
+    tries -= before - left;
+    stats.tried += before - left;
+    return job;
+  }
+
+  // The least served customer goes first. If the tries end without a start,
+  // the next decision tries the first customer and goes on behind the last.
+  [[nodiscard]] const PendingJob* FindInTeam(TeamLanes& lanes,
+                                             const Startable& startable) {
+    if (lanes.least_served.empty())
+      return nullptr;
+    std::size_t tries = config.tries_per_team;
+    const auto first = lanes.least_served.begin();
+    const PendingJob* job =
+        FindIn(lanes.customers.at(first->second), tries, startable);
+    auto next = lanes.least_served.upper_bound(std::max(lanes.resume, *first));
+    for (; job == nullptr && tries > 0 && next != lanes.least_served.end();
+         ++next) {
+      job = FindIn(lanes.customers.at(next->second), tries, startable);
+      lanes.resume = *next;
+    }
+    if (job != nullptr || next == lanes.least_served.end())
+      lanes.resume = {-std::numeric_limits<double>::infinity(), {}};
+    return job;
+  }
+
   [[nodiscard]] const PendingJob* FindOverdue(PoolState& pool,
                                               const Startable& startable) {
     std::vector<std::uint64_t> passed_over;
     const PendingJob* found = nullptr;
+    std::size_t tries = config.tries_per_team;
     for (const auto& [order, key] : pool.overdue) {
-      if (passed_over.size() >= config.customers_per_team)
+      if (tries == 0)
         break;
-      found = LaneOf(pool, key).Find(config.tries_per_class, startable,
-                                     stats.tried);
+      if (TeamOpen(key.team))
+        found = FindIn(LaneOf(pool, key), tries, startable);
       if (found != nullptr)
         break;
       passed_over.push_back(order);
+      tries -= std::min<std::size_t>(tries, 1);
     }
     // Customers that can't start go behind the other overdue ones; otherwise
     // a few of them could use up the tries of every decision.
@@ -263,6 +305,8 @@
       if (!urgent && lanes[static_cast<std::size_t>(Urgency::kNormal)]
                          .least_served.empty())
         continue;
+      if (!TeamOpen(name))
+        continue;
       const double key = ShareKey(*team, now);
       const bool within_rights =
           DominantShare(team->usage.running(), capacity) < Entitled(*team);
@@ -274,17 +318,10 @@
               });
     for (const Candidate& candidate : order) {
       for (const Urgency urgency : {Urgency::kUrgent, Urgency::kNormal}) {
-        TeamLanes& lanes =
-            (*candidate.lanes)[static_cast<std::size_t>(urgency)];
-        std::size_t tries = config.customers_per_team;
-        for (const auto& [usage, customer] : lanes.least_served) {
-          if (tries-- == 0)
-            break;
-          const PendingJob* job = lanes.customers.at(customer).Find(
-              config.tries_per_class, startable, stats.tried);
-          if (job != nullptr)
-            return job;
-        }
+        const PendingJob* job = FindInTeam(
+            (*candidate.lanes)[static_cast<std::size_t>(urgency)], startable);
+        if (job != nullptr)
+          return job;
       }
     }
     return nullptr;
@@ -293,6 +330,8 @@
   [[nodiscard]] std::optional<PendingJob> Take(PoolState& pool,
                                                TimePoint now,
                                                const Startable& startable) {
+    if (pool_open && !pool_open(pool.name))
+      return std::nullopt;
     const PendingJob* found = nullptr;
     CollectOverdue(pool, now);
     if (pool.starts_by_share + 1 >= kOverdueEvery) {
@@ -322,6 +361,8 @@
   }
 
   JobQueueConfig config;
+  std::function<bool(const PoolName&)> pool_open;
+  std::function<bool(const TeamName&)> team_open;
   JobQueueStats stats;
   UsageVector capacity{};
   double active_weight = 0;
@@ -346,6 +387,12 @@
 JobQueue& JobQueue::operator=(JobQueue&&) noexcept = default;
 JobQueue::~JobQueue() = default;
 
+void JobQueue::SetChecks(std::function<bool(const PoolName&)> pool_open,
+                         std::function<bool(const TeamName&)> team_open) {
+  impl_->pool_open = std::move(pool_open);
+  impl_->team_open = std::move(team_open);
+}
+
 Status JobQueue::Push(PendingJob job, TimePoint now) {
   job.enqueued = std::min(job.enqueued, now);
   const RequestId id = job.id;
@@ -489,6 +536,20 @@
           impl_->Entitled(state), state.waiting};
 }
 
+std::vector<PendingJob> JobQueue::UrgentWaiting(const PoolName& pool,
+                                                std::size_t max) const {
+  std::vector<PendingJob> jobs;
+  const auto found = impl_->pools.find(pool);
+  if (found == impl_->pools.end())
+    return jobs;
+  for (const auto& [order, job] : found->second.urgent) {
+    if (jobs.size() >= max)
+      break;
+    jobs.push_back(*job);
+  }
+  return jobs;
+}
+
 const PendingJob* JobQueue::Find(const RequestId& id) const {
   const auto found = impl_->jobs.find(id);
   return found == impl_->jobs.end() ? nullptr : &found->second.job;
--- a/src/policy/job_queue.h
+++ b/src/policy/job_queue.h
@@ -62,6 +62,11 @@
   JobQueue& operator=(JobQueue&&) noexcept;
   ~JobQueue();
 
+  /// \brief Sets quick checks that pass over a whole pool (no free slot) or
+  /// team (at its limit) without a call of `startable` for each of its jobs.
+  void SetChecks(std::function<bool(const PoolName&)> pool_open,
+                 std::function<bool(const TeamName&)> team_open);
+
   /// \brief Adds a job. A job that is handed back after a failed start keeps
   /// its place through its `enqueued`.
   /// \returns kDuplicateName if the id is waiting already.
@@ -112,6 +117,9 @@
   [[nodiscard]] std::size_t size() const noexcept;
   [[nodiscard]] const JobQueueStats& stats() const noexcept;
   [[nodiscard]] TeamStanding Standing(const TeamName& team, TimePoint now);
+  /// \returns up to `max` waiting urgent jobs of `pool`, oldest first.
+  [[nodiscard]] std::vector<PendingJob> UrgentWaiting(const PoolName& pool,
+                                                      std::size_t max) const;
   /// \returns the waiting job, or nullptr.
   [[nodiscard]] const PendingJob* Find(const RequestId& id) const;
 
--- a/src/policy/job_queue_config.h
+++ b/src/policy/job_queue_config.h
@@ -20,10 +20,11 @@
   /// long after its last one, plus one start for each other overdue customer
   /// of the pool.
   Millis turn_bound{30'000};
-  /// Jobs that are tried in one size class of one customer in one decision.
-  std::size_t tries_per_class = 4;
-  /// Customers of one team that are tried in one pool in one decision.
-  std::size_t customers_per_team = 16;
+  /// Jobs of one team that are tried in one pool in one decision. If none can
+  /// start, the next decision goes on behind them.
+  std::size_t tries_per_team = 16;
+  /// Of these, jobs of one customer.
+  std::size_t tries_per_customer = 6;
 
   /// \returns kInvalidSetting for a value out of range.
   [[nodiscard]] Status Check() const {
@@ -33,7 +34,7 @@
       return Fail(ErrorCode::kInvalidSetting,
                   "history_percent must be within 0 and 100");
     }
-    if (tries_per_class == 0 || customers_per_team == 0)
+    if (tries_per_team == 0 || tries_per_customer == 0)
       return Fail(ErrorCode::kInvalidSetting, "tries must be at least 1");
     return Ok();
   }
--- a/src/policy/urgent_headroom.cc
+++ b/src/policy/urgent_headroom.cc
@@ -39,7 +39,9 @@
                       candidate.task);
   };
   for (const StopCandidate& candidate : state.running) {
-    if (!candidate.repeatable || !candidate.over_share || candidate.urgent)
+    const bool may_stop =
+        candidate.same_team || (state.within_rights && candidate.over_share);
+    if (!candidate.repeatable || candidate.urgent || !may_stop)
       continue;
     if (best == nullptr || loss(candidate) < loss(*best))
       best = &candidate;
--- a/src/policy/urgent_headroom.h
+++ b/src/policy/urgent_headroom.h
@@ -40,6 +40,7 @@
   bool repeatable = false;
   bool checkpoint = false;  ///< its worker can keep its progress
   bool over_share = false;  ///< its team runs more than it is entitled to
+  bool same_team = false;   ///< its team is that of the urgent job
   bool urgent = false;
 };
 
@@ -49,6 +50,7 @@
   std::int64_t ahead = 0;      ///< urgent jobs that go first
   double ends_per_second = 0;  ///< tasks of the pool that end, on average
   Millis waited{0};
+  bool within_rights = true;  ///< its team runs less than it is entitled to
   std::int64_t stopping = 0;  ///< slots that a stop is about to free
   std::vector<StopCandidate> running;
 };
@@ -66,9 +68,10 @@
   std::optional<StopCandidate> stop;  ///< with kStop
 };
 
-/// \brief Decides for the first waiting urgent job of a pool that is within
-/// its team's rights. Waits as long as freed slots are expected to be in time,
-/// then stops the task with the least work to lose.
+/// \brief Decides for one waiting urgent job of a pool. Waits as long as freed
+/// slots are expected to be in time, then stops the task with the least work to
+/// lose. The slot of a stopped task is the urgent job's; a team above its share
+/// gets it from its own normal work only.
 [[nodiscard]] UrgentDecision DecideUrgent(const UrgentState& state,
                                           const UrgentConfig& config);
 
--- a/tests/policy_queue_test.cc
+++ b/tests/policy_queue_test.cc
@@ -39,7 +39,7 @@
 BOOST_AUTO_TEST_CASE(BadConfigIsRefused) {
   for (const JobQueueConfig& config : {JobQueueConfig{.window = Millis(0)},
                                        JobQueueConfig{.history_percent = 101},
-                                       JobQueueConfig{.tries_per_class = 0}}) {
+                                       JobQueueConfig{.tries_per_team = 0}}) {
     const auto queue = JobQueue::Make(config);
     BOOST_REQUIRE(!queue);
     BOOST_TEST((queue.error().code == ErrorCode::kInvalidSetting));
