--- a/src/entry/task_link.cc
+++ b/src/entry/task_link.cc
@@ -35,14 +35,15 @@
   return json;
 }
 
-[[nodiscard]] Result<StartAnswer> ReadStartAnswer(
+[[nodiscard]] Result<StartReply> ReadStartReply(
     const Result<HttpResponse>& response) {
   BW_TRY(const Json json, BodyOf(response));
   BW_TRY(const auto name, StringField(json, "answer"));
   const auto answer = kStartAnswers.Parse(name);
   if (!answer)
     return Fail(ErrorCode::kProtocol, "unknown answer \"" + name + "\"");
-  return *answer;
+  BW_TRY(auto incarnation, StringField(json, "incarnation", kMaxNameBytes));
+  return StartReply{*answer, Incarnation(std::move(incarnation))};
 }
 
 [[nodiscard]] Result<ForbidAnswer> ReadForbidAnswer(
@@ -100,14 +101,15 @@
   body["worker_incarnation"] = action.worker_incarnation.str();
   body["payload"] = action.spec.payload;
   client_.Send(CallOf(action.address, "/tasks", body, kStartTimeout),
-               [this, task = action.task,
-                host = action.host](const Result<HttpResponse>& response) {
-                 Result<StartAnswer> answer = ReadStartAnswer(response);
+               [this, task = action.task, host = action.host,
+                incarnation = action.worker_incarnation](
+                   const Result<HttpResponse>& response) {
+                 Result<StartReply> reply = ReadStartReply(response);
                  // Without a byte sent, the worker can't have started the task.
-                 if (!answer && (answer.error().code == ErrorCode::kTransport ||
-                                 answer.error().code == ErrorCode::kTableFull))
-                   answer = StartAnswer::kBusy;
-                 core_.OnStartAnswer(task, host, answer, loop_.now());
+                 if (!reply && (reply.error().code == ErrorCode::kTransport ||
+                                reply.error().code == ErrorCode::kTableFull))
+                   reply = StartReply{StartAnswer::kBusy, incarnation};
+                 core_.OnStartAnswer(task, host, reply, loop_.now());
                  flush_();
                });
 }
--- a/src/fakes/fake_worker.cc
+++ b/src/fakes/fake_worker.cc
@@ -132,10 +132,12 @@
     return;
   }
   if (request.path == "/tasks") {
-    if (auto answer = StartTask(body.value(), now))
-      respond(Answer("answer", kStartAnswers.Name(answer.value())));
-    else
-      respond(Answer("answer", kStartAnswers.Name(StartAnswer::kBadTask)));
+    const StartAnswer answer =
+        ValueOr(StartTask(body.value(), now), StartAnswer::kBadTask);
+    Json json;
+    json["answer"] = std::string(kStartAnswers.Name(answer));
+    json["incarnation"] = incarnation_.str();
+    respond({200, WriteJson(json)});
     return;
   }
   const auto text = StringField(body.value(), "task", 256);
