Answer waiting status calls at the end of the request; free slots sooner

Cause of the slow answers: a waiting status call looked again after 10, 20, 40 and 80 ms pauses, which is most of the 119 ms median for a 40 ms job. A call can now wait in the core and is answered when the request ends. Cause: an ended task's slot stayed occupied until the worker's next report and a worker that answered busy was left alone until then, up to 1 s. Ruled out: allotments (the limits were not reached). Now an ended task frees its slot at once, a busy worker is tried again after 100 ms, and workers report 100 ms after an end.

--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -15,10 +15,6 @@
 constexpr char kResultSuffix[] = "/result";
 constexpr Millis kCallDeadline{5'000};
 constexpr Millis kMaxWait{10'000};
-// A waiting status call looks again after these pauses. Short ones first, for
-// short jobs; the longest bounds the cost of many waiting callers.
-constexpr Millis kFirstPoll{10};
-constexpr Millis kLongestPoll{200};
 constexpr std::size_t kMaxRequestIdBytes = 256;
 constexpr const char* kKindNames[] = {"submit", "status", "cancel", "result"};
 
@@ -158,8 +154,7 @@
   call.key = HeaderOf(request, kKeyHeader);
   call.spec = std::move(spec).value();
   call.deadline = now + kCallDeadline;
-  calls_.emplace(call.call, Call{Kind::kSubmit, respond, call.ticket, call.key,
-                                 now, now, Millis(0), nullptr});
+  calls_.emplace(call.call, Call{Kind::kSubmit, respond, now});
   core_.Submit(std::move(call), now);
   flush_();
 }
@@ -175,11 +170,11 @@
     return;
   }
   const TimePoint now = loop_.now();
-  const RequestCall call{next_call_++, HeaderOf(request, kKeyHeader),
-                         RequestId(std::move(id)), now + kCallDeadline};
   const Millis wait = kind == Kind::kStatus ? WaitOf(request) : Millis(0);
-  calls_.emplace(call.call, Call{kind, respond, call.request, call.key, now,
-                                 now + wait, kFirstPoll, nullptr});
+  const RequestCall call{next_call_++, HeaderOf(request, kKeyHeader),
+                         RequestId(std::move(id)),
+                         now + (wait > Millis(0) ? wait : kCallDeadline)};
+  calls_.emplace(call.call, Call{kind, respond, now});
   switch (kind) {
     case Kind::kResult:
       core_.FetchResult(call, now);
@@ -188,7 +183,10 @@
       core_.Cancel(call, now);
       break;
     default:
-      core_.Query(call, now);
+      if (wait > Millis(0))
+        core_.Await(call, now);
+      else
+        core_.Query(call, now);
   }
   flush_();
 }
@@ -202,12 +200,6 @@
   const TimePoint now = loop_.now();
   const bool open = answer.outcome == Outcome::kAccepted ||
                     answer.outcome == Outcome::kRunning;
-  if (call.kind == Kind::kStatus && open && now + call.poll < call.wait_until) {
-    call.timer = loop_.After(
-        call.poll, [this, id = action.call](TimePoint) { AskAgain(id); });
-    call.poll = std::min(call.poll * 2, kLongestPoll);
-    return;
-  }
   metrics_.Observe("answer", {"", kKindNames[static_cast<int>(call.kind)]},
                    now - call.opened);
   if (call.kind == Kind::kResult && answer.outcome == Outcome::kFinished) {
@@ -220,18 +212,4 @@
   calls_.erase(found);
 }
 
-void CallerApi::AskAgain(CallId id) {
-  auto node = calls_.extract(id);
-  if (node.empty())
-    return;
-  // The core answers each call number once.
-  const TimePoint now = loop_.now();
-  const RequestCall call{next_call_++, node.mapped().key, node.mapped().request,
-                         now + kCallDeadline};
-  node.key() = call.call;
-  calls_.insert(std::move(node));
-  core_.Query(call, now);
-  flush_();
-}
-
 }  // namespace boragewinch
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -48,19 +48,13 @@
   struct Call {
     Kind kind = Kind::kStatus;
     HttpResponder respond;
-    RequestId request;
-    std::string key;
     TimePoint opened;
-    TimePoint wait_until;  ///< a status call waits for the end until then
-    Millis poll{0};        ///< pause before the next look at the request
-    WatchHandle timer;
   };
 
   void Submit(const HttpRequest& request, const HttpResponder& respond);
   void OpenRequestCall(Kind kind,
                        const HttpRequest& request,
                        const HttpResponder& respond);
-  void AskAgain(CallId id);
 
   EventLoop& loop_;
   EntryCore& core_;
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -81,6 +81,13 @@
             now);
 }
 
+void EntryCore::Await(RequestCall call, TimePoint now) {
+  OpenLocal(call.call,
+            OpenCall{CallKind::kAwait, std::move(call.key),
+                     std::move(call.request), std::nullopt, call.deadline},
+            now);
+}
+
 void EntryCore::Cancel(RequestCall call, TimePoint now) {
   OpenLocal(call.call,
             OpenCall{CallKind::kCancel, std::move(call.key),
@@ -231,6 +238,7 @@
       CancelRecord(record, now);
       break;
     case CallKind::kSubmit:
+    case CallKind::kAwait:
       break;
   }
   Notify(record);
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -49,6 +49,9 @@
   [[nodiscard]] Result<RequestId> NewTicket(TimePoint now);
   void Submit(SubmitCall call, TimePoint now);
   void Query(RequestCall call, TimePoint now);
+  /// \brief Like Query, but waits for the end of the request; answers with
+  /// the present status at the call's deadline.
+  void Await(RequestCall call, TimePoint now);
   void Cancel(RequestCall call, TimePoint now);
   void FetchResult(RequestCall call, TimePoint now);
 
--- a/src/entry/entry_dispatch.cc
+++ b/src/entry/entry_dispatch.cc
@@ -12,6 +12,9 @@
 namespace {
 
 // Keeps one input's work short; the next tick goes on.
+// A worker that answered `busy` is tried again after this. Its next report can
+// be a whole heartbeat interval away, and its tasks often end sooner.
+constexpr Millis kBusyPause{100};
 constexpr int kMaxStartsPerPump = 64;
 
 }  // namespace
@@ -171,6 +174,13 @@
   if (WorkerEntry* worker = workers_.Find(record.intent.worker);
       worker != nullptr) {
     worker->own_tasks.erase(record.task());
+    // The newest report still lists the task. Its slot is free now, and a start
+    // that comes too early is refused by the worker.
+    for (TaskReport& task : worker->report.tasks) {
+      if (task.task == record.task())
+        task.state = TaskState::kFinished;
+    }
+    worker->full_until = TimePoint();
   }
   dirty_ = true;
 }
@@ -251,7 +261,7 @@
     case StartAnswer::kBusy:
     case StartAnswer::kLeaving:
       if (worker != nullptr)
-        worker->full = true;
+        worker->full_until = now + kBusyPause;
       NotRun(record, now);
       break;
   }
--- a/src/entry/entry_forward.cc
+++ b/src/entry/entry_forward.cc
@@ -11,6 +11,9 @@
 
 constexpr Millis kWidenAfter{500};
 constexpr Millis kMaxForwardTimeout{60'000};
+// The owner answers a waiting call this much before the caller's deadline, so
+// that the answer arrives in time.
+constexpr Millis kAwaitMargin{300};
 constexpr std::uint32_t kMaxHops = 3;
 
 // A peer that has no record says so; the record may be at another one.
@@ -51,7 +54,10 @@
         call.hops + 1,
         call.request,
         call.key,
-        std::clamp(call.deadline - now, Millis(1), kMaxForwardTimeout),
+        std::clamp(
+            call.deadline - now -
+                (call.kind == CallKind::kAwait ? kAwaitMargin : Millis(0)),
+            Millis(1), kMaxForwardTimeout),
         call.spec};
   }
   for (const EntryName& entry : call.awaited)
--- a/src/entry/peer_message.h
+++ b/src/entry/peer_message.h
@@ -126,13 +126,14 @@
   JobAnswer answer;
 };
 
-enum class CallKind { kSubmit, kQuery, kCancel, kResult };
+enum class CallKind { kSubmit, kQuery, kCancel, kResult, kAwait };
 
-inline constexpr EnumTable<CallKind, 4> kCallKinds{{{
+inline constexpr EnumTable<CallKind, 5> kCallKinds{{{
     {CallKind::kSubmit, "submit"},
     {CallKind::kQuery, "query"},
     {CallKind::kCancel, "cancel"},
     {CallKind::kResult, "result"},
+    {CallKind::kAwait, "await"},
 }}};
 
 /// \brief A caller's call that another entry host has to answer.
--- a/src/entry/worker_table.cc
+++ b/src/entry/worker_table.cc
@@ -51,7 +51,7 @@
   worker.report = report;
   worker.heard = now;
   worker.lost = false;
-  worker.full = false;
+  worker.full_until = TimePoint();
   if (report.leaving)
     MarkLeaving({report.host, report.incarnation});
   return true;
@@ -144,7 +144,7 @@
                                                      TimePoint now) const {
   std::vector<WorkerCandidate> candidates;
   for (const auto& [host, worker] : workers_) {
-    if (worker.full || !Usable(worker, pool, view, now))
+    if (now < worker.full_until || !Usable(worker, pool, view, now))
       continue;
     const std::int64_t free_slots = FreeSlots(worker);
     if (free_slots <= 0)
--- a/src/entry/worker_table.h
+++ b/src/entry/worker_table.h
@@ -19,7 +19,7 @@
   WorkerReport report;
   TimePoint heard;
   bool lost = false;
-  bool full = false;                 ///< answered `busy` since its last report
+  TimePoint full_until;              ///< answered `busy` a moment ago
   std::uint32_t start_failures = 0;  ///< in a row
   TimePoint set_aside_until;
   std::map<TaskId, Resources> own_tasks;  ///< started by this process
--- a/src/fakes/fake_worker.cc
+++ b/src/fakes/fake_worker.cc
@@ -14,6 +14,7 @@
 constexpr Millis kPostRetryStep{100};
 constexpr Millis kPostRetryMax{2'000};
 constexpr Millis kPlatformPoll{300};
+constexpr Millis kEarlyReport{100};
 constexpr std::size_t kMaxSeenTasks = 100'000;
 
 struct Work {
@@ -44,7 +45,7 @@
   return {200, WriteJson(json)};
 }
 
-enum class Delivery { kDone, kKeep, kRetry };
+enum class Delivery { kDone, kRetry };
 
 // A refusal is final, unless the body was torn on the way (400).
 [[nodiscard]] Delivery DeliveryOf(const Result<HttpResponse>& result) {
@@ -58,7 +59,7 @@
     return Delivery::kRetry;
   return ValueOr(BoolFieldOr(json.value(), "acknowledged", false), false)
              ? Delivery::kDone
-             : Delivery::kKeep;
+             : Delivery::kRetry;
 }
 
 [[nodiscard]] std::vector<TaskId> TaskList(const Json& array) {
@@ -222,6 +223,14 @@
   if (state == TaskState::kStopped)
     task.body.clear();
   PostResult(id);
+  // A freed slot is worth a report, since entry hosts that did not start the
+  // task see it only there.
+  if (!early_report_) {
+    early_report_ = loop_.After(kEarlyReport, [this](TimePoint) {
+      early_report_.reset();
+      SendHeartbeats();
+    });
+  }
 }
 
 void FakeWorker::PostResult(const TaskId& id) {
@@ -249,12 +258,13 @@
     const auto ended = tasks_.find(id);
     if (ended == tasks_.end())
       return;
-    if (const auto answer = DeliveryOf(result); answer != Delivery::kRetry) {
-      // A kept result goes when a heartbeat answer acknowledges it.
-      if (answer == Delivery::kDone)
-        ForgetEnded(id);
+    if (DeliveryOf(result) == Delivery::kDone) {
+      ForgetEnded(id);
       return;
     }
+    // A kept result goes when a heartbeat answer acknowledges it; until then
+    // it is posted again, since the entry host's message to the request's
+    // owner may be lost.
     ended->second.retry =
         loop_.After(delay, [this, id](TimePoint) { PostResult(id); });
   });
--- a/src/fakes/fake_worker.h
+++ b/src/fakes/fake_worker.h
@@ -84,6 +84,7 @@
   bool drain_ = false;
   std::size_t next_entry_ = 0;
   WatchHandle heartbeat_;
+  WatchHandle early_report_;
   WatchHandle platform_poll_;
 };
 
