Test that allotments cover every running task; fuzz the sheet parser

The world of entry hosts in fleet_random_test kills, restarts and cuts off processes and zones, changes leaders and limits, and checks after each step that the ledger covers every task that runs.

--- /dev/null
+++ b/fuzz/sheet_fuzz.cc
@@ -0,0 +1,48 @@
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+#include <vector>
+
+#include "fleet/codec.h"
+#include "fleet/command.h"
+#include "fleet/sheet_diff.h"
+#include "fleet/sheet_parser.h"
+
+namespace boragewinch {
+namespace {
+
+void Require(bool holds) {
+  if (!holds)
+    std::abort();
+}
+
+/// Guards against a sheet that crashes the parser, an error without a place,
+/// and an accepted sheet that the replicated state would refuse.
+void ParseAndCheck(std::string_view text) {
+  std::vector<Error> errors;
+  const Sheet sheet = ParseSheet(text, "fuzz.csv", &errors);
+  Require(errors.size() <= kMaxSheetErrors);
+  for (const Error& error : errors) {
+    Require(error.position && error.position->line > 0 &&
+            error.position->column > 0);
+  }
+  if (!errors.empty())
+    return;
+  const auto decoded = DecodeCommand(EncodeCommand({{}, ApplySheet{sheet}}));
+  Require(decoded.has_value());
+  const Sheet& copy = std::get<ApplySheet>(decoded.value().body).sheet;
+  SheetErrors again(copy.file);
+  CheckSheet(copy, &again);
+  Require(again.errors().empty());
+  Require(DiffSheet({}, copy, {}).conflicts.empty());
+}
+
+}  // namespace
+}  // namespace boragewinch
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
+                                      std::size_t size) {
+  boragewinch::ParseAndCheck({reinterpret_cast<const char*>(data), size});
+  return 0;
+}
--- a/tests/fleet_random_test.cc
+++ b/tests/fleet_random_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE fleet_random
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <cstdlib>
 #include <iostream>
 #include <set>
@@ -383,5 +384,293 @@
   });
 }
 
+/// Entry hosts in two zones that start, renew and take over tasks of one team
+/// by the rules of docs/design.md 4.3, while processes die and restart, entry
+/// hosts and zones are cut off, leaders change and the limit moves.
+class TaskWorld {
+ public:
+  explicit TaskWorld(Random* random) : random_(*random) {
+    SetLimit(20);
+    for (int i = 0; i < 5; ++i) {
+      procs_.push_back(
+          {EntryName("e" + std::to_string(i)), ZoneName(i < 3 ? "za" : "zb")});
+      Restart(&procs_.back());
+    }
+  }
+
+  void Step() {
+    now_ += Millis(500);
+    Disturb();
+    for (Proc& proc : procs_) {
+      if (Acts(proc)) {
+        Gossip(&proc);
+        TakeOver(&proc);
+      }
+    }
+    for (Proc& proc : procs_) {
+      if (Acts(proc) && !zone_cut_[proc.zone])
+        Sync(&proc);
+    }
+    Lead();
+    RunTasks();
+    // The sum over the ledger bounds what really runs.
+    REQUIRE_FAST(static_cast<std::int64_t>(tasks_.size()) <=
+                 state_.ledger().Total(kTeam));
+  }
+
+  [[nodiscard]] int started() const { return started_; }
+  [[nodiscard]] int reclaimed() const { return reclaimed_; }
+  [[nodiscard]] int transferred() const { return transferred_; }
+
+ private:
+  struct Proc {
+    EntryName name;
+    ZoneName zone;
+    EntryRun run;
+    bool alive = false;
+    bool cut = false;  ///< neither peers nor leader are reachable
+    TimePoint answered;
+    std::uint64_t version = 0;
+    std::int64_t allotment = 0;
+    std::int64_t offered = 0;
+    std::int64_t wanted = 0;
+    std::map<EntryRun, TimePoint> heard;
+    std::set<EntryRun> fenced;
+  };
+  struct Task {
+    EntryRun under;  ///< whose allotment covers it
+    EntryRun renewer;
+    EntryRun backup;
+    TimePoint lease_end;
+    /// Each run that has started it or taken it over counts it until its end,
+    /// since a run that is cut off can't know who renews it now.
+    std::set<EntryRun> counted_by;
+  };
+
+  inline static const TeamName kTeam{"t"};
+  static constexpr Millis kOwnerSilence{3'000};
+
+  CommandAnswer Submit(CommandBody body, OperatorCall call = {}) {
+    return state_.Apply(++index_,
+                        EncodeCommand({std::move(call), std::move(body)}));
+  }
+  void SetLimit(std::int64_t limit) {
+    ApplySheet body;
+    body.allow_lowering = true;
+    body.sheet.pools.push_back({Pool{.name = PoolName("s"), .spare = true}});
+    body.sheet.teams.push_back({Team{.name = kTeam, .limit = limit}});
+    REQUIRE_FAST(Submit(body, {OperationId("o" + std::to_string(index_)),
+                               "ivan", state_.version()})
+                     .accepted);
+  }
+  void Restart(Proc* proc) {
+    const Proc old = *proc;
+    *proc = {old.name, old.zone};
+    proc->run = {old.name, Incarnation("i" + std::to_string(++runs_))};
+    proc->alive = true;
+    proc->answered = now_;
+  }
+  [[nodiscard]] static bool Acts(const Proc& proc) {
+    return proc.alive && !proc.cut;
+  }
+  [[nodiscard]] bool Isolated(const Proc& proc) const {
+    return now_ - proc.answered >= kIsolationBound;
+  }
+  [[nodiscard]] std::int64_t Running(const Proc& proc) const {
+    return std::count_if(tasks_.begin(), tasks_.end(), [&](const Task& task) {
+      return task.counted_by.contains(proc.run);
+    });
+  }
+  [[nodiscard]] EntryRun BackupFor(const Proc& proc) const {
+    for (const Proc& peer : procs_) {
+      if (Acts(proc) && Acts(peer) && peer.zone == proc.zone &&
+          peer.name != proc.name) {
+        return peer.run;
+      }
+    }
+    return {};
+  }
+
+  void Disturb() {
+    for (Proc& proc : procs_) {
+      if (!proc.alive && random_.OneIn(20))
+        Restart(&proc);
+      else if (proc.alive && random_.OneIn(300))
+        proc.alive = false;
+      if (random_.OneIn(proc.cut ? 100 : 300))
+        proc.cut = !proc.cut;
+    }
+    for (const char* zone : {"za", "zb"}) {
+      bool& cut = zone_cut_[ZoneName(zone)];
+      if (random_.OneIn(cut ? 50 : 400))
+        cut = !cut;
+    }
+    if (random_.OneIn(300))
+      SetLimit(random_.Below(40));
+    if (random_.OneIn(300)) {
+      reclaims_ = ReclaimPlanner(now_);
+      allotments_ = AllotmentPlanner();
+    }
+  }
+
+  void Gossip(Proc* proc) {
+    for (Proc& peer : procs_) {
+      if (!Acts(peer) || peer.zone != proc->zone || peer.name == proc->name)
+        continue;
+      if (peer.fenced.contains(proc->run)) {
+        proc->alive = false;
+        return;
+      }
+      peer.heard[proc->run] = now_;
+      proc->answered = now_;
+    }
+  }
+
+  void TakeOver(Proc* proc) {
+    for (const auto& [run, heard] : proc->heard) {
+      if (!proc->alive || now_ - heard < kOwnerSilence ||
+          !proc->fenced.insert(run).second) {
+        continue;
+      }
+      for (Task& task : tasks_) {
+        if (task.renewer == run && task.backup == proc->run) {
+          task.renewer = proc->run;
+          task.counted_by.insert(proc->run);
+          task.backup = BackupFor(*proc);
+        }
+      }
+    }
+  }
+
+  void Sync(Proc* proc) {
+    auto entry = state_.ledger().entries.find(proc->name);
+    if (entry == state_.ledger().entries.end() ||
+        entry->second.incarnation != proc->run.incarnation) {
+      if (!Submit(RegisterEntry{proc->name, proc->zone, proc->run.incarnation,
+                                "a:1", "a:2"})
+               .accepted) {
+        proc->alive = false;
+        return;
+      }
+      entry = state_.ledger().entries.find(proc->name);
+    }
+    proc->answered = now_;
+    if (proc->version != entry->second.allotment_version) {
+      proc->version = entry->second.allotment_version;
+      const auto counts = entry->second.allotment.find(kTeam);
+      proc->allotment =
+          counts == entry->second.allotment.end() ? 0 : counts->second;
+      proc->offered = 0;
+    }
+    const auto cap = caps_.find(proc->name);
+    if (cap != caps_.end() && proc->offered == 0) {
+      proc->offered = std::max<std::int64_t>(
+          0, proc->allotment - std::max(Running(*proc), cap->second[kTeam]));
+    }
+    EntryReport report{proc->run, proc->version};
+    report.running[kTeam] = Running(*proc);
+    report.wanted[kTeam] = proc->wanted;
+    report.returned[kTeam] = proc->offered;
+    std::map<EntryRun, SilentPeer> silent;
+    for (const EntryRun& run : proc->fenced) {
+      silent[run].silent_for = now_ - proc->heard.at(run);
+      silent[run].fenced = true;
+    }
+    for (const Task& task : tasks_) {
+      if (task.renewer == proc->run && task.under != proc->run)
+        ++silent[task.under].taken_over[kTeam];
+    }
+    for (auto& [run, peer] : silent) {
+      peer.run = run;
+      report.silent_peers.push_back(peer);
+    }
+    reclaims_.Observe(report, now_);
+    allotments_.Observe(report, now_);
+  }
+
+  void Lead() {
+    for (const ReclaimEntry& reclaim : reclaims_.Plan(state_.ledger(), now_)) {
+      REQUIRE_FAST(Submit(reclaim).accepted);
+      ++reclaimed_;
+      for (const AllotmentTransfer& transfer : reclaim.transfers) {
+        transferred_ += static_cast<int>(transfer.count);
+        for (Task& task : tasks_) {
+          if (task.under == reclaim.run && task.renewer == transfer.to)
+            task.under = transfer.to;
+        }
+      }
+    }
+    AllotmentPlan plan =
+        allotments_.Plan(state_.view().teams, state_.ledger(), now_);
+    caps_ = std::move(plan.caps);
+    if (!plan.command.changes.empty())
+      Submit(std::move(plan.command));
+  }
+
+  void RunTasks() {
+    std::erase_if(tasks_, [&](const Task& task) {
+      return now_ >= task.lease_end || random_.OneIn(60);
+    });
+    for (Proc& proc : procs_) {
+      if (!proc.alive || Isolated(proc))
+        continue;
+      for (Task& task : tasks_) {
+        if (task.renewer == proc.run)
+          task.lease_end = now_ + kTaskLease;
+      }
+      // Demand alternates between spikes and almost nothing.
+      if (random_.OneIn(10))
+        proc.wanted = random_.OneIn(2) ? 0 : random_.Below(25);
+      for (std::int64_t room = proc.allotment - proc.offered - Running(proc);
+           room > 0 && proc.wanted > 0; --room) {
+        tasks_.push_back({proc.run,
+                          proc.run,
+                          BackupFor(proc),
+                          now_ + kTaskLease,
+                          {proc.run}});
+        --proc.wanted;
+        ++started_;
+      }
+    }
+  }
+
+  Random& random_;
+  TimePoint now_ = FromMillis(1'000'000);
+  FleetState state_;
+  std::uint64_t index_ = 0;
+  int runs_ = 0;
+  std::vector<Proc> procs_;
+  std::map<ZoneName, bool> zone_cut_;
+  std::vector<Task> tasks_;
+  std::map<EntryName, TeamCounts> caps_;
+  ReclaimPlanner reclaims_{now_};
+  AllotmentPlanner allotments_;
+  int started_ = 0;
+  int reclaimed_ = 0;
+  int transferred_ = 0;
+};
+
+// Guards against running tasks that no allotment covers, so that the fleet
+// could exceed a limit, and against units that are never reclaimed.
+BOOST_AUTO_TEST_CASE(AllotmentsCoverEveryRunningTask) {
+  int started = 0;
+  int reclaimed = 0;
+  int transferred = 0;
+  ForEachSeed("allotments", [&](Random& random) {
+    TaskWorld world(&random);
+    for (int step = 0; step < kSteps; ++step)
+      world.Step();
+    started += world.started();
+    reclaimed += world.reclaimed();
+    transferred += world.transferred();
+  });
+  std::cout << started << " tasks started, " << reclaimed
+            << " allotments reclaimed, " << transferred
+            << " units moved to peers\n";
+  BOOST_TEST(started > 0);
+  BOOST_TEST(reclaimed > 0);
+  BOOST_TEST(transferred > 0);
+}
+
 }  // namespace
 }  // namespace boragewinch
--- a/tests/fleet_test.cc
+++ b/tests/fleet_test.cc
@@ -34,10 +34,11 @@
 
 /// A fleet state with short ways to submit commands.
 struct Fleet {
-  Fleet() { BOOST_REQUIRE(Apply(kSheet).accepted); }
-  ~Fleet() {
-    for (const auto& [invariant, name] : kInvariants.entries)
-      BOOST_TEST(invariant_count(invariant).violated == 0);
+  Fleet() {
+    SetInvariantHandler([](Invariant invariant, std::string_view detail) {
+      BOOST_ERROR(kInvariants.Name(invariant) << ": " << detail);
+    });
+    BOOST_REQUIRE(Apply(kSheet).accepted);
   }
 
   CommandAnswer Submit(const Command& command) {
@@ -395,6 +396,15 @@
   BOOST_TEST(WriteJson(ToJson(fleet.state.view())) == before);
 }
 
+// Guards against a parser that is unusable after a nesting fault.
+BOOST_AUTO_TEST_CASE(CommandAfterADeepOneIsRead) {
+  Fleet fleet;
+  const std::string deep = std::string(100'000, '[');
+  BOOST_TEST(CodeOf(fleet.state.Apply(++fleet.index, deep)) == "invalid_json");
+  BOOST_TEST(CodeOf(fleet.Operator(DrainHost{HostName("h1"), {}})) ==
+             "accepted");
+}
+
 // Guards against an entry host that keeps what was removed, misses a change,
 // or goes back to an older version.
 BOOST_AUTO_TEST_CASE(DeltaLeadsToTheSameView) {
@@ -432,6 +442,19 @@
   BOOST_TEST(!fleet.state.DeltaSince(fleet.state.version() - 1).full);
 }
 
+// Guards against a log entry that is applied twice after a restart.
+BOOST_AUTO_TEST_CASE(OldIndexIsRefusedAndReported) {
+  Fleet fleet;
+  int violations = 0;
+  SetInvariantHandler([&](Invariant invariant, std::string_view /*detail*/) {
+    violations += invariant == Invariant::kConfiguration;
+  });
+  const std::string bytes = EncodeCommand({{}, DrainHost{HostName("h1"), {}}});
+  BOOST_TEST(CodeOf(fleet.state.Apply(fleet.index, bytes)) == "conflict");
+  BOOST_TEST(violations == 1);
+  BOOST_TEST(fleet.state.drains().empty());
+}
+
 // Guards against a replica that differs after a restart, and against a damaged
 // snapshot being taken for a state.
 BOOST_AUTO_TEST_CASE(SnapshotRestoresTheSameState) {
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -18,8 +18,12 @@
 
 /// A fleet with one team of limit 12.
 struct Fleet {
-  Fleet() { SetLimit(12); }
-  ~Fleet() { BOOST_TEST(invariant_count(Invariant::kTeamLimit).violated == 0); }
+  Fleet() {
+    SetInvariantHandler([](Invariant invariant, std::string_view detail) {
+      BOOST_ERROR(kInvariants.Name(invariant) << ": " << detail);
+    });
+    SetLimit(12);
+  }
 
   CommandAnswer Submit(CommandBody body, OperatorCall call = {}) {
     return state.Apply(++index,
