Refuse a spare pool with active hosts; bound the teams of an allotment

Hosts of the spare pool move without a drain. A sheet that turned a service pool into the spare pool would have let them move while their tasks run.

A raised promise above the number of active workers is a warning now, since it blocks every drain of the pool.

--- a/src/fleet/apply_ledger.cc
+++ b/src/fleet/apply_ledger.cc
@@ -186,7 +186,11 @@
       const std::int64_t limit = it == view_.teams.end() ? 0 : it->second.limit;
       const std::int64_t room = limit - ledger_.Total(team);
       const std::int64_t granted = std::min(delta, room);
-      if (granted <= 0)
+      // Parts of removed teams stay until they are given back, so the number
+      // of teams in an allotment needs its own bound.
+      const bool has_place =
+          entry.allotment.contains(team) || entry.allotment.size() < kMaxTeams;
+      if (granted <= 0 || !has_place)
         continue;
       const std::int64_t sum = ledger_.Total(team) + granted;
       if (!CheckInvariant(Invariant::kTeamLimit, sum <= limit,
--- a/src/fleet/codec.cc
+++ b/src/fleet/codec.cc
@@ -168,10 +168,12 @@
     return Fail(ErrorCode::kInvalidField,
                 "field \"" + std::string(name) + "\" must be an object");
   }
-  if (object.size() > kMaxTeams) {
-    return Fail(ErrorCode::kTooLarge, "field \"" + std::string(name) +
-                                          "\" lists at most " +
-                                          std::to_string(kMaxTeams) + " teams");
+  // A transfer may add removed teams to a full allotment.
+  constexpr std::size_t kMaxCounts = 4 * kMaxTeams;
+  if (object.size() > kMaxCounts) {
+    return Fail(ErrorCode::kTooLarge,
+                "field \"" + std::string(name) + "\" lists at most " +
+                    std::to_string(kMaxCounts) + " teams");
   }
   for (const auto& team : object.getMemberNames()) {
     if (!IsValidName(team)) {
--- a/src/fleet/sheet_diff.cc
+++ b/src/fleet/sheet_diff.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "fleet/command_answer.h"
+#include "fleet/host_plan.h"
 
 namespace boragewinch {
 
@@ -151,6 +152,29 @@
                std::to_string(after.min_available),
            true);
     }
+    const std::int64_t available = AvailableWorkers(view_, after.name, {});
+    if (after.min_available > before.min_available &&
+        after.min_available > available) {
+      Warn(EntityKind::kPool, after.name.str(),
+           "the promise min_available " + std::to_string(after.min_available) +
+               " is above the " + std::to_string(available) +
+               " active workers; no drain is granted until more are active",
+           false);
+    }
+    // Hosts of the spare pool move without a drain, so none may have tasks.
+    const bool occupied = std::any_of(
+        view_.hosts.begin(), view_.hosts.end(), [&](const auto& item) {
+          return item.second.pool == after.name &&
+                 RemovalOf(item.second) == SheetAction::kKept;
+        });
+    if (after.spare && !before.spare && occupied) {
+      diff_.conflicts.push_back(
+          Error{ErrorCode::kConflict,
+                "pool \"" + after.name.str() +
+                    "\" can't become the spare pool while its hosts may run "
+                    "tasks; drain them or add a new pool",
+                std::nullopt});
+    }
   }
   void WarnChange(const Team& /*before*/, const Team& after) {
     const auto it = in_use_.find(after.name);
--- a/tests/sheet_test.cc
+++ b/tests/sheet_test.cc
@@ -225,6 +225,24 @@
   BOOST_TEST(DiffSheet(view, lowered, {{team, 6}}).needs_confirmation());
 }
 
+// Guards against hosts with tasks becoming spare ones, which move without a
+// drain, and against a promise that silently blocks all maintenance.
+BOOST_AUTO_TEST_CASE(PoolBecomesSpareOnlyWithoutActiveHosts) {
+  FleetView view = ViewOf(Parsed(kHeader + kRows));
+  const Sheet swapped = Parsed(kHeader +
+                               "pool,p,,,,,,,0,yes,,\n"
+                               "pool,s,,,,,,,2,no,28,\n");
+  BOOST_TEST(DiffSheet(view, swapped, {}).conflicts.size() == 1);
+  for (const char* host : {"h1", "h2"})
+    view.hosts[HostName(host)].state = HostState::kDrained;
+  const auto diff = DiffSheet(view, swapped, {});
+  BOOST_TEST(diff.conflicts.empty());
+  BOOST_TEST(std::any_of(
+      diff.warnings.begin(), diff.warnings.end(), [](const auto& warning) {
+        return warning.name == "s" && !warning.needs_confirmation;
+      }));
+}
+
 // Guards against a pool being removed under its hosts.
 BOOST_AUTO_TEST_CASE(OccupiedPoolCanNotBeRemoved) {
   const FleetView view = ViewOf(Parsed(kHeader + kRows));
