Order teams by their usage within the pool

Cause: with the usage of all pools, a team that was alone in one pool gave way in the others, and half of the order came from the last 60 s. Callers report tasks with their pool by OnStarted(PendingJob).

--- a/bench/policy_driver.cc
+++ b/bench/policy_driver.cc
@@ -377,8 +377,7 @@
     return;
   }
   placement_.OnPlaced(state.pending, host.name);
-  queue_.OnStarted(state.pending.team, state.pending.customer,
-                   state.pending.demand, now_);
+  queue_.OnStarted(state.pending, now_);
   state.running = true;
   state.host = host_index;
   state.run = ++next_run_;
@@ -416,8 +415,7 @@
   end_rate_[source.pool] += 0.5;  // decays with a time constant of 2 s
   all_work_ms_ += static_cast<double>((now_ - state.start).count());
   placement_.OnEnded(state.pending.queue, state.pending.demand, host.name);
-  queue_.OnEnded(state.pending.team, state.pending.customer,
-                 state.pending.demand, now_, state.pending.pool);
+  queue_.OnEnded(state.pending, now_);
   if (!finished)
     return;
   state.done = true;
--- a/bench/policy_hosts.cc
+++ b/bench/policy_hosts.cc
@@ -16,7 +16,7 @@
 // From a loss until a spare serves in its place: detection, plan, move.
 constexpr Millis kReplaceTime{13'000};
 constexpr std::int64_t kSlots = 8;
-const char* const kSparePool = "spare";
+constexpr const char* kSparePool = "spare";
 
 }  // namespace
 
--- a/bench/policy_params.cc
+++ b/bench/policy_params.cc
@@ -12,7 +12,10 @@
 
 // The parameters before the last round that changed them.
 [[nodiscard]] PolicyParams Previous() {
-  return Ours();
+  PolicyParams params = Ours();
+  params.queue.history_percent = 50;
+  params.queue.pool_percent = 0;
+  return params;
 }
 
 [[nodiscard]] PolicyParams Baseline(Admission admission) {
--- a/bench/policy_scale.cc
+++ b/bench/policy_scale.cc
@@ -164,7 +164,7 @@
     if (!job)
       return false;
     placement_.OnPlaced(*job, host);
-    queue_.OnStarted(job->team, job->customer, job->demand, now_);
+    queue_.OnStarted(*job, now_);
     running_.push_back({std::move(*job), host});
     return true;
   }
@@ -183,8 +183,7 @@
       PendingJob arrival = MakeJob();
       arrival.pool = task.job.pool;  // keeps the depth of each pool's queue
       const auto begin = Clock::now();
-      queue_.OnEnded(task.job.team, task.job.customer, task.job.demand, now_,
-                     task.job.pool);
+      queue_.OnEnded(task.job, now_);
       (void)queue_.Push(std::move(arrival), now_);
       (void)Start();
       next.push_back(Micros(Clock::now() - begin));
--- a/src/policy/job_queue.cc
+++ b/src/policy/job_queue.cc
@@ -11,24 +11,35 @@
 
 namespace {
 
-struct TeamState {
-  TeamName name;
-  double weight = 1;
+// What a team runs in one pool or in all.
+struct Usage {
   UsageVector own{};
   UsageVector peers{};
-  UsageAverage usage;
-  std::size_t waiting = 0;
-  std::set<PoolName> pools;  // in which the team has waiting jobs
-  bool active = false;
+  UsageAverage average;
 
-  [[nodiscard]] UsageVector Sum() const noexcept {
+  void Add(const Resources& demand, double sign, Millis window, TimePoint now) {
+    const UsageVector change = ToUsage(demand);
+    for (std::size_t i = 0; i < own.size(); ++i)
+      own[i] = std::max(0.0, own[i] + sign * change[i]);
+    Update(window, now);
+  }
+  void Update(Millis window, TimePoint now) {
     UsageVector sum = own;
     for (std::size_t i = 0; i < sum.size(); ++i)
       sum[i] += peers[i];
-    return sum;
+    average.Set(sum, window, now);
   }
 };
 
+struct TeamState {
+  TeamName name;
+  double weight = 1;
+  Usage usage;
+  std::size_t waiting = 0;
+  std::set<PoolName> pools;  // in which the team has waiting jobs
+  bool active = false;
+};
+
 struct LaneKey {
   TeamName team;
   Urgency urgency;
@@ -48,6 +59,7 @@
 struct PoolState {
   PoolName name;
   std::map<TeamName, std::pair<TeamState*, std::array<TeamLanes, 2>>> teams;
+  std::unordered_map<TeamName, Usage> usage;
   std::set<Turn> turns;  // non-empty lanes by the start of their wait
   std::map<std::uint64_t, LaneKey> overdue;  // non-empty, taken out of `turns`
   std::uint64_t starts = 0;
@@ -86,7 +98,7 @@
   }
 
   void UpdateActive(TeamState& team) {
-    const UsageVector& running = team.usage.running();
+    const UsageVector& running = team.usage.average.running();
     const bool active = team.waiting > 0 || running[0] > 0.5;
     if (active == team.active)
       return;
@@ -94,8 +106,12 @@
     active_weight += active ? team.weight : -team.weight;
   }
 
-  void SetRunning(TeamState& team, TimePoint now) {
-    team.usage.Set(team.Sum(), config.window, now);
+  void Count(const TeamName& name,
+             const Resources& demand,
+             double sign,
+             TimePoint now) {
+    TeamState& team = Team(name);
+    team.usage.Add(demand, sign, config.window, now);
     UpdateActive(team);
   }
 
@@ -104,12 +120,20 @@
     return sum > 0 ? team.weight / sum : 1;
   }
 
-  // The weighted dominant share by which teams are ordered, lowest first.
-  [[nodiscard]] double ShareKey(TeamState& team, TimePoint now) const {
-    team.usage.Advance(config.window, now);
+  [[nodiscard]] double Blend(Usage& usage, TimePoint now) const {
+    usage.average.Advance(config.window, now);
     const double history = config.history_percent / 100.0;
-    return ((1 - history) * DominantShare(team.usage.running(), capacity) +
-            history * DominantShare(team.usage.average(), capacity)) /
+    return (1 - history) * DominantShare(usage.average.running(), capacity) +
+           history * DominantShare(usage.average.average(), capacity);
+  }
+
+  // The weighted dominant share by which teams are ordered, lowest first.
+  [[nodiscard]] double ShareKey(PoolState& pool,
+                                TeamState& team,
+                                TimePoint now) const {
+    const double in_pool = config.pool_percent / 100.0;
+    return (in_pool * Blend(pool.usage[team.name], now) +
+            (1 - in_pool) * Blend(team.usage, now)) /
            team.weight;
   }
 
@@ -307,9 +331,9 @@
         continue;
       if (!TeamOpen(name))
         continue;
-      const double key = ShareKey(*team, now);
-      const bool within_rights =
-          DominantShare(team->usage.running(), capacity) < Entitled(*team);
+      const double key = ShareKey(pool, *team, now);
+      const bool within_rights = DominantShare(team->usage.average.running(),
+                                               capacity) < Entitled(*team);
       order.push_back({!(urgent && within_rights), key, &lanes});
     }
     std::sort(order.begin(), order.end(),
@@ -448,38 +472,36 @@
   return impl_->Take(found->second, now, startable);
 }
 
+void JobQueue::OnStarted(const PendingJob& job, TimePoint now) {
+  impl_->Count(job.team, job.demand, 1, now);
+  impl_->pools[job.pool].usage[job.team].Add(job.demand, 1,
+                                             impl_->config.window, now);
+}
+
+void JobQueue::OnEnded(const PendingJob& job, TimePoint now) {
+  impl_->Count(job.team, job.demand, -1, now);
+  impl_->pools[job.pool].usage[job.team].Add(job.demand, -1,
+                                             impl_->config.window, now);
+  Arm(job.pool);
+  // The team may have been at its limit in its other pools.
+  for (const PoolName& other : impl_->Team(job.team).pools)
+    Arm(other);
+}
+
+// Customers are charged when their job is taken out.
 void JobQueue::OnStarted(const TeamName& team,
-                         const CustomerName& customer,
+                         const CustomerName& /*customer*/,
                          const Resources& demand,
                          TimePoint now) {
-  // Customers are charged when their job is taken out.
-  (void)customer;
-  TeamState& state = impl_->Team(team);
-  const UsageVector added = ToUsage(demand);
-  for (std::size_t i = 0; i < added.size(); ++i)
-    state.own[i] += added[i];
-  impl_->SetRunning(state, now);
+  impl_->Count(team, demand, 1, now);
 }
 
 void JobQueue::OnEnded(const TeamName& team,
-                       const CustomerName& customer,
+                       const CustomerName& /*customer*/,
                        const Resources& demand,
-                       TimePoint now,
-                       const PoolName& pool) {
-  (void)customer;
-  TeamState& state = impl_->Team(team);
-  const UsageVector removed = ToUsage(demand);
-  for (std::size_t i = 0; i < removed.size(); ++i)
-    state.own[i] = std::max(0.0, state.own[i] - removed[i]);
-  impl_->SetRunning(state, now);
-  if (pool.empty()) {
-    ArmAll();
-    return;
-  }
-  Arm(pool);
-  // The team may have been at its limit in its other pools.
-  for (const PoolName& other : state.pools)
-    Arm(other);
+                       TimePoint now) {
+  impl_->Count(team, demand, -1, now);
+  ArmAll();
 }
 
 void JobQueue::Arm(const PoolName& pool) {
@@ -508,11 +530,31 @@
 void JobQueue::SetZoneUsage(const std::map<TeamName, UsageVector>& usage,
                             TimePoint now) {
   for (const auto& [name, peers] : usage)
-    impl_->Team(name).peers = peers;
+    impl_->Team(name).usage.peers = peers;
   for (auto& [name, team] : impl_->teams) {
     if (!usage.contains(name))
-      team->peers = UsageVector{};
-    impl_->SetRunning(*team, now);
+      team->usage.peers = UsageVector{};
+    team->usage.Update(impl_->config.window, now);
+    impl_->UpdateActive(*team);
+  }
+}
+
+void JobQueue::SetZonePoolUsage(
+    const std::map<PoolName, std::map<TeamName, UsageVector>>& usage,
+    TimePoint now) {
+  for (const auto& [pool, teams] : usage) {
+    PoolState& state = impl_->pools[pool];
+    state.name = pool;
+    for (const auto& [team, peers] : teams)
+      state.usage[team].peers = peers;
+  }
+  for (auto& [name, pool] : impl_->pools) {
+    const auto listed = usage.find(name);
+    for (auto& [team, item] : pool.usage) {
+      if (listed == usage.end() || !listed->second.contains(team))
+        item.peers = UsageVector{};
+      item.Update(impl_->config.window, now);
+    }
   }
 }
 
@@ -530,9 +572,9 @@
 
 TeamStanding JobQueue::Standing(const TeamName& team, TimePoint now) {
   TeamState& state = impl_->Team(team);
-  state.usage.Advance(impl_->config.window, now);
-  return {DominantShare(state.usage.running(), impl_->capacity),
-          DominantShare(state.usage.average(), impl_->capacity),
+  state.usage.average.Advance(impl_->config.window, now);
+  return {DominantShare(state.usage.average.running(), impl_->capacity),
+          DominantShare(state.usage.average.average(), impl_->capacity),
           impl_->Entitled(state), state.waiting};
 }
 
--- a/src/policy/job_queue.h
+++ b/src/policy/job_queue.h
@@ -86,19 +86,24 @@
                                                  TimePoint now,
                                                  const Startable& startable);
 
-  /// \brief Counts a running task for its team.
+  /// \brief Counts a running task for its team and pool.
+  void OnStarted(const PendingJob& job, TimePoint now);
+
+  /// \brief Reverses OnStarted and lets Next try the job's pool and the other
+  /// pools of its team again.
+  void OnEnded(const PendingJob& job, TimePoint now);
+
+  /// \brief Counts a running task of which the pool is not known.
   void OnStarted(const TeamName& team,
                  const CustomerName& customer,
                  const Resources& demand,
                  TimePoint now);
 
-  /// \brief Reverses OnStarted. `pool` limits which pools Next tries again;
-  /// without it all are.
+  /// \brief Reverses the above and lets Next try all pools again.
   void OnEnded(const TeamName& team,
                const CustomerName& customer,
                const Resources& demand,
-               TimePoint now,
-               const PoolName& pool = PoolName());
+               TimePoint now);
 
   /// \brief Lets Next try `pool` again, since it has room now.
   void Arm(const PoolName& pool);
@@ -111,6 +116,11 @@
   void SetZoneUsage(const std::map<TeamName, UsageVector>& usage,
                     TimePoint now);
 
+  /// \brief Replaces what the zone's other entry hosts run, by pool and team.
+  void SetZonePoolUsage(
+      const std::map<PoolName, std::map<TeamName, UsageVector>>& usage,
+      TimePoint now);
+
   /// \brief Sets the size of the zone: slots, processors, memory, accelerators.
   void SetCapacity(const UsageVector& total) noexcept;
 
--- a/src/policy/job_queue_config.h
+++ b/src/policy/job_queue_config.h
@@ -15,7 +15,11 @@
   /// Part of the decayed average in the order of teams, in percent; the rest
   /// is what a team runs now. 0 forgets past starvation; 100 lets a team that
   /// was idle take every slot until its average has caught up.
-  int history_percent = 50;
+  int history_percent = 15;
+  /// Part of the usage within the pool in the order of teams, in percent; the
+  /// rest is that in all pools. Slots are divided where teams compete: with the
+  /// usage of all pools, a team that is alone in one pool gives way in others.
+  int pool_percent = 100;
   /// A customer with a waiting, startable job gets a start at the latest this
   /// long after its last one, plus one start for each other overdue customer
   /// of the pool.
@@ -34,6 +38,10 @@
       return Fail(ErrorCode::kInvalidSetting,
                   "history_percent must be within 0 and 100");
     }
+    if (pool_percent < 0 || pool_percent > 100) {
+      return Fail(ErrorCode::kInvalidSetting,
+                  "pool_percent must be within 0 and 100");
+    }
     if (tries_per_team == 0 || tries_per_customer == 0)
       return Fail(ErrorCode::kInvalidSetting, "tries must be at least 1");
     return Ok();
