Show jobs from the record of their owner or backup

Status calls of callers need a key of the job's team, which operators do not have. Also prints times as dates and orders the columns of waves and history.

--- a/src/ctl/boragectl.cc
+++ b/src/ctl/boragectl.cc
@@ -108,7 +108,7 @@
        [](B& b, const O& o) { return b.KeyWithdraw(o[0]); }},
       {{"job", "show"},
        {"ID"},
-       "show the outcome of a job",
+       "show the record of a job",
        [](B& b, const O& o) { return b.JobShow(o[0]); }},
       {{"job", "list"},
        {},
--- a/src/ctl/boragectl.h
+++ b/src/ctl/boragectl.h
@@ -73,8 +73,6 @@
   [[nodiscard]] CallAnswer WaitInForce(FleetVersion version);
   /// \brief Waits until the answered version is in force, then prints.
   int FinishChange(Json document, const std::string& done);
-  /// \brief Prints a document of the control group.
-  int ShowControl(const std::string& path);
 
   /// \brief Prints a failed answer and, if the change may have been made, how
   /// to send it again.
--- a/src/ctl/boragectl_views.cc
+++ b/src/ctl/boragectl_views.cc
@@ -1,4 +1,6 @@
-#include <algorithm>
+#include <array>
+#include <ctime>
+#include <string_view>
 #include <utility>
 
 #include "ctl/boragectl.h"
@@ -10,17 +12,26 @@
 
 constexpr char kNoEntries[] = "--entries names no entry host of this zone";
 
-[[nodiscard]] CallAnswer Unreachable(const std::string& detail) {
-  CallAnswer answer;
-  answer.error = Error{ErrorCode::kUnavailable, detail, std::nullopt};
-  return answer;
-}
-
 // A list of the answer, which may also be the answer's member `name`.
 [[nodiscard]] std::vector<Json> RowsOf(const Json& answer, const char* name) {
   return answer.isObject() ? Rows(answer[name]) : Rows(answer);
 }
 
+// Replaces the Unix time in `member` by a date and time for people.
+void ShowTime(Json* row, const char* member) {
+  if (!row->isObject() || !(*row)[member].isInt64())
+    return;
+  const auto seconds = static_cast<std::time_t>((*row)[member].asInt64());
+  std::tm parts{};
+  std::array<char, 32> text{};
+  if (seconds == 0)
+    (*row)[member] = "never";
+  else if (gmtime_r(&seconds, &parts) != nullptr &&
+           std::strftime(text.data(), text.size(), "%Y-%m-%d %H:%M UTC",
+                         &parts) > 0)
+    (*row)[member] = text.data();
+}
+
 // Adds the broken invariants of `body` as lines for people.
 [[nodiscard]] std::string ViolationText(const std::string& process,
                                         const Json& body) {
@@ -43,20 +54,32 @@
 
 }  // namespace
 
-int Boragectl::ShowControl(const std::string& path) {
-  const CallAnswer answer = client_.Control("GET", path);
+int Boragectl::SheetHistory() {
+  const CallAnswer answer = client_.Control("GET", "/v1/history");
   if (!answer.ok())
     return Report(answer);
-  Print(answer.body, FormatDocument(answer.body));
+  Print(answer.body, FormatTable({"version", "operator", "command", "accepted",
+                                  "changed", "operation_id", "errors", "notes"},
+                                 RowsOf(answer.body, "operations")));
   return kExitOk;
 }
 
-int Boragectl::SheetHistory() {
-  return ShowControl("/v1/history");
-}
-
 int Boragectl::WaveStatus() {
-  return ShowControl("/v1/waves");
+  const CallAnswer answer = client_.Control("GET", "/v1/waves");
+  if (!answer.ok())
+    return Report(answer);
+  Json total = answer.body;
+  total.removeMember("pools");
+  ShowTime(&total, "end_estimate");
+  std::vector<Json> pools = RowsOf(answer.body, "pools");
+  for (Json& pool : pools)
+    ShowTime(&pool, "end_estimate");
+  Print(answer.body,
+        FormatTable({"pool", "hosts", "available", "min_available", "in_work",
+                     "due", "done", "wait", "end_estimate"},
+                    pools) +
+            "all: " + CellText(total) + "\n");
+  return kExitOk;
 }
 
 int Boragectl::List(const char* part, const std::vector<std::string>& members) {
@@ -75,38 +98,38 @@
       continue;
     shown.append(row);
     rows.push_back(row);
+    ShowTime(&rows.back(), "maintained_at");
   }
   Print(document, FormatTable(members, rows));
   return kExitOk;
 }
 
 int Boragectl::JobShow(const std::string& id) {
-  std::vector<EntryAddress> order = entries();
-  if (order.empty())
+  const std::vector<EntryAddress> asked = entries();
+  if (asked.empty())
     return BadUsage(kNoEntries);
-  // Any entry host finds the job; one of its own zone answers from memory.
-  std::stable_partition(
-      order.begin(), order.end(), [&](const EntryAddress& entry) {
-        return !entry.zone.empty() && id.starts_with(entry.zone + ".");
-      });
-  CallAnswer answer;
-  for (const EntryAddress& entry : order) {
-    answer = std::move(
-        client_.Each({entry.address}, "GET", "/v1/jobs/" + id).front());
-    // The status code follows the outcome, so a refusal is an answer too.
-    if (answer.body.isObject() && answer.body.isMember("outcome")) {
-      Print(answer.body, FormatDocument(answer.body));
-      return CellText(answer.body["reason"]) == "unknown_request" ? kExitRefused
-                                                                  : kExitOk;
-    }
-    if (answer.ok()) {
-      Print(answer.body, FormatDocument(answer.body));
-      return kExitOk;
+  // Only the owner and the backup hold the record. GET /v1/jobs/<id> is for
+  // callers and needs a key of the job's team.
+  const auto answers =
+      client_.Each(Addresses(asked), "GET", "/v1/explain?kind=job&name=" + id);
+  const CallAnswer* best = nullptr;
+  const CallAnswer* failed = nullptr;
+  for (const CallAnswer& answer : answers) {
+    if (!answer.ok()) {
+      // An entry host that did not answer may be the one that knows the job.
+      if (failed == nullptr || IsUnreachable(answer.error->code))
+        failed = &answer;
+      continue;
     }
-    if (!IsUnreachable(answer.error->code))
-      break;
+    const bool owner =
+        !ValueOr(BoolFieldOr(answer.body, "replica", false), false);
+    if (best == nullptr || owner)
+      best = &answer;
   }
-  return Report(answer);
+  if (best == nullptr)
+    return Report(*failed);
+  Print(best->body, FormatDocument(best->body));
+  return kExitOk;
 }
 
 int Boragectl::JobList() {
@@ -216,8 +239,7 @@
     }
   }
   if (failed.size() == asked.size())
-    return Report(answers.front().error ? answers.front()
-                                        : Unreachable("no entry host"));
+    return Report(answers.front());
   Print(document,
         FormatTable({"entry", "name", "team", "class", "value"}, values) +
             "\n" +
@@ -232,27 +254,16 @@
 }
 
 int Boragectl::Explain(const std::string& kind, const std::string& name) {
-  const std::string path = "/v1/explain?kind=" + kind + "&name=" + name;
-  if (kind == "host" || kind == "pool" || kind == "team")
-    return ShowControl(path);
-  if (kind != "job")
+  if (kind == "job")
+    return JobShow(name);
+  if (kind != "host" && kind != "pool" && kind != "team")
     return BadUsage("explain takes job, host, team or pool");
-  const std::vector<EntryAddress> asked = entries();
-  if (asked.empty())
-    return BadUsage(kNoEntries);
-  CallAnswer answer;
-  for (const EntryAddress& entry : asked) {
-    answer = std::move(client_.Each({entry.address}, "GET", path).front());
-    if (answer.ok()) {
-      Print(answer.body, FormatDocument(answer.body));
-      return kExitOk;
-    }
-    // Only the entry hosts that hold the job's record can explain it.
-    if (!IsUnreachable(answer.error->code) &&
-        answer.error->code != ErrorCode::kNotFound)
-      break;
-  }
-  return Report(answer);
+  const CallAnswer answer =
+      client_.Control("GET", "/v1/explain?kind=" + kind + "&name=" + name);
+  if (!answer.ok())
+    return Report(answer);
+  Print(answer.body, FormatDocument(answer.body));
+  return kExitOk;
 }
 
 }  // namespace boragewinch
