--- a/tests/boragectl_test.cc
+++ b/tests/boragectl_test.cc
@@ -103,8 +103,8 @@
   Words arguments;
   std::function<void(Fixture&)> arrange;
   int code;
-  const char* out;
-  const char* err;
+  const char* out = "";
+  const char* err = "";
 };
 
 void Answer(FakeServer& server,
@@ -152,24 +152,17 @@
      kExitBadSettings,
      "",
      "missing.csv"},
-    {"list",
-     {"pool", "list"},
-     {},
-     kExitOk,
-     "name  min_available\np     3\n",
-     ""},
+    {"list", {"pool", "list"}, {}, kExitOk, "name  min_available\np     3\n"},
     {"list of one zone",
      {"host", "list"},
      [](Fixture& f) { f.config.zone = "b"; },
      kExitOk,
-     "name  zone  state\nh2    b     draining\n",
-     ""},
+     "name  zone  state\nh2    b     draining\n"},
     {"drain in force",
      {"host", "drain", "h1"},
      {},
      kExitOk,
-     "drain of h1 granted, version 8, in force",
-     ""},
+     "drain of h1 granted, version 8, in force"},
     {"drain refused",
      {"host", "drain", "h1"},
      [](Fixture& f) {
@@ -226,8 +219,7 @@
        Answer(f.control, "GET /v1/fleet", 503, R"({"error":"not_leader"})");
      },
      kExitOk,
-     "min_available",
-     ""},
+     "min_available"},
     {"nobody answers",
      {"pool", "list"},
      [](Fixture& f) { f.control.silent = f.second.silent = 100; },
@@ -283,8 +275,7 @@
      },
      kExitRefused,
      "warning: team t: w\nconflict: h1 is not drained\n"
-     "changed team t: limit 4 -> 3\nadded pool q: spare yes\n",
-     ""},
+     "changed team t: limit 4 -> 3\nadded pool q: spare yes\n"},
     {"sheet applied",
      {"sheet", "apply", "boragectl_test_sheet.csv"},
      [](Fixture& f) {
@@ -294,8 +285,7 @@
      },
      kExitOk,
      "note: limit of t counts from now\napplied "
-     "boragectl_test_sheet.csv, version 9, in force",
-     ""},
+     "boragectl_test_sheet.csv, version 9, in force"},
     {"not in force",
      {"host", "return", "h1"},
      [](Fixture& f) {
@@ -328,8 +318,7 @@
               R"({"id":"a.e.1.2","phase":"running","replica":false})");
      },
      kExitOk,
-     "phase: running",
-     ""},
+     "phase: running"},
     {"job that is not known",
      {"explain", "job", "a.e.1.2"},
      {},
@@ -353,8 +342,7 @@
                 {"name":"h2","maintained_at":1796359029}]})");
      },
      kExitOk,
-     "h1    never\nh2    2026-12-04 04:37 UTC\n",
-     ""},
+     "h1    never\nh2    2026-12-04 04:37 UTC\n"},
     {"explain of another kind",
      {"explain", "rack", "r1"},
      {},
@@ -379,8 +367,7 @@
               R"({"entry":"e1","zone":"a","queued":4})");
      },
      kExitFailed,
-     "not_found",
-     ""},
+     "not_found"},
     {"metrics",
      {"metrics"},
      [](Fixture& f) {
@@ -389,8 +376,7 @@
            R"({"counters":[],"gauges":[],"durations":[{"name":"wait","team":"t","class":"urgent","count":2,"median_ms":3,"p99_ms":4,"max_ms":4}]})");
      },
      kExitOk,
-     "p99_ms",
-     ""},
+     "p99_ms"},
     {"terminal control characters",
      {"wave", "status"},
      [](Fixture& f) {
@@ -398,8 +384,7 @@
               "{\"pools\":[{\"pool\":\"p\\u001b[2J\"}]}");
      },
      kExitOk,
-     "p [2J",
-     ""},
+     "p [2J"},
 };
 
 // Guards against exit codes and messages that mislead a script or a person.
