--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -60,10 +60,10 @@
                                                   TimePoint now);
   /// \brief Marks the worker and relays the mark to the zone's peers.
   void OnWorkerLeave(const LeavingWorker& worker, TimePoint now);
-  /// \param answer an Error means that the answer is lost.
+  /// \param reply an Error means that the answer is lost.
   void OnStartAnswer(const TaskId& task,
                      const HostName& host,
-                     const Result<StartAnswer>& answer,
+                     const Result<StartReply>& reply,
                      TimePoint now);
   void OnForbidAnswer(const TaskId& task,
                       const HostName& host,
@@ -73,10 +73,19 @@
   /// kNotFound (foreign); the worker drops refused results except torn ones.
   [[nodiscard]] Result<ResultAnswer> OnResult(TaskResult result, TimePoint now);
 
+  /// \brief Stops a running repeatable request of this process; it is queued
+  /// again when its worker confirms the stop.
+  /// \returns whether the request may be stopped.
+  bool Preempt(const RequestId& request, TimePoint now);
+
   /// Control.
   void OnFleetUpdate(FleetView view, TimePoint now);
   void OnControlAnswer(const ControlAnswer& answer, TimePoint now);
   void OnKeyWithdrawn(const KeyId& key, TimePoint now);
+  /// \brief Offers idle units above the leader's caps, by team.
+  void OfferAllotment(const std::map<TeamName, std::int64_t>& caps) {
+    book_.Offer(caps);
+  }
   [[nodiscard]] ControlReport BuildControlReport(TimePoint now) const;
 
   /// \brief Begins the planned stop; `stopped` tells when it is complete.
@@ -126,6 +135,7 @@
   void ServeRecord(CallId id, RequestRecord& record, TimePoint now);
   void AdmitNew(CallId id, TimePoint now);
   void CreateRecord(CallId id, TimePoint now);
+  void Refuse(CallId id, RefusalReason reason, TimePoint now);
   [[nodiscard]] RefusalReason AdmissionReason(OpenCall& call, TimePoint now);
   [[nodiscard]] RefusalReason AccessReason(const RequestRecord& record,
                                            const std::string& key) const;
@@ -205,6 +215,7 @@
   void End(RequestRecord& record, Closing closing, TimePoint now);
   void Review(RequestRecord& record, TimePoint now);
   void Touch(RequestRecord& record);
+  [[nodiscard]] Resources UsageOf(const RequestRecord& record) const;
 
   // entry_workers.cc: reports and results.
   void ReviewReported(RequestRecord& record,
@@ -245,7 +256,7 @@
   bool was_fresh_ = false;
   bool dirty_ = true;  ///< something may have become startable
   std::uint64_t next_sequence_ = 1;
-  std::uint64_t next_internal_call_ = std::uint64_t{1} << 63;
+  std::uint64_t next_internal_call_ = std::uint64_t{1} << 62;
   /// (time, first sequence issued after it), for the age of tickets.
   std::deque<std::pair<TimePoint, std::uint64_t>> sequence_times_;
   std::uint64_t expired_below_ = 0;
--- a/src/entry/entry_dispatch.cc
+++ b/src/entry/entry_dispatch.cc
@@ -199,12 +199,16 @@
 void EntryCore::NotRun(RequestRecord& record, TimePoint now) {
   ReleaseTask(record);
   record.started = record.may_have_run;
-  Requeue(record, now);
+  // The worker may have run the task and forgotten it.
+  if (record.may_have_run && !record.spec.repeatable)
+    End(record, Closing{Outcome::kUnknownMayHaveRun}, now);
+  else
+    Requeue(record, now);
 }
 
 void EntryCore::OnStartAnswer(const TaskId& task,
                               const HostName& host,
-                              const Result<StartAnswer>& answer,
+                              const Result<StartReply>& reply,
                               TimePoint now) {
   Enter(now);
   RequestRecord* found = table_.Own(task.request);
@@ -216,13 +220,13 @@
   WorkerEntry* worker = workers_.Find(host);
   // The start may have arrived at any time until now.
   record.lease_until = now + GranterLease(kTaskLease);
-  if (!answer) {
+  if (!reply || reply.value().incarnation != record.intent.worker_incarnation) {
     workers_.StartFailed(host, view_, now);
     // The next heartbeat shows a task that has started.
     Unconfirm(record, kHeartbeatInterval * 2, now);
     return;
   }
-  switch (answer.value()) {
+  switch (reply.value().answer) {
     case StartAnswer::kStarted:
       workers_.StartSucceeded(host);
       LogEvent(EventId::kRequestStarted, {{"task", task.Text()}});
@@ -347,7 +351,8 @@
             {"reason", kRefusalReasons.Name(closing.reason)}});
   if (had_task) {
     hooks_.on_ended({record.id, record.intent.worker, closing.outcome,
-                     std::chrono::duration_cast<Millis>(now - record.since)},
+                     std::chrono::duration_cast<Millis>(now - record.since),
+                     UsageOf(record)},
                     now);
   }
   uncopied_.erase(record.id);
@@ -359,6 +364,30 @@
   Touch(record);
 }
 
+Resources EntryCore::UsageOf(const RequestRecord& record) const {
+  const WorkerEntry* worker = workers_.Find(record.intent.worker);
+  if (worker != nullptr) {
+    for (const TaskReport& task : worker->report.tasks) {
+      if (task.task == record.task())
+        return task.usage;
+    }
+  }
+  return record.spec.declared;
+}
+
+bool EntryCore::Preempt(const RequestId& request, TimePoint now) {
+  Enter(now);
+  RequestRecord* record = table_.Own(request);
+  const bool allowed = record != nullptr && record->spec.repeatable &&
+                       record->phase == Phase::kRunning;
+  if (allowed) {
+    Emit(StopTask{record->intent.worker, record->intent.worker_address,
+                  record->task()});
+  }
+  Leave(now);
+  return allowed;
+}
+
 // Puts the record on the due list for its next possible change.
 void EntryCore::Touch(RequestRecord& record) {
   TimePoint due = TimePoint::max();
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -6,7 +6,6 @@
 #include "base/event_log.h"
 #include "base/hash.h"
 #include "base/secret.h"
-#include "entry/policy_scheduler.h"
 
 namespace boragewinch {
 
@@ -14,6 +13,7 @@
 
 constexpr Millis kTickInterval{50};
 constexpr Millis kPeerTimeout{1'000};
+constexpr Millis kRetireWait{2'000};
 constexpr std::size_t kMaxPublicBodyBytes = 2UL * 1024 * 1024;
 constexpr std::size_t kMaxPeerBodyBytes = 16UL * 1024 * 1024;
 
@@ -25,6 +25,41 @@
       PeerMessage{{}, {}, std::variant_alternative_t<Index, PeerBody>()})...};
 }
 
+/// \returns `hooks` that also record waits and run times by team and urgency.
+[[nodiscard]] SchedulerHooks WithMetrics(SchedulerHooks hooks,
+                                         Metrics& metrics) {
+  struct Running {
+    TeamName team;
+    Urgency urgency = Urgency::kNormal;
+  };
+  auto running = std::make_shared<std::map<RequestId, Running>>();
+  const auto labels = [](const TeamName& team, Urgency urgency) {
+    return MetricLabels{team.str(), std::string(kUrgencies.Name(urgency))};
+  };
+  hooks.on_started = [=, &metrics, next = std::move(hooks.on_started)](
+                         const QueuedJob& job, const HostName& host,
+                         TimePoint now) {
+    metrics.Observe("wait", labels(job.team, job.urgency), now - job.submitted);
+    running->insert_or_assign(job.id, Running{job.team, job.urgency});
+    next(job, host, now);
+  };
+  hooks.on_ended = [=, &metrics, next = std::move(hooks.on_ended)](
+                       const EndedTask& ended, TimePoint now) {
+    if (const auto node = running->extract(ended.id); !node.empty()) {
+      const Running& task = node.mapped();
+      metrics.Observe("run", labels(task.team, task.urgency), ended.run_time);
+      metrics.Count("ended_" + std::string(kOutcomes.Name(ended.outcome)),
+                    labels(task.team, task.urgency));
+    }
+    next(ended, now);
+  };
+  hooks.remove = [=, next = std::move(hooks.remove)](const RequestId& id) {
+    running->erase(id);
+    next(id);
+  };
+  return hooks;
+}
+
 }  // namespace
 
 EntryService::EntryService(EntryOptions options)
@@ -40,7 +75,7 @@
   config.incarnation = incarnation_;
   std::random_device seed;
   core_ = std::make_unique<EntryCore>(
-      config, MakePolicyScheduler(),
+      config, WithMetrics(scheduler_.hooks(), metrics_),
       [generator = std::mt19937_64(seed())](std::uint64_t bound) mutable {
         return generator() % bound;
       },
@@ -50,12 +85,12 @@
   client_ = std::make_unique<HttpClient>(*loop_, HttpClientLimits{});
   rpc_client_ = std::make_unique<RpcClient>(*client_, options_.cluster_secret);
   rpc_server_ = std::make_unique<RpcServer>(options_.cluster_secret);
-  callers_ = std::make_unique<CallerApi>(*loop_, *core_, flush);
+  callers_ = std::make_unique<CallerApi>(*loop_, *core_, metrics_, flush);
   tasks_ = std::make_unique<TaskLink>(*loop_, *client_, *core_, flush);
   control_ = std::make_unique<ControlLink>(*loop_, *rpc_client_, *core_,
                                            options_, incarnation_, flush);
-  operators_ =
-      std::make_unique<OperatorApi>(*loop_, *core_, options_, metrics_, flush);
+  operators_ = std::make_unique<OperatorApi>(*loop_, *core_, options_, metrics_,
+                                             scheduler_, flush);
   BindPeerMethods();
 
   HttpServerLimits public_limits;
@@ -164,13 +199,46 @@
   }
 }
 
+void EntryService::RunPolicy(TimePoint now) {
+  if (now >= next_policy_update_) {
+    next_policy_update_ = now + kGossipInterval;
+    ZoneState zone;
+    for (const auto& [host, worker] : core_->workers().workers()) {
+      if (worker.lost)
+        continue;
+      const UsageVector total = ToUsage(
+          worker.report.total, static_cast<double>(worker.report.slots));
+      for (std::size_t i = 0; i < total.size(); ++i)
+        zone.capacity[i] += total[i];
+    }
+    for (const auto& [name, peer] : core_->peers().peers()) {
+      if (!core_->peers().alive(name, now))
+        continue;
+      for (const auto& [team, count] : peer.gossip.running)
+        zone.peer_usage[team][0] += static_cast<double>(count);
+    }
+    scheduler_.Update(core_->view(), zone, now);
+  }
+  const auto may_start = [this](const TeamName& team) {
+    return core_->allotments().HasRoom(team);
+  };
+  for (const RequestId& request : scheduler_.PlanStops(may_start, now))
+    core_->Preempt(request, now);
+}
+
 void EntryService::OnTick(TimePoint now) {
+  RunPolicy(now);
   core_->Tick(now);
   Flush();
   if (!stopped_)
     return;
+  const bool quiet = core_->stopped() && public_server_->open_requests() == 0;
+  if (!quiet)
+    quiet_since_ = now;
+  // The leader frees the allotment sooner if it hears of the stop, but may be
+  // out of reach.
   const bool finished =
-      core_->stopped() && public_server_->open_requests() == 0;
+      quiet && (control_->retired() || now - quiet_since_ > kRetireWait);
   if (finished || now >= stop_until_) {
     LogEvent(EventId::kProcessStopping,
              {{"open_requests",
@@ -184,6 +252,7 @@
   const TimePoint now = loop_->now();
   stopped_ = done;
   stop_until_ = now + options_.stop_timeout;
+  quiet_since_ = now;
   public_server_->StopAccepting();
   core_->Stop(now);
   Flush();
--- a/src/entry/entry_workers.cc
+++ b/src/entry/entry_workers.cc
@@ -23,7 +23,8 @@
   WorkerReportAnswer answer;
   if (const auto host = view_.hosts.find(report.host);
       host != view_.hosts.end()) {
-    answer.drain = host->second.state != HostState::kActive;
+    answer.drain = host->second.state != HostState::kActive &&
+                   host->second.state != HostState::kReturning;
     answer.pool = host->second.pool;
     answer.assignment = host->second.assignment;
   }
@@ -225,6 +226,14 @@
     return reject(ErrorCode::kProtocol, "the task has not ended");
   }
   RequestRecord* found = table_.Own(result.task.request);
+  if (found != nullptr && result.task.attempt > found->intent.attempt) {
+    // A peer has taken the record over and started the task.
+    if (pass_on) {
+      for (const EntryName& name : peers_.zone_peers())
+        SendTo(name, PeerResult{result});
+    }
+    return ResultAnswer::kKept;
+  }
   if (found == nullptr) {
     const auto parts = RequestIdParts::Parse(result.task.request);
     if (!parts)
@@ -263,6 +272,14 @@
                    "a result of an attempt that was proved not to have run");
     return reject(ErrorCode::kConflict, "the attempt was not started");
   }
+  // A stopped attempt of a repeatable request is no result: it runs again.
+  if (result.state == TaskState::kStopped && record.spec.repeatable &&
+      !record.cancel_requested && record.has_task()) {
+    ReleaseTask(record);
+    record.may_have_run = true;
+    Enqueue(record, now);
+    return ResultAnswer::kAcknowledged;
+  }
   Closing closing;
   if (result.state == TaskState::kFinished)
     closing.outcome = Outcome::kFinished;
