Say which changes are in force while an entry host is down

An entry host that has been silent for longer than its freshness bound takes no keyed work, so it no longer blocks a change; it is listed as lapsed. A lowered limit is in force once the allotments are within it. GET of a result answers 409 unless the request has finished, as docs/api.md says.

--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -41,6 +41,9 @@
   /// \brief Submits what is due; cheap when nothing is.
   void Tick(TimePoint now);
 
+  [[nodiscard]] Millis LeadingFor(TimePoint now) const noexcept {
+    return now - leading_since_;
+  }
   /// \returns what `entry` shall shrink its allotment to, by team.
   [[nodiscard]] TeamCounts CapsOf(const EntryName& entry) const;
 
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+// The freshness bound of an entry host (src/entry/entry_config.h) with the
+// granter's margin.
+constexpr Millis kLapsedAfter = GranterLease(Millis(5'000));
 constexpr ::Json::ArrayIndex kMaxListedOperations = 100;
 constexpr char kOperatorHeader[] = "x-boragewinch-operator";
 
@@ -309,6 +312,7 @@
   const auto version = static_cast<FleetVersion>(
       std::strtoull(Query(request, "version").c_str(), nullptr, 10));
   Json missing(::Json::arrayValue);
+  Json lapsed(::Json::arrayValue);
   for (const auto& [name, entry] : service_.state().ledger().entries) {
     const auto held = service_.reports().held().find(name);
     const FleetVersion has = held == service_.reports().held().end()
@@ -320,12 +324,25 @@
     item["entry"] = name.str();
     item["zone"] = entry.zone.str();
     item["version"] = ::Json::UInt64(has);
-    missing.append(std::move(item));
+    // Silent for longer than its freshness bound, it takes no keyed work; the
+    // other rules of docs/design.md 4.1 don't depend on its knowledge.
+    const bool silent =
+        held == service_.reports().held().end()
+            ? duties_.LeadingFor(loop_.now()) > kLapsedAfter
+            : loop_.now() - held->second.received > kLapsedAfter;
+    (silent ? lapsed : missing).append(std::move(item));
+  }
+  Json over_limit(::Json::arrayValue);
+  for (const auto& [name, team] : service_.state().view().teams) {
+    if (service_.state().ledger().Total(name) > team.limit)
+      over_limit.append(name.str());
   }
   Json json;
   json["version"] = ::Json::UInt64(service_.state().version());
-  json["in_force"] = missing.empty();
+  json["in_force"] = missing.empty() && over_limit.empty();
   json["missing"] = std::move(missing);
+  json["lapsed"] = std::move(lapsed);
+  json["teams_over_limit"] = std::move(over_limit);
   return json;
 }
 
--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -198,15 +198,15 @@
   Call& call = found->second;
   const JobAnswer& answer = action.answer;
   const TimePoint now = loop_.now();
-  const bool open = answer.outcome == Outcome::kAccepted ||
-                    answer.outcome == Outcome::kRunning;
   metrics_.Observe("answer", {"", kKindNames[static_cast<int>(call.kind)]},
                    now - call.opened);
   if (call.kind == Kind::kResult && answer.outcome == Outcome::kFinished) {
     call.respond({200, answer.body, "application/octet-stream"});
   } else {
-    const int status =
-        call.kind == Kind::kResult && open ? 409 : HttpStatusOf(answer);
+    // Only a finished request has a result.
+    const bool no_result =
+        call.kind == Kind::kResult && HttpStatusOf(answer) == 200;
+    const int status = no_result ? 409 : HttpStatusOf(answer);
     call.respond({status, WriteJson(ToCallerJson(answer))});
   }
   calls_.erase(found);
--- a/src/entry/policy_scheduler.cc
+++ b/src/entry/policy_scheduler.cc
@@ -144,7 +144,7 @@
   void OnStarted(const QueuedJob& job, const HostName& host, TimePoint now) {
     Forget(job.id, now);
     RunningTask task{job, ToPending(job), host, now, TimePoint()};
-    queue.OnStarted(job.team, job.customer, task.pending.demand, now);
+    queue.OnStarted(task.pending, now);
     placement.OnPlaced(task.pending, host);
     own_demand[host] += task.pending.demand;
     health.OnTried(host, now);
@@ -158,8 +158,7 @@
       return std::nullopt;
     RunningTask task = std::move(node.mapped());
     const PendingJob& pending = task.pending;
-    queue.OnEnded(pending.team, pending.customer, pending.demand, now,
-                  pending.pool);
+    queue.OnEnded(pending, now);
     placement.OnEnded(pending.queue, pending.demand, task.host);
     own_demand[task.host] -= pending.demand;
     ends[pending.pool].Add(now);
--- a/tests/fleet_random_test.cc
+++ b/tests/fleet_random_test.cc
@@ -571,7 +571,7 @@
     report.running[kTeam] = Running(*proc);
     report.wanted[kTeam] = proc->wanted;
     report.returned[kTeam] = proc->offered;
-    std::map<EntryRun, SilentPeer> silent;
+    std::map<EntryRun, SilentRun> silent;
     for (const EntryRun& run : proc->fenced) {
       silent[run].silent_for = now_ - proc->heard.at(run);
       silent[run].fenced = true;
