--- a/src/fleet/reclaim_planner.cc
+++ b/src/fleet/reclaim_planner.cc
@@ -78,6 +78,31 @@
   return reclaims;
 }
 
+std::vector<AllotmentTransfer> ReclaimPlanner::TransfersOf(
+    const Ledger& ledger,
+    const EntryName& entry,
+    TimePoint now) const {
+  std::vector<const EntryReport*> reports;
+  for (const auto& [name, peer] : ledger.entries) {
+    const EntryReport* report = reports_.Fresh({name, peer.incarnation}, now);
+    if (report && name != entry)
+      reports.push_back(report);
+  }
+  std::vector<AllotmentTransfer> transfers;
+  const auto add = [&](const EntryRun& run, const TeamCounts& allotment) {
+    const ReclaimEntry reclaim = Reclaim(run, allotment, reports);
+    transfers.insert(transfers.end(), reclaim.transfers.begin(),
+                     reclaim.transfers.end());
+  };
+  if (const auto it = ledger.entries.find(entry); it != ledger.entries.end())
+    add({entry, it->second.incarnation}, it->second.allotment);
+  for (const auto& [run, record] : ledger.reserved) {
+    if (run.entry == entry)
+      add(run, record.allotment);
+  }
+  return transfers;
+}
+
 std::optional<std::vector<const EntryReport*>> ReclaimPlanner::ZoneReports(
     const Ledger& ledger,
     const ZoneName& zone,
--- a/src/fleet/reclaim_planner.h
+++ b/src/fleet/reclaim_planner.h
@@ -30,6 +30,14 @@
   [[nodiscard]] std::vector<ReclaimEntry> Plan(const Ledger& ledger,
                                                TimePoint now);
 
+  /// \brief For DeclareEntryLost and RetireEntry, which the leader completes.
+  /// \returns the transfers to the peers that report running tasks of any run
+  /// of `entry`, from fresh reports.
+  [[nodiscard]] std::vector<AllotmentTransfer> TransfersOf(
+      const Ledger& ledger,
+      const EntryName& entry,
+      TimePoint now) const;
+
  private:
   /// \returns fresh reports of all registered entry hosts of `zone` but
   /// `except`; nothing if one of them is silent. A silent one may have taken
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -338,6 +338,20 @@
   BOOST_TEST(zone.Pass(1, {zone.b}, silent) == 1);
 }
 
+// Guards against an operator's declaration that frees units whose tasks a peer
+// still renews.
+BOOST_AUTO_TEST_CASE(DeclaredLostMovesTakenOverUnits) {
+  Zone zone;
+  zone.Pass(1, {zone.b}, {zone.a, Millis(5'000), true, {{kTeam, 4}}});
+  const auto transfers =
+      zone.planner.TransfersOf(zone.state.ledger(), zone.a.entry, zone.now);
+  BOOST_REQUIRE(
+      zone.Submit(DeclareEntryLost{zone.a.entry, transfers}, zone.Call())
+          .accepted);
+  BOOST_TEST(zone.Allotment(zone.b) == 6);
+  BOOST_TEST(zone.Total() == 6);
+}
+
 // AllotmentPlanner ---------------------------------------------------------
 
 /// Three entry hosts that report what they run and want.
