Count only urgent tasks against the rights of urgent work

Cause: a team above its share with normal work lost the precedence of its urgent work and waited for other teams.

OnStarted and OnEnded without a pool are removed: their tasks were missing from the order within the pool, which FullPoolIsDividedByWeight showed. The test of urgent precedence now fills the team's right with urgent tasks instead of normal ones, as the rule says.

--- a/bench/policy_params.cc
+++ b/bench/policy_params.cc
@@ -15,6 +15,7 @@
   PolicyParams params = Ours();
   params.queue.history_percent = 50;
   params.queue.pool_percent = 0;
+  params.queue.urgent_by_class = false;
   return params;
 }
 
--- a/src/policy/job_queue.cc
+++ b/src/policy/job_queue.cc
@@ -35,6 +35,7 @@
   TeamName name;
   double weight = 1;
   Usage usage;
+  UsageVector urgent{};  // running urgent tasks of this entry host
   std::size_t waiting = 0;
   std::set<PoolName> pools;  // in which the team has waiting jobs
   bool active = false;
@@ -115,11 +116,28 @@
     UpdateActive(team);
   }
 
+  void CountUrgent(const PendingJob& job, double sign) {
+    if (job.urgency != Urgency::kUrgent)
+      return;
+    UsageVector& urgent = Team(job.team).urgent;
+    const UsageVector change = ToUsage(job.demand);
+    for (std::size_t i = 0; i < urgent.size(); ++i)
+      urgent[i] = std::max(0.0, urgent[i] + sign * change[i]);
+  }
+
   [[nodiscard]] double Entitled(const TeamState& team) const noexcept {
     const double sum = active_weight + (team.active ? 0 : team.weight);
     return sum > 0 ? team.weight / sum : 1;
   }
 
+  // A team may use all it is entitled to for urgent work; its normal work
+  // beyond that does not hold its urgent work up.
+  [[nodiscard]] bool WithinRights(const TeamState& team) const {
+    const UsageVector& running =
+        config.urgent_by_class ? team.urgent : team.usage.average.running();
+    return DominantShare(running, capacity) < Entitled(team);
+  }
+
   [[nodiscard]] double Blend(Usage& usage, TimePoint now) const {
     usage.average.Advance(config.window, now);
     const double history = config.history_percent / 100.0;
@@ -332,8 +350,7 @@
       if (!TeamOpen(name))
         continue;
       const double key = ShareKey(pool, *team, now);
-      const bool within_rights = DominantShare(team->usage.average.running(),
-                                               capacity) < Entitled(*team);
+      const bool within_rights = WithinRights(*team);
       order.push_back({!(urgent && within_rights), key, &lanes});
     }
     std::sort(order.begin(), order.end(),
@@ -476,34 +493,20 @@
   impl_->Count(job.team, job.demand, 1, now);
   impl_->pools[job.pool].usage[job.team].Add(job.demand, 1,
                                              impl_->config.window, now);
+  impl_->CountUrgent(job, 1);
 }
 
 void JobQueue::OnEnded(const PendingJob& job, TimePoint now) {
   impl_->Count(job.team, job.demand, -1, now);
   impl_->pools[job.pool].usage[job.team].Add(job.demand, -1,
                                              impl_->config.window, now);
+  impl_->CountUrgent(job, -1);
   Arm(job.pool);
   // The team may have been at its limit in its other pools.
   for (const PoolName& other : impl_->Team(job.team).pools)
     Arm(other);
 }
 
-// Customers are charged when their job is taken out.
-void JobQueue::OnStarted(const TeamName& team,
-                         const CustomerName& /*customer*/,
-                         const Resources& demand,
-                         TimePoint now) {
-  impl_->Count(team, demand, 1, now);
-}
-
-void JobQueue::OnEnded(const TeamName& team,
-                       const CustomerName& /*customer*/,
-                       const Resources& demand,
-                       TimePoint now) {
-  impl_->Count(team, demand, -1, now);
-  ArmAll();
-}
-
 void JobQueue::Arm(const PoolName& pool) {
   if (const auto found = impl_->pools.find(pool); found != impl_->pools.end())
     impl_->Arm(found->second);
--- a/src/policy/job_queue.h
+++ b/src/policy/job_queue.h
@@ -38,12 +38,12 @@
 /// \brief Admission order of the waiting jobs of one entry host.
 ///
 /// In each pool: every `kOverdueEvery`-th start goes to the customer whose turn
-/// is overdue for longest, if any. Otherwise teams with urgent work that run
-/// less than they are entitled to go first, then the team with the lowest
-/// weighted dominant share. Within a team urgent jobs go first, then the
-/// customer that was served least, then the oldest job. A job that can't start
-/// is passed over. A decision looks at the teams with work in the pool and at
-/// a bounded number of jobs of each; all else is logarithmic.
+/// is overdue for longest, if any. Otherwise teams with urgent work go first if
+/// their urgent tasks alone are within what they are entitled to, then the team
+/// with the lowest weighted dominant share. Within a team urgent jobs go first,
+/// then the customer that was served least, then the oldest job. A job that
+/// can't start is passed over. A decision looks at the teams with work in the
+/// pool and at a bounded number of jobs of each; all else is logarithmic.
 class JobQueue {
  public:
   using Startable = std::function<bool(const PendingJob&)>;
@@ -93,18 +93,6 @@
   /// pools of its team again.
   void OnEnded(const PendingJob& job, TimePoint now);
 
-  /// \brief Counts a running task of which the pool is not known.
-  void OnStarted(const TeamName& team,
-                 const CustomerName& customer,
-                 const Resources& demand,
-                 TimePoint now);
-
-  /// \brief Reverses the above and lets Next try all pools again.
-  void OnEnded(const TeamName& team,
-               const CustomerName& customer,
-               const Resources& demand,
-               TimePoint now);
-
   /// \brief Lets Next try `pool` again, since it has room now.
   void Arm(const PoolName& pool);
   void ArmAll();
--- a/src/policy/job_queue_config.h
+++ b/src/policy/job_queue_config.h
@@ -20,6 +20,9 @@
   /// rest is that in all pools. Slots are divided where teams compete: with the
   /// usage of all pools, a team that is alone in one pool gives way in others.
   int pool_percent = 100;
+  /// Urgent work goes first while the team's urgent tasks alone, not all of its
+  /// tasks, are within what it is entitled to.
+  bool urgent_by_class = true;
   /// A customer with a waiting, startable job gets a start at the latest this
   /// long after its last one, plus one start for each other overdue customer
   /// of the pool.
--- a/tests/policy_queue_test.cc
+++ b/tests/policy_queue_test.cc
@@ -64,7 +64,7 @@
   queue.SetShares({{TeamName("a"), 3}, {TeamName("b"), 1}});
   TimePoint now = FromMillis(1000);
   std::map<TeamName, int> running;
-  std::deque<TeamName> order;
+  std::deque<PendingJob> order;
   int id = 0;
   for (int i = 0; i < 400; ++i) {
     for (const char* team : {"a", "b"}) {
@@ -74,15 +74,15 @@
   for (int step = 0; step < 500; ++step) {
     now += Millis(100);
     if (order.size() == 100) {
-      queue.OnEnded(order.front(), CustomerName("c"), {1000, 1024, 0}, now);
-      --running[order.front()];
+      queue.OnEnded(order.front(), now);
+      --running[order.front().team];
       order.pop_front();
     }
     const auto job = queue.Next(now, kAlways);
     BOOST_REQUIRE(job);
-    queue.OnStarted(job->team, job->customer, job->demand, now);
+    queue.OnStarted(*job, now);
     ++running[job->team];
-    order.push_back(job->team);
+    order.push_back(*job);
   }
   BOOST_TEST(running[TeamName("a")] >= 73);
   BOOST_TEST(running[TeamName("a")] <= 77);
@@ -109,19 +109,21 @@
   BOOST_TEST(queue.stats().tried <= 80u);
 }
 
-// Guards against urgent work waiting behind normal work of a team that runs
-// more than it is entitled to.
+// Guards against urgent work waiting behind normal work, and against a team
+// that marks all its work as urgent to get more than it is entitled to.
 BOOST_AUTO_TEST_CASE(UrgentWorkWithinRightsGoesFirst) {
   auto queue = MakeQueue();
   const TimePoint now = FromMillis(1000);
-  for (int i = 0; i < 10; ++i)
-    queue.OnStarted(TeamName("a"), CustomerName("c"), {1000, 1024, 0}, now);
+  for (int i = 0; i < 60; ++i)
+    queue.OnStarted(Job("n" + std::to_string(i), "a", now), now);
   BOOST_REQUIRE(queue.Push(Job("normal", "b", now), now));
   BOOST_REQUIRE(queue.Push(Job("urgent", "a", now, Urgency::kUrgent), now));
   BOOST_TEST(queue.Next(now, kAlways)->id == RequestId("urgent"));
-  // Above its half of 100 slots the team's urgent work has no precedence.
-  for (int i = 0; i < 50; ++i)
-    queue.OnStarted(TeamName("a"), CustomerName("c"), {1000, 1024, 0}, now);
+  // With urgent tasks in its half of 100 slots it has no precedence.
+  for (int i = 0; i < 50; ++i) {
+    const auto id = "u" + std::to_string(i);
+    queue.OnStarted(Job(id, "a", now, Urgency::kUrgent), now);
+  }
   BOOST_REQUIRE(queue.Push(Job("urgent", "a", now, Urgency::kUrgent), now));
   BOOST_TEST(queue.Next(now, kAlways)->id == RequestId("normal"));
 }
