Retire a stopped entry host only after its peers have reported what they took over

A retirement that was submitted with the first retiring report could return units of tasks that had just been handed over, since the peers' reports did not show them yet.

--- a/src/control/leader_duties.cc
+++ b/src/control/leader_duties.cc
@@ -66,6 +66,7 @@
   under_way_.clear();
   silent_since_.clear();
   caps_.clear();
+  retiring_since_.clear();
   reclaims_ = ReclaimPlanner(now);
   allotments_ = AllotmentPlanner();
 }
@@ -91,7 +92,7 @@
   allotments_.Observe(ToEntryReport(report), now);
   WithdrawReported(report);
   if (report.retiring)
-    RetireStopped(report);
+    RetireStopped(report, now);
 }
 
 void LeaderDuties::WithdrawReported(const SyncReport& report) {
@@ -107,25 +108,29 @@
     SubmitOnce("withdraw " + body.ids.front().str(), std::move(body));
 }
 
-void LeaderDuties::RetireStopped(const SyncReport& report) {
+void LeaderDuties::RetireStopped(const SyncReport& report, TimePoint now) {
+  // Tasks that were handed over show in the peers' reports that were built
+  // after the hand-over, so each peer has to report twice from now on.
+  const TimePoint since =
+      retiring_since_.try_emplace({report.entry, report.incarnation}, now)
+          .first->second;
+  for (const auto& [name, entry] : state_.ledger().entries) {
+    if (entry.zone != report.zone || name == report.entry)
+      continue;
+    const auto held = reports_.held().find(name);
+    if (held == reports_.held().end() ||
+        held->second.received < since + kSyncInterval)
+      return;
+  }
   SubmitOnce("retire " + report.entry.str(),
              RetireEntry{{report.entry, report.incarnation},
-                         TransfersFrom(report.entry)});
+                         TransfersFrom(report.entry, now)});
 }
 
 std::vector<AllotmentTransfer> LeaderDuties::TransfersFrom(
-    const EntryName& entry) const {
-  std::vector<AllotmentTransfer> transfers;
-  for (const auto& [name, held] : reports_.held()) {
-    for (const TakeOverReport& taken : held.report.taken_over) {
-      if (taken.entry != entry)
-        continue;
-      for (const auto& [team, count] : taken.running) {
-        transfers.push_back({{name, held.report.incarnation}, team, count});
-      }
-    }
-  }
-  return transfers;
+    const EntryName& entry,
+    TimePoint now) const {
+  return reclaims_.TransfersOf(state_.ledger(), entry, now);
 }
 
 void LeaderDuties::Tick(TimePoint now) {
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -50,7 +50,8 @@
   /// \returns tasks of `entry` that peers have taken over, for the command
   /// that declares it lost.
   [[nodiscard]] std::vector<AllotmentTransfer> TransfersFrom(
-      const EntryName& entry) const;
+      const EntryName& entry,
+      TimePoint now) const;
 
   [[nodiscard]] Json WavesJson(TimePoint now) const;
   /// \returns one line on a host, team or pool, or kNotFound.
@@ -62,7 +63,7 @@
   /// \brief Submits `command` unless one with the same key is under way.
   void SubmitOnce(const std::string& key, CommandBody body);
   void WithdrawReported(const SyncReport& report);
-  void RetireStopped(const SyncReport& report);
+  void RetireStopped(const SyncReport& report, TimePoint now);
   void RegisterAnnounced();
   void MoveAllotments(TimePoint now);
   void ReclaimLost(TimePoint now);
@@ -87,6 +88,7 @@
   ReclaimPlanner reclaims_{TimePoint()};
   AllotmentPlanner allotments_;
   std::map<EntryName, TeamCounts> caps_;
+  std::map<EntryRun, TimePoint> retiring_since_;
   TimePoint leading_since_;
   TimePoint next_tick_;
   std::set<std::string> under_way_;
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -177,7 +177,7 @@
   if (auto* wave = std::get_if<StartWave>(&command->body))
     wave->wall_seconds = loop_.unix_seconds();
   if (auto* lost = std::get_if<DeclareEntryLost>(&command->body))
-    lost->transfers = duties_.TransfersFrom(lost->entry);
+    lost->transfers = duties_.TransfersFrom(lost->entry, loop_.now());
 }
 
 void ControlOperatorApi::Submit(Command command, const Respond& respond) {
