--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -183,6 +183,9 @@
   void Receive(const EntryName& from,
                const PeerHandOver& message,
                TimePoint now);
+  void Receive(const EntryName& from,
+               const PeerReleased& message,
+               TimePoint now);
   void ReceiveGossip(const EntryName& from,
                      const PeerMessage& message,
                      TimePoint now);
@@ -232,6 +235,8 @@
   void FenceSilentPeers(TimePoint now);
   void PlaceMissingCopies(TimePoint now);
   void AdvanceStop(TimePoint now);
+  void ReleaseCopies(TimePoint now);
+  void ReleaseCopiesOf(const EntryName& entry);
   void ReleaseMovedTasks(TimePoint now);
   void NoteFreshness(TimePoint now);
 
@@ -244,7 +249,8 @@
   TimePoint next_sweep_;
   bool stopping_ = false;
   bool was_fresh_ = false;
-  bool dirty_ = true;  ///< something may have become startable
+  bool released_ = false;  ///< no peer relies on a copy here
+  bool dirty_ = true;      ///< something may have become startable
   std::uint64_t next_sequence_ = 1;
   std::uint64_t next_internal_call_ = std::uint64_t{1} << 62;
   /// (time, first sequence issued after it), for the age of tickets.
--- a/src/entry/entry_forward.cc
+++ b/src/entry/entry_forward.cc
@@ -275,6 +275,8 @@
     Receive(from, *hand_over, now);
   } else if (auto* handed_over = std::get_if<PeerHandedOver>(&message.body)) {
     Receive(from, PeerFenced{handed_over->epoch, {}}, now);
+  } else if (auto* released = std::get_if<PeerReleased>(&message.body)) {
+    Receive(from, *released, now);
   }
   Leave(now);
 }
--- a/src/entry/entry_replication.cc
+++ b/src/entry/entry_replication.cc
@@ -222,6 +222,7 @@
       epoch = std::max(epoch, record.owner->epoch);
     }
   }
+  peer->fenced_at = now;
   if (peer->fenced_epoch && *peer->fenced_epoch >= epoch)
     return;
   peer->fenced_epoch = epoch;
@@ -255,10 +256,15 @@
 }
 
 bool EntryCore::Refused(const EntryName& from, const RecordVersion& version) {
-  const Peer& peer = *peers_.Find(from);
-  if (!peer.fenced_epoch || version.epoch > *peer.fenced_epoch)
+  Peer& peer = *peers_.Find(from);
+  if (peer.fenced_epoch && version.epoch <= *peer.fenced_epoch) {
+    SendTo(from, PeerFenced{*peer.fenced_epoch, {}});
+    return true;
+  }
+  if (!peer.released_epoch)
     return false;
-  SendTo(from, PeerFenced{*peer.fenced_epoch, {}});
+  peer.released_epoch = std::max(*peer.released_epoch, version.epoch);
+  SendTo(from, PeerReleased{*peer.released_epoch});
   return true;
 }
 
@@ -432,6 +438,24 @@
   SendTo(from, PeerHandedOver{*peer.fenced_epoch});
 }
 
+void EntryCore::Receive(const EntryName& from,
+                        const PeerReleased& message,
+                        TimePoint now) {
+  Peer& peer = *peers_.Find(from);
+  peer.own_epoch = std::max(peer.own_epoch, message.epoch + 1);
+  peer.gossip.stopping = true;
+  std::vector<RequestId> released;
+  for (const auto& [id, record] : table_.records()) {
+    if (!record.owner && record.copy && record.copy->entry == from &&
+        record.copy->incarnation == peer.incarnation &&
+        record.copy->epoch <= message.epoch) {
+      released.push_back(id);
+    }
+  }
+  for (const RequestId& id : released)
+    OnCopyGone(*table_.Find(id), false, now);
+}
+
 void EntryCore::ReceiveGossip(const EntryName& from,
                               const PeerMessage& message,
                               TimePoint now) {
--- a/src/entry/entry_tick.cc
+++ b/src/entry/entry_tick.cc
@@ -65,6 +65,7 @@
 void EntryCore::SendGossip(TimePoint now) {
   PeerGossip gossip;
   gossip.uptime = std::chrono::duration_cast<Millis>(now - started_);
+  gossip.stopping = stopping_;
   gossip.running = book_.counts();
   gossip.queued = table_.queued_by_team();
   gossip.leaving.assign(workers_.leaving_marks().begin(),
@@ -96,7 +97,8 @@
 void EntryCore::FenceSilentPeers(TimePoint now) {
   std::vector<EntryName> silent;
   for (const auto& [name, peer] : peers_.peers()) {
-    if (peer.zone == config_.zone && !peer.incarnation.empty() &&
+    const bool fenced = peer.fenced_epoch && peer.heard <= peer.fenced_at;
+    if (peer.zone == config_.zone && !peer.incarnation.empty() && !fenced &&
         now - peer.heard >= GranterLease(kOwnerSilence)) {
       silent.push_back(name);
     }
@@ -210,10 +212,46 @@
   }
   for (const EntryName& name : backups)
     SendTo(name, PeerHandOver{peers_.Find(name)->own_epoch});
+  if (table_.open() == 0)
+    ReleaseCopies(now);
+}
+
+// Peers that keep copies here place them elsewhere before this process ends.
+void EntryCore::ReleaseCopies(TimePoint now) {
+  released_ = true;
+  for (const EntryName& name : peers_.zone_peers()) {
+    const Peer& peer = *peers_.Find(name);
+    if (!peers_.alive(name, now) ||
+        (peer.released_epoch && peer.gossip.epoch > *peer.released_epoch)) {
+      continue;
+    }
+    released_ = false;
+    // A fenced peer has to give its records up first; it must not take the
+    // release for a copy that was never used.
+    if (!peer.fenced_epoch || peer.gossip.epoch > *peer.fenced_epoch)
+      ReleaseCopiesOf(name);
+  }
+}
+
+void EntryCore::ReleaseCopiesOf(const EntryName& entry) {
+  Peer& peer = *peers_.Find(entry);
+  std::uint64_t epoch =
+      std::max(peer.gossip.epoch, peer.released_epoch.value_or(0));
+  std::vector<RequestId> replicas;
+  for (const auto& [id, record] : table_.records()) {
+    if (record.owner && record.owner->entry == entry) {
+      replicas.push_back(id);
+      epoch = std::max(epoch, record.owner->epoch);
+    }
+  }
+  for (const RequestId& id : replicas)
+    table_.Erase(id);
+  peer.released_epoch = epoch;
+  SendTo(entry, PeerReleased{epoch});
 }
 
 bool EntryCore::stopped() const noexcept {
-  return stopping_ && table_.open() == 0 && calls_.size() == 0;
+  return stopping_ && released_ && table_.open() == 0 && calls_.size() == 0;
 }
 
 }  // namespace boragewinch
--- a/src/entry/peer_message.cc
+++ b/src/entry/peer_message.cc
@@ -105,6 +105,7 @@
   json["sequence"] = WriteCounter(m.sequence);
   json["uptime_ms"] = ::Json::Int64(m.uptime.count());
   json["epoch"] = WriteCounter(m.epoch);
+  json["stopping"] = m.stopping;
   json["running"] = Write(m.running);
   json["queued"] = Write(m.queued);
   for (const LeavingWorker& worker : m.leaving)
@@ -123,6 +124,7 @@
   BW_TRY(m.sequence, ReadCounter(json, "sequence"));
   BW_TRY(m.uptime, ReadMillis(json, "uptime_ms"));
   BW_TRY(m.epoch, ReadCounter(json, "epoch"));
+  BW_TRY(m.stopping, BoolFieldOr(json, "stopping", false));
   BW_TRY(m.running, ReadTeamCounts(json["running"]));
   BW_TRY(m.queued, ReadTeamCounts(json["queued"]));
   BW_CHECK(ReadArray(json, "leaving", [&m](const Json& item) -> Status {
@@ -262,6 +264,18 @@
   return PeerBody(m);
 }
 
+[[nodiscard]] Json Encode(const PeerReleased& m) {
+  Json json(::Json::objectValue);
+  json["epoch"] = WriteCounter(m.epoch);
+  return json;
+}
+
+[[nodiscard]] Result<PeerBody> DecodeReleased(const Json& json) {
+  PeerReleased m;
+  BW_TRY(m.epoch, ReadCounter(json, "epoch"));
+  return PeerBody(m);
+}
+
 [[nodiscard]] Json Encode(const PeerResult& m) {
   Json json(::Json::objectValue);
   json["task"] = m.result.task.Text();
@@ -313,6 +327,7 @@
     {"peer.forward_answer", DecodeForwardAnswer},
     {"peer.hand_over", DecodeHandOver},
     {"peer.handed_over", DecodeHandedOver},
+    {"peer.released", DecodeReleased},
     {"peer.result", DecodeResult},
     {"peer.leave", DecodeLeave},
 };
--- a/src/entry/peer_message.h
+++ b/src/entry/peer_message.h
@@ -99,6 +99,7 @@
   std::uint64_t sequence = 0;
   Millis uptime{0};
   std::uint64_t epoch = 0;  ///< towards the receiver
+  bool stopping = false;    ///< takes no more copies
   std::map<TeamName, std::int64_t> running;
   std::map<TeamName, std::int64_t> queued;
   std::vector<LeavingWorker> leaving;
@@ -160,6 +161,12 @@
   std::uint64_t epoch = 0;
 };
 
+/// \brief The sender stops: it has dropped its copies of the receiver's records
+/// up to an epoch and never takes them over.
+struct PeerReleased {
+  std::uint64_t epoch = 0;
+};
+
 /// \brief A worker's result, passed on to the zone's other entry hosts.
 struct PeerResult {
   TaskResult result;
@@ -183,6 +190,7 @@
                               PeerForwardAnswer,
                               PeerHandOver,
                               PeerHandedOver,
+                              PeerReleased,
                               PeerResult,
                               PeerLeave>;
 
--- a/src/entry/peer_table.cc
+++ b/src/entry/peer_table.cc
@@ -78,6 +78,7 @@
     peer.sent.clear();
     peer.own_epoch = 0;
     peer.fenced_epoch.reset();
+    peer.released_epoch.reset();
     peer.gossip = PeerGossip{};
   }
   peer.zone = zone_;
@@ -165,7 +166,8 @@
   std::uint64_t best_weight = 0;
   for (const EntryName& name : zone_peers()) {
     const std::uint64_t weight = Hash64(id.str() + "/" + name.str());
-    if (alive(name, now) && (!best || weight > best_weight)) {
+    if (alive(name, now) && !peers_.at(name).gossip.stopping &&
+        (!best || weight > best_weight)) {
       best = name;
       best_weight = weight;
     }
--- a/src/entry/peer_table.h
+++ b/src/entry/peer_table.h
@@ -28,6 +28,8 @@
   std::deque<std::pair<std::uint64_t, TimePoint>> sent;  ///< unanswered gossip
   std::uint64_t own_epoch = 0;  ///< of this process towards the peer
   std::optional<std::uint64_t> fenced_epoch;  ///< of the peer, by this process
+  TimePoint fenced_at;
+  std::optional<std::uint64_t> released_epoch;  ///< copies dropped at a stop
   std::set<Incarnation> superseded;
   PeerGossip gossip;  ///< newest
 };
--- a/tests/entry_core_test.cc
+++ b/tests/entry_core_test.cc
@@ -179,6 +179,31 @@
   BOOST_TEST(world.faults.size() == 0U);
 }
 
+// Guards I4: after an isolation the ledger may have reclaimed the allotments,
+// so an answer of a peer is not enough to start work again.
+BOOST_AUTO_TEST_CASE(IsolatedEntryHostStartsNothing) {
+  Zone world(2);
+  static_cast<void>(world.Submit(0, world.Job(true)));
+  world.Run(Millis(6'000));
+  const std::uint64_t before = world.cores[0]->counters().starts;
+  BOOST_TEST(before == 1U);
+  world.cut = {{0, 1}, {0, -1}};
+  world.Run(Millis(11'000));
+  JobSpec spec = world.Job(true);
+  spec.queue = QueueName("open");
+  const CallId submit = world.Submit(0, spec);
+  world.Run(Millis(3'000));
+  BOOST_TEST(Shown(world.answer(submit)) == "accepted");
+  BOOST_TEST(world.cores[0]->counters().starts == before);
+  world.cut = {{0, -1}};
+  world.Run(Millis(3'000));
+  BOOST_TEST(!world.cores[0]->isolated(world.now));
+  BOOST_TEST(world.cores[0]->counters().starts == before);
+  world.cut.clear();
+  world.Run(Millis(3'000));
+  BOOST_TEST(world.cores[0]->counters().starts == before + 1);
+}
+
 // Guards I8: a worker that announced its leave to one entry host gets no
 // start from another one.
 BOOST_AUTO_TEST_CASE(LeavingWorkerGetsNoStart) {
--- a/tests/entry_random_test.cc
+++ b/tests/entry_random_test.cc
@@ -31,6 +31,7 @@
   std::uint64_t crashes = 0;
   std::uint64_t taken_over = 0;
   std::uint64_t reclaimed = 0;
+  std::uint64_t stops = 0;
 };
 
 class RandomRun {
@@ -72,6 +73,15 @@
       world_.Crash(Pick(3));
       ++totals_.crashes;
     }
+    for (int entry = 0; entry < 3; ++entry) {
+      EntryCore& core = *world_.cores[static_cast<std::size_t>(entry)];
+      if (core.stopped()) {
+        world_.Crash(entry);
+        ++totals_.stops;
+      } else if (crashes_ && OneIn(1'200)) {
+        core.Stop(world_.now);
+      }
+    }
     if (OneIn(150))
       world_.Freeze(Pick(3), Millis(1'000 + Pick(15'000)));
     if (OneIn(700))
@@ -118,6 +128,8 @@
               tickets_[static_cast<std::size_t>(Pick(tickets_.size()))];
         } else {
           const auto fresh = core.NewTicket(world_.now);
+          if (!fresh)
+            return;
           ticket = fresh.value();
           spec.client_request_id.clear();
           tickets_.emplace_back(ticket, spec);
@@ -224,7 +236,8 @@
             << totals.finished << " finished, " << totals.unknown
             << " unknown, " << totals.not_run << " not run, " << totals.crashes
             << " entry crashes, " << totals.taken_over << " taken over, "
-            << totals.reclaimed << " reclaimed\n";
+            << totals.reclaimed << " reclaimed, " << totals.stops
+            << " planned stops\n";
 }
 
 }  // namespace
--- a/tests/request_replication_test.cc
+++ b/tests/request_replication_test.cc
@@ -164,6 +164,37 @@
   }
 }
 
+// Guards I7: a refusal by a restarted worker does not prove that its former
+// incarnation has not run the task.
+BOOST_AUTO_TEST_CASE(RefusalOfAnotherIncarnationProvesNothing) {
+  for (const bool same : {true, false}) {
+    World world(2, 1, 1);
+    world.Run(Millis(3'000));
+    std::optional<StartTask> start;
+    world.intercept = [&](const EntryAction& action, int) {
+      if (start || !std::holds_alternative<StartTask>(action))
+        return true;
+      start = std::get<StartTask>(action);
+      return false;
+    };
+    const CallId submit = world.Submit(0, world.Job(false));
+    while (!start)
+      world.Run(Millis(50));
+    const Incarnation former = world.workers[0].incarnation;
+    world.CrashWorker(0);
+    const StartReply reply{StartAnswer::kLeaving,
+                           same ? former : world.workers[0].incarnation};
+    world.cores[0]->OnStartAnswer(start->task, start->host, reply, world.now);
+    world.Apply(0);
+    world.Run(Millis(38'000));
+    const CallId query =
+        world.Ask(0, CallKind::kQuery, world.answer(submit)->request);
+    const Outcome expected =
+        same ? Outcome::kFinished : Outcome::kUnknownMayHaveRun;
+    BOOST_TEST((world.answer(query)->outcome == expected));
+  }
+}
+
 // Guards I6: without the backup's acknowledgement of the closing the answer
 // is not "not run".
 BOOST_AUTO_TEST_CASE(ClosingWithoutAcknowledgementIsUnknown) {
@@ -256,6 +287,23 @@
              "done:" + world.answer(submit)->request.str());
 }
 
+// Guards I9: a stopping backup gives its copies back, so the owner's queued
+// requests do not wait for it.
+BOOST_AUTO_TEST_CASE(StoppingBackupReleasesItsCopies) {
+  World world(2, 0, 1);
+  world.Run(Millis(3'000));
+  const CallId submit = world.Submit(0, world.Job(false));
+  world.Run(Millis(500));
+  world.cores[1]->Stop(world.now);
+  for (int i = 0; i < 50 && !world.cores[1]->stopped(); ++i)
+    world.Run(Millis(100));
+  BOOST_TEST(world.cores[1]->stopped());
+  world.Freeze(1, Millis(100'000));
+  const CallId cancel =
+      world.Ask(0, CallKind::kCancel, world.answer(submit)->request);
+  BOOST_TEST((world.answer(cancel)->outcome == Outcome::kCancelled));
+}
+
 // Guards I9: a planned stop hands queued and running requests over.
 BOOST_AUTO_TEST_CASE(PlannedStopInterruptsNothing) {
   World world(2, 1, 1);
