Lend spare hosts to waves and keep them until all waves end

Cause: with a budget of two hosts and a reserve of one, each pool maintained one host at a time. Pools now borrow one maintained spare each.

--- a/src/policy/buffer_planner.cc
+++ b/src/policy/buffer_planner.cc
@@ -225,6 +225,9 @@
 }
 
 void Planner::Lend() {
+  std::erase_if(free_spares, [this](const Host* host) {
+    return host->maintained_at < config.lend_maintained_since;
+  });
   for (const auto& [pool, count] : config.wanted) {
     const auto position = index.find(pool);
     if (position == index.end())
--- a/src/policy/buffer_planner.h
+++ b/src/policy/buffer_planner.h
@@ -42,8 +42,13 @@
   Millis spike_wait{5'000};  ///< accepted wait at the end of a spike
   std::map<PoolName, PoolDemand> demand;
   /// Hosts that waves ask to borrow (PoolWave::lend_wanted). A lent host covers
-  /// losses of its new pool, so it counts as part of the buffer.
+  /// losses of its new pool, so it counts as part of the buffer. An entry, also
+  /// one of 0, means an open wave: nothing is returned until the last has
+  /// ended, since hosts went back and forth otherwise.
   std::map<PoolName, std::int64_t> wanted;
+  /// Only spares maintained at this wall time or later are lent, so that a
+  /// roll-out does not have to drain them again in their new pool.
+  std::int64_t lend_maintained_since = 0;
   /// Hosts of each pool without borrowed ones. A pool that has more returns
   /// them while the spare pool has fewer than it needs.
   std::map<PoolName, std::int64_t> base_size;
--- a/src/policy/wave_planner.cc
+++ b/src/policy/wave_planner.cc
@@ -95,10 +95,13 @@
       ++wave.done;
   }
   wave.due = static_cast<std::int64_t>(hosts.due.size());
-  if (wave.due > 0) {
-    wave.lend_wanted = std::max<std::int64_t>(
-        0, 1 + config.loss_reserve - (alive - pool.min_available));
+  if (wave.due > wave.at_once) {
+    wave.lend_wanted =
+        std::max<std::int64_t>(0, config.wanted_at_once + config.loss_reserve -
+                                      (alive - pool.min_available));
   }
+  if (pool.spare)
+    wave.lend_wanted = 0;
   const std::int64_t open = wave.due + wave.in_work;
   if (wave.at_once > 0 && open > 0)
     wave.end_estimate = wall + Duration(open, wave.at_once);
@@ -197,8 +200,8 @@
 Status WaveConfig::Check() const {
   if (seconds_per_day < 1 || host_seconds < 1)
     return Fail(ErrorCode::kInvalidSetting, "durations must be at least 1 s");
-  if (loss_reserve < 0 || max_in_work < 0)
-    return Fail(ErrorCode::kInvalidSetting, "counts must not be negative");
+  if (loss_reserve < 0 || max_in_work < 0 || wanted_at_once < 1)
+    return Fail(ErrorCode::kInvalidSetting, "counts are out of range");
   if (lead_percent < 100) {
     return Fail(ErrorCode::kInvalidSetting,
                 "lead_percent must be at least 100, or hosts become overdue");
--- a/src/policy/wave_planner.h
+++ b/src/policy/wave_planner.h
@@ -44,6 +44,9 @@
   /// Workers of a pool's slack that are kept for an unplanned loss, as long as
   /// one remains for maintenance.
   std::int64_t loss_reserve = 1;
+  /// Hosts of a pool that should be in work at once; a pool whose budget allows
+  /// fewer beside the reserve asks to borrow spare hosts.
+  std::int64_t wanted_at_once = 2;
   std::int64_t max_in_work = 0;  ///< hosts of the fleet at once; 0 is no cap
   /// Hosts are due earlier than their period by what their maintenance and that
   /// of the hosts before them is expected to take
