--- a/src/entry/boraged_entry_main.cc
+++ b/src/entry/boraged_entry_main.cc
@@ -37,6 +37,9 @@
       .Required("zone", "availability zone of this entry host")
       .RequiredAddress("listen", "address for callers, workers and operators")
       .RequiredAddress("peer-listen", "address for other boragewinch processes")
+      .Address("peer-advertise",
+               "address at which other processes reach --peer-listen; by "
+               "default the listening address")
       .AddressList("control", "control hosts, at least one")
       .Required("cluster-secret", "secret shared by all processes")
       .Required("operator-secret", "credential that operators show")
@@ -62,6 +65,7 @@
   options.zone = ZoneName(settings.text("zone"));
   options.listen = settings.text("listen");
   options.peer_listen = settings.text("peer-listen");
+  options.peer_advertise = settings.text("peer-advertise");
   for (const std::string& address : settings.list("control"))
     options.control.push_back(address.substr(address.find('=') + 1));
   options.cluster_secret = settings.text("cluster-secret");
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -15,6 +15,7 @@
   EntryName name;
   std::string listen;                ///< callers, workers and operators
   std::string peer_listen;           ///< other processes
+  std::string peer_advertise;        ///< told to other processes; may be empty
   std::vector<std::string> control;  ///< "IP:port" of control hosts
   std::string cluster_secret;
   std::string operator_secret;
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -77,7 +77,9 @@
       });
   BW_CHECK(public_server_->Listen(options_.listen));
   BW_CHECK(peer_server_->Listen(options_.peer_listen));
-  control_->Start(public_server_->address(), peer_server_->address());
+  control_->Start(public_server_->address(), options_.peer_advertise.empty()
+                                                 ? peer_server_->address()
+                                                 : options_.peer_advertise);
   tick_ = loop_->Every(kTickInterval, [this](TimePoint now) { OnTick(now); });
   return Ok();
 }
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -127,6 +127,7 @@
   for (const auto& [host, worker] : core_.workers().workers()) {
     Json item;
     item["host"] = host.str();
+    item["incarnation"] = worker.report.incarnation.str();
     item["rack"] = worker.report.rack.str();
     item["lost"] = worker.lost;
     item["leaving"] = core_.workers().leaving(worker);
--- a/src/fakes/fake_worker.cc
+++ b/src/fakes/fake_worker.cc
@@ -199,6 +199,8 @@
     config_.on_execute(id);
   Task& task = tasks_[id];
   task.report = {id, TeamName(std::move(team)), TaskState::kRunning, declared};
+  if (config_.on_change)
+    config_.on_change(id, task.report.team, true);
   task.lease_until = now + HolderLease(Millis(lease));
   task.body = work.body;
   const bool fail = work.fail || config_.fail_all;
@@ -216,6 +218,8 @@
   Task& task = found->second;
   task.ended = true;
   task.report.state = state;
+  if (config_.on_change)
+    config_.on_change(id, task.report.team, false);
   task.timer.reset();
   if (state == TaskState::kStopped)
     task.body.clear();
@@ -353,6 +357,10 @@
 }
 
 void FakeWorker::Restart() {
+  for (const auto& [id, task] : tasks_) {
+    if (!task.ended && config_.on_change)
+      config_.on_change(id, task.report.team, false);
+  }
   tasks_.clear();
   seen_.clear();
   forbidden_.clear();
--- a/src/fakes/fake_worker.h
+++ b/src/fakes/fake_worker.h
@@ -28,6 +28,8 @@
   bool fail_all = false;  ///< every task fails at once
   /// Called with the task id at the start of each execution.
   std::function<void(const TaskId&)> on_execute;
+  /// Called at the start (true) and the end (false) of each execution.
+  std::function<void(const TaskId&, const TeamName&, bool started)> on_change;
 };
 
 /// \brief Stand-in for a backend server's worker. Payloads are JSON:
--- a/src/fakes/fake_worker_main.cc
+++ b/src/fakes/fake_worker_main.cc
@@ -24,6 +24,8 @@
     workers_.clear();
     if (run_log_ >= 0)
       close(run_log_);
+    if (task_log_ >= 0)
+      close(task_log_);
   }
 
   Status Start(Kernel& kernel) override {
@@ -33,6 +35,11 @@
       if (run_log_ < 0)
         return Fail(ErrorCode::kStorageWrite, "can't open " + path);
     }
+    if (const std::string& path = settings_.text("task-log"); !path.empty()) {
+      task_log_ = open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      if (task_log_ < 0)
+        return Fail(ErrorCode::kStorageWrite, "can't open " + path);
+    }
     for (const std::string& host : settings_.list("hosts"))
       BW_CHECK(StartWorker(kernel.loop(), host));
     return Ok();
@@ -59,6 +66,18 @@
           std::perror("run-log");
       };
     }
+    if (task_log_ >= 0) {
+      config.on_change = [this, host, &loop](const TaskId& task,
+                                             const TeamName& team, bool start) {
+        const auto time =
+            std::chrono::duration_cast<Millis>(loop.now().time_since_epoch());
+        const std::string line = (start ? "start " : "end ") + task.Text() +
+                                 " " + host + " " + team.str() + " " +
+                                 std::to_string(time.count()) + "\n";
+        if (write(task_log_, line.data(), line.size()) < 0)
+          std::perror("task-log");
+      };
+    }
     workers_.push_back(
         std::make_unique<FakeWorker>(loop, *client_, std::move(config)));
     return workers_.back()->Start();
@@ -68,6 +87,7 @@
   std::unique_ptr<HttpClient> client_;
   std::vector<std::unique_ptr<FakeWorker>> workers_;
   int run_log_ = -1;
+  int task_log_ = -1;
 };
 
 int Main(int argc, const char* const* argv) {
@@ -82,7 +102,10 @@
       .Integer("memory-mb", "memory of each host", 32'768, 1, 64L * 1024 * 1024)
       .Integer("heartbeat-ms", "heartbeat interval", 1'000, 10, 60'000)
       .Flag("fail-all", "every task fails at once")
-      .Text("run-log", "file that gets a line for each execution");
+      .Text("run-log", "file that gets a line for each execution")
+      .Text("task-log",
+            "file that gets a line for each start and end, with team and "
+            "monotonic milliseconds");
   std::vector<Error> errors;
   const Settings settings = builder.Parse(argc, argv, &errors);
   if (auto code = HandleStandardSettings(builder, settings, errors))
