Fix three faults found by process tests

Calls that an entry host makes for itself were numbered from 2^63, but a counter in a peer message has 63 bits: peers refused every such call as malformed (BW1008, field "reference") and it timed out. Numbered from 2^62. Ruled out: a wrong sender, since only forwarded calls were refused. 2. A control leader ended with Json::LogicError when an operator sent withdraw_key with both "id" and "ids" where "ids" is no array. Such an operation is refused as invalid_field. 3. The fake worker never posted a kept result again. Kept results are posted again until acknowledged.

--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -84,6 +84,8 @@
   flat.removeMember("type");
   // One id is what an operator withdraws; the log entry can carry several.
   if (type == "withdraw_key" && flat.isMember("id")) {
+    if (flat.isMember("ids"))
+      return Fail(ErrorCode::kInvalidField, "name either \"id\" or \"ids\"");
     flat["ids"].append(flat["id"]);
     flat.removeMember("id");
   }
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -255,7 +255,9 @@
   bool was_fresh_ = false;
   bool dirty_ = true;  ///< something may have become startable
   std::uint64_t next_sequence_ = 1;
-  std::uint64_t next_internal_call_ = std::uint64_t{1} << 63;
+  /// Above the numbers of callers' calls, and within the range of a counter in
+  /// messages (63 bits).
+  std::uint64_t next_internal_call_ = std::uint64_t{1} << 62;
   /// (time, first sequence issued after it), for the age of tickets.
   std::deque<std::pair<TimePoint, std::uint64_t>> sequence_times_;
   std::uint64_t expired_below_ = 0;
--- a/src/fakes/fake_worker.cc
+++ b/src/fakes/fake_worker.cc
@@ -251,14 +251,16 @@
     const auto ended = tasks_.find(id);
     if (ended == tasks_.end())
       return;
-    if (const auto answer = DeliveryOf(result); answer != Delivery::kRetry) {
-      // A kept result goes when a heartbeat answer acknowledges it.
-      if (answer == Delivery::kDone)
-        ForgetEnded(id);
+    const Delivery answer = DeliveryOf(result);
+    if (answer == Delivery::kDone) {
+      ForgetEnded(id);
       return;
     }
+    // A kept result is passed on once and may be lost on the way, so it is
+    // posted again, at the next entry host, until it is acknowledged.
+    const Millis pause = answer == Delivery::kKeep ? kPostRetryMax : delay;
     ended->second.retry =
-        loop_.After(delay, [this, id](TimePoint) { PostResult(id); });
+        loop_.After(pause, [this, id](TimePoint) { PostResult(id); });
   });
 }
 
