--- /dev/null
+++ b/tests/cut_relay.cc
@@ -0,0 +1,144 @@
+#include "cut_relay.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <stdexcept>
+#include <utility>
+#include <vector>
+
+namespace boragewinch {
+
+namespace {
+
+constexpr int kPollMs = 20;  // bound on the delay of a change of mode
+constexpr std::size_t kMaxPendingBytes = 256 * 1024;
+
+[[nodiscard]] sockaddr_in Endpoint(const std::string& address) {
+  sockaddr_in endpoint{};
+  endpoint.sin_family = AF_INET;
+  const auto colon = address.rfind(':');
+  inet_pton(AF_INET, address.substr(0, colon).c_str(), &endpoint.sin_addr);
+  endpoint.sin_port =
+      htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+  return endpoint;
+}
+
+void Prepare(int descriptor) {
+  const int on = 1;
+  setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  fcntl(descriptor, F_SETFL, O_NONBLOCK);
+}
+
+}  // namespace
+
+CutRelay::CutRelay(std::string target) : target_(std::move(target)) {
+  listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  sockaddr_in endpoint = Endpoint("127.0.0.1:0");
+  socklen_t size = sizeof(endpoint);
+  auto* generic = reinterpret_cast<sockaddr*>(&endpoint);
+  if (bind(listener_, generic, size) != 0 || listen(listener_, 512) != 0 ||
+      getsockname(listener_, generic, &size) != 0)
+    throw std::runtime_error("the relay can't listen");
+  address_ = "127.0.0.1:" + std::to_string(ntohs(endpoint.sin_port));
+  thread_ = std::thread([this] { Run(); });
+}
+
+CutRelay::~CutRelay() {
+  stop_ = true;
+  thread_.join();
+  for (const Link& link : links_)
+    Close(link);
+  close(listener_);
+}
+
+void CutRelay::Close(const Link& link) {
+  close(link.up.from);
+  close(link.up.to);
+}
+
+void CutRelay::Accept() {
+  for (;;) {
+    const int caller =
+        accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+    if (caller < 0)
+      return;
+    const int server = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in endpoint = Endpoint(target_);
+    // On loopback a connect succeeds or fails at once.
+    if (mode_ == RelayMode::kCut ||
+        connect(server, reinterpret_cast<const sockaddr*>(&endpoint),
+                sizeof(endpoint)) != 0) {
+      close(caller);
+      close(server);
+      continue;
+    }
+    Prepare(caller);
+    Prepare(server);
+    links_.push_back(
+        Link{{caller, server, {}}, {server, caller, {}}, silenced_});
+  }
+}
+
+bool CutRelay::Pump(Pipe* pipe) {
+  char buffer[64 * 1024];
+  while (pipe->pending.size() < kMaxPendingBytes) {
+    const ssize_t got = read(pipe->from, buffer, sizeof(buffer));
+    if (got == 0 || (got < 0 && errno != EAGAIN))
+      return false;
+    if (got < 0)
+      break;
+    pipe->pending.append(buffer, static_cast<std::size_t>(got));
+  }
+  while (!pipe->pending.empty()) {
+    const ssize_t put = send(pipe->to, pipe->pending.data(),
+                             pipe->pending.size(), MSG_NOSIGNAL);
+    if (put < 0)
+      return errno == EAGAIN;
+    bytes_ += static_cast<std::uint64_t>(put);
+    pipe->pending.erase(0, static_cast<std::size_t>(put));
+  }
+  return true;
+}
+
+void CutRelay::Run() {
+  while (!stop_) {
+    const RelayMode mode = mode_;
+    if (mode == RelayMode::kCut) {
+      for (const Link& link : links_)
+        Close(link);
+      links_.clear();
+    }
+    std::vector<pollfd> polled{{listener_, POLLIN, 0}};
+    if (mode == RelayMode::kForward) {
+      for (const Link& link : links_) {
+        if (link.generation != silenced_)
+          continue;
+        for (const Pipe* pipe : {&link.up, &link.down}) {
+          if (pipe->pending.size() < kMaxPendingBytes)
+            polled.push_back({pipe->from, POLLIN, 0});
+          if (!pipe->pending.empty())
+            polled.push_back({pipe->to, POLLOUT, 0});
+        }
+      }
+    }
+    poll(polled.data(), polled.size(), kPollMs);
+    Accept();
+    if (mode != RelayMode::kForward || mode_ != RelayMode::kForward)
+      continue;
+    for (auto link = links_.begin(); link != links_.end();) {
+      const bool open = link->generation != silenced_ ||
+                        (Pump(&link->up) && Pump(&link->down));
+      if (!open)
+        Close(*link);
+      link = open ? std::next(link) : links_.erase(link);
+    }
+  }
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/tests/cut_relay.h
@@ -0,0 +1,66 @@
+#ifndef BORAGEWINCH_TESTS_CUT_RELAY_H_
+#define BORAGEWINCH_TESTS_CUT_RELAY_H_
+
+#include <atomic>
+#include <cstdint>
+#include <list>
+#include <string>
+#include <thread>
+
+namespace boragewinch {
+
+/// \brief What a relay does with its connections.
+enum class RelayMode {
+  kForward,
+  kCut,    ///< closes every connection, present and new
+  kStall,  ///< keeps connections open and passes nothing, present and new
+};
+
+/// \brief TCP relay on loopback with a thread of its own, for partitions.
+class CutRelay {
+ public:
+  /// \param target "127.0.0.1:port", which need not listen yet.
+  explicit CutRelay(std::string target);
+  CutRelay(const CutRelay&) = delete;
+  CutRelay& operator=(const CutRelay&) = delete;
+  ~CutRelay();
+
+  [[nodiscard]] const std::string& address() const noexcept { return address_; }
+  void SetMode(RelayMode mode) noexcept { mode_ = mode; }
+  /// \brief Connections open now never pass a byte again and stay open; new
+  /// ones work.
+  void SilencePresent() noexcept { ++silenced_; }
+  /// \returns bytes passed in both directions.
+  [[nodiscard]] std::uint64_t bytes() const noexcept { return bytes_; }
+
+ private:
+  struct Pipe {
+    int from = -1;
+    int to = -1;
+    std::string pending;
+  };
+  struct Link {
+    Pipe up;
+    Pipe down;
+    int generation = 0;
+  };
+
+  void Run();
+  void Accept();
+  [[nodiscard]] bool Pump(Pipe* pipe);
+  static void Close(const Link& link);
+
+  std::string target_;
+  std::string address_;
+  int listener_ = -1;
+  std::atomic<RelayMode> mode_{RelayMode::kForward};
+  std::atomic<int> silenced_{0};
+  std::atomic<bool> stop_{false};
+  std::atomic<std::uint64_t> bytes_{0};
+  std::list<Link> links_;
+  std::thread thread_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_TESTS_CUT_RELAY_H_
--- /dev/null
+++ b/tests/process_fleet.cc
@@ -0,0 +1,285 @@
+#include "process_fleet.h"
+
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <random>
+#include <stdexcept>
+
+namespace boragewinch {
+
+namespace {
+
+constexpr char kZoneLetters[] = "0123456789";
+
+// Below the range from which the kernel takes ports for outgoing connections,
+// so a port found free stays free. The start is random: tests may run twice.
+[[nodiscard]] std::string FreeAddress() {
+  static std::uint32_t next = std::random_device()();
+  for (int attempt = 0; attempt < 5'000; ++attempt) {
+    const auto port = static_cast<std::uint16_t>(12'000 + next++ % 20'000);
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in endpoint{};
+    endpoint.sin_family = AF_INET;
+    endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    endpoint.sin_port = htons(port);
+    const bool is_free = bind(probe, reinterpret_cast<sockaddr*>(&endpoint),
+                              sizeof(endpoint)) == 0;
+    close(probe);
+    if (is_free)
+      return "127.0.0.1:" + std::to_string(port);
+  }
+  throw std::runtime_error("no free port");
+}
+
+[[nodiscard]] std::string Joined(const std::vector<std::string>& parts) {
+  std::string text;
+  for (const std::string& part : parts)
+    text += (text.empty() ? "" : ",") + part;
+  return text;
+}
+
+}  // namespace
+
+ProcessFleet::ProcessFleet(FleetShape shape)
+    : key1("k1.secret-of-t1"), key2("k2.secret-of-t2"), shape_(shape) {
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  signal(SIGPIPE, SIG_IGN);
+  std::string name =
+      (std::filesystem::temp_directory_path() / "boragewinch-XXXXXX").string();
+  if (mkdtemp(name.data()) == nullptr)
+    throw std::runtime_error("no temporary folder");
+  folder_ = name;
+  Define("platform",
+         {"fake-platform", "--reboot-ms=" + std::to_string(shape_.reboot_ms)});
+  DefineControl();
+  for (int zone = 1; zone <= shape_.zones; ++zone) {
+    std::vector<std::string> control;
+    for (const char* host : {"c1", "c2", "c3"}) {
+      std::string target = children_.at(host).address;
+      if (shape_.control_relays) {
+        auto& relay = relays_["z" + std::to_string(zone) + "-" + host];
+        relay = std::make_unique<CutRelay>(target);
+        target = relay->address();
+      }
+      control.push_back(target);
+    }
+    DefineZone(zone, Joined(control));
+  }
+  for (const std::string& child : start_order_)
+    Start(child);
+  try {
+    WaitUntilReady();
+  } catch (...) {
+    for (auto& [unused, child] : children_) {
+      if (child.pid > 0) {
+        kill(child.pid, SIGKILL);
+        Reap(&child, true);
+      }
+    }
+    throw;
+  }
+}
+
+ProcessFleet::~ProcessFleet() {
+  for (auto& [name, child] : children_) {
+    if (child.pid > 0)
+      kill(child.pid, SIGKILL);
+  }
+  for (auto& [name, child] : children_) {
+    if (child.pid > 0)
+      Reap(&child, true);
+  }
+  if (std::getenv("PROCESS_FLEET_KEEP") == nullptr)
+    std::filesystem::remove_all(folder_);
+}
+
+void ProcessFleet::Define(const std::string& name,
+                          std::vector<std::string> arguments) {
+  Child& child = children_[name];
+  child.arguments = std::move(arguments);
+  const std::string program = child.arguments.front();
+  if (program != "fake-worker") {
+    child.address = FreeAddress();
+    child.arguments.push_back("--listen=" + child.address);
+  }
+  if (program.starts_with("boraged"))
+    child.arguments.push_back("--name=" + name);
+  start_order_.push_back(name);
+}
+
+void ProcessFleet::DefineControl() {
+  std::vector<std::string> peers;
+  for (const char* name : {"c1", "c2", "c3"}) {
+    std::filesystem::create_directory(data(name));
+    Define(name, {"boraged-control", "--data=" + data(name),
+                  "--platform=" + children_.at("platform").address});
+    std::string target = children_.at(name).address;
+    if (shape_.control_relays) {
+      auto& relay = relays_["raft-" + std::string(name)];
+      relay = std::make_unique<CutRelay>(target);
+      target = relay->address();
+    }
+    peers.push_back(std::string(name) + "=" + target);
+  }
+  for (const char* name : {"c1", "c2", "c3"})
+    children_.at(name).arguments.push_back("--peers=" + Joined(peers));
+}
+
+void ProcessFleet::DefineZone(int zone, const std::string& control) {
+  const std::string number(1, kZoneLetters[zone]);
+  std::vector<std::string> for_workers;
+  for (int i = 1; i <= shape_.entries; ++i) {
+    const std::string name = "e" + number + std::to_string(i);
+    const std::string peer = FreeAddress();
+    Define(name, {"boraged-entry", "--zone=z" + number, "--control=" + control,
+                  "--peer-listen=" + peer});
+    Child& child = children_.at(name);
+    child.peer_address = peer;
+    if (shape_.peer_relays) {
+      auto& relay = relays_["peer-" + name];
+      relay = std::make_unique<CutRelay>(peer);
+      child.arguments.push_back("--peer-advertise=" + relay->address());
+    }
+    for_workers.push_back(child.address);
+    if (shape_.worker_relays) {
+      auto& relay = relays_["workers-" + name];
+      relay = std::make_unique<CutRelay>(child.address);
+      for_workers.back() = relay->address();
+    }
+    entry_names_.push_back(name);
+  }
+  DefineWorkers(zone, Joined(for_workers));
+}
+
+void ProcessFleet::DefineWorkers(int zone, const std::string& entries) {
+  const std::string number(1, kZoneLetters[zone]);
+  std::map<std::string, std::vector<std::string>> processes;
+  for (int i = 0; i < shape_.hosts; ++i) {
+    const std::string rack = "r" + std::to_string(i / 4 + 1);
+    processes["w" + number + (shape_.worker_process_per_rack ? rack : "")]
+        .push_back("z" + number + "-" + rack + "-h" +
+                   std::to_string(i % 4 + 1));
+  }
+  for (const auto& [name, hosts] : processes) {
+    Define(name, {"fake-worker", "--zone=z" + number, "--entries=" + entries,
+                  "--hosts=" + Joined(hosts),
+                  "--platform=" + children_.at("platform").address,
+                  "--task-log=" + folder_ + "/tasks.log"});
+  }
+}
+
+void ProcessFleet::AddWorker(const std::string& name,
+                             const std::string& host,
+                             const std::string& entry) {
+  Define(name,
+         {"fake-worker", "--zone=z1", "--entries=" + entry, "--hosts=" + host});
+  Start(name);
+}
+
+void ProcessFleet::Start(const std::string& name) {
+  Child& child = children_.at(name);
+  std::vector<std::string> arguments = child.arguments;
+  arguments.front() = std::string(BORAGEWINCH_BIN) + "/" + arguments.front();
+  std::vector<char*> pointers;
+  for (std::string& argument : arguments)
+    pointers.push_back(argument.data());
+  pointers.push_back(nullptr);
+  const std::string log = folder_ + "/" + name + ".log";
+  setenv("BORAGEWINCH_CLUSTER_SECRET", kTestClusterSecret, 1);
+  setenv("BORAGEWINCH_OPERATOR_SECRET", kTestOperatorSecret, 1);
+  const pid_t pid = fork();
+  if (pid < 0)
+    throw std::runtime_error("can't start " + name);
+  if (pid == 0) {
+    // A child must not outlive a test that is ended from outside.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    dup2(output, STDOUT_FILENO);
+    dup2(output, STDERR_FILENO);
+    signal(SIGPIPE, SIG_DFL);
+    execv(pointers.front(), pointers.data());
+    _exit(127);
+  }
+  child.pid = pid;
+  child.exit_code = -1'000;
+}
+
+void ProcessFleet::Reap(Child* child, bool wait) {
+  int status = 0;
+  if (child->pid > 0 &&
+      waitpid(child->pid, &status, wait ? 0 : WNOHANG) == child->pid) {
+    child->pid = 0;
+    child->exit_code =
+        WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+  }
+}
+
+void ProcessFleet::Signal(const std::string& name, int signal_number) {
+  if (const Child& child = children_.at(name); child.pid > 0)
+    kill(child.pid, signal_number);
+}
+
+void ProcessFleet::Kill(const std::string& name) {
+  Signal(name, SIGKILL);
+  Reap(&children_.at(name), true);
+}
+
+int ProcessFleet::WaitExit(const std::string& name, Millis limit) {
+  Child& child = children_.at(name);
+  (void)Eventually(limit, [&] {
+    Reap(&child, false);
+    return child.pid == 0;
+  });
+  return child.exit_code;
+}
+
+bool ProcessFleet::Runs(const std::string& name) {
+  Child& child = children_.at(name);
+  Reap(&child, false);
+  return child.pid > 0;
+}
+
+pid_t ProcessFleet::pid(const std::string& name) const {
+  return children_.at(name).pid;
+}
+
+const std::string& ProcessFleet::address(const std::string& name) const {
+  return children_.at(name).address;
+}
+
+const std::string& ProcessFleet::peer_address(const std::string& name) const {
+  return children_.at(name).peer_address;
+}
+
+std::string ProcessFleet::data(const std::string& control) const {
+  return folder_ + "/" + control;
+}
+
+std::vector<std::string> ProcessFleet::entries() const {
+  std::vector<std::string> all;
+  for (const std::string& name : entry_names_)
+    all.push_back(address(name));
+  return all;
+}
+
+CutRelay& ProcessFleet::relay(const std::string& name) {
+  return *relays_.at(name);
+}
+
+std::uint64_t ProcessFleet::RelayBytes(const std::string& prefix) const {
+  std::uint64_t sum = 0;
+  for (const auto& [name, relay] : relays_)
+    sum += name.starts_with(prefix) ? relay->bytes() : 0;
+  return sum;
+}
+
+}  // namespace boragewinch
--- /dev/null
+++ b/tests/process_fleet.h
@@ -0,0 +1,188 @@
+#ifndef BORAGEWINCH_TESTS_PROCESS_FLEET_H_
+#define BORAGEWINCH_TESTS_PROCESS_FLEET_H_
+
+#include <sys/types.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "base/json.h"
+#include "base/time.h"
+#include "cut_relay.h"
+#include "fakes/load_generator.h"
+
+namespace boragewinch {
+
+inline constexpr char kTestOperatorSecret[] = "test-operator";
+inline constexpr char kTestClusterSecret[] = "test-cluster";
+
+/// \brief Answer to a blocking call; status 0 if there was none.
+struct Reply {
+  int status = 0;
+  std::string body;
+  [[nodiscard]] Json json() const;
+};
+
+/// \brief Sends one HTTP request and waits for its answer.
+[[nodiscard]] Reply Http(const std::string& method,
+                         const std::string& url,
+                         const std::map<std::string, std::string>& headers = {},
+                         const std::string& body = "",
+                         Millis timeout = Millis(3'000));
+
+/// \brief Polls `holds` until it is true or `limit` is over.
+/// \returns whether it became true.
+[[nodiscard]] bool Eventually(Millis limit, const std::function<bool()>& holds);
+
+[[nodiscard]] TimePoint MonotonicNow();
+
+/// \brief Which processes a fleet has.
+struct FleetShape {
+  int zones = 1;
+  int entries = 2;  ///< in each zone
+  int hosts = 8;    ///< in each zone, four to a rack
+  int min_available = 0;
+  int limit = 500;  ///< upper limit of team t1; t2 has 500
+  int reboot_ms = 300;
+  bool worker_process_per_rack = false;
+  /// From each zone to each control host, and between control hosts.
+  bool control_relays = false;
+  bool worker_relays = false;  ///< from workers to each entry host
+  bool peer_relays = false;    ///< from all processes to each entry host
+};
+
+/// \brief The real binaries on loopback, in a temporary folder. Control hosts
+/// are c1..c3, entry hosts e11, e12, e21 (zone, number), worker processes w1
+/// (zone) or w1r1 (zone, rack), hosts z1-r1-h1. Pool "main" has all hosts,
+/// queues "open" (team t1, open), "q1" (t1) and "q2" (t2).
+class ProcessFleet {
+ public:
+  explicit ProcessFleet(FleetShape shape);
+  ProcessFleet(const ProcessFleet&) = delete;
+  ProcessFleet& operator=(const ProcessFleet&) = delete;
+  /// Ends the children and removes the folder.
+  ~ProcessFleet();
+
+  /// \brief Starts one more worker, which reports to `entry` only.
+  void AddWorker(const std::string& name,
+                 const std::string& host,
+                 const std::string& entry);
+  /// \brief Starts a child again with its own arguments.
+  void Start(const std::string& name);
+  void Signal(const std::string& name, int signal_number);
+  /// \brief SIGKILL, then waits for the end.
+  void Kill(const std::string& name);
+  /// \returns the exit code, -signal, or -1000 if it runs on.
+  [[nodiscard]] int WaitExit(const std::string& name, Millis limit);
+  [[nodiscard]] bool Runs(const std::string& name);
+  [[nodiscard]] pid_t pid(const std::string& name) const;
+
+  [[nodiscard]] const std::string& address(const std::string& name) const;
+  /// \returns the address for other processes of an entry host.
+  [[nodiscard]] const std::string& peer_address(const std::string& name) const;
+  [[nodiscard]] std::string data(const std::string& control) const;
+  [[nodiscard]] const std::string& folder() const noexcept { return folder_; }
+  [[nodiscard]] std::vector<std::string> entries() const;
+  [[nodiscard]] const std::vector<std::string>& entry_names() const {
+    return entry_names_;
+  }
+  [[nodiscard]] CutRelay& relay(const std::string& name);
+  /// \returns bytes through the relays whose name begins with `prefix`.
+  [[nodiscard]] std::uint64_t RelayBytes(const std::string& prefix) const;
+
+  [[nodiscard]] Reply Operator(const std::string& name,
+                               const std::string& method,
+                               const std::string& path,
+                               const Json& body = Json());
+  /// \brief Like Operator, at whichever control host answers.
+  [[nodiscard]] Reply Control(const std::string& method,
+                              const std::string& path,
+                              const Json& body = Json());
+  [[nodiscard]] Json Status(const std::string& name);
+  [[nodiscard]] std::string Leader();
+  [[nodiscard]] std::int64_t Version();
+  [[nodiscard]] static Json Operation(const std::string& id,
+                                      std::int64_t version,
+                                      const Json& command);
+  [[nodiscard]] std::string SheetText(int limit) const;
+  [[nodiscard]] Reply ApplySheet(int limit, bool allow_lowering);
+  /// \returns the new key of `team`, in force at every running entry host.
+  [[nodiscard]] std::string CreateKey(const std::string& id,
+                                      const std::string& team);
+  [[nodiscard]] bool InForce(std::int64_t version, Millis limit);
+
+  [[nodiscard]] static Json Spec(const std::string& queue,
+                                 int run_ms,
+                                 bool repeatable);
+  [[nodiscard]] std::string Ticket(const std::string& entry);
+  [[nodiscard]] Reply Put(const std::string& entry,
+                          const std::string& ticket,
+                          const Json& spec,
+                          const std::string& key = "");
+  [[nodiscard]] Reply Job(const std::string& entry,
+                          const std::string& ticket,
+                          const std::string& key = "");
+  /// \brief Submits to `queue` at `entry` and waits for the end.
+  [[nodiscard]] std::string RunJob(const std::string& entry,
+                                   const std::string& queue = "open",
+                                   const std::string& key = "");
+  [[nodiscard]] LoadConfig Load(std::int64_t jobs) const;
+
+  /// \returns executions by request id, from the workers' log.
+  [[nodiscard]] std::map<std::string, int> Executions() const;
+  /// \returns executions on one host.
+  [[nodiscard]] int ExecutionsOn(const std::string& host) const;
+  /// \returns the highest number of tasks of `team` that ran at one time.
+  [[nodiscard]] int PeakRunning(const std::string& team) const;
+  /// \returns violated invariants of all running processes, as text.
+  [[nodiscard]] std::string Violations();
+
+  const std::string key1;  ///< of team t1
+  const std::string key2;  ///< of team t2
+
+ private:
+  struct Child {
+    std::vector<std::string> arguments;
+    std::string address;
+    std::string peer_address;
+    pid_t pid = 0;
+    int exit_code = -1'000;
+  };
+
+  void Define(const std::string& name, std::vector<std::string> arguments);
+  void DefineControl();
+  void DefineZone(int zone, const std::string& control);
+  void DefineWorkers(int zone, const std::string& entries);
+  void WaitUntilReady();
+  void Reap(Child* child, bool wait);
+
+  FleetShape shape_;
+  std::string folder_;
+  std::map<std::string, Child> children_;
+  std::vector<std::string> start_order_;
+  std::vector<std::string> entry_names_;
+  std::map<std::string, std::unique_ptr<CutRelay>> relays_;
+};
+
+/// \brief A load generator on a thread of its own.
+class BackgroundLoad {
+ public:
+  explicit BackgroundLoad(LoadConfig config);
+  ~BackgroundLoad();
+  /// \returns the report when every job has its answer.
+  [[nodiscard]] const LoadReport& Wait();
+
+ private:
+  LoadConfig config_;
+  LoadReport report_;
+  std::thread thread_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_TESTS_PROCESS_FLEET_H_
