--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -265,6 +265,8 @@
   bool released_ = false;  ///< no peer relies on a copy here
   bool dirty_ = true;      ///< something may have become startable
   std::uint64_t next_sequence_ = 1;
+  /// Above the numbers of callers' calls, and within the range of a counter in
+  /// messages (63 bits).
   std::uint64_t next_internal_call_ = std::uint64_t{1} << 62;
   /// (time, first sequence issued after it), for the age of tickets.
   std::deque<std::pair<TimePoint, std::uint64_t>> sequence_times_;
--- a/src/fakes/fake_worker.cc
+++ b/src/fakes/fake_worker.cc
@@ -45,7 +45,7 @@
   return {200, WriteJson(json)};
 }
 
-enum class Delivery { kDone, kRetry };
+enum class Delivery { kDone, kKeep, kRetry };
 
 // A refusal is final, unless the body was torn on the way (400).
 [[nodiscard]] Delivery DeliveryOf(const Result<HttpResponse>& result) {
@@ -59,7 +59,7 @@
     return Delivery::kRetry;
   return ValueOr(BoolFieldOr(json.value(), "acknowledged", false), false)
              ? Delivery::kDone
-             : Delivery::kRetry;
+             : Delivery::kKeep;
 }
 
 [[nodiscard]] std::vector<TaskId> TaskList(const Json& array) {
@@ -202,6 +202,8 @@
     config_.on_execute(id);
   Task& task = tasks_[id];
   task.report = {id, TeamName(std::move(team)), TaskState::kRunning, declared};
+  if (config_.on_change)
+    config_.on_change(id, task.report.team, true);
   task.lease_until = now + HolderLease(Millis(lease));
   task.body = work.body;
   const bool fail = work.fail || config_.fail_all;
@@ -219,6 +221,8 @@
   Task& task = found->second;
   task.ended = true;
   task.report.state = state;
+  if (config_.on_change)
+    config_.on_change(id, task.report.team, false);
   task.timer.reset();
   if (state == TaskState::kStopped)
     task.body.clear();
@@ -258,15 +262,16 @@
     const auto ended = tasks_.find(id);
     if (ended == tasks_.end())
       return;
-    if (DeliveryOf(result) == Delivery::kDone) {
+    const Delivery answer = DeliveryOf(result);
+    if (answer == Delivery::kDone) {
       ForgetEnded(id);
       return;
     }
-    // A kept result goes when a heartbeat answer acknowledges it; until then
-    // it is posted again, since the entry host's message to the request's
-    // owner may be lost.
+    // A kept result is passed on once and may be lost on the way, so it is
+    // posted again, at the next entry host, until it is acknowledged.
+    const Millis pause = answer == Delivery::kKeep ? kPostRetryMax : delay;
     ended->second.retry =
-        loop_.After(delay, [this, id](TimePoint) { PostResult(id); });
+        loop_.After(pause, [this, id](TimePoint) { PostResult(id); });
   });
 }
 
@@ -365,6 +370,10 @@
 }
 
 void FakeWorker::Restart() {
+  for (const auto& [id, task] : tasks_) {
+    if (!task.ended && config_.on_change)
+      config_.on_change(id, task.report.team, false);
+  }
   tasks_.clear();
   seen_.clear();
   forbidden_.clear();
