--- a/tests/raft_random_test.cc
+++ b/tests/raft_random_test.cc
@@ -73,8 +73,11 @@
         Repair();
       CheckReads();
       for (const auto& host : cluster_.hosts) {
-        if (host->replica && host->disk.dies_after == 0)
+        const bool restart = restart_.erase(host->name) > 0;
+        if (host->replica && (restart || host->disk.dies_after == 0))
           Crash(*host);
+        if (restart && !host->replica)
+          Start(*host);
       }
     }
     if (faults.empty())
@@ -92,6 +95,11 @@
   std::vector<Millis> Deliver(const Cluster::Sent& sent) {
     if (healed_)
       return {Millis(1 + Pick(3))};
+    // The time right after a vote is when a forgotten one does harm.
+    if (sent.message.kind == MessageKind::kVoteReply && sent.message.granted &&
+        Pick(4) == 0) {
+      restart_.insert(sent.from_host);
+    }
     if (cut_.count({sent.from_host, sent.to_host}) > 0 || Pick(100) < loss_)
       return {};
     std::vector<Millis> times;
@@ -345,6 +353,7 @@
   Cluster cluster_;
   Totals* totals_;
   std::set<std::pair<std::string, std::string>> cut_;
+  std::set<std::string> restart_;
   std::uint64_t loss_ = 5;
   bool healed_ = false;
   std::size_t losses_ = 0;
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -181,11 +181,52 @@
   BOOST_TEST(!node.ConfirmedAt(now));
   // A change of members waits for this term's first commit, too.
   const auto change = node.Change(MemberChange::kRemove, other, now);
+  BOOST_REQUIRE(!change);
   BOOST_TEST((change.error().code == ErrorCode::kUnavailable));
   answer(MessageKind::kAppendReply, 4, 2);
   BOOST_TEST(node.commit_index() == 2);
 }
 
+struct Ballot {
+  const char* self;
+  std::uint64_t config_index;
+  bool granted;
+};
+std::ostream& operator<<(std::ostream& out, const Ballot& ballot) {
+  return out << ballot.self << " " << ballot.config_index;
+}
+constexpr Ballot kBallots[] = {
+    {"voter.1", 5, true},
+    {"learner.1", 5, false},
+    {"learner.1", 6, true},  // promoted by an entry that it has not received
+};
+
+// Guards against a vote of a learner that no membership entry made a voter.
+BOOST_DATA_TEST_CASE(LearnersDoNotVote, kBallots, ballot) {
+  Snapshot snapshot;
+  snapshot.index = 5;
+  snapshot.configuration.voters = {ReplicaId("a.1"), ReplicaId("voter.1")};
+  snapshot.configuration.learners = {ReplicaId("learner.1")};
+  NodeState state;
+  state.snapshot = std::make_shared<const Snapshot>(snapshot);
+  const TimePoint now{Millis(0)};
+  Node node(
+      ReplicaId(ballot.self), {}, [] { return 0; }, state, now);
+  Message vote;
+  vote.from = ReplicaId("a.1");
+  vote.term = 9;
+  vote.index = 9;
+  vote.log_term = 8;
+  vote.config_index = ballot.config_index;
+  for (const auto kind : {MessageKind::kPreVote, MessageKind::kVote}) {
+    vote.kind = kind;
+    node.Step(vote, now);
+    const Actions actions = node.TakeActions();
+    BOOST_REQUIRE(actions.messages.size() == 1);
+    BOOST_TEST(actions.messages[0].granted == ballot.granted);
+  }
+}
+
 struct Takeover {
   const char* name;
   std::uint64_t prev_index;
@@ -342,6 +383,37 @@
   cluster.Settle();
 }
 
+// Guards against messages of an earlier start, of an old copy of a data folder,
+// of another cluster or for an earlier replica of this host.
+BOOST_AUTO_TEST_CASE(StaleAndForeignMessagesAreRefused) {
+  Formed cluster(3);
+  Replica& replica = *cluster.hosts[0]->replica;
+  Message good;
+  good.kind = MessageKind::kVoteReply;
+  good.cluster = replica.cluster();
+  good.from = cluster.hosts[1]->replica->id();
+  good.to = replica.id();
+  good.boots = 7;
+  good.session = "a";
+  const auto code = [&](const Message& message) {
+    const Status status = replica.Receive(message, cluster.now);
+    return std::string(status ? "ok" : kErrorCodes.Name(status.error().code));
+  };
+  BOOST_TEST(code(good) == "ok");
+  Message bad = good;
+  bad.boots = 6;
+  BOOST_TEST(code(bad) == "fenced");
+  bad = good;
+  bad.session = "b";
+  BOOST_TEST(code(bad) == "fenced");
+  bad = good;
+  bad.cluster = "other";
+  BOOST_TEST(code(bad) == "conflict");
+  bad = good;
+  bad.to = ReplicaId("h0.0");
+  BOOST_TEST(code(bad) == "conflict");
+}
+
 // Guards against two changes of members at a time, whose majorities need not
 // overlap, and against changes that make no sense.
 BOOST_AUTO_TEST_CASE(MembersChangeOneAtATime) {
@@ -459,8 +531,9 @@
     ReplicaOptions options = cluster.options;
     options.host = host.name;
     Replica second(host.disk.Hooks(), options, {}, [] { return 1; });
-    BOOST_TEST(kErrorCodes.Name(second.Start(cluster.now).error().code) ==
-               missing.expected);
+    const Status started = second.Start(cluster.now);
+    BOOST_REQUIRE(!started);
+    BOOST_TEST(kErrorCodes.Name(started.error().code) == missing.expected);
     return;
   }
   cluster.Crash(host);
