--- a/src/entry/entry_forward.cc
+++ b/src/entry/entry_forward.cc
@@ -256,6 +256,9 @@
     static_cast<void>(HandleResult(std::move(result->result), false, now));
   } else if (auto* leave = std::get_if<PeerLeave>(&message.body)) {
     workers_.MarkLeaving(leave->worker);
+  } else if (auto* alive = std::get_if<PeerGossipAnswer>(&message.body);
+             alive != nullptr && for_this && !current) {
+    peers_.Confirm(from, message.from, alive->sequence);
   } else if (!for_this || !current) {
     // Replication concerns exactly the two incarnations named.
   } else if (auto* answer = std::get_if<PeerGossipAnswer>(&message.body)) {
--- a/src/entry/entry_replication.cc
+++ b/src/entry/entry_replication.cc
@@ -461,8 +461,29 @@
                               TimePoint now) {
   const auto& gossip = std::get<PeerGossip>(message.body);
   std::optional<PeerReplaced> replaced;
-  if (peers_.Gossip(from, message.from, gossip, now, &replaced) ==
-      PeerContact::kStale) {
+  const PeerContact contact =
+      peers_.Gossip(from, message.from, gossip, now, &replaced);
+  const bool for_this = message.to.empty() || message.to == config_.incarnation;
+  if (contact == PeerContact::kCandidate) {
+    // An answer may take long, so a challenge is not replaced at once.
+    constexpr Millis kChallengeTime{2'000};
+    Peer& peer = *peers_.Find(from);
+    if (peer.candidate != message.from ||
+        now - peer.challenged_at >= kChallengeTime) {
+      PeerGossip challenge;
+      challenge.sequence = peer.next_sequence++;
+      challenge.uptime = std::chrono::duration_cast<Millis>(now - started_);
+      peers_.Challenged(from, message.from, challenge.sequence, now);
+      Emit(SendPeer{from,
+                    PeerMessage{config_.incarnation, message.from, challenge}});
+    }
+  }
+  if (contact != PeerContact::kCurrent) {
+    // The sender may be challenging this incarnation in turn.
+    if (for_this && contact == PeerContact::kCandidate) {
+      Emit(SendPeer{from, PeerMessage{config_.incarnation, message.from,
+                                      PeerGossipAnswer{gossip.sequence}}});
+    }
     return;
   }
   if (replaced)
@@ -471,7 +492,8 @@
     ring_.Withdraw(key);
   for (const LeavingWorker& worker : gossip.leaving)
     workers_.MarkLeaving(worker);
-  SendTo(from, PeerGossipAnswer{gossip.sequence});
+  if (for_this)
+    SendTo(from, PeerGossipAnswer{gossip.sequence});
   const Peer& peer = *peers_.Find(from);
   if (message.to == config_.incarnation && peer.fenced_epoch &&
       gossip.epoch <= *peer.fenced_epoch) {
--- a/src/entry/peer_table.cc
+++ b/src/entry/peer_table.cc
@@ -57,10 +57,11 @@
   Peer& peer = found->second;
   const TimePoint started = now - gossip.uptime;
   if (peer.incarnation != incarnation) {
-    // A delayed message of an ended incarnation must not replace a newer one.
-    if (peer.superseded.contains(incarnation) ||
-        (!peer.incarnation.empty() && started < peer.started)) {
+    if (peer.superseded.contains(incarnation))
       return PeerContact::kStale;
+    if (!peer.incarnation.empty() &&
+        (peer.candidate != incarnation || !peer.confirmed)) {
+      return PeerContact::kCandidate;
     }
     if (!peer.incarnation.empty()) {
       // The old incarnation fences after kOwnerSilence without this process;
@@ -73,6 +74,8 @@
       peer.superseded.insert(peer.incarnation);
     }
     peer.incarnation = incarnation;
+    peer.candidate = Incarnation();
+    peer.confirmed = false;
     peer.started = started;
     peer.answered.reset();
     peer.sent.clear();
@@ -89,6 +92,27 @@
   return PeerContact::kCurrent;
 }
 
+void PeerTable::Challenged(const EntryName& name,
+                           const Incarnation& incarnation,
+                           std::uint64_t sequence,
+                           TimePoint now) {
+  if (Peer* peer = Find(name); peer != nullptr) {
+    peer->challenged_at = now;
+    peer->candidate = incarnation;
+    peer->challenge = sequence;
+    peer->confirmed = false;
+  }
+}
+
+void PeerTable::Confirm(const EntryName& name,
+                        const Incarnation& incarnation,
+                        std::uint64_t sequence) {
+  if (Peer* peer = Find(name);
+      peer != nullptr && peer->candidate == incarnation) {
+    peer->confirmed = peer->confirmed || peer->challenge == sequence;
+  }
+}
+
 PeerContact PeerTable::Heard(const EntryName& name,
                              const Incarnation& incarnation,
                              TimePoint now) {
--- a/src/entry/peer_table.h
+++ b/src/entry/peer_table.h
@@ -30,6 +30,11 @@
   std::optional<std::uint64_t> fenced_epoch;  ///< of the peer, by this process
   TimePoint fenced_at;
   std::optional<std::uint64_t> released_epoch;  ///< copies dropped at a stop
+  /// Incarnation that gossip named and that has to prove that it lives.
+  Incarnation candidate;
+  std::uint64_t challenge = 0;  ///< sequence of the gossip sent to it
+  TimePoint challenged_at;
+  bool confirmed = false;  ///< it has answered the challenge
   std::set<Incarnation> superseded;
   PeerGossip gossip;  ///< newest
 };
@@ -41,7 +46,7 @@
   bool may_have_fenced = true;
 };
 
-enum class PeerContact { kCurrent, kStale };
+enum class PeerContact { kCurrent, kStale, kCandidate };
 
 /// \brief Entry hosts of all zones. Those of the own zone exchange gossip.
 class PeerTable {
@@ -51,12 +56,25 @@
 
   void Update(const std::vector<EntryHost>& entries, TimePoint now);
   /// \brief Takes a gossip of `name`; unknown senders are zone peers.
+  /// A different incarnation is taken only after it has answered a gossip that
+  /// was addressed to it: a message that was held back for long may be of an
+  /// incarnation that ended before the present one began.
+  /// \returns kCandidate if the sender has to be challenged.
   /// \param replaced set when a newer incarnation replaced a known one.
   [[nodiscard]] PeerContact Gossip(const EntryName& name,
                                    const Incarnation& incarnation,
                                    const PeerGossip& gossip,
                                    TimePoint now,
                                    std::optional<PeerReplaced>* replaced);
+  /// \brief Notes the challenge sent to the candidate.
+  void Challenged(const EntryName& name,
+                  const Incarnation& incarnation,
+                  std::uint64_t sequence,
+                  TimePoint now);
+  /// \brief Takes the answer of an incarnation that is not the present one.
+  void Confirm(const EntryName& name,
+               const Incarnation& incarnation,
+               std::uint64_t sequence);
   /// \brief Counts any other message of the current incarnation as a sign of
   /// life.
   [[nodiscard]] PeerContact Heard(const EntryName& name,
--- a/tests/request_replication_test.cc
+++ b/tests/request_replication_test.cc
@@ -233,6 +233,28 @@
   }
 }
 
+// Guards I6 and I7 (random seed 10679): a gossip that was held back for long
+// must not pass for a new incarnation of its sender.
+BOOST_AUTO_TEST_CASE(HeldBackGossipDoesNotReplaceAnIncarnation) {
+  World world(2, 0, 1);
+  world.Run(Millis(3'000));
+  const CallId submit = world.Submit(0, world.Job(false));
+  world.Run(Millis(500));
+  world.cores[0]->OnPeerMessage(
+      EntryName("e1"),
+      PeerMessage{Incarnation("ended"), world.incarnations[0], PeerGossip{}},
+      world.now);
+  world.Apply(0);
+  world.Run(Millis(1'000));
+  BOOST_TEST((world.cores[0]->peers().Find(EntryName("e1"))->incarnation ==
+              world.incarnations[1]));
+  BOOST_TEST(world.cores[0]
+                 ->requests()
+                 .records()
+                 .at(world.answer(submit)->request)
+                 .copy.has_value());
+}
+
 struct BadResult {
   const char* name;
   const char* expected;
