Keep the control leader alive when an entry host reports a withdrawal

SubmitOnce("withdraw " + body.ids.front().str(), std::move(body)): the arguments are evaluated in any order, and gcc moves the body first, so front() read an empty list and the leader ended with SIGSEGV. Each next leader got the same report and ended as well; keyed work then stopped everywhere. Ruled out: a lost tombstone (the report had it) and a busy loop (gdb showed the processes gone). The key of a reclaim had the same order and lost the name of the entry host, so two reclaims at a time shared one key.

--- a/src/control/leader_duties.cc
+++ b/src/control/leader_duties.cc
@@ -103,8 +103,11 @@
     if (!known.contains(key))
       body.ids.push_back(key);
   }
-  if (!body.ids.empty())
-    SubmitOnce("withdraw " + body.ids.front().str(), std::move(body));
+  if (body.ids.empty())
+    return;
+  // Arguments are evaluated in any order, so the key is made before the move.
+  const std::string key = "withdraw " + body.ids.front().str();
+  SubmitOnce(key, std::move(body));
 }
 
 void LeaderDuties::RetireStopped(const SyncReport& report) {
@@ -160,7 +163,8 @@
     LogEvent(EventId::kEntryLost,
              {{"entry", reclaim.run.entry.str()},
               {"incarnation", reclaim.run.incarnation.str()}});
-    SubmitOnce("reclaim " + reclaim.run.entry.str(), std::move(reclaim));
+    const std::string key = "reclaim " + reclaim.run.entry.str();
+    SubmitOnce(key, std::move(reclaim));
   }
 }
 
