Try a busy worker again soon, but a leaving one only after its next report

The pause after a busy answer was cleared at once, since the task's release came after it; and a worker that refused because it had been replaced was tried again under its old incarnation (RefusalOfAnotherIncarnationProvesNothing failed: unknown instead of finished).

--- a/src/entry/entry_dispatch.cc
+++ b/src/entry/entry_dispatch.cc
@@ -180,7 +180,8 @@
       if (task.task == record.task())
         task.state = TaskState::kFinished;
     }
-    worker->full_until = TimePoint();
+    if (worker->full_until != TimePoint::max())
+      worker->full_until = TimePoint();
   }
   dirty_ = true;
 }
@@ -260,9 +261,14 @@
       break;
     case StartAnswer::kBusy:
     case StartAnswer::kLeaving:
-      if (worker != nullptr)
-        worker->full_until = now + kBusyPause;
       NotRun(record, now);
+      // A busy worker may be free soon. One that leaves, or has been replaced,
+      // says more in its next report.
+      if (worker != nullptr) {
+        worker->full_until = reply.value().answer == StartAnswer::kBusy
+                                 ? now + kBusyPause
+                                 : TimePoint::max();
+      }
       break;
   }
   Leave(now);
--- a/src/entry/worker_table.h
+++ b/src/entry/worker_table.h
@@ -19,7 +19,8 @@
   WorkerReport report;
   TimePoint heard;
   bool lost = false;
-  TimePoint full_until;              ///< answered `busy` a moment ago
+  /// Refused a start: not tried again before this; max until its next report.
+  TimePoint full_until;
   std::uint32_t start_failures = 0;  ///< in a row
   TimePoint set_aside_until;
   std::map<TaskId, Resources> own_tasks;  ///< started by this process
