Count tasks that a new run took over from its own old run

A peer that takes over the tasks of a lost run may be lost itself, and its backup may be the successor of the first run. Now every registered entry host of the zone must report, the successor too.

The fixture of ledger_test let the successor claim the same tasks as the peer; it reports take-overs only where the test is about them.

--- a/src/fleet/reclaim_planner.cc
+++ b/src/fleet/reclaim_planner.cc
@@ -64,7 +64,9 @@
   for (const auto& [run, record] : ledger.reserved) {
     if (!ZoneSettled(ledger, record.zone, now))
       continue;
-    if (const auto peers = ZoneReports(ledger, record.zone, run.entry, now))
+    // The new run of the same entry host counts too: it may have taken over
+    // tasks of its own old run from a peer.
+    if (const auto peers = ZoneReports(ledger, record.zone, EntryName(), now))
       reclaims.push_back(Reclaim(run, record.allotment, *peers));
   }
   for (const auto& [name, entry] : ledger.entries) {
--- a/tests/ledger_test.cc
+++ b/tests/ledger_test.cc
@@ -214,7 +214,8 @@
       now += Millis(1'000);
       for (const EntryRun& run : alive) {
         EntryReport report{run};
-        report.silent_peers = {silent};
+        if (run.entry != silent.run.entry || successor_reports)
+          report.silent_peers = {silent};
         const auto decoded = EntryReportFromJson(ToJson(report));
         BOOST_REQUIRE(decoded);
         planner.Observe(decoded.value(), now);
@@ -230,6 +231,8 @@
   TimePoint now = FromMillis(1'000'000);
   ReclaimPlanner planner{now};
   std::vector<ReclaimEntry> last;
+  /// Whether a new run reports take-overs from its own old run.
+  bool successor_reports = false;
 };
 
 constexpr Millis kLong{600'000};
@@ -261,6 +264,20 @@
   BOOST_TEST(zone.Pass(100, {new_run}, {zone.a}) == 0);
 }
 
+// Guards against tasks of an old run that its own successor has taken over from
+// a peer being left out (found by fleet_random_test, seed 1056).
+BOOST_AUTO_TEST_CASE(SuccessorMayHaveTakenOverTasksOfItsOldRun) {
+  Zone zone;
+  const auto new_run = Run("a", "2");
+  zone.Register(new_run);
+  zone.successor_reports = true;
+  const SilentRun silent{zone.a, kLong, true, {{kTeam, 2}}};
+  BOOST_TEST(zone.Pass(100, {zone.b}, silent) == 0);
+  BOOST_TEST(zone.Pass(1, {new_run, zone.b}, silent) == 1);
+  BOOST_REQUIRE(zone.last.at(0).transfers.size() == 2);
+  BOOST_TEST((zone.last[0].transfers[0].to == new_run));
+}
+
 // Guards against a peer's restart hiding the tasks that it had taken over.
 BOOST_AUTO_TEST_CASE(RestartOfAPeerRestartsTheWait) {
   Zone zone;
