Model that only the leader's answer ends an isolation

The allotment world let a run go on as soon as any peer answered. Entry hosts must stay stopped after kIsolationBound until the control leader has answered; the world follows that rule now, and its check is unchanged.

--- a/tests/fleet_random_test.cc
+++ b/tests/fleet_random_test.cc
@@ -429,6 +429,9 @@
     EntryRun run;
     bool alive = false;
     bool cut = false;  ///< neither peers nor leader are reachable
+    /// Was isolated. Only the leader's answer ends this: a peer that restarted
+    /// since does not know that this run has been fenced and reclaimed.
+    bool stopped = false;
     TimePoint answered;
     std::uint64_t version = 0;
     std::int64_t allotment = 0;
@@ -555,6 +558,7 @@
       entry = state_.ledger().entries.find(proc->name);
     }
     proc->answered = now_;
+    proc->stopped = false;
     if (proc->version != entry->second.allotment_version) {
       proc->version = entry->second.allotment_version;
       const auto counts = entry->second.allotment.find(kTeam);
@@ -612,7 +616,8 @@
       return now_ >= task.lease_end || random_.OneIn(60);
     });
     for (Proc& proc : procs_) {
-      if (!proc.alive || Isolated(proc))
+      proc.stopped = proc.stopped || Isolated(proc);
+      if (!proc.alive || proc.stopped)
         continue;
       for (Task& task : tasks_) {
         if (task.renewer == proc.run)
