--- a/bench/policy_main.cc
+++ b/bench/policy_main.cc
@@ -169,9 +169,23 @@
   }
 }
 
+[[nodiscard]] PolicyParams ParamsFor(PolicyKind kind,
+                                     const Settings& settings) {
+  PolicyParams params = ParamsOf(kind);
+  if (kind == PolicyKind::kOurs) {
+    params.urgent.headroom_percent =
+        static_cast<double>(settings.integer("headroom"));
+    params.urgent.preempt = !settings.flag("no-preempt");
+    if (settings.flag("best-fit"))
+      params.placement.rule = PackingRule::kBestFit;
+  }
+  return params;
+}
+
 void Compare(std::ostream& out,
              const std::vector<PolicyKind>& kinds,
-             std::int64_t seeds) {
+             const Settings& settings) {
+  const std::int64_t seeds = settings.integer("seeds");
   for (std::size_t u = 0; u < kUsers.entries.size(); ++u) {
     const User user = kUsers.entries[u].first;
     for (const bool held_out : {false, true}) {
@@ -182,7 +196,8 @@
           continue;
         const Trace trace = MakeTrace(user, number);
         for (std::size_t i = 0; i < kinds.size(); ++i)
-          summaries[i].runs.push_back(Run(trace, ParamsOf(kinds[i])));
+          summaries[i].runs.push_back(
+              Run(trace, ParamsFor(kinds[i], settings)));
       }
       if (summaries.front().runs.empty())
         continue;
@@ -199,6 +214,10 @@
   builder.Flag("scale", "measure decision time and memory instead")
       .Text("policy", "one policy instead of all", "all")
       .Integer("seeds", "number of seeds; 9 and 10 are held out", 10, 1, 1'000)
+      .Integer("headroom", "percent of slots kept for urgent work by ours", 0,
+               0, 50)
+      .Flag("no-preempt", "ours stops no task for urgent work")
+      .Flag("best-fit", "ours fills the fullest worker")
       .Text("markdown", "file that gets the tables as well", "");
   return builder;
 }
@@ -217,7 +236,7 @@
       return Fail(ErrorCode::kInvalidSetting,
                   "unknown policy \"" + settings.text("policy") + "\"");
     }
-    Compare(text, kinds, settings.integer("seeds"));
+    Compare(text, kinds, settings);
   }
   std::cout << text.str();
   if (!settings.text("markdown").empty()) {
