--- /dev/null
+++ b/tests/configuration_process_test.cc
@@ -0,0 +1,258 @@
+#define BOOST_TEST_MODULE configuration_process
+#include <boost/test/unit_test.hpp>
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <thread>
+
+#include "base/secret.h"
+#include "process_fleet.h"
+
+namespace boragewinch {
+namespace {
+
+struct Fixture {
+  ProcessFleet fleet{FleetShape{}};
+
+  static Json KeyCommand(const std::string& id) {
+    Json command;
+    command["type"] = "create_key";
+    command["id"] = id;
+    command["team"] = "t1";
+    command["secret_hash"] = HashSecret("secret");
+    return command;
+  }
+  Reply AddKey(const std::string& id, std::int64_t version) {
+    return fleet.Control(
+        "POST", "/v1/operations",
+        ProcessFleet::Operation("add-" + id, version, KeyCommand(id)));
+  }
+  bool HasKey(const std::string& id) {
+    const Json fleet_json = fleet.Control("GET", "/v1/fleet").json();
+    for (const Json& key : fleet_json["keys"]) {
+      if (key["id"].asString() == id)
+        return true;
+    }
+    return false;
+  }
+  // Every control host has the same state at the same version.
+  bool Agree() {
+    const Json first = fleet.Status("c1");
+    for (const char* name : {"c2", "c3"}) {
+      const Json other = fleet.Status(name);
+      if (other["version"] != first["version"] ||
+          other["hash"] != first["hash"] || !other.isMember("hash"))
+        return false;
+    }
+    return true;
+  }
+};
+
+/// Reads the version of each entry host all the time and notes a step back.
+class VersionWatch {
+ public:
+  explicit VersionWatch(ProcessFleet& fleet)
+      : thread_([this, &fleet, names = fleet.entry_names()] {
+          std::map<std::string, std::int64_t> last;
+          while (!stop_) {
+            for (const std::string& name : names) {
+              const Json status = fleet.Status(name);
+              if (!status.isMember("version"))
+                continue;
+              const std::int64_t version = status["version"].asInt64();
+              went_back_ = went_back_ || version < last[name];
+              last[name] = version;
+            }
+          }
+        }) {}
+  ~VersionWatch() {
+    stop_ = true;
+    thread_.join();
+  }
+  [[nodiscard]] bool went_back() const { return went_back_; }
+
+ private:
+  std::atomic<bool> stop_{false};
+  std::atomic<bool> went_back_{false};
+  std::thread thread_;
+};
+
+// Guards against a second application when the leader dies after the commit
+// and the operator resends.
+BOOST_FIXTURE_TEST_CASE(ResendAfterLostLeaderIsAppliedOnce, Fixture) {
+  const VersionWatch watch(fleet);
+  for (int round = 0; round < 3; ++round) {
+    const std::string id = "r" + std::to_string(round);
+    const std::string leader = fleet.Leader();
+    BOOST_REQUIRE(!leader.empty());
+    const std::int64_t before = fleet.Version();
+    const Json operation =
+        ProcessFleet::Operation("op-" + id, before, KeyCommand(id));
+    // The caller has no answer: the leader is killed while the call runs.
+    std::thread call([&] {
+      (void)fleet.Operator(leader, "POST", "/v1/operations", operation);
+    });
+    std::this_thread::sleep_for(Millis(round * 2));
+    fleet.Signal(leader, SIGKILL);
+    call.join();
+    (void)fleet.WaitExit(leader, Millis(5'000));
+    const Reply first = fleet.Control("POST", "/v1/operations", operation);
+    const Reply second = fleet.Control("POST", "/v1/operations", operation);
+    BOOST_TEST(first.status == 200, first.body);
+    BOOST_TEST(first.json()["version"] == second.json()["version"]);
+    BOOST_TEST(second.json()["resent"].asBool());
+    BOOST_TEST(HasKey(id));
+    fleet.Start(leader);
+    BOOST_TEST(Eventually(Millis(15'000), [&] { return Agree(); }));
+  }
+  BOOST_TEST(!watch.went_back());
+  BOOST_TEST(fleet.Violations() == "");
+}
+
+// Guards against two operators who both believe that they have won.
+BOOST_FIXTURE_TEST_CASE(OneOfTwoOperatorsWins, Fixture) {
+  for (int round = 0; round < 10; ++round) {
+    const std::int64_t version = fleet.Version();
+    Reply answers[2];
+    std::thread threads[2];
+    for (int i = 0; i < 2; ++i) {
+      threads[i] = std::thread([&, i] {
+        answers[i] =
+            AddKey("w" + std::to_string(round) + std::to_string(i), version);
+      });
+    }
+    for (std::thread& thread : threads)
+      thread.join();
+    BOOST_TEST(answers[0].status + answers[1].status == 200 + 409);
+    const Reply& loser = answers[answers[0].status == 200 ? 1 : 0];
+    BOOST_TEST(loser.json()["error"].asString() == "version_conflict");
+    BOOST_TEST(loser.body.find("add-w" + std::to_string(round)) !=
+               std::string::npos);
+  }
+  BOOST_TEST(fleet.Violations() == "");
+}
+
+// Guards against changes that are lost when all control hosts restart, after
+// hundreds of changes and a snapshot.
+BOOST_FIXTURE_TEST_CASE(RestartKeepsHundredsOfChanges, Fixture) {
+  const VersionWatch watch(fleet);
+  for (int i = 0; i < 300; ++i) {
+    const Reply reply = AddKey("n" + std::to_string(i), fleet.Version());
+    BOOST_REQUIRE(reply.status == 200);
+  }
+  const std::int64_t version = fleet.Version();
+  for (const char* name : {"c1", "c2", "c3"})
+    fleet.Kill(name);
+  for (const char* name : {"c1", "c2", "c3"})
+    fleet.Start(name);
+  BOOST_TEST(Eventually(Millis(15'000),
+                        [&] { return fleet.Version() >= version && Agree(); }));
+  BOOST_TEST(HasKey("n0"));
+  BOOST_TEST(HasKey("n299"));
+  BOOST_TEST(Eventually(Millis(10'000), [&] {
+    return fleet.RunJob("e11", "q1", "n299.secret") == "finished";
+  }));
+  BOOST_TEST(!watch.went_back());
+  BOOST_TEST(fleet.Violations() == "");
+}
+
+// Guards against a control host that froze for long, wakes as the leader of an
+// old term, and answers or confirms by its old state.
+BOOST_FIXTURE_TEST_CASE(FrozenLeaderChangesNothing, Fixture) {
+  const VersionWatch watch(fleet);
+  const std::string leader = fleet.Leader();
+  fleet.Signal(leader, SIGSTOP);
+  std::string next;
+  BOOST_TEST(Eventually(Millis(10'000), [&] {
+    for (const char* name : {"c1", "c2", "c3"}) {
+      if (name != leader && fleet.Status(name)["role"].asString() == "leader")
+        next = name;
+    }
+    return !next.empty();
+  }));
+  const std::int64_t version =
+      fleet.Operator(next, "GET", "/v1/fleet").json()["version"].asInt64();
+  const Reply reply = fleet.Operator(
+      next, "POST", "/v1/operations",
+      ProcessFleet::Operation("add-new", version, KeyCommand("new")));
+  BOOST_TEST(reply.status == 200, reply.body);
+  std::this_thread::sleep_for(Millis(3'000));
+  fleet.Signal(leader, SIGCONT);
+  // What the woken host answers from now on has the change.
+  const Reply read = fleet.Operator(leader, "GET", "/v1/fleet");
+  if (read.status == 200)
+    BOOST_TEST(read.body.find("\"new\"") != std::string::npos);
+  BOOST_TEST(Eventually(Millis(10'000), [&] { return Agree(); }));
+  BOOST_TEST(HasKey("new"));
+  BOOST_TEST(!watch.went_back());
+  BOOST_TEST(fleet.Violations() == "");
+}
+
+// Guards against a voter that votes without its lost state, and against one
+// that never comes back after its disk was replaced.
+BOOST_FIXTURE_TEST_CASE(LostDataFolderCatchesUp, Fixture) {
+  const VersionWatch watch(fleet);
+  const std::string leader = fleet.Leader();
+  const std::string victim = leader == "c1" ? "c2" : "c1";
+  fleet.Kill(victim);
+  std::filesystem::remove_all(fleet.data(victim));
+  std::filesystem::create_directory(fleet.data(victim));
+  BOOST_TEST(AddKey("while-away", fleet.Version()).status == 200);
+  fleet.Start(victim);
+  BOOST_TEST(Eventually(Millis(20'000), [&] { return Agree(); }));
+  // It carries its share again: another voter may fail now.
+  BOOST_TEST(Eventually(Millis(20'000), [&] {
+    const Json status = fleet.Status(fleet.Leader());
+    return WriteJson(status["replicas"])
+               .find(fleet.Status(victim)["replica"].asString()) !=
+           std::string::npos;
+  }));
+  BOOST_TEST_MESSAGE(WriteJson(fleet.Status(leader)["replicas"]));
+  BOOST_TEST(AddKey("after", fleet.Version()).status == 200);
+  BOOST_TEST(!watch.went_back());
+  BOOST_TEST(fleet.Violations() == "");
+}
+
+// Guards against a restored backup of a data folder that brings old state, or
+// an old vote, back into the group.
+BOOST_FIXTURE_TEST_CASE(RestoredOldDataFolderBringsNothingBack, Fixture) {
+  const VersionWatch watch(fleet);
+  const std::string leader = fleet.Leader();
+  const std::string victim = leader == "c1" ? "c2" : "c1";
+  const std::string copy = fleet.folder() + "/copy";
+  fleet.Kill(victim);
+  std::filesystem::copy(fleet.data(victim), copy,
+                        std::filesystem::copy_options::recursive);
+  fleet.Start(victim);
+  for (int i = 0; i < 30; ++i) {
+    BOOST_REQUIRE(AddKey("b" + std::to_string(i), fleet.Version()).status ==
+                  200);
+  }
+  BOOST_TEST(Eventually(Millis(10'000), [&] { return Agree(); }));
+  fleet.Kill(victim);
+  std::filesystem::remove_all(fleet.data(victim));
+  std::filesystem::copy(copy, fleet.data(victim),
+                        std::filesystem::copy_options::recursive);
+  fleet.Start(victim);
+  // The leader sees that the replica runs with an old copy and shuts it out,
+  // since the copy may have lost a vote; the others go on without it.
+  BOOST_TEST(AddKey("after", fleet.Version()).status == 200);
+  BOOST_TEST(Eventually(Millis(10'000), [&] {
+    return fleet.LogOf(fleet.Leader()).find("BW2007 replica_regressed") !=
+           std::string::npos;
+  }));
+  BOOST_TEST(HasKey("b29"));
+  BOOST_TEST(HasKey("after"));
+  // With an empty folder it joins as a new replica.
+  fleet.Kill(victim);
+  std::filesystem::remove_all(fleet.data(victim));
+  std::filesystem::create_directory(fleet.data(victim));
+  fleet.Start(victim);
+  BOOST_TEST(Eventually(Millis(20'000), [&] { return Agree(); }));
+  BOOST_TEST(!watch.went_back());
+  BOOST_TEST(fleet.Violations() == "");
+}
+
+}  // namespace
+}  // namespace boragewinch
--- a/tests/fleet_calls.cc
+++ b/tests/fleet_calls.cc
@@ -268,6 +268,13 @@
   return config;
 }
 
+std::string ProcessFleet::LogOf(const std::string& name) const {
+  std::ifstream log(folder_ + "/" + name + ".log");
+  std::ostringstream text;
+  text << log.rdbuf();
+  return text.str();
+}
+
 std::map<std::string, int> ProcessFleet::Executions() const {
   std::map<std::string, int> executions;
   std::ifstream log(folder_ + "/tasks.log");
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -86,6 +86,8 @@
   /// \returns the address for other processes of an entry host.
   [[nodiscard]] const std::string& peer_address(const std::string& name) const;
   [[nodiscard]] std::string data(const std::string& control) const;
+  /// \returns what a child has written to its log.
+  [[nodiscard]] std::string LogOf(const std::string& name) const;
   [[nodiscard]] const std::string& folder() const noexcept { return folder_; }
   [[nodiscard]] std::vector<std::string> entries() const;
   [[nodiscard]] const std::vector<std::string>& entry_names() const {
