--- a/bench/capacity_main.cc
+++ b/bench/capacity_main.cc
@@ -171,7 +171,7 @@
   const double begin = CpuMicros();
   for (int i = 0; i < kJobs; ++i) {
     SubmitCall call;
-    call.call = static_cast<CallId>(1'000'000 + i);
+    call.call = CallId{1'000'000} + static_cast<CallId>(i);
     const int queues = static_cast<int>(view.queues.size());
     call.spec.queue = QueueName("q" + std::to_string(1 + i % queues));
     call.spec.declared = {100, 100, 0};
@@ -285,7 +285,7 @@
   const double start = CpuMicros();
   for (int i = 0; i < records; ++i) {
     SubmitCall call;
-    call.call = static_cast<CallId>(i + 1);
+    call.call = static_cast<CallId>(i) + 1;
     call.spec.queue = QueueName("q" + std::to_string(1 + i % 3));
     call.spec.customer = CustomerName("c" + std::to_string(i % 6));
     call.spec.declared = {1'000, 1'024, 0};
--- a/src/fakes/fake_worker.cc
+++ b/src/fakes/fake_worker.cc
@@ -258,21 +258,22 @@
   const Millis delay =
       std::min(kPostRetryStep * (1 << std::min(task.posts, 5)), kPostRetryMax);
   ++task.posts;
-  client_.Send(std::move(call), [this, id, delay](Result<HttpResponse> result) {
-    const auto ended = tasks_.find(id);
-    if (ended == tasks_.end())
-      return;
-    const Delivery answer = DeliveryOf(result);
-    if (answer == Delivery::kDone) {
-      ForgetEnded(id);
-      return;
-    }
-    // A kept result is passed on once and may be lost on the way, so it is
-    // posted again, at the next entry host, until it is acknowledged.
-    const Millis pause = answer == Delivery::kKeep ? kPostRetryMax : delay;
-    ended->second.retry =
-        loop_.After(pause, [this, id](TimePoint) { PostResult(id); });
-  });
+  client_.Send(
+      std::move(call), [this, id, delay](const Result<HttpResponse>& result) {
+        const auto ended = tasks_.find(id);
+        if (ended == tasks_.end())
+          return;
+        const Delivery answer = DeliveryOf(result);
+        if (answer == Delivery::kDone) {
+          ForgetEnded(id);
+          return;
+        }
+        // A kept result is passed on once and may be lost on the way, so it is
+        // posted again, at the next entry host, until it is acknowledged.
+        const Millis pause = answer == Delivery::kKeep ? kPostRetryMax : delay;
+        ended->second.retry =
+            loop_.After(pause, [this, id](TimePoint) { PostResult(id); });
+      });
 }
 
 void FakeWorker::ForgetEnded(const TaskId& id) {
