--- a/tests/fleet_calls.cc
+++ b/tests/fleet_calls.cc
@@ -298,6 +298,16 @@
   return count;
 }
 
+int ProcessFleet::RunningOn(const std::string& host) const {
+  std::ifstream log(folder_ + "/tasks.log");
+  int running = 0;
+  for (std::string line; std::getline(log, line);) {
+    if (line.find(" " + host + " ") != std::string::npos)
+      running += line.starts_with("start ") ? 1 : -1;
+  }
+  return running;
+}
+
 int ProcessFleet::PeakRunning(const std::string& team) const {
   std::ifstream log(folder_ + "/tasks.log");
   std::string kind;
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -139,6 +139,8 @@
   [[nodiscard]] std::map<std::string, int> Executions() const;
   /// \returns executions on one host.
   [[nodiscard]] int ExecutionsOn(const std::string& host) const;
+  /// \returns tasks that have started and not ended on one host.
+  [[nodiscard]] int RunningOn(const std::string& host) const;
   /// \returns the highest number of tasks of `team` that ran at one time.
   [[nodiscard]] int PeakRunning(const std::string& team) const;
   /// \returns violated invariants of all running processes, as text.
