Let a returning host become active

An entry host told the worker of a returning host to stay drained, and the host becomes active only once its worker has acknowledged the end of the drain, so a wave stopped at its first hosts (WaveKeepsTheBudgetAndCompletes: failed 1 of 1 before, passes 1 of 1 after).

--- a/src/entry/entry_workers.cc
+++ b/src/entry/entry_workers.cc
@@ -23,7 +23,10 @@
   WorkerReportAnswer answer;
   if (const auto host = view_.hosts.find(report.host);
       host != view_.hosts.end()) {
-    answer.drain = host->second.state != HostState::kActive;
+    // A returning host becomes active when its worker has acknowledged the end
+    // of the drain.
+    answer.drain = host->second.state != HostState::kActive &&
+                   host->second.state != HostState::kReturning;
     answer.pool = host->second.pool;
     answer.assignment = host->second.assignment;
   }
