--- a/tests/maintenance_process_test.cc
+++ b/tests/maintenance_process_test.cc
@@ -224,6 +224,14 @@
   BOOST_TEST(
       Eventually(Millis(20'000), [&] { return CountInState("active") < 8; }));
   fleet.Kill("w1r2");
+  // Until the control leader has seen the loss, the wave may drain a next host.
+  BOOST_TEST(Eventually(Millis(15'000), [&] {
+    const Json json = Fleet();
+    int heard = 0;
+    for (const Json& worker : json["workers"])
+      heard += worker["heard"].asBool() ? 1 : 0;
+    return heard <= 4;
+  }));
   // Losing four of eight hosts leaves less than the budget: drains that are
   // not done are undone, and no host of the other rack stays out.
   BOOST_TEST(Eventually(Millis(20'000), [&] {
