--- a/bench/entry_bench_main.cc
+++ b/bench/entry_bench_main.cc
@@ -375,6 +375,7 @@
     std::atomic<int> next{made};
     std::atomic<int> failed{0};
     std::vector<std::thread> threads;
+    threads.reserve(kThreads);
     for (int i = 0; i < kThreads; ++i) {
       threads.emplace_back([&] {
         for (int n = next++; n < changes; n = next++) {
--- a/src/base/fwd.h
+++ b/src/base/fwd.h
@@ -5,12 +5,13 @@
 
 enum class ErrorCode;
 enum class EventId;
+enum class EventLevel;
 enum class Invariant;
 struct Error;
 struct SourcePosition;
-class EventLog;
 class Metrics;
 class Settings;
+class SettingsBuilder;
 
 }  // namespace boragewinch
 
