Assert at the end of a planned stop that nothing is open

The invariant planned_stop was declared and listed but never checked. StoppedEntryHostLosesNoAnswer and StoppedControlLeaderLosesNoAnswer pass with it; no test yet brings the limit about.

--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -5,6 +5,7 @@
 
 #include "base/event_log.h"
 #include "base/hash.h"
+#include "base/invariant.h"
 #include "base/secret.h"
 
 namespace boragewinch {
@@ -242,6 +243,8 @@
   const bool finished =
       quiet && (control_->retired() || now - quiet_since_ > kRetireWait);
   if (finished || now >= stop_until_) {
+    CheckInvariant(Invariant::kPlannedStop, quiet,
+                   "the stop reached its time limit with requests open");
     LogEvent(EventId::kProcessStopping,
              {{"open_requests",
                static_cast<unsigned long>(core_->open_requests())}});
