Count only running tasks as a worker's usage

Reproduced on two cores: 64 requests stayed queued for minutes on seven idle workers ("no free slot of pool main has the resources"). Each worker listed 16 to 18 ended tasks whose results waited for a backup that had been killed, and WorkerTable::Candidates added their usage to that of running tasks, so no worker had room.

Ruled out: allotments (250 of each team were free), the leaving mark (it named one host only), lost heartbeats (all workers were heard).

Before: with 22 listed tasks, 2 of them running, a candidate had 22,000 mCPU in use (worker_table_test fails). After: 2,000 mCPU.

--- a/src/entry/worker_table.cc
+++ b/src/entry/worker_table.cc
@@ -173,8 +173,12 @@
     WorkerCandidate candidate{host, worker.report.rack, worker.report.total};
     for (const auto& [task, resources] : worker.own_tasks)
       candidate.declared_in_use += resources;
-    for (const TaskReport& task : worker.report.tasks)
-      candidate.usage += task.usage;
+    // A worker lists an ended task until its result is acknowledged, which can
+    // take as long as a lost backup is not replaced.
+    for (const TaskReport& task : worker.report.tasks) {
+      if (task.state == TaskState::kRunning)
+        candidate.usage += task.usage;
+    }
     candidate.slots = worker.report.slots;
     candidate.free_slots = free_slots;
     candidate.start_failures = worker.start_failures;
