Confirm a worker's leave only once the zone's peers have it

The entry host answered 200 in the same step in which it queued the peer.leave calls; the test killed it on the answer, before the bytes had left.

Ruled out: a lost mark at the second host (its log had no worker_leaving event), a report that erased the mark (same incarnation).

Gossip already carries the marks and is answered, so the announcement now waits until each zone peer that is heard has answered a gossip sent after the mark; a silent peer drops out after 3 s, one that doesn't answer ends the call with 503 unavailable after 4 s. The peer.leave message is no longer needed and is removed. entry_core_test LeaveIsConfirmedOnceThePeersHaveIt fails against the earlier order, since the answer came before the peer had the mark.

--- a/src/entry/entry_actions.h
+++ b/src/entry/entry_actions.h
@@ -77,8 +77,18 @@
   TaskId task;
 };
 
-using EntryAction =
-    std::variant<AnswerCaller, SendPeer, StartTask, StopTask, ForbidTask>;
+/// \brief Answers a leave announcement. Emitted exactly once for each.
+struct AnswerLeave {
+  CallId call = 0;
+  bool confirmed = false;  ///< every reachable zone peer knows the mark
+};
+
+using EntryAction = std::variant<AnswerCaller,
+                                 SendPeer,
+                                 StartTask,
+                                 StopTask,
+                                 ForbidTask,
+                                 AnswerLeave>;
 
 /// \brief A worker's answer to a start. A refusal by another incarnation than
 /// the start names does not prove that the named one did not run it: an HTTP
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -61,8 +61,9 @@
   /// Workers.
   [[nodiscard]] WorkerReportAnswer OnWorkerReport(const WorkerReport& report,
                                                   TimePoint now);
-  /// \brief Marks the worker and relays the mark to the zone's peers.
-  void OnWorkerLeave(const LeavingWorker& worker, TimePoint now);
+  /// \brief Marks the worker. Answered by AnswerLeave once the zone's reachable
+  /// peers have the mark, so that it outlives this process.
+  void OnWorkerLeave(CallId call, const LeavingWorker& worker, TimePoint now);
   /// \param reply an Error means that the answer is lost.
   void OnStartAnswer(const TaskId& task,
                      const HostName& host,
@@ -252,6 +253,12 @@
   void ReleaseCopiesOf(const EntryName& entry);
   void ReleaseMovedTasks(TimePoint now);
   void NoteFreshness(TimePoint now);
+  void AnswerLeaves(TimePoint now);
+
+  struct OpenLeave {
+    CallId call = 0;
+    TimePoint marked_at;
+  };
 
   EntryConfig config_;
   SchedulerHooks hooks_;
@@ -282,6 +289,7 @@
   RequestTable table_;
   CallTable calls_;
   RetryBudget retries_;
+  std::deque<OpenLeave> leaves_;  ///< in the order of their marks
   std::set<RequestId> uncopied_;
   std::map<std::pair<TeamName, std::string>, CallId> finding_;
   std::map<RequestId, EntryName> moved_;
--- a/src/entry/entry_forward.cc
+++ b/src/entry/entry_forward.cc
@@ -260,8 +260,6 @@
   } else if (auto* result = std::get_if<PeerResult>(&message.body)) {
     // The worker keeps the result until a heartbeat answer acknowledges it.
     static_cast<void>(HandleResult(std::move(result->result), false, now));
-  } else if (auto* leave = std::get_if<PeerLeave>(&message.body)) {
-    workers_.MarkLeaving(leave->worker);
   } else if (auto* alive = std::get_if<PeerGossipAnswer>(&message.body);
              alive != nullptr && for_this && !current) {
     peers_.Confirm(from, message.from, alive->sequence);
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -122,7 +122,7 @@
 void EntryService::ServePublic(const HttpRequest& request,
                                const HttpResponder& respond) {
   if (TaskLink::Handles(request))
-    respond(tasks_->Serve(request));
+    tasks_->Serve(request, respond);
   else if (CallerApi::Handles(request) && !operators_->Handles(request))
     callers_->Serve(request, respond);
   else
@@ -181,6 +181,8 @@
     tasks_->Stop(*stop);
   } else if (const auto* forbid = std::get_if<ForbidTask>(&action)) {
     tasks_->Forbid(*forbid);
+  } else if (const auto* leave = std::get_if<AnswerLeave>(&action)) {
+    tasks_->OnLeaveAnswer(*leave);
   }
 }
 
--- a/src/entry/entry_tick.cc
+++ b/src/entry/entry_tick.cc
@@ -12,6 +12,9 @@
 // A longer pause between two ticks means that this process stood still.
 constexpr Millis kStandstill{1'000};
 constexpr std::size_t kMaxTakenOverListed = 4'096;
+// A peer that has died drops out after kOwnerSilence; one that is heard but
+// doesn't answer keeps a leave announcement open for this long.
+constexpr Millis kLeaveLimit = kOwnerSilence + Millis(1'000);
 
 }  // namespace
 
@@ -35,6 +38,7 @@
     if (stopping_)
       AdvanceStop(now);
   }
+  AnswerLeaves(now);
   if (now >= next_sweep_) {
     next_sweep_ = now + kSweepInterval;
     PlaceMissingCopies(now);
@@ -53,6 +57,23 @@
   Pump(now);
 }
 
+void EntryCore::AnswerLeaves(TimePoint now) {
+  while (!leaves_.empty()) {
+    const OpenLeave& leave = leaves_.front();
+    const std::vector<EntryName> peers = peers_.zone_peers();
+    const bool confirmed =
+        std::all_of(peers.begin(), peers.end(), [&](const EntryName& name) {
+          const Peer& peer = *peers_.Find(name);
+          return now - peer.heard >= kOwnerSilence ||
+                 (peer.answered && *peer.answered > leave.marked_at);
+        });
+    if (!confirmed && now - leave.marked_at < kLeaveLimit)
+      return;
+    Emit(AnswerLeave{leave.call, confirmed});
+    leaves_.pop_front();
+  }
+}
+
 void EntryCore::NoteFreshness(TimePoint now) {
   const bool is_fresh = fresh(now);
   if (is_fresh == was_fresh_)
@@ -245,7 +266,8 @@
 }
 
 bool EntryCore::stopped() const noexcept {
-  return stopping_ && released_ && table_.open() == 0 && calls_.size() == 0;
+  return stopping_ && released_ && table_.open() == 0 && calls_.size() == 0 &&
+         leaves_.empty();
 }
 
 }  // namespace boragewinch
--- a/src/entry/entry_workers.cc
+++ b/src/entry/entry_workers.cc
@@ -191,11 +191,20 @@
     book_.Release(task);
 }
 
-void EntryCore::OnWorkerLeave(const LeavingWorker& worker, TimePoint now) {
+void EntryCore::OnWorkerLeave(CallId call,
+                              const LeavingWorker& worker,
+                              TimePoint now) {
   Enter(now);
   workers_.MarkLeaving(worker);
-  for (const EntryName& name : peers_.zone_peers())
-    SendTo(name, PeerLeave{worker});
+  if (leaves_.size() >= config_.max_calls) {
+    LogEvent(EventId::kBoundReached, {{"table", "leaves"}});
+    Emit(AnswerLeave{call, false});
+    return;
+  }
+  leaves_.push_back({call, now});
+  // Gossip carries the marks, and its answers confirm them.
+  next_gossip_ = now;
+  AnswerLeaves(now);
 }
 
 Result<ResultAnswer> EntryCore::OnResult(TaskResult result, TimePoint now) {
--- a/src/entry/peer_message.cc
+++ b/src/entry/peer_message.cc
@@ -297,16 +297,6 @@
   return PeerBody(std::move(m));
 }
 
-[[nodiscard]] Json Encode(const PeerLeave& m) {
-  return Write(m.worker);
-}
-
-[[nodiscard]] Result<PeerBody> DecodeLeave(const Json& json) {
-  PeerLeave m;
-  BW_TRY(m.worker, ReadLeaving(json));
-  return PeerBody(std::move(m));
-}
-
 struct BodyCodec {
   const char* method;
   Result<PeerBody> (*decode)(const Json&);
@@ -329,7 +319,6 @@
     {"peer.handed_over", DecodeHandedOver},
     {"peer.released", DecodeReleased},
     {"peer.result", DecodeResult},
-    {"peer.leave", DecodeLeave},
 };
 static_assert(std::size(kCodecs) == std::variant_size_v<PeerBody>);
 
--- a/src/entry/peer_message.h
+++ b/src/entry/peer_message.h
@@ -173,11 +173,6 @@
   TaskResult result;
 };
 
-/// \brief A leave announcement, passed on.
-struct PeerLeave {
-  LeavingWorker worker;
-};
-
 using PeerBody = std::variant<PeerStore,
                               PeerIntend,
                               PeerClose,
@@ -192,8 +187,7 @@
                               PeerHandOver,
                               PeerHandedOver,
                               PeerReleased,
-                              PeerResult,
-                              PeerLeave>;
+                              PeerResult>;
 
 /// \brief One message between two entry hosts. Messages may be lost, late,
 /// duplicated and reordered.
--- a/src/entry/task_link.cc
+++ b/src/entry/task_link.cc
@@ -80,7 +80,9 @@
   json["detail"] = error.detail;
   const bool conflict = error.code == ErrorCode::kConflict;
   const bool missing = error.code == ErrorCode::kNotFound;
-  return {conflict ? 409 : missing ? 404 : 400, WriteJson(json)};
+  const bool unavailable = error.code == ErrorCode::kUnavailable;
+  const int status = conflict ? 409 : missing ? 404 : unavailable ? 503 : 400;
+  return {status, WriteJson(json)};
 }
 
 }  // namespace
@@ -139,8 +141,9 @@
          request.path == kResultPath;
 }
 
-HttpResponse TaskLink::Serve(const HttpRequest& request) {
+void TaskLink::Serve(const HttpRequest& request, const HttpResponder& respond) {
   const Result<Json> body = ParseJson(request.body);
+  bool answers_later = false;
   const auto answer = [&]() -> Result<Json> {
     if (!body)
       return outcome::failure(body.error());
@@ -148,16 +151,23 @@
       return Fail(ErrorCode::kInvalidField, "the body must be an object");
     if (request.path == kHeartbeatPath)
       return OnHeartbeat(body.value());
-    if (request.path == kLeavePath)
-      return OnLeave(body.value());
+    if (request.path == kLeavePath) {
+      BW_CHECK(OnLeave(body.value(), respond));
+      answers_later = true;
+      return Json();
+    }
     return OnResult(body.value());
   }();
   flush_();
-  if (answer)
-    return {200, WriteJson(answer.value())};
+  if (answers_later)
+    return;
+  if (answer) {
+    respond({200, WriteJson(answer.value())});
+    return;
+  }
   LogEvent(EventId::kMalformedMessage,
            {{"path", request.path}, {"error", answer.error().Text()}});
-  return RefusalOf(answer.error());
+  respond(RefusalOf(answer.error()));
 }
 
 Result<Json> TaskLink::OnHeartbeat(const Json& body) {
@@ -174,15 +184,31 @@
   return json;
 }
 
-Result<Json> TaskLink::OnLeave(const Json& body) {
+Status TaskLink::OnLeave(const Json& body, const HttpResponder& respond) {
   BW_TRY(auto host, StringField(body, "host", kMaxNameBytes));
   BW_TRY(auto incarnation, StringField(body, "incarnation", kMaxNameBytes));
+  const CallId call = next_leave_++;
+  leaves_.emplace(call, respond);
   core_.OnWorkerLeave(
-      {HostName(std::move(host)), Incarnation(std::move(incarnation))},
+      call, {HostName(std::move(host)), Incarnation(std::move(incarnation))},
       loop_.now());
+  return Ok();
+}
+
+void TaskLink::OnLeaveAnswer(const AnswerLeave& answer) {
+  const auto node = leaves_.extract(answer.call);
+  if (node.empty())
+    return;
+  if (!answer.confirmed) {
+    node.mapped()(RefusalOf(
+        Error{ErrorCode::kUnavailable,
+              "an entry host of the zone did not confirm the leave; announce "
+              "it at another entry host"}));
+    return;
+  }
   Json json;
   json["leaving"] = true;
-  return json;
+  node.mapped()({200, WriteJson(json)});
 }
 
 Result<Json> TaskLink::OnResult(const Json& body) {
--- a/tests/entry_core_test.cc
+++ b/tests/entry_core_test.cc
@@ -214,7 +214,7 @@
     return true;
   };
   world.cores[0]->OnWorkerLeave(
-      {world.workers[0].host, world.workers[0].incarnation}, world.now);
+      1, {world.workers[0].host, world.workers[0].incarnation}, world.now);
   world.Apply(0);
   world.Run(Millis(100));
   static_cast<void>(world.Submit(1, world.Job(false)));
@@ -226,6 +226,55 @@
   BOOST_TEST(starts == 1);
 }
 
+enum class PeerFault { kNone, kCut, kAnswersLost };
+
+struct LeaveRow {
+  PeerFault fault;
+  bool confirmed;
+};
+
+constexpr LeaveRow kLeaves[] = {
+    {PeerFault::kNone, true},
+    // A silent peer is as good as dead and reads the mark from gossip later.
+    {PeerFault::kCut, true},
+    {PeerFault::kAnswersLost, false},
+};
+
+std::ostream& operator<<(std::ostream& out, const LeaveRow& row) {
+  return out << "fault " << static_cast<int>(row.fault);
+}
+
+// Guards against an entry host that confirms a leave and dies with the mark,
+// because no peer had it yet.
+BOOST_DATA_TEST_CASE(LeaveIsConfirmedOnceThePeersHaveIt, kLeaves, row) {
+  Zone world(2);
+  const LeavingWorker worker{world.workers[0].host,
+                             world.workers[0].incarnation};
+  std::optional<bool> confirmed;
+  bool known_to_peer = false;
+  world.intercept = [&](const EntryAction& action, int entry) {
+    if (const auto* leave = std::get_if<AnswerLeave>(&action)) {
+      BOOST_TEST(!confirmed.has_value());
+      confirmed = leave->confirmed;
+      known_to_peer =
+          world.cores[1]->workers().leaving_marks().contains(worker);
+    }
+    const auto* peer = std::get_if<SendPeer>(&action);
+    return row.fault != PeerFault::kAnswersLost || entry != 1 ||
+           peer == nullptr ||
+           !std::holds_alternative<PeerGossipAnswer>(peer->message.body);
+  };
+  if (row.fault == PeerFault::kCut)
+    world.cut.emplace(0, 1);
+  world.cores[0]->OnWorkerLeave(1, worker, world.now);
+  world.Apply(0);
+  BOOST_TEST(!confirmed.has_value());
+  world.Run(Millis(5'000));
+  BOOST_REQUIRE(confirmed.has_value());
+  BOOST_TEST(*confirmed == row.confirmed);
+  BOOST_TEST(known_to_peer == (row.fault != PeerFault::kCut));
+}
+
 // Guards I5 and 4.2: only the request's own team learns its state.
 BOOST_AUTO_TEST_CASE(CallsNeedAKeyOfTheTeam) {
   Zone world(2);
