Give up copies at entry hosts that were declared lost

Cause: a worker keeps an ended task until its record is stored by the backup.

Once the leader no longer lists a silent zone peer, copies there that were not acknowledged are given up for ended and for repeatable requests; another peer gets a copy if there is one. A request that must not be repeated and has not ended waits as before, since the peer may have taken it over.

Ruled out: acknowledging at once when the backup is silent; a cut-off backup that still owns a copy would then be the only holder that differs.

--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -252,6 +252,7 @@
   void ReleaseCopies(TimePoint now);
   void ReleaseCopiesOf(const EntryName& entry);
   void ReleaseMovedTasks(TimePoint now);
+  void ReplaceLostCopies(TimePoint now);
   void NoteFreshness(TimePoint now);
   void AnswerLeaves(TimePoint now);
 
--- a/src/entry/entry_tick.cc
+++ b/src/entry/entry_tick.cc
@@ -43,6 +43,7 @@
     next_sweep_ = now + kSweepInterval;
     PlaceMissingCopies(now);
     ReleaseMovedTasks(now);
+    ReplaceLostCopies(now);
     while (sequence_times_.size() > 1 &&
            now - sequence_times_[1].first >= config_.ticket_lifetime) {
       sequence_times_.pop_front();
@@ -167,6 +168,33 @@
     book_.Release(task);
 }
 
+// Gives up copies at peers that the control leader has declared lost. Until
+// then workers keep the results of these requests. A request that must not be
+// repeated and has not ended waits on: the peer may have fenced this process
+// and taken the request over before it was lost.
+void EntryCore::ReplaceLostCopies(TimePoint now) {
+  std::set<EntryName> lost;
+  for (const auto& [name, peer] : peers_.peers()) {
+    if (!peer.listed && now - peer.heard >= GranterLease(kOwnerSilence))
+      lost.insert(name);
+  }
+  if (lost.empty())
+    return;
+  std::vector<RequestId> gone;
+  for (const auto& [id, record] : table_.records()) {
+    if (!record.owner && record.copy && !record.replicated() &&
+        lost.contains(record.copy->entry) &&
+        (record.phase == Phase::kEnded || record.spec.repeatable)) {
+      gone.push_back(id);
+    }
+  }
+  for (const RequestId& id : gone) {
+    RequestRecord& record = *table_.Find(id);
+    OnCopyGone(record, true, now);
+    Touch(record);
+  }
+}
+
 ControlReport EntryCore::BuildControlReport(TimePoint now) const {
   ControlReport report;
   report.version = view_.version;
--- a/src/entry/peer_table.cc
+++ b/src/entry/peer_table.cc
@@ -33,6 +33,8 @@
     }
     found->second.zone = entry.zone;
   }
+  for (auto& [name, peer] : peers_)
+    peer.listed = listed.contains(name);
   // Entry hosts of other zones that were declared lost are forgotten.
   std::erase_if(peers_, [&](const auto& peer) {
     return peer.second.zone != zone_ && !listed.contains(peer.first);
--- a/src/entry/peer_table.h
+++ b/src/entry/peer_table.h
@@ -35,6 +35,7 @@
   std::uint64_t challenge = 0;  ///< sequence of the gossip sent to it
   TimePoint challenged_at;
   bool confirmed = false;  ///< it has answered the challenge
+  bool listed = true;      ///< by the control leader, which lists no lost ones
   std::set<Incarnation> superseded;
   PeerGossip gossip;  ///< newest
 };
--- a/tests/entry_world.h
+++ b/tests/entry_world.h
@@ -109,6 +109,7 @@
   std::vector<TimePoint> frozen_until;
   std::vector<FakeWorker> workers;
   std::set<std::pair<int, int>> cut;
+  std::set<Incarnation> lost;  ///< declared lost, until they are heard again
   std::map<KeyId, TimePoint> withdrawn;  ///< in the control log since then
   std::function<bool(const EntryAction&, int entry)> intercept;
   std::map<RequestId, int> executions;
--- a/tests/entry_world_impl.h
+++ b/tests/entry_world_impl.h
@@ -486,8 +486,11 @@
     answer.allotment = share.offered;
     for (const auto& [key, at] : withdrawn)
       answer.tombstones.push_back(key);
-    for (std::size_t i = 0; i < names.size(); ++i)
-      answer.entries.push_back({names[i], ZoneName("z"), incarnations[i]});
+    lost.erase(incarnation);
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      if (!lost.contains(incarnations[i]))
+        answer.entries.push_back({names[i], ZoneName("z"), incarnations[i]});
+    }
     Send(entry, [this, entry, incarnation, answer, fleet = view] {
       const auto at = static_cast<std::size_t>(entry);
       if (incarnations[at] != incarnation)
@@ -520,6 +523,7 @@
       continue;
     const std::uint64_t version = own->second.version;
     ledger.Reclaim(names[i], incarnations[i]);
+    lost.insert(incarnations[i]);
     ++reclaimed;
     // It registers again and starts with nothing.
     ledger.shares[incarnations[i]].version = version + 1;
--- a/tests/request_replication_test.cc
+++ b/tests/request_replication_test.cc
@@ -233,6 +233,25 @@
   }
 }
 
+// Guards against results that workers list for ever because the backup that
+// has to store them was lost for good.
+BOOST_AUTO_TEST_CASE(ResultIsAcknowledgedOnceTheBackupIsDeclaredLost) {
+  World world(2, 1, 1);
+  world.Run(Millis(3'000));
+  world.Freeze(1, Millis(1'000'000));
+  const CallId submit = world.Submit(0, world.Job(true));
+  world.Run(Millis(8'000));
+  const RequestId id = world.answer(submit)->request;
+  const CallId query = world.Ask(0, CallKind::kQuery, id);
+  BOOST_REQUIRE((world.answer(query)->outcome == Outcome::kFinished));
+  BOOST_TEST(world.workers[0].tasks.size() == 1U);
+  world.lost.insert(world.incarnations[1]);
+  world.Run(Millis(5'000));
+  BOOST_TEST(world.workers[0].tasks.empty());
+  BOOST_TEST(world.executions[id] == 1);
+  BOOST_TEST(world.faults.empty());
+}
+
 // Guards I6 and I7 (random seed 10679): a gossip that was held back for long
 // must not pass for a new incarnation of its sender.
 BOOST_AUTO_TEST_CASE(HeldBackGossipDoesNotReplaceAnIncarnation) {
