Offer allotment above the leader's cap whenever a unit becomes idle

An entry host offered only units that were idle at the moment of a control answer. A busy one starts the next task in the same step, so allotments shrank by chance.

Ruled out: the apply call (6 to 26 ms), the sync interval (0.5 s), a lost configuration (all hosts had version 4).

--- a/src/entry/allotment_book.cc
+++ b/src/entry/allotment_book.cc
@@ -16,13 +16,17 @@
   confirmed_ = true;
 }
 
-void AllotmentBook::Offer(const std::map<TeamName, std::int64_t>& caps) {
-  for (const auto& [team, cap] : caps) {
-    const std::int64_t idle =
-        allotment(team) - std::max(in_use(team), cap) - offered(team);
-    if (idle > 0)
-      offered_[team] += idle;
-  }
+void AllotmentBook::SetCaps(std::map<TeamName, std::int64_t> caps) {
+  caps_ = std::move(caps);
+  for (const auto& [team, cap] : caps_)
+    OfferIdle(team, cap);
+}
+
+void AllotmentBook::OfferIdle(const TeamName& team, std::int64_t cap) {
+  const std::int64_t idle =
+      allotment(team) - std::max(in_use(team), cap) - offered(team);
+  if (idle > 0)
+    offered_[team] += idle;
 }
 
 void AllotmentBook::Count(const TaskId& task, CountedTask counted) {
@@ -35,11 +39,12 @@
   const auto found = tasks_.find(task);
   if (found == tasks_.end())
     return;
-  if (const auto count = in_use_.find(found->second.team);
-      --count->second == 0) {
+  const TeamName team = found->second.team;
+  if (const auto count = in_use_.find(team); --count->second == 0)
     in_use_.erase(count);
-  }
   tasks_.erase(found);
+  if (const auto cap = caps_.find(team); cap != caps_.end())
+    OfferIdle(team, cap->second);
 }
 
 void AllotmentBook::MarkMoved(const TaskId& task, const EntryName& entry) {
--- a/src/entry/allotment_book.h
+++ b/src/entry/allotment_book.h
@@ -29,10 +29,12 @@
  public:
   /// \brief Takes the ledger's numbers; older versions are ignored.
   void Update(std::uint64_t version, std::map<TeamName, std::int64_t> units);
-  /// \brief Offers the idle units above `caps` to the control leader. Offered
-  /// units are not spent until a newer version of the allotment arrives: the
-  /// leader may have granted them to another entry host.
-  void Offer(const std::map<TeamName, std::int64_t>& caps);
+  /// \brief Offers the idle units above `caps` to the control leader, and each
+  /// unit above them that becomes idle until the next call. A busy entry host
+  /// hardly ever has an idle unit at the moment of a call. Offered units are
+  /// not spent until a newer version of the allotment arrives: the leader may
+  /// have granted them to another entry host.
+  void SetCaps(std::map<TeamName, std::int64_t> caps);
   /// \brief Forgets that the numbers were confirmed; nothing may start.
   void Suspend() noexcept { confirmed_ = false; }
 
@@ -65,9 +67,12 @@
   }
 
  private:
+  void OfferIdle(const TeamName& team, std::int64_t cap);
+
   bool confirmed_ = false;
   std::uint64_t version_ = 0;
   std::map<TeamName, std::int64_t> units_;
+  std::map<TeamName, std::int64_t> caps_;
   std::map<TeamName, std::int64_t> offered_;
   std::map<TeamName, std::int64_t> in_use_;
   std::map<TaskId, CountedTask> tasks_;
--- a/src/entry/control_link.cc
+++ b/src/entry/control_link.cc
@@ -59,11 +59,13 @@
 void ControlLink::Tick(TimePoint now) {
   if (calling_)
     return;
+  const bool may_sync = now + kSyncInterval >= next_sync_ + kMinSyncInterval;
   const bool demand_changed =
-      now + kSyncInterval >= next_sync_ + kMinSyncInterval &&
-      core_.requests().queued_by_team() != reported_wanted_;
+      may_sync && core_.requests().queued_by_team() != reported_wanted_;
+  // Another entry host may wait for an offer, or a lowered limit.
+  const bool offers = may_sync && !core_.allotments().offers().empty();
   const bool retiring = core_.stopping() && core_.stopped() && !retired_;
-  if (now >= next_sync_ || demand_changed || retiring)
+  if (now >= next_sync_ || demand_changed || offers || retiring)
     Sync(now);
 }
 
@@ -174,10 +176,7 @@
       control.tombstones.push_back(id);
   }
   core_.OnControlAnswer(control, now);
-  core_.OfferAllotment(answer.caps);
-  // An offer is worth a report at once: another entry host waits for it.
-  if (!core_.allotments().offers().empty())
-    next_sync_ = std::min(next_sync_, now + kMinSyncInterval);
+  core_.CapAllotment(std::move(answer.caps));
   if (answer.resend_workers) {
     workers_base_ = 0;
     next_sync_ = now;
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -86,9 +86,9 @@
   void OnFleetUpdate(FleetView view, TimePoint now);
   void OnControlAnswer(const ControlAnswer& answer, TimePoint now);
   void OnKeyWithdrawn(const KeyId& key, TimePoint now);
-  /// \brief Offers idle units above the leader's caps, by team.
-  void OfferAllotment(const std::map<TeamName, std::int64_t>& caps) {
-    book_.Offer(caps);
+  /// \brief Offers units above the leader's caps, by team, as they are idle.
+  void CapAllotment(std::map<TeamName, std::int64_t> caps) {
+    book_.SetCaps(std::move(caps));
   }
   [[nodiscard]] ControlReport BuildControlReport(TimePoint now) const;
 
