Keep the port open while a stop without a backup has open requests

Cause: a planned stop closed the public port at once. Without a reachable backup the requests end at the stopping host, but its workers could deliver neither heartbeats nor results any more, so the stop always ran into its time limit, and leases of running tasks were no longer renewed.

With a backup the port closes at once as before.

Event 1003 had no number of requests, although docs/events.md, design.md and operations.md say so; a second 1002 event had it. 1003 now has the open requests and the violations counted in the process, and the second 1002 is gone.

The load can submit elsewhere what a restart made a host refuse, and can be ended by a flag.

--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -235,6 +235,7 @@
   Flush();
   if (!stopped_)
     return;
+  CloseWhenUnused(now);
   const bool quiet = core_->stopped() && public_server_->open_requests() == 0;
   if (!quiet)
     quiet_since_ = now;
@@ -245,22 +246,34 @@
   if (finished || now >= stop_until_) {
     CheckInvariant(Invariant::kPlannedStop, quiet,
                    "the stop reached its time limit with requests open");
-    LogEvent(EventId::kProcessStopping,
-             {{"open_requests",
-               static_cast<unsigned long>(core_->open_requests())}});
     tick_.reset();
     std::exchange(stopped_, nullptr)();
   }
 }
 
+std::size_t EntryService::open_requests() const {
+  return core_->open_requests();
+}
+
 void EntryService::Stop(const std::function<void()>& done) {
   const TimePoint now = loop_->now();
   stopped_ = done;
   stop_until_ = now + options_.stop_timeout;
   quiet_since_ = now;
-  public_server_->StopAccepting();
   core_->Stop(now);
+  CloseWhenUnused(now);
   Flush();
 }
 
+// Without a backup the open requests end here, so workers still have to deliver
+// heartbeats and results. New work is refused by the core.
+void EntryService::CloseWhenUnused(TimePoint now) {
+  const bool can_hand_over =
+      core_->peers().ChooseBackup(RequestId(), now).has_value();
+  if (!closed_ && (can_hand_over || core_->stopped())) {
+    closed_ = true;
+    public_server_->StopAccepting();
+  }
+}
+
 }  // namespace boragewinch
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -28,6 +28,7 @@
 
   [[nodiscard]] Status Start(Kernel& kernel) override;
   void Stop(const std::function<void()>& done) override;
+  [[nodiscard]] std::size_t open_requests() const override;
 
  private:
   void ServePublic(const HttpRequest& request, const HttpResponder& respond);
@@ -38,6 +39,7 @@
   void SendToPeer(const SendPeer& action);
   void OnTick(TimePoint now);
   void RunPolicy(TimePoint now);
+  void CloseWhenUnused(TimePoint now);
 
   EntryOptions options_;
   Incarnation incarnation_;
@@ -59,6 +61,7 @@
   std::function<void()> stopped_;
   TimePoint stop_until_;
   TimePoint quiet_since_;  ///< during a stop: last time something was open
+  bool closed_ = false;    ///< the public port accepts no connections
   bool flushing_ = false;
 };
 
--- a/src/fakes/load_generator.cc
+++ b/src/fakes/load_generator.cc
@@ -15,6 +15,14 @@
 // The server holds a status call open this long, or until the job ends.
 constexpr char kWaitQuery[] = "?wait_ms=2000";
 
+[[nodiscard]] bool RefusedByRestart(const Json& answer) {
+  const auto reason = kRefusalReasons.Parse(
+      ValueOr<std::string>(StringFieldOr(answer, "reason", ""), ""));
+  return reason == RefusalReason::kStopping ||
+         reason == RefusalReason::kNoConfiguration ||
+         reason == RefusalReason::kNoBackup;
+}
+
 }  // namespace
 
 LoadGenerator::LoadGenerator(EventLoop& loop,
@@ -33,8 +41,12 @@
   StartMore();
 }
 
+std::int64_t LoadGenerator::wanted_jobs() const {
+  return config_.stop != nullptr && *config_.stop ? started_ : config_.jobs;
+}
+
 void LoadGenerator::StartMore() {
-  while (started_ < config_.jobs && started_ - ended_ < config_.in_flight) {
+  while (started_ < wanted_jobs() && started_ - ended_ < config_.in_flight) {
     const std::int64_t number = started_++;
     Job& job = open_[number];
     job.number = number;
@@ -163,6 +175,11 @@
       return;
     case Outcome::kRefusedNotRun:
       report_.not_run.push_back(job.id);
+      if (config_.resubmit_elsewhere && RefusedByRestart(json.value())) {
+        job.accepted = false;
+        RetryLater(number, &LoadGenerator::TakeTicket);
+        return;
+      }
       Finish(number, name.value() + ":" +
                          ValueOr<std::string>(
                              StringFieldOr(json.value(), "reason", ""), ""));
@@ -197,7 +214,7 @@
   ++report_.outcomes[outcome];
   ++ended_;
   loop_.Post([this, number] { open_.erase(number); });
-  if (ended_ == config_.jobs)
+  if (ended_ == wanted_jobs())
     loop_.Post([this] { done_(report_); });
   else
     loop_.Post([this] { StartMore(); });
--- a/src/fakes/load_generator.h
+++ b/src/fakes/load_generator.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEWINCH_FAKES_LOAD_GENERATOR_H_
 #define BORAGEWINCH_FAKES_LOAD_GENERATOR_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -33,6 +34,11 @@
   std::int64_t repeatable_percent = 50;
   Millis deadline{60'000};  ///< for each job, from its submit to its answer
   std::uint32_t seed = 1;
+  /// Submits a job again, under a ticket of another entry host, if the restart
+  /// of a host made one refuse it: stopping, no_configuration or no_backup.
+  bool resubmit_elsewhere = false;
+  /// Once it is true, no more jobs are started; may be null.
+  const std::atomic<bool>* stop = nullptr;
 };
 
 /// \brief What became of the submitted jobs.
@@ -71,6 +77,7 @@
   };
 
   void StartMore();
+  [[nodiscard]] std::int64_t wanted_jobs() const;
   void TakeTicket(std::int64_t number);
   void Submit(std::int64_t number);
   void Poll(std::int64_t number);
--- a/src/kernel/kernel.cc
+++ b/src/kernel/kernel.cc
@@ -3,6 +3,7 @@
 #include <csignal>
 
 #include "base/event_log.h"
+#include "base/invariant.h"
 #include "base/settings.h"
 
 namespace boragewinch {
@@ -39,7 +40,14 @@
       loop_.OnSignal(SIGINT, [this] { RequestStop(); });
   LogEvent(EventId::kProcessStarted, {{"version", kVersion}});
   loop_.Run();
-  LogEvent(EventId::kProcessStopped, {});
+  unsigned long open = 0;
+  for (const auto& [name, service] : services_)
+    open += service->open_requests();
+  unsigned long violations = 0;
+  for (const auto& [invariant, name] : kInvariants.entries)
+    violations += invariant_count(invariant).violated;
+  LogEvent(EventId::kProcessStopped,
+           {{"open_requests", open}, {"invariant_violations", violations}});
   return Ok();
 }
 
--- a/src/kernel/service.h
+++ b/src/kernel/service.h
@@ -21,6 +21,8 @@
   /// \brief Begins a planned stop.
   /// \param done must be called once when nothing of this service is open.
   virtual void Stop(const std::function<void()>& done) { done(); }
+  /// \returns requests without an answer; after a planned stop, those left.
+  [[nodiscard]] virtual std::size_t open_requests() const { return 0; }
 };
 
 }  // namespace boragewinch
--- a/tests/process_fleet.cc
+++ b/tests/process_fleet.cc
@@ -117,21 +117,26 @@
 }
 
 void ProcessFleet::DefineControl() {
-  std::vector<std::string> peers;
   for (const char* name : {"c1", "c2", "c3"}) {
     std::filesystem::create_directory(data(name));
-    Define(name, {"boraged-control", "--data=" + data(name),
-                  "--platform=" + children_.at("platform").address});
-    std::string target = children_.at(name).address;
-    if (shape_.control_relays) {
-      auto& relay = relays_["raft-" + std::string(name)];
-      relay = std::make_unique<CutRelay>(target);
-      target = relay->address();
+    Define(name,
+           {"boraged-control", "--data=" + data(name),
+            "--platform=" + children_.at("platform").address,
+            "--snapshot-entries=" + std::to_string(shape_.snapshot_entries)});
+  }
+  for (const std::string from : {"c1", "c2", "c3"}) {
+    std::vector<std::string> peers;
+    for (const std::string to : {"c1", "c2", "c3"}) {
+      std::string target = children_.at(to).address;
+      if (shape_.control_relays && from != to) {
+        auto& relay = relays_["raft-" + from + "-" + to];
+        relay = std::make_unique<CutRelay>(target);
+        target = relay->address();
+      }
+      peers.push_back(to + "=" + target);
     }
-    peers.push_back(std::string(name) + "=" + target);
+    children_.at(from).arguments.push_back("--peers=" + Joined(peers));
   }
-  for (const char* name : {"c1", "c2", "c3"})
-    children_.at(name).arguments.push_back("--peers=" + Joined(peers));
 }
 
 void ProcessFleet::DefineZone(int zone, const std::string& control) {
@@ -140,8 +145,10 @@
   for (int i = 1; i <= shape_.entries; ++i) {
     const std::string name = "e" + number + std::to_string(i);
     const std::string peer = FreeAddress();
-    Define(name, {"boraged-entry", "--zone=z" + number, "--control=" + control,
-                  "--peer-listen=" + peer});
+    Define(name,
+           {"boraged-entry", "--zone=z" + number, "--control=" + control,
+            "--peer-listen=" + peer,
+            "--stop-timeout-ms=" + std::to_string(shape_.stop_timeout_ms)});
     Child& child = children_.at(name);
     child.peer_address = peer;
     if (shape_.peer_relays) {
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -49,8 +49,11 @@
   int min_available = 0;
   int limit = 500;  ///< upper limit of team t1; t2 has 500
   int reboot_ms = 300;
+  int snapshot_entries = 8192;   ///< log entries between snapshots
+  int stop_timeout_ms = 60'000;  ///< longest planned stop of an entry host
   bool worker_process_per_rack = false;
-  /// From each zone to each control host, and between control hosts.
+  /// From each zone to each control host ("z1-c1"), and from each control host
+  /// to each other one ("raft-c1-c2").
   bool control_relays = false;
   bool worker_relays = false;  ///< from workers to each entry host
   bool peer_relays = false;    ///< from all processes to each entry host
