--- a/tests/cut_relay.cc
+++ b/tests/cut_relay.cc
@@ -106,6 +106,29 @@
   return true;
 }
 
+bool CutRelay::Swallow(Pipe* pipe, bool* dropped) {
+  char buffer[64 * 1024];
+  *dropped = *dropped || !pipe->pending.empty();
+  pipe->pending.clear();
+  for (;;) {
+    const ssize_t got = read(pipe->from, buffer, sizeof(buffer));
+    if (got <= 0)
+      return got < 0 && errno == EAGAIN;
+    *dropped = true;
+  }
+}
+
+bool CutRelay::PumpLink(Link* link, RelayMode mode) {
+  switch (mode) {
+    case RelayMode::kSwallowCalls:
+      return Swallow(&link->up, &link->torn) && Pump(&link->down);
+    case RelayMode::kSwallowAnswers:
+      return Pump(&link->up) && Swallow(&link->down, &link->torn);
+    default:
+      return !link->torn && Pump(&link->up) && Pump(&link->down);
+  }
+}
+
 void CutRelay::Run() {
   while (!stop_) {
     const RelayMode mode = mode_;
@@ -115,7 +138,7 @@
       links_.clear();
     }
     std::vector<pollfd> polled{{listener_, POLLIN, 0}};
-    if (mode == RelayMode::kForward) {
+    if (mode != RelayMode::kCut && mode != RelayMode::kStall) {
       for (const Link& link : links_) {
         if (link.generation != silenced_)
           continue;
@@ -129,11 +152,10 @@
     }
     poll(polled.data(), polled.size(), kPollMs);
     Accept();
-    if (mode != RelayMode::kForward || mode_ != RelayMode::kForward)
+    if (mode == RelayMode::kCut || mode == RelayMode::kStall || mode_ != mode)
       continue;
     for (auto link = links_.begin(); link != links_.end();) {
-      const bool open = link->generation != silenced_ ||
-                        (Pump(&link->up) && Pump(&link->down));
+      const bool open = link->generation != silenced_ || PumpLink(&*link, mode);
       if (!open)
         Close(*link);
       link = open ? std::next(link) : links_.erase(link);
--- a/tests/cut_relay.h
+++ b/tests/cut_relay.h
@@ -14,6 +14,10 @@
   kForward,
   kCut,    ///< closes every connection, present and new
   kStall,  ///< keeps connections open and passes nothing, present and new
+  /// Drops what callers send; answers pass. Connections that lost bytes close
+  /// when the mode ends, since the rest of their stream is of no use.
+  kSwallowCalls,
+  kSwallowAnswers,  ///< the same with the directions exchanged
 };
 
 /// \brief TCP relay on loopback with a thread of its own, for partitions.
@@ -43,11 +47,16 @@
     Pipe up;
     Pipe down;
     int generation = 0;
+    bool torn = false;  ///< bytes of it were dropped
   };
 
   void Run();
   void Accept();
   [[nodiscard]] bool Pump(Pipe* pipe);
+  [[nodiscard]] bool PumpLink(Link* link, RelayMode mode);
+  /// \brief Drops what can be read.
+  /// \returns whether the connection is still open.
+  [[nodiscard]] static bool Swallow(Pipe* pipe, bool* dropped);
   static void Close(const Link& link);
 
   std::string target_;
