--- /dev/null
+++ b/tests/partition_table_process_test.cc
@@ -0,0 +1,249 @@
+#define BOOST_TEST_MODULE partition_table_process
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <set>
+#include <sstream>
+
+#include "base/hash.h"
+#include "base/secret.h"
+#include "base/settings.h"
+#include "ctl/boragectl.h"
+#include "process_fleet.h"
+
+namespace boragewinch {
+namespace {
+
+// For a slow machine; nothing here takes this long unless it hangs.
+constexpr Millis kWaitLimit{30'000};
+constexpr int kLimit = 20;
+constexpr char kUnknown[] = "unknown_may_have_run";
+
+/// The entry hosts of one side of the cut.
+struct Side {
+  std::string first;
+  std::string second;
+  std::string job;     ///< ended before the cut
+  std::string ticket;  ///< taken before the cut, not used
+};
+
+// The rows of the table "Network partitions" of docs/operations.md. Zone 2 has
+// no control host during the cut. The peer port of one address serves callers
+// of all zones, so each test cuts the peer ports of the zone that it does not
+// look at, for all, and checks the answers of the other one, which is whole.
+struct Fixture {
+  static FleetShape Shape() {
+    FleetShape shape;
+    shape.zones = 2;
+    shape.hosts = 4;
+    shape.limit = kLimit;
+    shape.control_relays = true;
+    shape.peer_relays = true;
+    return shape;
+  }
+  ProcessFleet fleet{Shape()};
+  Side majority = Prepare("e11", "e12");
+  Side other = Prepare("e21", "e22");
+
+  Side Prepare(const std::string& first, const std::string& second) {
+    Side side{first, second, fleet.Ticket(first), fleet.Ticket(first)};
+    BOOST_REQUIRE(Run(first, side.job) == "finished");
+    return side;
+  }
+  void CutFrom(const Side& hidden) {
+    for (const char* control : {"c1", "c2", "c3"})
+      fleet.relay(std::string("z2-") + control).SetMode(RelayMode::kCut);
+    for (const std::string& entry : {hidden.first, hidden.second})
+      fleet.relay("peer-" + entry).SetMode(RelayMode::kCut);
+  }
+  void Heal() {
+    for (const char* control : {"c1", "c2", "c3"})
+      fleet.relay(std::string("z2-") + control).SetMode(RelayMode::kForward);
+    for (const std::string& entry : fleet.entry_names())
+      fleet.relay("peer-" + entry).SetMode(RelayMode::kForward);
+  }
+  // Submits under `ticket` and waits for the end.
+  std::string Run(const std::string& entry, const std::string& ticket) {
+    return Ended(entry,
+                 fleet.Put(entry, ticket, ProcessFleet::Spec("open", 5, true)));
+  }
+  std::string Ended(const std::string& entry, Reply reply) {
+    (void)Eventually(kWaitLimit, [&] {
+      const std::string outcome = reply.json()["outcome"].asString();
+      if (outcome != "accepted" && outcome != "running")
+        return true;
+      reply = fleet.Job(entry, reply.json()["id"].asString());
+      return false;
+    });
+    return reply.json()["outcome"].asString();
+  }
+  Reply Call(const std::string& method,
+             const std::string& entry,
+             const std::string& path,
+             const Json& body = Json()) {
+    return Http(method, "http://" + fleet.address(entry) + path, {},
+                body.isNull() ? "" : WriteJson(body), Millis(10'000));
+  }
+  std::string Outcome(const Reply& reply) {
+    return reply.json()["outcome"].asString();
+  }
+  Reply Named(const std::string& entry, const char* id, bool repeatable) {
+    Json spec = ProcessFleet::Spec("open", 5, repeatable);
+    spec["client_request_id"] = id;
+    return Call("POST", entry, "/v1/jobs", spec);
+  }
+  int Operate(const std::vector<std::string>& control,
+              const std::vector<std::string>& arguments,
+              Millis timeout) {
+    CtlConfig config;
+    config.control = control;
+    config.timeout = timeout;
+    config.secret = kTestOperatorSecret;
+    config.operator_name = "test";
+    for (const std::string& entry : fleet.entry_names())
+      config.entries.push_back(
+          {"z" + entry.substr(1, 1), fleet.address(entry)});
+    EventLoop loop;
+    std::ostringstream out;
+    std::ostringstream err;
+    Boragectl client(loop, config, out, err);
+    const int code = client.Run(arguments);
+    BOOST_TEST_MESSAGE(out.str() << err.str());
+    return code;
+  }
+
+  // The rows that are the same on both sides.
+  void CheckBothSides(const Side& own, const Side& hidden) {
+    const std::string& at = own.first;
+    // Submit to an open queue; heartbeats and results of workers of this side.
+    const std::string job = fleet.Ticket(at);
+    BOOST_TEST(Run(at, job) == "finished");
+    BOOST_TEST(Run(own.second, own.ticket) == "finished");
+    // Status, result and cancel of a request of this side.
+    for (const std::string& id : {own.job, job}) {
+      BOOST_TEST(Outcome(Call("GET", own.second, "/v1/jobs/" + id)) ==
+                 "finished");
+      BOOST_TEST(Call("GET", at, "/v1/jobs/" + id + "/result").body == "echo");
+    }
+    const std::string cancelled = fleet.Ticket(at);
+    BOOST_TEST(
+        fleet.Put(at, cancelled, ProcessFleet::Spec("open", 600'000, true))
+            .status == 200);
+    BOOST_TEST(Eventually(kWaitLimit, [&] {
+      return Outcome(Call("DELETE", own.second, "/v1/jobs/" + cancelled)) ==
+             "cancelled";
+    }));
+    // Of a request of the other side, and a submit under its ticket. Each call
+    // is answered at its deadline, so they run together.
+    const auto later = [&](const char* method, const std::string& path,
+                           const Json& body = Json()) {
+      return std::async(std::launch::async, [=, this, entry = at] {
+        return Call(method, entry, path, body);
+      });
+    };
+    std::vector<std::future<Reply>> calls;
+    calls.push_back(later("GET", "/v1/jobs/" + hidden.job));
+    calls.push_back(later("GET", "/v1/jobs/" + hidden.job + "/result"));
+    calls.push_back(later("DELETE", "/v1/jobs/" + hidden.job));
+    calls.push_back(later("PUT", "/v1/jobs/" + hidden.ticket,
+                          ProcessFleet::Spec("open", 5, true)));
+    for (std::size_t call = 0; call < calls.size(); ++call) {
+      const Reply reply = calls[call].get();
+      BOOST_TEST(Outcome(reply) == kUnknown, call << ": " << reply.body);
+    }
+    // With a client_request_id.
+    const Reply once = Named(at, "once", false);
+    BOOST_TEST(Outcome(once) == kUnknown, once.body);
+    const Reply repeatable = Named(at, "again", true);
+    BOOST_TEST(Ended(at, repeatable) == "finished", repeatable.body);
+    // Status, metrics and job list.
+    for (const char* path : {"/v1/status", "/v1/metrics", "/v1/jobs"})
+      BOOST_TEST(fleet.Operator(at, "GET", path).status == 200, path);
+    // Withdrawal at an entry host; the second one has it from the first.
+    BOOST_TEST(fleet.Operator(at, "POST", "/v1/keys/k1/withdraw").status ==
+               200);
+    for (const std::string& entry : {at, own.second}) {
+      BOOST_TEST(Eventually(kWaitLimit, [&] {
+        return fleet.RunJob(entry, "q1", fleet.key1) == "withdrawn_key";
+      }));
+    }
+  }
+  void CheckHealed() {
+    Heal();
+    for (const std::string& entry : fleet.entry_names()) {
+      BOOST_TEST(Eventually(kWaitLimit, [&] {
+        return fleet.RunJob(entry, "q2", fleet.key2) == "finished";
+      }));
+      BOOST_TEST(Eventually(kWaitLimit, [&] {
+        return fleet.RunJob(entry, "q1", fleet.key1) == "withdrawn_key";
+      }));
+    }
+    const auto executions = fleet.Executions();
+    for (const std::string& ticket : {majority.job, other.job})
+      BOOST_TEST(executions.at(ticket) == 1, ticket);
+    BOOST_TEST(fleet.PeakRunning("t1") <= kLimit);
+    BOOST_TEST(fleet.Violations() == "");
+  }
+};
+
+// Guards against a majority side that refuses what it can serve, or that gives
+// a definite answer about what may have run on the other side.
+BOOST_FIXTURE_TEST_CASE(MajoritySideAnswersAsThePageSays, Fixture) {
+  CutFrom(other);
+  BOOST_TEST(fleet.RunJob("e11", "q1", fleet.key1) == "finished");
+  // An operator's change is committed, and in force once the other side can't
+  // act under the old state.
+  const std::vector<std::string> control{
+      fleet.address("c1"), fleet.address("c2"), fleet.address("c3")};
+  BOOST_TEST(Operate(control, {"key", "create", "t1"}, kWaitLimit) == kExitOk);
+  CheckBothSides(majority, other);
+  BOOST_TEST(fleet.RunJob("e11", "q2", fleet.key2) == "finished");
+  CheckHealed();
+}
+
+// Guards against a side without a control majority that accepts keyed work or
+// changes, starts more than its allotment, or stops serving open queues.
+BOOST_FIXTURE_TEST_CASE(OtherSideAnswersAsThePageSays, Fixture) {
+  CutFrom(majority);
+  for (const char* entry : {"e21", "e22"}) {
+    BOOST_TEST(Eventually(kWaitLimit, [&] {
+      return fleet.RunJob(entry, "q2", fleet.key2) == "stale_configuration";
+    }));
+  }
+  std::vector<std::string> control;
+  for (const char* host : {"z2-c1", "z2-c2", "z2-c3"})
+    control.push_back(fleet.relay(host).address());
+  BOOST_TEST(Operate(control, {"key", "create", "t1"}, Millis(3'000)) ==
+             kExitUnavailable);
+  CheckBothSides(other, majority);
+  // More open work than the team's limit: what the allotment in hand does not
+  // cover waits until its deadline, and is not run.
+  std::vector<std::string> jobs;
+  for (int job = 0; job < kLimit + 5; ++job) {
+    Json spec = ProcessFleet::Spec("open", 600'000, true);
+    spec["start_deadline_ms"] = 2'000;
+    jobs.push_back(fleet.Ticket("e21"));
+    BOOST_TEST(fleet.Put("e21", jobs.back(), spec).status == 200);
+  }
+  std::set<std::string> refused;
+  BOOST_TEST(Eventually(kWaitLimit, [&] {
+    std::size_t decided = 0;
+    for (const std::string& job : jobs) {
+      const Json answer = Call("GET", "e21", "/v1/jobs/" + job).json();
+      if (answer["reason"].asString() == "deadline")
+        refused.insert(job);
+      if (refused.contains(job) || answer["outcome"].asString() == "running")
+        ++decided;
+    }
+    return decided == jobs.size();
+  }));
+  BOOST_TEST(refused.size() >= 5U);
+  BOOST_TEST(refused.size() < jobs.size());
+  const auto executions = fleet.Executions();
+  for (const std::string& job : jobs)
+    BOOST_TEST(executions.contains(job) == !refused.contains(job), job);
+  CheckHealed();
+}
+
+}  // namespace
+}  // namespace boragewinch
