Show what a sheet gains and costs before it is applied and blend its shares

Entry hosts blend old and new shares over share-blend-ms as a function of the accepted versions and now; a second sheet within the blend starts from the shares then in force. A blend by wall time in the replicated state was ruled out: a restarted entry host then needs the old shares too. sheet_test, wave_test and boragectl_test pass.

--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -1,6 +1,8 @@
 #include "control/operator_api.h"
 
+#include <algorithm>
 #include <cstdlib>
+#include <set>
 #include <utility>
 
 #include "base/invariant.h"
@@ -8,6 +10,7 @@
 #include "control/control_service.h"
 #include "fleet/sheet_diff.h"
 #include "fleet/sheet_parser.h"
+#include "policy/sheet_transition.h"
 
 namespace boragewinch {
 
@@ -245,9 +248,31 @@
       DiffSheet(service_.state().view(), sheet, service_.reports().Running());
   Json answer = ToJson(diff);
   answer["version"] = ::Json::UInt64(service_.state().version());
+  if (mode.value() == "diff")
+    answer["plan"] = SheetPlanJson(sheet);
   respond({200, WriteJson(answer)});
 }
 
+Json ControlOperatorApi::SheetPlanJson(const Sheet& sheet) const {
+  const FleetView& before = service_.state().view();
+  const FleetView after = ViewAfter(before, sheet);
+  const std::set<HostName> lost =
+      service_.reports().Unavailable(before, loop_.now());
+  // Workers don't report their slots to the control group, so a share is shown
+  // as the hosts it stands for when the fleet is full.
+  const auto serving = std::count_if(
+      after.hosts.begin(), after.hosts.end(), [&after](const auto& item) {
+        const auto pool = after.pools.find(item.second.pool);
+        return pool != after.pools.end() && !pool->second.spare;
+      });
+  return ToJson(PlanSheet({.before = before,
+                           .after = after,
+                           .lost = lost,
+                           .running = service_.reports().Running(),
+                           .slots = serving}),
+                "hosts");
+}
+
 Json ControlOperatorApi::StatusJson() const {
   const raft::Replica& replica = service_.replica();
   Json json;
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -34,6 +34,8 @@
   void Submit(Command command, const Respond& respond);
   void HandleSheet(const HttpRequest& request, const Respond& respond);
   void FillIn(Command* command) const;
+  /// \returns what the sheet gains and costs each team and pool.
+  [[nodiscard]] Json SheetPlanJson(const Sheet& sheet) const;
   [[nodiscard]] Json StatusJson() const;
   [[nodiscard]] Json FleetJson() const;
   [[nodiscard]] Json HistoryJson() const;
--- a/src/ctl/boragectl_changes.cc
+++ b/src/ctl/boragectl_changes.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <cstdint>
+#include <cstdio>
 #include <limits>
 #include <utility>
 
@@ -50,6 +52,87 @@
   return text;
 }
 
+[[nodiscard]] std::string Number(double value, const char* format) {
+  char text[64];
+  std::snprintf(text, sizeof text, format, value);
+  return text;
+}
+
+[[nodiscard]] double NumberOf(const Json& value) {
+  return value.isNumeric() ? value.asDouble() : 0;
+}
+
+// "3 -> 4 (+1)" from members "<name>_before" and "<name>_after", or "3".
+[[nodiscard]] std::string ChangeOf(const Json& row,
+                                   const std::string& name,
+                                   int decimals) {
+  const double before = NumberOf(row[name + "_before"]);
+  const double after = NumberOf(row[name + "_after"]);
+  const std::string precision = "." + std::to_string(decimals) + "f";
+  const std::string plain = "%" + precision;
+  const std::string signed_format = "%+" + precision;
+  const std::string old_text = Number(before, plain.c_str());
+  std::string new_text = Number(after, plain.c_str());
+  if (old_text == new_text)
+    return new_text;
+  return old_text + " -> " + new_text + " (" +
+         Number(after - before, signed_format.c_str()) + ")";
+}
+
+// What a sheet gains and costs each team and pool. Pools without a change are
+// left out, since a fleet has hundreds of them.
+[[nodiscard]] std::string PlanText(const Json& plan) {
+  std::vector<Json> teams;
+  for (const Json& team : Rows(plan["teams"])) {
+    Json row;
+    row["team"] = team["team"];
+    row["share"] = ChangeOf(team, "share", 0);
+    row["hosts when full"] = ChangeOf(team, "hosts", 1);
+    row["limit"] = ChangeOf(team, "limit", 0);
+    row["tasks to end"] = team["to_end"];
+    row["buffer hosts"] = ChangeOf(team, "buffer", 2);
+    teams.push_back(std::move(row));
+  }
+  std::string text =
+      "\n" + FormatTable({"team", "share", "hosts when full", "limit",
+                          "tasks to end", "buffer hosts"},
+                         teams);
+  std::vector<Json> pools;
+  for (const Json& pool : Rows(plan["pools"])) {
+    Json row;
+    row["pool"] = pool["pool"];
+    row["hosts"] = ChangeOf(pool, "hosts", 0);
+    row["moves in"] = pool["moves_in"];
+    row["moves out"] = pool["moves_out"];
+    row["buffer hosts"] = ChangeOf(pool, "buffer", 2);
+    if (pool["hosts_before"] != pool["hosts_after"] ||
+        NumberOf(pool["moves_in"]) > 0 ||
+        row["buffer hosts"].asString().find("->") != std::string::npos)
+      pools.push_back(std::move(row));
+  }
+  if (!pools.empty()) {
+    text += "\n" + FormatTable({"pool", "hosts", "moves in", "moves out",
+                                "buffer hosts"},
+                               pools);
+  }
+  std::int64_t steps = 0;
+  for (const Json& move : Rows(plan["moves"])) {
+    steps =
+        std::max(steps, static_cast<std::int64_t>(NumberOf(move["step"])) + 1);
+  }
+  const std::vector<Json> blocked = Rows(plan["blocked"]);
+  text += "\nhost moves: " + std::to_string(Rows(plan["moves"]).size()) +
+          " in " + std::to_string(steps) + " steps, " +
+          std::to_string(blocked.size()) + " not possible within the budgets\n";
+  for (const Json& move : blocked) {
+    text += "  " + CellText(move["host"]) + " from " + CellText(move["from"]) +
+            " to " + CellText(move["to"]) + "\n";
+  }
+  const Json& buffer = plan["buffer"];
+  return text + "buffer: spare hosts " + ChangeOf(buffer, "spares", 0) +
+         ", needed " + ChangeOf(buffer, "needed", 0) + "\n";
+}
+
 [[nodiscard]] std::string SheetText(const Json& answer) {
   std::string text;
   for (const Json& warning : Rows(answer["warnings"])) {
@@ -61,7 +144,9 @@
   const std::vector<Json> changes = Rows(answer["changes"]);
   for (const Json& change : changes)
     text += ChangeText(change) + "\n";
-  return changes.empty() ? text + "no change\n" : text;
+  if (changes.empty())
+    text += "no change\n";
+  return answer["plan"].isObject() ? text + PlanText(answer["plan"]) : text;
 }
 
 [[nodiscard]] Json Command(const char* type) {
--- a/src/entry/boraged_entry_main.cc
+++ b/src/entry/boraged_entry_main.cc
@@ -44,6 +44,9 @@
       .Required("cluster-secret", "secret shared by all processes")
       .Required("operator-secret", "credential that operators show")
       .Integer("stop-timeout-ms", "longest planned stop", 60'000, 0, 3'600'000)
+      .Integer("share-blend-ms",
+               "time in which shares go over to those of a new sheet", 60'000,
+               0, 86'400'000)
       .Flag("verbose", "writes debug events");
   std::vector<Error> errors;
   const Settings settings = builder.Parse(argc, argv, &errors);
@@ -70,6 +73,7 @@
     options.control.push_back(address.substr(address.find('=') + 1));
   options.cluster_secret = settings.text("cluster-secret");
   options.operator_secret = settings.text("operator-secret");
+  options.share_blend = Millis(settings.integer("share-blend-ms"));
   options.stop_timeout = Millis(settings.integer("stop-timeout-ms"));
 
   Kernel kernel;
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -20,6 +20,7 @@
   std::string cluster_secret;
   std::string operator_secret;
   Millis stop_timeout{60'000};
+  Millis share_blend{60'000};  ///< time in which a sheet's shares take over
 };
 
 }  // namespace boragewinch
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -64,7 +64,9 @@
 }  // namespace
 
 EntryService::EntryService(EntryOptions options)
-    : options_(std::move(options)), incarnation_(RandomHex64()) {}
+    : options_(std::move(options)),
+      incarnation_(RandomHex64()),
+      scheduler_(options_.share_blend) {}
 
 EntryService::~EntryService() = default;
 
--- a/src/entry/policy_scheduler.cc
+++ b/src/entry/policy_scheduler.cc
@@ -42,6 +42,8 @@
 }  // namespace
 
 struct PolicyScheduler::Impl {
+  explicit Impl(Millis share_blend) : blend(share_blend) {}
+
   struct RunningTask {
     QueuedJob job;
     PendingJob pending;
@@ -213,6 +215,7 @@
   Estimator estimator = Estimator::Make().value();
   WorkerHealth health = WorkerHealth::Make().value();
   UrgentConfig urgent_config;
+  ShareBlend blend;
   std::map<RequestId, QueuedJob> waiting;
   std::set<std::pair<TimePoint, RequestId>> urgent;  ///< waiting, oldest first
   std::map<RequestId, RunningTask> running;
@@ -222,7 +225,8 @@
   TimePoint last_now;
 };
 
-PolicyScheduler::PolicyScheduler() : impl_(std::make_unique<Impl>()) {}
+PolicyScheduler::PolicyScheduler(Millis share_blend)
+    : impl_(std::make_unique<Impl>(share_blend)) {}
 
 PolicyScheduler::~PolicyScheduler() = default;
 
@@ -258,10 +262,8 @@
                              const ZoneState& zone,
                              TimePoint now) {
   impl_->last_now = now;
-  std::map<TeamName, std::int64_t> shares;
-  for (const auto& [name, team] : view.teams)
-    shares[name] = team.share;
-  impl_->queue.SetShares(shares);
+  impl_->blend.Accept(SharesOf(view), now);
+  impl_->queue.SetShares(impl_->blend.At(now));
   impl_->queue.SetZoneUsage(zone.peer_usage, now);
   impl_->queue.SetCapacity(zone.capacity);
   impl_->queue.ArmAll();
--- a/src/entry/policy_scheduler.h
+++ b/src/entry/policy_scheduler.h
@@ -9,6 +9,7 @@
 #include "base/result.h"
 #include "entry/scheduler_hooks.h"
 #include "model/fleet_view.h"
+#include "policy/share_blend.h"
 #include "policy/usage_average.h"
 
 namespace boragewinch {
@@ -26,7 +27,8 @@
   /// Whether `team` may start one more task now.
   using MayStart = std::function<bool(const TeamName&)>;
 
-  PolicyScheduler();
+  /// \param share_blend time in which shares go over to those of a new sheet.
+  explicit PolicyScheduler(Millis share_blend = kDefaultShareBlend);
   ~PolicyScheduler();
   PolicyScheduler(const PolicyScheduler&) = delete;
   PolicyScheduler& operator=(const PolicyScheduler&) = delete;
--- a/src/fleet/sheet_diff.cc
+++ b/src/fleet/sheet_diff.cc
@@ -268,6 +268,35 @@
   return Differ(view, sheet, in_use).Run();
 }
 
+FleetView ViewAfter(const FleetView& view, const Sheet& sheet) {
+  FleetView after = view;
+  const auto replace = [](const auto& rows, auto* table) {
+    table->clear();
+    for (const auto& row : rows)
+      (*table)[row.value.name] = row.value;
+  };
+  replace(sheet.pools, &after.pools);
+  replace(sheet.teams, &after.teams);
+  replace(sheet.queues, &after.queues);
+  if (sheet.hosts.empty())
+    return after;
+  after.hosts.clear();
+  for (const auto& [row, place] : sheet.hosts) {
+    const auto present = view.hosts.find(row.name);
+    Host& host = after.hosts[row.name];
+    host = present == view.hosts.end() ? row : present->second;
+    host.pool = row.pool;
+    host.zone = row.zone;
+    host.rack = row.rack;
+  }
+  // Like ApplySheet: a host without a row goes only if no task can be on it.
+  for (const auto& [name, host] : view.hosts) {
+    if (host.state != HostState::kDrained && host.state != HostState::kLost)
+      after.hosts.try_emplace(name, host);
+  }
+  return after;
+}
+
 Json ToJson(const SheetDiff& diff) {
   Json json(::Json::objectValue);
   json["changes"] = Json(::Json::arrayValue);
--- a/src/fleet/sheet_diff.h
+++ b/src/fleet/sheet_diff.h
@@ -72,6 +72,10 @@
                                   const Sheet& sheet,
                                   const TeamCounts& in_use);
 
+/// \returns the fleet with the sheet applied and all moves done, for plans.
+/// Versions, keys and states of hosts are those of `view`.
+[[nodiscard]] FleetView ViewAfter(const FleetView& view, const Sheet& sheet);
+
 /// \returns the diff for `boragectl sheet diff --json`.
 [[nodiscard]] Json ToJson(const SheetDiff& diff);
 
--- /dev/null
+++ b/src/policy/share_blend.h
@@ -0,0 +1,53 @@
+#ifndef BORAGEWINCH_POLICY_SHARE_BLEND_H_
+#define BORAGEWINCH_POLICY_SHARE_BLEND_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/time.h"
+#include "model/fleet_view.h"
+
+namespace boragewinch {
+
+using TeamShares = std::map<TeamName, std::int64_t>;
+
+inline constexpr Millis kDefaultShareBlend{60'000};
+
+/// \returns the shares of the teams of `view`.
+[[nodiscard]] TeamShares SharesOf(const FleetView& view);
+
+/// \brief Shares on the way from one sheet to the next.
+/// \returns shares in millionths of the whole, linear in `elapsed` /
+/// `duration`.
+[[nodiscard]] TeamShares BlendShares(const TeamShares& before,
+                                     const TeamShares& after,
+                                     Millis elapsed,
+                                     Millis duration);
+
+/// \brief Lets shares go over from each accepted version to the next, so that
+/// a new sheet does not make a team's running tasks excess all at once.
+class ShareBlend {
+ public:
+  explicit ShareBlend(Millis duration) noexcept : duration_(duration) {}
+
+  /// \brief Takes the shares of a version. Equal shares change nothing; others
+  /// begin a blend from the shares in force at `now`, so that a second sheet
+  /// within the duration causes no jump. The first shares are in force at once:
+  /// a process that has just started knows no earlier ones.
+  void Accept(const TeamShares& shares, TimePoint now);
+
+  /// \returns the shares in force at `now`. They depend on the accepted
+  /// versions and `now` only.
+  [[nodiscard]] TeamShares At(TimePoint now) const;
+
+ private:
+  Millis duration_;
+  TeamShares before_;
+  TeamShares after_;
+  TimePoint since_;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_POLICY_SHARE_BLEND_H_
--- a/src/policy/sheet_transition.cc
+++ b/src/policy/sheet_transition.cc
@@ -64,6 +64,47 @@
   plan.blocked = std::move(open);
 }
 
+void CountPools(const SheetInput& input,
+                const BufferPlan& old_buffer,
+                const BufferPlan& new_buffer,
+                SheetPlan& plan) {
+  std::map<PoolName, PoolChange> pools;
+  for (const auto* view : {&input.before, &input.after}) {
+    for (const auto& [name, pool] : view->pools)
+      pools[name].pool = name;
+  }
+  for (const auto& [name, host] : input.before.hosts)
+    ++pools[host.pool].hosts_before;
+  for (const auto& [name, host] : input.after.hosts)
+    ++pools[host.pool].hosts_after;
+  const auto count = [&pools](const HostMove& move) {
+    ++pools[move.from].moves_out;
+    ++pools[move.to].moves_in;
+  };
+  for (const SheetMove& move : plan.moves)
+    count(move.move);
+  for (const HostMove& move : plan.blocked)
+    count(move);
+  for (const PoolTarget& target : old_buffer.pools)
+    pools[target.pool].buffer_before = target.cost_hosts;
+  for (const PoolTarget& target : new_buffer.pools)
+    pools[target.pool].buffer_after = target.cost_hosts;
+  for (auto& [name, change] : pools)
+    plan.pools.push_back(std::move(change));
+  plan.spares_before = old_buffer.spares;
+  plan.spares_after = new_buffer.spares;
+  plan.needed_before = old_buffer.spares_needed;
+  plan.needed_after = new_buffer.spares_needed;
+}
+
+[[nodiscard]] Json ToJson(const HostMove& move) {
+  Json json;
+  json["host"] = move.host.str();
+  json["from"] = move.from.str();
+  json["to"] = move.to.str();
+  return json;
+}
+
 }  // namespace
 
 SheetPlan PlanSheet(const SheetInput& input) {
@@ -73,6 +114,7 @@
       PlanBuffers(input.before, input.lost, input.buffer);
   const BufferPlan new_buffer =
       PlanBuffers(input.after, input.lost, input.buffer);
+  CountPools(input, old_buffer, new_buffer, plan);
   const auto cost = [](const BufferPlan& buffer, const TeamName& team) {
     const auto found = buffer.cost_by_team.find(team);
     return found == buffer.cost_by_team.end() ? 0.0 : found->second;
@@ -93,12 +135,14 @@
         team != input.before.teams.end()) {
       change.slots_before =
           slots * static_cast<double>(team->second.share) / sum_before;
+      change.share_before = team->second.share;
       change.limit_before = team->second.limit;
     }
     if (const auto team = input.after.teams.find(name);
         team != input.after.teams.end()) {
       change.slots_after =
           slots * static_cast<double>(team->second.share) / sum_after;
+      change.share_after = team->second.share;
       change.limit_after = team->second.limit;
     }
     if (const auto running = input.running.find(name);
@@ -123,32 +167,55 @@
   return plan;
 }
 
-std::map<TeamName, std::int64_t> BlendShares(const FleetView& before,
-                                             const FleetView& after,
-                                             Millis elapsed,
-                                             Millis duration) {
-  const double done =
-      duration <= Millis(0)
-          ? 1.0
-          : std::clamp(static_cast<double>(elapsed.count()) /
-                           static_cast<double>(duration.count()),
-                       0.0, 1.0);
-  // Fractions of the whole are blended, since the sheets may use other units.
-  std::map<TeamName, double> fractions;
-  const double sum_before = std::max(ShareSum(before), 1.0);
-  const double sum_after = std::max(ShareSum(after), 1.0);
-  for (const auto& [name, team] : before.teams) {
-    fractions[name] +=
-        (1 - done) * static_cast<double>(team.share) / sum_before;
+Json ToJson(const SheetPlan& plan, const std::string& unit) {
+  Json json;
+  Json teams(::Json::arrayValue);
+  for (const TeamChange& team : plan.teams) {
+    Json item;
+    item["team"] = team.team.str();
+    item["share_before"] = ::Json::Int64(team.share_before);
+    item["share_after"] = ::Json::Int64(team.share_after);
+    item[unit + "_before"] = team.slots_before;
+    item[unit + "_after"] = team.slots_after;
+    item["limit_before"] = ::Json::Int64(team.limit_before);
+    item["limit_after"] = ::Json::Int64(team.limit_after);
+    item["running"] = ::Json::Int64(team.running);
+    item["to_end"] = ::Json::Int64(team.to_end);
+    item["buffer_before"] = team.buffer_before;
+    item["buffer_after"] = team.buffer_after;
+    teams.append(std::move(item));
+  }
+  json["teams"] = std::move(teams);
+  Json pools(::Json::arrayValue);
+  for (const PoolChange& pool : plan.pools) {
+    Json item;
+    item["pool"] = pool.pool.str();
+    item["hosts_before"] = ::Json::Int64(pool.hosts_before);
+    item["hosts_after"] = ::Json::Int64(pool.hosts_after);
+    item["moves_in"] = ::Json::Int64(pool.moves_in);
+    item["moves_out"] = ::Json::Int64(pool.moves_out);
+    item["buffer_before"] = pool.buffer_before;
+    item["buffer_after"] = pool.buffer_after;
+    pools.append(std::move(item));
   }
-  for (const auto& [name, team] : after.teams)
-    fractions[name] += done * static_cast<double>(team.share) / sum_after;
-  std::map<TeamName, std::int64_t> shares;
-  for (const auto& [name, fraction] : fractions) {
-    shares[name] =
-        std::max<std::int64_t>(1, std::llround(fraction * 1'000'000));
+  json["pools"] = std::move(pools);
+  Json moves(::Json::arrayValue);
+  for (const SheetMove& move : plan.moves) {
+    Json item = ToJson(move.move);
+    item["step"] = ::Json::Int64(move.step);
+    moves.append(std::move(item));
   }
-  return shares;
+  json["moves"] = std::move(moves);
+  Json blocked(::Json::arrayValue);
+  for (const HostMove& move : plan.blocked)
+    blocked.append(ToJson(move));
+  json["blocked"] = std::move(blocked);
+  Json& buffer = json["buffer"];
+  buffer["spares_before"] = ::Json::Int64(plan.spares_before);
+  buffer["spares_after"] = ::Json::Int64(plan.spares_after);
+  buffer["needed_before"] = ::Json::Int64(plan.needed_before);
+  buffer["needed_after"] = ::Json::Int64(plan.needed_after);
+  return json;
 }
 
 }  // namespace boragewinch
--- a/src/policy/sheet_transition.h
+++ b/src/policy/sheet_transition.h
@@ -4,8 +4,10 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string>
 #include <vector>
 
+#include "base/json.h"
 #include "base/time.h"
 #include "model/fleet_view.h"
 #include "policy/buffer_planner.h"
@@ -15,6 +17,8 @@
 /// \brief What a sheet changes for a team.
 struct TeamChange {
   TeamName team;
+  std::int64_t share_before = 0;  ///< 0 without a row
+  std::int64_t share_after = 0;
   double slots_before = 0;  ///< entitled when the fleet is full
   double slots_after = 0;
   std::int64_t limit_before = 0;
@@ -25,6 +29,17 @@
   double buffer_after = 0;
 };
 
+/// \brief What a sheet changes for a pool.
+struct PoolChange {
+  PoolName pool;
+  std::int64_t hosts_before = 0;
+  std::int64_t hosts_after = 0;
+  std::int64_t moves_in = 0;  ///< hosts that come from other pools
+  std::int64_t moves_out = 0;
+  double buffer_before = 0;  ///< its part of the spare hosts
+  double buffer_after = 0;
+};
+
 /// \brief A move of a host with the step in which it can be made.
 struct SheetMove {
   HostMove move;
@@ -33,10 +48,15 @@
 
 struct SheetPlan {
   std::vector<TeamChange> teams;  ///< by name
+  std::vector<PoolChange> pools;  ///< by name
   std::vector<SheetMove> moves;   ///< by step; each host at most once
   /// Moves that no order of steps makes possible within the budgets.
   std::vector<HostMove> blocked;
-  Millis settle{0};  ///< expected time until all limits hold
+  Millis settle{0};                ///< expected time until all limits hold
+  std::int64_t spares_before = 0;  ///< alive hosts of the spare pools
+  std::int64_t spares_after = 0;
+  std::int64_t needed_before = 0;  ///< spare hosts that cover the worst loss
+  std::int64_t needed_after = 0;
 };
 
 /// \brief State and load that PlanSheet starts from.
@@ -45,7 +65,7 @@
   const FleetView& after;
   const std::set<HostName>& lost;
   std::map<TeamName, std::int64_t> running;  ///< tasks, by team
-  std::int64_t slots = 0;                    ///< of the fleet
+  std::int64_t slots = 0;  ///< of the fleet, or hosts to get hosts back
   Millis mean_run_time{0};
   BufferConfig buffer;
 };
@@ -54,14 +74,9 @@
 /// over its new limit starts nothing until enough of its tasks have ended.
 [[nodiscard]] SheetPlan PlanSheet(const SheetInput& input);
 
-/// \brief Shares on the way from one sheet to the next.
-/// \returns shares in millionths of the whole, linear in `elapsed` /
-/// `duration`.
-[[nodiscard]] std::map<TeamName, std::int64_t> BlendShares(
-    const FleetView& before,
-    const FleetView& after,
-    Millis elapsed,
-    Millis duration);
+/// \returns the plan for `boragectl sheet diff --json`.
+/// \param unit name of what SheetInput::slots counts, such as "hosts".
+[[nodiscard]] Json ToJson(const SheetPlan& plan, const std::string& unit);
 
 }  // namespace boragewinch
 
--- a/tests/boragectl_test.cc
+++ b/tests/boragectl_test.cc
@@ -276,6 +276,34 @@
      kExitRefused,
      "warning: team t: w\nconflict: h1 is not drained\n"
      "changed team t: limit 4 -> 3\nadded pool q: spare yes\n"},
+    {"sheet with what it gains and costs",
+     {"sheet", "diff", "boragectl_test_sheet.csv"},
+     [](Fixture& f) {
+       Answer(f.control, "POST /v1/sheets", 200,
+              R"({"version":9,"changes":[],"plan":{
+                "teams":[{"team":"t","share_before":3,"share_after":4,
+                          "hosts_before":4.8,"hosts_after":5.33,
+                          "limit_before":30,"limit_after":30,
+                          "to_end":0,"buffer_before":1,"buffer_after":0.5}],
+                "pools":[{"pool":"p","hosts_before":4,"hosts_after":3,
+                          "moves_in":0,"moves_out":1},
+                         {"pool":"q","hosts_before":4,"hosts_after":4,
+                          "moves_in":0,"moves_out":0}],
+                "moves":[{"host":"h1","from":"p","to":"s","step":1}],
+                "blocked":[{"host":"h2","from":"p","to":"s"}],
+                "buffer":{"spares_before":2,"spares_after":3,
+                          "needed_before":2,"needed_after":2}}})");
+     },
+     kExitOk,
+     "team  share        hosts when full    limit  tasks to end  "
+     "buffer hosts\n"
+     "t     3 -> 4 (+1)  4.8 -> 5.3 (+0.5)  30     0             "
+     "1.00 -> 0.50 (-0.50)\n\n"
+     "pool  hosts        moves in  moves out  buffer hosts\n"
+     "p     4 -> 3 (-1)  0         1          0.00\n\n"
+     "host moves: 1 in 2 steps, 1 not possible within the budgets\n"
+     "  h2 from p to s\n"
+     "buffer: spare hosts 2 -> 3 (+1), needed 2\n"},
     {"sheet applied",
      {"sheet", "apply", "boragectl_test_sheet.csv"},
      [](Fixture& f) {
--- a/tests/sheet_test.cc
+++ b/tests/sheet_test.cc
@@ -254,5 +254,29 @@
              static_cast<int>(ErrorCode::kConflict));
 }
 
+// Guards against a plan that is made for another fleet than the sheet gives:
+// a host in service without a row stays, and a drained one goes.
+BOOST_AUTO_TEST_CASE(ViewAfterIsTheFleetOfTheSheet) {
+  FleetView view = ViewOf(Parsed(kHeader + kRows));
+  view.hosts[HostName("h2")].state = HostState::kDrained;
+  view.hosts[HostName("h1")].maintained_at = 7;
+  const FleetView after =
+      ViewAfter(view, Parsed(kHeader + "pool,s,,,,,,,0,yes,,\n"
+                                       "pool,n,,,,,,,2,no,,\n"
+                                       "host,h1,n,,za,r1,,,,,,\n"
+                                       "host,h4,n,,za,r1,,,,,,\n"));
+  BOOST_TEST(after.pools.size() == 2);
+  BOOST_TEST(after.teams.empty());
+  BOOST_TEST(after.queues.empty());
+  BOOST_REQUIRE(after.hosts.size() == 3);
+  BOOST_TEST(after.hosts.at(HostName("h1")).pool == PoolName("n"));
+  BOOST_TEST(after.hosts.at(HostName("h1")).maintained_at == 7);
+  BOOST_TEST(after.hosts.at(HostName("h3")).pool == PoolName("s"));
+  BOOST_TEST(after.hosts.at(HostName("h4")).pool == PoolName("n"));
+  const FleetView same =
+      ViewAfter(view, Parsed(kHeader + "pool,p,,,,,,,1,yes,,\n"));
+  BOOST_TEST(same.hosts.size() == view.hosts.size());
+}
+
 }  // namespace
 }  // namespace boragewinch
--- a/tests/wave_test.cc
+++ b/tests/wave_test.cc
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "policy/buffer_planner.h"
+#include "policy/share_blend.h"
 #include "policy/sheet_transition.h"
 #include "policy/wave_planner.h"
 
@@ -218,8 +219,64 @@
   BOOST_TEST(plan.teams[0].slots_after == 48);
   BOOST_TEST(plan.teams[1].to_end == 10);
   BOOST_TEST((plan.settle == Millis(693)));
-  const auto half = BlendShares(before, after, Millis(50), Millis(100));
+  const auto half =
+      BlendShares(SharesOf(before), SharesOf(after), Millis(50), Millis(100));
   BOOST_TEST(half.at(TeamName("a")) == 625'000);
+  for (const PoolChange& pool : plan.pools) {
+    const bool swaps =
+        pool.pool == PoolName("p0") || pool.pool == PoolName("p1");
+    BOOST_TEST(pool.hosts_before == pool.hosts_after);
+    BOOST_TEST(pool.moves_in == (swaps ? 2 : 0));
+    BOOST_TEST(pool.moves_out == (swaps ? 2 : 0));
+  }
+  const Json json = ToJson(plan, "slots");
+  BOOST_TEST(json["teams"][0]["slots_after"].asDouble() == 48);
+  BOOST_TEST(json["moves"].size() == 4u);
+}
+
+// Guards against a sheet that makes running tasks excess at once, and against
+// a second sheet within the blend that makes shares jump.
+BOOST_AUTO_TEST_CASE(SharesGoOverGradually) {
+  const TeamName a("a");
+  const TeamName b("b");
+  const auto part = [&](const TeamShares& shares) {
+    return static_cast<double>(shares.at(a)) /
+           static_cast<double>(shares.at(a) + shares.at(b));
+  };
+  const TimePoint start = FromMillis(1'000);
+  ShareBlend blend(Millis(60'000));
+  blend.Accept({{a, 1}, {b, 1}}, start);
+  BOOST_TEST(part(blend.At(start)) == 0.5);
+  const TeamShares next = {{a, 3}, {b, 1}};
+  blend.Accept(next, start);
+  BOOST_TEST(part(blend.At(start)) == 0.5);
+  // A version with the same shares doesn't begin the blend again.
+  blend.Accept(next, start + Millis(30'000));
+  BOOST_TEST(part(blend.At(start + Millis(30'000))) == 0.625);
+  double last = 0.5;
+  for (int ms = 0; ms <= 60'000; ms += 250) {
+    const double now = part(blend.At(start + Millis(ms)));
+    BOOST_TEST(now >= last);
+    BOOST_TEST(now - last < 0.002);
+    last = now;
+  }
+  BOOST_TEST((blend.At(start + Millis(60'000)) == next));
+  const TimePoint second = start + Millis(60'000);
+  blend.Accept({{a, 1}, {b, 3}}, second);
+  const TimePoint third = second + Millis(30'000);
+  const double before = part(blend.At(third));
+  blend.Accept({{a, 1}, {b, 1}}, third);
+  BOOST_TEST(part(blend.At(third)) == before,
+             boost::test_tools::tolerance(1e-5));
+}
+
+// Guards against a setting of 0 that divides by it or delays a sheet.
+BOOST_AUTO_TEST_CASE(BlendOfNoDurationIsAtOnce) {
+  ShareBlend blend(Millis(0));
+  blend.Accept({{TeamName("a"), 1}}, FromMillis(1));
+  const TeamShares next = {{TeamName("a"), 2}, {TeamName("b"), 1}};
+  blend.Accept(next, FromMillis(2));
+  BOOST_TEST((blend.At(FromMillis(2)) == next));
 }
 
 }  // namespace
