Lend spare hosts to pools below their promise and to waves without slack

The buffer planner's moves and the wave planner's lend_wanted were shown by explain only, so a pool that lost a rack stayed below its promise beside idle spares. The control leader now carries them out as host moves, at most buffer-moves at once and never below a pool's budget. The loan is part of the replicated host (lent_from, lent_at), so the next leader goes on with it; a record in the leader's memory was ruled out for that reason.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -93,6 +93,8 @@
      "A host is back in service after maintenance."},
     {EventId::kWaveProgress, kInfo, "wave_progress",
      "A maintenance wave moved on or waits, with the reason."},
+    {EventId::kBufferMove, kInfo, "buffer_move",
+     "A spare host is lent to a pool, comes back or stays after all."},
     {EventId::kInvariantViolated, kError, "invariant_violated",
      "An internal check failed; the action was refused. Report this."},
 };
--- a/src/control/boraged_control_main.cc
+++ b/src/control/boraged_control_main.cc
@@ -52,6 +52,13 @@
                10'000'000)
       .Integer("election-timeout-ms", "silence before an election", 500, 50,
                60'000)
+      .Integer("buffer-moves", "spare hosts on their way at once; 0 lends none",
+               2, 0, 100)
+      .Integer("buffer-settle-ms",
+               "time for which a host is lost before a spare replaces it",
+               30'000, 0, 86'400'000)
+      .Integer("buffer-stay-seconds", "shortest stay of a lent host", 600, 0,
+               86'400)
       .Flag("verbose", "writes debug events");
   std::vector<Error> errors;
   const Settings settings = builder.Parse(argc, argv, &errors);
@@ -71,6 +78,9 @@
   options.snapshot_entries =
       static_cast<std::uint64_t>(settings.integer("snapshot-entries"));
   options.election_timeout = Millis(settings.integer("election-timeout-ms"));
+  options.buffers.at_once = settings.integer("buffer-moves");
+  options.buffers.settle = Millis(settings.integer("buffer-settle-ms"));
+  options.buffers.min_stay_seconds = settings.integer("buffer-stay-seconds");
 
   Kernel kernel;
   kernel.Add("control", std::make_unique<ControlService>(std::move(options)));
--- a/src/control/control_options.h
+++ b/src/control/control_options.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/time.h"
+#include "policy/buffer_moves.h"
 #include "policy/wave_planner.h"
 
 namespace boragewinch {
@@ -22,6 +23,7 @@
   std::uint64_t snapshot_entries = 8192;
   Millis election_timeout{500};
   WaveConfig waves;
+  BufferMoveConfig buffers;
 };
 
 }  // namespace boragewinch
--- a/src/control/control_service.cc
+++ b/src/control/control_service.cc
@@ -50,7 +50,7 @@
       [generator = std::mt19937_64(seed())]() mutable { return generator(); });
   platform_ = std::make_unique<PlatformClient>(*client_, options_.platform);
   duties_ = std::make_unique<LeaderDuties>(
-      *loop_, *platform_, state_, reports_, options_.waves,
+      *loop_, *platform_, state_, reports_, options_.waves, options_.buffers,
       [this](const Command& command, Proposals::Reply reply) {
         Propose(command, std::move(reply));
       });
--- a/src/control/leader_duties.cc
+++ b/src/control/leader_duties.cc
@@ -14,6 +14,7 @@
 constexpr Millis kDutyInterval{100};
 // A new leader waits this long for reports before it calls a host lost.
 constexpr Millis kObservationTime{5'000};
+constexpr Millis kBufferInterval{1'000};
 constexpr char kAllotmentsKey[] = "allotments";
 constexpr std::size_t kMaxRegistrationsPerTick = 64;
 
@@ -52,17 +53,20 @@
                            const FleetState& state,
                            const EntryReports& reports,
                            WaveConfig waves,
+                           BufferMoveConfig buffers,
                            Submit submit)
     : loop_(loop),
       platform_(platform),
       state_(state),
       reports_(reports),
       waves_(waves),
+      buffers_(buffers),
       submit_(std::move(submit)) {}
 
 void LeaderDuties::OnLeadership(TimePoint now) {
   leading_since_ = now;
   next_tick_ = now;
+  next_buffers_ = now + kObservationTime;
   under_way_.clear();
   silent_since_.clear();
   caps_.clear();
@@ -146,6 +150,7 @@
   ProgressHosts(now);
   ProgressMoves(now);
   ProgressWaves(now);
+  ProgressBuffers(now);
 }
 
 void LeaderDuties::MoveAllotments(TimePoint now) {
@@ -340,6 +345,51 @@
   last_wave_text_ = text;
 }
 
+void LeaderDuties::MoveBuffer(const HostMove& move,
+                              const char* kind,
+                              MoveHost body) {
+  // The key of ProgressMoves, so that no two steps of a move are under way.
+  const std::string key = "move " + move.host.str();
+  if (under_way_.contains(key))
+    return;
+  LogEvent(EventId::kBufferMove, {{"host", move.host.str()},
+                                  {"kind", kind},
+                                  {"from", move.from.str()},
+                                  {"to", move.to.str()}});
+  SubmitOnce(key, std::move(body));
+}
+
+void LeaderDuties::ProgressBuffers(TimePoint now) {
+  if (now < next_buffers_ || state_.view().version == 0)
+    return;
+  next_buffers_ = now + kBufferInterval;
+  std::set<HostName> settled;
+  for (const auto& [host, since] : silent_since_) {
+    if (now - since >= buffers_.settle)
+      settled.insert(host);
+  }
+  const std::set<HostName> unavailable =
+      reports_.Unavailable(state_.view(), now);
+  const std::int64_t wall = loop_.unix_seconds();
+  const WavePlan waves = Plan(now);
+  const BufferMoves moves =
+      DecideBufferMoves({state_.view(), state_.pending_moves(), unavailable,
+                         settled, waves.pools, wall},
+                        buffers_);
+  for (const HostMove& move : moves.lend) {
+    MoveBuffer(move, "lend",
+               MoveHost{move.host, move.to, false, unavailable, true, wall});
+  }
+  for (const HostMove& move : moves.give_back)
+    MoveBuffer(move, "return", MoveHost{move.host, move.to, true, unavailable});
+  for (const HostName& host : moves.cancel) {
+    const PoolName& pool = state_.view().hosts.at(host).pool;
+    MoveBuffer({host, pool, pool}, "stay", MoveHost{host, pool});
+    if (state_.drains().contains(host))
+      SubmitOnce("return " + host.str(), ReturnHost{host});
+  }
+}
+
 Json LeaderDuties::WavesJson(TimePoint now) const {
   const WavePlan plan = Plan(now);
   Json json;
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -17,6 +17,7 @@
 #include "fleet/fleet_state.h"
 #include "fleet/reclaim_planner.h"
 #include "kernel/event_loop.h"
+#include "policy/buffer_moves.h"
 #include "policy/wave_planner.h"
 
 namespace boragewinch {
@@ -32,6 +33,7 @@
                const FleetState& state,
                const EntryReports& reports,
                WaveConfig waves,
+               BufferMoveConfig buffers,
                Submit submit);
 
   /// \brief Leadership was won or lost: forgets everything observed.
@@ -73,6 +75,8 @@
   void ProgressReboot(const Host& host, bool alive);
   void ProgressMoves(TimePoint now);
   void ProgressWaves(TimePoint now);
+  void ProgressBuffers(TimePoint now);
+  void MoveBuffer(const HostMove& move, const char* kind, MoveHost body);
   [[nodiscard]] WavePlan Plan(TimePoint now) const;
   [[nodiscard]] std::string ExplainTeamUse(const Team& team) const;
   [[nodiscard]] Millis SilenceOf(const HostName& host,
@@ -84,6 +88,7 @@
   const FleetState& state_;
   const EntryReports& reports_;
   WaveConfig waves_;
+  BufferMoveConfig buffers_;
   Submit submit_;
   ReclaimPlanner reclaims_{TimePoint()};
   AllotmentPlanner allotments_;
@@ -91,6 +96,7 @@
   std::map<EntryRun, TimePoint> retiring_since_;
   TimePoint leading_since_;
   TimePoint next_tick_;
+  TimePoint next_buffers_;
   std::set<std::string> under_way_;
   std::map<HostName, TimePoint> silent_since_;
   std::string last_wave_text_;
--- a/src/control/operator_api.cc
+++ b/src/control/operator_api.cc
@@ -173,8 +173,10 @@
       service_.reports().Unavailable(service_.state().view(), loop_.now());
   if (auto* drain = std::get_if<DrainHost>(&command->body))
     drain->lost = unavailable;
-  if (auto* move = std::get_if<MoveHost>(&command->body))
+  if (auto* move = std::get_if<MoveHost>(&command->body)) {
     move->lost = unavailable;
+    move->lend = false;  // only the control service lends
+  }
   if (auto* sheet = std::get_if<ApplySheet>(&command->body)) {
     sheet->running = service_.reports().Running();
     sheet->wall_seconds = loop_.unix_seconds();
--- a/src/fleet/apply_hosts.cc
+++ b/src/fleet/apply_hosts.cc
@@ -17,6 +17,11 @@
   return pool != view_.pools.end() && pool->second.spare;
 }
 
+void FleetState::EndLoan(Host* host) {
+  host->lent_from = PoolName();
+  host->lent_at = 0;
+}
+
 Status FleetState::CheckBudget(const Host& host,
                                const std::set<HostName>& lost) const {
   // A host that is not available can't lower the number of available ones.
@@ -110,6 +115,11 @@
       moves_.erase(pending);
       Bump(answer);
     }
+    // An operator who names the present pool makes it the host's own.
+    if (!call.operation_id.empty() && !host->lent_from.empty()) {
+      EndLoan(host);
+      host->version = Bump(answer);
+    }
     return Ok();
   }
   const bool return_after =
@@ -128,7 +138,13 @@
                 " would move while tasks of its pool may run")) {
       return Fail(ErrorCode::kConflict, "the move is refused");
     }
+    const PoolName home = host->home();
     host->pool = body.pool;
+    EndLoan(host);
+    if (body.lend && body.pool != home) {
+      host->lent_from = home;
+      host->lent_at = body.wall_seconds;
+    }
     host->version = host->assignment = Bump(answer);
     moves_.erase(body.host);
     if (return_after && !from_spare)
--- a/src/fleet/apply_sheet.cc
+++ b/src/fleet/apply_sheet.cc
@@ -113,6 +113,12 @@
   update(EntityKind::kPool, body.sheet.pools, &view_.pools);
   update(EntityKind::kTeam, body.sheet.teams, &view_.teams);
   update(EntityKind::kQueue, body.sheet.queues, &view_.queues);
+  for (auto& [name, host] : view_.hosts) {
+    if (host.lent_from.empty() || view_.pools.contains(host.lent_from))
+      continue;
+    EndLoan(&host);
+    host.version = Bump(answer);
+  }
   for (auto& [id, key] : view_.keys) {
     if (!key.team.empty() && !view_.teams.contains(key.team))
       Withdraw(&key, answer);
@@ -152,6 +158,16 @@
       host.version = Bump(answer);
     }
     const auto move = moves_.find(row.name);
+    // A row names the pool to which the host belongs. A lent host comes back
+    // when the control service needs it no more; sent back by each morning's
+    // sheet, it would be lent again at once.
+    if (!host.lent_from.empty() && row.pool == host.lent_from &&
+        move == moves_.end())
+      continue;
+    if (host.pool == row.pool && !host.lent_from.empty()) {
+      EndLoan(&host);
+      host.version = Bump(answer);
+    }
     if (host.pool != row.pool) {
       if (move == moves_.end() || move->second.pool != row.pool)
         moves_[row.name] = {row.pool, false, Bump(answer), call.operator_name};
--- a/src/fleet/codec.cc
+++ b/src/fleet/codec.cc
@@ -51,6 +51,10 @@
   json["assignment"] = Counter(host.assignment);
   json["maintained_at"] = ::Json::Int64(host.maintained_at);
   json["version"] = Counter(host.version);
+  if (!host.lent_from.empty()) {
+    json["lent_from"] = host.lent_from.str();
+    json["lent_at"] = ::Json::Int64(host.lent_at);
+  }
   return json;
 }
 
@@ -132,6 +136,8 @@
   BW_TRY(host.maintained_at,
          IntFieldOr(json, "maintained_at", 0, 0, kMaxCounter));
   BW_TRY(host.version, CounterField(json, "version"));
+  BW_TRY(host.lent_from, OptionalName<PoolName>(json, "lent_from"));
+  BW_TRY(host.lent_at, IntFieldOr(json, "lent_at", 0, 0, kMaxCounter));
   return host;
 }
 
--- a/src/fleet/command.cc
+++ b/src/fleet/command.cc
@@ -121,6 +121,10 @@
   (*json)["pool"] = body.pool.str();
   (*json)["drain_first"] = body.drain_first;
   (*json)["lost"] = ArrayOfIds(body.lost);
+  if (body.lend) {
+    (*json)["lend"] = true;
+    (*json)["wall_seconds"] = ::Json::Int64(body.wall_seconds);
+  }
 }
 
 [[nodiscard]] Status Read(const Json& json, MoveHost* body) {
@@ -128,6 +132,9 @@
   BW_TRY(body->pool, NameField<PoolName>(json, "pool"));
   BW_TRY(body->drain_first, BoolFieldOr(json, "drain_first", false));
   BW_TRY(body->lost, IdsField<std::set<HostName>>(json, "lost", kMaxHosts));
+  BW_TRY(body->lend, BoolFieldOr(json, "lend", false));
+  BW_TRY(body->wall_seconds,
+         IntFieldOr(json, "wall_seconds", 0, 0, kMaxCounter));
   return Ok();
 }
 
--- a/src/fleet/command.h
+++ b/src/fleet/command.h
@@ -63,6 +63,9 @@
   PoolName pool;
   bool drain_first = false;  ///< drain, then move, then return
   std::set<HostName> lost;   ///< like DrainHost::lost
+  /// The control service lends the host; it still belongs to its old pool.
+  bool lend = false;
+  std::int64_t wall_seconds = 0;  ///< Unix time, for `lent_at`
 };
 
 /// \brief What the control service has observed of a host.
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -136,6 +136,7 @@
                                   Host* host,
                                   CommandAnswer* answer);
   void EndDrain(Host* host, CommandAnswer* answer);
+  static void EndLoan(Host* host);
 
   void ApplyTables(const ApplySheet& body, CommandAnswer* answer);
   void ApplyHosts(const ApplySheet& body,
--- a/src/fleet/sheet_diff.cc
+++ b/src/fleet/sheet_diff.cc
@@ -36,7 +36,7 @@
 }
 
 [[nodiscard]] Fields Values(const Host& host) {
-  return {{SheetColumn::kPool, "", host.pool.str()},
+  return {{SheetColumn::kPool, "", host.home().str()},
           {SheetColumn::kZone, "", host.zone.str()},
           {SheetColumn::kRack, "", host.rack.str()}};
 }
@@ -285,7 +285,10 @@
     const auto present = view.hosts.find(row.name);
     Host& host = after.hosts[row.name];
     host = present == view.hosts.end() ? row : present->second;
-    host.pool = row.pool;
+    if (host.home() != row.pool) {
+      host.pool = row.pool;
+      host.lent_from = PoolName();
+    }
     host.zone = row.zone;
     host.rack = row.rack;
   }
--- a/src/model/fleet_types.h
+++ b/src/model/fleet_types.h
@@ -70,6 +70,15 @@
   FleetVersion assignment = 0;     ///< version of the last pool or drain change
   std::int64_t maintained_at = 0;  ///< wall clock, Unix seconds; 0 is never
   FleetVersion version = 0;
+  /// Pool to which the host belongs while the control service has lent it to
+  /// `pool`; empty if it is not lent.
+  PoolName lent_from;
+  std::int64_t lent_at = 0;  ///< Unix seconds, only while lent
+
+  /// \returns the pool to which an operator or a sheet has assigned the host.
+  [[nodiscard]] const PoolName& home() const noexcept {
+    return lent_from.empty() ? pool : lent_from;
+  }
 };
 
 /// \brief A credential of a team. The secret itself is not kept.
--- /dev/null
+++ b/src/policy/buffer_moves.cc
@@ -0,0 +1,191 @@
+#include "policy/buffer_moves.h"
+
+#include <algorithm>
+
+namespace boragewinch {
+
+namespace {
+
+struct PoolFigures {
+  std::int64_t own = 0;        ///< hosts that belong to it and are not lent
+  std::int64_t alive = 0;      ///< with hosts on their way to it
+  std::int64_t available = 0;  ///< now in service
+  bool has_lost = false;
+};
+
+struct Decider {
+  const BufferMoveInput& input;
+  const BufferMoveConfig& config;
+  std::map<PoolName, PoolFigures> pools;
+  std::map<PoolName, const PoolWave*> waves;
+  std::int64_t spares = 0;  ///< hosts that could be lent
+  std::int64_t lent = 0;
+  std::int64_t on_the_way = 0;
+
+  void Count();
+  [[nodiscard]] bool NeedsPlan() const;
+  [[nodiscard]] bool WaveIsOpen(const PoolName& pool) const;
+  [[nodiscard]] BufferConfig MakeConfig() const;
+  [[nodiscard]] FleetView AsPlanned() const;
+  void Cancel(BufferMoves& moves) const;
+  void Choose(const BufferPlan& plan, BufferMoves& moves);
+
+  [[nodiscard]] bool IsSettledLoss(const Host& host) const {
+    return host.state == HostState::kLost && input.settled.contains(host.name);
+  }
+  [[nodiscard]] bool IsAvailable(const Host& host) const {
+    return host.state == HostState::kActive &&
+           !input.unavailable.contains(host.name);
+  }
+  [[nodiscard]] bool IsSpare(const PoolName& pool) const {
+    const auto found = input.fleet.pools.find(pool);
+    return found != input.fleet.pools.end() && found->second.spare;
+  }
+  [[nodiscard]] std::int64_t Promised(const PoolName& pool) const {
+    const auto found = input.fleet.pools.find(pool);
+    return found == input.fleet.pools.end() ? 0 : found->second.min_available;
+  }
+};
+
+void Decider::Count() {
+  for (const PoolWave& wave : input.waves)
+    waves[wave.pool] = &wave;
+  for (const auto& [name, host] : input.fleet.hosts) {
+    PoolFigures& pool = pools[host.pool];
+    pool.own += host.lent_from.empty() ? 1 : 0;
+    pool.available += IsAvailable(host) ? 1 : 0;
+    pool.has_lost = pool.has_lost || host.state == HostState::kLost;
+    const auto move = input.pending.find(name);
+    const bool moves = move != input.pending.end();
+    const PoolName& target = moves ? move->second.pool : host.pool;
+    pools[target].alive += IsSettledLoss(host) ? 0 : 1;
+    lent += host.lent_from.empty() ? 0 : 1;
+    spares += IsSpare(host.pool) && IsAvailable(host) && !moves ? 1 : 0;
+    const bool arrives =
+        !host.lent_from.empty() && host.state == HostState::kReturning;
+    const bool own_move = moves && move->second.operator_name.empty();
+    on_the_way += arrives || own_move ? 1 : 0;
+  }
+}
+
+bool Decider::WaveIsOpen(const PoolName& pool) const {
+  const auto wave = waves.find(pool);
+  return wave != waves.end() &&
+         (wave->second->due > 0 || wave->second->in_work > 0);
+}
+
+// A plan costs a pass over all cases of loss; most of the time none is needed.
+bool Decider::NeedsPlan() const {
+  if (lent > 0)
+    return true;
+  if (spares == 0)
+    return false;
+  return std::any_of(
+      input.fleet.pools.begin(), input.fleet.pools.end(),
+      [this](const auto& item) {
+        const auto figures = pools.find(item.first);
+        const std::int64_t alive =
+            figures == pools.end() ? 0 : figures->second.alive;
+        const auto wave = waves.find(item.first);
+        return !item.second.spare &&
+               (alive < item.second.min_available ||
+                (wave != waves.end() && wave->second->lend_wanted > 0));
+      });
+}
+
+BufferConfig Decider::MakeConfig() const {
+  BufferConfig buffer;
+  std::map<PoolName, std::int64_t> lent_to;
+  for (const auto& [name, host] : input.fleet.hosts)
+    lent_to[host.pool] += host.lent_from.empty() ? 0 : 1;
+  for (const auto& [name, figures] : pools) {
+    if (!input.fleet.pools.contains(name))
+      continue;
+    buffer.base_size[name] = figures.own;
+    const auto wave = waves.find(name);
+    const std::int64_t wanted =
+        wave == waves.end() ? 0 : wave->second->lend_wanted;
+    // Without a borrowed host an open wave that wants none is of no concern.
+    if (wanted > 0 || (lent_to[name] > 0 && WaveIsOpen(name))) {
+      buffer.wanted[name] = wanted;
+      buffer.lend_maintained_since = std::max(
+          buffer.lend_maintained_since, input.fleet.pools.at(name).wave_since);
+    }
+  }
+  buffer.return_lent_until = input.wall - config.min_stay_seconds;
+  return buffer;
+}
+
+// The fleet after all pending moves. Hosts that may not be chosen but count as
+// alive are shown as returning.
+FleetView Decider::AsPlanned() const {
+  FleetView view;
+  view.version = input.fleet.version;
+  view.pools = input.fleet.pools;
+  view.teams = input.fleet.teams;
+  view.queues = input.fleet.queues;
+  view.hosts = input.fleet.hosts;
+  for (auto& [name, host] : view.hosts) {
+    const bool settled = IsSettledLoss(host);
+    const bool moves = input.pending.contains(name);
+    if (moves)
+      host.pool = input.pending.at(name).pool;
+    if (!settled && (moves || !IsAvailable(host)))
+      host.state = HostState::kReturning;
+  }
+  return view;
+}
+
+void Decider::Cancel(BufferMoves& moves) const {
+  for (const auto& [name, move] : input.pending) {
+    const auto host = input.fleet.hosts.find(name);
+    if (host == input.fleet.hosts.end() || move.moved ||
+        !move.operator_name.empty() || host->second.lent_from.empty() ||
+        host->second.state == HostState::kLost)
+      continue;
+    const PoolName& pool = host->second.pool;
+    if (pools.at(pool).available < Promised(pool))
+      moves.cancel.push_back(name);
+  }
+}
+
+void Decider::Choose(const BufferPlan& plan, BufferMoves& moves) {
+  for (const HostMove& move : plan.moves) {
+    if (on_the_way >= config.at_once)
+      return;
+    PoolFigures& from = pools[move.from];
+    if (from.available - 1 < Promised(move.from))
+      continue;
+    const bool lends = IsSpare(move.from);
+    if (!lends && (WaveIsOpen(move.from) || from.has_lost))
+      continue;
+    --from.available;
+    ++on_the_way;
+    (lends ? moves.lend : moves.give_back).push_back(move);
+  }
+}
+
+}  // namespace
+
+Status BufferMoveConfig::Check() const {
+  if (at_once < 0 || settle < Millis(0) || min_stay_seconds < 0)
+    return Fail(ErrorCode::kInvalidSetting, "buffer moves are out of range");
+  return Ok();
+}
+
+BufferMoves DecideBufferMoves(const BufferMoveInput& input,
+                              const BufferMoveConfig& config) {
+  BufferMoves moves;
+  if (config.at_once == 0)
+    return moves;
+  Decider decider{input, config, {}, {}, 0, 0, 0};
+  decider.Count();
+  decider.Cancel(moves);
+  if (!decider.NeedsPlan())
+    return moves;
+  decider.Choose(PlanBuffers(decider.AsPlanned(), {}, decider.MakeConfig()),
+                 moves);
+  return moves;
+}
+
+}  // namespace boragewinch
--- a/src/policy/buffer_planner.cc
+++ b/src/policy/buffer_planner.cc
@@ -258,6 +258,10 @@
         IsLost(host) || host.state != HostState::kActive) {
       continue;
     }
+    if (config.return_lent_until &&
+        (host.lent_from.empty() || host.lent_at > *config.return_lent_until)) {
+      continue;
+    }
     PoolTarget& target = plan.pools[position->second];
     if (target.target <= std::max(base->second, target.promised))
       continue;
--- a/src/policy/buffer_planner.h
+++ b/src/policy/buffer_planner.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,6 +53,8 @@
   /// Hosts of each pool without borrowed ones. A pool that has more returns
   /// them while the spare pool has fewer than it needs.
   std::map<PoolName, std::int64_t> base_size;
+  /// If set, only hosts lent at this wall time or earlier are returned.
+  std::optional<std::int64_t> return_lent_until;
 
   /// \returns kInvalidSetting for a value out of range.
   [[nodiscard]] Status Check() const;
--- a/tests/fleet_calls.cc
+++ b/tests/fleet_calls.cc
@@ -146,6 +146,10 @@
       text << "host," << rack << "-h" << i % 4 + 1 << ",main,,z" << zone << ","
            << rack << ",,,,,,\n";
     }
+    for (int i = 1; i <= shape_.spares; ++i) {
+      text << "host,z" << zone << "-spare-h" << i << ",spare,,z" << zone
+           << ",spare,,,,,,\n";
+    }
   }
   return text.str();
 }
--- a/tests/process_fleet.cc
+++ b/tests/process_fleet.cc
@@ -122,6 +122,9 @@
     std::filesystem::create_directory(data(name));
     Define(name, {"boraged-control", "--data=" + data(name),
                   "--platform=" + children_.at("platform").address});
+    std::vector<std::string>& arguments = children_.at(name).arguments;
+    arguments.insert(arguments.end(), shape_.control_arguments.begin(),
+                     shape_.control_arguments.end());
     std::string target = children_.at(name).address;
     if (shape_.control_relays) {
       auto& relay = relays_["raft-" + std::string(name)];
@@ -169,6 +172,10 @@
         .push_back("z" + number + "-" + rack + "-h" +
                    std::to_string(i % 4 + 1));
   }
+  for (int i = 1; i <= shape_.spares; ++i) {
+    processes["s" + number].push_back("z" + number + "-spare-h" +
+                                      std::to_string(i));
+  }
   for (const auto& [name, hosts] : processes) {
     Define(name, {"fake-worker", "--zone=z" + number, "--entries=" + entries,
                   "--hosts=" + Joined(hosts),
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -46,10 +46,12 @@
   int zones = 1;
   int entries = 2;  ///< in each zone
   int hosts = 8;    ///< in each zone, four to a rack
+  int spares = 0;   ///< in each zone, in pool "spare", in racks of their own
   int min_available = 0;
   int limit = 500;  ///< upper limit of team t1; t2 has 500
   int reboot_ms = 300;
   bool worker_process_per_rack = false;
+  std::vector<std::string> control_arguments;  ///< of every control host
   /// From each zone to each control host, and between control hosts.
   bool control_relays = false;
   bool worker_relays = false;  ///< from workers to each entry host
