Decide on hosts only when the leader's inputs changed

Each tick of the leader (0.1 s) looked up every host in every report several times and planned the waves. Unavailable hosts, the wave plan and settled hosts are now kept until the fleet version, a worker's report or the freshness of a report changes; the plan also expires after a second.

--- a/bench/capacity_main.cc
+++ b/bench/capacity_main.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "control/leader_duties.h"
 #include "entry/entry_core.h"
 #include "entry/policy_scheduler.h"
 #include "fleet/fleet_state.h"
@@ -80,9 +81,10 @@
   return command;
 }
 
-[[nodiscard]] FleetState MakeFleet(int hosts) {
+[[nodiscard]] FleetState MakeFleet(int hosts, std::int64_t wall_seconds = 1) {
   FleetState state;
-  Command sheet = OperatorCommand(ApplySheet{MakeSheet(hosts), true, {}, 1}, 0);
+  Command sheet =
+      OperatorCommand(ApplySheet{MakeSheet(hosts), true, {}, wall_seconds}, 0);
   sheet.call.expected_version = 0;
   const CommandAnswer answer = state.Apply(1, EncodeCommand(sheet));
   if (!answer.accepted)
@@ -305,6 +307,74 @@
       static_cast<double>(HeapBytes() - heap) / records, answers);
 }
 
+/// Processor time of the leader's duties in a fleet in which every worker is
+/// heard, with `changes` changes of the state in the measured time.
+void MeasureLeader(int hosts, int changes) {
+  constexpr int kEntriesPerZone = 4;
+  constexpr int kTicks = 240;  // 24 s
+  EventLoop loop;
+  HttpClient client(loop, HttpClientLimits{});
+  PlatformClient platform(client, "127.0.0.1:1");
+  FleetState state = MakeFleet(hosts, loop.unix_seconds());
+  EntryReports reports;
+  LeaderDuties duties(loop, platform, state, reports, WaveConfig(),
+                      BufferMoveConfig(),
+                      [](const Command&, const Proposals::Reply&) {});
+  TimePoint now = FromMillis(1'000'000);
+  duties.OnLeadership(now);
+  std::vector<SyncReport> sent;
+  for (int zone = 0; zone < kZones; ++zone) {
+    for (int i = 0; i < kEntriesPerZone; ++i) {
+      SyncReport report;
+      report.zone = ZoneName("z" + std::to_string(zone));
+      report.entry = EntryName(report.zone.str() + "e" + std::to_string(i));
+      report.incarnation = Incarnation("0123456789abcdef");
+      report.workers_sequence = 1;
+      for (const auto& [name, host] : state.view().hosts) {
+        if (host.zone != report.zone)
+          continue;
+        WorkerStatus worker{name, host.zone, host.rack,
+                            Incarnation("fedcba9876543210")};
+        worker.acknowledged_assignment = host.assignment;
+        report.workers.push_back(std::move(worker));
+      }
+      static_cast<void>(reports.Record(report, now));
+      report.workers.clear();
+      report.workers_base = 1;
+      sent.push_back(std::move(report));
+    }
+  }
+  std::uint64_t index = 2;
+  double micros = 0;
+  double longest = 0;
+  for (int tick = 0; tick < kTicks; ++tick) {
+    now += Millis(100);
+    if (tick % 5 == 0) {
+      for (const SyncReport& report : sent)
+        static_cast<void>(reports.Record(report, now));
+    }
+    if (changes > 0 && tick % (kTicks / changes) == 0) {
+      state.Apply(
+          index,
+          EncodeCommand(OperatorCommand(
+              CommandBody(CreateKey{KeyId("k" + std::to_string(index)),
+                                    TeamName("t1"), std::string(64, 'a')}),
+              static_cast<int>(index))));
+      ++index;
+    }
+    const double start = CpuMicros();
+    duties.Tick(now);
+    const double took = CpuMicros() - start;
+    micros += took;
+    longest = std::max(longest, took);
+  }
+  std::printf(
+      "leader hosts=%d entries=%zu changes=%d in 24 s: core_percent=%.2f "
+      "longest_tick_us=%.0f\n",
+      hosts, sent.size(), changes, micros / (kTicks * 100'000.0) * 100,
+      longest);
+}
+
 }  // namespace
 }  // namespace boragewinch
 
@@ -316,5 +386,10 @@
     boragewinch::MeasureEntry(hosts);
   for (const int records : {1'000, 4'000, 16'000})
     boragewinch::MeasureRecords(records);
+  for (const int hosts : {500, 2'000, 7'100}) {
+    // 36,000 changes a day are 10 in 24 s.
+    for (const int changes : {0, 10})
+      boragewinch::MeasureLeader(hosts, changes);
+  }
   return 0;
 }
--- a/src/control/entry_reports.cc
+++ b/src/control/entry_reports.cc
@@ -6,11 +6,15 @@
 namespace boragewinch {
 
 bool EntryReports::Record(SyncReport report, TimePoint now) {
-  HeldReport& held = held_[report.entry];
+  const auto [position, added] = held_.try_emplace(report.entry);
+  HeldReport& held = position->second;
   const bool same_run = held.report.incarnation == report.incarnation;
   const bool known_base = same_run && report.workers_base != 0 &&
                           held.workers_sequence == report.workers_base;
   const bool complete = report.workers_base == 0 || known_base;
+  if (added || report.zone != held.report.zone ||
+      (complete && (report.workers_base == 0 || !report.workers.empty())))
+    ++revision_;
   if (complete) {
     if (report.workers_base == 0)
       held.workers.clear();
@@ -26,10 +30,12 @@
 
 void EntryReports::Clear() {
   held_.clear();
+  ++revision_;
 }
 
 void EntryReports::Forget(const EntryName& entry) {
   held_.erase(entry);
+  ++revision_;
 }
 
 std::optional<WorkerStatus> EntryReports::StatusOf(const HostName& host,
@@ -69,6 +75,15 @@
   return lost;
 }
 
+std::set<EntryName> EntryReports::Fresh(TimePoint now) const {
+  std::set<EntryName> fresh;
+  for (const auto& [entry, held] : held_) {
+    if (now - held.received <= kReportLifetime)
+      fresh.insert(entry);
+  }
+  return fresh;
+}
+
 bool EntryReports::ZoneIsFresh(const ZoneName& zone, TimePoint now) const {
   return std::any_of(held_.begin(), held_.end(), [&](const auto& item) {
     const HeldReport& held = item.second;
--- a/src/control/entry_reports.h
+++ b/src/control/entry_reports.h
@@ -53,6 +53,12 @@
   [[nodiscard]] std::set<HostName> Unavailable(const FleetView& view,
                                                TimePoint now) const;
 
+  /// \returns a number that changes with what is known of any worker, apart
+  /// from the age of the reports.
+  [[nodiscard]] std::uint64_t revision() const noexcept { return revision_; }
+  /// \returns the entry hosts whose reports are fresh.
+  [[nodiscard]] std::set<EntryName> Fresh(TimePoint now) const;
+
   /// \returns whether an entry host of `zone` has a fresh report.
   [[nodiscard]] bool ZoneIsFresh(const ZoneName& zone, TimePoint now) const;
 
@@ -61,6 +67,7 @@
 
  private:
   std::map<EntryName, HeldReport> held_;
+  std::uint64_t revision_ = 0;
 };
 
 }  // namespace boragewinch
--- a/src/control/leader_duties.cc
+++ b/src/control/leader_duties.cc
@@ -14,7 +14,12 @@
 constexpr Millis kDutyInterval{100};
 // A new leader waits this long for reports before it calls a host lost.
 constexpr Millis kObservationTime{5'000};
+// Deadlines and estimates count in seconds, so plans made of equal inputs
+// don't differ within one.
+constexpr Millis kWavePlanLifetime{1'000};
 constexpr Millis kBufferInterval{1'000};
+// Loans that may end become due with time alone.
+constexpr Millis kBufferPlanLifetime{10'000};
 constexpr char kAllotmentsKey[] = "allotments";
 constexpr std::size_t kMaxRegistrationsPerTick = 64;
 
@@ -69,6 +74,9 @@
   next_buffers_ = now + kObservationTime;
   under_way_.clear();
   silent_since_.clear();
+  inputs_.reset();
+  wave_plan_.reset();
+  buffer_plan_until_ = now;
   caps_.clear();
   retiring_since_.clear();
   reclaims_ = ReclaimPlanner(now);
@@ -144,15 +152,27 @@
   if (now < next_tick_)
     return;
   next_tick_ = now + kDutyInterval;
+  RefreshInputs(now);
   RegisterAnnounced();
   MoveAllotments(now);
   ReclaimLost(now);
   ProgressHosts(now);
-  ProgressMoves(now);
+  ProgressMoves();
   ProgressWaves(now);
   ProgressBuffers(now);
 }
 
+void LeaderDuties::RefreshInputs(TimePoint now) {
+  Inputs inputs{state_.version(), reports_.revision(), reports_.Fresh(now)};
+  inputs_changed_ = inputs_ != inputs;
+  if (!inputs_changed_)
+    return;
+  inputs_ = std::move(inputs);
+  unavailable_ = reports_.Unavailable(state_.view(), now);
+  wave_plan_.reset();
+  buffer_plan_until_ = now;
+}
+
 void LeaderDuties::MoveAllotments(TimePoint now) {
   if (under_way_.contains(kAllotmentsKey))
     return;
@@ -179,11 +199,16 @@
 }
 
 void LeaderDuties::RegisterAnnounced() {
+  // Between changes only a refused registration can be open.
+  if (!inputs_changed_ && !announced_open_)
+    return;
+  announced_open_ = false;
   std::size_t submitted = 0;
   for (const auto& [entry, held] : reports_.held()) {
     for (const auto& [host, worker] : held.workers) {
       if (state_.view().hosts.contains(host) || state_.view().pools.empty())
         continue;
+      announced_open_ = true;
       if (++submitted > kMaxRegistrationsPerTick)
         return;
       SubmitOnce(
@@ -194,8 +219,19 @@
 }
 
 void LeaderDuties::ProgressHosts(TimePoint now) {
-  for (const auto& [name, host] : state_.view().hosts)
-    ProgressHost(host, now);
+  const auto& hosts = state_.view().hosts;
+  if (inputs_changed_) {
+    unsettled_.clear();
+    for (const auto& [name, host] : hosts) {
+      if (!ProgressHost(host, now))
+        unsettled_.insert(unsettled_.end(), name);
+    }
+    return;
+  }
+  for (const HostName& name : unsettled_) {
+    if (const auto host = hosts.find(name); host != hosts.end())
+      static_cast<void>(ProgressHost(host->second, now));
+  }
 }
 
 Millis LeaderDuties::SilenceOf(const HostName& host,
@@ -208,9 +244,13 @@
   return now - silent_since_.try_emplace(host, now).first->second;
 }
 
-void LeaderDuties::ProgressHost(const Host& host, TimePoint now) {
+bool LeaderDuties::ProgressHost(const Host& host, TimePoint now) {
   const auto status = reports_.StatusOf(host.name, now);
   const bool alive = status && !status->lost;
+  if (host.state == HostState::kActive && alive) {
+    silent_since_.erase(host.name);
+    return true;
+  }
   // Nothing is concluded from the silence of a whole zone: it may be cut off
   // and serving.
   const bool observed = reports_.ZoneIsFresh(host.zone, now) &&
@@ -250,6 +290,7 @@
         Observe(host, drained ? HostState::kDrained : HostState::kDraining);
       break;
   }
+  return false;
 }
 
 void LeaderDuties::Observe(const Host& host, HostState state) {
@@ -296,7 +337,7 @@
     platform_.Query(host.name, done);
 }
 
-void LeaderDuties::ProgressMoves(TimePoint now) {
+void LeaderDuties::ProgressMoves() {
   for (const auto& [name, move] : state_.pending_moves()) {
     const std::string key = "move " + name.str();
     switch (state_.NextMoveStep(name)) {
@@ -304,12 +345,10 @@
       case MoveStep::kWait:
         break;
       case MoveStep::kDrain:
-        SubmitOnce(key,
-                   DrainHost{name, reports_.Unavailable(state_.view(), now)});
+        SubmitOnce(key, DrainHost{name, unavailable_});
         break;
       case MoveStep::kMove:
-        SubmitOnce(key, MoveHost{name, move.pool, false,
-                                 reports_.Unavailable(state_.view(), now)});
+        SubmitOnce(key, MoveHost{name, move.pool, false, unavailable_});
         break;
       case MoveStep::kReturn:
         SubmitOnce(key, ReturnHost{name});
@@ -326,14 +365,17 @@
 void LeaderDuties::ProgressWaves(TimePoint now) {
   if (state_.view().version == 0 || !platform_.available())
     return;
-  const WavePlan plan = Plan(now);
-  const std::set<HostName> unavailable =
-      reports_.Unavailable(state_.view(), now);
+  if (!wave_plan_ || now >= wave_plan_until_) {
+    wave_plan_ =
+        PlanWave(state_.view(), unavailable_, loop_.unix_seconds(), waves_);
+    wave_plan_until_ = now + kWavePlanLifetime;
+  }
+  const WavePlan& plan = *wave_plan_;
   for (const HostName& host : plan.cancel)
     SubmitOnce("wave " + host.str(), ReturnHost{host});
   for (const HostName& host : plan.start) {
     LogEvent(EventId::kDrainGranted, {{"host", host.str()}});
-    SubmitOnce("wave " + host.str(), DrainHost{host, unavailable});
+    SubmitOnce("wave " + host.str(), DrainHost{host, unavailable_});
   }
   const std::string text =
       std::to_string(plan.due) + " " + std::to_string(plan.in_work);
@@ -366,22 +408,27 @@
   std::set<HostName> settled;
   for (const auto& [host, since] : silent_since_) {
     if (now - since >= buffers_.settle)
-      settled.insert(host);
+      settled.insert(settled.end(), host);
   }
-  const std::set<HostName> unavailable =
-      reports_.Unavailable(state_.view(), now);
+  if (now < buffer_plan_until_ && settled == buffer_settled_)
+    return;
+  buffer_plan_until_ = now + kBufferPlanLifetime;
+  buffer_settled_ = settled;
   const std::int64_t wall = loop_.unix_seconds();
-  const WavePlan waves = Plan(now);
+  // Without a platform there are no waves.
+  const std::vector<PoolWave> waves =
+      wave_plan_ ? wave_plan_->pools : std::vector<PoolWave>();
   const BufferMoves moves =
-      DecideBufferMoves({state_.view(), state_.pending_moves(), unavailable,
-                         settled, waves.pools, wall},
+      DecideBufferMoves({state_.view(), state_.pending_moves(), unavailable_,
+                         settled, waves, wall},
                         buffers_);
   for (const HostMove& move : moves.lend) {
     MoveBuffer(move, "lend",
-               MoveHost{move.host, move.to, false, unavailable, true, wall});
+               MoveHost{move.host, move.to, false, unavailable_, true, wall});
   }
   for (const HostMove& move : moves.give_back)
-    MoveBuffer(move, "return", MoveHost{move.host, move.to, true, unavailable});
+    MoveBuffer(move, "return",
+               MoveHost{move.host, move.to, true, unavailable_});
   for (const HostName& host : moves.cancel) {
     const PoolName& pool = state_.view().hosts.at(host).pool;
     MoveBuffer({host, pool, pool}, "stay", MoveHost{host, pool});
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -70,13 +71,17 @@
   void MoveAllotments(TimePoint now);
   void ReclaimLost(TimePoint now);
   void ProgressHosts(TimePoint now);
-  void ProgressHost(const Host& host, TimePoint now);
+  /// \returns whether the host needs no further step while nothing changes.
+  bool ProgressHost(const Host& host, TimePoint now);
   void Observe(const Host& host, HostState state);
   void ProgressReboot(const Host& host, bool alive);
-  void ProgressMoves(TimePoint now);
+  void ProgressMoves();
   void ProgressWaves(TimePoint now);
   void ProgressBuffers(TimePoint now);
   void MoveBuffer(const HostMove& move, const char* kind, MoveHost body);
+  /// \brief Computes again what the decisions on hosts read, if anything that
+  /// they depend on has changed.
+  void RefreshInputs(TimePoint now);
   [[nodiscard]] WavePlan Plan(TimePoint now) const;
   [[nodiscard]] std::string ExplainTeamUse(const Team& team) const;
   [[nodiscard]] Millis SilenceOf(const HostName& host,
@@ -95,6 +100,24 @@
   std::map<EntryName, TeamCounts> caps_;
   std::map<EntryRun, TimePoint> retiring_since_;
   TimePoint leading_since_;
+  /// What the state of the fleet and the reports were when the members below
+  /// were computed. All of these are functions of it.
+  struct Inputs {
+    FleetVersion version = 0;
+    std::uint64_t revision = 0;
+    std::set<EntryName> fresh;
+
+    friend bool operator==(const Inputs&, const Inputs&) = default;
+  };
+  std::optional<Inputs> inputs_;
+  bool inputs_changed_ = true;  ///< in this tick
+  std::set<HostName> unavailable_;
+  std::set<HostName> unsettled_;  ///< hosts that need steps or time
+  bool announced_open_ = false;   ///< registrations are under way
+  std::optional<WavePlan> wave_plan_;
+  TimePoint wave_plan_until_;
+  std::set<HostName> buffer_settled_;
+  TimePoint buffer_plan_until_;
   TimePoint next_tick_;
   TimePoint next_buffers_;
   std::set<std::string> under_way_;
