--- a/tests/process_fleet.cc
+++ b/tests/process_fleet.cc
@@ -119,6 +119,7 @@
 void ProcessFleet::DefineControl() {
   for (const char* name : {"c1", "c2", "c3"}) {
     std::filesystem::create_directory(data(name));
+<<<<<<< HEAD
     Define(name,
            {"boraged-control", "--data=" + data(name),
             "--platform=" + children_.at("platform").address,
@@ -136,6 +137,20 @@
       peers.push_back(to + "=" + target);
     }
     children_.at(from).arguments.push_back("--peers=" + Joined(peers));
+=======
+    Define(name, {"boraged-control", "--data=" + data(name),
+                  "--platform=" + children_.at("platform").address});
+    std::vector<std::string>& arguments = children_.at(name).arguments;
+    arguments.insert(arguments.end(), shape_.control_arguments.begin(),
+                     shape_.control_arguments.end());
+    std::string target = children_.at(name).address;
+    if (shape_.control_relays) {
+      auto& relay = relays_["raft-" + std::string(name)];
+      relay = std::make_unique<CutRelay>(target);
+      target = relay->address();
+    }
+    peers.push_back(std::string(name) + "=" + target);
+>>>>>>> work-e
   }
 }
 
@@ -176,6 +191,10 @@
         .push_back("z" + number + "-" + rack + "-h" +
                    std::to_string(i % 4 + 1));
   }
+  for (int i = 1; i <= shape_.spares; ++i) {
+    processes["s" + number].push_back("z" + number + "-spare-h" +
+                                      std::to_string(i));
+  }
   for (const auto& [name, hosts] : processes) {
     Define(name, {"fake-worker", "--zone=z" + number, "--entries=" + entries,
                   "--hosts=" + Joined(hosts),
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -46,12 +46,14 @@
   int zones = 1;
   int entries = 2;  ///< in each zone
   int hosts = 8;    ///< in each zone, four to a rack
+  int spares = 0;   ///< in each zone, in pool "spare", in racks of their own
   int min_available = 0;
   int limit = 500;  ///< upper limit of team t1; t2 has 500
   int reboot_ms = 300;
   int snapshot_entries = 8192;   ///< log entries between snapshots
   int stop_timeout_ms = 60'000;  ///< longest planned stop of an entry host
   bool worker_process_per_rack = false;
+  std::vector<std::string> control_arguments;  ///< of every control host
   /// From each zone to each control host ("z1-c1"), and from each control host
   /// to each other one ("raft-c1-c2").
   bool control_relays = false;
