Policy bench: try a baseline's lines only after a change; print progress

The first-come-first-served lines were tried in all pools at every event, with a count of available hosts for each team. A pool is now tried only after an event that can make a start possible there.

--- a/bench/policy_driver.cc
+++ b/bench/policy_driver.cc
@@ -48,6 +48,7 @@
       lines_(kServicePools,
              std::vector<std::set<std::pair<TimePoint, std::size_t>>>(
                  trace.teams.size())),
+      retry_(kServicePools, true),
       end_rate_(kServicePools),
       below_since_(kServicePools, TimePoint::max()),
       had_(trace.teams.size()),
@@ -179,6 +180,7 @@
     (void)queue_.Push(state.pending, now_);
   } else {
     lines_[source.pool][source.team].emplace(state.pending.enqueued, job);
+    retry_[source.pool] = true;
   }
 }
 
@@ -256,6 +258,7 @@
 }
 
 void Driver::Apply(const Incident& incident) {
+  retry_.assign(kServicePools, true);
   switch (incident.kind) {
     case IncidentKind::kLoss:
       Lose(incident.host, incident.length);
@@ -318,8 +321,9 @@
     shares += share;
   std::optional<std::pair<TimePoint, std::size_t>> best;
   HostName best_host;
+  const std::int64_t slots = PoolSlots(pool);
   for (std::size_t team = 0; team < trace_.teams.size(); ++team) {
-    const std::int64_t part = PoolSlots(pool) * trace_.shares[team] / shares;
+    const std::int64_t part = slots * trace_.shares[team] / shares;
     if (params_.admission == Admission::kStaticShares &&
         running_[pool][team] >= std::max<std::int64_t>(part, 1)) {
       continue;
@@ -356,10 +360,13 @@
     return;
   }
   for (std::size_t pool = 0; pool < kServicePools; ++pool) {
-    if (placement_.FreeSlots(PoolAt(pool)) <= 0)
-      continue;
-    while (auto next = NextStatic(pool))
-      start(*next);
+    while (retry_[pool]) {
+      retry_[pool] = false;
+      if (placement_.FreeSlots(PoolAt(pool)) <= 0)
+        break;
+      while (auto next = NextStatic(pool))
+        start(*next);
+    }
   }
 }
 
@@ -411,7 +418,9 @@
   host.tasks.erase(job);
   host.used -= source.used;
   --running_[source.pool][source.team];
-  --team_running_[source.team];
+  if (team_running_[source.team]-- >= trace_.limits[source.team])
+    retry_.assign(kServicePools, true);
+  retry_[source.pool] = true;
   end_rate_[source.pool] += 0.5;  // decays with a time constant of 2 s
   all_work_ms_ += static_cast<double>((now_ - state.start).count());
   placement_.OnEnded(state.pending.queue, state.pending.demand, host.name);
@@ -491,6 +500,11 @@
   }
 }
 
+void Driver::RetryPool(const PoolName& pool) {
+  if (const auto found = pool_index_.find(pool); found != pool_index_.end())
+    retry_[found->second] = true;
+}
+
 std::int64_t Driver::PoolSlots(std::size_t pool) const {
   return Available(PoolAt(pool)) * 8;
 }
--- a/bench/policy_driver.h
+++ b/bench/policy_driver.h
@@ -83,6 +83,7 @@
   void Cancel(double fraction);
   void ServeUrgent();
   [[nodiscard]] std::optional<PendingJob> NextStatic(std::size_t pool);
+  void RetryPool(const PoolName& pool);
   [[nodiscard]] std::int64_t PoolSlots(std::size_t pool) const;
 
   // policy_hosts.cc
@@ -126,6 +127,9 @@
   std::vector<std::vector<std::int64_t>> running_;  // by pool and team
   std::vector<std::vector<std::int64_t>> waiting_;
   std::vector<std::vector<std::set<std::pair<TimePoint, std::size_t>>>> lines_;
+  // Pools in which a start may have become possible since the last try of the
+  // first-come-first-served lines, whose tries are linear.
+  std::vector<bool> retry_;
   std::vector<double> end_rate_;  // ends of tasks per second, by pool
   HostName chosen_;
   RunFigures figures_;
--- a/bench/policy_hosts.cc
+++ b/bench/policy_hosts.cc
@@ -87,6 +87,7 @@
                    !host.moving &&
                    (!params_.watch_health || health_.Allows(host.name, now_));
   placement_.UpdateWorker(view, now_);
+  RetryPool(entry.pool);
   if (view.accepting)
     queue_.Arm(entry.pool);
 }
--- a/bench/policy_main.cc
+++ b/bench/policy_main.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <fstream>
 #include <functional>
@@ -195,9 +196,16 @@
         if ((KindOf(number) != TraceKind::kUsual) != held_out)
           continue;
         const Trace trace = MakeTrace(user, number);
-        for (std::size_t i = 0; i < kinds.size(); ++i)
+        for (std::size_t i = 0; i < kinds.size(); ++i) {
+          const auto start = std::chrono::steady_clock::now();
           summaries[i].runs.push_back(
               Run(trace, ParamsFor(kinds[i], settings)));
+          const std::chrono::duration<double> took =
+              std::chrono::steady_clock::now() - start;
+          std::cerr << kUsers.Name(user) << " seed " << seed << " "
+                    << kPolicyKinds.Name(kinds[i]) << ": "
+                    << Number(took.count(), 1) << " s\n";
+        }
       }
       if (summaries.front().runs.empty())
         continue;
