Waves: count a host lost in work once; shortest expected drain first

Ruled out: idle budget between drains (0.4 to 1 s each) and the time of the returning host.

Now PlanWave takes expected drain times as an input and, of the hosts due by a roll-out only, starts the shortest.

--- a/bench/policy_driver.cc
+++ b/bench/policy_driver.cc
@@ -126,9 +126,13 @@
     // nothing but the reboot.
     constexpr std::int64_t kSlack = kHostsPerPool - kMinAvailable;
     constexpr std::int64_t kRounds = (kHostsPerPool + kSlack - 1) / kSlack;
-    const Millis took = *roll_out_end_ - (FromMillis(0) + kRollOutStart);
-    figures_.roll_out = static_cast<double>(took.count()) /
-                        static_cast<double>((kRounds * kRebootTime).count());
+    const auto bound = static_cast<double>((kRounds * kRebootTime).count());
+    const auto over_bound = [bound](TimePoint end) {
+      const Millis took = end - (FromMillis(0) + kRollOutStart);
+      return static_cast<double>(took.count()) / bound;
+    };
+    figures_.roll_out = over_bound(*roll_out_end_);
+    figures_.roll_out_unhurt = over_bound(unhurt_end_.value_or(*roll_out_end_));
   }
   double sum = 0;
   for (const double distance : distances_) {
@@ -235,6 +239,7 @@
       host.up = true;
       host.known_lost = false;
       lost_.erase(host.name);
+      TraceHost("back", event.index);
       if (fleet_.hosts[host.name].state != boragewinch::HostState::kActive)
         Schedule(now_ + kRebootTime, EventKind::kRebooted, event.index,
                  host.incident);
@@ -247,13 +252,19 @@
         return;
       fleet_.hosts[host.name].state = boragewinch::HostState::kActive;
       fleet_.hosts[host.name].maintained_at = Wall();
+      TraceHost("rebooted", event.index);
       Refresh(event.index);
       return;
     }
-    case EventKind::kMoved:
-      hosts_[event.index].moving = false;
+    case EventKind::kMoved: {
+      HostState& host = hosts_[event.index];
+      host.moving = false;
+      Host& entry = fleet_.hosts[host.name];
+      if (host.up && entry.state == boragewinch::HostState::kReturning)
+        entry.state = boragewinch::HostState::kActive;
       Refresh(event.index);
       return;
+    }
   }
 }
 
--- a/bench/policy_driver.h
+++ b/bench/policy_driver.h
@@ -63,6 +63,7 @@
     std::set<std::size_t> tasks;
     Resources used;  // real usage of its tasks
     bool moving = false;
+    bool hurt = false;  // lost since the roll-out began
   };
   static constexpr std::size_t kNone = static_cast<std::size_t>(-1);
 
@@ -97,10 +98,12 @@
   void Lose(std::size_t host, Millis length);
   void DetectLosses();
   void Maintain();
+  [[nodiscard]] Millis ExpectedDrain(const HostState& host) const;
   void AdvanceDrains();
   void MoveHost(std::size_t host, const PoolName& to);
   void FillFromSpares(const WavePlan& plan);
   void UsePrivateSpares();
+  void TraceHost(const char* step, std::size_t host) const;
   void Measure();
   void MeasureShares();
   [[nodiscard]] std::int64_t Wall() const;
@@ -139,6 +142,7 @@
   double all_slot_ticks_ = 0;
   std::vector<TimePoint> below_since_;
   std::optional<TimePoint> roll_out_end_;
+  std::optional<TimePoint> unhurt_end_;  // of the hosts not lost meanwhile
   // Sums of the present window, by team: what it had, what it should have.
   std::vector<double> had_;
   std::vector<double> due_;
--- a/bench/policy_hosts.cc
+++ b/bench/policy_hosts.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cmath>
+#include <ostream>
 
 #include "bench/policy_driver.h"
 
@@ -98,6 +99,7 @@
     return;
   host.up = false;
   host.lost_at = now_;
+  host.hurt = host.hurt || now_ >= FromMillis(0) + kRollOutStart;
   ++host.incident;
   Schedule(now_ + length, EventKind::kBack, index, host.incident);
 }
@@ -109,6 +111,7 @@
         now_ - host.lost_at >= kWorkerLostAfter) {
       host.known_lost = true;
       lost_.insert(host.name);
+      TraceHost("lost", i);
       const std::set<std::size_t> tasks = host.tasks;
       for (const std::size_t task : tasks) {
         End(task, false);
@@ -133,7 +136,11 @@
   HostState& host = hosts_[index];
   if (!host.tasks.empty())
     return;  // it has to drain first
+  TraceHost("moved_from", index);
   fleet_.hosts[host.name].pool = to;
+  // It serves, and the planner may count it, once it has acknowledged the move.
+  fleet_.hosts[host.name].state = FleetHostState::kReturning;
+  TraceHost("moved_to", index);
   host.moving = true;
   figures_.host_moves += 1;
   Refresh(index);
@@ -176,13 +183,37 @@
   }
 }
 
+// From what an entry host knows: learned run times and the time a task ran.
+Millis Driver::ExpectedDrain(const HostState& host) const {
+  Millis longest{0};
+  for (const std::size_t task : host.tasks) {
+    const TraceJob& source = trace_.jobs[task];
+    const PendingJob& job = jobs_[task].pending;
+    const Millis run_time = estimator_
+                                .Estimate(job.team, job.queue, source.declared,
+                                          source.declared_run_time)
+                                .run_time;
+    // A task that outlasts its estimate is expected to go on for a while.
+    const Millis rest =
+        std::max(run_time - (now_ - jobs_[task].start), run_time / 4);
+    longest = std::max(
+        longest, source.repeatable ? std::min(rest, kDrainPatience) : rest);
+  }
+  return longest;
+}
+
 void Driver::Maintain() {
   WaveConfig config = params_.wave;
+  if (params_.expect_drains) {
+    for (const HostState& host : hosts_)
+      config.expected_drain[host.name] = ExpectedDrain(host);
+  }
   if (now_ >= FromMillis(0) + kRollOutStart)
     config.rollout_since = kWallStart + kRollOutStart.count() / 1'000;
   const WavePlan plan = PlanWave(fleet_, lost_, Wall(), config);
   for (const HostName& name : plan.cancel) {
     fleet_.hosts[name].state = FleetHostState::kActive;
+    TraceHost("cancel", host_index_.at(name));
     Refresh(host_index_.at(name));
   }
   for (const HostName& name : plan.start) {
@@ -191,6 +222,7 @@
     host.state = FleetHostState::kDraining;
     host.assignment = ++fleet_.version;
     hosts_[index].drain_start = now_;
+    TraceHost("drain", index);
     figures_.drained_slots += kSlots;
     Refresh(index);
     std::int64_t available = 0;
@@ -212,13 +244,21 @@
                                      0, wave.available - wave.min_available));
   }
   if (config.rollout_since > 0 && !roll_out_end_) {
-    const bool done = std::all_of(
-        fleet_.hosts.begin(), fleet_.hosts.end(), [&](const auto& item) {
-          return item.second.maintained_at >= config.rollout_since ||
-                 lost_.contains(item.first);
-        });
-    if (done)
+    const auto done = [&](bool all) {
+      return std::all_of(
+          hosts_.begin(), hosts_.end(), [&](const HostState& host) {
+            return fleet_.hosts.at(host.name).maintained_at >=
+                       config.rollout_since ||
+                   lost_.contains(host.name) || (!all && host.hurt);
+          });
+    };
+    if (!unhurt_end_ && done(false))
+      unhurt_end_ = now_;
+    if (done(true)) {
       roll_out_end_ = now_;
+      if (params_.trace != nullptr)
+        *params_.trace << ToMillis(now_) << " roll_out_end\n";
+    }
   }
 }
 
@@ -240,11 +280,21 @@
     }
     if (host.tasks.empty()) {
       entry.state = FleetHostState::kRebooting;
+      TraceHost("reboot", i);
       Schedule(now_ + kRebootTime, EventKind::kRebooted, i, host.incident);
     }
   }
 }
 
+void Driver::TraceHost(const char* step, std::size_t host) const {
+  if (params_.trace == nullptr)
+    return;
+  const Host& entry = fleet_.hosts.at(hosts_[host].name);
+  *params_.trace << ToMillis(now_) << " " << step << " " << entry.name.str()
+                 << " " << entry.pool.str() << " tasks "
+                 << hosts_[host].tasks.size() << "\n";
+}
+
 void Driver::Measure() {
   for (std::size_t pool = 0; pool < kServicePools; ++pool) {
     const std::int64_t available = Available(PoolAt(pool));
@@ -257,6 +307,10 @@
       below_since_[pool] = TimePoint::max();
       continue;
     }
+    if (params_.trace != nullptr && below_since_[pool] == TimePoint::max()) {
+      *params_.trace << ToMillis(now_) << " below " << PoolAt(pool).str()
+                     << " available " << available << "\n";
+    }
     below_since_[pool] = std::min(below_since_[pool], now_);
     if (ToMillis(now_) % 1'000 == 0) {
       ++figures_.below_seconds;
--- a/bench/policy_main.cc
+++ b/bench/policy_main.cc
@@ -100,6 +100,10 @@
       {"spare hosts", mean(&RunFigures::buffer_hosts, 0, 1)},
       {"roll-out over lower bound (mean)", mean(&RunFigures::roll_out, 2, 1)},
       {"roll-out over lower bound (worst)", worst(&RunFigures::roll_out, 2, 1)},
+      {"the same, hosts lost meanwhile left out (mean)",
+       mean(&RunFigures::roll_out_unhurt, 2, 1)},
+      {"the same, hosts lost meanwhile left out (worst)",
+       worst(&RunFigures::roll_out_unhurt, 2, 1)},
       {"roll-outs not completed",
        [](const Summary& summary) {
          return std::to_string(std::count_if(
@@ -179,6 +183,8 @@
     params.urgent.preempt = !settings.flag("no-preempt");
     if (settings.flag("best-fit"))
       params.placement.rule = PackingRule::kBestFit;
+    if (settings.flag("trace"))
+      params.trace = &std::cerr;
   }
   return params;
 }
@@ -187,11 +193,12 @@
              const std::vector<PolicyKind>& kinds,
              const Settings& settings) {
   const std::int64_t seeds = settings.integer("seeds");
+  const std::int64_t first = settings.integer("first-seed");
   for (std::size_t u = 0; u < kUsers.entries.size(); ++u) {
     const User user = kUsers.entries[u].first;
     for (const bool held_out : {false, true}) {
       std::vector<Summary> summaries(kinds.size());
-      for (std::int64_t seed = 1; seed <= seeds; ++seed) {
+      for (std::int64_t seed = first; seed <= seeds; ++seed) {
         const auto number = static_cast<std::uint64_t>(seed);
         if ((KindOf(number) != TraceKind::kUsual) != held_out)
           continue;
@@ -222,10 +229,12 @@
   builder.Flag("scale", "measure decision time and memory instead")
       .Text("policy", "one policy instead of all", "all")
       .Integer("seeds", "number of seeds; 9 and 10 are held out", 10, 1, 1'000)
+      .Integer("first-seed", "where the seeds begin", 1, 1, 1'000)
       .Integer("headroom", "percent of slots kept for urgent work by ours", 0,
                0, 50)
       .Flag("no-preempt", "ours stops no task for urgent work")
       .Flag("best-fit", "ours fills the fullest worker")
+      .Flag("trace", "prints the steps of ours to standard error")
       .Text("markdown", "file that gets the tables as well", "");
   return builder;
 }
--- a/bench/policy_params.cc
+++ b/bench/policy_params.cc
@@ -13,7 +13,7 @@
 // The parameters before the last round that changed them.
 [[nodiscard]] PolicyParams Previous() {
   PolicyParams params = Ours();
-  params.wave.wanted_at_once = 1;
+  params.expect_drains = false;
   return params;
 }
 
@@ -24,6 +24,7 @@
   params.watch_health = false;
   params.shared_spares = false;
   params.lend_to_waves = false;
+  params.expect_drains = false;
   params.spares = kServicePools * 3;
   params.urgent.preempt = false;
   params.wave.rack_by_rack = false;
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <iosfwd>
 #include <vector>
 
 #include "base/enum_table.h"
@@ -35,23 +36,26 @@
   bool watch_health = true;
   bool shared_spares = true;  ///< else one spare for each pool and zone
   bool lend_to_waves = true;
+  bool expect_drains = true;  ///< hosts with the shortest drains go first
   std::size_t spares = 7;
   JobQueueConfig queue;
   PlacementConfig placement;
   EstimatorConfig estimator;
   UrgentConfig urgent;
   WaveConfig wave;
+  std::ostream* trace = nullptr;  ///< gets a line for each step
 };
 
 [[nodiscard]] PolicyParams ParamsOf(PolicyKind kind);
 
 /// \brief Figures of one run. Waits are in milliseconds.
 struct RunFigures {
-  double held_back = 0;     ///< part of slot time kept idle on purpose
-  double buffer_hosts = 0;  ///< spare hosts
-  double roll_out = 0;      ///< over the lower bound; 0 if not completed
-  double host_moves = 0;    ///< in the trace with its one wave
-  double task_moves = 0;    ///< by drains
+  double held_back = 0;        ///< part of slot time kept idle on purpose
+  double buffer_hosts = 0;     ///< spare hosts
+  double roll_out = 0;         ///< over the lower bound; 0 if not completed
+  double roll_out_unhurt = 0;  ///< the same without hosts lost meanwhile
+  double host_moves = 0;       ///< in the trace with its one wave
+  double task_moves = 0;       ///< by drains
   double drained_slots = 0;
   double lost_starts = 0;    ///< starts that failed, per 1,000 jobs
   double stopped = 0;        ///< tasks stopped for urgent work, per 1,000 jobs
--- a/src/policy/wave_planner.cc
+++ b/src/policy/wave_planner.cc
@@ -10,6 +10,8 @@
 
 struct PoolHosts {
   std::vector<const Host*> all;
+  std::set<const Host*> needed;  // of these, due by the period
+  std::int64_t in_work_alive = 0;
   std::vector<const Host*> due;  // active, not lost
 };
 
@@ -62,6 +64,7 @@
     alive += lost_now ? 0 : 1;
     wave.available += !lost_now && host->state == HostState::kActive ? 1 : 0;
     wave.in_work += IsInWork(*host) ? 1 : 0;
+    hosts.in_work_alive += IsInWork(*host) && !lost_now ? 1 : 0;
   }
   wave.at_once = std::max<std::int64_t>(0, AtOnce(alive - pool.min_available));
 
@@ -91,6 +94,8 @@
                              Duration(count, usual) * config.lead_percent / 100)
                   : period / 2;
     needed = needed || wall >= Deadline(*host, period) - lead;
+    if (needed)
+      hosts.needed.insert(host);
     if (needed || host->maintained_at < rollout_since)
       hosts.due.push_back(host);
     else
@@ -135,13 +140,18 @@
   }
   const auto key = [&](const Host* host) {
     const std::int64_t deadline = Deadline(*host, period);
+    const bool by_rollout = !hosts.needed.contains(host);
+    const auto expected = config.expected_drain.find(host->name);
+    const Millis drain = by_rollout && expected != config.expected_drain.end()
+                             ? expected->second
+                             : Millis(0);
     if (!config.rack_by_rack) {
-      return std::tuple(true, deadline, ZoneName(), RackName(), deadline,
-                        host->name);
+      return std::tuple(true, by_rollout, drain, deadline, ZoneName(),
+                        RackName(), deadline, host->name);
     }
     const Rack& rack = racks.at({host->zone, host->rack});
-    return std::tuple(rack.idle, rack.deadline, host->zone, host->rack,
-                      deadline, host->name);
+    return std::tuple(rack.idle, by_rollout, drain, rack.deadline, host->zone,
+                      host->rack, deadline, host->name);
   };
   std::sort(hosts.due.begin(), hosts.due.end(),
             [&](const Host* a, const Host* b) { return key(a) < key(b); });
@@ -169,7 +179,9 @@
 
 void Plan::Start(PoolWave& wave, const PoolHosts& hosts, WavePlan& plan) const {
   const std::int64_t by_budget = wave.available - wave.min_available;
-  std::int64_t count = std::min(by_budget, wave.at_once - wave.in_work);
+  // `at_once` leaves out lost hosts, so one that was lost in work must not
+  // count again as being in work.
+  std::int64_t count = std::min(by_budget, wave.at_once - hosts.in_work_alive);
   if (wave.due == 0) {
     wave.wait = wave.in_work > 0 ? WaveWait::kInWork : WaveWait::kNothingDue;
     return;
--- a/src/policy/wave_planner.h
+++ b/src/policy/wave_planner.h
@@ -2,12 +2,14 @@
 #define BORAGEWINCH_POLICY_WAVE_PLANNER_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <vector>
 
 #include "base/enum_table.h"
 #include "base/result.h"
+#include "base/time.h"
 #include "model/fleet_view.h"
 
 namespace boragewinch {
@@ -54,6 +56,10 @@
   std::int64_t lead_percent = 150;
   /// Hosts of a rack that is in work already go first.
   bool rack_by_rack = true;
+  /// Expected time until the tasks of a host have ended or been moved, for
+  /// hosts of which it is known. Of the hosts that are due by a roll-out only,
+  /// the one with the shortest drain goes first, since a drain uses the budget.
+  std::map<HostName, Millis> expected_drain;
   /// Roll-out: every host maintained before this wall time is due; 0 is off.
   std::int64_t rollout_since = 0;
 
--- a/tests/wave_test.cc
+++ b/tests/wave_test.cc
@@ -150,6 +150,39 @@
   BOOST_TEST(racks.size() == 1u);
 }
 
+// Guards against a host that is lost in work using up the budget twice: once
+// as lost and once as in work, which stops the wave until it is back.
+BOOST_AUTO_TEST_CASE(HostLostInWorkCountsOnce) {
+  FleetView fleet = Fleet(1, 10, 7);
+  const HostName rebooting("h0");
+  fleet.hosts[rebooting].state = HostState::kRebooting;
+  const WavePlan plan = PlanWave(fleet, {rebooting}, kStart + 35, kDemo);
+  // Nine are left: one for maintenance beside the reserve of one.
+  BOOST_TEST(plan.pools[0].at_once == 1);
+  BOOST_REQUIRE(plan.start.size() == 1u);
+  fleet.hosts[plan.start[0]].state = HostState::kDraining;
+  BOOST_TEST(PlanWave(fleet, {rebooting}, kStart + 35, kDemo).start.empty());
+}
+
+// Guards against long drains that hold the budget while hosts with shorter
+// ones wait, and against a host near its deadline waiting for shorter drains.
+BOOST_AUTO_TEST_CASE(ShortestDrainFirstInARollOut) {
+  FleetView fleet = Fleet(1, 9, 7);
+  fleet.pools.begin()->second.maintenance_days = 35;
+  WaveConfig config{.host_seconds = 600, .rollout_since = kStart + 1};
+  for (const auto& [name, host] : fleet.hosts)
+    config.expected_drain[name] = Millis(9'000);
+  config.expected_drain[HostName("h5")] = Millis(100);
+  WavePlan plan = PlanWave(fleet, {}, kStart + 2, config);
+  BOOST_REQUIRE(plan.start.size() == 1u);
+  BOOST_TEST(plan.start[0] == HostName("h5"));
+  // One host is past its period.
+  fleet.hosts[HostName("h7")].maintained_at -= 36 * config.seconds_per_day;
+  plan = PlanWave(fleet, {}, kStart + 2, config);
+  BOOST_REQUIRE(plan.start.size() == 1u);
+  BOOST_TEST(plan.start[0] == HostName("h7"));
+}
+
 FleetView FleetWithSpares(int spares) {
   FleetView fleet = Fleet(5, 9, 6);
   const PoolName spare("spare");
