--- a/bench/policy_driver.cc
+++ b/bench/policy_driver.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
+#include <ostream>
 #include <tuple>
 
 namespace boragewinch::bench {
@@ -32,6 +34,16 @@
           std::min(a.accelerators, b.accelerators)};
 }
 
+// Why DecideUrgent waits.
+[[nodiscard]] UrgentWait WaitReason(const UrgentState& state,
+                                    const UrgentConfig& config) {
+  UrgentState pressed = state;
+  pressed.ends_per_second = 0;
+  if (DecideUrgent(pressed, config).action == UrgentAction::kStop)
+    return UrgentWait::kExpected;
+  return state.within_rights ? UrgentWait::kNoVictim : UrgentWait::kOverRights;
+}
+
 }  // namespace
 
 Driver::Driver(const Trace& trace, const PolicyParams& params)
@@ -48,6 +60,7 @@
       lines_(kServicePools,
              std::vector<std::set<std::pair<TimePoint, std::size_t>>>(
                  trace.teams.size())),
+      retry_(kServicePools, true),
       end_rate_(kServicePools),
       below_since_(kServicePools, TimePoint::max()),
       had_(trace.teams.size()),
@@ -125,9 +138,13 @@
     // nothing but the reboot.
     constexpr std::int64_t kSlack = kHostsPerPool - kMinAvailable;
     constexpr std::int64_t kRounds = (kHostsPerPool + kSlack - 1) / kSlack;
-    const Millis took = *roll_out_end_ - (FromMillis(0) + kRollOutStart);
-    figures_.roll_out = static_cast<double>(took.count()) /
-                        static_cast<double>((kRounds * kRebootTime).count());
+    const auto bound = static_cast<double>((kRounds * kRebootTime).count());
+    const auto over_bound = [bound](TimePoint end) {
+      const Millis took = end - (FromMillis(0) + kRollOutStart);
+      return static_cast<double>(took.count()) / bound;
+    };
+    figures_.roll_out = over_bound(*roll_out_end_);
+    figures_.roll_out_unhurt = over_bound(unhurt_end_.value_or(*roll_out_end_));
   }
   double sum = 0;
   for (const double distance : distances_) {
@@ -179,6 +196,7 @@
     (void)queue_.Push(state.pending, now_);
   } else {
     lines_[source.pool][source.team].emplace(state.pending.enqueued, job);
+    retry_[source.pool] = true;
   }
 }
 
@@ -197,8 +215,10 @@
       }
       figures_.lost_starts += ok ? 0 : 1;
       End(event.index, ok);
-      if (!ok)
+      if (!ok) {
+        state.pending.avoid = host;
         Restart(event.index, true);
+      }
       return;
     }
     case EventKind::kStopped: {
@@ -208,7 +228,9 @@
       const bool waits = urgent != kNone && !jobs_[urgent].running &&
                          !jobs_[urgent].done &&
                          jobs_[urgent].stopping == event.index;
-      if (waits)
+      // Also if the urgent job has started meanwhile: it may fail and wait
+      // again, and must then be able to get another stop.
+      if (urgent != kNone && jobs_[urgent].stopping == event.index)
         jobs_[urgent].stopping = kNone;
       if (!state.running || state.run != event.tag)
         return;
@@ -233,6 +255,7 @@
       host.up = true;
       host.known_lost = false;
       lost_.erase(host.name);
+      TraceHost("back", event.index);
       if (fleet_.hosts[host.name].state != boragewinch::HostState::kActive)
         Schedule(now_ + kRebootTime, EventKind::kRebooted, event.index,
                  host.incident);
@@ -245,17 +268,24 @@
         return;
       fleet_.hosts[host.name].state = boragewinch::HostState::kActive;
       fleet_.hosts[host.name].maintained_at = Wall();
+      TraceHost("rebooted", event.index);
       Refresh(event.index);
       return;
     }
-    case EventKind::kMoved:
-      hosts_[event.index].moving = false;
+    case EventKind::kMoved: {
+      HostState& host = hosts_[event.index];
+      host.moving = false;
+      Host& entry = fleet_.hosts[host.name];
+      if (host.up && entry.state == boragewinch::HostState::kReturning)
+        entry.state = boragewinch::HostState::kActive;
       Refresh(event.index);
       return;
+    }
   }
 }
 
 void Driver::Apply(const Incident& incident) {
+  retry_.assign(kServicePools, true);
   switch (incident.kind) {
     case IncidentKind::kLoss:
       Lose(incident.host, incident.length);
@@ -318,8 +348,9 @@
     shares += share;
   std::optional<std::pair<TimePoint, std::size_t>> best;
   HostName best_host;
+  const std::int64_t slots = PoolSlots(pool);
   for (std::size_t team = 0; team < trace_.teams.size(); ++team) {
-    const std::int64_t part = PoolSlots(pool) * trace_.shares[team] / shares;
+    const std::int64_t part = slots * trace_.shares[team] / shares;
     if (params_.admission == Admission::kStaticShares &&
         running_[pool][team] >= std::max<std::int64_t>(part, 1)) {
       continue;
@@ -356,10 +387,13 @@
     return;
   }
   for (std::size_t pool = 0; pool < kServicePools; ++pool) {
-    if (placement_.FreeSlots(PoolAt(pool)) <= 0)
-      continue;
-    while (auto next = NextStatic(pool))
-      start(*next);
+    while (retry_[pool]) {
+      retry_[pool] = false;
+      if (placement_.FreeSlots(PoolAt(pool)) <= 0)
+        break;
+      while (auto next = NextStatic(pool))
+        start(*next);
+    }
   }
 }
 
@@ -398,6 +432,13 @@
     state.started = true;
     const auto wait = static_cast<double>((now_ - source.arrival).count());
     figures_.waits[static_cast<std::size_t>(source.urgency)].push_back(wait);
+    if (source.urgency == Urgency::kUrgent) {
+      const std::int64_t at_limit =
+          state.ticks.at(static_cast<std::size_t>(UrgentWait::kTeamLimit));
+      figures_.urgent_waits_below_limit.push_back(
+          std::max(0.0, wait - static_cast<double>(at_limit * kTick.count())));
+    }
+    TraceLate(job, wait);
   }
   Schedule(now_ + (fails ? kFailTime : source.run_time),
            fails ? EventKind::kFail : EventKind::kEnd, job, state.run);
@@ -411,7 +452,9 @@
   host.tasks.erase(job);
   host.used -= source.used;
   --running_[source.pool][source.team];
-  --team_running_[source.team];
+  if (team_running_[source.team]-- >= trace_.limits[source.team])
+    retry_.assign(kServicePools, true);
+  retry_[source.pool] = true;
   end_rate_[source.pool] += 0.5;  // decays with a time constant of 2 s
   all_work_ms_ += static_cast<double>((now_ - state.start).count());
   placement_.OnEnded(state.pending.queue, state.pending.demand, host.name);
@@ -423,6 +466,27 @@
                      source.declared_run_time, source.used, source.run_time);
 }
 
+void Driver::CountWait(std::size_t job, UrgentWait reason) {
+  ++jobs_[job].ticks.at(static_cast<std::size_t>(reason));
+}
+
+void Driver::TraceLate(std::size_t job, double wait) const {
+  const TraceJob& source = trace_.jobs[job];
+  if (params_.trace == nullptr || source.urgency != Urgency::kUrgent ||
+      wait <= static_cast<double>(kUrgentStartBound.count()))
+    return;
+  const JobState& state = jobs_[job];
+  std::ostream& out = *params_.trace;
+  out << ToMillis(now_) << " late " << state.pending.id.str() << " "
+      << state.pending.pool.str() << " " << state.pending.team.str() << " wait "
+      << wait << " attempts " << state.attempts << " memory "
+      << state.pending.demand.memory_mb << " ticks";
+  for (const auto& [reason, name] : kUrgentWaits.entries)
+    out << " " << name << " "
+        << state.ticks.at(static_cast<std::size_t>(reason));
+  out << " host " << hosts_[state.host].name.str() << "\n";
+}
+
 void Driver::Restart(std::size_t job, bool failed) {
   JobState& state = jobs_[job];
   state.attempts += failed ? 1 : 0;
@@ -447,21 +511,33 @@
     std::int64_t ahead = 0;
     for (const PendingJob& job : queue_.UrgentWaiting(PoolAt(pool), 32)) {
       const std::size_t index = IndexOf(job.id);
+      const std::size_t team = team_index_.at(job.team);
+      if (team_running_[team] >= trace_.limits[team])
+        CountWait(index, UrgentWait::kTeamLimit);
+      else if (jobs_[index].stopping != kNone)
+        CountWait(index, UrgentWait::kStopping);
       if (jobs_[index].stopping != kNone)
         continue;
-      const std::size_t team = team_index_.at(job.team);
-      if (team_running_[team] >= trace_.limits[team] || PoolSlots(pool) == 0) {
+      if (PoolSlots(pool) == 0)
         continue;
-      }
       UrgentState state;
       state.free_slots = 0;
       state.ahead = ahead++;
       state.ends_per_second = end_rate_[pool];
       state.waited = now_ - job.enqueued;
       state.within_rights = !over[team];
+      state.at_limit = team_running_[team] >= trace_.limits[team];
+      if (state.at_limit) {
+        state.ends_per_second *=
+            static_cast<double>(running_[pool][team]) /
+            static_cast<double>(std::max<std::int64_t>(
+                1, std::accumulate(running_[pool].begin(), running_[pool].end(),
+                                   std::int64_t{0})));
+      }
       for (const HostState& host : hosts_) {
-        if (!host.up)
+        if (!host.up || host.name == job.avoid)
           continue;
+        const Resources free = placement_.Find(host.name)->free;
         for (const std::size_t task : host.tasks) {
           const TraceJob& source = trace_.jobs[task];
           if (source.pool != pool || jobs_[task].stop_for != kNone ||
@@ -469,6 +545,8 @@
                   boragewinch::HostState::kActive) {
             continue;
           }
+          Resources room = free;
+          room += jobs_[task].pending.demand;
           state.running.push_back({{jobs_[task].pending.id, 1},
                                    host.name,
                                    now_ - jobs_[task].start,
@@ -476,12 +554,17 @@
                                    false,
                                    over[source.team],
                                    source.team == team,
-                                   source.urgency == Urgency::kUrgent});
+                                   source.urgency == Urgency::kUrgent,
+                                   job.demand.FitsInto(room)});
         }
       }
       const UrgentDecision decision = DecideUrgent(state, params_.urgent);
-      if (decision.action != UrgentAction::kStop)
+      if (decision.action != UrgentAction::kStop) {
+        if (!state.at_limit)
+          CountWait(index, WaitReason(state, params_.urgent));
         continue;
+      }
+      CountWait(index, UrgentWait::kStopping);
       const std::size_t task = IndexOf(decision.stop->task.request);
       jobs_[task].stop_for = index;
       jobs_[index].stopping = task;
@@ -491,6 +574,11 @@
   }
 }
 
+void Driver::RetryPool(const PoolName& pool) {
+  if (const auto found = pool_index_.find(pool); found != pool_index_.end())
+    retry_[found->second] = true;
+}
+
 std::int64_t Driver::PoolSlots(std::size_t pool) const {
   return Available(PoolAt(pool)) * 8;
 }
--- a/bench/policy_driver.h
+++ b/bench/policy_driver.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEWINCH_BENCH_POLICY_DRIVER_H_
 #define BORAGEWINCH_BENCH_POLICY_DRIVER_H_
 
+#include <array>
 #include <deque>
 #include <map>
 #include <optional>
@@ -49,6 +50,7 @@
     TimePoint start;
     std::size_t stop_for = kNone;  // urgent job that gets the slot
     std::size_t stopping = kNone;  // task that is stopped for this job
+    std::array<std::int64_t, kUrgentWaits.entries.size()> ticks{};
   };
   struct HostState {
     HostName name;
@@ -63,6 +65,7 @@
     std::set<std::size_t> tasks;
     Resources used;  // real usage of its tasks
     bool moving = false;
+    bool hurt = false;  // lost since the roll-out began
   };
   static constexpr std::size_t kNone = static_cast<std::size_t>(-1);
 
@@ -82,7 +85,10 @@
   void Restart(std::size_t job, bool failed);
   void Cancel(double fraction);
   void ServeUrgent();
+  void CountWait(std::size_t job, UrgentWait reason);
+  void TraceLate(std::size_t job, double wait) const;
   [[nodiscard]] std::optional<PendingJob> NextStatic(std::size_t pool);
+  void RetryPool(const PoolName& pool);
   [[nodiscard]] std::int64_t PoolSlots(std::size_t pool) const;
 
   // policy_hosts.cc
@@ -96,10 +102,12 @@
   void Lose(std::size_t host, Millis length);
   void DetectLosses();
   void Maintain();
+  [[nodiscard]] Millis ExpectedDrain(const HostState& host) const;
   void AdvanceDrains();
   void MoveHost(std::size_t host, const PoolName& to);
   void FillFromSpares(const WavePlan& plan);
   void UsePrivateSpares();
+  void TraceHost(const char* step, std::size_t host) const;
   void Measure();
   void MeasureShares();
   [[nodiscard]] std::int64_t Wall() const;
@@ -126,6 +134,9 @@
   std::vector<std::vector<std::int64_t>> running_;  // by pool and team
   std::vector<std::vector<std::int64_t>> waiting_;
   std::vector<std::vector<std::set<std::pair<TimePoint, std::size_t>>>> lines_;
+  // Pools in which a start may have become possible since the last try of the
+  // first-come-first-served lines, whose tries are linear.
+  std::vector<bool> retry_;
   std::vector<double> end_rate_;  // ends of tasks per second, by pool
   HostName chosen_;
   RunFigures figures_;
@@ -135,6 +146,7 @@
   double all_slot_ticks_ = 0;
   std::vector<TimePoint> below_since_;
   std::optional<TimePoint> roll_out_end_;
+  std::optional<TimePoint> unhurt_end_;  // of the hosts not lost meanwhile
   // Sums of the present window, by team: what it had, what it should have.
   std::vector<double> had_;
   std::vector<double> due_;
--- a/bench/policy_main.cc
+++ b/bench/policy_main.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <chrono>
 #include <cmath>
 #include <fstream>
 #include <functional>
@@ -63,8 +64,7 @@
   return at(0.5) + " / " + at(0.99) + " / " + at(1);
 }
 
-[[nodiscard]] double LatePart(const RunFigures& run) {
-  const auto& waits = run.waits[static_cast<std::size_t>(Urgency::kUrgent)];
+[[nodiscard]] double LatePart(const std::vector<double>& waits) {
   const auto late = std::count_if(waits.begin(), waits.end(), [](double wait) {
     return wait > static_cast<double>(kUrgentStartBound.count());
   });
@@ -99,6 +99,10 @@
       {"spare hosts", mean(&RunFigures::buffer_hosts, 0, 1)},
       {"roll-out over lower bound (mean)", mean(&RunFigures::roll_out, 2, 1)},
       {"roll-out over lower bound (worst)", worst(&RunFigures::roll_out, 2, 1)},
+      {"the same, hosts lost meanwhile left out (mean)",
+       mean(&RunFigures::roll_out_unhurt, 2, 1)},
+      {"the same, hosts lost meanwhile left out (worst)",
+       worst(&RunFigures::roll_out_unhurt, 2, 1)},
       {"roll-outs not completed",
        [](const Summary& summary) {
          return std::to_string(std::count_if(
@@ -135,7 +139,24 @@
       {"urgent wait s, 50th / 99th / worst",
        [](const Summary& s) { return Waits(s, Urgency::kUrgent); }},
       {"urgent later than 1.2 s, %",
-       [](const Summary& s) { return Number(100 * Mean(s, LatePart), 3); }},
+       [](const Summary& s) {
+         return Number(
+             100 * Mean(s,
+                        [](const RunFigures& run) {
+                          return LatePart(run.waits[static_cast<std::size_t>(
+                              Urgency::kUrgent)]);
+                        }),
+             3);
+       }},
+      {"the same, time at the team's own limit left out, %",
+       [](const Summary& s) {
+         return Number(
+             100 * Mean(s,
+                        [](const RunFigures& run) {
+                          return LatePart(run.urgent_waits_below_limit);
+                        }),
+             3);
+       }},
       {"failed starts per 1,000 jobs", mean(&RunFigures::lost_starts, 2, 1)},
       {"tasks stopped per 1,000 jobs", mean(&RunFigures::stopped, 2, 1)},
       {"work lost by stops, %", mean(&RunFigures::lost_work, 3, 100)},
@@ -178,6 +199,8 @@
     params.urgent.preempt = !settings.flag("no-preempt");
     if (settings.flag("best-fit"))
       params.placement.rule = PackingRule::kBestFit;
+    if (settings.flag("trace"))
+      params.trace = &std::cerr;
   }
   return params;
 }
@@ -186,18 +209,26 @@
              const std::vector<PolicyKind>& kinds,
              const Settings& settings) {
   const std::int64_t seeds = settings.integer("seeds");
+  const std::int64_t first = settings.integer("first-seed");
   for (std::size_t u = 0; u < kUsers.entries.size(); ++u) {
     const User user = kUsers.entries[u].first;
     for (const bool held_out : {false, true}) {
       std::vector<Summary> summaries(kinds.size());
-      for (std::int64_t seed = 1; seed <= seeds; ++seed) {
+      for (std::int64_t seed = first; seed <= seeds; ++seed) {
         const auto number = static_cast<std::uint64_t>(seed);
         if ((KindOf(number) != TraceKind::kUsual) != held_out)
           continue;
         const Trace trace = MakeTrace(user, number);
-        for (std::size_t i = 0; i < kinds.size(); ++i)
+        for (std::size_t i = 0; i < kinds.size(); ++i) {
+          const auto start = std::chrono::steady_clock::now();
           summaries[i].runs.push_back(
               Run(trace, ParamsFor(kinds[i], settings)));
+          const std::chrono::duration<double> took =
+              std::chrono::steady_clock::now() - start;
+          std::cerr << kUsers.Name(user) << " seed " << seed << " "
+                    << kPolicyKinds.Name(kinds[i]) << ": "
+                    << Number(took.count(), 1) << " s\n";
+        }
       }
       if (summaries.front().runs.empty())
         continue;
@@ -214,10 +245,12 @@
   builder.Flag("scale", "measure decision time and memory instead")
       .Text("policy", "one policy instead of all", "all")
       .Integer("seeds", "number of seeds; 9 and 10 are held out", 10, 1, 1'000)
+      .Integer("first-seed", "where the seeds begin", 1, 1, 1'000)
       .Integer("headroom", "percent of slots kept for urgent work by ours", 0,
                0, 50)
       .Flag("no-preempt", "ours stops no task for urgent work")
       .Flag("best-fit", "ours fills the fullest worker")
+      .Flag("trace", "prints the steps of ours to standard error")
       .Text("markdown", "file that gets the tables as well", "");
   return builder;
 }
--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <iosfwd>
 #include <vector>
 
 #include "base/enum_table.h"
@@ -26,6 +27,23 @@
     {PolicyKind::kOurs, "ours"},
 }}};
 
+/// \brief Why an urgent job had to wait at a tick.
+enum class UrgentWait {
+  kTeamLimit,   ///< its team ran as many tasks as its upper limit
+  kStopping,    ///< a task was being stopped for it
+  kExpected,    ///< enough tasks were expected to end in time
+  kNoVictim,    ///< no task of the pool could be stopped
+  kOverRights,  ///< its team was above its share and has no task to stop
+};
+
+inline constexpr EnumTable<UrgentWait, 5> kUrgentWaits{{{
+    {UrgentWait::kTeamLimit, "team_limit"},
+    {UrgentWait::kStopping, "stopping"},
+    {UrgentWait::kExpected, "expected"},
+    {UrgentWait::kNoVictim, "no_victim"},
+    {UrgentWait::kOverRights, "over_rights"},
+}}};
+
 enum class Admission { kFcfs, kStaticShares, kShares };
 
 /// \brief All parameters of a compared policy.
@@ -35,23 +53,26 @@
   bool watch_health = true;
   bool shared_spares = true;  ///< else one spare for each pool and zone
   bool lend_to_waves = true;
+  bool expect_drains = true;  ///< hosts with the shortest drains go first
   std::size_t spares = 7;
   JobQueueConfig queue;
   PlacementConfig placement;
   EstimatorConfig estimator;
   UrgentConfig urgent;
   WaveConfig wave;
+  std::ostream* trace = nullptr;  ///< gets a line for each step
 };
 
 [[nodiscard]] PolicyParams ParamsOf(PolicyKind kind);
 
 /// \brief Figures of one run. Waits are in milliseconds.
 struct RunFigures {
-  double held_back = 0;     ///< part of slot time kept idle on purpose
-  double buffer_hosts = 0;  ///< spare hosts
-  double roll_out = 0;      ///< over the lower bound; 0 if not completed
-  double host_moves = 0;    ///< in the trace with its one wave
-  double task_moves = 0;    ///< by drains
+  double held_back = 0;        ///< part of slot time kept idle on purpose
+  double buffer_hosts = 0;     ///< spare hosts
+  double roll_out = 0;         ///< over the lower bound; 0 if not completed
+  double roll_out_unhurt = 0;  ///< the same without hosts lost meanwhile
+  double host_moves = 0;       ///< in the trace with its one wave
+  double task_moves = 0;       ///< by drains
   double drained_slots = 0;
   double lost_starts = 0;    ///< starts that failed, per 1,000 jobs
   double stopped = 0;        ///< tasks stopped for urgent work, per 1,000 jobs
@@ -59,6 +80,8 @@
   double distance_mean = 0;  ///< to share, part of capacity
   double distance_max = 0;
   std::array<std::vector<double>, 2> waits;  ///< normal, urgent
+  /// Urgent waits without the time in which the team was at its upper limit.
+  std::vector<double> urgent_waits_below_limit;
   std::int64_t limit_violations = 0;
   std::int64_t budget_violations = 0;
   std::int64_t broken_seconds = 0;  ///< below a promise beyond the move time
