--- a/tests/process_fleet.cc
+++ b/tests/process_fleet.cc
@@ -119,11 +119,13 @@
 void ProcessFleet::DefineControl() {
   for (const char* name : {"c1", "c2", "c3"}) {
     std::filesystem::create_directory(data(name));
-<<<<<<< HEAD
     Define(name,
            {"boraged-control", "--data=" + data(name),
             "--platform=" + children_.at("platform").address,
             "--snapshot-entries=" + std::to_string(shape_.snapshot_entries)});
+    std::vector<std::string>& arguments = children_.at(name).arguments;
+    arguments.insert(arguments.end(), shape_.control_arguments.begin(),
+                     shape_.control_arguments.end());
   }
   for (const std::string from : {"c1", "c2", "c3"}) {
     std::vector<std::string> peers;
@@ -137,20 +139,6 @@
       peers.push_back(to + "=" + target);
     }
     children_.at(from).arguments.push_back("--peers=" + Joined(peers));
-=======
-    Define(name, {"boraged-control", "--data=" + data(name),
-                  "--platform=" + children_.at("platform").address});
-    std::vector<std::string>& arguments = children_.at(name).arguments;
-    arguments.insert(arguments.end(), shape_.control_arguments.begin(),
-                     shape_.control_arguments.end());
-    std::string target = children_.at(name).address;
-    if (shape_.control_relays) {
-      auto& relay = relays_["raft-" + std::string(name)];
-      relay = std::make_unique<CutRelay>(target);
-      target = relay->address();
-    }
-    peers.push_back(std::string(name) + "=" + target);
->>>>>>> work-e
   }
 }
 
