Split the entry host into services that find each other by name

EntryService built and owned every part of boraged-entry: ports, links, HTTP clients and the core, and routed the core's actions with a chain of type tests. Kernel::Find had no user, although the house style asks for a micro-kernel.

Each part is now a service of its own with its sockets and state: outbound, entry (the core and its clock), peers, control, tasks, callers, operators and public. They look each other up by name at the start and subscribe to the core's actions. Kernel::Require reports a missing service as a typed error, and names used twice end the start.

No change of behaviour is intended.

--- a/src/entry/boraged_entry_main.cc
+++ b/src/entry/boraged_entry_main.cc
@@ -10,7 +10,12 @@
 
 #include "base/event_log.h"
 #include "base/settings.h"
+#include "entry/control_link.h"
 #include "entry/entry_service.h"
+#include "entry/outbound_service.h"
+#include "entry/peer_link.h"
+#include "entry/public_port.h"
+#include "entry/service_names.h"
 #include "kernel/kernel.h"
 #include "model/job.h"
 
@@ -77,7 +82,15 @@
   options.stop_timeout = Millis(settings.integer("stop-timeout-ms"));
 
   Kernel kernel;
-  kernel.Add("entry", std::make_unique<EntryService>(std::move(options)));
+  kernel.Add(kOutboundService,
+             std::make_unique<OutboundService>(options.cluster_secret));
+  kernel.Add(kEntryService, std::make_unique<EntryService>(options));
+  kernel.Add(kPeersService, std::make_unique<PeerLink>(options));
+  kernel.Add(kControlService, std::make_unique<ControlLink>(options));
+  kernel.Add(kTasksService, std::make_unique<TaskLink>());
+  kernel.Add(kCallersService, std::make_unique<CallerApi>());
+  kernel.Add(kOperatorsService, std::make_unique<OperatorApi>(options));
+  kernel.Add(kPublicService, std::make_unique<PublicPort>(options));
   if (Status status = kernel.Run(); !status) {
     std::fprintf(stderr, "%s\n", status.error().Text().c_str());
     return kExitFailed;
--- a/src/entry/caller_api.cc
+++ b/src/entry/caller_api.cc
@@ -4,6 +4,7 @@
 #include <optional>
 #include <utility>
 
+#include "entry/service_names.h"
 #include "model/outcome.h"
 
 namespace boragewinch {
@@ -91,11 +92,15 @@
   return json;
 }
 
-CallerApi::CallerApi(EventLoop& loop,
-                     EntryCore& core,
-                     Metrics& metrics,
-                     std::function<void()> flush)
-    : loop_(loop), core_(core), metrics_(metrics), flush_(std::move(flush)) {}
+Status CallerApi::Start(Kernel& kernel) {
+  loop_ = &kernel.loop();
+  BW_TRY(entry_, kernel.Require<EntryService>(kEntryService));
+  core_ = &entry_->core();
+  metrics_ = &entry_->metrics();
+  entry_->On<AnswerCaller>(
+      [this](const AnswerCaller& action) { OnAnswer(action); });
+  return Ok();
+}
 
 bool CallerApi::Handles(const HttpRequest& request) {
   return request.path == kTicketsPath || request.path == kJobsPath ||
@@ -106,7 +111,7 @@
                       const HttpResponder& respond) {
   const std::string& method = request.method;
   if (request.path == kTicketsPath && method == "POST") {
-    const Result<RequestId> ticket = core_.NewTicket(loop_.now());
+    const Result<RequestId> ticket = core_->NewTicket(loop_->now());
     if (!ticket) {
       respond({503, R"({"error":"unavailable","detail":"stopping"})"});
       return;
@@ -149,14 +154,14 @@
       return;
     }
   }
-  const TimePoint now = loop_.now();
+  const TimePoint now = loop_->now();
   call.call = next_call_++;
   call.key = HeaderOf(request, kKeyHeader);
   call.spec = std::move(spec).value();
   call.deadline = now + kCallDeadline;
   calls_.emplace(call.call, Call{Kind::kSubmit, respond, now});
-  core_.Submit(std::move(call), now);
-  flush_();
+  core_->Submit(std::move(call), now);
+  entry_->Flush();
 }
 
 void CallerApi::OpenRequestCall(Kind kind,
@@ -169,7 +174,7 @@
     respond(Malformed("the path must name a request id"));
     return;
   }
-  const TimePoint now = loop_.now();
+  const TimePoint now = loop_->now();
   const Millis wait = kind == Kind::kStatus ? WaitOf(request) : Millis(0);
   const RequestCall call{next_call_++, HeaderOf(request, kKeyHeader),
                          RequestId(std::move(id)),
@@ -177,18 +182,18 @@
   calls_.emplace(call.call, Call{kind, respond, now});
   switch (kind) {
     case Kind::kResult:
-      core_.FetchResult(call, now);
+      core_->FetchResult(call, now);
       break;
     case Kind::kCancel:
-      core_.Cancel(call, now);
+      core_->Cancel(call, now);
       break;
     default:
       if (wait > Millis(0))
-        core_.Await(call, now);
+        core_->Await(call, now);
       else
-        core_.Query(call, now);
+        core_->Query(call, now);
   }
-  flush_();
+  entry_->Flush();
 }
 
 void CallerApi::OnAnswer(const AnswerCaller& action) {
@@ -197,9 +202,9 @@
     return;
   Call& call = found->second;
   const JobAnswer& answer = action.answer;
-  const TimePoint now = loop_.now();
-  metrics_.Observe("answer", {"", kKindNames[static_cast<int>(call.kind)]},
-                   now - call.opened);
+  const TimePoint now = loop_->now();
+  metrics_->Observe("answer", {"", kKindNames[static_cast<int>(call.kind)]},
+                    now - call.opened);
   if (call.kind == Kind::kResult && answer.outcome == Outcome::kFinished) {
     call.respond({200, answer.body, "application/octet-stream"});
   } else {
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -2,14 +2,13 @@
 #define BORAGEWINCH_ENTRY_CALLER_API_H_
 
 #include <cstdint>
-#include <functional>
 #include <list>
 #include <map>
 #include <string>
 
 #include "base/metrics.h"
-#include "entry/entry_core.h"
-#include "kernel/event_loop.h"
+#include "entry/entry_service.h"
+#include "kernel/kernel.h"
 #include "net/http_server.h"
 
 namespace boragewinch {
@@ -25,19 +24,13 @@
 
 /// \brief Translates callers' HTTP requests to calls of the core and the
 /// core's answers back.
-class CallerApi {
+class CallerApi final : public Service {
  public:
-  /// \param flush carries out the core's actions after a call.
-  CallerApi(EventLoop& loop,
-            EntryCore& core,
-            Metrics& metrics,
-            std::function<void()> flush);
+  [[nodiscard]] Status Start(Kernel& kernel) override;
 
   /// \returns whether `request` belongs to this interface.
   [[nodiscard]] static bool Handles(const HttpRequest& request);
   void Serve(const HttpRequest& request, const HttpResponder& respond);
-  /// \brief Sends the core's answer to the caller that waits for it.
-  void OnAnswer(const AnswerCaller& action);
   [[nodiscard]] std::size_t open_calls() const noexcept {
     return calls_.size();
   }
@@ -51,15 +44,17 @@
     TimePoint opened;
   };
 
+  /// \brief Sends the core's answer to the caller that waits for it.
+  void OnAnswer(const AnswerCaller& action);
   void Submit(const HttpRequest& request, const HttpResponder& respond);
   void OpenRequestCall(Kind kind,
                        const HttpRequest& request,
                        const HttpResponder& respond);
 
-  EventLoop& loop_;
-  EntryCore& core_;
-  Metrics& metrics_;
-  std::function<void()> flush_;
+  EventLoop* loop_ = nullptr;
+  EntryService* entry_ = nullptr;
+  EntryCore* core_ = nullptr;
+  Metrics* metrics_ = nullptr;
   std::map<CallId, Call> calls_;
   CallId next_call_ = 1;
 };
--- a/src/entry/control_link.cc
+++ b/src/entry/control_link.cc
@@ -5,6 +5,10 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "entry/outbound_service.h"
+#include "entry/peer_link.h"
+#include "entry/public_port.h"
+#include "entry/service_names.h"
 
 namespace boragewinch {
 
@@ -36,24 +40,20 @@
 
 }  // namespace
 
-ControlLink::ControlLink(EventLoop& loop,
-                         RpcClient& rpc,
-                         EntryCore& core,
-                         const EntryOptions& options,
-                         Incarnation incarnation,
-                         std::function<void()> flush)
-    : loop_(loop),
-      rpc_(rpc),
-      core_(core),
-      options_(options),
-      incarnation_(std::move(incarnation)),
-      flush_(std::move(flush)) {}
-
-void ControlLink::Start(std::string address, std::string peer_address) {
-  address_ = std::move(address);
-  peer_address_ = std::move(peer_address);
-  tick_ = loop_.Every(kTickInterval, [this](TimePoint now) { Tick(now); });
-  loop_.Post([this] { Sync(loop_.now()); });
+ControlLink::ControlLink(const EntryOptions& options) : options_(options) {}
+
+Status ControlLink::Start(Kernel& kernel) {
+  loop_ = &kernel.loop();
+  BW_TRY(entry_, kernel.Require<EntryService>(kEntryService));
+  BW_TRY(auto* outbound, kernel.Require<OutboundService>(kOutboundService));
+  BW_TRY(peers_, kernel.Require<PeerLink>(kPeersService));
+  BW_TRY(public_, kernel.Require<PublicPort>(kPublicService));
+  core_ = &entry_->core();
+  rpc_ = &outbound->rpc();
+  tick_ = loop_->Every(kTickInterval, [this](TimePoint now) { Tick(now); });
+  // The ports of the other services are open once the loop runs.
+  loop_->Post([this] { Sync(loop_->now()); });
+  return Ok();
 }
 
 void ControlLink::Tick(TimePoint now) {
@@ -61,10 +61,10 @@
     return;
   const bool may_sync = now + kSyncInterval >= next_sync_ + kMinSyncInterval;
   const bool demand_changed =
-      may_sync && core_.requests().queued_by_team() != reported_wanted_;
+      may_sync && core_->requests().queued_by_team() != reported_wanted_;
   // Another entry host may wait for an offer, or a lowered limit.
-  const bool offers = may_sync && !core_.allotments().offers().empty();
-  const bool retiring = core_.stopping() && core_.stopped() && !retired_;
+  const bool offers = may_sync && !core_->allotments().offers().empty();
+  const bool retiring = core_->stopping() && core_->stopped() && !retired_;
   if (now >= next_sync_ || demand_changed || offers || retiring)
     Sync(now);
 }
@@ -76,27 +76,27 @@
   calling_ = true;
   next_sync_ = now + kSyncInterval;
   reported_wanted_ = report.wanted;
-  rpc_.Call(target, "control.sync", ToJson(report), kSyncTimeout,
-            [this, report, now](const Result<Json>& result) {
-              calling_ = false;
-              OnAnswer(result, report, now);
-            });
+  rpc_->Call(target, "control.sync", ToJson(report), kSyncTimeout,
+             [this, report, now](const Result<Json>& result) {
+               calling_ = false;
+               OnAnswer(result, report, now);
+             });
 }
 
 SyncReport ControlLink::BuildReport(TimePoint now) {
-  const ControlReport decided = core_.BuildControlReport(now);
+  const ControlReport decided = core_->BuildControlReport(now);
   SyncReport report;
   report.entry = options_.name;
   report.zone = options_.zone;
-  report.incarnation = incarnation_;
-  report.address = address_;
-  report.peer_address = peer_address_;
+  report.incarnation = entry_->incarnation();
+  report.address = public_->address();
+  report.peer_address = peers_->address();
   report.version = decided.version;
   report.allotment_version = decided.allotment_version;
   report.entries_hash = entries_hash_;
-  report.retiring = core_.stopping() && core_.stopped();
+  report.retiring = core_->stopping() && core_->stopped();
   report.running = decided.running;
-  report.wanted = core_.requests().queued_by_team();
+  report.wanted = core_->requests().queued_by_team();
   report.returned = decided.returned;
   for (const TakenOver& taken : decided.taken_over) {
     report.taken_over.push_back(
@@ -108,8 +108,8 @@
   }
   // Those that the fleet state already has need not be sent again.
   for (const KeyId& key : decided.tombstones) {
-    const auto known = core_.view().keys.find(key);
-    if (known == core_.view().keys.end() || !known->second.withdrawn)
+    const auto known = core_->view().keys.find(key);
+    if (known == core_->view().keys.end() || !known->second.withdrawn)
       report.tombstones.push_back(key);
   }
   AddWorkers(&report);
@@ -119,9 +119,9 @@
 void ControlLink::AddWorkers(SyncReport* report) const {
   report->workers_base = workers_base_;
   report->workers_sequence = workers_sequence_ + 1;
-  for (const auto& [host, worker] : core_.workers().workers()) {
+  for (const auto& [host, worker] : core_->workers().workers()) {
     const WorkerStatus status =
-        StatusOf(worker, core_.workers().leaving(worker));
+        StatusOf(worker, core_->workers().leaving(worker));
     const auto known = acknowledged_workers_.find(host);
     if (workers_base_ == 0 || known == acknowledged_workers_.end() ||
         known->second != status)
@@ -146,20 +146,20 @@
     ++target_;
     workers_base_ = 0;
   }
-  flush_();
+  entry_->Flush();
 }
 
 Status ControlLink::Apply(const Json& json,
                           const SyncReport& report,
                           TimePoint sent) {
   BW_TRY(SyncAnswer answer, SyncAnswerFromJson(json));
-  const TimePoint now = loop_.now();
-  if (answer.delta.changed.version > core_.view().version) {
-    FleetView view = core_.view();
+  const TimePoint now = loop_->now();
+  if (answer.delta.changed.version > core_->view().version) {
+    FleetView view = core_->view();
     BW_CHECK(ApplyDelta(answer.delta, &view));
     LogEvent(EventId::kStateApplied,
              {{"version", static_cast<unsigned long>(view.version)}});
-    core_.OnFleetUpdate(std::move(view), now);
+    core_->OnFleetUpdate(std::move(view), now);
   }
   if (answer.entries) {
     entries_ = std::move(*answer.entries);
@@ -171,12 +171,12 @@
   control.allotment_version = answer.allotment_version;
   control.allotment = std::move(answer.allotment);
   control.entries = entries_;
-  for (const auto& [id, key] : core_.view().keys) {
+  for (const auto& [id, key] : core_->view().keys) {
     if (key.withdrawn)
       control.tombstones.push_back(id);
   }
-  core_.OnControlAnswer(control, now);
-  core_.CapAllotment(std::move(answer.caps));
+  core_->OnControlAnswer(control, now);
+  core_->CapAllotment(std::move(answer.caps));
   if (answer.resend_workers) {
     workers_base_ = 0;
     next_sync_ = now;
--- a/src/entry/control_link.h
+++ b/src/entry/control_link.h
@@ -2,33 +2,28 @@
 #define BORAGEWINCH_ENTRY_CONTROL_LINK_H_
 
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
-#include "entry/entry_core.h"
 #include "entry/entry_options.h"
+#include "entry/entry_service.h"
 #include "fleet/sync_message.h"
-#include "kernel/event_loop.h"
+#include "kernel/kernel.h"
 #include "net/rpc_client.h"
 
 namespace boragewinch {
 
+class PeerLink;
+class PublicPort;
+
 /// \brief Keeps the entry host in step with the control leader by control.sync.
-class ControlLink {
+class ControlLink final : public Service {
  public:
-  ControlLink(EventLoop& loop,
-              RpcClient& rpc,
-              EntryCore& core,
-              const EntryOptions& options,
-              Incarnation incarnation,
-              std::function<void()> flush);
+  explicit ControlLink(const EntryOptions& options);
 
-  /// \brief Starts the periodic calls.
-  /// \param address "IP:port" towards callers and workers.
-  /// \param peer_address "IP:port" towards other processes.
-  void Start(std::string address, std::string peer_address);
+  /// rief Starts the periodic calls.
+  [[nodiscard]] Status Start(Kernel& kernel) override;
 
   /// \returns the entry hosts of all zones, as the leader last named them.
   [[nodiscard]] const std::vector<EntryHost>& entries() const noexcept {
@@ -51,14 +46,13 @@
                              const SyncReport& report,
                              TimePoint sent);
 
-  EventLoop& loop_;
-  RpcClient& rpc_;
-  EntryCore& core_;
   const EntryOptions& options_;
-  Incarnation incarnation_;
-  std::function<void()> flush_;
-  std::string address_;
-  std::string peer_address_;
+  EventLoop* loop_ = nullptr;
+  RpcClient* rpc_ = nullptr;
+  EntryService* entry_ = nullptr;
+  EntryCore* core_ = nullptr;
+  PeerLink* peers_ = nullptr;
+  PublicPort* public_ = nullptr;
   WatchHandle tick_;
   bool calling_ = false;
   bool retired_ = false;
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -6,25 +6,16 @@
 #include "base/event_log.h"
 #include "base/hash.h"
 #include "base/invariant.h"
-#include "base/secret.h"
+#include "entry/control_link.h"
+#include "entry/public_port.h"
+#include "entry/service_names.h"
 
 namespace boragewinch {
 
 namespace {
 
 constexpr Millis kTickInterval{50};
-constexpr Millis kPeerTimeout{1'000};
 constexpr Millis kRetireWait{2'000};
-constexpr std::size_t kMaxPublicBodyBytes = 2UL * 1024 * 1024;
-constexpr std::size_t kMaxPeerBodyBytes = 16UL * 1024 * 1024;
-
-/// Names of all messages between entry hosts.
-template <std::size_t... Index>
-[[nodiscard]] std::vector<std::string> MethodNames(
-    std::index_sequence<Index...>) {
-  return {MethodOf(
-      PeerMessage{{}, {}, std::variant_alternative_t<Index, PeerBody>()})...};
-}
 
 /// \returns `hooks` that also record waits and run times by team and urgency.
 [[nodiscard]] SchedulerHooks WithMetrics(SchedulerHooks hooks,
@@ -63,8 +54,8 @@
 
 }  // namespace
 
-EntryService::EntryService(EntryOptions options)
-    : options_(std::move(options)),
+EntryService::EntryService(const EntryOptions& options)
+    : options_(options),
       incarnation_(RandomHex64()),
       scheduler_(options_.share_blend) {}
 
@@ -72,6 +63,8 @@
 
 Status EntryService::Start(Kernel& kernel) {
   loop_ = &kernel.loop();
+  BW_TRY(control_, kernel.Require<ControlLink>(kControlService));
+  BW_TRY(public_, kernel.Require<PublicPort>(kPublicService));
   EntryConfig config;
   config.zone = options_.zone;
   config.name = options_.name;
@@ -83,80 +76,10 @@
         return generator() % bound;
       },
       loop_->now());
-
-  const auto flush = [this] { Flush(); };
-  client_ = std::make_unique<HttpClient>(*loop_, HttpClientLimits{});
-  rpc_client_ = std::make_unique<RpcClient>(*client_, options_.cluster_secret);
-  rpc_server_ = std::make_unique<RpcServer>(options_.cluster_secret);
-  callers_ = std::make_unique<CallerApi>(*loop_, *core_, metrics_, flush);
-  tasks_ = std::make_unique<TaskLink>(*loop_, *client_, *core_, flush);
-  control_ = std::make_unique<ControlLink>(*loop_, *rpc_client_, *core_,
-                                           options_, incarnation_, flush);
-  operators_ = std::make_unique<OperatorApi>(*loop_, *core_, options_, metrics_,
-                                             scheduler_, flush);
-  BindPeerMethods();
-
-  HttpServerLimits public_limits;
-  public_limits.max_body_bytes = kMaxPublicBodyBytes;
-  public_limits.max_connections = 4'096;
-  public_limits.max_connections_per_address = 4'096;
-  public_server_ = std::make_unique<HttpServer>(
-      *loop_, public_limits,
-      [this](const HttpRequest& request, const HttpResponder& respond) {
-        ServePublic(request, respond);
-      });
-  HttpServerLimits peer_limits;
-  peer_limits.max_body_bytes = kMaxPeerBodyBytes;
-  peer_server_ = std::make_unique<HttpServer>(
-      *loop_, peer_limits,
-      [this](const HttpRequest& request, const HttpResponder& respond) {
-        rpc_server_->Serve(request, respond);
-      });
-  BW_CHECK(public_server_->Listen(options_.listen));
-  BW_CHECK(peer_server_->Listen(options_.peer_listen));
-  control_->Start(public_server_->address(), options_.peer_advertise.empty()
-                                                 ? peer_server_->address()
-                                                 : options_.peer_advertise);
   tick_ = loop_->Every(kTickInterval, [this](TimePoint now) { OnTick(now); });
   return Ok();
 }
 
-void EntryService::ServePublic(const HttpRequest& request,
-                               const HttpResponder& respond) {
-  if (TaskLink::Handles(request))
-    tasks_->Serve(request, respond);
-  else if (CallerApi::Handles(request) && !operators_->Handles(request))
-    callers_->Serve(request, respond);
-  else
-    respond(operators_->Serve(request));
-}
-
-void EntryService::BindPeerMethods() {
-  constexpr auto kIndexes =
-      std::make_index_sequence<std::variant_size_v<PeerBody>>();
-  for (const std::string& name : MethodNames(kIndexes)) {
-    rpc_server_->Bind(name, [this](const Json& body, const RpcReply& reply) {
-      OnPeerCall(body, reply);
-    });
-  }
-}
-
-void EntryService::OnPeerCall(const Json& body, const RpcReply& reply) {
-  const auto name = StringField(body, "from_entry", kMaxNameBytes);
-  Result<PeerMessage> message = PeerMessageFromJson(body["message"]);
-  if (!name || !message) {
-    const Error& error = name ? message.error() : name.error();
-    LogEvent(EventId::kMalformedMessage, {{"error", error.Text()}});
-    reply(outcome::failure(error));
-    return;
-  }
-  core_->OnPeerMessage(EntryName(name.value()), std::move(message).value(),
-                       loop_->now());
-  // Messages are one-way; the core answers by messages of its own.
-  reply(Json(::Json::objectValue));
-  Flush();
-}
-
 void EntryService::Flush() {
   // An action's completion can lead to further inputs, but these come from
   // the loop; a nested call only happens through a direct answer.
@@ -172,38 +95,16 @@
 }
 
 void EntryService::Perform(const EntryAction& action) {
-  if (const auto* answer = std::get_if<AnswerCaller>(&action)) {
-    operators_->Observe(answer->answer, loop_->now());
-    callers_->OnAnswer(*answer);
-  } else if (const auto* peer = std::get_if<SendPeer>(&action)) {
-    SendToPeer(*peer);
-  } else if (const auto* start = std::get_if<StartTask>(&action)) {
-    tasks_->Start(*start);
-  } else if (const auto* stop = std::get_if<StopTask>(&action)) {
-    tasks_->Stop(*stop);
-  } else if (const auto* forbid = std::get_if<ForbidTask>(&action)) {
-    tasks_->Forbid(*forbid);
-  } else if (const auto* leave = std::get_if<AnswerLeave>(&action)) {
-    tasks_->OnLeaveAnswer(*leave);
-  }
-}
-
-void EntryService::SendToPeer(const SendPeer& action) {
-  for (const EntryHost& entry : control_->entries()) {
-    if (entry.name != action.entry)
-      continue;
-    Json body;
-    body["from_entry"] = options_.name.str();
-    body["message"] = ToJson(action.message);
-    rpc_client_->Call(
-        entry.peer_address, MethodOf(action.message), body, kPeerTimeout,
-        [](const Result<Json>& result) {
-          // The core resends what is not answered.
-          if (!result) {
-            LogEvent(EventId::kCallFailed, {{"error", result.error().Text()}});
-          }
-        });
-  }
+  std::visit(
+      [this](const auto& message) {
+        using Message = std::decay_t<decltype(message)>;
+        for (const auto& handler :
+             std::get<std::vector<std::function<void(const Message&)>>>(
+                 handlers_)) {
+          handler(message);
+        }
+      },
+      action);
 }
 
 void EntryService::RunPolicy(TimePoint now) {
@@ -240,7 +141,7 @@
   if (!stopped_)
     return;
   CloseWhenUnused(now);
-  const bool quiet = core_->stopped() && public_server_->open_requests() == 0;
+  const bool quiet = core_->stopped() && public_->unanswered() == 0;
   if (!quiet)
     quiet_since_ = now;
   // The leader frees the allotment sooner if it hears of the stop, but may be
@@ -276,7 +177,7 @@
       core_->peers().ChooseBackup(RequestId(), now).has_value();
   if (!closed_ && (can_hand_over || core_->stopped())) {
     closed_ = true;
-    public_server_->StopAccepting();
+    public_->StopAccepting();
   }
 }
 
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -1,61 +1,79 @@
 #ifndef BORAGEWINCH_ENTRY_ENTRY_SERVICE_H_
 #define BORAGEWINCH_ENTRY_ENTRY_SERVICE_H_
 
+#include <functional>
 #include <memory>
+#include <tuple>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include "base/metrics.h"
-#include "entry/caller_api.h"
-#include "entry/control_link.h"
 #include "entry/entry_core.h"
 #include "entry/entry_options.h"
-#include "entry/operator_api.h"
 #include "entry/policy_scheduler.h"
-#include "entry/task_link.h"
 #include "kernel/kernel.h"
-#include "net/http_client.h"
-#include "net/http_server.h"
-#include "net/rpc_client.h"
-#include "net/rpc_server.h"
 
 namespace boragewinch {
 
-/// \brief The task of an entry host: owns the core and the sockets, feeds
-/// messages to the core and carries out its actions.
+class ControlLink;
+class PublicPort;
+
+namespace impl {
+
+template <typename Variant>
+struct HandlersOf;
+
+template <typename... Messages>
+struct HandlersOf<std::variant<Messages...>> {
+  using Type = std::tuple<std::vector<std::function<void(const Messages&)>>...>;
+};
+
+}  // namespace impl
+
+/// \brief Owns the core of an entry host and its clock. Services give it
+/// messages and subscribe to the core's actions.
 class EntryService final : public Service {
  public:
-  explicit EntryService(EntryOptions options);
+  explicit EntryService(const EntryOptions& options);
   ~EntryService() override;
 
   [[nodiscard]] Status Start(Kernel& kernel) override;
   void Stop(const std::function<void()>& done) override;
   [[nodiscard]] std::size_t open_requests() const override;
 
- private:
-  void ServePublic(const HttpRequest& request, const HttpResponder& respond);
-  void BindPeerMethods();
-  void OnPeerCall(const Json& body, const RpcReply& reply);
+  /// \brief Adds a receiver of the core's actions of one type.
+  template <typename Action>
+  void On(std::function<void(const Action&)> handler) {
+    std::get<std::vector<std::function<void(const Action&)>>>(handlers_)
+        .push_back(std::move(handler));
+  }
+  /// \brief Carries out the core's actions; call it after each message.
   void Flush();
+
+  [[nodiscard]] EntryCore& core() noexcept { return *core_; }
+  [[nodiscard]] PolicyScheduler& scheduler() noexcept { return scheduler_; }
+  [[nodiscard]] Metrics& metrics() noexcept { return metrics_; }
+  [[nodiscard]] EventLoop& loop() noexcept { return *loop_; }
+  [[nodiscard]] const Incarnation& incarnation() const noexcept {
+    return incarnation_;
+  }
+
+ private:
   void Perform(const EntryAction& action);
-  void SendToPeer(const SendPeer& action);
   void OnTick(TimePoint now);
   void RunPolicy(TimePoint now);
   void CloseWhenUnused(TimePoint now);
 
-  EntryOptions options_;
+  const EntryOptions& options_;
   Incarnation incarnation_;
   EventLoop* loop_ = nullptr;
+  ControlLink* control_ = nullptr;
+  PublicPort* public_ = nullptr;
+  impl::HandlersOf<EntryAction>::Type handlers_;
   PolicyScheduler scheduler_;
   TimePoint next_policy_update_;
   std::unique_ptr<EntryCore> core_;
-  std::unique_ptr<HttpClient> client_;
-  std::unique_ptr<RpcClient> rpc_client_;
-  std::unique_ptr<RpcServer> rpc_server_;
-  std::unique_ptr<HttpServer> public_server_;
-  std::unique_ptr<HttpServer> peer_server_;
-  std::unique_ptr<CallerApi> callers_;
-  std::unique_ptr<TaskLink> tasks_;
-  std::unique_ptr<ControlLink> control_;
-  std::unique_ptr<OperatorApi> operators_;
   Metrics metrics_;
   WatchHandle tick_;
   std::function<void()> stopped_;
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -6,6 +6,7 @@
 #include "base/event_log.h"
 #include "base/invariant.h"
 #include "base/secret.h"
+#include "entry/service_names.h"
 
 namespace boragewinch {
 
@@ -65,26 +66,27 @@
 
 }  // namespace
 
-OperatorApi::OperatorApi(EventLoop& loop,
-                         EntryCore& core,
-                         const EntryOptions& options,
-                         Metrics& metrics,
-                         PolicyScheduler& scheduler,
-                         std::function<void()> flush)
-    : loop_(loop),
-      core_(core),
-      options_(options),
-      metrics_(metrics),
-      scheduler_(scheduler),
-      flush_(std::move(flush)),
-      secret_hash_(HashSecret(options.operator_secret)) {}
+OperatorApi::OperatorApi(const EntryOptions& options)
+    : options_(options), secret_hash_(HashSecret(options.operator_secret)) {}
+
+Status OperatorApi::Start(Kernel& kernel) {
+  loop_ = &kernel.loop();
+  BW_TRY(entry_, kernel.Require<EntryService>(kEntryService));
+  core_ = &entry_->core();
+  metrics_ = &entry_->metrics();
+  scheduler_ = &entry_->scheduler();
+  entry_->On<AnswerCaller>([this](const AnswerCaller& action) {
+    Observe(action.answer, loop_->now());
+  });
+  return Ok();
+}
 
 bool OperatorApi::Handles(const HttpRequest& request) const {
   return request.path == kJobsPath && request.method == "GET";
 }
 
 HttpResponse OperatorApi::Serve(const HttpRequest& request) {
-  const TimePoint now = loop_.now();
+  const TimePoint now = loop_->now();
   const auto secret = request.headers.find(kOperatorHeader);
   if (secret == request.headers.end() ||
       !SecretMatches(secret->second, secret_hash_)) {
@@ -103,36 +105,36 @@
     return ToResponse(Explain(request));
   if (request.path == "/metrics") {
     UpdateGauges(now);
-    return {200, metrics_.PrometheusText(), kPrometheusContentType};
+    return {200, metrics_->PrometheusText(), kPrometheusContentType};
   }
   if (request.path == "/v1/metrics") {
     UpdateGauges(now);
-    return {200, WriteJson(metrics_.ToJson())};
+    return {200, WriteJson(metrics_->ToJson())};
   }
   return {404, R"({"error":"not_found","detail":"no such path"})"};
 }
 
 Json OperatorApi::StatusJson(TimePoint now) const {
-  const ControlReport report = core_.BuildControlReport(now);
+  const ControlReport report = core_->BuildControlReport(now);
   Json json;
   json["entry"] = options_.name.str();
   json["zone"] = options_.zone.str();
-  json["version"] = ::Json::UInt64(core_.view().version);
-  json["fresh"] = core_.fresh(now);
-  json["isolated"] = core_.isolated(now);
-  json["stopping"] = core_.stopping();
-  json["open_requests"] = ::Json::UInt64(core_.open_requests());
+  json["version"] = ::Json::UInt64(core_->view().version);
+  json["fresh"] = core_->fresh(now);
+  json["isolated"] = core_->isolated(now);
+  json["stopping"] = core_->stopping();
+  json["open_requests"] = ::Json::UInt64(core_->open_requests());
   json["running"] = CountsJson(report.running);
-  json["queued"] = CountsJson(core_.requests().queued_by_team());
+  json["queued"] = CountsJson(core_->requests().queued_by_team());
   json["allotment_version"] = ::Json::UInt64(report.allotment_version);
   Json workers(::Json::arrayValue);
-  for (const auto& [host, worker] : core_.workers().workers()) {
+  for (const auto& [host, worker] : core_->workers().workers()) {
     Json item;
     item["host"] = host.str();
     item["incarnation"] = worker.report.incarnation.str();
     item["rack"] = worker.report.rack.str();
     item["lost"] = worker.lost;
-    item["leaving"] = core_.workers().leaving(worker);
+    item["leaving"] = core_->workers().leaving(worker);
     item["tasks"] = ::Json::UInt64(worker.report.tasks.size());
     workers.append(std::move(item));
   }
@@ -149,7 +151,7 @@
           : std::clamp<std::int64_t>(std::strtol(text.c_str(), nullptr, 10), 1,
                                      kMaxListedJobs);
   Json jobs(::Json::arrayValue);
-  for (const auto& [id, record] : core_.requests().records()) {
+  for (const auto& [id, record] : core_->requests().records()) {
     if (static_cast<std::int64_t>(jobs.size()) >= limit)
       break;
     jobs.append(JobJson(record));
@@ -163,16 +165,16 @@
   if (Query(request, "kind") != "job")
     return Fail(ErrorCode::kInvalidField, "an entry host explains jobs");
   const RequestId id(Query(request, "name"));
-  const auto found = core_.requests().records().find(id);
-  if (found == core_.requests().records().end())
+  const auto found = core_->requests().records().find(id);
+  if (found == core_->requests().records().end())
     return Fail(ErrorCode::kNotFound, "request " + id.str() + " is not here");
   const RequestRecord& record = found->second;
   Json json = JobJson(record);
   if (record.phase == RequestPhase::kQueued) {
     const TeamName& team = record.spec.team;
     json["text"] =
-        scheduler_.Explain(id, core_.allotments().in_use(team),
-                           core_.allotments().allotment(team), loop_.now());
+        scheduler_->Explain(id, core_->allotments().in_use(team),
+                            core_->allotments().allotment(team), loop_->now());
   } else {
     json["text"] =
         "request " + id.str() + " is " +
@@ -192,8 +194,8 @@
           : request.path.substr(prefix, request.path.size() - prefix - suffix);
   if (!IsValidName(id))
     return Fail(ErrorCode::kInvalidField, "the path must name a key id");
-  core_.OnKeyWithdrawn(KeyId(id), loop_.now());
-  flush_();
+  core_->OnKeyWithdrawn(KeyId(id), loop_->now());
+  entry_->Flush();
   Json json;
   json["withdrawn"] = true;
   json["entry"] = options_.name.str();
@@ -201,27 +203,27 @@
 }
 
 void OperatorApi::Observe(const JobAnswer& answer, TimePoint) {
-  metrics_.Count("answers", {"", std::string(kOutcomes.Name(answer.outcome))});
+  metrics_->Count("answers", {"", std::string(kOutcomes.Name(answer.outcome))});
 }
 
 void OperatorApi::UpdateGauges(TimePoint now) {
-  const ControlReport report = core_.BuildControlReport(now);
-  for (const auto& [name, team] : core_.view().teams) {
+  const ControlReport report = core_->BuildControlReport(now);
+  for (const auto& [name, team] : core_->view().teams) {
     const auto running = report.running.find(name);
-    metrics_.Gauge("running", {name.str(), ""},
-                   running == report.running.end()
-                       ? 0.0
-                       : static_cast<double>(running->second));
+    metrics_->Gauge("running", {name.str(), ""},
+                    running == report.running.end()
+                        ? 0.0
+                        : static_cast<double>(running->second));
   }
-  const EntryCounters& counters = core_.counters();
-  metrics_.Gauge("accepted", {}, static_cast<double>(counters.accepted));
-  metrics_.Gauge("refused", {}, static_cast<double>(counters.refused));
-  metrics_.Gauge("starts", {}, static_cast<double>(counters.starts));
-  metrics_.Gauge("taken_over", {}, static_cast<double>(counters.taken_over));
-  metrics_.Gauge("fresh", {}, core_.fresh(now) ? 1.0 : 0.0);
+  const EntryCounters& counters = core_->counters();
+  metrics_->Gauge("accepted", {}, static_cast<double>(counters.accepted));
+  metrics_->Gauge("refused", {}, static_cast<double>(counters.refused));
+  metrics_->Gauge("starts", {}, static_cast<double>(counters.starts));
+  metrics_->Gauge("taken_over", {}, static_cast<double>(counters.taken_over));
+  metrics_->Gauge("fresh", {}, core_->fresh(now) ? 1.0 : 0.0);
   for (const auto& [invariant, name] : kInvariants.entries) {
-    metrics_.Gauge("invariant_violations", {"", std::string(name)},
-                   static_cast<double>(invariant_count(invariant).violated));
+    metrics_->Gauge("invariant_violations", {"", std::string(name)},
+                    static_cast<double>(invariant_count(invariant).violated));
   }
 }
 
--- a/src/entry/task_link.cc
+++ b/src/entry/task_link.cc
@@ -4,6 +4,8 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "entry/outbound_service.h"
+#include "entry/service_names.h"
 #include "model/job.h"
 
 namespace boragewinch {
@@ -87,13 +89,21 @@
 
 }  // namespace
 
-TaskLink::TaskLink(EventLoop& loop,
-                   HttpClient& client,
-                   EntryCore& core,
-                   std::function<void()> flush)
-    : loop_(loop), client_(client), core_(core), flush_(std::move(flush)) {}
+Status TaskLink::Start(Kernel& kernel) {
+  loop_ = &kernel.loop();
+  BW_TRY(entry_, kernel.Require<EntryService>(kEntryService));
+  BW_TRY(auto* outbound, kernel.Require<OutboundService>(kOutboundService));
+  core_ = &entry_->core();
+  client_ = &outbound->http();
+  entry_->On<StartTask>([this](const StartTask& task) { SendStart(task); });
+  entry_->On<StopTask>([this](const StopTask& task) { SendStop(task); });
+  entry_->On<ForbidTask>([this](const ForbidTask& task) { SendForbid(task); });
+  entry_->On<AnswerLeave>(
+      [this](const AnswerLeave& answer) { OnLeaveAnswer(answer); });
+  return Ok();
+}
 
-void TaskLink::Start(const StartTask& action) {
+void TaskLink::SendStart(const StartTask& action) {
   Json body = ToJson(action.spec.declared);
   body["task"] = action.task.Text();
   body["team"] = action.spec.team.str();
@@ -102,38 +112,39 @@
   body["lease_ms"] = ::Json::Int64(action.lease.count());
   body["worker_incarnation"] = action.worker_incarnation.str();
   body["payload"] = action.spec.payload;
-  client_.Send(CallOf(action.address, "/tasks", body, kStartTimeout),
-               [this, task = action.task, host = action.host,
-                incarnation = action.worker_incarnation](
-                   const Result<HttpResponse>& response) {
-                 Result<StartReply> reply = ReadStartReply(response);
-                 // Without a byte sent, the worker can't have started the task.
-                 if (!reply && (reply.error().code == ErrorCode::kTransport ||
-                                reply.error().code == ErrorCode::kTableFull))
-                   reply = StartReply{StartAnswer::kBusy, incarnation};
-                 core_.OnStartAnswer(task, host, reply, loop_.now());
-                 flush_();
-               });
-}
-
-void TaskLink::Stop(const StopTask& action) {
+  client_->Send(CallOf(action.address, "/tasks", body, kStartTimeout),
+                [this, task = action.task, host = action.host,
+                 incarnation = action.worker_incarnation](
+                    const Result<HttpResponse>& response) {
+                  Result<StartReply> reply = ReadStartReply(response);
+                  // Without a byte sent, the worker can't have started the
+                  // task.
+                  if (!reply && (reply.error().code == ErrorCode::kTransport ||
+                                 reply.error().code == ErrorCode::kTableFull))
+                    reply = StartReply{StartAnswer::kBusy, incarnation};
+                  core_->OnStartAnswer(task, host, reply, loop_->now());
+                  entry_->Flush();
+                });
+}
+
+void TaskLink::SendStop(const StopTask& action) {
   Json body;
   body["task"] = action.task.Text();
   // Not retried here: the core names the task again in the next report answer.
-  client_.Send(CallOf(action.address, "/tasks/stop", body, kStopTimeout),
-               [](const Result<HttpResponse>&) {});
+  client_->Send(CallOf(action.address, "/tasks/stop", body, kStopTimeout),
+                [](const Result<HttpResponse>&) {});
 }
 
-void TaskLink::Forbid(const ForbidTask& action) {
+void TaskLink::SendForbid(const ForbidTask& action) {
   Json body;
   body["task"] = action.task.Text();
-  client_.Send(CallOf(action.address, "/tasks/forbid", body, kStopTimeout),
-               [this, task = action.task,
-                host = action.host](const Result<HttpResponse>& response) {
-                 core_.OnForbidAnswer(task, host, ReadForbidAnswer(response),
-                                      loop_.now());
-                 flush_();
-               });
+  client_->Send(CallOf(action.address, "/tasks/forbid", body, kStopTimeout),
+                [this, task = action.task,
+                 host = action.host](const Result<HttpResponse>& response) {
+                  core_->OnForbidAnswer(task, host, ReadForbidAnswer(response),
+                                        loop_->now());
+                  entry_->Flush();
+                });
 }
 
 bool TaskLink::Handles(const HttpRequest& request) {
@@ -158,7 +169,7 @@
     }
     return OnResult(body.value());
   }();
-  flush_();
+  entry_->Flush();
   if (answers_later)
     return;
   if (answer) {
@@ -172,7 +183,7 @@
 
 Result<Json> TaskLink::OnHeartbeat(const Json& body) {
   BW_TRY(const WorkerReport report, WorkerReportFromJson(body));
-  const WorkerReportAnswer answer = core_.OnWorkerReport(report, loop_.now());
+  const WorkerReportAnswer answer = core_->OnWorkerReport(report, loop_->now());
   Json json;
   json["renew"] = TaskTexts(answer.renewed);
   json["stop"] = TaskTexts(answer.stop);
@@ -189,9 +200,9 @@
   BW_TRY(auto incarnation, StringField(body, "incarnation", kMaxNameBytes));
   const CallId call = next_leave_++;
   leaves_.emplace(call, respond);
-  core_.OnWorkerLeave(
+  core_->OnWorkerLeave(
       call, {HostName(std::move(host)), Incarnation(std::move(incarnation))},
-      loop_.now());
+      loop_->now());
   return Ok();
 }
 
@@ -228,7 +239,7 @@
   result.length = static_cast<std::uint64_t>(length);
   result.hash = std::strtoull(hash.c_str(), nullptr, 16);
   BW_TRY(const ResultAnswer answer,
-         core_.OnResult(std::move(result), loop_.now()));
+         core_->OnResult(std::move(result), loop_->now()));
   Json json;
   json["acknowledged"] = answer == ResultAnswer::kAcknowledged;
   return json;
--- a/src/kernel/kernel.cc
+++ b/src/kernel/kernel.cc
@@ -1,6 +1,7 @@
 #include "kernel/kernel.h"
 
 #include <csignal>
+#include <set>
 
 #include "base/event_log.h"
 #include "base/invariant.h"
@@ -30,6 +31,13 @@
 Status Kernel::Run() {
   // A peer that closes its socket must not end this process.
   std::signal(SIGPIPE, SIG_IGN);
+  std::set<std::string_view> names;
+  for (const auto& [name, service] : services_) {
+    if (!names.insert(name).second) {
+      return Fail(ErrorCode::kDuplicateName,
+                  "two services are called \"" + name + "\"");
+    }
+  }
   for (const auto& [name, service] : services_) {
     BW_CHECK(service->Start(*this));
     ++running_;
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -31,9 +31,19 @@
     return dynamic_cast<T*>(FindService(name));
   }
 
+  /// \brief Looks up a service that the caller cannot work without.
+  /// \returns kUnknownName if there is no service `name` of that type.
+  template <typename T>
+  [[nodiscard]] Result<T*> Require(std::string_view name) const {
+    if (T* service = Find<T>(name); service != nullptr)
+      return service;
+    return Fail(ErrorCode::kUnknownName,
+                "no service \"" + std::string(name) + "\" of the right type");
+  }
+
   /// \brief Starts all services, then runs until SIGTERM or SIGINT and the
   /// planned stop that follows.
-  /// \returns the first error of a service's start.
+  /// \returns kDuplicateName, or the first error of a service's start.
   [[nodiscard]] Status Run();
 
   /// \brief Begins the planned stop; further calls have no effect.
