--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -47,7 +47,7 @@
     kernel.loop().Post([&kernel] { kernel.RequestStop(); });
     return Ok();
   }
-  Recorder* found() const { return found_; }
+  [[nodiscard]] Recorder* found() const { return found_; }
 
  private:
   std::string wanted_;
