Run unit tests with sanitizers and the fuzz targets in the test command

Before, sanitizers ran by hand on a few tests.

Each target writes valid inputs to start from, since checksums and the JSON codecs stop most random bytes.

--- a/fuzz/log_file_fuzz.cc
+++ b/fuzz/log_file_fuzz.cc
@@ -1,19 +1,26 @@
+#include <algorithm>
+#include <cstdint>
 #include <cstdlib>
+#include <string>
+#include <vector>
 
 #include "memory_disk.h"
 #include "raft/entry.h"
 #include "raft/snapshot.h"
+#include "seed_folder.h"
 #include "storage/identity_file.h"
 #include "storage/log_file.h"
 
 namespace boragewinch {
 namespace {
 
+constexpr const char* kLog = "d/log-00000000000000000001";
+
 // Reads arbitrary bytes as a log, a snapshot and an identity file. A log that
 // opens must take another record and then open again with all of them.
 void ReadFiles(const std::string& bytes) {
   MemoryDisk disk;
-  disk.Restore({{"d/log-00000000000000000001", bytes}, {"d/identity", bytes}});
+  disk.Restore({{kLog, bytes}, {"d/identity", bytes}});
   (void)IdentityFile(disk.Hooks(), "d").Read();
   (void)raft::DecodeSnapshot(bytes);
   std::size_t records = 0;
@@ -34,11 +41,66 @@
     std::abort();
 }
 
+// Writes each line of `lines` as a synced record, damages the byte at `place`
+// and opens the log. What opens must be the start of what was written: random
+// bytes alone don't get past the checksums.
+void DamageWritten(const std::string& lines, std::size_t place) {
+  MemoryDisk disk;
+  std::vector<std::string> written;
+  {
+    LogFile log(disk.Hooks(), "d", {1UL << 20});
+    if (!log.Open())
+      std::abort();
+    for (std::size_t at = 0; at < lines.size();) {
+      const std::size_t end = std::min(lines.find('\n', at), lines.size());
+      written.push_back(lines.substr(at, end - at));
+      if (!log.Append(written.back()) || !log.Sync())
+        std::abort();
+      at = end + 1;
+    }
+  }
+  std::string& stored = disk.data(kLog);
+  if (stored.empty())
+    return;
+  stored[place % stored.size()] ^= 0x10;
+  LogFile log(disk.Hooks(), "d", {1UL << 20});
+  const auto opened = log.Open();
+  if (!opened)
+    return;
+  const std::vector<std::string>& found = opened.value().records;
+  // Only the last record can pass for a torn one.
+  if (found.size() + 1 != written.size() ||
+      !std::equal(found.begin(), found.end(), written.begin()))
+    std::abort();
+}
+
+// Three entries as the replicated log stores them.
+[[nodiscard]] std::string ValidLog() {
+  MemoryDisk disk;
+  LogFile log(disk.Hooks(), "d", {1UL << 20});
+  if (!log.Open())
+    std::abort();
+  for (const std::string text : {"", "x", "a longer command"}) {
+    if (!log.Append(raft::EncodeEntry({1, raft::EntryKind::kCommand, text})) ||
+        !log.Sync())
+      std::abort();
+  }
+  return disk.data(kLog);
+}
+
 }  // namespace
 }  // namespace boragewinch
 
+extern "C" int LLVMFuzzerInitialize(int* /*argc*/, char*** /*argv*/) {
+  boragewinch::WriteSeeds({boragewinch::ValidLog(), "12one\ntwo\nthree"});
+  return 0;
+}
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
-  boragewinch::ReadFiles({reinterpret_cast<const char*>(data), size});
+  const std::string bytes(reinterpret_cast<const char*>(data), size);
+  boragewinch::ReadFiles(bytes);
+  if (size > 2)
+    boragewinch::DamageWritten(bytes.substr(2), data[0] * 256U + data[1]);
   return 0;
 }
--- a/fuzz/raft_message_fuzz.cc
+++ b/fuzz/raft_message_fuzz.cc
@@ -1,8 +1,13 @@
+#include <cstdint>
 #include <cstdlib>
+#include <string>
+#include <vector>
 
+#include "base/hash.h"
 #include "base/invariant.h"
 #include "raft/message.h"
 #include "raft/node.h"
+#include "seed_folder.h"
 
 namespace boragewinch::raft {
 namespace {
@@ -61,9 +66,41 @@
   }
 }
 
+// One message of each kind, from the other member of MakeNode's cluster.
+[[nodiscard]] std::vector<std::string> ValidMessages() {
+  std::vector<std::string> texts;
+  for (const auto& [kind, name] : kMessageKinds.entries) {
+    Message message;
+    message.kind = kind;
+    message.from = ReplicaId("b.1");
+    message.to = ReplicaId("a.1");
+    message.term = 2;
+    message.index = 2;
+    message.log_term = 1;
+    if (kind == MessageKind::kAppend)
+      message.entries = {{2, EntryKind::kCommand, "y"}};
+    if (kind == MessageKind::kSnapshot) {
+      Snapshot snapshot;
+      snapshot.index = 2;
+      snapshot.term = 1;
+      snapshot.configuration.voters = {ReplicaId("a.1"), ReplicaId("b.1")};
+      message.data = EncodeSnapshot(snapshot);
+      message.total = message.data.size();
+      message.hash = Hash64(message.data);
+    }
+    texts.push_back(WriteJson(ToJson(message)));
+  }
+  return texts;
+}
+
 }  // namespace
 }  // namespace boragewinch::raft
 
+extern "C" int LLVMFuzzerInitialize(int* /*argc*/, char*** /*argv*/) {
+  boragewinch::WriteSeeds(boragewinch::raft::ValidMessages());
+  return 0;
+}
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   boragewinch::raft::CheckMessage({reinterpret_cast<const char*>(data), size});
--- /dev/null
+++ b/fuzz/seed_folder.h
@@ -0,0 +1,29 @@
+#ifndef BORAGEWINCH_FUZZ_SEED_FOLDER_H_
+#define BORAGEWINCH_FUZZ_SEED_FOLDER_H_
+
+#include <cstdlib>
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace boragewinch {
+
+/// \brief Writes valid inputs as files to the folder that FUZZ_SEED_FOLDER
+/// names, if it is set. A target calls this in LLVMFuzzerInitialize, which
+/// libFuzzer runs before it reads the same folder as its corpus.
+inline void WriteSeeds(const std::vector<std::string>& seeds) {
+  const char* folder = std::getenv("FUZZ_SEED_FOLDER");
+  if (folder == nullptr)
+    return;
+  for (std::size_t i = 0; i < seeds.size(); ++i) {
+    std::ofstream file(std::string(folder) + "/seed-" + std::to_string(i),
+                       std::ios::binary);
+    file << seeds[i];
+    if (!file.flush())
+      std::abort();
+  }
+}
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_FUZZ_SEED_FOLDER_H_
--- a/fuzz/sheet_fuzz.cc
+++ b/fuzz/sheet_fuzz.cc
@@ -8,6 +8,7 @@
 #include "fleet/command.h"
 #include "fleet/sheet_diff.h"
 #include "fleet/sheet_parser.h"
+#include "seed_folder.h"
 
 namespace boragewinch {
 namespace {
@@ -38,9 +39,25 @@
   Require(DiffSheet({}, copy, {}).conflicts.empty());
 }
 
+constexpr const char* kSheet =
+    "# a comment\n"
+    "kind,name,pool,team,zone,rack,share,limit,min_available,spare,"
+    "maintenance_days,open\n"
+    "pool,shop,,,,,,,1,no,35,\n"
+    "pool,spare,,,,,,,0,yes,35,\n"
+    "team,orders,,,,,3,240,,,,\n"
+    "queue,web,shop,orders,,,,,,,,yes\n"
+    "host,h1,shop,,za,r1,,,,,,\n"
+    "host,h2,shop,,zb,r2,,,,,,\n";
+
 }  // namespace
 }  // namespace boragewinch
 
+extern "C" int LLVMFuzzerInitialize(int* /*argc*/, char*** /*argv*/) {
+  boragewinch::WriteSeeds({boragewinch::kSheet});
+  return 0;
+}
+
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
                                       std::size_t size) {
   boragewinch::ParseAndCheck({reinterpret_cast<const char*>(data), size});
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Installs packages, checks format, builds, lints and runs all tests.
+# Installs packages, checks format, builds, lints, runs all tests, runs the unit
+# tests again with sanitizers, and runs the fuzz targets for a bounded time.
 set -eu
 cd "$(dirname "$0")/.."
 build="${BUILD_DIR:-build}"
@@ -18,3 +19,5 @@
   fi
 fi
 ctest --test-dir "$build" --output-on-failure -j 4 "${excluded[@]}"
+scripts/sanitize.sh "${excluded[@]}"
+scripts/fuzz.sh
