Let a stopping entry host answer peers' calls about moved requests at once

Cause: the second entry host of a zone took 3 s to 21 s to stop in the rolling upgrade. Its requests were handed over at once, but callers of another zone ask the entry host that the request id names, and it passed each waiting call on to the new owner and kept it open. As long as such callers asked, some call was open.

Ruled out: open requests (none in the trace), the wait for the control leader (2 s at most).

A stopping process now answers such a call with unknown_request, on which the asking peer turns to the zone's other entry hosts. A peer that has become the owner meanwhile serves the call itself.

request_replication_test WaitingCallersOfPeersDoNotHoldTheStopUp did not stop within 9 s before and passes after.

--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -137,7 +137,14 @@
     return;
   }
   if (const auto moved = moved_.find(request); moved != moved_.end()) {
-    Forward(id, {moved->second}, {}, now);
+    // Passing on the calls of peers would hold a stop up for as long as their
+    // callers go on asking. The peer asks the zone's other entry hosts instead.
+    if (stopping_ && !call.origin.empty()) {
+      AnswerWith(id, Outcome::kUnknownMayHaveRun,
+                 RefusalReason::kUnknownRequest);
+    } else {
+      Forward(id, {moved->second}, {}, now);
+    }
     return;
   }
   RouteForeign(id, request, now);
--- a/src/entry/entry_forward.cc
+++ b/src/entry/entry_forward.cc
@@ -181,6 +181,11 @@
   call->awaited.erase(from);
   if (!call->awaited.empty())
     return;
+  // The peer may have handed the record over to this process meanwhile.
+  if (table_.Own(call->request) != nullptr) {
+    Route(message.reference, now);
+    return;
+  }
   if (call->spares.empty()) {
     AnswerWith(message.reference, Outcome::kUnknownMayHaveRun,
                RefusalReason::kUnknownRequest);
--- a/tests/entry_world_impl.h
+++ b/tests/entry_world_impl.h
@@ -225,6 +225,8 @@
     core.Query(std::move(asked), now);
   else if (kind == CallKind::kCancel)
     core.Cancel(std::move(asked), now);
+  else if (kind == CallKind::kAwait)
+    core.Await(std::move(asked), now);
   else
     core.FetchResult(std::move(asked), now);
   Apply(entry);
--- a/tests/request_replication_test.cc
+++ b/tests/request_replication_test.cc
@@ -375,5 +375,37 @@
   BOOST_TEST(world.faults.size() == 0U);
 }
 
+// Guards I9: a stop that never ends because callers at other entry hosts go on
+// waiting for requests that were handed over, and against a caller that gets no
+// true answer because of it.
+BOOST_AUTO_TEST_CASE(WaitingCallersOfPeersDoNotHoldTheStopUp) {
+  // After the hand-over two of the others have the record; the third one and
+  // entry hosts of other zones go on asking the first owner.
+  World world(4, 1, 1);
+  world.run_time = Millis(40'000);
+  world.Run(Millis(3'000));
+  const CallId submit = world.Submit(0, world.Job(false));
+  world.Run(Millis(1'000));
+  const RequestId id = world.answer(submit)->request;
+  std::vector<CallId> waits;
+  const auto wait = [&] {
+    for (const int entry : {1, 2, 3})
+      waits.push_back(world.Ask(entry, CallKind::kAwait, id));
+    world.Run(Millis(150));
+  };
+  for (int i = 0; i < 20; ++i)
+    wait();
+  world.cores[0]->Stop(world.now);
+  for (int i = 0; i < 60 && !world.cores[0]->stopped(); ++i)
+    wait();
+  BOOST_TEST(world.cores[0]->stopped());
+  world.Run(Millis(5'000));
+  for (const CallId call : waits) {
+    BOOST_REQUIRE(world.answer(call) != nullptr);
+    BOOST_TEST((world.answer(call)->outcome == Outcome::kRunning));
+  }
+  BOOST_TEST(world.faults.size() == 0U);
+}
+
 }  // namespace
 }  // namespace boragewinch::testing
