--- a/src/policy/pending_job.h
+++ b/src/policy/pending_job.h
@@ -19,7 +19,8 @@
   TimePoint enqueued;
   QueueName queue;  ///< tasks of one queue are spread over racks and zones
   /// Where its last start failed; empty if none did. A worker that fails
-  /// everything is soon idle again and looks like the best choice.
+  /// everything is often the only one with a free slot, so the job waits for
+  /// another one if there is any that could hold it.
   HostName avoid;
 };
 
--- a/src/policy/placement.cc
+++ b/src/policy/placement.cc
@@ -45,10 +45,6 @@
   std::map<QueueName, std::int64_t> tasks;
 };
 
-// More than any sum of the other costs, so that an avoided worker is chosen
-// only if no other compared one fits.
-constexpr double kAvoidCost = 1e9;
-
 template <typename Map, typename Key>
 [[nodiscard]] std::int64_t CountOf(const Map& map, const Key& key) {
   const auto found = map.find(key);
@@ -140,6 +136,19 @@
     return cost;
   }
 
+  // Whether a worker other than the avoided one could hold the job when idle.
+  // Linear, but asked only for jobs whose last start failed.
+  [[nodiscard]] bool OtherCanHold(const PoolIndex& pool,
+                                  const PendingJob& job) const {
+    return std::any_of(
+        pool.hosts.begin(), pool.hosts.end(), [&](const HostName& host) {
+          if (host.empty() || host == job.avoid)
+            return false;
+          const WorkerView& view = workers.at(host).view;
+          return view.accepting && job.demand.FitsInto(view.total);
+        });
+  }
+
   PlacementConfig config;
   std::unordered_map<PoolName, PoolIndex> pools;
   std::unordered_map<HostName, WorkerEntry> workers;
@@ -216,14 +225,14 @@
     if (position >= end)
       break;
     const HostName& host = pool.hosts[position];
-    double cost = impl_->Cost(impl_->workers.at(host).view, counts);
-    if (host == job.avoid)
-      cost += kAvoidCost;
+    from = position + stride;
+    if (host == job.avoid && impl_->OtherCanHold(pool, job))
+      continue;
+    const double cost = impl_->Cost(impl_->workers.at(host).view, counts);
     if (cost < best_cost) {
       best_cost = cost;
       best = &host;
     }
-    from = position + stride;
   }
   return best == nullptr ? std::nullopt : std::optional<HostName>(*best);
 }
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -51,6 +51,9 @@
   BOOST_TEST(*placement.Choose(job, kNow) == HostName("h0"));
   job.avoid = HostName("h0");
   BOOST_TEST(*placement.Choose(job, kNow) == HostName("h1"));
+  for (int i = 2; i < 9; ++i)
+    placement.OnPlaced(Job(i), HostName("h1"));
+  BOOST_TEST(!placement.Choose(job, kNow));
   BOOST_TEST(placement.RemoveWorker(HostName("h1")));
   BOOST_TEST(*placement.Choose(job, kNow) == HostName("h0"));
 }
