--- a/bench/policy_driver.cc
+++ b/bench/policy_driver.cc
@@ -216,7 +216,8 @@
       figures_.lost_starts += ok ? 0 : 1;
       End(event.index, ok);
       if (!ok) {
-        state.pending.avoid = host;
+        if (params_.watch_health)
+          state.pending.avoid = host;
         Restart(event.index, true);
       }
       return;
