--- a/src/control/leader_duties.cc
+++ b/src/control/leader_duties.cc
@@ -513,7 +513,9 @@
          " of at most " + std::to_string(team.limit) + ", wants " +
          std::to_string(wanted) + ", holds allotments of " +
          std::to_string(state_.ledger().Total(team.name)) + "; share " +
-         std::to_string(team.share) + " of " + std::to_string(shares);
+         std::to_string(team.share) + " of " + std::to_string(shares) +
+         " is its part when all teams have work, not a reservation and not a "
+         "limit";
 }
 
 }  // namespace boragewinch
--- a/src/ctl/boragectl.cc
+++ b/src/ctl/boragectl.cc
@@ -109,7 +109,7 @@
       {{"job", "show"},
        {"ID"},
        "show the record of a job",
-       [](B& b, const O& o) { return b.JobShow(o[0]); }},
+       [](B& b, const O& o) { return b.JobShow(o[0], false); }},
       {{"job", "list"},
        {},
        "list jobs of the entry hosts",
--- a/src/ctl/boragectl.h
+++ b/src/ctl/boragectl.h
@@ -51,7 +51,8 @@
   // Views.
   int SheetHistory();
   int List(const char* part, const std::vector<std::string>& members);
-  int JobShow(const std::string& id);
+  /// \param one_line shows the reason only.
+  int JobShow(const std::string& id, bool one_line);
   int JobList();
   int ShowStatus();
   int ShowMetrics();
--- a/src/ctl/boragectl_views.cc
+++ b/src/ctl/boragectl_views.cc
@@ -104,7 +104,7 @@
   return kExitOk;
 }
 
-int Boragectl::JobShow(const std::string& id) {
+int Boragectl::JobShow(const std::string& id, bool one_line) {
   const std::vector<EntryAddress> asked = entries();
   if (asked.empty())
     return BadUsage(kNoEntries);
@@ -128,7 +128,8 @@
   }
   if (best == nullptr)
     return Report(*failed);
-  Print(best->body, FormatDocument(best->body));
+  Print(best->body, one_line ? CellText(best->body["text"]) + "\n"
+                             : FormatDocument(best->body));
   return kExitOk;
 }
 
@@ -255,14 +256,14 @@
 
 int Boragectl::Explain(const std::string& kind, const std::string& name) {
   if (kind == "job")
-    return JobShow(name);
+    return JobShow(name, true);
   if (kind != "host" && kind != "pool" && kind != "team")
     return BadUsage("explain takes job, host, team or pool");
   const CallAnswer answer =
       client_.Control("GET", "/v1/explain?kind=" + kind + "&name=" + name);
   if (!answer.ok())
     return Report(answer);
-  Print(answer.body, FormatDocument(answer.body));
+  Print(answer.body, CellText(answer.body["text"]) + "\n");
   return kExitOk;
 }
 
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -174,11 +174,17 @@
         scheduler_.Explain(id, core_.allotments().in_use(team),
                            core_.allotments().allotment(team), loop_.now());
   } else {
-    json["text"] =
-        "request " + id.str() + " is " +
-        std::string(kRequestPhases.Name(record.phase)) +
-        (record.intent.worker.empty() ? ""
-                                      : " on " + record.intent.worker.str());
+    std::string text = "request " + id.str() + " of team " +
+                       record.spec.team.str() + " is " +
+                       std::string(kRequestPhases.Name(record.phase));
+    if (!record.intent.worker.empty())
+      text += " on " + record.intent.worker.str();
+    const auto queue = core_.view().queues.find(record.spec.queue);
+    if (queue != core_.view().queues.end()) {
+      text += ": queue " + queue->first.str() + " uses the workers of pool " +
+              queue->second.pool.str();
+    }
+    json["text"] = text;
   }
   return json;
 }
--- a/src/policy/explain.cc
+++ b/src/policy/explain.cc
@@ -34,9 +34,10 @@
                                        job->pool.str() + " could hold it"};
   }
   if (team_running >= team_limit) {
-    return {WhyReason::kTeamLimit, subject + "team " + job->team.str() +
-                                       " runs " + Of(team_running, team_limit) +
-                                       " tasks of its limit"};
+    return {WhyReason::kTeamLimit,
+            subject + "team " + job->team.str() + " runs " +
+                Of(team_running, team_limit) +
+                " tasks allotted to it at this entry host"};
   }
   if (placement.FreeSlots(job->pool) <= 0) {
     return {WhyReason::kPoolFull,
@@ -60,7 +61,10 @@
                 const std::set<HostName>& lost,
                 const WavePlan& plan) {
   const std::string subject =
-      "host " + host.name.str() + " of pool " + host.pool.str() + " ";
+      "host " + host.name.str() + " of pool " + host.pool.str() +
+      (host.lent_from.empty()
+           ? " (its own pool) "
+           : " (lent by pool " + host.lent_from.str() + ") ");
   if (host.state == HostState::kLost || lost.contains(host.name))
     return {WhyReason::kLost, subject + "is silent"};
   if (host.state != HostState::kActive) {
--- a/src/policy/explain.h
+++ b/src/policy/explain.h
@@ -61,6 +61,7 @@
   std::string text;  ///< without line break
 };
 
+/// \param team_limit tasks of the job's team allotted to this entry host.
 [[nodiscard]] Why ExplainJob(const RequestId& id,
                              JobQueue& queue,
                              const Placement& placement,
