--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -181,8 +181,8 @@
                        std::string(kRequestPhases.Name(record.phase));
     if (!record.intent.worker.empty())
       text += " on " + record.intent.worker.str();
-    const auto queue = core_.view().queues.find(record.spec.queue);
-    if (queue != core_.view().queues.end()) {
+    const auto queue = core_->view().queues.find(record.spec.queue);
+    if (queue != core_->view().queues.end()) {
       text += ": queue " + queue->first.str() + " uses the workers of pool " +
               queue->second.pool.str();
     }
