Reboot a host at most once in a maintenance; test the platform's interface

Cause: the leader ordered a reboot as long as a host was 'drained', so an order whose answer was lost, or a leader that ended before it stored the new state, was followed by a second reboot. The client took an answer with status 500, without 'up' or about another host as true, accepted up to 64 MiB, and retried a failed call every 100 ms.

Change: the boot count is stored with the drain before the first order, the order names it (expected_boots), and it is repeated only while the platform shows it. Answers are checked for status, host, members and size. Failed calls pause for 1 s (event 6006). Answers to calls of an earlier leadership are dropped.

Ruled out: ordering first and storing the count afterwards; a new leader can't tell then whether the order was carried out.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -93,6 +93,8 @@
      "A host is back in service after maintenance."},
     {EventId::kWaveProgress, kInfo, "wave_progress",
      "A maintenance wave moved on or waits, with the reason."},
+    {EventId::kPlatformFailed, kWarn, "platform_failed",
+     "The platform gave no usable answer about a host; it is asked again."},
     {EventId::kInvariantViolated, kError, "invariant_violated",
      "An internal check failed; the action was refused. Report this."},
 };
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -55,6 +55,7 @@
   kDrainRefused = 6003,
   kHostReturned = 6004,
   kWaveProgress = 6005,
+  kPlatformFailed = 6006,
   kInvariantViolated = 9001,
 };
 
--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -100,6 +100,12 @@
   return value.asInt64();
 }
 
+Result<bool> BoolField(const Json& object, const char* name) {
+  if (!Has(object, name))
+    return Missing(name);
+  return BoolFieldOr(object, name, false);
+}
+
 Result<std::string> StringFieldOr(const Json& object,
                                   const char* name,
                                   std::string fallback,
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -35,6 +35,9 @@
                                             std::int64_t low,
                                             std::int64_t high);
 
+/// \brief Reads a required boolean member.
+[[nodiscard]] Result<bool> BoolField(const Json& object, const char* name);
+
 /// \brief Like StringField, with a default for an absent member.
 [[nodiscard]] Result<std::string> StringFieldOr(const Json& object,
                                                 const char* name,
--- a/src/control/leader_duties.cc
+++ b/src/control/leader_duties.cc
@@ -14,6 +14,9 @@
 constexpr Millis kDutyInterval{100};
 // A new leader waits this long for reports before it calls a host lost.
 constexpr Millis kObservationTime{5'000};
+// Pause before a host's next platform call after a failed one. One call for
+// each host in maintenance is a low rate, so it does not grow.
+constexpr Millis kPlatformRetryPause{1'000};
 constexpr char kAllotmentsKey[] = "allotments";
 constexpr std::size_t kMaxRegistrationsPerTick = 64;
 
@@ -64,6 +67,8 @@
   leading_since_ = now;
   next_tick_ = now;
   under_way_.clear();
+  platform_failed_.clear();
+  ++leadership_;
   silent_since_.clear();
   caps_.clear();
   retiring_since_.clear();
@@ -76,8 +81,10 @@
     return;
   Command command;
   command.body = std::move(body);
-  submit_(command, [this, key](const Result<CommandAnswer>& answer) {
-    under_way_.erase(key);
+  submit_(command, [this, key, leadership = leadership_](
+                       const Result<CommandAnswer>& answer) {
+    if (leadership == leadership_)
+      under_way_.erase(key);
     if (answer && answer.value().accepted)
       return;
     const Error& error =
@@ -227,7 +234,7 @@
       break;
     case HostState::kDrained:
     case HostState::kRebooting:
-      ProgressReboot(host, alive);
+      ProgressReboot(host, alive, now);
       break;
     case HostState::kReturning:
       if (alive && !status->acknowledged_drain &&
@@ -247,19 +254,21 @@
   }
 }
 
-void LeaderDuties::Observe(const Host& host, HostState state) {
+void LeaderDuties::Observe(const Host& host,
+                           HostState state,
+                           std::optional<std::int64_t> boots) {
   if (state == HostState::kLost)
     LogEvent(EventId::kWorkerLost, {{"host", host.name.str()}});
   if (state == HostState::kDrained)
     LogEvent(EventId::kDrainDone, {{"host", host.name.str()}});
   if (state == HostState::kActive)
     LogEvent(EventId::kHostReturned, {{"host", host.name.str()}});
-  SubmitOnce(
-      "state " + host.name.str(),
-      SetHostState{host.name, state, host.assignment, loop_.unix_seconds()});
+  SubmitOnce("state " + host.name.str(),
+             SetHostState{host.name, state, host.assignment,
+                          loop_.unix_seconds(), boots});
 }
 
-void LeaderDuties::ProgressReboot(const Host& host, bool alive) {
+void LeaderDuties::ProgressReboot(const Host& host, bool alive, TimePoint now) {
   const auto drain = state_.drains().find(host.name);
   // An operator's drain stays until the operator returns the host.
   const bool maintenance =
@@ -267,28 +276,83 @@
   if (!maintenance || !platform_.available() ||
       state_.pending_moves().contains(host.name))
     return;
-  const std::string key = "reboot " + host.name.str();
+  const auto failed = platform_failed_.find(host.name);
+  if (failed != platform_failed_.end() &&
+      now - failed->second < kPlatformRetryPause)
+    return;
+  CallPlatform(host.name, now, std::nullopt,
+               [this, name = host.name, alive, now](const PlatformHost& found) {
+                 OnPlatformHost(name, found, alive, now);
+               });
+}
+
+void LeaderDuties::CallPlatform(const HostName& host,
+                                TimePoint now,
+                                std::optional<std::int64_t> reboot_after,
+                                PlatformAnswer then) {
+  const std::string key = "platform " + host.str();
   if (!under_way_.insert(key).second)
     return;
-  const auto done = [this, key, host,
-                     alive](const Result<PlatformHost>& answer) {
+  const auto done = [this, key, host, now, then = std::move(then),
+                     leadership = leadership_](Result<PlatformHost> answer) {
+    // What was asked under an earlier leadership is asked again.
+    if (leadership != leadership_)
+      return;
     under_way_.erase(key);
     if (!answer) {
-      LogEvent(EventId::kCallFailed,
-               {{"call", key}, {"error", answer.error().Text()}});
+      OnPlatformFailed(host, answer.error(), now);
       return;
     }
-    if (host.state == HostState::kDrained)
-      Observe(host, HostState::kRebooting);
-    else if (answer.value().up && alive)
-      Observe(host, HostState::kReturning);
+    platform_failed_.erase(host);
+    then(answer.value());
   };
-  // The order is repeated by a new leader only while the host is still
-  // "drained": the state is stored after the platform took the order.
-  if (host.state == HostState::kDrained)
-    platform_.Reboot(host.name, done);
+  if (reboot_after)
+    platform_.Reboot(host, *reboot_after, done);
   else
-    platform_.Query(host.name, done);
+    platform_.Query(host, done);
+}
+
+void LeaderDuties::OnPlatformFailed(const HostName& host,
+                                    const Error& error,
+                                    TimePoint now) {
+  // The first of several failures in a row is enough for an operator.
+  const bool first = platform_failed_.insert_or_assign(host, now).second;
+  LogEvent(first ? EventId::kPlatformFailed : EventId::kCallFailed,
+           {{"host", host.str()}, {"error", error.Text()}});
+}
+
+// The boot count is stored before the order is sent, and the order is repeated
+// only while the platform shows that count: neither a lost answer nor a new
+// leader reboots a host twice in one maintenance.
+void LeaderDuties::OnPlatformHost(const HostName& name,
+                                  const PlatformHost& found,
+                                  bool alive,
+                                  TimePoint now) {
+  const auto host = state_.view().hosts.find(name);
+  const auto drain = state_.drains().find(name);
+  if (host == state_.view().hosts.end() || drain == state_.drains().end())
+    return;
+  if (host->second.state == HostState::kDrained) {
+    Observe(host->second, HostState::kRebooting, found.boots);
+    return;
+  }
+  if (host->second.state != HostState::kRebooting)
+    return;
+  // Without a count the order was accepted under an earlier version.
+  const std::int64_t before = drain->second.boots.value_or(-1);
+  if (found.boots < before) {
+    OnPlatformFailed(
+        name,
+        Error{ErrorCode::kConflict,
+              "the boot count fell from " + std::to_string(before) + " to " +
+                  std::to_string(found.boots),
+              std::nullopt},
+        now);
+  } else if (found.up && found.boots == before) {
+    CallPlatform(name, now, before, [](const PlatformHost&) {});
+  } else if (found.up && alive) {
+    Observe(host->second, HostState::kReturning);
+  }
 }
 
 void LeaderDuties::ProgressMoves(TimePoint now) {
--- a/src/control/leader_duties.h
+++ b/src/control/leader_duties.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -60,6 +61,8 @@
                                      TimePoint now) const;
 
  private:
+  using PlatformAnswer = std::function<void(const PlatformHost&)>;
+
   /// \brief Submits `command` unless one with the same key is under way.
   void SubmitOnce(const std::string& key, CommandBody body);
   void WithdrawReported(const SyncReport& report);
@@ -69,8 +72,23 @@
   void ReclaimLost(TimePoint now);
   void ProgressHosts(TimePoint now);
   void ProgressHost(const Host& host, TimePoint now);
-  void Observe(const Host& host, HostState state);
-  void ProgressReboot(const Host& host, bool alive);
+  void Observe(const Host& host,
+               HostState state,
+               std::optional<std::int64_t> boots = std::nullopt);
+  void ProgressReboot(const Host& host, bool alive, TimePoint now);
+  /// \brief Asks the platform for the state of `host`, or orders a reboot
+  /// after `reboot_after` boots, unless a call for the host is under way.
+  void CallPlatform(const HostName& host,
+                    TimePoint now,
+                    std::optional<std::int64_t> reboot_after,
+                    PlatformAnswer then);
+  void OnPlatformFailed(const HostName& host,
+                        const Error& error,
+                        TimePoint now);
+  void OnPlatformHost(const HostName& name,
+                      const PlatformHost& found,
+                      bool alive,
+                      TimePoint now);
   void ProgressMoves(TimePoint now);
   void ProgressWaves(TimePoint now);
   [[nodiscard]] WavePlan Plan(TimePoint now) const;
@@ -92,6 +110,9 @@
   TimePoint leading_since_;
   TimePoint next_tick_;
   std::set<std::string> under_way_;
+  std::uint64_t leadership_ = 0;  ///< grows with each change of leadership
+  /// Hosts whose last platform call failed, with the time of its sending.
+  std::map<HostName, TimePoint> platform_failed_;
   std::map<HostName, TimePoint> silent_since_;
   std::string last_wave_text_;
 };
--- a/src/control/platform_client.h
+++ b/src/control/platform_client.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEWINCH_CONTROL_PLATFORM_CLIENT_H_
 #define BORAGEWINCH_CONTROL_PLATFORM_CLIENT_H_
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -9,30 +10,45 @@
 
 namespace boragewinch {
 
+inline constexpr Millis kPlatformTimeout{2'000};
+inline constexpr std::size_t kMaxPlatformAnswerBytes = 4'096;
+
 /// \brief What the platform says of a host.
 struct PlatformHost {
-  std::int64_t boots = 0;
+  std::int64_t boots = 0;  ///< grows with each reboot
   bool up = false;
 };
 
 /// \brief Client of the platform's reboot interface.
 class PlatformClient {
  public:
+  /// Gets the state of the host that was asked for, or
+  ///  - kTransport or kTableFull: the call was not sent;
+  ///  - kTimeout, kProtocol or kTooLarge: the platform may have acted;
+  ///  - kUnavailable: status 5xx; kNotFound: status 404; kProtocol: any other
+  ///    status than 200;
+  ///  - kInvalidJson, kMissingField or kInvalidField: not an answer;
+  ///  - kConflict: the answer is about another host.
   using Done = std::function<void(Result<PlatformHost>)>;
 
   /// \param address "IP:port"; empty when there is no platform interface.
-  PlatformClient(HttpClient& client, std::string address);
+  PlatformClient(HttpClient& client,
+                 std::string address,
+                 Millis timeout = kPlatformTimeout);
 
   [[nodiscard]] bool available() const noexcept { return !address_.empty(); }
-  /// \brief Orders a reboot; a second order during it has no effect.
-  void Reboot(const HostName& host, Done done);
+  /// \brief Orders a reboot of a host that has booted `expected_boots` times.
+  /// The platform ignores the order if the host has booted more often, so a
+  /// repeated or late copy of it reboots nothing.
+  void Reboot(const HostName& host, std::int64_t expected_boots, Done done);
   void Query(const HostName& host, Done done);
 
  private:
-  void Call(const char* method, const std::string& path, Done done);
+  void Send(const HostName& host, HttpCall call, Done done);
 
   HttpClient& client_;
   std::string address_;
+  Millis timeout_;
 };
 
 }  // namespace boragewinch
--- a/src/fakes/fake_platform_main.cc
+++ b/src/fakes/fake_platform_main.cc
@@ -1,14 +1,13 @@
 // Stand-in for the platform's reboot interface.
 
 #include <cstdio>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "base/event_log.h"
-#include "base/json.h"
 #include "base/settings.h"
+#include "fakes/fake_platform.h"
 #include "kernel/kernel.h"
 #include "net/http_server.h"
 
@@ -20,49 +19,19 @@
   explicit PlatformService(const Settings& settings) : settings_(settings) {}
 
   Status Start(Kernel& kernel) override {
-    loop_ = &kernel.loop();
     server_ = std::make_unique<HttpServer>(
         kernel.loop(), HttpServerLimits{},
-        [this](const HttpRequest& request, const HttpResponder& respond) {
-          respond(Answer(request));
+        [this, &loop = kernel.loop()](const HttpRequest& request,
+                                      const HttpResponder& respond) {
+          respond(platform_.Answer(request, loop.now()));
         });
     return server_->Listen(settings_.text("listen"));
   }
 
  private:
-  struct HostRecord {
-    std::int64_t boots = 0;
-    TimePoint up_at;
-  };
-
-  [[nodiscard]] HttpResponse Answer(const HttpRequest& request) {
-    static const std::string kPrefix = "/hosts/";
-    static const std::string kReboot = "/reboot";
-    if (!request.path.starts_with(kPrefix))
-      return {404, R"({"error":"not_found"})"};
-    std::string name = request.path.substr(kPrefix.size());
-    const TimePoint now = loop_->now();
-    if (request.method == "POST" && name.ends_with(kReboot)) {
-      name.resize(name.size() - kReboot.size());
-      HostRecord& host = hosts_[name];
-      // A second order while the host reboots is the same reboot.
-      if (host.up_at <= now) {
-        ++host.boots;
-        host.up_at = now + Millis(settings_.integer("reboot-ms"));
-      }
-    }
-    const HostRecord& host = hosts_[name];
-    Json json;
-    json["host"] = name;
-    json["boots"] = ::Json::Int64(host.boots);
-    json["up"] = host.up_at <= now;
-    return {200, WriteJson(json)};
-  }
-
   const Settings& settings_;
-  EventLoop* loop_ = nullptr;
+  FakePlatform platform_{Millis(settings_.integer("reboot-ms"))};
   std::unique_ptr<HttpServer> server_;
-  std::map<std::string, HostRecord> hosts_;
 };
 
 int Main(int argc, const char* const* argv) {
--- a/src/fleet/apply_hosts.cc
+++ b/src/fleet/apply_hosts.cc
@@ -165,6 +165,12 @@
                     std::string(kHostStates.Name(host->state)) + " to " +
                     std::string(kHostStates.Name(body.state)));
   }
+  if (body.state == HostState::kRebooting && body.boots) {
+    if (const auto drain = drains_.find(body.host);
+        drain != drains_.end() && !drain->second.boots) {
+      drain->second.boots = body.boots;
+    }
+  }
   if (host->state == HostState::kRebooting && body.state != HostState::kLost) {
     host->maintained_at = body.wall_seconds;
   }
--- a/src/fleet/command.cc
+++ b/src/fleet/command.cc
@@ -136,6 +136,8 @@
   (*json)["state"] = std::string(kHostStates.Name(body.state));
   (*json)["assignment"] = Counter(body.assignment);
   (*json)["wall_seconds"] = ::Json::Int64(body.wall_seconds);
+  if (body.boots)
+    (*json)["boots"] = ::Json::Int64(*body.boots);
 }
 
 [[nodiscard]] Status Read(const Json& json, SetHostState* body) {
@@ -144,6 +146,9 @@
   BW_TRY(body->assignment, CounterField(json, "assignment"));
   BW_TRY(body->wall_seconds,
          IntFieldOr(json, "wall_seconds", 0, 0, kMaxCounter));
+  if (json.isMember("boots")) {
+    BW_TRY(body->boots, IntField(json, "boots", 0, kMaxCounter));
+  }
   const auto parsed = kHostStates.Parse(state);
   if (!parsed)
     return Fail(ErrorCode::kInvalidField,
--- a/src/fleet/command.h
+++ b/src/fleet/command.h
@@ -71,6 +71,8 @@
   HostState state = HostState::kActive;
   FleetVersion assignment = 0;    ///< the assignment that was observed
   std::int64_t wall_seconds = 0;  ///< Unix time, for `maintained_at`
+  /// With kRebooting: the platform's boot count before the reboot is ordered.
+  std::optional<std::int64_t> boots;
 };
 
 /// \brief A worker that announced itself.
--- a/src/fleet/fleet_state.cc
+++ b/src/fleet/fleet_state.cc
@@ -185,6 +185,8 @@
   for (const auto& [host, drain] : drains_) {
     drains[host.str()]["version"] = Counter(drain.version);
     drains[host.str()]["operator"] = drain.operator_name;
+    if (drain.boots)
+      drains[host.str()]["boots"] = ::Json::Int64(*drain.boots);
   }
   Json& moves = json["moves"] = Json(::Json::objectValue);
   for (const auto& [host, move] : moves_) {
@@ -221,6 +223,9 @@
     DrainRecord drain;
     BW_TRY(drain.version, CounterField(item, "version"));
     BW_TRY(drain.operator_name, StringField(item, "operator"));
+    if (item.isMember("boots")) {
+      BW_TRY(drain.boots, IntField(item, "boots", 0, INT64_MAX));
+    }
     state.drains_.emplace(host, std::move(drain));
   }
   for (const auto& host : json["moves"].getMemberNames()) {
--- a/src/fleet/host_plan.h
+++ b/src/fleet/host_plan.h
@@ -2,6 +2,7 @@
 #define BORAGEWINCH_FLEET_HOST_PLAN_H_
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -15,6 +16,8 @@
 struct DrainRecord {
   FleetVersion version = 0;   ///< the latest drain has the highest version
   std::string operator_name;  ///< empty for the control service
+  /// The platform's boot count before the reboot of this maintenance; set once.
+  std::optional<std::int64_t> boots;
 };
 
 /// \brief A host on its way to another pool: drain, move, return.
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -171,6 +171,10 @@
   transfer->call = std::move(call);
   transfer->done = std::move(done);
   transfer->max_bytes = impl_->limits.max_response_bytes;
+  if (transfer->call.max_response_bytes > 0) {
+    transfer->max_bytes =
+        std::min(transfer->max_bytes, transfer->call.max_response_bytes);
+  }
 
   CURL* easy = transfer->easy;
   const HttpCall& sent = transfer->call;
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEWINCH_NET_HTTP_TYPES_H_
 #define BORAGEWINCH_NET_HTTP_TYPES_H_
 
+#include <cstddef>
 #include <map>
 #include <string>
 
@@ -31,6 +32,7 @@
   std::map<std::string, std::string> headers;
   std::string body;
   Millis timeout{2'000};
+  std::size_t max_response_bytes = 0;  ///< 0: the bound of the client
 };
 
 }  // namespace boragewinch
--- /dev/null
+++ b/tests/platform_contract_test.cc
@@ -0,0 +1,486 @@
+#define BOOST_TEST_MODULE platform_contract
+#include <boost/test/unit_test.hpp>
+
+#include <boost/test/data/test_case.hpp>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/event_log.h"
+#include "base/invariant.h"
+#include "base/json.h"
+#include "control/leader_duties.h"
+#include "fakes/fake_platform.h"
+#include "fleet/sheet_parser.h"
+#include "net/http_server.h"
+
+namespace boragewinch {
+namespace {
+
+struct QuietLog {
+  QuietLog() {
+    ConfigureEventLog("platform_contract_test", EventLevel::kError);
+  }
+};
+BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
+
+constexpr Millis kCallTimeout{100};
+// Shorter than the pause before a retry, so a repeated order would find the
+// host up again.
+constexpr Millis kRebootTime{500};
+constexpr Millis kStep{100};
+constexpr std::size_t kMinAvailable = 2;
+constexpr const char* kHosts[] = {"h1", "h2", "h3", "h4"};
+constexpr char kSheet[] =
+    "kind,name,pool,team,zone,rack,share,limit,min_available,spare,"
+    "maintenance_days,open\n"
+    "pool,p,,,,,,,2,no,,\n"
+    "pool,s,,,,,,,0,yes,,\n"
+    "team,t,,,,,2,10,,,,\n"
+    "queue,q,p,t,,,,,,,,yes\n"
+    "host,h1,p,,za,r1,,,,,,\n"
+    "host,h2,p,,za,r1,,,,,,\n"
+    "host,h3,p,,za,r2,,,,,,\n"
+    "host,h4,p,,za,r2,,,,,,\n";
+
+/// How the platform's side of a call goes wrong. An order has taken effect
+/// before its answer does.
+enum class Fault {
+  kRefused,  ///< nobody listens
+  kSilent,   ///< no answer
+  kTorn,     ///< the connection ends within the answer
+  kAnswer,   ///< the answer is changed by FaultCase::change
+};
+
+struct FaultCase {
+  const char* name;
+  Fault fault;
+  ErrorCode expected;
+  HttpResponse (*change)(const HttpResponse&) = nullptr;
+};
+
+std::ostream& operator<<(std::ostream& out, const FaultCase& row) {
+  return out << row.name;
+}
+
+[[nodiscard]] HttpResponse With(const HttpResponse& truth,
+                                const char* member,
+                                const Json& value) {
+  Json json = ParseJson(truth.body).value();
+  json[member] = value;
+  return {200, WriteJson(json)};
+}
+
+[[nodiscard]] HttpResponse Without(const HttpResponse& truth,
+                                   const char* member) {
+  Json json = ParseJson(truth.body).value();
+  json.removeMember(member);
+  return {200, WriteJson(json)};
+}
+
+constexpr FaultCase kFaults[] = {
+    {"refused connection", Fault::kRefused, ErrorCode::kTransport},
+    {"time-out", Fault::kSilent, ErrorCode::kTimeout},
+    {"torn answer", Fault::kTorn, ErrorCode::kProtocol},
+    {"status 500 with a plausible body", Fault::kAnswer,
+     ErrorCode::kUnavailable,
+     [](const HttpResponse& truth) {
+       return HttpResponse{500, truth.body};
+     }},
+    {"status 404", Fault::kAnswer, ErrorCode::kNotFound,
+     [](const HttpResponse&) {
+       return HttpResponse{404, "{}"};
+     }},
+    {"status 302", Fault::kAnswer, ErrorCode::kProtocol,
+     [](const HttpResponse& truth) {
+       return HttpResponse{302, truth.body};
+     }},
+    {"malformed JSON", Fault::kAnswer, ErrorCode::kInvalidJson,
+     [](const HttpResponse& truth) {
+       return HttpResponse{200, truth.body.substr(0, truth.body.size() / 2)};
+     }},
+    {"empty body", Fault::kAnswer, ErrorCode::kInvalidJson,
+     [](const HttpResponse&) {
+       return HttpResponse{200, ""};
+     }},
+    {"not an object", Fault::kAnswer, ErrorCode::kInvalidField,
+     [](const HttpResponse& truth) {
+       return HttpResponse{200, "[" + truth.body + "]"};
+     }},
+    {"boots of a wrong type", Fault::kAnswer, ErrorCode::kInvalidField,
+     [](const HttpResponse& truth) { return With(truth, "boots", "7"); }},
+    {"negative boots", Fault::kAnswer, ErrorCode::kInvalidField,
+     [](const HttpResponse& truth) { return With(truth, "boots", -1); }},
+    {"up of a wrong type", Fault::kAnswer, ErrorCode::kInvalidField,
+     [](const HttpResponse& truth) { return With(truth, "up", 1); }},
+    {"no host", Fault::kAnswer, ErrorCode::kMissingField,
+     [](const HttpResponse& truth) { return Without(truth, "host"); }},
+    {"no boots", Fault::kAnswer, ErrorCode::kMissingField,
+     [](const HttpResponse& truth) { return Without(truth, "boots"); }},
+    {"no up", Fault::kAnswer, ErrorCode::kMissingField,
+     [](const HttpResponse& truth) { return Without(truth, "up"); }},
+    {"oversized body", Fault::kAnswer, ErrorCode::kTooLarge,
+     [](const HttpResponse& truth) {
+       return With(truth, "notes", std::string(kMaxPlatformAnswerBytes, 'x'));
+     }},
+    {"answer for another host", Fault::kAnswer, ErrorCode::kConflict,
+     [](const HttpResponse& truth) {
+       return With(With(truth, "host", "h9"), "boots", 9);
+     }},
+};
+
+/// Accepts connections, waits for the first bytes and ends each connection
+/// within its answer, which HttpServer can't do.
+class TornServer {
+ public:
+  TornServer(EventLoop& loop, const std::string& address)
+      : loop_(loop), socket_(socket(AF_INET, SOCK_STREAM, 0)) {
+    const int on = 1;
+    setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in name{};
+    name.sin_family = AF_INET;
+    name.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    name.sin_port = htons(static_cast<std::uint16_t>(
+        std::stoi(address.substr(address.find(':') + 1))));
+    BOOST_REQUIRE(
+        bind(socket_, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0);
+    BOOST_REQUIRE(listen(socket_, 16) == 0);
+    accept_ = loop_.OnReady(socket_, {true, false}, [this](Readiness) {
+      const int peer = accept(socket_, nullptr, nullptr);
+      if (peer >= 0) {
+        peers_[peer] = loop_.OnReady(peer, {true, false},
+                                     [this, peer](Readiness) { Tear(peer); });
+      }
+    });
+  }
+  TornServer(const TornServer&) = delete;
+  TornServer& operator=(const TornServer&) = delete;
+  ~TornServer() {
+    for (const auto& [peer, watch] : peers_)
+      close(peer);
+    close(socket_);
+  }
+
+ private:
+  void Tear(int peer) {
+    char request[4'096];
+    static_cast<void>(recv(peer, request, sizeof(request), 0));
+    const std::string half =
+        "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{\"host\":\"h1\",";
+    static_cast<void>(send(peer, half.data(), half.size(), MSG_NOSIGNAL));
+    // The watch can't be destroyed from its own callback.
+    loop_.Post([this, peer] {
+      if (peers_.erase(peer) > 0)
+        close(peer);
+    });
+  }
+
+  EventLoop& loop_;
+  int socket_;
+  WatchHandle accept_;
+  std::map<int, WatchHandle> peers_;
+};
+
+/// The stand-in platform behind a server whose calls can go wrong. Time is
+/// virtual but for the time-outs of calls.
+struct Platform {
+  explicit Platform(const FaultCase* fault = nullptr) : row(fault) { Listen(); }
+
+  void Listen() {
+    torn.reset();
+    server = std::make_unique<HttpServer>(
+        loop, HttpServerLimits{},
+        [this](const HttpRequest& request, const HttpResponder& respond) {
+          Serve(request, respond);
+        });
+    BOOST_REQUIRE(server->Listen(address));
+    address = server->address();
+    if (row == nullptr)
+      return;
+    if (row->fault == Fault::kRefused || row->fault == Fault::kTorn)
+      server.reset();
+    if (row->fault == Fault::kTorn)
+      torn = std::make_unique<TornServer>(loop, address);
+  }
+  void Heal() {
+    if (std::exchange(row, nullptr) != nullptr && !server)
+      Listen();
+  }
+
+  void Serve(const HttpRequest& request, const HttpResponder& respond) {
+    if (hold_orders && request.method == "POST") {
+      held.emplace_back(request, respond);
+      return;
+    }
+    const HttpResponse truth = fake.Answer(request, now);
+    if (row == nullptr)
+      respond(truth);
+    else if (row->fault == Fault::kSilent)
+      held.emplace_back(request, respond);
+    else
+      respond(row->change(truth));
+  }
+
+  // Runs the loop until no call is open; held calls are not waited for if
+  // `wait` is false.
+  void Settle(bool wait = true) {
+    for (int quiet = 0, rounds = 0; quiet < 2 && (wait || rounds < 20);
+         ++rounds) {
+      const WatchHandle end =
+          loop.After(Millis(1), [this](TimePoint) { loop.Stop(); });
+      loop.Run();
+      quiet = client.open_calls() == 0 ? quiet + 1 : 0;
+    }
+  }
+
+  EventLoop loop;
+  HttpClient client{loop, {}};
+  TimePoint now = FromMillis(1'000'000);
+  FakePlatform fake{kRebootTime};
+  std::string address = "127.0.0.1:0";
+  const FaultCase* row;
+  bool hold_orders = false;
+  std::vector<std::pair<HttpRequest, HttpResponder>> held;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<TornServer> torn;
+};
+
+// Guards against a fault of the platform that is taken for an answer, or that
+// reaches the leader without its type.
+BOOST_DATA_TEST_CASE(ClientReportsEachFaultByType, kFaults, row) {
+  for (const bool order : {true, false}) {
+    Platform platform(&row);
+    PlatformClient client(platform.client, platform.address, kCallTimeout);
+    std::vector<Result<PlatformHost>> answers;
+    const auto done = [&](Result<PlatformHost> answer) {
+      answers.push_back(std::move(answer));
+    };
+    if (order)
+      client.Reboot(HostName("h1"), 0, done);
+    else
+      client.Query(HostName("h1"), done);
+    platform.Settle();
+    BOOST_REQUIRE(answers.size() == 1U);
+    BOOST_REQUIRE(!answers[0]);
+    BOOST_TEST(kErrorCodes.Name(answers[0].error().code) ==
+               kErrorCodes.Name(row.expected));
+  }
+}
+
+// Guards against a repeated or late copy of an order that reboots again.
+BOOST_AUTO_TEST_CASE(OrderForAnOlderBootCountHasNoEffect) {
+  Platform platform;
+  PlatformClient client(platform.client, platform.address, kCallTimeout);
+  for (const std::int64_t boots : {1, 1}) {
+    std::optional<PlatformHost> found;
+    client.Reboot(HostName("h1"), 0, [&](const Result<PlatformHost>& answer) {
+      if (answer)
+        found = answer.value();
+    });
+    platform.Settle();
+    BOOST_REQUIRE(found.has_value());
+    BOOST_TEST(found->boots == boots);
+    platform.now += kRebootTime;
+  }
+}
+
+/// A pool of four hosts in a wave, with the duties of one or two leaders.
+struct Wave : Platform {
+  explicit Wave(const FaultCase* fault = nullptr) : Platform(fault) {
+    SetInvariantHandler([](Invariant invariant, std::string_view detail) {
+      BOOST_ERROR(kInvariants.Name(invariant) << ": " << detail);
+    });
+    std::vector<Error> errors;
+    Command sheet;
+    sheet.call = {OperationId("op-1"), "ivan", 0};
+    sheet.body = ApplySheet{ParseSheet(kSheet, "a.csv", &errors), false, {}};
+    BOOST_REQUIRE(errors.empty());
+    BOOST_REQUIRE(Apply(sheet).accepted);
+    leader = MakeLeader();
+  }
+
+  CommandAnswer Apply(const Command& command) {
+    return state.Apply(++index, EncodeCommand(command));
+  }
+  [[nodiscard]] std::unique_ptr<LeaderDuties> MakeLeader() {
+    auto duties = std::make_unique<LeaderDuties>(
+        loop, interface, state, reports, WaveConfig{},
+        [this](const Command& command, const Proposals::Reply& reply) {
+          reply(Apply(command));
+        });
+    duties->OnLeadership(now);
+    return duties;
+  }
+
+  // Workers acknowledge what the fleet state says of them, while they are up.
+  void Report() {
+    SyncReport report;
+    report.entry = EntryName("e1");
+    report.zone = ZoneName("za");
+    report.incarnation = Incarnation("i1");
+    report.workers_sequence = ++sequence;
+    for (const auto& [name, host] : state.view().hosts) {
+      WorkerStatus worker{.host = name, .zone = host.zone, .rack = host.rack};
+      worker.incarnation =
+          Incarnation("w" + std::to_string(fake.boots(name.str())));
+      worker.lost = !fake.up(name.str(), now);
+      worker.idle = true;
+      worker.acknowledged_drain = host.state != HostState::kActive &&
+                                  host.state != HostState::kReturning;
+      worker.acknowledged_assignment = host.assignment;
+      report.workers.push_back(worker);
+    }
+    static_cast<void>(reports.Record(report, now));
+  }
+
+  // Steps until `done` or for `time`; `wait` as for Settle.
+  template <typename Done>
+  bool Run(Millis time, const Done& done, bool wait = true) {
+    for (const TimePoint end = now + time; now < end; now += kStep) {
+      Report();
+      leader->Tick(now);
+      Settle(wait);
+      CheckHosts();
+      if (done())
+        return true;
+    }
+    return done();
+  }
+
+  // A host that is neither in service nor in the drain table is forgotten.
+  void CheckHosts() {
+    std::size_t active = 0;
+    for (const auto& [name, host] : state.view().hosts) {
+      active += host.state == HostState::kActive ? 1 : 0;
+      const bool in_service = host.state == HostState::kActive ||
+                              host.state == HostState::kReturning;
+      BOOST_TEST(in_service != state.drains().contains(name),
+                 name.str() << " is " << kHostStates.Name(host.state));
+      BOOST_TEST(fake.boots(name.str()) <= 1, name.str()
+                                                  << " was rebooted twice");
+    }
+    BOOST_TEST(active >= kMinAvailable);
+  }
+
+  [[nodiscard]] std::size_t CountIn(HostState wanted) const {
+    std::size_t count = 0;
+    for (const auto& [name, host] : state.view().hosts)
+      count += host.state == wanted ? 1 : 0;
+    return count;
+  }
+  [[nodiscard]] bool AllDone() const {
+    for (const char* host : kHosts) {
+      if (fake.boots(host) != 1)
+        return false;
+    }
+    return CountIn(HostState::kActive) == std::size(kHosts);
+  }
+
+  FleetState state;
+  std::uint64_t index = 0;
+  EntryReports reports;
+  std::uint64_t sequence = 0;
+  PlatformClient interface { client, address, kCallTimeout };
+  std::unique_ptr<LeaderDuties> leader;
+};
+
+// Guards against a wave that breaks or forgets a host when the platform fails
+// before the order, and goes on when it has recovered.
+BOOST_DATA_TEST_CASE(WaveOutlivesFailedQueries, kFaults, row) {
+  Wave wave(&row);
+  BOOST_TEST(wave.Run(Millis(10'000),
+                      [&] { return wave.CountIn(HostState::kDrained) > 0; }));
+  // Nothing is ordered on the word of a faulty answer.
+  wave.Run(Millis(4'000), [] { return false; });
+  BOOST_TEST(wave.CountIn(HostState::kDrained) == 1U);
+  for (const char* host : kHosts)
+    BOOST_TEST(wave.fake.boots(host) == 0);
+  wave.Heal();
+  BOOST_TEST(wave.Run(Millis(60'000), [&] { return wave.AllDone(); }));
+}
+
+// Guards against a second reboot after an order whose answer was lost or
+// can't be read, although the host is up again before the next try.
+BOOST_DATA_TEST_CASE(WaveOutlivesFailedOrders, kFaults, row) {
+  Wave wave;
+  BOOST_TEST(wave.Run(Millis(10'000),
+                      [&] { return wave.CountIn(HostState::kRebooting) > 0; }));
+  wave.row = &row;
+  if (row.fault == Fault::kRefused || row.fault == Fault::kTorn) {
+    wave.server.reset();
+    wave.Listen();
+  }
+  wave.Run(Millis(4'000), [] { return false; });
+  BOOST_TEST(wave.CountIn(HostState::kRebooting) == 1U);
+  wave.Heal();
+  BOOST_TEST(wave.Run(Millis(60'000), [&] { return wave.AllDone(); }));
+}
+
+// Guards against two leaders that each reboot a host: the order of the first
+// one is answered, or even carried out, after the second one has finished.
+BOOST_AUTO_TEST_CASE(LateAnswerAfterTheLeaderChanged) {
+  for (const bool carried_out_late : {false, true}) {
+    Wave wave;
+    wave.hold_orders = true;
+    PlatformClient slow(wave.client, wave.address, Millis(60'000));
+    // The first leader's calls last longer than its leadership.
+    LeaderDuties first(
+        wave.loop, slow, wave.state, wave.reports, WaveConfig{},
+        [&](const Command& command, const Proposals::Reply& reply) {
+          reply(wave.Apply(command));
+        });
+    std::unique_ptr<LeaderDuties> second = std::move(wave.leader);
+    first.OnLeadership(wave.now);
+    for (int i = 0; i < 100 && wave.held.empty(); ++i) {
+      wave.Report();
+      first.Tick(wave.now);
+      wave.Settle(false);
+      wave.now += kStep;
+    }
+    BOOST_REQUIRE(wave.held.size() == 1U);
+    const auto order = wave.held.front();
+    wave.held.clear();
+    wave.hold_orders = false;
+    HttpResponse answer;
+    if (!carried_out_late)
+      answer = wave.fake.Answer(order.first, wave.now);
+    first.OnLeadership(wave.now);
+    wave.leader = std::move(second);
+    wave.leader->OnLeadership(wave.now);
+    BOOST_TEST(wave.Run(
+        Millis(60'000), [&] { return wave.AllDone(); }, false));
+    const FleetVersion version = wave.state.version();
+    if (carried_out_late)
+      answer = wave.fake.Answer(order.first, wave.now);
+    order.second(answer);
+    wave.Settle();
+    BOOST_TEST(wave.state.version() == version);
+    BOOST_TEST(wave.AllDone());
+  }
+}
+
+// Guards against a wave that waits without a word, or that returns a host
+// unmaintained, when the platform loses its boot counts.
+BOOST_AUTO_TEST_CASE(FallenBootCountKeepsTheHostOut) {
+  Wave wave;
+  HttpRequest order{"POST", "/hosts/h1/reboot"};
+  for (const char* host : kHosts) {
+    order.path = std::string("/hosts/") + host + "/reboot";
+    static_cast<void>(wave.fake.Answer(order, wave.now));
+  }
+  wave.now += kRebootTime;
+  wave.hold_orders = true;
+  BOOST_TEST(wave.Run(Millis(10'000),
+                      [&] { return wave.CountIn(HostState::kRebooting) > 0; }));
+  wave.fake = FakePlatform(kRebootTime);
+  wave.hold_orders = false;
+  wave.Run(Millis(5'000), [] { return false; });
+  BOOST_TEST(wave.CountIn(HostState::kRebooting) == 1U);
+  for (const char* host : kHosts)
+    BOOST_TEST(wave.fake.boots(host) == 0);
+}
+
+}  // namespace
+}  // namespace boragewinch
