--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -95,6 +95,8 @@
      "A maintenance wave moved on or waits, with the reason."},
     {EventId::kBufferMove, kInfo, "buffer_move",
      "A spare host is lent to a pool, comes back or stays after all."},
+    {EventId::kPlatformFailed, kWarn, "platform_failed",
+     "The platform gave no usable answer about a host; it is asked again."},
     {EventId::kInvariantViolated, kError, "invariant_violated",
      "An internal check failed; the action was refused. Report this."},
 };
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -56,6 +56,7 @@
   kHostReturned = 6004,
   kWaveProgress = 6005,
   kBufferMove = 6006,
+  kPlatformFailed = 6007,
   kInvariantViolated = 9001,
 };
 
