Bound the bytes of jobs and results that an entry host holds

Records were bounded by number (100,000) and results by 128 MiB; the jobs' payloads (up to 256 KiB each) were not, so large jobs could fill the memory. max-record-bytes (default 64 MiB, at least one job with its result of the largest size) bounds payloads, callers' ids and results of own records and copies together. It replaces the bound on result bytes, which had no setting. Beyond it a submit is refused as full (counted, event 1007 with table=record_bytes) and a backup takes no further copy; the owner then sends it again, as with the bound on the number of records. Results of admitted jobs are always taken. Ended records are kept for their retention: the design page allows no earlier drop.

Without the check at admission BytesOfRecordsAreBounded fails, without the one at the backup BackupTakesNoCopyBeyondItsBytes does (120,000 bytes of 100,000), both in a scratch copy.

--- a/src/entry/boraged_entry_main.cc
+++ b/src/entry/boraged_entry_main.cc
@@ -17,6 +17,9 @@
 namespace boragewinch {
 namespace {
 
+// Room for one job and its result of the largest size.
+constexpr std::int64_t kLowestRecordBytes = kMaxPayloadBytes + kMaxResultBytes;
+
 void CheckName(const Settings& settings,
                const char* setting,
                std::vector<Error>* errors) {
@@ -44,6 +47,9 @@
       .Required("cluster-secret", "secret shared by all processes")
       .Required("operator-secret", "credential that operators show")
       .Integer("stop-timeout-ms", "longest planned stop", 60'000, 0, 3'600'000)
+      .Integer("max-record-bytes", "bytes of jobs and results held",
+               std::int64_t{kDefaultRecordBytes}, kLowestRecordBytes,
+               std::int64_t{1} << 40)
       .Flag("verbose", "writes debug events");
   std::vector<Error> errors;
   const Settings settings = builder.Parse(argc, argv, &errors);
@@ -71,6 +77,8 @@
   options.cluster_secret = settings.text("cluster-secret");
   options.operator_secret = settings.text("operator-secret");
   options.stop_timeout = Millis(settings.integer("stop-timeout-ms"));
+  options.max_record_bytes =
+      static_cast<std::size_t>(settings.integer("max-record-bytes"));
 
   Kernel kernel;
   kernel.Add("entry", std::make_unique<EntryService>(std::move(options)));
--- a/src/entry/entry_config.h
+++ b/src/entry/entry_config.h
@@ -15,6 +15,8 @@
 /// A backup takes over the records of an owner silent for this long.
 inline constexpr Millis kOwnerSilence{3'000};
 inline constexpr Millis kGossipInterval{250};
+/// A quarter of the 256 MB that an entry host may use (docs/design.md 1.4).
+inline constexpr std::size_t kDefaultRecordBytes = 64UL * 1024 * 1024;
 
 /// \brief Identity and bounds of one entry host process.
 struct EntryConfig {
@@ -26,7 +28,9 @@
   std::size_t max_queued_per_queue = 20'000;
   std::size_t max_calls = 20'000;
   std::size_t max_results = 50'000;
-  std::size_t max_result_bytes = 128UL * 1024 * 1024;
+  /// Jobs and results of own records and replicas. Results of admitted jobs are
+  /// always taken, so they may exceed it.
+  std::size_t max_record_bytes = kDefaultRecordBytes;
   std::size_t max_peers = 64;
   std::size_t max_workers = 10'000;
   std::size_t max_tombstones = 100'000;
--- a/src/entry/entry_core.cc
+++ b/src/entry/entry_core.cc
@@ -353,13 +353,15 @@
     return RefusalReason::kLimit;
   if (!workers_.CouldFit(queue->second.pool, view_, spec.declared))
     return RefusalReason::kNeverFits;
-  const bool full = table_.size() >= config_.max_records ||
+  const bool bytes_full =
+      table_.bytes() + RequestTable::SizeOf(spec) > config_.max_record_bytes;
+  const bool full = bytes_full || table_.size() >= config_.max_records ||
                     table_.queued(spec.queue) >= config_.max_queued_per_queue ||
-                    table_.results() >= config_.max_results ||
-                    table_.result_bytes() >= config_.max_result_bytes;
+                    table_.results() >= config_.max_results;
   if (full) {
     LogEvent(EventId::kBoundReached,
-             {{"table", "records"}, {"queue", spec.queue.str()}});
+             {{"table", bytes_full ? "record_bytes" : "records"},
+              {"queue", spec.queue.str()}});
     return RefusalReason::kFull;
   }
   return RefusalReason::kNone;
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -6,6 +6,7 @@
 
 #include "base/strong_id.h"
 #include "base/time.h"
+#include "entry/entry_config.h"
 
 namespace boragewinch {
 
@@ -20,6 +21,7 @@
   std::string cluster_secret;
   std::string operator_secret;
   Millis stop_timeout{60'000};
+  std::size_t max_record_bytes = kDefaultRecordBytes;
 };
 
 }  // namespace boragewinch
--- a/src/entry/entry_replication.cc
+++ b/src/entry/entry_replication.cc
@@ -294,8 +294,12 @@
     SendTo(from, PeerAck{version, true});
     return;
   }
-  if (record == nullptr && table_.size() >= config_.max_records) {
-    LogEvent(EventId::kBoundReached, {{"table", "records"}});
+  const bool bytes_full = table_.bytes() + RequestTable::SizeOf(message.spec) >
+                          config_.max_record_bytes;
+  if (record == nullptr &&
+      (bytes_full || table_.size() >= config_.max_records)) {
+    LogEvent(EventId::kBoundReached,
+             {{"table", bytes_full ? "record_bytes" : "records"}});
     SendTo(from, PeerAck{version, false});
     return;
   }
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -74,6 +74,7 @@
   config.zone = options_.zone;
   config.name = options_.name;
   config.incarnation = incarnation_;
+  config.max_record_bytes = options_.max_record_bytes;
   std::random_device seed;
   core_ = std::make_unique<EntryCore>(
       config, WithMetrics(scheduler_.hooks(), metrics_),
--- a/src/entry/request_table.cc
+++ b/src/entry/request_table.cc
@@ -40,10 +40,9 @@
 
 void RequestTable::Count(const RequestRecord& record, int sign) {
   const auto step = static_cast<std::size_t>(sign);
-  if (!record.closing.body.empty()) {
+  bytes_ += step * (SizeOf(record.spec) + record.closing.body.size());
+  if (!record.closing.body.empty())
     results_ += step;
-    bytes_ += step * record.closing.body.size();
-  }
   if (record.owner)
     return;
   if (record.phase != RequestPhase::kEnded)
--- a/src/entry/request_table.h
+++ b/src/entry/request_table.h
@@ -41,7 +41,13 @@
   [[nodiscard]] std::size_t size() const noexcept { return records_.size(); }
   [[nodiscard]] std::size_t open() const noexcept { return open_; }
   [[nodiscard]] std::size_t results() const noexcept { return results_; }
-  [[nodiscard]] std::size_t result_bytes() const noexcept { return bytes_; }
+  /// \returns the bytes of all jobs and results held, as SizeOf counts a job.
+  [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
+  /// \returns the bytes of the parts of a job that a caller chooses the length
+  /// of. The rest of a record is bounded by the number of records.
+  [[nodiscard]] static std::size_t SizeOf(const JobSpec& spec) noexcept {
+    return spec.payload.size() + spec.client_request_id.size();
+  }
   [[nodiscard]] std::size_t queued(const QueueName& queue) const;
   [[nodiscard]] const std::map<TeamName, std::int64_t>& queued_by_team()
       const noexcept {
--- a/tests/entry_core_test.cc
+++ b/tests/entry_core_test.cc
@@ -285,6 +285,90 @@
   BOOST_TEST(answered == 1);  // The backup itself asks only the owner.
 }
 
+// Guards against large jobs that fill the memory of an entry host, and against
+// a bound that stays reached when records are dropped.
+BOOST_AUTO_TEST_CASE(BytesOfRecordsAreBounded) {
+  EntryConfig config;
+  config.max_record_bytes = 100'000;
+  config.result_retention = Millis(60'000);
+  config.ticket_lifetime = Millis(60'000);
+  World world(2, 1, 1, config);
+  world.Run(Millis(3'000));
+  JobSpec spec = world.Job(true);
+  spec.payload = std::string(30'000, 'x');
+  for (const char* expected :
+       {"accepted", "accepted", "accepted", "refused_not_run/full"}) {
+    const CallId submit = world.Submit(0, spec);
+    world.Run(Millis(300));
+    BOOST_TEST(Shown(world.answer(submit)) == expected);
+  }
+  // The other entry host holds the copies.
+  const CallId other = world.Submit(1, spec);
+  world.Run(Millis(300));
+  BOOST_TEST(Shown(world.answer(other)) == "refused_not_run/full");
+  world.Run(Millis(90'000));
+  const CallId later = world.Submit(0, spec);
+  world.Run(Millis(300));
+  BOOST_TEST(Shown(world.answer(later)) == "accepted");
+  BOOST_TEST(world.faults.size() == 0U);
+}
+
+// Guards against copies that fill the memory of a backup, and against a copy
+// that is never placed after the backup was full.
+BOOST_AUTO_TEST_CASE(BackupTakesNoCopyBeyondItsBytes) {
+  EntryConfig config;
+  config.max_record_bytes = 100'000;
+  config.result_retention = Millis(60'000);
+  config.ticket_lifetime = Millis(60'000);
+  World world(2, 1, 1, config);
+  world.run_time = Millis(20'000);
+  world.Run(Millis(3'000));
+  JobSpec spec = world.Job(true);
+  spec.payload = std::string(30'000, 'x');
+  world.cut = {{0, 1}};
+  world.Run(Millis(4'000));
+  // Each holds 60,000 bytes alone, so the copies of one job fit.
+  std::vector<CallId> submits;
+  for (const int entry : {0, 0, 1, 1})
+    submits.push_back(world.Submit(entry, spec));
+  world.Run(Millis(2'000));
+  world.cut.clear();
+  for (int i = 0; i < 100; ++i) {
+    world.Run(Millis(100));
+    for (const auto& core : world.cores)
+      BOOST_REQUIRE_LE(core->requests().bytes(), 100'000U);
+  }
+  for (const auto& core : world.cores)
+    BOOST_TEST(core->requests().bytes() > 80'000U);
+  world.Run(Millis(60'000));
+  for (const CallId submit : submits) {
+    BOOST_TEST(Shown(world.answer(submit)) == "accepted");
+    BOOST_TEST(world.executions[world.answer(submit)->request] >= 1);
+  }
+  BOOST_TEST(world.faults.size() == 0U);
+}
+
+// Guards against a count of bytes that drifts, and so against a bound that is
+// reached too early or never.
+BOOST_AUTO_TEST_CASE(TableCountsBytesOfJobsAndResults) {
+  RequestTable table;
+  RequestRecord record;
+  record.id = RequestId("z.e.1.1");
+  record.spec.payload = "12345";
+  record.spec.client_request_id = "abc";
+  RequestRecord& stored = table.Insert(record);
+  BOOST_TEST(table.bytes() == 8U);
+  table.SetClosing(stored, {Outcome::kFinished, RefusalReason::kNone, "1234"});
+  BOOST_TEST(table.bytes() == 12U);
+  table.SetPhase(stored, RequestPhase::kEnded, TimePoint());
+  table.SetOwner(stored, ReplicaOwner{});
+  BOOST_TEST(table.bytes() == 12U);
+  table.SetClosing(stored, {Outcome::kFinished, RefusalReason::kNone, "1"});
+  BOOST_TEST(table.bytes() == 9U);
+  table.Erase(record.id);
+  BOOST_TEST(table.bytes() == 0U);
+}
+
 // Guards I5 and 4.2: only the request's own team learns its state.
 BOOST_AUTO_TEST_CASE(CallsNeedAKeyOfTheTeam) {
   Zone world(2);
