--- a/src/entry/boraged_entry_main.cc
+++ b/src/entry/boraged_entry_main.cc
@@ -22,6 +22,9 @@
 namespace boragewinch {
 namespace {
 
+// Room for one job and its result of the largest size.
+constexpr std::int64_t kLowestRecordBytes = kMaxPayloadBytes + kMaxResultBytes;
+
 void CheckName(const Settings& settings,
                const char* setting,
                std::vector<Error>* errors) {
@@ -52,6 +55,9 @@
       .Integer("share-blend-ms",
                "time in which shares go over to those of a new sheet", 60'000,
                0, 86'400'000)
+      .Integer("max-record-bytes", "bytes of jobs and results held",
+               std::int64_t{kDefaultRecordBytes}, kLowestRecordBytes,
+               std::int64_t{1} << 40)
       .Flag("verbose", "writes debug events");
   std::vector<Error> errors;
   const Settings settings = builder.Parse(argc, argv, &errors);
@@ -80,6 +86,8 @@
   options.operator_secret = settings.text("operator-secret");
   options.share_blend = Millis(settings.integer("share-blend-ms"));
   options.stop_timeout = Millis(settings.integer("stop-timeout-ms"));
+  options.max_record_bytes =
+      static_cast<std::size_t>(settings.integer("max-record-bytes"));
 
   Kernel kernel;
   kernel.Add(kOutboundService,
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -6,6 +6,7 @@
 
 #include "base/strong_id.h"
 #include "base/time.h"
+#include "entry/entry_config.h"
 
 namespace boragewinch {
 
@@ -21,6 +22,7 @@
   std::string operator_secret;
   Millis stop_timeout{60'000};
   Millis share_blend{60'000};  ///< time in which a sheet's shares take over
+  std::size_t max_record_bytes = kDefaultRecordBytes;
 };
 
 }  // namespace boragewinch
