Move long-running repeatable tasks off draining hosts by checkpoint

Cause: a drain waited for every task, whatever its length; the worker's checkpoint call was reserved and unused. Two faults showed on the way: the result of a stopped repeatable task that came after the report of the stop ended its queued request as failed, and a stopped request whose start deadline had passed was dropped as unknown.

Change: EntryCore asks the worker once for a checkpoint when a repeatable task has run for drain-move-after-ms on a draining host (repeated with backoff if the answer is lost, not after status 404), takes the progress (64 KiB) from the stopped result into the record, replicates it with the next revision and hands it to the next start. Events 6007 and 6008, four metrics.

Ruled out: an acknowledgement by the backup before the worker may drop the progress; a repeatable request may start from older progress.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -95,6 +95,10 @@
      "A maintenance wave moved on or waits, with the reason."},
     {EventId::kPlatformFailed, kWarn, "platform_failed",
      "The platform gave no usable answer about a host; it is asked again."},
+    {EventId::kTaskMoved, kInfo, "task_moved",
+     "A task was stopped on a draining host and is queued again."},
+    {EventId::kTaskStays, kInfo, "task_stays",
+     "The worker has no checkpoint, so the drain waits for the task."},
     {EventId::kInvariantViolated, kError, "invariant_violated",
      "An internal check failed; the action was refused. Report this."},
 };
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -56,6 +56,8 @@
   kHostReturned = 6004,
   kWaveProgress = 6005,
   kPlatformFailed = 6006,
+  kTaskMoved = 6007,
+  kTaskStays = 6008,
   kInvariantViolated = 9001,
 };
 
--- a/src/entry/boraged_entry_main.cc
+++ b/src/entry/boraged_entry_main.cc
@@ -44,6 +44,9 @@
       .Required("cluster-secret", "secret shared by all processes")
       .Required("operator-secret", "credential that operators show")
       .Integer("stop-timeout-ms", "longest planned stop", 60'000, 0, 3'600'000)
+      .Integer("drain-move-after-ms",
+               "run time after which a repeatable task leaves a draining host",
+               30'000, 1'000, kMaxRunTime.count())
       .Flag("verbose", "writes debug events");
   std::vector<Error> errors;
   const Settings settings = builder.Parse(argc, argv, &errors);
@@ -71,6 +74,7 @@
   options.cluster_secret = settings.text("cluster-secret");
   options.operator_secret = settings.text("operator-secret");
   options.stop_timeout = Millis(settings.integer("stop-timeout-ms"));
+  options.drain_move_after = Millis(settings.integer("drain-move-after-ms"));
 
   Kernel kernel;
   kernel.Add("entry", std::make_unique<EntryService>(std::move(options)));
--- a/src/entry/entry_actions.h
+++ b/src/entry/entry_actions.h
@@ -61,6 +61,7 @@
   PoolName pool;
   FleetVersion assignment = 0;
   Millis lease = kTaskLease;
+  std::string progress;  ///< of the last attempt that was stopped; may be empty
 };
 
 struct StopTask {
@@ -77,8 +78,21 @@
   TaskId task;
 };
 
-using EntryAction =
-    std::variant<AnswerCaller, SendPeer, StartTask, StopTask, ForbidTask>;
+/// \brief Asks a worker to end `task` as stopped, with its progress as the
+/// body of the result. The service sends it once and reports the answer or its
+/// loss with OnCheckpointAnswer.
+struct CheckpointTask {
+  HostName host;
+  std::string address;
+  TaskId task;
+};
+
+using EntryAction = std::variant<AnswerCaller,
+                                 SendPeer,
+                                 StartTask,
+                                 StopTask,
+                                 ForbidTask,
+                                 CheckpointTask>;
 
 /// \brief A worker's answer to a start. A refusal by another incarnation than
 /// the start names does not prove that the named one did not run it: an HTTP
@@ -99,6 +113,12 @@
   Incarnation incarnation;  ///< of the worker
 };
 
+enum class CheckpointAnswer {
+  kStopped,      ///< the task ends as stopped; its result has the progress
+  kNotRunning,   ///< the task has ended or was never started
+  kUnsupported,  ///< the worker has no checkpoint
+};
+
 /// \brief Answer to a worker's heartbeat.
 struct WorkerReportAnswer {
   std::vector<TaskId> renewed;  ///< lease counts from the heartbeat's sending
--- a/src/entry/entry_config.h
+++ b/src/entry/entry_config.h
@@ -38,6 +38,11 @@
   Millis find_timeout{1'000};       ///< for the search of a client_request_id
   Millis retry_first{200};
   Millis retry_limit{2'000};
+  /// A repeatable task on a draining host is moved if it has run this long and
+  /// is expected to run as long again.
+  Millis drain_move_after{30'000};
+  /// How long a stopped task's progress is waited for.
+  Millis progress_patience{5'000};
   std::uint32_t max_attempts = 20;  ///< starts refused as bad_task and alike
 };
 
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -33,6 +33,10 @@
   std::uint64_t starts = 0;
   std::uint64_t taken_over = 0;
   std::uint64_t results_rejected = 0;
+  std::uint64_t checkpoints_sent = 0;      ///< with repetitions
+  std::uint64_t checkpoints_declined = 0;  ///< by workers that have none
+  std::uint64_t tasks_moved = 0;           ///< off draining hosts
+  std::uint64_t progress_dropped = 0;      ///< too large, or no room
 };
 
 /// \brief The decisions of an entry host. Inputs are methods with the present
@@ -72,6 +76,11 @@
                       const HostName& host,
                       const Result<ForbidAnswer>& answer,
                       TimePoint now);
+  /// \param answer an Error means that the answer is lost.
+  void OnCheckpointAnswer(const TaskId& task,
+                          const HostName& host,
+                          const Result<CheckpointAnswer>& answer,
+                          TimePoint now);
   /// \returns kProtocol (torn), kConflict (second or stale attempt) or
   /// kNotFound (foreign); the worker drops refused results except torn ones.
   [[nodiscard]] Result<ResultAnswer> OnResult(TaskResult result, TimePoint now);
@@ -188,7 +197,7 @@
   [[nodiscard]] bool Refused(const EntryName& from,
                              const RecordVersion& version);
   void Receive(const EntryName& from, PeerStore message, TimePoint now);
-  void Receive(const EntryName& from, const PeerIntend& message, TimePoint now);
+  void Receive(const EntryName& from, PeerIntend message, TimePoint now);
   void Receive(const EntryName& from, PeerClose message, TimePoint now);
   void Receive(const EntryName& from, const PeerAck& message, TimePoint now);
   void Receive(const EntryName& from, const PeerFenced& message, TimePoint now);
@@ -235,6 +244,10 @@
                      WorkerReportAnswer& answer,
                      TimePoint now);
   void ReviewUnlisted(const WorkerReport& report, TimePoint now);
+  void ReviewMove(RequestRecord& record, TimePoint now);
+  [[nodiscard]] bool AwaitsProgress(RequestRecord& record, TimePoint now) const;
+  void TakeProgress(RequestRecord& record, std::string progress);
+  void Resume(RequestRecord& record, TimePoint now);
   void Adopt(RequestRecord& record,
              const TaskReport& task,
              const WorkerReport& report,
--- a/src/entry/entry_dispatch.cc
+++ b/src/entry/entry_dispatch.cc
@@ -103,6 +103,7 @@
   record.intent =
       Intent{std::max(record.intent.attempt + 1, record.next_attempt), *host,
              worker->report.incarnation, worker->report.address};
+  record.move.reset();
   // Counted before the first byte, so that two starts can't share a unit.
   book_.Count(record.task(),
               CountedTask{record.spec.team, *host, {}, std::nullopt, now});
@@ -163,7 +164,7 @@
   table_.SetPhase(record, Phase::kStarting, now);
   Emit(StartTask{record.intent.worker, record.intent.worker_address,
                  record.intent.worker_incarnation, record.task(), record.spec,
-                 queue.pool, host.assignment, kTaskLease});
+                 queue.pool, host.assignment, kTaskLease, record.progress});
   hooks_.on_started(ToPending(record), record.intent.worker, now);
   Touch(record);
 }
@@ -372,6 +373,8 @@
                     now);
   }
   uncopied_.erase(record.id);
+  if (closing.outcome != Outcome::kUnknownMayHaveRun)
+    table_.SetProgress(record, {});
   table_.SetClosing(record, std::move(closing));
   table_.SetPhase(record, Phase::kEnded, now);
   if (!agreed)
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -20,6 +20,7 @@
   std::string cluster_secret;
   std::string operator_secret;
   Millis stop_timeout{60'000};
+  Millis drain_move_after{30'000};
 };
 
 }  // namespace boragewinch
--- a/src/entry/entry_replication.cc
+++ b/src/entry/entry_replication.cc
@@ -44,7 +44,7 @@
   if (copy.acknowledged > 0 && ended) {
     body = PeerClose{version, record.started, record.closing};
   } else if (copy.acknowledged > 0 && record.intent.attempt > 0) {
-    body = PeerIntend{version, record.intent};
+    body = PeerIntend{version, record.intent, record.progress};
   } else {
     body = PeerStore{version,
                      record.spec,
@@ -55,7 +55,8 @@
                      record.cancel_requested,
                      std::max(record.deadline - now, Millis(0)),
                      record.intent,
-                     record.closing};
+                     record.closing,
+                     record.progress};
   }
   SendTo(copy.entry, std::move(body));
   copy.next_send = now + BackoffDelay(config_.retry_first, config_.retry_limit,
@@ -308,6 +309,7 @@
   replica.phase = message.ended ? Phase::kEnded : Phase::kQueued;
   replica.intent = std::move(message.intent);
   replica.closing = std::move(message.closing);
+  replica.progress = std::move(message.progress);
   replica.started = message.started;
   replica.may_have_run = message.may_have_run;
   replica.cancel_requested = message.cancel_requested;
@@ -324,7 +326,7 @@
 }
 
 void EntryCore::Receive(const EntryName& from,
-                        const PeerIntend& message,
+                        PeerIntend message,
                         TimePoint now) {
   static_cast<void>(now);
   const RecordVersion& version = message.version;
@@ -342,7 +344,8 @@
   }
   if (version.revision > record->revision) {
     record->revision = version.revision;
-    record->intent = message.intent;
+    record->intent = std::move(message.intent);
+    table_.SetProgress(*record, std::move(message.progress));
   }
   SendTo(from, PeerAck{version, true});
 }
@@ -366,6 +369,7 @@
   if (version.revision > record->revision) {
     record->revision = version.revision;
     record->started = message.started;
+    table_.SetProgress(*record, {});
     table_.SetClosing(*record, std::move(message.closing));
     table_.SetPhase(*record, Phase::kEnded, now);
     Touch(*record);
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -74,6 +74,7 @@
   config.zone = options_.zone;
   config.name = options_.name;
   config.incarnation = incarnation_;
+  config.drain_move_after = options_.drain_move_after;
   std::random_device seed;
   core_ = std::make_unique<EntryCore>(
       config, WithMetrics(scheduler_.hooks(), metrics_),
@@ -181,6 +182,8 @@
     tasks_->Stop(*stop);
   } else if (const auto* forbid = std::get_if<ForbidTask>(&action)) {
     tasks_->Forbid(*forbid);
+  } else if (const auto* checkpoint = std::get_if<CheckpointTask>(&action)) {
+    tasks_->Checkpoint(*checkpoint);
   }
 }
 
--- a/src/entry/entry_workers.cc
+++ b/src/entry/entry_workers.cc
@@ -72,10 +72,11 @@
       return;
     case TaskState::kStopped:
       if (present && record.has_task()) {
+        if (AwaitsProgress(record, now))
+          return;
         ReleaseTask(record);
         if (!record.cancel_requested && record.spec.repeatable) {
-          record.may_have_run = true;
-          Enqueue(record, now);
+          Resume(record, now);
         } else {
           End(record,
               Closing{record.cancel_requested ? Outcome::kCancelled
@@ -125,10 +126,109 @@
   } else if (!isolated(now)) {
     answer.renewed.push_back(task.task);
     record.lease_until = now + GranterLease(kTaskLease);
+    ReviewMove(record, now);
   }
   Touch(record);
 }
 
+// Moves a long-running repeatable task off its draining host: the worker ends
+// it with its progress, and it is queued again. A task that is expected to end
+// soon stays. One that has outrun its declared time is not expected to.
+void EntryCore::ReviewMove(RequestRecord& record, TimePoint now) {
+  const auto host = view_.hosts.find(record.intent.worker);
+  if (!record.spec.repeatable || stopping_ || host == view_.hosts.end() ||
+      host->second.state != HostState::kDraining) {
+    return;
+  }
+  const FleetVersion drain = host->second.assignment;
+  if (!record.move || record.move->drain != drain) {
+    const auto ran = now - record.since;
+    const auto left = record.spec.declared_run_time - ran;
+    if (ran < config_.drain_move_after ||
+        (left > Millis(0) && left < config_.drain_move_after)) {
+      return;
+    }
+    record.move = TaskMove{drain};
+  }
+  TaskMove& move = *record.move;
+  if (move.settled || now < move.next_send)
+    return;
+  move.next_send = now + config_.start_timeout;
+  ++counters_.checkpoints_sent;
+  Emit(CheckpointTask{record.intent.worker, record.intent.worker_address,
+                      record.task()});
+}
+
+void EntryCore::OnCheckpointAnswer(const TaskId& task,
+                                   const HostName& host,
+                                   const Result<CheckpointAnswer>& answer,
+                                   TimePoint now) {
+  Enter(now);
+  RequestRecord* record = table_.Own(task.request);
+  if (record == nullptr || !record->move || record->task() != task ||
+      record->intent.worker != host) {
+    return;
+  }
+  TaskMove& move = *record->move;
+  if (!answer) {
+    // A worker that has stopped the task answers the repetition `not_running`.
+    move.next_send =
+        now + BackoffDelay(config_.retry_first, config_.retry_limit,
+                           move.tries++, random_);
+    return;
+  }
+  move.settled = true;
+  if (answer.value() == CheckpointAnswer::kUnsupported) {
+    ++counters_.checkpoints_declined;
+    LogEvent(EventId::kTaskStays,
+             {{"task", task.Text()}, {"host", host.str()}});
+  }
+}
+
+// The end of a task can be reported before its result has brought the
+// progress. The wait is shorter than a task lease, which ends it otherwise.
+bool EntryCore::AwaitsProgress(RequestRecord& record, TimePoint now) const {
+  if (!record.move || record.cancel_requested)
+    return false;
+  if (!record.move->stopped_at)
+    record.move->stopped_at = now;
+  return now - *record.move->stopped_at < config_.progress_patience;
+}
+
+// Without new progress the next attempt goes on from the former one's.
+void EntryCore::TakeProgress(RequestRecord& record, std::string progress) {
+  if (progress.empty())
+    return;
+  const bool fits =
+      progress.size() <= kMaxProgressBytes &&
+      table_.result_bytes() + progress.size() <= config_.max_result_bytes;
+  if (!fits) {
+    ++counters_.progress_dropped;
+    LogEvent(EventId::kBoundReached, {{"bound", "progress"}});
+    return;
+  }
+  table_.SetProgress(record, std::move(progress));
+}
+
+// Queues a repeatable request again whose attempt was stopped. It has started
+// once, so its deadline for the start must not end it now.
+void EntryCore::Resume(RequestRecord& record, TimePoint now) {
+  if (record.move) {
+    ++counters_.tasks_moved;
+    LogEvent(EventId::kTaskMoved,
+             {{"task", record.task().Text()},
+              {"host", record.intent.worker.str()},
+              {"progress_bytes",
+               static_cast<unsigned long>(record.progress.size())}});
+  }
+  record.may_have_run = true;
+  record.deadline = std::max(
+      record.deadline, now + std::max(kTaskLease, record.spec.start_deadline));
+  Enqueue(record, now);
+  if (!record.progress.empty())
+    Bump(record, now);
+}
+
 // Takes over a running task that the record does not expect.
 void EntryCore::Adopt(RequestRecord& record,
                       const TaskReport& task,
@@ -137,6 +237,7 @@
   hooks_.remove(record.id);
   record.intent = Intent{task.task.attempt, report.host, report.incarnation,
                          report.address};
+  record.move.reset();
   record.next_attempt = std::max(record.next_attempt, task.task.attempt + 1);
   record.may_have_run = true;
   record.lease_until = now + GranterLease(kTaskLease);
@@ -272,12 +373,17 @@
                    "a result of an attempt that was proved not to have run");
     return reject(ErrorCode::kConflict, "the attempt was not started");
   }
-  // A stopped attempt of a repeatable request is no result: it runs again.
+  // A stopped attempt of a repeatable request is no result: it runs again, or
+  // waits for that since a report has told of the stop.
   if (result.state == TaskState::kStopped && record.spec.repeatable &&
-      !record.cancel_requested && record.has_task()) {
-    ReleaseTask(record);
-    record.may_have_run = true;
-    Enqueue(record, now);
+      !record.cancel_requested && !unknown) {
+    TakeProgress(record, std::move(result.body));
+    if (record.has_task()) {
+      ReleaseTask(record);
+      Resume(record, now);
+    } else {
+      Bump(record, now);
+    }
     return ResultAnswer::kAcknowledged;
   }
   Closing closing;
@@ -287,7 +393,9 @@
     closing.outcome = Outcome::kCancelled;
   else
     closing.outcome = Outcome::kFailed;
-  closing.body = std::move(result.body);
+  // The body of a stopped attempt of a repeatable request is its progress.
+  if (result.state != TaskState::kStopped || !record.spec.repeatable)
+    closing.body = std::move(result.body);
   closing.body_hash = result.hash;
   ReleaseTask(record);
   End(record, std::move(closing), now);
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -218,6 +218,13 @@
   metrics_.Gauge("refused", {}, static_cast<double>(counters.refused));
   metrics_.Gauge("starts", {}, static_cast<double>(counters.starts));
   metrics_.Gauge("taken_over", {}, static_cast<double>(counters.taken_over));
+  metrics_.Gauge("checkpoints_sent", {},
+                 static_cast<double>(counters.checkpoints_sent));
+  metrics_.Gauge("checkpoints_declined", {},
+                 static_cast<double>(counters.checkpoints_declined));
+  metrics_.Gauge("tasks_moved", {}, static_cast<double>(counters.tasks_moved));
+  metrics_.Gauge("progress_dropped", {},
+                 static_cast<double>(counters.progress_dropped));
   metrics_.Gauge("fresh", {}, core_.fresh(now) ? 1.0 : 0.0);
   for (const auto& [invariant, name] : kInvariants.entries) {
     metrics_.Gauge("invariant_violations", {"", std::string(name)},
--- a/src/entry/peer_message.cc
+++ b/src/entry/peer_message.cc
@@ -12,6 +12,12 @@
 
 namespace {
 
+// Few records have progress, so it is left out when empty.
+void WriteProgress(const std::string& progress, Json* json) {
+  if (!progress.empty())
+    (*json)["progress"] = progress;
+}
+
 [[nodiscard]] Json Encode(const PeerStore& m) {
   Json json(::Json::objectValue);
   json["version"] = Write(m.version);
@@ -24,6 +30,7 @@
   json["deadline_left_ms"] = ::Json::Int64(m.deadline_left.count());
   json["intent"] = Write(m.intent);
   json["closing"] = Write(m.closing);
+  WriteProgress(m.progress, &json);
   return json;
 }
 
@@ -39,6 +46,7 @@
   BW_TRY(m.deadline_left, ReadMillis(json, "deadline_left_ms"));
   BW_TRY(m.intent, ReadIntent(json["intent"]));
   BW_TRY(m.closing, ReadClosing(json["closing"]));
+  BW_TRY(m.progress, StringFieldOr(json, "progress", "", kMaxProgressBytes));
   return PeerBody(std::move(m));
 }
 
@@ -46,6 +54,7 @@
   Json json(::Json::objectValue);
   json["version"] = Write(m.version);
   json["intent"] = Write(m.intent);
+  WriteProgress(m.progress, &json);
   return json;
 }
 
@@ -53,6 +62,7 @@
   PeerIntend m;
   BW_TRY(m.version, ReadVersion(json["version"]));
   BW_TRY(m.intent, ReadIntent(json["intent"]));
+  BW_TRY(m.progress, StringFieldOr(json, "progress", "", kMaxProgressBytes));
   return PeerBody(std::move(m));
 }
 
--- a/src/entry/peer_message.h
+++ b/src/entry/peer_message.h
@@ -54,11 +54,13 @@
   Millis deadline_left{0};
   Intent intent;
   Closing closing;
+  std::string progress;
 };
 
 struct PeerIntend {
   RecordVersion version;
   Intent intent;
+  std::string progress;  ///< from which the attempt goes on
 };
 
 struct PeerClose {
--- a/src/entry/request_record.h
+++ b/src/entry/request_record.h
@@ -64,6 +64,16 @@
   std::uint32_t tries = 0;
 };
 
+/// \brief The move of a running task off a draining host.
+struct TaskMove {
+  FleetVersion drain = 0;  ///< the assignment that began the drain
+  bool settled = false;    ///< the worker has answered: it is not asked again
+  std::uint32_t tries = 0;
+  TimePoint next_send;
+  std::optional<TimePoint> stopped_at;  ///< its end was reported, not yet its
+                                        ///< progress
+};
+
 /// \brief The owner process of a replica.
 struct ReplicaOwner {
   EntryName entry;
@@ -96,6 +106,8 @@
   std::uint32_t next_attempt = 1;
   std::uint64_t generation = 0;  ///< grows with each take-over
   std::uint64_t revision = 1;    ///< grows with each replicated change
+  std::string progress;          ///< the worker's, for the next attempt
+  std::optional<TaskMove> move;  ///< of the present attempt
   std::optional<BackupCopy> copy;
   std::optional<ReplicaOwner> owner;  ///< set while this is a replica
 
--- a/src/entry/request_table.cc
+++ b/src/entry/request_table.cc
@@ -44,6 +44,7 @@
     results_ += step;
     bytes_ += step * record.closing.body.size();
   }
+  bytes_ += step * record.progress.size();
   if (record.owner)
     return;
   if (record.phase != RequestPhase::kEnded)
@@ -73,6 +74,12 @@
   Count(record, 1);
 }
 
+void RequestTable::SetProgress(RequestRecord& record, std::string progress) {
+  Count(record, -1);
+  record.progress = std::move(progress);
+  Count(record, 1);
+}
+
 void RequestTable::SetOwner(RequestRecord& record,
                             std::optional<ReplicaOwner> owner) {
   Count(record, -1);
--- a/src/entry/request_table.h
+++ b/src/entry/request_table.h
@@ -27,6 +27,8 @@
   void SetPhase(RequestRecord& record, RequestPhase phase, TimePoint now);
   /// \brief Sets the body of an ended record.
   void SetClosing(RequestRecord& record, Closing closing);
+  /// \brief Sets what the next attempt goes on from.
+  void SetProgress(RequestRecord& record, std::string progress);
   /// \brief Makes a replica an own record or the reverse.
   void SetOwner(RequestRecord& record, std::optional<ReplicaOwner> owner);
 
@@ -41,6 +43,7 @@
   [[nodiscard]] std::size_t size() const noexcept { return records_.size(); }
   [[nodiscard]] std::size_t open() const noexcept { return open_; }
   [[nodiscard]] std::size_t results() const noexcept { return results_; }
+  /// \returns bytes of results and progress.
   [[nodiscard]] std::size_t result_bytes() const noexcept { return bytes_; }
   [[nodiscard]] std::size_t queued(const QueueName& queue) const;
   [[nodiscard]] const std::map<TeamName, std::int64_t>& queued_by_team()
--- a/src/entry/task_link.cc
+++ b/src/entry/task_link.cc
@@ -24,6 +24,12 @@
     {ForbidState::kEnded, "ended"},
 }}};
 
+inline constexpr EnumTable<CheckpointAnswer, 3> kCheckpointAnswers{{{
+    {CheckpointAnswer::kStopped, "stopped"},
+    {CheckpointAnswer::kNotRunning, "not_running"},
+    {CheckpointAnswer::kUnsupported, "unsupported"},
+}}};
+
 [[nodiscard]] Result<Json> BodyOf(const Result<HttpResponse>& response) {
   if (!response)
     return outcome::failure(response.error());
@@ -57,6 +63,22 @@
   return ForbidAnswer{*state, Incarnation(std::move(incarnation))};
 }
 
+[[nodiscard]] Result<CheckpointAnswer> ReadCheckpointAnswer(
+    const Result<HttpResponse>& response) {
+  // A worker without the call does not know its path or its method.
+  if (response &&
+      (response.value().status == 404 || response.value().status == 405 ||
+       response.value().status == 501)) {
+    return CheckpointAnswer::kUnsupported;
+  }
+  BW_TRY(const Json json, BodyOf(response));
+  BW_TRY(const auto name, StringField(json, "answer"));
+  const auto answer = kCheckpointAnswers.Parse(name);
+  if (!answer)
+    return Fail(ErrorCode::kProtocol, "unknown answer \"" + name + "\"");
+  return *answer;
+}
+
 [[nodiscard]] Json TaskTexts(const std::vector<TaskId>& tasks) {
   Json array(::Json::arrayValue);
   for (const TaskId& task : tasks)
@@ -100,6 +122,8 @@
   body["lease_ms"] = ::Json::Int64(action.lease.count());
   body["worker_incarnation"] = action.worker_incarnation.str();
   body["payload"] = action.spec.payload;
+  if (!action.progress.empty())
+    body["progress"] = action.progress;
   client_.Send(CallOf(action.address, "/tasks", body, kStartTimeout),
                [this, task = action.task, host = action.host,
                 incarnation = action.worker_incarnation](
@@ -134,6 +158,18 @@
                });
 }
 
+void TaskLink::Checkpoint(const CheckpointTask& action) {
+  Json body;
+  body["task"] = action.task.Text();
+  client_.Send(CallOf(action.address, "/tasks/checkpoint", body, kStopTimeout),
+               [this, task = action.task,
+                host = action.host](const Result<HttpResponse>& response) {
+                 core_.OnCheckpointAnswer(
+                     task, host, ReadCheckpointAnswer(response), loop_.now());
+                 flush_();
+               });
+}
+
 bool TaskLink::Handles(const HttpRequest& request) {
   return request.path == kHeartbeatPath || request.path == kLeavePath ||
          request.path == kResultPath;
--- a/src/entry/task_link.h
+++ b/src/entry/task_link.h
@@ -11,8 +11,8 @@
 
 namespace boragewinch {
 
-/// \brief Carries starts, stops and prohibitions to workers, and workers'
-/// reports and results to the core.
+/// \brief Carries starts, stops, prohibitions and checkpoints to workers, and
+/// workers' reports and results to the core.
 class TaskLink {
  public:
   TaskLink(EventLoop& loop,
@@ -23,6 +23,7 @@
   void Start(const StartTask& action);
   void Stop(const StopTask& action);
   void Forbid(const ForbidTask& action);
+  void Checkpoint(const CheckpointTask& action);
 
   /// \returns whether `request` belongs to the workers' interface.
   [[nodiscard]] static bool Handles(const HttpRequest& request);
--- a/src/fakes/fake_worker.cc
+++ b/src/fakes/fake_worker.cc
@@ -39,6 +39,15 @@
   return work;
 }
 
+// Progress is {"done_ms": run time of the attempts before}.
+[[nodiscard]] Millis DoneBefore(const std::string& progress) {
+  const Result<Json> json = ParseJson(progress);
+  if (progress.empty() || !json)
+    return Millis(0);
+  return Millis(ValueOr<std::int64_t>(
+      IntFieldOr(json.value(), "done_ms", 0, 0, kMaxRunTime.count()), 0));
+}
+
 [[nodiscard]] HttpResponse Answer(const char* name, std::string_view value) {
   Json json;
   json[name] = std::string(value);
@@ -163,8 +172,18 @@
     respond({200, WriteJson(answer)});
     return;
   }
-  if (request.path.ends_with("/stop") ||
-      request.path.ends_with("/checkpoint")) {
+  if (request.path == "/tasks/checkpoint" && config_.checkpoint) {
+    if (running) {
+      const Task& stopped = found->second;
+      Json progress;
+      progress["done_ms"] = ::Json::Int64(
+          (stopped.done_before + (now - stopped.started)).count());
+      EndTask(task.value(), TaskState::kStopped, WriteJson(progress));
+    }
+    respond(Answer("answer", running ? "stopped" : "not_running"));
+    return;
+  }
+  if (request.path == "/tasks/stop") {
     if (running)
       EndTask(task.value(), TaskState::kStopped);
     respond(Answer("answer", running ? "stopped" : "not_running"));
@@ -179,6 +198,8 @@
   BW_TRY(auto team, StringFieldOr(body, "team", "", kMaxNameBytes));
   BW_TRY(const auto payload,
          StringFieldOr(body, "payload", "", kMaxPayloadBytes));
+  BW_TRY(const auto progress,
+         StringFieldOr(body, "progress", "", kMaxProgressBytes));
   BW_TRY(const auto lease, IntField(body, "lease_ms", 1, kMaxRunTime.count()));
   BW_TRY(const auto assignment,
          IntFieldOr(body, "assignment", 0, 0, INT64_MAX));
@@ -207,14 +228,20 @@
   task.lease_until = now + HolderLease(Millis(lease));
   task.body = work.body;
   const bool fail = work.fail || config_.fail_all;
-  const Millis run = config_.fail_all ? Millis(1) : work.run;
+  task.started = now;
+  task.done_before = DoneBefore(progress);
+  const Millis run = config_.fail_all
+                         ? Millis(1)
+                         : std::max(work.run - task.done_before, Millis(0));
   task.timer = loop_.After(run, [this, id, fail](TimePoint) {
     EndTask(id, fail ? TaskState::kFailed : TaskState::kFinished);
   });
   return StartAnswer::kStarted;
 }
 
-void FakeWorker::EndTask(const TaskId& id, TaskState state) {
+void FakeWorker::EndTask(const TaskId& id,
+                         TaskState state,
+                         std::string progress) {
   const auto found = tasks_.find(id);
   if (found == tasks_.end() || found->second.ended)
     return;
@@ -225,7 +252,7 @@
     config_.on_change(id, task.report.team, false);
   task.timer.reset();
   if (state == TaskState::kStopped)
-    task.body.clear();
+    task.body = std::move(progress);
   PostResult(id);
   // A freed slot is worth a report, since entry hosts that did not start the
   // task see it only there.
--- a/src/fakes/fake_worker.h
+++ b/src/fakes/fake_worker.h
@@ -25,7 +25,8 @@
   Resources total{16'000, 32'768, 0};
   std::int64_t slots = kMaxSlotsPerWorker;
   Millis heartbeat = kHeartbeatInterval;
-  bool fail_all = false;  ///< every task fails at once
+  bool checkpoint = true;  ///< knows the call /tasks/checkpoint
+  bool fail_all = false;   ///< every task fails at once
   /// Called with the task id at the start of each execution.
   std::function<void(const TaskId&)> on_execute;
   /// Called at the start (true) and the end (false) of each execution.
@@ -51,6 +52,8 @@
   struct Task {
     TaskReport report;
     TimePoint lease_until;
+    TimePoint started;
+    Millis done_before{0};  ///< run time of the attempts before
     WatchHandle timer;
     std::string body;  ///< of the result
     bool ended = false;
@@ -60,7 +63,7 @@
 
   void Serve(const HttpRequest& request, const HttpResponder& respond);
   [[nodiscard]] Result<StartAnswer> StartTask(const Json& body, TimePoint now);
-  void EndTask(const TaskId& id, TaskState state);
+  void EndTask(const TaskId& id, TaskState state, std::string progress = {});
   void PostResult(const TaskId& id);
   void SendHeartbeats();
   void OnHeartbeatAnswer(const Json& answer, TimePoint sent);
--- a/src/fakes/fake_worker_main.cc
+++ b/src/fakes/fake_worker_main.cc
@@ -58,6 +58,7 @@
     config.total.memory_mb = settings_.integer("memory-mb");
     config.heartbeat = Millis(settings_.integer("heartbeat-ms"));
     config.fail_all = settings_.flag("fail-all");
+    config.checkpoint = !settings_.flag("no-checkpoint");
     if (run_log_ >= 0) {
       config.on_execute = [this, host](const TaskId& task) {
         const std::string line = task.Text() + " " + host + "\n";
@@ -101,6 +102,7 @@
       .Integer("cores", "processors of each host", 16, 1, 1'000)
       .Integer("memory-mb", "memory of each host", 32'768, 1, 64L * 1024 * 1024)
       .Integer("heartbeat-ms", "heartbeat interval", 1'000, 10, 60'000)
+      .Flag("no-checkpoint", "does not know the call /tasks/checkpoint")
       .Flag("fail-all", "every task fails at once")
       .Text("run-log", "file that gets a line for each execution")
       .Text("task-log",
--- a/src/model/worker_types.h
+++ b/src/model/worker_types.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEWINCH_MODEL_WORKER_TYPES_H_
 #define BORAGEWINCH_MODEL_WORKER_TYPES_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -74,6 +75,9 @@
 [[nodiscard]] Json ToJson(const WorkerReport& report);
 [[nodiscard]] Result<WorkerReport> WorkerReportFromJson(const Json& json);
 
+/// Bound on what a task carries over to its next attempt.
+inline constexpr std::size_t kMaxProgressBytes = 64 * 1024;
+
 /// \brief Answer of a worker to a start.
 enum class StartAnswer { kStarted, kBusy, kLeaving, kDuplicate, kBadTask };
 
--- a/tests/entry_random_test.cc
+++ b/tests/entry_random_test.cc
@@ -32,12 +32,15 @@
   std::uint64_t taken_over = 0;
   std::uint64_t reclaimed = 0;
   std::uint64_t stops = 0;
+  std::uint64_t moved = 0;
 };
 
 class RandomRun {
  public:
   RandomRun(std::uint64_t seed, Totals* totals)
-      : world_(3, 4, seed), totals_(*totals), crashes_(seed % 3 != 0) {
+      : world_(3, 4, seed, Config()),
+        totals_(*totals),
+        crashes_(seed % 3 != 0) {
     world_.check_client_ids = !crashes_;
   }
 
@@ -57,6 +60,12 @@
   }
 
  private:
+  // Tasks of this world run for 0.5 s to 4.5 s.
+  [[nodiscard]] static EntryConfig Config() {
+    EntryConfig config;
+    config.drain_move_after = Millis(200);
+    return config;
+  }
   [[nodiscard]] int Pick(std::size_t count) {
     return static_cast<int>(world_.random() % count);
   }
@@ -90,6 +99,12 @@
       world_.CrashWorker(Pick(4));
     if (OneIn(400))
       world_.workers[static_cast<std::size_t>(Pick(4))].leaving = true;
+    if (OneIn(60))
+      world_.Drain(Pick(4), OneIn(3));
+    if (OneIn(500)) {
+      FakeWorker& worker = world_.workers[static_cast<std::size_t>(Pick(4))];
+      worker.checkpoint = !worker.checkpoint;
+    }
     if (OneIn(200)) {
       const int alone = Pick(3);
       for (int other = -1; other < 3; ++other)
@@ -154,6 +169,8 @@
   void Calm() {
     world_.link = Link{};
     world_.cut.clear();
+    for (int worker = 0; worker < 4; ++worker)
+      world_.Drain(worker, false);
     for (TimePoint& until : world_.frozen_until)
       until = std::min(until, world_.now);
   }
@@ -189,8 +206,10 @@
     for (const auto& [request, count] : world_.executions)
       totals_.executions += static_cast<std::uint64_t>(count);
     totals_.reclaimed += static_cast<std::uint64_t>(world_.reclaimed);
-    for (const auto& core : world_.cores)
+    for (const auto& core : world_.cores) {
       totals_.taken_over += core->counters().taken_over;
+      totals_.moved += core->counters().tasks_moved;
+    }
   }
 
   World world_;
@@ -237,7 +256,7 @@
             << " unknown, " << totals.not_run << " not run, " << totals.crashes
             << " entry crashes, " << totals.taken_over << " taken over, "
             << totals.reclaimed << " reclaimed, " << totals.stops
-            << " planned stops\n";
+            << " planned stops, " << totals.moved << " tasks moved\n";
 }
 
 }  // namespace
--- a/tests/entry_world.h
+++ b/tests/entry_world.h
@@ -25,12 +25,14 @@
     TimePoint end_at;
     TimePoint lease_until;
     std::string body;
+    std::string progress;  ///< handed over at the start
   };
   HostName host;
   Incarnation incarnation;
   std::uint64_t sequence = 0;
   bool leaving = false;
   bool drain = false;
+  bool checkpoint = true;  ///< knows the call
   PoolName pool{"pool"};
   FleetVersion assignment = 1;
   std::map<TaskId, Task> tasks;
@@ -79,6 +81,8 @@
   /// \brief Holds everything for the entry host back until `until`.
   void Freeze(int entry, Millis time) { frozen_until[entry] = now + time; }
   void CrashWorker(int worker);
+  /// \brief Begins or ends the drain of a worker's host in the fleet state.
+  void Drain(int worker, bool drain);
   [[nodiscard]] JobSpec Job(bool repeatable) const;
   [[nodiscard]] CallId Submit(int entry,
                               JobSpec spec,
@@ -134,6 +138,7 @@
   void StepWorker(FakeWorker& worker);
   void SendReport(FakeWorker& worker, int entry);
   void PostResult(const FakeWorker& worker, const TaskId& task);
+  void Checkpoint(int entry, const CheckpointTask& action);
   void Sync(int entry);
   /// \brief Reclaims from entry hosts that nobody has heard (4.3, rule 2).
   void ReclaimSilent();
--- a/tests/entry_world_impl.h
+++ b/tests/entry_world_impl.h
@@ -166,6 +166,14 @@
   crashed.done.clear();
 }
 
+inline void World::Drain(int worker, bool drain) {
+  Host& host = view.hosts[workers[static_cast<std::size_t>(worker)].host];
+  if ((host.state == HostState::kDraining) == drain)
+    return;
+  host.state = drain ? HostState::kDraining : HostState::kActive;
+  host.version = host.assignment = ++view.version;
+}
+
 inline void World::Post(Millis delay, int entry, std::function<void()> run) {
   Event event{entry, {}, std::move(run)};
   if (entry >= 0)
@@ -289,6 +297,11 @@
       now + run_time + Millis(static_cast<std::int64_t>(random() % 4'000));
   task.lease_until = now + HolderLease(start.lease);
   task.body = "done:" + start.task.request.str();
+  task.progress = start.progress;
+  if (!start.progress.empty() &&
+      !start.progress.starts_with("progress:" + start.task.request.str())) {
+    faults.push_back("foreign or torn progress: " + start.task.Text());
+  }
   worker.tasks[start.task] = task;
   const int count = ++executions[start.task.request];
   if (!start.spec.repeatable && count > 1)
@@ -376,6 +389,8 @@
           found->second.state = TaskState::kStopped;
         }
       });
+    } else if (auto* checkpoint = std::get_if<CheckpointTask>(&action)) {
+      Checkpoint(entry, *checkpoint);
     } else if (auto* forbid = std::get_if<ForbidTask>(&action)) {
       Send(-1, [this, entry, task = forbid->task, host = forbid->host] {
         FakeWorker& worker = *Worker(host);
@@ -399,6 +414,34 @@
   }
 }
 
+inline void World::Checkpoint(int entry, const CheckpointTask& action) {
+  auto answer = std::make_shared<std::optional<CheckpointAnswer>>();
+  Send(-1, [this, action, answer] {
+    FakeWorker& worker = *Worker(action.host);
+    const auto task = worker.tasks.find(action.task);
+    CheckpointAnswer given = CheckpointAnswer::kNotRunning;
+    if (!worker.checkpoint) {
+      given = CheckpointAnswer::kUnsupported;
+    } else if (task != worker.tasks.end() &&
+               task->second.state == TaskState::kRunning) {
+      given = CheckpointAnswer::kStopped;
+      task->second.state = TaskState::kStopped;
+      task->second.body = "progress:" + action.task.Text();
+      PostResult(worker, action.task);
+    }
+    if (!*answer && !Chance(link.drop_percent))
+      *answer = given;
+  });
+  Post(Millis(2'000), entry, [this, entry, action, answer] {
+    const Result<CheckpointAnswer> result =
+        *answer
+            ? Result<CheckpointAnswer>(**answer)
+            : Result<CheckpointAnswer>(Fail(ErrorCode::kTimeout, "no answer"));
+    cores[static_cast<std::size_t>(entry)]->OnCheckpointAnswer(
+        action.task, action.host, result, now);
+  });
+}
+
 inline void World::SendReport(FakeWorker& worker, int entry) {
   const TimePoint sent_at = now;
   Send(entry, [this, entry, sent_at, report = worker.Report()] {
@@ -571,7 +614,9 @@
     }
     for (FakeWorker& worker : workers) {
       for (const auto& [id, task] : worker.tasks) {
-        if (task.state == TaskState::kFinished)
+        const bool has_progress = task.state == TaskState::kStopped &&
+                                  task.body.starts_with("progress:");
+        if (task.state == TaskState::kFinished || has_progress)
           PostResult(worker, id);
       }
     }
--- a/tests/process_fleet.cc
+++ b/tests/process_fleet.cc
@@ -141,7 +141,9 @@
     const std::string name = "e" + number + std::to_string(i);
     const std::string peer = FreeAddress();
     Define(name, {"boraged-entry", "--zone=z" + number, "--control=" + control,
-                  "--peer-listen=" + peer});
+                  "--peer-listen=" + peer,
+                  "--drain-move-after-ms=" +
+                      std::to_string(shape_.drain_move_after_ms)});
     Child& child = children_.at(name);
     child.peer_address = peer;
     if (shape_.peer_relays) {
@@ -174,6 +176,8 @@
                   "--hosts=" + Joined(hosts),
                   "--platform=" + children_.at("platform").address,
                   "--task-log=" + folder_ + "/tasks.log"});
+    if (!shape_.worker_checkpoints)
+      children_.at(name).arguments.push_back("--no-checkpoint");
   }
 }
 
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -49,6 +49,8 @@
   int min_available = 0;
   int limit = 500;  ///< upper limit of team t1; t2 has 500
   int reboot_ms = 300;
+  int drain_move_after_ms = 30'000;
+  bool worker_checkpoints = true;
   bool worker_process_per_rack = false;
   /// From each zone to each control host, and between control hosts.
   bool control_relays = false;
