--- a/src/base/event.h
+++ b/src/base/event.h
@@ -57,6 +57,8 @@
   kWaveProgress = 6005,
   kBufferMove = 6006,
   kPlatformFailed = 6007,
+  kTaskMoved = 6008,
+  kTaskStays = 6009,
   kInvariantViolated = 9001,
 };
 
--- a/src/control/leader_duties.cc
+++ b/src/control/leader_duties.cc
@@ -67,7 +67,7 @@
       platform_(platform),
       state_(state),
       reports_(reports),
-      waves_(waves),
+      waves_(std::move(waves)),
       buffers_(buffers),
       submit_(std::move(submit)) {}
 
--- a/src/entry/boraged_entry_main.cc
+++ b/src/entry/boraged_entry_main.cc
@@ -58,6 +58,9 @@
       .Integer("max-record-bytes", "bytes of jobs and results held",
                std::int64_t{kDefaultRecordBytes}, kLowestRecordBytes,
                std::int64_t{1} << 40)
+      .Integer("drain-move-after-ms",
+               "run time after which a repeatable task leaves a draining host",
+               30'000, 1'000, kMaxRunTime.count())
       .Flag("verbose", "writes debug events");
   std::vector<Error> errors;
   const Settings settings = builder.Parse(argc, argv, &errors);
@@ -88,6 +91,7 @@
   options.stop_timeout = Millis(settings.integer("stop-timeout-ms"));
   options.max_record_bytes =
       static_cast<std::size_t>(settings.integer("max-record-bytes"));
+  options.drain_move_after = Millis(settings.integer("drain-move-after-ms"));
 
   Kernel kernel;
   kernel.Add(kOutboundService,
--- a/src/entry/entry_options.h
+++ b/src/entry/entry_options.h
@@ -23,6 +23,7 @@
   Millis stop_timeout{60'000};
   Millis share_blend{60'000};  ///< time in which a sheet's shares take over
   std::size_t max_record_bytes = kDefaultRecordBytes;
+  Millis drain_move_after{30'000};
 };
 
 }  // namespace boragewinch
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -70,6 +70,7 @@
   config.name = options_.name;
   config.incarnation = incarnation_;
   config.max_record_bytes = options_.max_record_bytes;
+  config.drain_move_after = options_.drain_move_after;
   std::random_device seed;
   core_ = std::make_unique<EntryCore>(
       config, WithMetrics(scheduler_.hooks(), metrics_),
--- a/src/entry/request_table.cc
+++ b/src/entry/request_table.cc
@@ -40,7 +40,8 @@
 
 void RequestTable::Count(const RequestRecord& record, int sign) {
   const auto step = static_cast<std::size_t>(sign);
-  bytes_ += step * (SizeOf(record.spec) + record.closing.body.size());
+  bytes_ += step * (SizeOf(record.spec) + record.closing.body.size() +
+                    record.progress.size());
   if (!record.closing.body.empty())
     results_ += step;
   if (record.owner)
@@ -72,6 +73,12 @@
   Count(record, 1);
 }
 
+void RequestTable::SetProgress(RequestRecord& record, std::string progress) {
+  Count(record, -1);
+  record.progress = std::move(progress);
+  Count(record, 1);
+}
+
 void RequestTable::SetOwner(RequestRecord& record,
                             std::optional<ReplicaOwner> owner) {
   Count(record, -1);
--- a/src/entry/request_table.h
+++ b/src/entry/request_table.h
@@ -27,6 +27,8 @@
   void SetPhase(RequestRecord& record, RequestPhase phase, TimePoint now);
   /// \brief Sets the body of an ended record.
   void SetClosing(RequestRecord& record, Closing closing);
+  /// \brief Sets what the next attempt goes on from.
+  void SetProgress(RequestRecord& record, std::string progress);
   /// \brief Makes a replica an own record or the reverse.
   void SetOwner(RequestRecord& record, std::optional<ReplicaOwner> owner);
 
@@ -41,7 +43,8 @@
   [[nodiscard]] std::size_t size() const noexcept { return records_.size(); }
   [[nodiscard]] std::size_t open() const noexcept { return open_; }
   [[nodiscard]] std::size_t results() const noexcept { return results_; }
-  /// \returns the bytes of all jobs and results held, as SizeOf counts a job.
+  /// \returns the bytes of all jobs, progress and results held, as SizeOf
+  /// counts a job.
   [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
   /// \returns the bytes of the parts of a job that a caller chooses the length
   /// of. The rest of a record is bounded by the number of records.
--- a/src/entry/task_link.cc
+++ b/src/entry/task_link.cc
@@ -26,6 +26,12 @@
     {ForbidState::kEnded, "ended"},
 }}};
 
+inline constexpr EnumTable<CheckpointAnswer, 3> kCheckpointAnswers{{{
+    {CheckpointAnswer::kStopped, "stopped"},
+    {CheckpointAnswer::kNotRunning, "not_running"},
+    {CheckpointAnswer::kUnsupported, "unsupported"},
+}}};
+
 [[nodiscard]] Result<Json> BodyOf(const Result<HttpResponse>& response) {
   if (!response)
     return outcome::failure(response.error());
@@ -59,6 +65,22 @@
   return ForbidAnswer{*state, Incarnation(std::move(incarnation))};
 }
 
+[[nodiscard]] Result<CheckpointAnswer> ReadCheckpointAnswer(
+    const Result<HttpResponse>& response) {
+  // A worker without the call does not know its path or its method.
+  if (response &&
+      (response.value().status == 404 || response.value().status == 405 ||
+       response.value().status == 501)) {
+    return CheckpointAnswer::kUnsupported;
+  }
+  BW_TRY(const Json json, BodyOf(response));
+  BW_TRY(const auto name, StringField(json, "answer"));
+  const auto answer = kCheckpointAnswers.Parse(name);
+  if (!answer)
+    return Fail(ErrorCode::kProtocol, "unknown answer \"" + name + "\"");
+  return *answer;
+}
+
 [[nodiscard]] Json TaskTexts(const std::vector<TaskId>& tasks) {
   Json array(::Json::arrayValue);
   for (const TaskId& task : tasks)
@@ -98,6 +120,8 @@
   entry_->On<StartTask>([this](const StartTask& task) { SendStart(task); });
   entry_->On<StopTask>([this](const StopTask& task) { SendStop(task); });
   entry_->On<ForbidTask>([this](const ForbidTask& task) { SendForbid(task); });
+  entry_->On<CheckpointTask>(
+      [this](const CheckpointTask& task) { SendCheckpoint(task); });
   entry_->On<AnswerLeave>(
       [this](const AnswerLeave& answer) { OnLeaveAnswer(answer); });
   return Ok();
@@ -112,6 +136,8 @@
   body["lease_ms"] = ::Json::Int64(action.lease.count());
   body["worker_incarnation"] = action.worker_incarnation.str();
   body["payload"] = action.spec.payload;
+  if (!action.progress.empty())
+    body["progress"] = action.progress;
   client_->Send(CallOf(action.address, "/tasks", body, kStartTimeout),
                 [this, task = action.task, host = action.host,
                  incarnation = action.worker_incarnation](
@@ -147,6 +173,18 @@
                 });
 }
 
+void TaskLink::SendCheckpoint(const CheckpointTask& action) {
+  Json body;
+  body["task"] = action.task.Text();
+  client_->Send(CallOf(action.address, "/tasks/checkpoint", body, kStopTimeout),
+                [this, task = action.task,
+                 host = action.host](const Result<HttpResponse>& response) {
+                  core_->OnCheckpointAnswer(
+                      task, host, ReadCheckpointAnswer(response), loop_->now());
+                  entry_->Flush();
+                });
+}
+
 bool TaskLink::Handles(const HttpRequest& request) {
   return request.path == kHeartbeatPath || request.path == kLeavePath ||
          request.path == kResultPath;
--- a/src/entry/task_link.h
+++ b/src/entry/task_link.h
@@ -12,8 +12,8 @@
 
 namespace boragewinch {
 
-/// \brief Carries starts, stops and prohibitions to workers, and workers'
-/// reports and results to the core.
+/// \brief Carries starts, stops, prohibitions and checkpoints to workers, and
+/// workers' reports and results to the core.
 class TaskLink final : public Service {
  public:
   [[nodiscard]] Status Start(Kernel& kernel) override;
@@ -26,6 +26,7 @@
   void SendStart(const StartTask& action);
   void SendStop(const StopTask& action);
   void SendForbid(const ForbidTask& action);
+  void SendCheckpoint(const CheckpointTask& action);
   void OnLeaveAnswer(const AnswerLeave& answer);
   [[nodiscard]] Result<Json> OnHeartbeat(const Json& body);
   /// \brief Answers when the core does, or at once if `body` is malformed.
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -52,6 +52,8 @@
   int reboot_ms = 300;
   int snapshot_entries = 8192;   ///< log entries between snapshots
   int stop_timeout_ms = 60'000;  ///< longest planned stop of an entry host
+  int drain_move_after_ms = 30'000;
+  bool worker_checkpoints = true;
   bool worker_process_per_rack = false;
   std::vector<std::string> control_arguments;  ///< of every control host
   /// From each zone to each control host ("z1-c1"), and from each control host
