--- /dev/null
+++ b/src/raft/node_leader.cc
@@ -0,0 +1,339 @@
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+#include "raft/node.h"
+
+namespace boragewinch::raft {
+
+void Node::BecomeLeader(TimePoint now) {
+  role_ = Role::kLeader;
+  leader_ = self_;
+  leader_since_ = now;
+  votes_.clear();
+  progress_.clear();
+  AppendAsLeader(EntryKind::kNoop, "", now);
+}
+
+// Called after each append: the entry before the new one is the likely match.
+void Node::SyncProgress() {
+  const Configuration& members = configuration();
+  std::erase_if(progress_, [&members](const auto& item) {
+    return !members.IsMember(item.first);
+  });
+  for (const auto* ids : {&members.voters, &members.learners}) {
+    for (const ReplicaId& id : *ids) {
+      if (id != self_ && progress_.count(id) == 0)
+        progress_[id].next = log_.last_index();
+    }
+  }
+}
+
+void Node::AppendAsLeader(EntryKind kind, std::string data, TimePoint now) {
+  log_.Append(Entry{term_, kind, std::move(data)});
+  SyncProgress();
+  Broadcast(false, now);
+}
+
+std::optional<TimePoint> Node::MajorityContact(TimePoint now) const {
+  std::vector<TimePoint> contacts;
+  for (const ReplicaId& id : configuration().voters) {
+    if (id == self_) {
+      contacts.push_back(now);
+    } else if (const auto found = progress_.find(id);
+               found != progress_.end() && found->second.contact) {
+      contacts.push_back(*found->second.contact);
+    }
+  }
+  const std::size_t majority = configuration().majority();
+  if (contacts.size() < majority)
+    return std::nullopt;
+  std::sort(contacts.rbegin(), contacts.rend());
+  return contacts[majority - 1];
+}
+
+void Node::CheckLeadership(TimePoint now) {
+  if (role_ != Role::kLeader)
+    return;
+  const TimePoint contact =
+      std::max(leader_since_, MajorityContact(now).value_or(leader_since_));
+  if (now - contact > options_.election_timeout)
+    BecomeFollower(term_, ReplicaId(), now);
+}
+
+std::optional<TimePoint> Node::ConfirmedAt(TimePoint now) const {
+  if (role_ != Role::kLeader || log_.TermAt(commit_) != term_)
+    return std::nullopt;
+  return MajorityContact(now);
+}
+
+Status Node::RequireLeader(TimePoint now) {
+  CheckLeadership(now);
+  if (role_ != Role::kLeader) {
+    return Fail(ErrorCode::kNotLeader, leader_.empty()
+                                           ? "no leader is known"
+                                           : "the leader is " + leader_.str());
+  }
+  if (!transfer_to_.empty()) {
+    return Fail(ErrorCode::kUnavailable,
+                "leadership is moving to " + transfer_to_.str());
+  }
+  return Ok();
+}
+
+Result<std::uint64_t> Node::Propose(std::string command, TimePoint now) {
+  BW_CHECK(RequireLeader(now));
+  if (command.size() > kMaxCommandBytes) {
+    return Fail(ErrorCode::kTooLarge,
+                "a command of " + std::to_string(command.size()) +
+                    " bytes, at most " + std::to_string(kMaxCommandBytes) +
+                    " are allowed");
+  }
+  if (log_.last_index() - commit_ >= options_.max_uncommitted_entries) {
+    return Fail(ErrorCode::kTableFull,
+                std::to_string(log_.last_index() - commit_) +
+                    " entries wait for their commit");
+  }
+  AppendAsLeader(EntryKind::kCommand, std::move(command), now);
+  return log_.last_index();
+}
+
+Result<std::uint64_t> Node::Change(MemberChange change,
+                                   const ReplicaId& id,
+                                   TimePoint now) {
+  BW_CHECK(RequireLeader(now));
+  // The second condition closes the known gap of one-at-a-time changes: two
+  // leaders could otherwise start from different configurations.
+  if (change_pending() || log_.TermAt(commit_) != term_) {
+    return Fail(ErrorCode::kUnavailable,
+                "an earlier membership change or election is not committed");
+  }
+  if (change == MemberChange::kPromote && !IsCaughtUp(id, now)) {
+    return Fail(ErrorCode::kUnavailable,
+                "learner " + id.str() + " has not caught up");
+  }
+  BW_TRY(const Configuration members, ApplyChange(configuration(), change, id));
+  AppendAsLeader(EntryKind::kConfiguration, WriteJson(ToJson(members)), now);
+  return log_.last_index();
+}
+
+Status Node::TransferLeadership(const ReplicaId& to, TimePoint now) {
+  BW_CHECK(RequireLeader(now));
+  if (to == self_ || !configuration().IsVoter(to)) {
+    return Fail(ErrorCode::kConflict,
+                "leadership can't be moved to " + to.str());
+  }
+  transfer_to_ = to;
+  transfer_until_ = now + options_.election_timeout;
+  MaybeTransfer(to);
+  return Ok();
+}
+
+void Node::MaybeTransfer(const ReplicaId& to) {
+  if (to == transfer_to_ && progress_[to].match == log_.last_index())
+    Send(MessageKind::kTimeoutNow, to);
+}
+
+Status Node::RequestConfirmation(TimePoint now) {
+  CheckLeadership(now);
+  if (role_ != Role::kLeader)
+    return RequireLeader(now);
+  Broadcast(true, now);
+  return Ok();
+}
+
+bool Node::IsInContact(const ReplicaId& id, TimePoint now) const {
+  if (role_ != Role::kLeader || id == self_)
+    return role_ == Role::kLeader;
+  const auto found = progress_.find(id);
+  return found != progress_.end() && found->second.contact &&
+         now - *found->second.contact <= options_.election_timeout;
+}
+
+bool Node::IsCaughtUp(const ReplicaId& id, TimePoint now) const {
+  return IsInContact(id, now) &&
+         (id == self_ || progress_.at(id).match >= commit_);
+}
+
+void Node::Broadcast(bool heartbeat, TimePoint now) {
+  if (heartbeat)
+    heartbeat_at_ = now + options_.heartbeat_interval;
+  for (auto& [id, progress] : progress_) {
+    if (heartbeat)
+      progress.probe_sent = false;
+    SendAppend(id, &progress, heartbeat, now);
+  }
+}
+
+void Node::SendAppend(const ReplicaId& to,
+                      Progress* progress,
+                      bool heartbeat,
+                      TimePoint now) {
+  if (progress->snapshot != nullptr || progress->next <= log_.base_index()) {
+    // A chunk goes out only in answer to a reply, so a follower that is down
+    // costs little.
+    if (heartbeat || progress->snapshot == nullptr)
+      SendSnapshot(to, progress, false, now);
+    return;
+  }
+  bool first = true;
+  while (first || progress->next <= log_.last_index()) {
+    // A message without entries finds out what the follower has: it refuses
+    // one if it lacks the entry before `next`.
+    const bool limited =
+        progress->probing ||
+        progress->next > progress->match + options_.max_inflight_entries;
+    const bool probe = progress->probing && !progress->probe_sent;
+    if (!heartbeat && !probe &&
+        (limited || progress->next > log_.last_index())) {
+      return;
+    }
+    Message& message = Send(MessageKind::kAppend, to);
+    message.index = progress->next - 1;
+    message.log_term = *log_.TermAt(message.index);
+    message.commit = commit_;
+    message.chain = log_.ChainAt(commit_).value_or(0);
+    message.sent_ms = ToMillis(now);
+    std::size_t bytes = 0;
+    std::uint64_t index = progress->next;
+    while (!limited && index <= log_.last_index() &&
+           message.entries.size() < options_.max_batch_entries) {
+      const Entry& entry = log_.At(index);
+      if (bytes > 0 && bytes + entry.data.size() > options_.max_batch_bytes)
+        break;
+      bytes += entry.data.size() + 1;
+      message.entries.push_back(entry);
+      ++index;
+    }
+    if (progress->probing) {
+      progress->probe_sent = true;
+      return;
+    }
+    progress->next = index;
+    heartbeat = false;
+    first = false;
+  }
+}
+
+void Node::SendSnapshot(const ReplicaId& to,
+                        Progress* progress,
+                        bool with_data,
+                        TimePoint now) {
+  if (progress->snapshot == nullptr) {
+    progress->snapshot = snapshot_;
+    progress->encoded = EncodeSnapshot(*snapshot_);
+    progress->encoded_hash = Hash64(progress->encoded);
+    progress->offset = 0;
+    progress->probe_sent = false;
+  }
+  Message& message = Send(MessageKind::kSnapshot, to);
+  message.index = progress->snapshot->index;
+  message.log_term = progress->snapshot->term;
+  message.offset = progress->offset;
+  message.total = progress->encoded.size();
+  message.hash = progress->encoded_hash;
+  message.sent_ms = ToMillis(now);
+  if (with_data) {
+    message.data = progress->encoded.substr(progress->offset,
+                                            options_.snapshot_chunk_bytes);
+    progress->probe_sent = true;
+  }
+}
+
+void Node::HandleAppendReply(const Message& message, TimePoint now) {
+  const auto found = progress_.find(message.from);
+  if (role_ != Role::kLeader || found == progress_.end())
+    return;
+  Progress& progress = found->second;
+  // The contact counts from the time at which the leader sent its message.
+  if (const TimePoint sent = FromMillis(message.sent_ms);
+      sent <= now && sent >= leader_since_) {
+    progress.contact = std::max(progress.contact.value_or(sent), sent);
+  }
+  if (message.boots > progress.match_boots &&
+      message.last_index < progress.match) {
+    // The follower was started again and lacks entries that it had synced.
+    actions_.regressed.push_back(message.from);
+    progress.match = 0;
+    progress.next = std::max(message.last_index, log_.base_index()) + 1;
+    progress.probing = true;
+    progress.probe_sent = false;
+  }
+  if (message.granted) {
+    if (message.index > log_.last_index())
+      return;
+    if (message.index >= progress.match) {
+      progress.match = message.index;
+      progress.match_boots = std::max(progress.match_boots, message.boots);
+    }
+    if (progress.snapshot != nullptr &&
+        progress.match >= progress.snapshot->index) {
+      progress.snapshot.reset();
+      progress.encoded.clear();
+    }
+    progress.next = std::max(progress.next, progress.match + 1);
+    progress.probing = false;
+    progress.probe_sent = false;
+    MaybeCommit(now);
+    if (role_ != Role::kLeader)
+      return;
+    MaybeTransfer(message.from);
+  } else if (message.index < progress.next - 1 &&
+             progress.snapshot == nullptr) {
+    progress.next = std::max(progress.match, message.index) + 1;
+    progress.probing = true;
+    progress.probe_sent = false;
+  }
+  // MaybeCommit may have removed the member.
+  if (const auto again = progress_.find(message.from);
+      again != progress_.end()) {
+    SendAppend(message.from, &again->second, false, now);
+  }
+}
+
+void Node::HandleSnapshotReply(const Message& message, TimePoint now) {
+  const auto found = progress_.find(message.from);
+  if (role_ != Role::kLeader || found == progress_.end())
+    return;
+  Progress& progress = found->second;
+  if (const TimePoint sent = FromMillis(message.sent_ms);
+      sent <= now && sent >= leader_since_) {
+    progress.contact = std::max(progress.contact.value_or(sent), sent);
+  }
+  if (progress.snapshot == nullptr ||
+      message.index != progress.snapshot->index ||
+      message.offset > progress.encoded.size()) {
+    return;
+  }
+  // A doubled reply has no new offset and causes no further chunk.
+  if (message.offset == progress.offset && progress.probe_sent)
+    return;
+  progress.offset = message.offset;
+  SendSnapshot(message.from, &progress, true, now);
+}
+
+void Node::MaybeCommit(TimePoint now) {
+  const Configuration& members = configuration();
+  std::vector<std::uint64_t> matches;
+  for (const ReplicaId& id : members.voters) {
+    if (id == self_) {
+      matches.push_back(persisted_);
+    } else {
+      const auto found = progress_.find(id);
+      matches.push_back(found == progress_.end() ? 0 : found->second.match);
+    }
+  }
+  std::sort(matches.rbegin(), matches.rend());
+  const std::uint64_t index = matches[members.majority() - 1];
+  // Entries of earlier terms are committed only together with one of the
+  // present term: a majority alone does not keep a later leader from
+  // replacing them.
+  if (index <= commit_ || log_.TermAt(index) != term_)
+    return;
+  commit_ = index;
+  Broadcast(true, now);
+  if (!change_pending() && !members.IsVoter(self_))
+    BecomeFollower(term_, ReplicaId(), now);
+}
+
+}  // namespace boragewinch::raft
