Wait in the tests for the take-over and the change instead of a time

Two tests slept 5 s for the peers to fence a killed or frozen entry host; on a slow machine the fence can come later, and the test then shows nothing. They now wait until both peers have logged it. The frozen control leader is woken when the change is in force at all entry hosts, instead of after 3 s.

--- a/tests/configuration_process_test.cc
+++ b/tests/configuration_process_test.cc
@@ -177,7 +177,7 @@
       next, "POST", "/v1/operations",
       ProcessFleet::Operation("add-new", version, KeyCommand("new")));
   BOOST_TEST(reply.status == 200, reply.body);
-  std::this_thread::sleep_for(Millis(3'000));
+  BOOST_TEST(fleet.InForce(reply.json()["version"].asInt64(), Millis(10'000)));
   fleet.Signal(leader, SIGCONT);
   // What the woken host answers from now on has the change.
   const Reply read = fleet.Operator(leader, "GET", "/v1/fleet");
--- a/tests/fleet_path_process_test.cc
+++ b/tests/fleet_path_process_test.cc
@@ -74,6 +74,17 @@
     return Eventually(Millis(20'000),
                       [&] { return fleet.Executions().size() >= requests; });
   }
+  // Both other entry hosts of the zone have taken over what `owner` had.
+  bool PeersHaveFenced(const std::string& owner) {
+    return Eventually(Millis(30'000), [&] {
+      for (const std::string& name : fleet.entry_names()) {
+        if (name != owner && fleet.LogOf(name).find("owner_fenced owner=" +
+                                                    owner) == std::string::npos)
+          return false;
+      }
+      return true;
+    });
+  }
 };
 
 // Guards against a second execution after the owner of the requests has died
@@ -84,7 +95,7 @@
   fleet.Kill("e11");
   // Requests whose only backup it was wait for proof that it is gone: its next
   // incarnation. The peers take over its own requests before.
-  std::this_thread::sleep_for(Millis(5'000));
+  BOOST_TEST(PeersHaveFenced("e11"));
   fleet.Start("e11");
   const LoadReport& report = load.Wait();
   BOOST_TEST_MESSAGE(Text(report));
@@ -102,8 +113,7 @@
   BackgroundLoad load(NonRepeatable(1'500));
   BOOST_TEST(Ran(200));
   fleet.Signal("e11", SIGSTOP);
-  // Longer than the silence after which the backup takes over (3 s).
-  std::this_thread::sleep_for(Millis(5'000));
+  BOOST_TEST(PeersHaveFenced("e11"));
   fleet.Signal("e11", SIGCONT);
   const LoadReport& report = load.Wait();
   BOOST_TEST_MESSAGE(Text(report));
