--- a/bench/policy_hosts.cc
+++ b/bench/policy_hosts.cc
@@ -374,8 +374,15 @@
   if (ToMillis(now_) % 60'000 != 0)
     return;
   if (full_capacity_ > 0) {
-    for (std::size_t team = 0; team < had_.size(); ++team)
+    for (std::size_t team = 0; team < had_.size(); ++team) {
       distances_.push_back(std::abs(had_[team] - due_[team]) / full_capacity_);
+      if (params_.trace != nullptr) {
+        *params_.trace << ToMillis(now_) << " share "
+                       << trace_.teams[team].str() << " "
+                       << 100 * had_[team] / full_capacity_ << " "
+                       << 100 * due_[team] / full_capacity_ << "\n";
+      }
+    }
   }
   std::fill(had_.begin(), had_.end(), 0.0);
   std::fill(due_.begin(), due_.end(), 0.0);
