Share the checks of replies and of changes to copies

HandleAppendReply and HandleSnapshotReply began alike, as did the handlers of peer.intend and peer.close. Random tests of both give the same counts.

--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -197,6 +197,9 @@
   void LetGo(RequestRecord& record, const EntryName& to, TimePoint now);
   [[nodiscard]] bool Refused(const EntryName& from,
                              const RecordVersion& version);
+  /// \returns nullptr if the change was answered already.
+  [[nodiscard]] RequestRecord* ReplicaToChange(const EntryName& from,
+                                               const RecordVersion& version);
   void Receive(const EntryName& from, PeerStore message, TimePoint now);
   void Receive(const EntryName& from, PeerIntend message, TimePoint now);
   void Receive(const EntryName& from, PeerClose message, TimePoint now);
--- a/src/entry/entry_replication.cc
+++ b/src/entry/entry_replication.cc
@@ -329,23 +329,33 @@
   SendTo(from, PeerAck{version, true});
 }
 
-void EntryCore::Receive(const EntryName& from,
-                        PeerIntend message,
-                        TimePoint now) {
-  static_cast<void>(now);
-  const RecordVersion& version = message.version;
+// Finds the copy that a change of `from` concerns. If the change can't be made,
+// the owner gets its answer here.
+RequestRecord* EntryCore::ReplicaToChange(const EntryName& from,
+                                          const RecordVersion& version) {
   if (Refused(from, version))
-    return;
+    return nullptr;
   RequestRecord* record = table_.Find(version.id);
   if (record != nullptr &&
       (!record->owner || version.generation < record->generation)) {
     SendTo(from, PeerFenced{0, version.id});
-    return;
+    return nullptr;
   }
   if (record == nullptr || record->generation != version.generation) {
     SendTo(from, PeerAck{version, false});
-    return;
+    return nullptr;
   }
+  return record;
+}
+
+void EntryCore::Receive(const EntryName& from,
+                        PeerIntend message,
+                        TimePoint now) {
+  static_cast<void>(now);
+  const RecordVersion& version = message.version;
+  RequestRecord* record = ReplicaToChange(from, version);
+  if (record == nullptr)
+    return;
   if (version.revision > record->revision) {
     record->revision = version.revision;
     record->intent = std::move(message.intent);
@@ -358,18 +368,9 @@
                         PeerClose message,
                         TimePoint now) {
   const RecordVersion& version = message.version;
-  if (Refused(from, version))
+  RequestRecord* record = ReplicaToChange(from, version);
+  if (record == nullptr)
     return;
-  RequestRecord* record = table_.Find(version.id);
-  if (record != nullptr &&
-      (!record->owner || version.generation < record->generation)) {
-    SendTo(from, PeerFenced{0, version.id});
-    return;
-  }
-  if (record == nullptr || record->generation != version.generation) {
-    SendTo(from, PeerAck{version, false});
-    return;
-  }
   if (version.revision > record->revision) {
     record->revision = version.revision;
     record->started = message.started;
--- a/src/raft/node.h
+++ b/src/raft/node.h
@@ -146,6 +146,9 @@
   void HandleVote(const Message& message, TimePoint now);
   void HandleVoteReply(const Message& message, TimePoint now);
   void HandleAppend(const Message& message, TimePoint now);
+  /// \returns what is known of the sender, or nullptr if it does not concern
+  /// this leader.
+  [[nodiscard]] Progress* NoteReply(const Message& message, TimePoint now);
   void HandleAppendReply(const Message& message, TimePoint now);
   void HandleSnapshot(const Message& message, TimePoint now);
   void HandleSnapshotReply(const Message& message, TimePoint now);
--- a/src/raft/node_leader.cc
+++ b/src/raft/node_leader.cc
@@ -240,16 +240,24 @@
   }
 }
 
-void Node::HandleAppendReply(const Message& message, TimePoint now) {
+// The contact counts from the time at which the leader sent its message.
+Node::Progress* Node::NoteReply(const Message& message, TimePoint now) {
   const auto found = progress_.find(message.from);
   if (role_ != Role::kLeader || found == progress_.end())
-    return;
+    return nullptr;
   Progress& progress = found->second;
-  // The contact counts from the time at which the leader sent its message.
   if (const TimePoint sent = FromMillis(message.sent_ms);
       sent <= now && sent >= leader_since_) {
     progress.contact = std::max(progress.contact.value_or(sent), sent);
   }
+  return &progress;
+}
+
+void Node::HandleAppendReply(const Message& message, TimePoint now) {
+  Progress* const replied = NoteReply(message, now);
+  if (replied == nullptr)
+    return;
+  Progress& progress = *replied;
   if (message.boots > progress.match_boots &&
       message.last_index < progress.match) {
     // The follower was started again and lacks entries that it had synced.
@@ -292,14 +300,10 @@
 }
 
 void Node::HandleSnapshotReply(const Message& message, TimePoint now) {
-  const auto found = progress_.find(message.from);
-  if (role_ != Role::kLeader || found == progress_.end())
+  Progress* const replied = NoteReply(message, now);
+  if (replied == nullptr)
     return;
-  Progress& progress = found->second;
-  if (const TimePoint sent = FromMillis(message.sent_ms);
-      sent <= now && sent >= leader_since_) {
-    progress.contact = std::max(progress.contact.value_or(sent), sent);
-  }
+  Progress& progress = *replied;
   if (progress.snapshot == nullptr ||
       message.index != progress.snapshot->index ||
       message.offset > progress.encoded.size()) {
