--- a/src/entry/entry_tick.cc
+++ b/src/entry/entry_tick.cc
@@ -235,7 +235,6 @@
   Enter(now);
   if (std::exchange(stopping_, true))
     return;
-  LogEvent(EventId::kProcessStopping, {{"requests", table_.open()}});
   next_gossip_ = now;
 }
 
--- a/src/kernel/kernel.cc
+++ b/src/kernel/kernel.cc
@@ -48,22 +48,26 @@
       loop_.OnSignal(SIGINT, [this] { RequestStop(); });
   LogEvent(EventId::kProcessStarted, {{"version", kVersion}});
   loop_.Run();
-  unsigned long open = 0;
-  for (const auto& [name, service] : services_)
-    open += service->open_requests();
   unsigned long violations = 0;
   for (const auto& [invariant, name] : kInvariants.entries)
     violations += invariant_count(invariant).violated;
-  LogEvent(EventId::kProcessStopped,
-           {{"open_requests", open}, {"invariant_violations", violations}});
+  LogEvent(EventId::kProcessStopped, {{"open_requests", open_requests()},
+                                      {"invariant_violations", violations}});
   return Ok();
 }
 
+unsigned long Kernel::open_requests() const {
+  unsigned long open = 0;
+  for (const auto& [name, service] : services_)
+    open += service->open_requests();
+  return open;
+}
+
 void Kernel::RequestStop() {
   if (stopping_)
     return;
   stopping_ = true;
-  LogEvent(EventId::kProcessStopping, {});
+  LogEvent(EventId::kProcessStopping, {{"open_requests", open_requests()}});
   StopNext();
 }
 
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -51,6 +51,7 @@
 
  private:
   [[nodiscard]] Service* FindService(std::string_view name) const;
+  [[nodiscard]] unsigned long open_requests() const;
   void StopNext();
 
   EventLoop loop_;
