Remember whose copies a stopping entry host has released

An entry host had lost a request to a peer, which ran it and kept its copy at the former owner. When that one stopped, it released the copy and had no trace of the request any more, so a repeated submit under its own ticket passed for a new one and was refused with not run, stopping.

Ruled out: the answers to peers' calls about moved requests (the call came from a caller), the copies given up at lost peers (none was lost).

Released copies are now remembered like requests that were handed over. RepeatedSubmitAtAStoppingFormerOwnerIsNotRefused fails without the change.

--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -266,7 +266,7 @@
   void PlaceMissingCopies(TimePoint now);
   void AdvanceStop(TimePoint now);
   void ReleaseCopies(TimePoint now);
-  void ReleaseCopiesOf(const EntryName& entry);
+  void ReleaseCopiesOf(const EntryName& entry, TimePoint now);
   void ReleaseMovedTasks(TimePoint now);
   void ReplaceLostCopies(TimePoint now);
   void NoteFreshness(TimePoint now);
--- a/src/entry/entry_tick.cc
+++ b/src/entry/entry_tick.cc
@@ -271,11 +271,11 @@
     // A fenced peer has to give its records up first; it must not take the
     // release for a copy that was never used.
     if (!peer.fenced_epoch || peer.gossip.epoch > *peer.fenced_epoch)
-      ReleaseCopiesOf(name);
+      ReleaseCopiesOf(name, now);
   }
 }
 
-void EntryCore::ReleaseCopiesOf(const EntryName& entry) {
+void EntryCore::ReleaseCopiesOf(const EntryName& entry, TimePoint now) {
   Peer& peer = *peers_.Find(entry);
   std::uint64_t epoch =
       std::max(peer.gossip.epoch, peer.released_epoch.value_or(0));
@@ -286,8 +286,13 @@
       epoch = std::max(epoch, record.owner->epoch);
     }
   }
-  for (const RequestId& id : replicas)
+  // A copy can be of a request that this process accepted and lost to the peer.
+  // Without a trace of it, a repeated submit would be refused as not run.
+  for (const RequestId& id : replicas) {
     table_.Erase(id);
+    moved_[id] = entry;
+    moved_times_.emplace_back(now, id);
+  }
   peer.released_epoch = epoch;
   SendTo(entry, PeerReleased{epoch});
 }
--- a/tests/request_replication_test.cc
+++ b/tests/request_replication_test.cc
@@ -378,6 +378,33 @@
   BOOST_TEST(world.faults.size() == 0U);
 }
 
+// Guards I6 (random seed 60172): a stopping entry host releases the copy of a
+// request that it had accepted itself and that a peer has taken over and run.
+// A repeated submit must not be refused as not run.
+BOOST_AUTO_TEST_CASE(RepeatedSubmitAtAStoppingFormerOwnerIsNotRefused) {
+  World world(2, 1, 1);
+  world.Run(Millis(3'000));
+  world.workers[0].drain = true;
+  const CallId submit = world.Submit(0, world.Job(false));
+  world.Run(Millis(500));
+  BOOST_REQUIRE((world.answer(submit)->outcome == Outcome::kAccepted));
+  const RequestId id = world.answer(submit)->request;
+  world.Freeze(0, Millis(5'000));
+  world.Run(Millis(7'000));
+  world.workers[0].drain = false;
+  world.Run(Millis(8'000));
+  BOOST_REQUIRE(world.executions[id] == 1);
+  world.cores[0]->Stop(world.now);
+  for (int i = 0; i < 40; ++i) {
+    const CallId again = world.Submit(0, world.Job(false), id);
+    world.Run(Millis(100));
+    const JobAnswer* answer = world.answer(again);
+    BOOST_TEST(
+        (answer == nullptr || answer->outcome != Outcome::kRefusedNotRun));
+  }
+  BOOST_TEST(world.faults.empty());
+}
+
 // Guards I9: a stop that never ends because callers at other entry hosts go on
 // waiting for requests that were handed over, and against a caller that gets no
 // true answer because of it.
