--- a/src/base/event.h
+++ b/src/base/event.h
@@ -11,7 +11,8 @@
 
 /// \brief Numbered log events. Numbers are stable and never reused:
 /// 1xxx process, 2xxx replication and storage, 3xxx fleet state,
-/// 4xxx requests, 5xxx workers, 6xxx maintenance, 9xxx invariants.
+/// 4xxx requests, 5xxx workers, 6xxx maintenance, 7xxx runs of tasks,
+/// 9xxx invariants.
 enum class EventId {
   kProcessStarted = 1001,
   kProcessStopping = 1002,
@@ -28,6 +29,7 @@
   kSnapshotInstalled = 2005,
   kReplicaRejoined = 2006,
   kReplicaRegressed = 2007,
+  kLeadershipChanged = 2008,
   kCommandCommitted = 3001,
   kCommandRefused = 3002,
   kStateApplied = 3003,
@@ -46,6 +48,9 @@
   kRequestTakenOver = 4007,
   kOwnerFenced = 4008,
   kResultRejected = 4009,
+  kDeskAnswered = 4010,
+  kRelayFailed = 4011,
+  kLeaderUnreachable = 4012,
   kWorkerJoined = 5001,
   kWorkerLost = 5002,
   kWorkerLeaving = 5003,
@@ -59,6 +64,12 @@
   kPlatformFailed = 6007,
   kTaskMoved = 6008,
   kTaskStays = 6009,
+  kRunOrdered = 7001,
+  kRunNotTaken = 7002,
+  kRunEnded = 7003,
+  kRunStray = 7004,
+  kRunStopDecided = 7005,
+  kRunStopOrdered = 7006,
   kInvariantViolated = 9001,
 };
 
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -45,12 +45,16 @@
 
 }  // namespace
 
-void ConfigureEventLog(std::string_view process, EventLevel level) {
+void ConfigureEventLog(std::string_view process,
+                       EventLevel level,
+                       EventStream stream) {
   const std::string pattern = "%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{UTC} %p " +
                               std::string(process) + " %m%n";
   const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(pattern));
   const log4cxx::AppenderPtr appender(new log4cxx::ConsoleAppender(
-      layout, log4cxx::ConsoleAppender::getSystemErr()));
+      layout, stream == EventStream::kStandardOutput
+                  ? log4cxx::ConsoleAppender::getSystemOut()
+                  : log4cxx::ConsoleAppender::getSystemErr()));
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
   Logger()->setLevel(ToLevel(level));
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -29,10 +29,14 @@
   std::string value;
 };
 
-/// \brief Sets up log4cxx: one line an event on standard error.
+enum class EventStream { kStandardError, kStandardOutput };
+
+/// \brief Sets up log4cxx: one line an event.
 /// \param process name shown in each line.
 /// \param level least severe level that is written.
-void ConfigureEventLog(std::string_view process, EventLevel level);
+void ConfigureEventLog(std::string_view process,
+                       EventLevel level,
+                       EventStream stream = EventStream::kStandardError);
 
 /// \brief Writes "BW<number> <name> field=value ...".
 void LogEvent(EventId id, std::initializer_list<EventField> fields);
--- /dev/null
+++ b/src/jobs/fleet_rules.cc
@@ -0,0 +1,177 @@
+#include "jobs/fleet_rules.h"
+
+#include <utility>
+
+namespace boragewinch::jobs {
+
+namespace {
+
+constexpr std::size_t kMaxDocumentBytes = 4UL * 1024 * 1024;
+constexpr std::int64_t kMaxNumber = (std::int64_t{1} << 53) - 1;
+
+[[nodiscard]] Json ToJson(const QueueRule& queue) {
+  Json json;
+  json["name"] = queue.name.str();
+  json["host"] = queue.virtual_host;
+  json["prefix"] = queue.path_prefix;
+  json["pool"] = queue.pool.str();
+  json["priority"] = ::Json::Int64(queue.priority);
+  json["attempts"] = ::Json::Int64(queue.max_attempts);
+  json["stretch"] = queue.stretch;
+  json["latency_ms"] = ::Json::Int64(queue.latency_target.count());
+  json["open"] = queue.open_to_all;
+  json["advised"] = queue.advised;
+  return json;
+}
+
+[[nodiscard]] Result<QueueRule> QueueFromJson(const Json& json) {
+  QueueRule queue;
+  BW_TRY(const std::string name, StringField(json, "name"));
+  queue.name = QueueName(name);
+  BW_TRY(queue.virtual_host, StringField(json, "host", 512));
+  BW_TRY(queue.path_prefix, StringField(json, "prefix", 2'048));
+  BW_TRY(const std::string pool, StringField(json, "pool"));
+  queue.pool = PoolName(pool);
+  BW_TRY(queue.priority, IntField(json, "priority", 0, kMaxNumber));
+  BW_TRY(queue.max_attempts, IntField(json, "attempts", 1, kMaxNumber));
+  if (!json["stretch"].isNumeric())
+    return Fail(ErrorCode::kInvalidField, "stretch is not a number");
+  queue.stretch = json["stretch"].asDouble();
+  BW_TRY(const std::int64_t latency,
+         IntField(json, "latency_ms", 0, kMaxNumber));
+  queue.latency_target = Millis(latency);
+  BW_TRY(queue.open_to_all, BoolField(json, "open"));
+  BW_TRY(queue.advised, BoolField(json, "advised"));
+  return queue;
+}
+
+[[nodiscard]] Result<CustomerRule> CustomerFromJson(const Json& json) {
+  CustomerRule customer;
+  BW_TRY(const std::string name, StringField(json, "name"));
+  customer.name = CustomerName(name);
+  for (const Json& key : json["keys"]) {
+    if (!key.isString())
+      return Fail(ErrorCode::kInvalidField, "a key is not text");
+    customer.keys.insert(key.asString());
+  }
+  BW_TRY(customer.weight, IntField(json, "weight", 0, kMaxNumber));
+  BW_TRY(customer.limit, ResourcesFromJson(json["limit"]));
+  return customer;
+}
+
+}  // namespace
+
+const QueueRule* FleetRules::FindQueue(std::string_view virtual_host,
+                                       std::string_view path) const {
+  const QueueRule* best = nullptr;
+  for (const QueueRule& queue : queues) {
+    if (queue.virtual_host == virtual_host &&
+        path.starts_with(queue.path_prefix) &&
+        (best == nullptr ||
+         queue.path_prefix.size() > best->path_prefix.size())) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+const QueueRule* FleetRules::FindQueue(const QueueName& name) const {
+  for (const QueueRule& queue : queues) {
+    if (queue.name == name)
+      return &queue;
+  }
+  return nullptr;
+}
+
+const CustomerRule* FleetRules::FindCustomer(const std::string& key) const {
+  for (const auto& [name, customer] : customers) {
+    if (customer.keys.count(key) > 0)
+      return &customer;
+  }
+  return nullptr;
+}
+
+Status CheckFleetRules(const FleetRules& rules) {
+  std::set<std::pair<std::string, std::string>> places;
+  std::set<QueueName> names;
+  for (const QueueRule& queue : rules.queues) {
+    if (rules.pools.count(queue.pool) == 0) {
+      return Fail(ErrorCode::kUnknownName, "queue " + queue.name.str() +
+                                               " names unknown pool \"" +
+                                               queue.pool.str() + "\"");
+    }
+    if (!places.emplace(queue.virtual_host, queue.path_prefix).second) {
+      return Fail(ErrorCode::kDuplicateName,
+                  "two queues at " + queue.virtual_host + queue.path_prefix);
+    }
+    if (!names.insert(queue.name).second) {
+      return Fail(ErrorCode::kDuplicateName,
+                  "two queues are called " + queue.name.str());
+    }
+  }
+  std::set<std::string> keys;
+  for (const auto& [name, customer] : rules.customers) {
+    for (const std::string& key : customer.keys) {
+      if (!keys.insert(key).second) {
+        return Fail(ErrorCode::kDuplicateName,
+                    "customer " + name.str() + " shares a key with another");
+      }
+    }
+  }
+  return Ok();
+}
+
+Json ToJson(const FleetRules& rules) {
+  Json json;
+  json["version"] = ::Json::Int64(rules.version);
+  json["document"] = rules.document;
+  json["queues"] = Json(::Json::arrayValue);
+  for (const QueueRule& queue : rules.queues)
+    json["queues"].append(ToJson(queue));
+  json["pools"] = Json(::Json::arrayValue);
+  for (const auto& [name, pool] : rules.pools) {
+    Json item;
+    item["name"] = name.str();
+    item["check"] = pool.workers_check_room;
+    item["standby"] = pool.standby;
+    json["pools"].append(std::move(item));
+  }
+  json["customers"] = Json(::Json::arrayValue);
+  for (const auto& [name, customer] : rules.customers) {
+    Json item;
+    item["name"] = name.str();
+    item["keys"] = Json(::Json::arrayValue);
+    for (const std::string& key : customer.keys)
+      item["keys"].append(key);
+    item["weight"] = ::Json::Int64(customer.weight);
+    item["limit"] = boragewinch::ToJson(customer.limit);
+    json["customers"].append(std::move(item));
+  }
+  return json;
+}
+
+Result<FleetRules> FleetRulesFromJson(const Json& json) {
+  FleetRules rules;
+  BW_TRY(rules.version, IntField(json, "version", 0, kMaxNumber));
+  BW_TRY(rules.document, StringField(json, "document", kMaxDocumentBytes));
+  for (const Json& item : json["queues"]) {
+    BW_TRY(QueueRule queue, QueueFromJson(item));
+    rules.queues.push_back(std::move(queue));
+  }
+  for (const Json& item : json["pools"]) {
+    PoolRule pool;
+    BW_TRY(const std::string name, StringField(item, "name"));
+    pool.name = PoolName(name);
+    BW_TRY(pool.workers_check_room, BoolField(item, "check"));
+    BW_TRY(pool.standby, BoolField(item, "standby"));
+    rules.pools[pool.name] = std::move(pool);
+  }
+  for (const Json& item : json["customers"]) {
+    BW_TRY(CustomerRule customer, CustomerFromJson(item));
+    const CustomerName name = customer.name;
+    rules.customers[name] = std::move(customer);
+  }
+  return rules;
+}
+
+}  // namespace boragewinch::jobs
--- /dev/null
+++ b/src/jobs/job_ledger.cc
@@ -0,0 +1,365 @@
+#include "jobs/job_ledger.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace boragewinch::jobs {
+
+bool Job::StepReady(const Occurrence& occurrence, std::size_t step) const {
+  const auto& earlier = spec->steps[step].depends_on;
+  return std::all_of(earlier.begin(), earlier.end(), [&](std::uint32_t before) {
+    return occurrence.steps[before].complete();
+  });
+}
+
+Resources JobLedger::RoomOf(const StepSpec& step) {
+  Resources room = step.request;
+  if (step.fills)
+    room.cpu_millis = 0;
+  return room;
+}
+
+const Job* JobLedger::FindJob(const JobId& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+Job* JobLedger::MutableJob(const JobId& id) {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? nullptr : &found->second;
+}
+
+const Worker* JobLedger::FindWorker(const WorkerLife& life) const {
+  const auto found = workers_.find(life);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+const Worker* JobLedger::FindPresent(const WorkerId& id) const {
+  // Lives of one id are neighbours, the newest last.
+  auto after = workers_.lower_bound(
+      WorkerLife{id, std::numeric_limits<UnixMillis>::max()});
+  if (after == workers_.begin())
+    return nullptr;
+  const auto& [life, worker] = *std::prev(after);
+  return life.id == id ? &worker : nullptr;
+}
+
+const Task* JobLedger::FindTask(const TaskName& name) const {
+  const Job* job = FindJob(name.job);
+  if (job == nullptr)
+    return nullptr;
+  const auto occurrence = job->occurrences.find(name.occurrence);
+  if (occurrence == job->occurrences.end() ||
+      name.step >= occurrence->second.steps.size()) {
+    return nullptr;
+  }
+  const Step& step = occurrence->second.steps[name.step];
+  return name.index < step.tasks.size() ? &step.tasks[name.index] : nullptr;
+}
+
+bool JobLedger::HasRun(const RunName& run, const WorkerLife& worker) const {
+  const Task* task = FindTask(run.task);
+  return task != nullptr &&
+         std::any_of(task->runs.begin(), task->runs.end(), [&](const Run& r) {
+           return r.number == run.number && r.worker == worker;
+         });
+}
+
+Resources JobLedger::UsageOf(const CustomerName& customer) const {
+  const auto found = usage_.find(customer);
+  return found == usage_.end() ? Resources{} : found->second;
+}
+
+std::int64_t JobLedger::QueuedOf(const QueueName& queue) const {
+  const auto found = queued_.find(queue);
+  return found == queued_.end() ? 0 : found->second;
+}
+
+void JobLedger::Apply(const Batch& batch) {
+  if (batch.rules && batch.rules->version > rules_.version)
+    rules_ = *batch.rules;
+  for (const WorkerNote& note : batch.workers)
+    ApplyWorker(note);
+  for (const Submission& submission : batch.submissions)
+    ApplySubmission(submission, batch.now);
+  for (const JobId& id : batch.cancels)
+    ApplyCancel(id, batch.now);
+  for (const OpeningNote& opening : batch.openings)
+    ApplyOpening(opening, batch.now);
+  for (const EndNote& end : batch.ends)
+    ApplyEnd(end, batch.now);
+  for (const StartNote& start : batch.starts)
+    ApplyStart(start, batch.now);
+  for (const WaveOrder& order : batch.waves)
+    waves_.try_emplace(order.number, Wave{order, batch.now, {}});
+  for (const WaveProgress& progress : batch.progress) {
+    if (const auto wave = waves_.find(progress.wave); wave != waves_.end())
+      wave->second.begun.insert(progress.host);
+  }
+}
+
+void JobLedger::ApplyWorker(const WorkerNote& note) {
+  if (const auto gone = departed_.find(note.life.id);
+      gone != departed_.end() && note.life.born <= gone->second) {
+    return;
+  }
+  if (note.departed) {
+    Depart(note.life);
+    return;
+  }
+  // A new life at the same id or address ends the one before it.
+  std::vector<WorkerLife> over;
+  for (const auto& [life, worker] : workers_) {
+    if (life == note.life)
+      continue;
+    const bool same_place =
+        life.id == note.life.id || worker.note.address == note.address;
+    if (!same_place)
+      continue;
+    if (life.born > note.life.born)
+      return;
+    over.push_back(life);
+  }
+  for (const WorkerLife& life : over)
+    Depart(life);
+  Worker& worker = workers_[note.life];
+  // A worker never takes a drain back within one life.
+  const bool draining = worker.note.draining || note.draining;
+  worker.note = note;
+  worker.note.draining = draining;
+}
+
+void JobLedger::Depart(const WorkerLife& life) {
+  UnixMillis& born = departed_[life.id];
+  born = std::max(born, life.born);
+  const auto found = workers_.find(life);
+  if (found == workers_.end())
+    return;
+  const std::set<RunName> runs = found->second.runs;
+  for (const RunName& run : runs) {
+    if (Job* job = MutableJob(run.task.job); job != nullptr) {
+      RemoveRun(job, run, life);
+      Compact(job);
+    }
+  }
+  workers_.erase(life);
+}
+
+void JobLedger::ApplySubmission(const Submission& submission, UnixMillis now) {
+  const auto [place, added] = jobs_.try_emplace(submission.id);
+  if (!added)
+    return;
+  Job& job = place->second;
+  job.id = submission.id;
+  job.queue = submission.queue;
+  job.customer = submission.customer;
+  job.spec = std::make_shared<const JobSpec>(submission.spec);
+  job.accepted = now;
+  if (const QueueRule* queue = rules_.FindQueue(submission.queue))
+    job.max_attempts = queue->max_attempts;
+  active_.insert(job.id);
+  ++queued_[job.queue];
+  if (job.spec->repeats == 0)
+    OpenOccurrence(&job, 0, now);
+}
+
+void JobLedger::ApplyCancel(const JobId& id, UnixMillis now) {
+  if (Job* job = MutableJob(id); job != nullptr && !job->final())
+    Finish(job, JobState::kCanceled, now);
+}
+
+void JobLedger::ApplyOpening(const OpeningNote& opening, UnixMillis now) {
+  Job* job = MutableJob(opening.job);
+  if (job == nullptr || job->final() ||
+      opening.occurrence != job->next_occurrence ||
+      opening.occurrence >= job->spec->occurrences()) {
+    return;
+  }
+  OpenOccurrence(job, opening.occurrence, now);
+}
+
+void JobLedger::OpenOccurrence(Job* job,
+                               std::uint32_t occurrence,
+                               UnixMillis now) {
+  Occurrence opened;
+  opened.opened = now;
+  opened.steps.resize(job->spec->steps.size());
+  for (std::size_t i = 0; i < opened.steps.size(); ++i) {
+    opened.steps[i].tasks.resize(
+        static_cast<std::size_t>(job->spec->steps[i].tasks));
+  }
+  job->occurrences[occurrence] = std::move(opened);
+  job->next_occurrence = occurrence + 1;
+}
+
+bool JobLedger::RemoveRun(Job* job,
+                          const RunName& run,
+                          const WorkerLife& worker) {
+  const auto occurrence = job->occurrences.find(run.task.occurrence);
+  if (occurrence == job->occurrences.end())
+    return false;
+  Step& step = occurrence->second.steps[run.task.step];
+  Task& task = step.tasks[run.task.index];
+  const auto place =
+      std::find_if(task.runs.begin(), task.runs.end(), [&](const Run& r) {
+        return r.number == run.number && r.worker == worker;
+      });
+  if (place == task.runs.end())
+    return false;
+  task.runs.erase(place);
+  --job->runs;
+  if (task.runs.empty() && !task.done)
+    --step.placed;
+  const StepSpec& spec = job->spec->steps[run.task.step];
+  usage_[job->customer] -= spec.request;
+  if (const auto found = workers_.find(worker); found != workers_.end()) {
+    found->second.used -= RoomOf(spec);
+    found->second.runs.erase(run);
+  }
+  return true;
+}
+
+void JobLedger::ApplyEnd(const EndNote& end, UnixMillis now) {
+  if (end.list_number > 0) {
+    const auto worker = workers_.find(end.worker);
+    if (worker == workers_.end() ||
+        end.list_number <= worker->second.ends_noted) {
+      return;
+    }
+    worker->second.ends_noted = end.list_number;
+  }
+  Job* job = MutableJob(end.run.task.job);
+  if (job == nullptr || !job->spec)
+    return;
+  const TaskName& name = end.run.task;
+  const auto occurrence = job->occurrences.find(name.occurrence);
+  if (occurrence == job->occurrences.end() ||
+      name.step >= occurrence->second.steps.size() ||
+      name.index >= occurrence->second.steps[name.step].tasks.size()) {
+    return;
+  }
+  const bool had = RemoveRun(job, end.run, end.worker);
+  // An end that was only inferred says nothing once the run is settled.
+  if (!had && end.list_number == 0)
+    return;
+  Step& step = occurrence->second.steps[name.step];
+  Task& task = step.tasks[name.index];
+  const StepSpec& spec = job->spec->steps[name.step];
+  task.last_run = std::max(task.last_run, end.run.number);
+  if (!end.checkpoint.empty())
+    task.checkpoint = end.checkpoint;
+  if (!job->final() && !spec.long_running && !task.done) {
+    if (end.how == RunEnd::kDone)
+      CompleteTask(job, name, now);
+    else if (end.how == RunEnd::kFailed)
+      CountFailure(job, name, now);
+  }
+  Compact(job);
+}
+
+// All members of a gang end together, and one end stands for all of them.
+void JobLedger::CompleteTask(Job* job, const TaskName& name, UnixMillis now) {
+  Occurrence& occurrence = job->occurrences.at(name.occurrence);
+  Step& step = occurrence.steps[name.step];
+  const auto complete = [&](Task* task) {
+    if (task->done)
+      return;
+    task->done = true;
+    if (!task->runs.empty())
+      --step.placed;
+    ++step.done;
+  };
+  if (job->spec->steps[name.step].gang) {
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+      Task& member = step.tasks[i];
+      TaskName member_name = name;
+      member_name.index = i;
+      const std::vector<Run> runs = member.runs;
+      for (const Run& run : runs)
+        RemoveRun(job, {member_name, run.number}, run.worker);
+      complete(&member);
+    }
+  } else {
+    complete(&step.tasks[name.index]);
+  }
+  const bool occurrence_done =
+      std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                  [](const Step& s) { return s.complete(); });
+  if (!occurrence_done)
+    return;
+  ++job->completed_occurrences;
+  if (job->completed_occurrences == job->spec->occurrences())
+    Finish(job, JobState::kCompleted, now);
+}
+
+void JobLedger::CountFailure(Job* job, const TaskName& name, UnixMillis now) {
+  Step& step = job->occurrences.at(name.occurrence).steps[name.step];
+  const bool gang = job->spec->steps[name.step].gang;
+  const std::uint32_t failures =
+      gang ? ++step.gang_failures : ++step.tasks[name.index].failures;
+  if (failures >= job->max_attempts)
+    Finish(job, JobState::kFailed, now);
+}
+
+void JobLedger::Finish(Job* job, JobState state, UnixMillis now) {
+  if (job->state == JobState::kQueued)
+    --queued_[job->queue];
+  job->state = state;
+  job->finished = now;
+  active_.erase(job->id);
+  Compact(job);
+}
+
+// What is left of an occurrence is needed only while a run may be at work.
+void JobLedger::Compact(Job* job) {
+  if (job->final()) {
+    if (job->runs == 0) {
+      job->occurrences.clear();
+      job->spec.reset();
+    }
+    return;
+  }
+  for (auto it = job->occurrences.begin(); it != job->occurrences.end();) {
+    const auto settled = [](const Step& step) {
+      return step.complete() &&
+             std::all_of(step.tasks.begin(), step.tasks.end(),
+                         [](const Task& task) { return task.runs.empty(); });
+    };
+    const auto& steps = it->second.steps;
+    if (std::all_of(steps.begin(), steps.end(), settled))
+      it = job->occurrences.erase(it);
+    else
+      ++it;
+  }
+}
+
+void JobLedger::ApplyStart(const StartNote& start, UnixMillis now) {
+  Job* job = MutableJob(start.run.task.job);
+  const auto worker = workers_.find(start.worker);
+  if (job == nullptr || job->final() || worker == workers_.end() ||
+      FindTask(start.run.task) == nullptr) {
+    return;
+  }
+  const TaskName& name = start.run.task;
+  Step& step = job->occurrences.at(name.occurrence).steps[name.step];
+  Task& task = step.tasks[name.index];
+  const StepSpec& spec = job->spec->steps[name.step];
+  const bool occupied = !task.runs.empty() && !spec.speculative;
+  if (task.done || occupied || start.run.number <= task.last_run)
+    return;
+  if (task.runs.empty())
+    ++step.placed;
+  task.last_run = start.run.number;
+  task.runs.push_back({start.run.number, start.worker, now});
+  ++job->runs;
+  usage_[job->customer] += spec.request;
+  worker->second.used += RoomOf(spec);
+  worker->second.runs.insert(start.run);
+  if (job->state == JobState::kQueued) {
+    job->state = JobState::kRunning;
+    --queued_[job->queue];
+  }
+}
+
+}  // namespace boragewinch::jobs
--- /dev/null
+++ b/src/jobs/job_ledger.h
@@ -0,0 +1,173 @@
+#ifndef BORAGEWINCH_JOBS_JOB_LEDGER_H_
+#define BORAGEWINCH_JOBS_JOB_LEDGER_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/result.h"
+#include "jobs/fleet_rules.h"
+#include "jobs/job_types.h"
+#include "jobs/ledger_batch.h"
+
+namespace boragewinch::jobs {
+
+/// \brief A run that may be at work.
+struct Run {
+  std::uint32_t number = 0;
+  WorkerLife worker;
+  UnixMillis decided = 0;
+};
+
+/// \brief State of one task.
+struct Task {
+  std::uint32_t last_run = 0;  ///< highest number ever used
+  std::uint32_t failures = 0;
+  bool done = false;
+  std::vector<Run> runs;  ///< more than one only with speculative copies
+  std::string checkpoint;
+};
+
+/// \brief State of one step of an occurrence.
+struct Step {
+  std::vector<Task> tasks;
+  std::int64_t done = 0;
+  std::int64_t placed = 0;  ///< tasks that have a run
+  std::uint32_t gang_failures = 0;
+
+  [[nodiscard]] bool complete() const noexcept {
+    return done == static_cast<std::int64_t>(tasks.size());
+  }
+  [[nodiscard]] std::int64_t waiting() const noexcept {
+    return static_cast<std::int64_t>(tasks.size()) - done - placed;
+  }
+};
+
+struct Occurrence {
+  std::vector<Step> steps;
+  UnixMillis opened = 0;
+};
+
+/// \brief An accepted job. A job in a final state without runs keeps only
+/// what its callers may still ask for.
+struct Job {
+  JobId id;
+  QueueName queue;
+  CustomerName customer;
+  std::shared_ptr<const JobSpec> spec;
+  UnixMillis accepted = 0;
+  UnixMillis finished = 0;
+  JobState state = JobState::kQueued;
+  std::int64_t max_attempts = 1;
+  std::map<std::uint32_t, Occurrence> occurrences;  ///< opened, not complete
+  std::uint32_t next_occurrence = 0;                ///< first not yet opened
+  std::int64_t completed_occurrences = 0;
+  std::int64_t runs = 0;  ///< runs of its tasks that may be at work
+
+  [[nodiscard]] bool final() const noexcept {
+    return state == JobState::kCompleted || state == JobState::kFailed ||
+           state == JobState::kCanceled;
+  }
+  /// \returns whether all steps that `step` depends on are complete.
+  [[nodiscard]] bool StepReady(const Occurrence& occurrence,
+                               std::size_t step) const;
+};
+
+/// \brief One life of a worker with the runs that may be at work on it.
+struct Worker {
+  WorkerNote note;
+  std::int64_t ends_noted = 0;  ///< highest list number that is stored
+  Resources used;               ///< by its runs, as far as they count
+  std::set<RunName> runs;
+};
+
+struct Wave {
+  WaveOrder order;
+  UnixMillis started = 0;
+  std::set<HostName> begun;
+
+  [[nodiscard]] bool complete() const noexcept {
+    return begun.size() >= order.hosts.size();
+  }
+};
+
+/// \brief The replicated state of jobs, workers, rules and waves. Apply is
+/// deterministic: equal sequences of batches give equal ledgers.
+class JobLedger {
+ public:
+  /// \brief Applies one committed batch. Parts that no longer fit the state
+  /// (a start of a cancelled job, an end of an unknown run) change nothing.
+  void Apply(const Batch& batch);
+
+  [[nodiscard]] const FleetRules& rules() const noexcept { return rules_; }
+  [[nodiscard]] const std::unordered_map<JobId, Job>& jobs() const noexcept {
+    return jobs_;
+  }
+  [[nodiscard]] const Job* FindJob(const JobId& id) const;
+  /// Jobs that are not final, by id.
+  [[nodiscard]] const std::set<JobId>& active() const noexcept {
+    return active_;
+  }
+  [[nodiscard]] const std::map<WorkerLife, Worker>& workers() const noexcept {
+    return workers_;
+  }
+  [[nodiscard]] const Worker* FindWorker(const WorkerLife& life) const;
+  /// \returns the newest life of a worker id that has not departed.
+  [[nodiscard]] const Worker* FindPresent(const WorkerId& id) const;
+  /// \returns the task, or nullptr if its job or occurrence is not open.
+  [[nodiscard]] const Task* FindTask(const TaskName& name) const;
+  /// \returns whether `run` may be at work according to the ledger.
+  [[nodiscard]] bool HasRun(const RunName& run, const WorkerLife& worker) const;
+  /// \returns what the runs of a customer take, fleet-wide.
+  [[nodiscard]] Resources UsageOf(const CustomerName& customer) const;
+  /// \returns accepted jobs of a queue of which no task has started.
+  [[nodiscard]] std::int64_t QueuedOf(const QueueName& queue) const;
+  [[nodiscard]] const std::map<std::int64_t, Wave>& waves() const noexcept {
+    return waves_;
+  }
+
+  /// \returns what a run of `step` takes of its worker's capacity.
+  [[nodiscard]] static Resources RoomOf(const StepSpec& step);
+
+  [[nodiscard]] std::string Snapshot() const;
+  /// \returns the ledger of a snapshot, or kStorageCorrupt.
+  [[nodiscard]] static Result<JobLedger> Restore(const std::string& bytes);
+
+ private:
+  void ApplyWorker(const WorkerNote& note);
+  void ApplySubmission(const Submission& submission, UnixMillis now);
+  void ApplyCancel(const JobId& id, UnixMillis now);
+  void ApplyOpening(const OpeningNote& opening, UnixMillis now);
+  void ApplyEnd(const EndNote& end, UnixMillis now);
+  void ApplyStart(const StartNote& start, UnixMillis now);
+  void OpenOccurrence(Job* job, std::uint32_t occurrence, UnixMillis now);
+  /// \brief Removes a run from task, worker and usage. \returns whether it was
+  /// there.
+  bool RemoveRun(Job* job, const RunName& run, const WorkerLife& worker);
+  void CompleteTask(Job* job, const TaskName& name, UnixMillis now);
+  void CountFailure(Job* job, const TaskName& name, UnixMillis now);
+  void Finish(Job* job, JobState state, UnixMillis now);
+  void Compact(Job* job);
+  void Depart(const WorkerLife& life);
+  void AdoptJob(Job job);
+  [[nodiscard]] Job* MutableJob(const JobId& id);
+
+  FleetRules rules_;
+  std::unordered_map<JobId, Job> jobs_;
+  std::set<JobId> active_;
+  std::map<WorkerLife, Worker> workers_;
+  /// Last life of each worker id that has departed; late messages of it or
+  /// earlier ones are ignored.
+  std::map<WorkerId, UnixMillis> departed_;
+  std::map<CustomerName, Resources> usage_;
+  std::map<QueueName, std::int64_t> queued_;
+  std::map<std::int64_t, Wave> waves_;
+};
+
+}  // namespace boragewinch::jobs
+
+#endif  // BORAGEWINCH_JOBS_JOB_LEDGER_H_
--- /dev/null
+++ b/src/jobs/job_types.cc
@@ -0,0 +1,150 @@
+#include "jobs/job_types.h"
+
+#include <utility>
+
+namespace boragewinch::jobs {
+
+namespace {
+
+constexpr std::int64_t kMaxNumber = (std::int64_t{1} << 53) - 1;
+
+// Members with their default value are left out: jobs are stored and sent
+// often, and most steps use few of them.
+void PutInt(Json* json, const char* name, std::int64_t value) {
+  if (value != 0)
+    (*json)[name] = ::Json::Int64(value);
+}
+
+void PutFlag(Json* json, const char* name, bool value) {
+  if (value)
+    (*json)[name] = true;
+}
+
+void PutText(Json* json, const char* name, const std::string& value) {
+  if (!value.empty())
+    (*json)[name] = value;
+}
+
+[[nodiscard]] Json ToJson(const StepSpec& step) {
+  Json json(::Json::objectValue);
+  PutInt(&json, "n", step.tasks);
+  PutInt(&json, "cpu", step.request.cpu_millis);
+  PutInt(&json, "mem", step.request.memory_mb);
+  PutInt(&json, "acc", step.request.accelerators);
+  PutInt(&json, "est", step.estimate.count());
+  for (const std::uint32_t earlier : step.depends_on)
+    json["after"].append(earlier);
+  PutFlag(&json, "ckpt", step.checkpointing);
+  PutFlag(&json, "gang", step.gang);
+  PutFlag(&json, "rack_sensitive", step.rack_sensitive);
+  PutFlag(&json, "copies", step.speculative);
+  PutFlag(&json, "lasts", step.long_running);
+  PutFlag(&json, "fills", step.fills);
+  PutText(&json, "label", step.required_label);
+  PutText(&json, "rack", step.data_rack.str());
+  PutInt(&json, "per_worker", step.max_per_worker);
+  PutText(&json, "image", step.image);
+  PutInt(&json, "latency", step.latency_target.count());
+  PutInt(&json, "away", step.may_be_away);
+  return json;
+}
+
+[[nodiscard]] Result<StepSpec> StepFromJson(const Json& json) {
+  StepSpec step;
+  const auto number = [&](const char* name) {
+    return IntFieldOr(json, name, 0, 0, kMaxNumber);
+  };
+  BW_TRY(step.tasks, number("n"));
+  BW_TRY(step.request.cpu_millis, number("cpu"));
+  BW_TRY(step.request.memory_mb, number("mem"));
+  BW_TRY(step.request.accelerators, number("acc"));
+  BW_TRY(const std::int64_t estimate, number("est"));
+  step.estimate = Millis(estimate);
+  for (const Json& earlier : json["after"]) {
+    if (!earlier.isUInt())
+      return Fail(ErrorCode::kInvalidField, "\"after\" is not a step");
+    step.depends_on.push_back(earlier.asUInt());
+  }
+  BW_TRY(step.checkpointing, BoolFieldOr(json, "ckpt", false));
+  BW_TRY(step.gang, BoolFieldOr(json, "gang", false));
+  BW_TRY(step.rack_sensitive, BoolFieldOr(json, "rack_sensitive", false));
+  BW_TRY(step.speculative, BoolFieldOr(json, "copies", false));
+  BW_TRY(step.long_running, BoolFieldOr(json, "lasts", false));
+  BW_TRY(step.fills, BoolFieldOr(json, "fills", false));
+  BW_TRY(step.required_label, StringFieldOr(json, "label", ""));
+  BW_TRY(const std::string rack, StringFieldOr(json, "rack", ""));
+  step.data_rack = RackName(rack);
+  BW_TRY(step.max_per_worker, number("per_worker"));
+  BW_TRY(step.image, StringFieldOr(json, "image", "", 512));
+  BW_TRY(const std::int64_t latency, number("latency"));
+  step.latency_target = Millis(latency);
+  BW_TRY(step.may_be_away, number("away"));
+  return step;
+}
+
+[[nodiscard]] Status CheckStep(const StepSpec& step, std::size_t place) {
+  const std::string where = "step " + std::to_string(place);
+  if (step.tasks < 1 || step.tasks > kMaxTasksPerStep)
+    return Fail(ErrorCode::kInvalidField, where + ": number of tasks");
+  if (step.request.cpu_millis < 0 || step.request.memory_mb < 0 ||
+      step.request.accelerators < 0 || step.max_per_worker < 0 ||
+      step.may_be_away < 0 || step.estimate.count() < 0) {
+    return Fail(ErrorCode::kInvalidField, where + ": a negative number");
+  }
+  for (const std::uint32_t earlier : step.depends_on) {
+    if (earlier >= place)
+      return Fail(ErrorCode::kInvalidField, where + " depends on a later one");
+  }
+  return Ok();
+}
+
+}  // namespace
+
+Status CheckJobSpec(const JobSpec& spec) {
+  if (spec.payload.size() > kMaxPayloadBytes)
+    return Fail(ErrorCode::kTooLarge, "payload");
+  if (spec.steps.empty() || spec.steps.size() > kMaxSteps)
+    return Fail(ErrorCode::kInvalidField, "number of steps");
+  if (spec.repeats < 0 || spec.repeats > kMaxRepeats ||
+      (spec.repeats > 1 && spec.interval.count() <= 0)) {
+    return Fail(ErrorCode::kInvalidField, "repetition");
+  }
+  std::int64_t tasks = 0;
+  for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+    BW_CHECK(CheckStep(spec.steps[i], i));
+    tasks += spec.steps[i].tasks;
+  }
+  if (tasks > kMaxTasksPerJob)
+    return Fail(ErrorCode::kTooLarge, "number of tasks");
+  return Ok();
+}
+
+Json ToJson(const JobSpec& spec) {
+  Json json(::Json::objectValue);
+  json["payload"] = spec.payload;
+  json["steps"] = Json(::Json::arrayValue);
+  for (const StepSpec& step : spec.steps)
+    json["steps"].append(ToJson(step));
+  PutInt(&json, "repeats", spec.repeats);
+  PutInt(&json, "due", spec.first_due);
+  PutInt(&json, "interval", spec.interval.count());
+  return json;
+}
+
+Result<JobSpec> JobSpecFromJson(const Json& json) {
+  JobSpec spec;
+  BW_TRY(spec.payload, StringFieldOr(json, "payload", "", kMaxPayloadBytes));
+  for (const Json& item : json["steps"]) {
+    BW_TRY(StepSpec step, StepFromJson(item));
+    spec.steps.push_back(std::move(step));
+  }
+  BW_TRY(spec.repeats, IntFieldOr(json, "repeats", 0, 0, kMaxRepeats));
+  BW_TRY(spec.first_due, IntFieldOr(json, "due", 0, 0, kMaxNumber));
+  BW_TRY(const std::int64_t interval,
+         IntFieldOr(json, "interval", 0, 0, kMaxNumber));
+  spec.interval = Millis(interval);
+  BW_CHECK(CheckJobSpec(spec));
+  return spec;
+}
+
+}  // namespace boragewinch::jobs
--- /dev/null
+++ b/src/jobs/ledger_batch.cc
@@ -0,0 +1,250 @@
+#include "jobs/ledger_batch.h"
+
+#include <utility>
+
+namespace boragewinch::jobs {
+
+namespace {
+
+constexpr std::int64_t kMaxNumber = (std::int64_t{1} << 53) - 1;
+
+[[nodiscard]] Json RunToJson(const RunName& run, const WorkerLife& worker) {
+  Json row(::Json::arrayValue);
+  row.append(run.task.job.str());
+  row.append(run.task.occurrence);
+  row.append(run.task.step);
+  row.append(run.task.index);
+  row.append(run.number);
+  row.append(worker.id.str());
+  row.append(::Json::Int64(worker.born));
+  return row;
+}
+
+[[nodiscard]] Status RunFromJson(const Json& row,
+                                 RunName* run,
+                                 WorkerLife* worker) {
+  const bool valid = row.isArray() && row.size() >= 7 && row[0].isString() &&
+                     row[1].isUInt() && row[2].isUInt() && row[3].isUInt() &&
+                     row[4].isUInt() && row[5].isString() && row[6].isInt64();
+  if (!valid)
+    return Fail(ErrorCode::kInvalidField, "row of a run");
+  run->task = {JobId(row[0].asString()), row[1].asUInt(), row[2].asUInt(),
+               row[3].asUInt()};
+  run->number = row[4].asUInt();
+  worker->id = WorkerId(row[5].asString());
+  worker->born = row[6].asInt64();
+  return Ok();
+}
+
+[[nodiscard]] Json ToJson(const EndNote& end) {
+  Json row = RunToJson(end.run, end.worker);
+  row.append(std::string(kRunEnds.Name(end.how)));
+  row.append(::Json::Int64(end.list_number));
+  row.append(end.checkpoint);
+  return row;
+}
+
+[[nodiscard]] Result<EndNote> EndFromJson(const Json& row) {
+  EndNote end;
+  BW_CHECK(RunFromJson(row, &end.run, &end.worker));
+  const bool valid = row.size() == 10 && row[7].isString() &&
+                     row[8].isInt64() && row[9].isString();
+  const auto how =
+      valid ? kRunEnds.Parse(row[7].asString()) : std::optional<RunEnd>();
+  if (!how)
+    return Fail(ErrorCode::kInvalidField, "row of an end");
+  end.how = *how;
+  end.list_number = row[8].asInt64();
+  end.checkpoint = row[9].asString();
+  return end;
+}
+
+[[nodiscard]] Json ToJson(const Submission& submission) {
+  Json json;
+  json["id"] = submission.id.str();
+  json["queue"] = submission.queue.str();
+  json["customer"] = submission.customer.str();
+  json["job"] = ToJson(submission.spec);
+  return json;
+}
+
+[[nodiscard]] Result<Submission> SubmissionFromJson(const Json& json) {
+  Submission submission;
+  BW_TRY(const std::string id, StringField(json, "id"));
+  submission.id = JobId(id);
+  BW_TRY(const std::string queue, StringField(json, "queue"));
+  submission.queue = QueueName(queue);
+  BW_TRY(const std::string customer, StringField(json, "customer"));
+  submission.customer = CustomerName(customer);
+  BW_TRY(submission.spec, JobSpecFromJson(json["job"]));
+  return submission;
+}
+
+[[nodiscard]] Json ToJson(const StartNote& start) {
+  return RunToJson(start.run, start.worker);
+}
+
+[[nodiscard]] Result<StartNote> StartFromJson(const Json& row) {
+  StartNote start;
+  BW_CHECK(RunFromJson(row, &start.run, &start.worker));
+  return start;
+}
+
+[[nodiscard]] Json ToJson(const OpeningNote& opening) {
+  Json row(::Json::arrayValue);
+  row.append(opening.job.str());
+  row.append(opening.occurrence);
+  return row;
+}
+
+[[nodiscard]] Result<OpeningNote> OpeningFromJson(const Json& row) {
+  if (!row.isArray() || row.size() != 2 || !row[0].isString() ||
+      !row[1].isUInt()) {
+    return Fail(ErrorCode::kInvalidField, "row of an opening");
+  }
+  return OpeningNote{JobId(row[0].asString()), row[1].asUInt()};
+}
+
+[[nodiscard]] Json ToJson(const WaveProgress& progress) {
+  Json row(::Json::arrayValue);
+  row.append(::Json::Int64(progress.wave));
+  row.append(progress.host.str());
+  return row;
+}
+
+[[nodiscard]] Result<WaveProgress> ProgressFromJson(const Json& row) {
+  if (!row.isArray() || row.size() != 2 || !row[0].isInt64() ||
+      !row[1].isString()) {
+    return Fail(ErrorCode::kInvalidField, "row of a wave");
+  }
+  return WaveProgress{row[0].asInt64(), HostName(row[1].asString())};
+}
+
+template <typename T>
+void PutAll(Json* json, const char* name, const std::vector<T>& items) {
+  for (const T& item : items)
+    (*json)[name].append(ToJson(item));
+}
+
+template <typename T, typename Read>
+[[nodiscard]] Status ReadAll(const Json& json,
+                             const char* name,
+                             const Read& read,
+                             std::vector<T>* items) {
+  for (const Json& row : json[name]) {
+    BW_TRY(T item, read(row));
+    items->push_back(std::move(item));
+  }
+  return Ok();
+}
+
+}  // namespace
+
+Json ToJson(const WorkerNote& note) {
+  Json json;
+  json["id"] = note.life.id.str();
+  json["born"] = ::Json::Int64(note.life.born);
+  json["address"] = note.address;
+  json["pool"] = note.pool.str();
+  json["zone"] = note.zone.str();
+  json["rack"] = note.rack.str();
+  json["labels"] = Json(::Json::arrayValue);
+  for (const std::string& label : note.labels)
+    json["labels"].append(label);
+  json["capacity"] = boragewinch::ToJson(note.capacity);
+  json["draining"] = note.draining;
+  json["departed"] = note.departed;
+  return json;
+}
+
+Result<WorkerNote> WorkerNoteFromJson(const Json& json) {
+  WorkerNote note;
+  BW_TRY(const std::string id, StringField(json, "id"));
+  note.life.id = WorkerId(id);
+  BW_TRY(note.life.born, IntField(json, "born", 0, kMaxNumber));
+  BW_TRY(note.address, StringField(json, "address"));
+  BW_TRY(const std::string pool, StringField(json, "pool"));
+  note.pool = PoolName(pool);
+  BW_TRY(const std::string zone, StringField(json, "zone"));
+  note.zone = ZoneName(zone);
+  BW_TRY(const std::string rack, StringField(json, "rack"));
+  note.rack = RackName(rack);
+  for (const Json& label : json["labels"]) {
+    if (!label.isString())
+      return Fail(ErrorCode::kInvalidField, "a label is not text");
+    note.labels.push_back(label.asString());
+  }
+  BW_TRY(note.capacity, ResourcesFromJson(json["capacity"]));
+  BW_TRY(note.draining, BoolField(json, "draining"));
+  BW_TRY(note.departed, BoolField(json, "departed"));
+  return note;
+}
+
+Json ToJson(const WaveOrder& order) {
+  Json json;
+  json["number"] = ::Json::Int64(order.number);
+  json["hosts"] = Json(::Json::arrayValue);
+  for (const HostName& host : order.hosts)
+    json["hosts"].append(host.str());
+  json["duration_ms"] = ::Json::Int64(order.duration.count());
+  json["at_once"] = ::Json::Int64(order.at_once);
+  return json;
+}
+
+Result<WaveOrder> WaveOrderFromJson(const Json& json) {
+  WaveOrder order;
+  BW_TRY(order.number, IntField(json, "number", 0, kMaxNumber));
+  for (const Json& host : json["hosts"]) {
+    if (!host.isString())
+      return Fail(ErrorCode::kInvalidField, "a host is not text");
+    order.hosts.emplace_back(host.asString());
+  }
+  BW_TRY(const std::int64_t duration,
+         IntField(json, "duration_ms", 0, kMaxNumber));
+  order.duration = Millis(duration);
+  BW_TRY(order.at_once, IntField(json, "at_once", 1, kMaxNumber));
+  return order;
+}
+
+std::string EncodeBatch(const Batch& batch) {
+  Json json;
+  json["now"] = ::Json::Int64(batch.now);
+  if (batch.rules)
+    json["rules"] = ToJson(*batch.rules);
+  PutAll(&json, "workers", batch.workers);
+  PutAll(&json, "submit", batch.submissions);
+  for (const JobId& id : batch.cancels)
+    json["cancel"].append(id.str());
+  PutAll(&json, "open", batch.openings);
+  PutAll(&json, "end", batch.ends);
+  PutAll(&json, "start", batch.starts);
+  PutAll(&json, "waves", batch.waves);
+  PutAll(&json, "progress", batch.progress);
+  return WriteJson(json);
+}
+
+Result<Batch> DecodeBatch(std::string_view bytes) {
+  BW_TRY(const Json json, ParseJson(bytes));
+  if (!json.isObject())
+    return Fail(ErrorCode::kInvalidField, "a batch is an object");
+  Batch batch;
+  BW_TRY(batch.now, IntField(json, "now", 0, kMaxNumber));
+  if (json.isMember("rules")) {
+    BW_TRY(batch.rules, FleetRulesFromJson(json["rules"]));
+  }
+  BW_CHECK(ReadAll(json, "workers", WorkerNoteFromJson, &batch.workers));
+  BW_CHECK(ReadAll(json, "submit", SubmissionFromJson, &batch.submissions));
+  for (const Json& id : json["cancel"]) {
+    if (!id.isString())
+      return Fail(ErrorCode::kInvalidField, "id of a cancelled job");
+    batch.cancels.emplace_back(id.asString());
+  }
+  BW_CHECK(ReadAll(json, "open", OpeningFromJson, &batch.openings));
+  BW_CHECK(ReadAll(json, "end", EndFromJson, &batch.ends));
+  BW_CHECK(ReadAll(json, "start", StartFromJson, &batch.starts));
+  BW_CHECK(ReadAll(json, "waves", WaveOrderFromJson, &batch.waves));
+  BW_CHECK(ReadAll(json, "progress", ProgressFromJson, &batch.progress));
+  return batch;
+}
+
+}  // namespace boragewinch::jobs
--- /dev/null
+++ b/src/jobs/ledger_batch.h
@@ -0,0 +1,109 @@
+#ifndef BORAGEWINCH_JOBS_LEDGER_BATCH_H_
+#define BORAGEWINCH_JOBS_LEDGER_BATCH_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/json.h"
+#include "base/result.h"
+#include "jobs/fleet_rules.h"
+#include "jobs/job_types.h"
+
+namespace boragewinch::jobs {
+
+/// \brief A worker as it announced itself.
+struct WorkerNote {
+  WorkerLife life;
+  std::string address;  ///< "IP:port" for calls
+  PoolName pool;
+  ZoneName zone;
+  RackName rack;
+  std::vector<std::string> labels;
+  Resources capacity;
+  bool draining = false;
+  bool departed = false;  ///< this life is over
+
+  friend bool operator==(const WorkerNote&, const WorkerNote&) = default;
+};
+
+/// \brief A job that a caller hands in.
+struct Submission {
+  JobId id;
+  QueueName queue;
+  CustomerName customer;  ///< empty on a queue that is open to all
+  JobSpec spec;
+};
+
+/// \brief The end of a run, as the worker listed it or as it was established.
+struct EndNote {
+  RunName run;
+  WorkerLife worker;
+  RunEnd how = RunEnd::kDone;
+  std::string checkpoint;
+  /// Place in the worker's list of ends; 0 for an end that it did not list.
+  std::int64_t list_number = 0;
+};
+
+/// \brief The decision to start a run. It is stored before the order is sent.
+struct StartNote {
+  RunName run;
+  WorkerLife worker;
+};
+
+/// \brief The turn of one occurrence of a repeated job.
+struct OpeningNote {
+  JobId job;
+  std::uint32_t occurrence = 0;
+};
+
+/// \brief A wave of host maintenance that an operator ordered.
+struct WaveOrder {
+  std::int64_t number = 0;
+  std::vector<HostName> hosts;
+  Millis duration{0};
+  std::int64_t at_once = 1;  ///< hosts that may be down at the same time
+};
+
+/// \brief A host of a wave whose maintenance the platform has begun, or that
+/// the platform no longer has.
+struct WaveProgress {
+  std::int64_t wave = 0;
+  HostName host;
+};
+
+/// \brief One entry of the replicated log: changes that take effect together,
+/// in the order of the members.
+struct Batch {
+  UnixMillis now = 0;  ///< the leader's time of day
+  std::optional<FleetRules> rules;
+  std::vector<WorkerNote> workers;
+  std::vector<Submission> submissions;
+  std::vector<JobId> cancels;
+  std::vector<OpeningNote> openings;
+  std::vector<EndNote> ends;
+  std::vector<StartNote> starts;
+  std::vector<WaveOrder> waves;
+  std::vector<WaveProgress> progress;
+
+  [[nodiscard]] bool empty() const noexcept {
+    return !rules && workers.empty() && submissions.empty() &&
+           cancels.empty() && openings.empty() && ends.empty() &&
+           starts.empty() && waves.empty() && progress.empty();
+  }
+};
+
+[[nodiscard]] std::string EncodeBatch(const Batch& batch);
+/// \returns the batch, or kInvalidJson, kInvalidField.
+[[nodiscard]] Result<Batch> DecodeBatch(std::string_view bytes);
+
+[[nodiscard]] Json ToJson(const WorkerNote& note);
+[[nodiscard]] Result<WorkerNote> WorkerNoteFromJson(const Json& json);
+[[nodiscard]] Json ToJson(const WaveOrder& order);
+[[nodiscard]] Result<WaveOrder> WaveOrderFromJson(const Json& json);
+
+}  // namespace boragewinch::jobs
+
+#endif  // BORAGEWINCH_JOBS_LEDGER_BATCH_H_
--- /dev/null
+++ b/src/jobs/ledger_snapshot.cc
@@ -0,0 +1,232 @@
+#include <utility>
+
+#include "jobs/job_ledger.h"
+
+namespace boragewinch::jobs {
+
+namespace {
+
+[[nodiscard]] Json ToJson(const Run& run) {
+  Json row(::Json::arrayValue);
+  row.append(run.number);
+  row.append(run.worker.id.str());
+  row.append(::Json::Int64(run.worker.born));
+  row.append(::Json::Int64(run.decided));
+  return row;
+}
+
+[[nodiscard]] Json ToJson(const Task& task) {
+  Json row(::Json::arrayValue);
+  row.append(task.last_run);
+  row.append(task.failures);
+  row.append(task.done);
+  row.append(task.checkpoint);
+  for (const Run& run : task.runs)
+    row.append(ToJson(run));
+  return row;
+}
+
+[[nodiscard]] Json ToJson(const Job& job) {
+  Json json;
+  json["id"] = job.id.str();
+  json["queue"] = job.queue.str();
+  json["customer"] = job.customer.str();
+  json["accepted"] = ::Json::Int64(job.accepted);
+  json["finished"] = ::Json::Int64(job.finished);
+  json["state"] = std::string(kJobStates.Name(job.state));
+  json["attempts"] = ::Json::Int64(job.max_attempts);
+  json["next"] = job.next_occurrence;
+  json["completed"] = ::Json::Int64(job.completed_occurrences);
+  if (job.spec)
+    json["job"] = ToJson(*job.spec);
+  for (const auto& [number, occurrence] : job.occurrences) {
+    Json item;
+    item["number"] = number;
+    item["opened"] = ::Json::Int64(occurrence.opened);
+    for (const Step& step : occurrence.steps) {
+      Json tasks(::Json::arrayValue);
+      tasks.append(step.gang_failures);
+      for (const Task& task : step.tasks)
+        tasks.append(ToJson(task));
+      item["steps"].append(std::move(tasks));
+    }
+    json["occurrences"].append(std::move(item));
+  }
+  return json;
+}
+
+[[nodiscard]] Result<Task> TaskFromJson(const Json& row) {
+  Task task;
+  const bool valid = row.isArray() && row.size() >= 4 && row[0].isUInt() &&
+                     row[1].isUInt() && row[2].isBool() && row[3].isString();
+  if (!valid)
+    return Fail(ErrorCode::kStorageCorrupt, "task in a ledger snapshot");
+  task.last_run = row[0].asUInt();
+  task.failures = row[1].asUInt();
+  task.done = row[2].asBool();
+  task.checkpoint = row[3].asString();
+  for (::Json::ArrayIndex i = 4; i < row.size(); ++i) {
+    const Json& run = row[i];
+    if (!run.isArray() || run.size() != 4 || !run[0].isUInt() ||
+        !run[1].isString() || !run[2].isInt64() || !run[3].isInt64()) {
+      return Fail(ErrorCode::kStorageCorrupt, "run in a ledger snapshot");
+    }
+    task.runs.push_back({run[0].asUInt(),
+                         {WorkerId(run[1].asString()), run[2].asInt64()},
+                         run[3].asInt64()});
+  }
+  return task;
+}
+
+[[nodiscard]] Result<Step> StepFromJson(const Json& tasks) {
+  if (!tasks.isArray() || tasks.empty() || !tasks[0].isUInt())
+    return Fail(ErrorCode::kStorageCorrupt, "step in a ledger snapshot");
+  Step step;
+  step.gang_failures = tasks[0].asUInt();
+  for (::Json::ArrayIndex i = 1; i < tasks.size(); ++i) {
+    BW_TRY(Task task, TaskFromJson(tasks[i]));
+    if (task.done)
+      ++step.done;
+    else if (!task.runs.empty())
+      ++step.placed;
+    step.tasks.push_back(std::move(task));
+  }
+  return step;
+}
+
+[[nodiscard]] Result<Job> JobFromJson(const Json& json) {
+  Job job;
+  BW_TRY(const std::string id, StringField(json, "id"));
+  job.id = JobId(id);
+  BW_TRY(const std::string queue, StringField(json, "queue"));
+  job.queue = QueueName(queue);
+  BW_TRY(const std::string customer, StringField(json, "customer"));
+  job.customer = CustomerName(customer);
+  constexpr std::int64_t kMax = (std::int64_t{1} << 53) - 1;
+  BW_TRY(job.accepted, IntField(json, "accepted", 0, kMax));
+  BW_TRY(job.finished, IntField(json, "finished", 0, kMax));
+  BW_TRY(const std::string state, StringField(json, "state"));
+  const auto parsed = kJobStates.Parse(state);
+  if (!parsed)
+    return Fail(ErrorCode::kStorageCorrupt, "job state \"" + state + "\"");
+  job.state = *parsed;
+  BW_TRY(job.max_attempts, IntField(json, "attempts", 1, kMax));
+  BW_TRY(const std::int64_t next, IntField(json, "next", 0, kMaxRepeats));
+  job.next_occurrence = static_cast<std::uint32_t>(next);
+  BW_TRY(job.completed_occurrences, IntField(json, "completed", 0, kMax));
+  if (json.isMember("job")) {
+    BW_TRY(JobSpec spec, JobSpecFromJson(json["job"]));
+    job.spec = std::make_shared<const JobSpec>(std::move(spec));
+  }
+  for (const Json& item : json["occurrences"]) {
+    BW_TRY(const std::int64_t number, IntField(item, "number", 0, kMaxRepeats));
+    Occurrence occurrence;
+    BW_TRY(occurrence.opened, IntField(item, "opened", 0, kMax));
+    for (const Json& tasks : item["steps"]) {
+      BW_TRY(Step step, StepFromJson(tasks));
+      occurrence.steps.push_back(std::move(step));
+    }
+    if (!job.spec || occurrence.steps.size() != job.spec->steps.size())
+      return Fail(ErrorCode::kStorageCorrupt, "steps of job " + id);
+    job.occurrences[static_cast<std::uint32_t>(number)] = std::move(occurrence);
+  }
+  return job;
+}
+
+}  // namespace
+
+std::string JobLedger::Snapshot() const {
+  Json json;
+  json["rules"] = ToJson(rules_);
+  json["jobs"] = Json(::Json::arrayValue);
+  for (const auto& [id, job] : jobs_)
+    json["jobs"].append(ToJson(job));
+  for (const auto& [life, worker] : workers_) {
+    Json item;
+    item["note"] = ToJson(worker.note);
+    item["ends"] = ::Json::Int64(worker.ends_noted);
+    json["workers"].append(std::move(item));
+  }
+  for (const auto& [id, born] : departed_) {
+    Json row(::Json::arrayValue);
+    row.append(id.str());
+    row.append(::Json::Int64(born));
+    json["departed"].append(std::move(row));
+  }
+  for (const auto& [number, wave] : waves_) {
+    Json item;
+    item["order"] = ToJson(wave.order);
+    item["started"] = ::Json::Int64(wave.started);
+    item["begun"] = Json(::Json::arrayValue);
+    for (const HostName& host : wave.begun)
+      item["begun"].append(host.str());
+    json["waves"].append(std::move(item));
+  }
+  return WriteJson(json);
+}
+
+Result<JobLedger> JobLedger::Restore(const std::string& bytes) {
+  BW_TRY(const Json json, ParseJson(bytes));
+  if (!json.isObject())
+    return Fail(ErrorCode::kStorageCorrupt, "a ledger snapshot is an object");
+  constexpr std::int64_t kMax = (std::int64_t{1} << 53) - 1;
+  JobLedger ledger;
+  BW_TRY(ledger.rules_, FleetRulesFromJson(json["rules"]));
+  for (const Json& item : json["workers"]) {
+    Worker worker;
+    BW_TRY(worker.note, WorkerNoteFromJson(item["note"]));
+    BW_TRY(worker.ends_noted, IntField(item, "ends", 0, kMax));
+    const WorkerLife life = worker.note.life;
+    ledger.workers_[life] = std::move(worker);
+  }
+  for (const Json& row : json["departed"]) {
+    if (!row.isArray() || row.size() != 2 || !row[0].isString() ||
+        !row[1].isInt64()) {
+      return Fail(ErrorCode::kStorageCorrupt, "departed worker");
+    }
+    ledger.departed_[WorkerId(row[0].asString())] = row[1].asInt64();
+  }
+  for (const Json& item : json["jobs"]) {
+    BW_TRY(Job job, JobFromJson(item));
+    ledger.AdoptJob(std::move(job));
+  }
+  for (const Json& item : json["waves"]) {
+    Wave wave;
+    BW_TRY(wave.order, WaveOrderFromJson(item["order"]));
+    BW_TRY(wave.started, IntField(item, "started", 0, kMax));
+    for (const Json& host : item["begun"])
+      wave.begun.insert(HostName(host.asString()));
+    const std::int64_t number = wave.order.number;
+    ledger.waves_[number] = std::move(wave);
+  }
+  return ledger;
+}
+
+// Derives the counts and indexes that the snapshot leaves out.
+void JobLedger::AdoptJob(Job job) {
+  for (auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      const StepSpec& spec = job.spec->steps[s];
+      const auto& tasks = occurrence.steps[s].tasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        for (const Run& run : tasks[i].runs) {
+          ++job.runs;
+          usage_[job.customer] += spec.request;
+          if (const auto worker = workers_.find(run.worker);
+              worker != workers_.end()) {
+            worker->second.used += RoomOf(spec);
+            worker->second.runs.insert({{job.id, number, s, i}, run.number});
+          }
+        }
+      }
+    }
+  }
+  if (!job.final())
+    active_.insert(job.id);
+  if (job.state == JobState::kQueued)
+    ++queued_[job.queue];
+  const JobId id = job.id;
+  jobs_[id] = std::move(job);
+}
+
+}  // namespace boragewinch::jobs
--- a/src/kernel/event_loop.cc
+++ b/src/kernel/event_loop.cc
@@ -1,5 +1,7 @@
 #include "kernel/event_loop.h"
 
+#include <ctime>
+
 #include <chrono>
 #include <deque>
 #include <utility>
@@ -134,8 +136,18 @@
   ev_loop_destroy(impl_->loop);
 }
 
+// CLOCK_BOOTTIME, since leases of this process run out while it is suspended.
 TimePoint EventLoop::now() const noexcept {
-  return std::chrono::time_point_cast<Millis>(std::chrono::steady_clock::now());
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return FromMillis(static_cast<std::int64_t>(time.tv_sec) * 1'000 +
+                    time.tv_nsec / 1'000'000);
+}
+
+std::int64_t EventLoop::unix_millis() const noexcept {
+  return std::chrono::duration_cast<Millis>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
 }
 
 std::int64_t EventLoop::unix_seconds() const noexcept {
--- a/src/kernel/event_loop.h
+++ b/src/kernel/event_loop.h
@@ -31,10 +31,13 @@
   EventLoop& operator=(const EventLoop&) = delete;
   ~EventLoop();
 
-  /// \returns the monotonic clock, read at the call.
+  /// \returns the monotonic clock, read at the call. It counts the time for
+  /// which the machine was suspended.
   [[nodiscard]] TimePoint now() const noexcept;
   /// \returns seconds since the Unix epoch, for records that outlive a boot.
   [[nodiscard]] std::int64_t unix_seconds() const noexcept;
+  /// \returns milliseconds since the Unix epoch.
+  [[nodiscard]] std::int64_t unix_millis() const noexcept;
 
   /// \brief Calls `callback` once from the loop, after the present callback.
   void Post(std::function<void()> callback);
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -179,6 +179,8 @@
         MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE,
                             answer.content_type.c_str());
+    for (const auto& [name, value] : answer.headers)
+      MHD_add_response_header(response, name.c_str(), value.c_str());
     if (stopping)
       MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
     const MHD_Result result = MHD_queue_response(
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -23,6 +23,8 @@
   int status = 200;
   std::string body;
   std::string content_type = "application/json";
+  /// Further headers to send; empty in a received answer.
+  std::map<std::string, std::string> headers = {};
 };
 
 /// \brief A call to another process.
--- a/src/raft/replica.cc
+++ b/src/raft/replica.cc
@@ -509,10 +509,11 @@
 
 void Replica::HandleJoin(const Message& message, TimePoint now) {
   const std::string host = HostOf(message.from);
-  if (host == options_.host ||
-      !std::binary_search(options_.hosts.begin(), options_.hosts.end(), host)) {
+  const bool known =
+      options_.admit_any_host ||
+      std::binary_search(options_.hosts.begin(), options_.hosts.end(), host);
+  if (host == options_.host || !known)
     return;
-  }
   if (!message.cluster.empty() && message.cluster != hard_.cluster)
     return;
   if (hard_.cluster.empty()) {
@@ -543,7 +544,7 @@
 // so a replica that has lost its folder can't form a second one while any
 // member of the first still runs.
 void Replica::MaybeForm(TimePoint now) {
-  if (!hard_.cluster.empty() || options_.hosts.empty() ||
+  if (!hard_.cluster.empty() || !options_.may_form || options_.hosts.empty() ||
       options_.hosts.front() != options_.host) {
     return;
   }
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -36,6 +36,12 @@
   Millis join_interval{500};
   /// Whether the leader adds, promotes, demotes and removes members by itself.
   bool manage_members = true;
+  /// Whether this replica may form a new cluster with `hosts`. Set only at the
+  /// first start of an installation: replicas that have all lost their folders
+  /// must not start again from nothing.
+  bool may_form = true;
+  /// Whether hosts that are not in `hosts` may join.
+  bool admit_any_host = false;
 };
 
 /// \brief What a replica needs from its surroundings. The hooks with `on` in
--- /dev/null
+++ b/src/scheduler/gateway_service.h
@@ -0,0 +1,71 @@
+#ifndef BORAGEWINCH_SCHEDULER_GATEWAY_SERVICE_H_
+#define BORAGEWINCH_SCHEDULER_GATEWAY_SERVICE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/metrics.h"
+#include "kernel/kernel.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/rpc_client.h"
+#include "scheduler/relay.h"
+
+namespace boragewinch::scheduler {
+
+/// \brief Settings of a gateway host.
+struct GatewayOptions {
+  std::string listen_callers;
+  std::string listen_ready;    ///< asked by the load balancer
+  std::string listen_metrics;  ///< empty: none
+  std::string cluster_secret;
+  RelayClient::Options relay;
+  /// Time for which a stopping host still takes connections, as not ready. The
+  /// load balancer asks once a second and believes the second answer.
+  Millis stop_ready_wait{2'500};
+  /// Time for which a stopping host waits for open requests after that.
+  Millis stop_open_wait{2'500};
+};
+
+/// \returns how long the caller of a request waits for its answer.
+using CallerPatience = std::function<Millis(const HttpRequest&)>;
+
+/// \brief The task of a gateway host: takes callers' requests and passes them
+/// to the leader of the scheduler. It keeps no state that must survive.
+class GatewayService final : public Service {
+ public:
+  GatewayService(GatewayOptions options, CallerPatience patience);
+  ~GatewayService() override;
+
+  [[nodiscard]] Status Start(Kernel& kernel) override;
+  void Stop(const std::function<void()>& done) override;
+  [[nodiscard]] std::size_t open_requests() const override;
+
+ private:
+  void Serve(HttpRequest request, const HttpResponder& respond);
+  [[nodiscard]] bool Ready(TimePoint now) const;
+  void StopWhenQuiet(TimePoint now);
+
+  GatewayOptions options_;
+  CallerPatience patience_;
+  EventLoop* loop_ = nullptr;
+  Metrics metrics_;
+  std::unique_ptr<HttpClient> client_;
+  std::unique_ptr<RpcClient> rpc_;
+  std::unique_ptr<RelayClient> relay_;
+  std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<HttpServer> ready_;
+  std::unique_ptr<HttpServer> metrics_server_;
+  WatchHandle refresh_;
+  WatchHandle stop_tick_;
+  std::function<void()> stopped_;
+  TimePoint stop_accepting_at_;
+  TimePoint stop_until_;
+  bool stopping_ = false;
+  bool accepting_ = true;
+};
+
+}  // namespace boragewinch::scheduler
+
+#endif  // BORAGEWINCH_SCHEDULER_GATEWAY_SERVICE_H_
--- /dev/null
+++ b/src/scheduler/job_desk.cc
@@ -0,0 +1,168 @@
+#include "scheduler/job_desk.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+/// An election takes about a second.
+constexpr Millis kRetryNotReady{1'000};
+/// Bound on unfinished jobs: they live in the memory of every replica, some
+/// 4 KB each.
+constexpr std::size_t kMaxActiveJobs = 8'000;
+constexpr Millis kRetryOverloaded{2'000};
+constexpr std::size_t kIdDigits = 16;
+
+[[nodiscard]] bool IsJobId(const std::string& text) {
+  return text.size() == kIdDigits &&
+         text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+}  // namespace
+
+JobDesk::Place JobDesk::Locate(const CallerAddress& caller,
+                               TimePoint now) const {
+  Place place;
+  const jobs::FleetRules& rules = replica_.ledger().rules();
+  if (!replica_.MayAct(now) || rules.version == 0) {
+    place.verdict = DeskVerdict::kNotReady;
+    return place;
+  }
+  place.queue = rules.FindQueue(caller.virtual_host, caller.path);
+  if (place.queue == nullptr) {
+    place.verdict = DeskVerdict::kNoQueue;
+    return place;
+  }
+  if (const jobs::CustomerRule* customer = rules.FindCustomer(caller.key)) {
+    place.customer = customer->name;
+  } else if (!place.queue->open_to_all) {
+    place.verdict = DeskVerdict::kUnauthorized;
+    return place;
+  }
+  place.rest = caller.path.substr(place.queue->path_prefix.size());
+  return place;
+}
+
+const jobs::Job* JobDesk::FindOwn(const Place& place) const {
+  const jobs::Job* job = replica_.ledger().FindJob(jobs::JobId(place.rest));
+  const bool own =
+      job != nullptr && job->queue == place.queue->name &&
+      (place.queue->open_to_all || job->customer == place.customer);
+  return own ? job : nullptr;
+}
+
+void JobDesk::Answer(const char* call,
+                     const Place& place,
+                     const DeskAnswer& answer,
+                     const Done& done) {
+  const std::string queue =
+      place.queue != nullptr ? place.queue->name.str() : "";
+  const std::string verdict(kDeskVerdicts.Name(answer.verdict));
+  LogEvent(EventId::kDeskAnswered,
+           {{"call", call},
+            {"job", place.rest},
+            {"queue", queue},
+            {"customer", place.customer.str()},
+            {"verdict", verdict},
+            {"state", std::string(jobs::kJobStates.Name(answer.state))},
+            {"rules", static_cast<long>(replica_.ledger().rules().version)},
+            {"term", replica_.term()}});
+  metrics_.Count(std::string("desk_") + call, {place.customer.str(), queue});
+  if (answer.verdict != DeskVerdict::kDone)
+    metrics_.Count("desk_refused", {place.customer.str(), verdict});
+  done(answer);
+}
+
+void JobDesk::Submit(const CallerAddress& caller,
+                     const Result<jobs::JobSpec>& spec,
+                     TimePoint now,
+                     const Done& done) {
+  const Place place = Locate(caller, now);
+  DeskAnswer answer;
+  answer.verdict = place.verdict;
+  answer.retry_after = kRetryNotReady;
+  if (place.verdict == DeskVerdict::kDone) {
+    const bool known =
+        replica_.ledger().FindJob(jobs::JobId(place.rest)) != nullptr;
+    if (known) {
+      Answer("submit", place, answer, done);
+      return;
+    }
+    if (!spec || !IsJobId(place.rest)) {
+      answer.verdict = DeskVerdict::kInvalid;
+    } else if (replica_.ledger().active().size() >= kMaxActiveJobs) {
+      answer.verdict = DeskVerdict::kOverloaded;
+      answer.retry_after = kRetryOverloaded;
+    }
+  }
+  if (answer.verdict != DeskVerdict::kDone) {
+    Answer("submit", place, answer, done);
+    return;
+  }
+  jobs::Submission submission{jobs::JobId(place.rest), place.queue->name,
+                              place.customer, spec.value()};
+  // The rules may have changed when the batch is stored.
+  const Place logged{place.verdict, nullptr, place.customer, place.rest};
+  replica_.Submit(
+      [submission = std::move(submission)](jobs::Batch* batch) {
+        batch->submissions.push_back(submission);
+      },
+      [this, logged, answer, done](const Status& stored) mutable {
+        if (!stored) {
+          answer.verdict = stored.error().code == ErrorCode::kNotLeader
+                               ? DeskVerdict::kNotReady
+                               : DeskVerdict::kUnknown;
+        }
+        Answer("submit", logged, answer, done);
+      });
+}
+
+void JobDesk::State(const CallerAddress& caller,
+                    TimePoint now,
+                    const Done& done) {
+  const Place place = Locate(caller, now);
+  DeskAnswer answer;
+  answer.verdict = place.verdict;
+  answer.retry_after = kRetryNotReady;
+  if (place.verdict == DeskVerdict::kDone) {
+    if (place.rest.empty()) {
+      answer.counts = true;
+      answer.queued = replica_.ledger().QueuedOf(place.queue->name);
+    } else if (const jobs::Job* job = FindOwn(place)) {
+      answer.state = job->state;
+    } else {
+      answer.verdict = DeskVerdict::kNoJob;
+    }
+  }
+  Answer("state", place, answer, done);
+}
+
+void JobDesk::Cancel(const CallerAddress& caller,
+                     TimePoint now,
+                     const Done& done) {
+  const Place place = Locate(caller, now);
+  DeskAnswer answer;
+  answer.verdict = place.verdict;
+  answer.retry_after = kRetryNotReady;
+  const jobs::Job* job =
+      place.verdict == DeskVerdict::kDone ? FindOwn(place) : nullptr;
+  if (place.verdict == DeskVerdict::kDone && job == nullptr)
+    answer.verdict = DeskVerdict::kNoJob;
+  if (job == nullptr || job->final()) {
+    Answer("cancel", place, answer, done);
+    return;
+  }
+  const Place logged{place.verdict, nullptr, place.customer, place.rest};
+  replica_.Submit(
+      [id = job->id](jobs::Batch* batch) { batch->cancels.push_back(id); },
+      [this, logged, answer, done](const Status& stored) mutable {
+        if (!stored)
+          answer.verdict = DeskVerdict::kUnknown;
+        Answer("cancel", logged, answer, done);
+      });
+}
+
+}  // namespace boragewinch::scheduler
--- /dev/null
+++ b/src/scheduler/ledger_replica.cc
@@ -0,0 +1,235 @@
+#include "scheduler/ledger_replica.h"
+
+#include <random>
+#include <utility>
+
+#include "base/event_log.h"
+#include "storage/file_system.h"
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+/// The replica asks for a tick at least every 20 ms.
+constexpr Millis kTickInterval{20};
+/// Least time between two batches: more changes share one sync and one round
+/// of messages, and a task of the shortest kind runs 30 times as long.
+constexpr Millis kBatchInterval{15};
+constexpr Millis kStepTimeout{1'000};
+/// Changes that wait for the next batch; more are refused.
+constexpr std::size_t kMaxWaitingChanges = 4'096;
+
+}  // namespace
+
+LedgerReplica::LedgerReplica(EventLoop& loop,
+                             RpcClient& rpc,
+                             LedgerReplicaOptions options,
+                             Hooks hooks)
+    : loop_(loop),
+      rpc_(rpc),
+      options_(std::move(options)),
+      hooks_(std::move(hooks)) {}
+
+LedgerReplica::~LedgerReplica() = default;
+
+Status LedgerReplica::Start(RpcServer* server) {
+  raft::ReplicaOptions replica;
+  replica.folder = options_.folder;
+  replica.host = options_.host;
+  replica.hosts = options_.hosts;
+  replica.may_form = options_.may_form;
+  replica.admit_any_host = true;
+  replica.node.election_timeout = options_.election_timeout;
+  std::random_device seed;
+  replica_ = std::make_unique<raft::Replica>(
+      PosixFileSystem(), std::move(replica), MakeHooks(),
+      [generator = std::mt19937_64(seed())]() mutable { return generator(); });
+  BW_CHECK(replica_->Start(loop_.now()));
+  server->Bind("raft.step", [this](const Json& body, const RpcReply& reply) {
+    OnStep(body, reply);
+  });
+  tick_ = loop_.Every(kTickInterval, [this](TimePoint now) { OnTick(now); });
+  return Ok();
+}
+
+raft::ReplicaHooks LedgerReplica::MakeHooks() {
+  raft::ReplicaHooks hooks;
+  hooks.send = [this](const std::string& host, const raft::Message& message) {
+    // A lost message is sent again by the replica.
+    rpc_.Call(host + ":" + options_.port, "raft.step", ToJson(message),
+              kStepTimeout, [](const Result<Json>&) {});
+  };
+  hooks.apply = [this](std::uint64_t index, const std::string& bytes) {
+    OnApply(index, bytes);
+  };
+  hooks.take_snapshot = [this] { return ledger_.Snapshot(); };
+  hooks.restore = [this](const std::string& bytes) -> Status {
+    BW_TRY(ledger_, jobs::JobLedger::Restore(bytes));
+    return Ok();
+  };
+  hooks.on_error = [](const Error& error) {
+    LogEvent(EventId::kStorageFailed, {{"error", error.Text()}});
+  };
+  return hooks;
+}
+
+void LedgerReplica::OnStep(const Json& body, const RpcReply& reply) {
+  const Result<raft::Message> message = raft::MessageFromJson(body);
+  if (!message) {
+    LogEvent(EventId::kMalformedMessage, {{"error", message.error().Text()}});
+    reply(outcome::failure(message.error()));
+    return;
+  }
+  const TimePoint now = loop_.now();
+  if (Status taken = replica_->Receive(message.value(), now); !taken)
+    LogEvent(EventId::kCallFailed, {{"error", taken.error().Text()}});
+  reply(Json(::Json::objectValue));
+  NoteLeadership(loop_.now());
+}
+
+void LedgerReplica::OnApply(std::uint64_t index, const std::string& bytes) {
+  const bool own = open_ && (open_->index == index || proposing_) &&
+                   (proposing_ || open_->term == replica_->term());
+  if (!own) {
+    Result<jobs::Batch> batch = jobs::DecodeBatch(bytes);
+    if (!batch) {
+      // Written by this program and checked by the log's hashes: a newer
+      // version wrote it, or this one is wrong.
+      LogEvent(EventId::kStorageFailed, {{"error", batch.error().Text()}});
+      return;
+    }
+    ledger_.Apply(batch.value());
+    return;
+  }
+  const jobs::Batch batch = std::move(open_->batch);
+  open_.reset();
+  ledger_.Apply(batch);
+  loop_.Post([this, batch, replies = std::exchange(stored_replies_, {})] {
+    for (const Reply& reply : replies)
+      reply(Ok());
+    hooks_.on_stored(batch, loop_.now());
+    Wake();
+  });
+}
+
+bool LedgerReplica::MayAct(TimePoint now) const {
+  if (retired_ || !leading())
+    return false;
+  // Followers that heard this leader vote for no other within the election
+  // timeout, so a confirmation is good for a little less than that.
+  const auto confirmed = replica_->ConfirmedAt(now);
+  return confirmed && now - *confirmed < HolderLease(options_.election_timeout);
+}
+
+std::string LedgerReplica::LeaderHost() const {
+  const raft::ReplicaId& leader = replica_->leader();
+  return leader.empty() ? "" : raft::HostOf(leader);
+}
+
+std::vector<std::string> LedgerReplica::MemberHosts() const {
+  std::vector<std::string> hosts;
+  const raft::Configuration members = replica_->configuration();
+  for (const auto* ids : {&members.voters, &members.learners}) {
+    for (const raft::ReplicaId& id : *ids)
+      hosts.push_back(raft::HostOf(id));
+  }
+  return hosts;
+}
+
+void LedgerReplica::Submit(const Change& change, Reply reply) {
+  if (!leading() || retired_) {
+    reply(Fail(ErrorCode::kNotLeader, "another replica leads"));
+    return;
+  }
+  if (replies_.size() >= kMaxWaitingChanges) {
+    LogEvent(EventId::kBoundReached, {{"bound", "waiting_changes"}});
+    reply(Fail(ErrorCode::kNotLeader, "too many changes wait"));
+    return;
+  }
+  change(&pending_);
+  replies_.push_back(std::move(reply));
+  Wake();
+}
+
+void LedgerReplica::Wake() {
+  if (flush_due_ || open_)
+    return;
+  flush_due_ = true;
+  const TimePoint now = loop_.now();
+  const Millis wait = std::max(Millis(0), flushed_at_ + kBatchInterval - now);
+  flush_ = loop_.After(wait, [this](TimePoint at) {
+    flush_due_ = false;
+    Flush(at);
+  });
+}
+
+void LedgerReplica::Flush(TimePoint now) {
+  if (open_ || !MayAct(now))
+    return;
+  hooks_.decide(&pending_, now);
+  if (pending_.empty() && replies_.empty())
+    return;
+  flushed_at_ = now;
+  pending_.now = loop_.unix_millis();
+  std::string bytes = jobs::EncodeBatch(pending_);
+  open_ = OpenBatch{0, replica_->term(), std::exchange(pending_, {})};
+  stored_replies_ = std::exchange(replies_, {});
+  proposing_ = true;
+  const Result<std::uint64_t> index = replica_->Propose(std::move(bytes), now);
+  proposing_ = false;
+  if (!index) {
+    LogEvent(EventId::kCallFailed, {{"error", index.error().Text()}});
+    open_.reset();
+    const auto replies = std::exchange(stored_replies_, {});
+    for (const Reply& reply : replies)
+      reply(Fail(ErrorCode::kNotLeader, index.error().detail));
+    return;
+  }
+  // A replica without others has applied the batch by now.
+  if (open_)
+    open_->index = index.value();
+}
+
+void LedgerReplica::OnTick(TimePoint now) {
+  replica_->Tick(now);
+  NoteLeadership(now);
+  if (acts_ && !pending_.empty())
+    Wake();
+}
+
+void LedgerReplica::NoteLeadership(TimePoint now) {
+  const bool acts = acts_ ? leading() && !retired_ &&
+                                (!open_ || open_->term == replica_->term())
+                          : MayAct(now);
+  if (acts == acts_)
+    return;
+  acts_ = acts;
+  if (!acts) {
+    open_.reset();
+    FailAll(ErrorCode::kUnavailable, "leadership was lost");
+  }
+  hooks_.on_leadership(acts, now);
+}
+
+void LedgerReplica::FailAll(ErrorCode code, const std::string& why) {
+  pending_ = {};
+  const auto stored = std::exchange(stored_replies_, {});
+  const auto waiting = std::exchange(replies_, {});
+  for (const Reply& reply : stored)
+    reply(Fail(code, why));
+  for (const Reply& reply : waiting)
+    reply(Fail(ErrorCode::kNotLeader, why));
+}
+
+void LedgerReplica::Retire() {
+  retired_ = true;
+  const TimePoint now = loop_.now();
+  if (!leading())
+    return;
+  // Without another voter there is nobody to hand leadership to.
+  if (Status moved = replica_->TransferLeadership(now); !moved)
+    LogEvent(EventId::kCallFailed, {{"error", moved.error().Text()}});
+  NoteLeadership(now);
+}
+
+}  // namespace boragewinch::scheduler
--- /dev/null
+++ b/src/scheduler/scheduler_service.h
@@ -0,0 +1,103 @@
+#ifndef BORAGEWINCH_SCHEDULER_SCHEDULER_SERVICE_H_
+#define BORAGEWINCH_SCHEDULER_SCHEDULER_SERVICE_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/metrics.h"
+#include "kernel/kernel.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "net/rpc_client.h"
+#include "net/rpc_server.h"
+#include "scheduler/host_calls.h"
+#include "scheduler/job_desk.h"
+#include "scheduler/ledger_replica.h"
+#include "scheduler/relay.h"
+#include "scheduler/rules_desk.h"
+#include "scheduler/task_planner.h"
+#include "scheduler/wave_keeper.h"
+#include "scheduler/worker_calls.h"
+#include "scheduler/worker_fleet.h"
+#include "scheduler/worker_registry.h"
+
+namespace boragewinch::scheduler {
+
+/// \brief Settings of a scheduler host.
+struct SchedulerOptions {
+  LedgerReplicaOptions ledger;
+  std::string listen_internal;  ///< calls of the project's other processes
+  std::string listen_control;   ///< calls of workers and operators
+  std::string listen_metrics;   ///< empty: none
+  std::string cluster_secret;
+  WorkerLinkOptions links;
+  TaskPlannerOptions planner;
+  Millis maintenance{2'000};  ///< shortest maintenance of a host
+};
+
+/// \brief What the scheduler needs of its surroundings.
+struct SchedulerPorts {
+  /// Makes the calls to workers and to the platform.
+  std::function<WorkerCalls(HttpClient&)> worker_calls;
+  std::function<HostCalls(HttpClient&)> host_calls;
+  /// Serves one request of a caller, worker or operator at the leader.
+  ServeRequest serve;
+};
+
+/// \brief The task of a scheduler host: a replica of the job ledger and, on
+/// the leader, everything that decides on jobs, workers and hosts.
+class SchedulerService final : public Service {
+ public:
+  SchedulerService(SchedulerOptions options, SchedulerPorts ports);
+  ~SchedulerService() override;
+
+  [[nodiscard]] Status Start(Kernel& kernel) override;
+  void Stop(const std::function<void()>& done) override;
+
+  [[nodiscard]] JobDesk& jobs() noexcept { return *job_desk_; }
+  [[nodiscard]] RulesDesk& rules() noexcept { return *rules_desk_; }
+  [[nodiscard]] WorkerRegistry& workers() noexcept { return *registry_; }
+  [[nodiscard]] TimePoint now() const noexcept { return loop_->now(); }
+
+ private:
+  void ServeControl(const RelayedRequest& request,
+                    const HttpResponder& respond);
+  void Decide(jobs::Batch* batch, TimePoint now);
+  void OnStored(const jobs::Batch& batch, TimePoint now);
+  void OnLeadership(bool acts, TimePoint now);
+  void OnTick(TimePoint now);
+  void StopRuns();
+  void DriveWaves(TimePoint now);
+  void OpenDue(jobs::Batch* batch, jobs::UnixMillis now) const;
+  void NoteProgress(const jobs::WaveProgress& progress);
+
+  SchedulerOptions options_;
+  SchedulerPorts ports_;
+  EventLoop* loop_ = nullptr;
+  Metrics metrics_;
+  std::unique_ptr<HttpClient> client_;
+  std::unique_ptr<RpcClient> rpc_client_;
+  std::unique_ptr<RpcServer> rpc_server_;
+  std::unique_ptr<LedgerReplica> replica_;
+  std::unique_ptr<WorkerFleet> fleet_;
+  std::unique_ptr<JobDesk> job_desk_;
+  std::unique_ptr<RulesDesk> rules_desk_;
+  std::unique_ptr<WorkerRegistry> registry_;
+  std::unique_ptr<WaveKeeper> waves_;
+  HostCalls host_calls_;
+  TaskPlanner planner_;
+  std::unique_ptr<RelayServer> relay_;
+  std::unique_ptr<RelayClient> control_relay_;  ///< while another host leads
+  std::unique_ptr<HttpServer> internal_;
+  std::unique_ptr<HttpServer> control_;
+  std::unique_ptr<HttpServer> metrics_server_;
+  WatchHandle tick_;
+  WatchHandle stop_timer_;
+  TimePoint waves_due_;
+  std::uint64_t era_ = 0;
+};
+
+}  // namespace boragewinch::scheduler
+
+#endif  // BORAGEWINCH_SCHEDULER_SCHEDULER_SERVICE_H_
--- /dev/null
+++ b/src/scheduler/stop_planner.cc
@@ -0,0 +1,92 @@
+#include "scheduler/stop_planner.h"
+
+#include <map>
+#include <tuple>
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+constexpr int kAtWork = 100;
+
+/// Tasks of one step that are not at work, with those stopped by this plan.
+class AwayCounts {
+ public:
+  AwayCounts(const jobs::JobLedger& ledger, const PercentOf& percent_of)
+      : ledger_(ledger), percent_of_(percent_of) {}
+
+  /// \returns whether one more task of the step may be taken from its work.
+  [[nodiscard]] bool Allow(const jobs::RunName& run,
+                           const jobs::StepSpec& spec) {
+    if (spec.may_be_away == 0)
+      return true;
+    const auto key =
+        std::tuple(run.task.job, run.task.occurrence, run.task.step);
+    const auto [count, added] = away_.try_emplace(key, 0);
+    if (added)
+      count->second = Count(run.task);
+    if (count->second >= spec.may_be_away)
+      return false;
+    ++count->second;
+    return true;
+  }
+
+ private:
+  [[nodiscard]] std::int64_t Count(const jobs::TaskName& name) const {
+    const jobs::Job* job = ledger_.FindJob(name.job);
+    const auto& step = job->occurrences.at(name.occurrence).steps[name.step];
+    std::int64_t away = 0;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+      bool at_work = false;
+      for (const jobs::Run& run : step.tasks[i].runs) {
+        const jobs::RunName other{{name.job, name.occurrence, name.step, i},
+                                  run.number};
+        at_work = at_work || percent_of_(other, run.worker) >= kAtWork;
+      }
+      away += at_work ? 0 : 1;
+    }
+    return away;
+  }
+
+  const jobs::JobLedger& ledger_;
+  const PercentOf& percent_of_;
+  std::map<std::tuple<jobs::JobId, std::uint32_t, std::uint32_t>, std::int64_t>
+      away_;
+};
+
+}  // namespace
+
+std::vector<StopOrder> PlanStops(const jobs::JobLedger& ledger,
+                                 const std::set<jobs::WorkerLife>& clearing,
+                                 const PercentOf& percent_of) {
+  std::vector<StopOrder> stops;
+  AwayCounts away(ledger, percent_of);
+  for (const auto& [life, worker] : ledger.workers()) {
+    const bool clears = clearing.count(life) > 0;
+    for (const jobs::RunName& run : worker.runs) {
+      const jobs::Job* job = ledger.FindJob(run.task.job);
+      const jobs::Task* task = ledger.FindTask(run.task);
+      if (job == nullptr || task == nullptr)
+        continue;
+      if (job->final()) {
+        stops.push_back({run, life, "job_final"});
+        continue;
+      }
+      if (task->done) {
+        stops.push_back({run, life, "task_done"});
+        continue;
+      }
+      const jobs::StepSpec& spec = job->spec->steps[run.task.step];
+      if (!spec.long_running)
+        continue;
+      if (worker.note.draining)
+        stops.push_back({run, life, "worker_drains"});
+      else if (clears &&
+               (percent_of(run, life) < kAtWork || away.Allow(run, spec)))
+        stops.push_back({run, life, "host_maintenance"});
+    }
+  }
+  return stops;
+}
+
+}  // namespace boragewinch::scheduler
--- /dev/null
+++ b/src/scheduler/stop_planner.h
@@ -0,0 +1,33 @@
+#ifndef BORAGEWINCH_SCHEDULER_STOP_PLANNER_H_
+#define BORAGEWINCH_SCHEDULER_STOP_PLANNER_H_
+
+#include <functional>
+#include <set>
+#include <vector>
+
+#include "jobs/job_ledger.h"
+
+namespace boragewinch::scheduler {
+
+/// \brief A run that should not go on, and why.
+struct StopOrder {
+  jobs::RunName run;
+  jobs::WorkerLife worker;
+  const char* reason = "";
+};
+
+/// \returns how far a run has come, in percent, as its worker listed it.
+using PercentOf =
+    std::function<int(const jobs::RunName&, const jobs::WorkerLife&)>;
+
+/// \brief Decides which runs are stopped: those of jobs in a final state, extra
+/// copies of finished tasks, long-running tasks on workers that drain, and on
+/// workers in `clearing` as far as the steps' availability allows.
+[[nodiscard]] std::vector<StopOrder> PlanStops(
+    const jobs::JobLedger& ledger,
+    const std::set<jobs::WorkerLife>& clearing,
+    const PercentOf& percent_of);
+
+}  // namespace boragewinch::scheduler
+
+#endif  // BORAGEWINCH_SCHEDULER_STOP_PLANNER_H_
--- /dev/null
+++ b/src/scheduler/task_planner.cc
@@ -0,0 +1,275 @@
+#include "scheduler/task_planner.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <tuple>
+#include <utility>
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+/// Assumed duration of a task without an estimate.
+constexpr Millis kUnknownEstimate{1'000};
+
+[[nodiscard]] Millis EstimateOf(const jobs::StepSpec& step) {
+  return step.estimate.count() > 0 ? step.estimate : kUnknownEstimate;
+}
+
+/// Room on a worker, less what this plan has given away.
+struct Seat {
+  const jobs::Worker* worker = nullptr;
+  Resources free;
+};
+
+struct Candidate {
+  const jobs::Job* job = nullptr;
+  const jobs::QueueRule* queue = nullptr;
+  std::uint32_t occurrence = 0;
+  bool late = false;
+  jobs::UnixMillis deadline = 0;
+};
+
+/// State of one plan.
+class PlanRun {
+ public:
+  PlanRun(const jobs::JobLedger& ledger,
+          const TaskPlannerOptions& options,
+          const MayStart& may_start,
+          jobs::UnixMillis now)
+      : ledger_(ledger), options_(options), now_(now) {
+    for (const auto& [life, worker] : ledger.workers()) {
+      if (worker.note.draining || !may_start(life))
+        continue;
+      Resources free = worker.note.capacity;
+      free -= worker.used;
+      seats_[worker.note.pool].push_back({&worker, free});
+    }
+  }
+
+  [[nodiscard]] std::vector<jobs::StartNote> Make() {
+    for (const Candidate& candidate : Ordered()) {
+      PlaceJob(candidate);
+      if (starts_.size() >= options_.max_starts)
+        break;
+    }
+    return std::move(starts_);
+  }
+
+ private:
+  [[nodiscard]] std::vector<Candidate> Ordered() const {
+    std::vector<Candidate> candidates;
+    for (const jobs::JobId& id : ledger_.active()) {
+      const jobs::Job* job = ledger_.FindJob(id);
+      const jobs::QueueRule* queue = ledger_.rules().FindQueue(job->queue);
+      if (queue == nullptr)
+        continue;
+      for (const auto& [number, occurrence] : job->occurrences) {
+        const bool waits =
+            std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
+                        [](const jobs::Step& s) { return s.waiting() > 0; });
+        if (!waits)
+          continue;
+        const jobs::UnixMillis from =
+            job->spec->repeats > 0 ? job->spec->due(number) : job->accepted;
+        const jobs::UnixMillis deadline = ObjectiveOf(*job, *queue, from);
+        const auto allowed = static_cast<jobs::UnixMillis>(
+            static_cast<double>(deadline - from) * options_.late_factor);
+        candidates.push_back(
+            {job, queue, number, now_ > from + allowed, deadline});
+      }
+    }
+    std::sort(
+        candidates.begin(), candidates.end(),
+        [](const Candidate& a, const Candidate& b) {
+          return std::tie(a.queue->priority, a.late, a.deadline, a.job->id) <
+                 std::tie(b.queue->priority, b.late, b.deadline, b.job->id);
+        });
+    return candidates;
+  }
+
+  void PlaceJob(const Candidate& candidate) {
+    const jobs::Job& job = *candidate.job;
+    const auto seats = seats_.find(candidate.queue->pool);
+    if (seats == seats_.end())
+      return;
+    const auto& occurrence = job.occurrences.at(candidate.occurrence);
+    for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+      if (occurrence.steps[s].waiting() == 0 || !job.StepReady(occurrence, s))
+        continue;
+      if (job.spec->steps[s].gang)
+        PlaceGang(candidate, s, &seats->second);
+      else
+        PlaceStep(candidate, s, &seats->second);
+    }
+  }
+
+  void PlaceStep(const Candidate& candidate,
+                 std::uint32_t s,
+                 std::vector<Seat>* seats) {
+    const jobs::Job& job = *candidate.job;
+    const jobs::StepSpec& spec = job.spec->steps[s];
+    const jobs::Step& step = job.occurrences.at(candidate.occurrence).steps[s];
+    auto per_worker = CountPerWorker(step, spec);
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+      const jobs::Task& task = step.tasks[i];
+      if (task.done || !task.runs.empty())
+        continue;
+      if (starts_.size() >= options_.max_starts || !CustomerHasRoom(job, spec))
+        return;
+      Seat* seat = Choose(spec, seats, per_worker);
+      if (seat == nullptr)
+        return;
+      Take(job, spec, seat);
+      ++per_worker[seat->worker->note.life];
+      starts_.push_back(
+          {{{job.id, candidate.occurrence, s, i}, task.last_run + 1},
+           seat->worker->note.life});
+    }
+  }
+
+  // A gang is started whole or not at all: a member without the others only
+  // holds room.
+  void PlaceGang(const Candidate& candidate,
+                 std::uint32_t s,
+                 std::vector<Seat>* seats) {
+    const jobs::Job& job = *candidate.job;
+    const jobs::StepSpec& spec = job.spec->steps[s];
+    const jobs::Step& step = job.occurrences.at(candidate.occurrence).steps[s];
+    if (step.placed > 0 || step.done > 0)
+      return;
+    std::uint32_t number = 0;
+    for (const jobs::Task& task : step.tasks)
+      number = std::max(number, task.last_run);
+    const auto kept_usage = usage_;
+    const std::vector<Seat> kept_seats = *seats;
+    const std::size_t kept_starts = starts_.size();
+    std::map<jobs::WorkerLife, std::int64_t> per_worker;
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+      Seat* seat = CustomerHasRoom(job, spec) ? Choose(spec, seats, per_worker)
+                                              : nullptr;
+      if (seat == nullptr) {
+        usage_ = kept_usage;
+        *seats = kept_seats;
+        starts_.resize(kept_starts);
+        return;
+      }
+      Take(job, spec, seat);
+      ++per_worker[seat->worker->note.life];
+      starts_.push_back({{{job.id, candidate.occurrence, s, i}, number + 1},
+                         seat->worker->note.life});
+    }
+  }
+
+  [[nodiscard]] static std::map<jobs::WorkerLife, std::int64_t> CountPerWorker(
+      const jobs::Step& step,
+      const jobs::StepSpec& spec) {
+    std::map<jobs::WorkerLife, std::int64_t> counts;
+    if (spec.max_per_worker == 0)
+      return counts;
+    for (const jobs::Task& task : step.tasks) {
+      for (const jobs::Run& run : task.runs)
+        ++counts[run.worker];
+    }
+    return counts;
+  }
+
+  [[nodiscard]] bool CustomerHasRoom(const jobs::Job& job,
+                                     const jobs::StepSpec& spec) {
+    const auto& customers = ledger_.rules().customers;
+    const auto rule = customers.find(job.customer);
+    if (job.customer.empty() || rule == customers.end())
+      return true;
+    Resources used = Usage(job.customer);
+    used += spec.request;
+    const Resources& limit = rule->second.limit;
+    const auto within = [](std::int64_t value, std::int64_t bound) {
+      return bound == 0 || value <= bound;
+    };
+    return within(used.cpu_millis, limit.cpu_millis) &&
+           within(used.memory_mb, limit.memory_mb) &&
+           within(used.accelerators, limit.accelerators);
+  }
+
+  [[nodiscard]] Resources& Usage(const CustomerName& customer) {
+    const auto [place, added] = usage_.try_emplace(customer);
+    if (added)
+      place->second = ledger_.UsageOf(customer);
+    return place->second;
+  }
+
+  // The worker with the most free processor time: tasks on one worker slow each
+  // other. A step whose data or tasks belong to a rack takes that rack first.
+  [[nodiscard]] Seat* Choose(
+      const jobs::StepSpec& spec,
+      std::vector<Seat>* seats,
+      const std::map<jobs::WorkerLife, std::int64_t>& per_worker) const {
+    const Resources need = jobs::JobLedger::RoomOf(spec);
+    Seat* best = nullptr;
+    std::tuple<bool, std::int64_t, std::int64_t> best_rank;
+    for (Seat& seat : *seats) {
+      const jobs::WorkerNote& note = seat.worker->note;
+      if (!need.FitsInto(seat.free) || !HasLabel(note, spec.required_label))
+        continue;
+      if (spec.max_per_worker > 0) {
+        const auto count = per_worker.find(note.life);
+        if (count != per_worker.end() && count->second >= spec.max_per_worker)
+          continue;
+      }
+      const bool near = spec.data_rack.empty() || spec.data_rack == note.rack;
+      const std::tuple rank(near, seat.free.cpu_millis, seat.free.memory_mb);
+      if (best == nullptr || rank > best_rank) {
+        best = &seat;
+        best_rank = rank;
+      }
+    }
+    return best;
+  }
+
+  [[nodiscard]] static bool HasLabel(const jobs::WorkerNote& note,
+                                     const std::string& label) {
+    return label.empty() || std::find(note.labels.begin(), note.labels.end(),
+                                      label) != note.labels.end();
+  }
+
+  void Take(const jobs::Job& job, const jobs::StepSpec& spec, Seat* seat) {
+    seat->free -= jobs::JobLedger::RoomOf(spec);
+    Usage(job.customer) += spec.request;
+  }
+
+  const jobs::JobLedger& ledger_;
+  const TaskPlannerOptions& options_;
+  jobs::UnixMillis now_;
+  std::map<PoolName, std::vector<Seat>> seats_;
+  std::map<CustomerName, Resources> usage_;
+  std::vector<jobs::StartNote> starts_;
+};
+
+}  // namespace
+
+jobs::UnixMillis ObjectiveOf(const jobs::Job& job,
+                             const jobs::QueueRule& queue,
+                             jobs::UnixMillis from) {
+  std::vector<Millis> ends;
+  Millis longest{0};
+  for (const jobs::StepSpec& step : job.spec->steps) {
+    Millis begin{0};
+    for (const std::uint32_t earlier : step.depends_on)
+      begin = std::max(begin, ends[earlier]);
+    ends.push_back(begin + EstimateOf(step));
+    longest = std::max(longest, ends.back());
+  }
+  return from +
+         static_cast<jobs::UnixMillis>(queue.stretch *
+                                       static_cast<double>(longest.count())) +
+         queue.latency_target.count();
+}
+
+std::vector<jobs::StartNote> TaskPlanner::Plan(const jobs::JobLedger& ledger,
+                                               const MayStart& may_start,
+                                               jobs::UnixMillis now) const {
+  return PlanRun(ledger, options_, may_start, now).Make();
+}
+
+}  // namespace boragewinch::scheduler
--- /dev/null
+++ b/src/scheduler/task_planner.h
@@ -0,0 +1,49 @@
+#ifndef BORAGEWINCH_SCHEDULER_TASK_PLANNER_H_
+#define BORAGEWINCH_SCHEDULER_TASK_PLANNER_H_
+
+#include <functional>
+#include <vector>
+
+#include "jobs/job_ledger.h"
+
+namespace boragewinch::scheduler {
+
+/// \brief Limits of the planner.
+struct TaskPlannerOptions {
+  /// Starts of one plan: they share one entry of the log.
+  std::size_t max_starts = 96;
+  /// Times that a job runs longer than its objective before it is late; late
+  /// jobs yield to those that can still meet theirs.
+  double late_factor = 1.0;
+};
+
+/// \brief What the planner asks about a worker.
+using MayStart = std::function<bool(const jobs::WorkerLife&)>;
+
+/// \returns the time by which callers expect the job: `stretch` times its
+/// longest chain of estimates and the target latency of its queue.
+[[nodiscard]] jobs::UnixMillis ObjectiveOf(const jobs::Job& job,
+                                           const jobs::QueueRule& queue,
+                                           jobs::UnixMillis from);
+
+/// \brief Decides which waiting tasks start on which workers. It answers the
+/// load in which one queue at a time asks for several times its mean, more than
+/// its pool holds: jobs that can still meet their objective go first, the
+/// oldest of them first, and what has begun is finished.
+class TaskPlanner {
+ public:
+  explicit TaskPlanner(TaskPlannerOptions options) : options_(options) {}
+
+  /// \returns the starts to store now, within room, labels, limits per worker
+  /// and the customers' limits.
+  [[nodiscard]] std::vector<jobs::StartNote> Plan(const jobs::JobLedger& ledger,
+                                                  const MayStart& may_start,
+                                                  jobs::UnixMillis now) const;
+
+ private:
+  TaskPlannerOptions options_;
+};
+
+}  // namespace boragewinch::scheduler
+
+#endif  // BORAGEWINCH_SCHEDULER_TASK_PLANNER_H_
--- /dev/null
+++ b/src/scheduler/worker_fleet.cc
@@ -0,0 +1,332 @@
+#include "scheduler/worker_fleet.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+/// Workers that fail what they start are recognised within a few tasks; tasks
+/// take about a second.
+[[nodiscard]] WorkerHealthConfig HealthConfig() {
+  WorkerHealthConfig config;
+  config.half_life = Millis(5'000);
+  config.min_failures = 3;
+  config.pool_factor = 3;
+  config.try_interval = Millis(1'000);
+  config.first_aside = Millis(4'000);
+  config.max_aside = Millis(16'000);
+  return config;
+}
+
+[[nodiscard]] HostName HealthName(const jobs::WorkerLife& life) {
+  return HostName(life.Text());
+}
+
+}  // namespace
+
+WorkerFleet::WorkerFleet(EventLoop& loop,
+                         LedgerReplica& replica,
+                         WorkerCalls calls,
+                         WorkerLinkOptions options,
+                         Metrics& metrics)
+    : loop_(loop),
+      replica_(replica),
+      calls_(std::move(calls)),
+      options_(options),
+      metrics_(metrics),
+      health_(WorkerHealth::Make(HealthConfig()).value()) {}
+
+WorkerLink* WorkerFleet::Find(const jobs::WorkerLife& life) {
+  const auto found = links_.find(life);
+  return found == links_.end() ? nullptr : &found->second;
+}
+
+const WorkerLink* WorkerFleet::Find(const jobs::WorkerLife& life) const {
+  const auto found = links_.find(life);
+  return found == links_.end() ? nullptr : &found->second;
+}
+
+void WorkerFleet::OnLeadership(bool acts, TimePoint now) {
+  acts_ = acts;
+  ++era_;
+  links_.clear();
+  acts_since_ = now;
+  if (acts)
+    SyncLinks(now);
+}
+
+void WorkerFleet::SyncLinks(TimePoint now) {
+  const auto& workers = replica_.ledger().workers();
+  std::erase_if(
+      links_, [&](const auto& item) { return workers.count(item.first) == 0; });
+  for (const auto& [life, worker] : workers) {
+    const auto [link, added] = links_.try_emplace(life, options_, acts_since_);
+    link->second.Sync(worker, now);
+  }
+}
+
+void WorkerFleet::OnStored(const jobs::Batch& batch, TimePoint now) {
+  if (!acts_ || !replica_.MayAct(now))
+    return;
+  SyncLinks(now);
+  const jobs::JobLedger& ledger = replica_.ledger();
+  for (const jobs::StartNote& start : batch.starts) {
+    const jobs::Worker* worker = ledger.FindWorker(start.worker);
+    if (worker != nullptr && worker->runs.count(start.run) > 0)
+      SendStart(*worker, start.run);
+  }
+  Tick(now);
+}
+
+void WorkerFleet::Tick(TimePoint now) {
+  if (!acts_ || !replica_.MayAct(now))
+    return;
+  std::vector<jobs::EndNote> ends;
+  for (auto& [life, link] : links_) {
+    const jobs::Worker* worker = replica_.ledger().FindWorker(life);
+    if (worker == nullptr)
+      continue;
+    for (const jobs::RunName& run : link.StopsDue(now))
+      SendStop(*worker, run);
+    for (const jobs::RunName& run : link.StartsDue(now))
+      SendStart(*worker, run);
+    if (link.HoldDue(now))
+      SendHold(*worker, &link, now);
+    for (jobs::EndNote& end : link.Lapse(*worker, now))
+      ends.push_back(std::move(end));
+  }
+  NoteEnds(std::move(ends), now);
+}
+
+bool WorkerFleet::MayStartOn(const jobs::WorkerLife& life,
+                             TimePoint now) const {
+  const WorkerLink* link = Find(life);
+  return link != nullptr && link->Reachable(now) &&
+         health_.Allows(HealthName(life), now);
+}
+
+void WorkerFleet::Stop(const jobs::RunName& run,
+                       const jobs::WorkerLife& life,
+                       const char* reason) {
+  WorkerLink* link = Find(life);
+  if (link == nullptr || !link->WantStop(run))
+    return;
+  LogEvent(EventId::kRunStopDecided, {{"run", run.task.Text()},
+                                      {"number", std::to_string(run.number)},
+                                      {"worker", life.Text()},
+                                      {"reason", reason}});
+}
+
+int WorkerFleet::PercentOf(const jobs::RunName& run,
+                           const jobs::WorkerLife& life) const {
+  const WorkerLink* link = Find(life);
+  if (link == nullptr)
+    return 0;
+  const auto track = link->tracks().find(run);
+  return track == link->tracks().end() ? 0 : track->second.percent;
+}
+
+void WorkerFleet::SendStart(const jobs::Worker& worker,
+                            const jobs::RunName& run) {
+  const jobs::WorkerLife life = worker.note.life;
+  WorkerLink* link = Find(life);
+  const jobs::Job* job = replica_.ledger().FindJob(run.task.job);
+  const jobs::Task* task = replica_.ledger().FindTask(run.task);
+  if (link == nullptr || job == nullptr || !job->spec || task == nullptr)
+    return;
+  const auto lease = link->LeaseUntil();
+  if (!lease)
+    return;
+  StartCall call;
+  call.run = run;
+  call.payload = job->spec->payload;
+  call.checkpoint = task->checkpoint;
+  call.token = replica_.term();
+  call.lease_until_ms = *lease;
+  link->OnGrant(*lease);
+  const TimePoint now = loop_.now();
+  link->OnStartSent(run, now);
+  LogEvent(EventId::kRunOrdered, {{"run", run.task.Text()},
+                                  {"number", std::to_string(run.number)},
+                                  {"worker", life.Text()},
+                                  {"term", call.token}});
+  calls_.start(worker.note, call,
+               [this, life, run, era = era_](const Result<CallAnswer>& answer) {
+                 if (era == era_)
+                   OnStart(life, run, answer);
+               });
+}
+
+void WorkerFleet::OnStart(const jobs::WorkerLife& life,
+                          const jobs::RunName& run,
+                          const Result<CallAnswer>& answer) {
+  WorkerLink* link = Find(life);
+  const jobs::Worker* worker = replica_.ledger().FindWorker(life);
+  if (link == nullptr || worker == nullptr)
+    return;
+  const TimePoint now = loop_.now();
+  const bool taken = answer && answer.value().verdict == CallVerdict::kDone;
+  if (!taken) {
+    LogEvent(EventId::kRunNotTaken,
+             {{"run", run.task.Text()},
+              {"number", std::to_string(run.number)},
+              {"worker", life.Text()},
+              {"reason",
+               answer ? std::string(kCallVerdicts.Name(answer.value().verdict))
+                      : answer.error().Text()}});
+    metrics_.Count("run_starts_refused", {"", worker->note.pool.str()});
+    if (answer && answer.value().verdict == CallVerdict::kUnhealthy)
+      NoteHealth(*worker, false, now);
+  }
+  if (answer && answer.value().verdict == CallVerdict::kOtherLife)
+    NoteDeparture(*worker, "another life answers");
+  if (const auto how = link->OnStartAnswer(run, answer, now))
+    NoteEnds({{run, life, *how, "", 0}}, now);
+}
+
+void WorkerFleet::SendStop(const jobs::Worker& worker,
+                           const jobs::RunName& run) {
+  const jobs::WorkerLife life = worker.note.life;
+  WorkerLink* link = Find(life);
+  if (link == nullptr)
+    return;
+  link->OnStopSent(run, loop_.now());
+  LogEvent(EventId::kRunStopOrdered, {{"run", run.task.Text()},
+                                      {"number", std::to_string(run.number)},
+                                      {"worker", life.Text()}});
+  calls_.stop(worker.note, {run, replica_.term()},
+              [this, life, run, era = era_](const Result<CallAnswer>& answer) {
+                if (era != era_)
+                  return;
+                if (WorkerLink* open = Find(life); open != nullptr)
+                  open->OnStopAnswer(run, answer, loop_.now());
+              });
+}
+
+void WorkerFleet::SendHold(const jobs::Worker& worker,
+                           WorkerLink* link,
+                           TimePoint now) {
+  HoldCall call;
+  call.token = replica_.term();
+  call.ends_noted = worker.ends_noted;
+  call.lease_until_ms = link->LeaseUntil();
+  if (call.lease_until_ms) {
+    link->OnGrant(*call.lease_until_ms);
+    call.wait = options_.hold_wait;
+  }
+  link->OnHoldSent(now);
+  calls_.hold(worker.note, call,
+              [this, life = worker.note.life,
+               era = era_](const Result<HoldAnswer>& answer) {
+                if (era == era_)
+                  OnHold(life, answer);
+              });
+}
+
+void WorkerFleet::OnHold(const jobs::WorkerLife& life,
+                         const Result<HoldAnswer>& answer) {
+  WorkerLink* link = Find(life);
+  const jobs::Worker* worker = replica_.ledger().FindWorker(life);
+  if (link == nullptr || worker == nullptr)
+    return;
+  const TimePoint now = loop_.now();
+  const bool listed =
+      answer && answer.value().call.verdict == CallVerdict::kDone;
+  if (!listed) {
+    const bool other =
+        answer && answer.value().call.verdict == CallVerdict::kOtherLife;
+    link->OnHoldFailed(now);
+    LogEvent(
+        EventId::kCallFailed,
+        {{"call", "hold"},
+         {"worker", life.Text()},
+         {"error",
+          answer ? std::string(kCallVerdicts.Name(answer.value().call.verdict))
+                 : answer.error().Text()}});
+    if (other)
+      NoteDeparture(*worker, "another life answers");
+    return;
+  }
+  std::vector<jobs::RunName> strays;
+  const bool first = !link->heard();
+  std::vector<jobs::EndNote> ends =
+      link->OnHoldAnswer(*worker, answer.value(), now, &strays);
+  for (const jobs::RunName& run : strays) {
+    LogEvent(EventId::kRunStray, {{"run", run.task.Text()},
+                                  {"number", std::to_string(run.number)},
+                                  {"worker", life.Text()}});
+    calls_.stop(worker->note, {run, replica_.term()},
+                [](const Result<CallAnswer>&) {
+                  // The next list shows whether the run is still there.
+                });
+  }
+  for (const jobs::EndNote& end : ends) {
+    if (end.how == jobs::RunEnd::kDone || end.how == jobs::RunEnd::kFailed)
+      NoteHealth(*worker, end.how == jobs::RunEnd::kDone, now);
+  }
+  if (!ends.empty())
+    NoteEnds(std::move(ends), now);
+  if (first)
+    replica_.Wake();
+  if (link->HoldDue(now) && replica_.MayAct(now))
+    SendHold(*worker, link, now);
+}
+
+void WorkerFleet::NoteEnds(std::vector<jobs::EndNote> ends, TimePoint) {
+  if (ends.empty())
+    return;
+  for (const jobs::EndNote& end : ends) {
+    LogEvent(EventId::kRunEnded,
+             {{"run", end.run.task.Text()},
+              {"number", std::to_string(end.run.number)},
+              {"worker", end.worker.Text()},
+              {"how", std::string(jobs::kRunEnds.Name(end.how))},
+              {"listed", end.list_number > 0 ? "yes" : "no"}});
+    metrics_.Count("run_ends", {"", std::string(jobs::kRunEnds.Name(end.how))});
+  }
+  replica_.Submit(
+      [ends = std::move(ends)](jobs::Batch* batch) {
+        batch->ends.insert(batch->ends.end(), ends.begin(), ends.end());
+      },
+      [](const Status& stored) {
+        // Unstored ends are listed or established again by the next leader.
+        if (!stored)
+          LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
+      });
+}
+
+void WorkerFleet::NoteDeparture(const jobs::Worker& worker, const char* why) {
+  jobs::WorkerNote note = worker.note;
+  note.departed = true;
+  LogEvent(EventId::kWorkerLost,
+           {{"worker", note.life.Text()}, {"reason", why}});
+  replica_.Submit(
+      [note](jobs::Batch* batch) { batch->workers.push_back(note); },
+      [](const Status& stored) {
+        if (!stored)
+          LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
+      });
+}
+
+void WorkerFleet::NoteHealth(const jobs::Worker& worker,
+                             bool ok,
+                             TimePoint now) {
+  const HostName name = HealthName(worker.note.life);
+  const HealthState before = health_.State(name, now);
+  // Half of a pool may be set aside: a fault of the jobs shows on all workers.
+  std::int64_t pool_size = 0;
+  for (const auto& [life, other] : replica_.ledger().workers())
+    pool_size += other.note.pool == worker.note.pool ? 1 : 0;
+  health_.SetBudget(worker.note.pool, pool_size / 2);
+  const HealthState after = health_.OnStart(name, worker.note.pool, ok, now);
+  if (after != before) {
+    LogEvent(EventId::kWorkerSetAside,
+             {{"worker", worker.note.life.Text()},
+              {"state", std::string(kHealthStates.Name(after))}});
+  }
+}
+
+}  // namespace boragewinch::scheduler
--- /dev/null
+++ b/src/scheduler/worker_fleet.h
@@ -0,0 +1,77 @@
+#ifndef BORAGEWINCH_SCHEDULER_WORKER_FLEET_H_
+#define BORAGEWINCH_SCHEDULER_WORKER_FLEET_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/metrics.h"
+#include "base/time.h"
+#include "policy/worker_health.h"
+#include "scheduler/ledger_replica.h"
+#include "scheduler/worker_calls.h"
+#include "scheduler/worker_link.h"
+
+namespace boragewinch::scheduler {
+
+/// \brief The leader's contact with all workers: leases, orders and lists.
+/// What the answers establish goes to the ledger.
+class WorkerFleet {
+ public:
+  WorkerFleet(EventLoop& loop,
+              LedgerReplica& replica,
+              WorkerCalls calls,
+              WorkerLinkOptions options,
+              Metrics& metrics);
+
+  /// \brief Begins or ends the orders of this leader.
+  void OnLeadership(bool acts, TimePoint now);
+  /// \brief Sends the starts of a stored batch and follows its changes.
+  void OnStored(const jobs::Batch& batch, TimePoint now);
+  /// \brief Sends what is due: lists, repeated orders and lapses.
+  void Tick(TimePoint now);
+
+  /// \returns whether new work may go to the worker.
+  [[nodiscard]] bool MayStartOn(const jobs::WorkerLife& life,
+                                TimePoint now) const;
+  /// \brief Stops a run that may be at work. Repeated calls have no effect.
+  void Stop(const jobs::RunName& run,
+            const jobs::WorkerLife& life,
+            const char* reason);
+  /// \returns the share of readiness or of its work that the run has shown, 0
+  /// if it has not been seen.
+  [[nodiscard]] int PercentOf(const jobs::RunName& run,
+                              const jobs::WorkerLife& life) const;
+
+ private:
+  [[nodiscard]] WorkerLink* Find(const jobs::WorkerLife& life);
+  [[nodiscard]] const WorkerLink* Find(const jobs::WorkerLife& life) const;
+  void SyncLinks(TimePoint now);
+  void SendStart(const jobs::Worker& worker, const jobs::RunName& run);
+  void SendStop(const jobs::Worker& worker, const jobs::RunName& run);
+  void SendHold(const jobs::Worker& worker, WorkerLink* link, TimePoint now);
+  void OnHold(const jobs::WorkerLife& life, const Result<HoldAnswer>& answer);
+  void OnStart(const jobs::WorkerLife& life,
+               const jobs::RunName& run,
+               const Result<CallAnswer>& answer);
+  void NoteEnds(std::vector<jobs::EndNote> ends, TimePoint now);
+  void NoteDeparture(const jobs::Worker& worker, const char* why);
+  void NoteHealth(const jobs::Worker& worker, bool ok, TimePoint now);
+
+  EventLoop& loop_;
+  LedgerReplica& replica_;
+  WorkerCalls calls_;
+  WorkerLinkOptions options_;
+  Metrics& metrics_;
+  WorkerHealth health_;
+  bool acts_ = false;
+  TimePoint acts_since_;
+  std::uint64_t era_ = 0;  ///< rises with each change of leadership
+  std::map<jobs::WorkerLife, WorkerLink> links_;
+};
+
+}  // namespace boragewinch::scheduler
+
+#endif  // BORAGEWINCH_SCHEDULER_WORKER_FLEET_H_
--- /dev/null
+++ b/src/scheduler/worker_link.cc
@@ -0,0 +1,293 @@
+#include "scheduler/worker_link.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+/// Workers' clocks may be 2% slow and this host's 1% fast.
+constexpr int kLeaseDriftPercent = 4;
+/// Rounding of the clocks and the time in which a worker ends what lapsed.
+constexpr Millis kLapseMargin{250};
+/// A start that got no answer is sent again so many times before the run is
+/// stopped: both are idempotent, and the stop makes a late start harmless.
+constexpr int kMaxStarts = 2;
+
+/// Longest time that workers take for a stop is below 1 s on any deployment.
+constexpr Millis kStopRepeat{2'000};
+
+[[nodiscard]] Millis WithDrift(Millis lease) {
+  return lease * (100 + kLeaseDriftPercent) / 100 + kLapseMargin;
+}
+
+}  // namespace
+
+WorkerLink::WorkerLink(WorkerLinkOptions options, TimePoint now)
+    : options_(options),
+      inherited_until_(now + WithDrift(options.lease)),
+      hold_due_(now) {}
+
+RunTrack* WorkerLink::Find(const jobs::RunName& run) {
+  const auto found = tracks_.find(run);
+  return found == tracks_.end() ? nullptr : &found->second;
+}
+
+void WorkerLink::Sync(const jobs::Worker& worker, TimePoint now) {
+  std::erase_if(tracks_, [&](const auto& item) {
+    return worker.runs.count(item.first) == 0;
+  });
+  for (const jobs::RunName& run : worker.runs) {
+    const auto [track, added] = tracks_.try_emplace(run);
+    if (added)
+      track->second.since = now;
+  }
+}
+
+std::optional<std::int64_t> WorkerLink::LeaseUntil() const {
+  if (!clock_ms_)
+    return std::nullopt;
+  return *clock_ms_ + options_.lease.count();
+}
+
+void WorkerLink::OnGrant(std::int64_t lease_until_ms) {
+  granted_ms_ = std::max(granted_ms_, lease_until_ms);
+}
+
+void WorkerLink::OnClock(std::int64_t clock_ms, TimePoint now) {
+  silent_ = false;
+  // Answers may overtake each other.
+  if (clock_ms_ && clock_ms < *clock_ms_)
+    return;
+  clock_ms_ = clock_ms;
+  clock_at_ = now;
+}
+
+void WorkerLink::OnSilence(TimePoint) {
+  silent_ = true;
+}
+
+// The worker's clock showed at least clock_ms_ at clock_at_.
+TimePoint WorkerLink::LapsedAt() const {
+  if (!clock_ms_)
+    return inherited_until_;
+  const Millis left(std::max<std::int64_t>(0, granted_ms_ - *clock_ms_));
+  return std::max(inherited_until_, clock_at_ + WithDrift(left));
+}
+
+void WorkerLink::OnStartSent(const jobs::RunName& run, TimePoint now) {
+  if (RunTrack* track = Find(run); track != nullptr) {
+    track->phase = RunPhase::kOrdered;
+    track->since = now;
+    ++track->starts_sent;
+  }
+}
+
+std::optional<jobs::RunEnd> WorkerLink::OnStartAnswer(
+    const jobs::RunName& run,
+    const Result<CallAnswer>& answer,
+    TimePoint now) {
+  RunTrack* track = Find(run);
+  if (track == nullptr)
+    return std::nullopt;
+  if (!answer) {
+    OnSilence(now);
+    if (answer.error().code == ErrorCode::kTransport &&
+        track->starts_sent == 1) {
+      return jobs::RunEnd::kRejected;
+    }
+    if (track->phase == RunPhase::kOrdered) {
+      track->phase = RunPhase::kUnsure;
+      track->since = now;
+    }
+    return std::nullopt;
+  }
+  if (answer.value().clock_ms)
+    OnClock(*answer.value().clock_ms, now);
+  switch (answer.value().verdict) {
+    case CallVerdict::kDone:
+      if (track->phase == RunPhase::kOrdered) {
+        track->phase = RunPhase::kConfirmed;
+        track->since = now;
+      }
+      return std::nullopt;
+    case CallVerdict::kStale:
+    case CallVerdict::kOtherLife:
+      // An earlier copy of the order may have started the run; the list of the
+      // worker tells.
+      track->phase = RunPhase::kConfirmed;
+      track->since = now;
+      return std::nullopt;
+    case CallVerdict::kFenced:
+    case CallVerdict::kLate:
+    case CallVerdict::kNoRoom:
+    case CallVerdict::kNoTicket:
+    case CallVerdict::kInvalid:
+    case CallVerdict::kUnhealthy:
+      break;
+  }
+  // With an earlier copy on its way only a stop makes sure.
+  if (track->starts_sent > 1) {
+    track->phase = RunPhase::kUnsure;
+    track->stop_wanted = true;
+    return std::nullopt;
+  }
+  return jobs::RunEnd::kRejected;
+}
+
+bool WorkerLink::WantStop(const jobs::RunName& run) {
+  RunTrack* track = Find(run);
+  return track != nullptr && !std::exchange(track->stop_wanted, true);
+}
+
+void WorkerLink::OnStopSent(const jobs::RunName& run, TimePoint now) {
+  if (RunTrack* track = Find(run); track != nullptr) {
+    track->phase = RunPhase::kStopping;
+    track->since = now;
+  }
+}
+
+void WorkerLink::OnStopAnswer(const jobs::RunName& run,
+                              const Result<CallAnswer>& answer,
+                              TimePoint now) {
+  RunTrack* track = Find(run);
+  if (track == nullptr || track->phase != RunPhase::kStopping)
+    return;
+  track->since = now;
+  if (answer && answer.value().clock_ms)
+    OnClock(*answer.value().clock_ms, now);
+  const bool taken = answer && (answer.value().verdict == CallVerdict::kDone ||
+                                answer.value().verdict == CallVerdict::kStale);
+  track->phase = taken ? RunPhase::kStopped : RunPhase::kUnsure;
+  if (!answer)
+    OnSilence(now);
+}
+
+void WorkerLink::OnHoldSent(TimePoint now) {
+  hold_open_ = true;
+  hold_sent_ = now;
+}
+
+void WorkerLink::OnHoldFailed(TimePoint now) {
+  hold_open_ = false;
+  hold_due_ = now + options_.retry_pause;
+  OnSilence(now);
+}
+
+std::vector<jobs::EndNote> WorkerLink::OnHoldAnswer(
+    const jobs::Worker& worker,
+    const HoldAnswer& answer,
+    TimePoint now,
+    std::vector<jobs::RunName>* strays) {
+  hold_open_ = false;
+  hold_due_ = answer.ended.empty() ? now : now + options_.hold_pause;
+  if (answer.call.clock_ms)
+    OnClock(*answer.call.clock_ms, now);
+  std::vector<jobs::EndNote> ends;
+  std::set<jobs::RunName> listed;
+  for (const EndedRow& row : answer.ended) {
+    listed.insert(row.run);
+    if (row.number > worker.ends_noted) {
+      ends.push_back(
+          {row.run, worker.note.life, row.how, row.checkpoint, row.number});
+    }
+  }
+  for (const RunningRow& row : answer.running) {
+    listed.insert(row.run);
+    RunTrack* track = Find(row.run);
+    if (track == nullptr) {
+      if (worker.runs.count(row.run) == 0)
+        strays->push_back(row.run);
+      continue;
+    }
+    track->percent = row.percent;
+    if (!row.checkpoint.empty())
+      track->checkpoint = row.checkpoint;
+    if (track->phase == RunPhase::kInherited ||
+        track->phase == RunPhase::kUnsure) {
+      track->phase = RunPhase::kConfirmed;
+      track->since = now;
+    }
+  }
+  for (const auto& [run, track] : tracks_) {
+    if (listed.count(run) > 0 || worker.runs.count(run) == 0)
+      continue;
+    // The worker has seen this leader's token, so an order of an earlier
+    // leader can no longer start an inherited run.
+    const bool settled = track.phase == RunPhase::kInherited ||
+                         ((track.phase == RunPhase::kConfirmed ||
+                           track.phase == RunPhase::kStopped) &&
+                          track.since < hold_sent_);
+    if (settled) {
+      ends.push_back(
+          {run, worker.note.life, jobs::RunEnd::kLost, track.checkpoint, 0});
+    }
+  }
+  return ends;
+}
+
+std::vector<jobs::EndNote> WorkerLink::Lapse(const jobs::Worker& worker,
+                                             TimePoint now) {
+  std::vector<jobs::EndNote> ends;
+  if (worker.runs.empty() || now < LapsedAt())
+    return ends;
+  for (const jobs::RunName& run : worker.runs) {
+    const RunTrack* track = Find(run);
+    ends.push_back({run, worker.note.life, jobs::RunEnd::kLost,
+                    track != nullptr ? track->checkpoint : "", 0});
+  }
+  return ends;
+}
+
+bool WorkerLink::HoldDue(TimePoint now) const {
+  return !hold_open_ && now >= hold_due_;
+}
+
+std::vector<jobs::RunName> WorkerLink::StartsDue(TimePoint now) const {
+  std::vector<jobs::RunName> due;
+  for (const auto& [run, track] : tracks_) {
+    if (track.phase == RunPhase::kUnsure && !track.stop_wanted &&
+        track.starts_sent > 0 && track.starts_sent < kMaxStarts &&
+        now - track.since >= options_.start_retry) {
+      due.push_back(run);
+    }
+  }
+  return due;
+}
+
+std::vector<jobs::RunName> WorkerLink::StopsDue(TimePoint now) const {
+  std::vector<jobs::RunName> due;
+  for (const auto& [run, track] : tracks_) {
+    const bool given_up =
+        track.phase == RunPhase::kUnsure && track.starts_sent >= kMaxStarts;
+    const bool retry = now - track.since >= options_.start_retry;
+    switch (track.phase) {
+      case RunPhase::kUnsure:
+        if ((track.stop_wanted || given_up) && retry)
+          due.push_back(run);
+        break;
+      case RunPhase::kInherited:
+      case RunPhase::kOrdered:
+      case RunPhase::kConfirmed:
+        if (track.stop_wanted)
+          due.push_back(run);
+        break;
+      case RunPhase::kStopped:
+        // The list still has the run long after the stop was taken.
+        if (now - track.since >= kStopRepeat)
+          due.push_back(run);
+        break;
+      case RunPhase::kStopping:
+        break;
+    }
+  }
+  return due;
+}
+
+bool WorkerLink::Reachable(TimePoint now) const {
+  return clock_ms_ && !silent_ && now - clock_at_ <= options_.silence;
+}
+
+}  // namespace boragewinch::scheduler
--- /dev/null
+++ b/src/scheduler/worker_registry.cc
@@ -0,0 +1,81 @@
+#include "scheduler/worker_registry.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+/// Lives of workers whose sequence numbers are remembered.
+constexpr std::size_t kMaxLives = 20'000;
+
+}  // namespace
+
+void WorkerRegistry::OnCheckIn(const jobs::WorkerNote& note,
+                               std::int64_t sequence,
+                               TimePoint now,
+                               const Done& done) {
+  if (!replica_.MayAct(now)) {
+    done(Fail(ErrorCode::kNotLeader, "this host does not lead"));
+    return;
+  }
+  const auto [last, added] = sequences_.try_emplace(note.life, sequence);
+  if (!added && sequence < last->second) {
+    done(Ok());
+    return;
+  }
+  last->second = sequence;
+  if (sequences_.size() > kMaxLives) {
+    std::erase_if(sequences_, [&](const auto& item) {
+      return replica_.ledger().FindWorker(item.first) == nullptr;
+    });
+  }
+  if (const jobs::Worker* known = replica_.ledger().FindWorker(note.life)) {
+    jobs::WorkerNote newest = note;
+    newest.draining = newest.draining || known->note.draining;
+    if (newest == known->note) {
+      done(Ok());
+      return;
+    }
+  }
+  Store(note, done);
+}
+
+void WorkerRegistry::OnLeave(const jobs::WorkerId& id,
+                             TimePoint now,
+                             const Done& done) {
+  if (!replica_.MayAct(now)) {
+    done(Fail(ErrorCode::kNotLeader, "this host does not lead"));
+    return;
+  }
+  const jobs::Worker* worker = replica_.ledger().FindPresent(id);
+  if (worker == nullptr) {
+    done(Ok());
+    return;
+  }
+  jobs::WorkerNote note = worker->note;
+  note.departed = note.draining;
+  note.draining = true;
+  Store(note, done);
+}
+
+void WorkerRegistry::Store(const jobs::WorkerNote& note, const Done& done) {
+  replica_.Submit(
+      [note](jobs::Batch* batch) { batch->workers.push_back(note); },
+      [note, done](const Status& stored) {
+        if (stored) {
+          LogEvent(note.departed   ? EventId::kWorkerLost
+                   : note.draining ? EventId::kWorkerLeaving
+                                   : EventId::kWorkerJoined,
+                   {{"worker", note.life.Text()},
+                    {"address", note.address},
+                    {"pool", note.pool.str()},
+                    {"reason", note.departed ? "it left" : "it announced so"}});
+        }
+        done(stored);
+      });
+}
+
+}  // namespace boragewinch::scheduler
