--- a/src/jobs/fleet_rules.cc
+++ b/src/jobs/fleet_rules.cc
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr std::size_t kMaxDocumentBytes = 4UL * 1024 * 1024;
-constexpr std::int64_t kMaxNumber = (std::int64_t{1} << 53) - 1;
-
 [[nodiscard]] Json ToJson(const QueueRule& queue) {
   Json json;
   json["name"] = queue.name.str();
@@ -55,7 +53,7 @@
     customer.keys.insert(key.asString());
   }
   BW_TRY(customer.weight, IntField(json, "weight", 0, kMaxNumber));
-  BW_TRY(customer.limit, ResourcesFromJson(json["limit"]));
+  BW_TRY(customer.limit, AmountFromJson(json["limit"]));
   return customer;
 }
 
@@ -144,7 +142,7 @@
     for (const std::string& key : customer.keys)
       item["keys"].append(key);
     item["weight"] = ::Json::Int64(customer.weight);
-    item["limit"] = boragewinch::ToJson(customer.limit);
+    item["limit"] = AmountToJson(customer.limit);
     json["customers"].append(std::move(item));
   }
   return json;
--- a/src/jobs/fleet_rules.h
+++ b/src/jobs/fleet_rules.h
@@ -13,6 +13,7 @@
 #include "base/result.h"
 #include "base/strong_id.h"
 #include "base/time.h"
+#include "jobs/job_types.h"
 #include "model/resources.h"
 
 namespace boragewinch::jobs {
--- a/src/jobs/job_types.cc
+++ b/src/jobs/job_types.cc
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr std::int64_t kMaxNumber = (std::int64_t{1} << 53) - 1;
-
 // Members with their default value are left out: jobs are stored and sent
 // often, and most steps use few of them.
 void PutInt(Json* json, const char* name, std::int64_t value) {
@@ -100,6 +98,22 @@
 
 }  // namespace
 
+Json AmountToJson(const Resources& amount) {
+  Json row(::Json::arrayValue);
+  row.append(::Json::Int64(amount.cpu_millis));
+  row.append(::Json::Int64(amount.memory_mb));
+  row.append(::Json::Int64(amount.accelerators));
+  return row;
+}
+
+Result<Resources> AmountFromJson(const Json& json) {
+  const bool valid = json.isArray() && json.size() == 3 && json[0].isInt64() &&
+                     json[1].isInt64() && json[2].isInt64();
+  if (!valid)
+    return Fail(ErrorCode::kInvalidField, "an amount has three numbers");
+  return Resources{json[0].asInt64(), json[1].asInt64(), json[2].asInt64()};
+}
+
 Status CheckJobSpec(const JobSpec& spec) {
   if (spec.payload.size() > kMaxPayloadBytes)
     return Fail(ErrorCode::kTooLarge, "payload");
--- a/src/jobs/job_types.h
+++ b/src/jobs/job_types.h
@@ -68,6 +68,16 @@
 /// \returns the first fault of `spec`: kInvalidField or kTooLarge.
 [[nodiscard]] Status CheckJobSpec(const JobSpec& spec);
 
+/// Largest number in a job, a configuration or a batch: JSON numbers of any
+/// reader hold it exactly.
+inline constexpr std::int64_t kMaxNumber = (std::int64_t{1} << 53) - 1;
+
+/// \brief Writes an amount of any size; customers' limits cover a whole fleet.
+/// \returns [cpu_millis, memory_mb, accelerators].
+[[nodiscard]] Json AmountToJson(const Resources& amount);
+/// \returns what AmountToJson has written, or kInvalidField.
+[[nodiscard]] Result<Resources> AmountFromJson(const Json& json);
+
 [[nodiscard]] Json ToJson(const JobSpec& spec);
 /// \returns the object that ToJson has written, or kInvalidField.
 [[nodiscard]] Result<JobSpec> JobSpecFromJson(const Json& json);
--- a/src/jobs/ledger_batch.cc
+++ b/src/jobs/ledger_batch.cc
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr std::int64_t kMaxNumber = (std::int64_t{1} << 53) - 1;
-
 [[nodiscard]] Json RunToJson(const RunName& run, const WorkerLife& worker) {
   Json row(::Json::arrayValue);
   row.append(run.task.job.str());
@@ -151,7 +149,7 @@
   json["labels"] = Json(::Json::arrayValue);
   for (const std::string& label : note.labels)
     json["labels"].append(label);
-  json["capacity"] = boragewinch::ToJson(note.capacity);
+  json["capacity"] = AmountToJson(note.capacity);
   json["draining"] = note.draining;
   json["departed"] = note.departed;
   return json;
@@ -174,7 +172,7 @@
       return Fail(ErrorCode::kInvalidField, "a label is not text");
     note.labels.push_back(label.asString());
   }
-  BW_TRY(note.capacity, ResourcesFromJson(json["capacity"]));
+  BW_TRY(note.capacity, AmountFromJson(json["capacity"]));
   BW_TRY(note.draining, BoolField(json, "draining"));
   BW_TRY(note.departed, BoolField(json, "departed"));
   return note;
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -102,18 +102,17 @@
   job.queue = QueueName(queue);
   BW_TRY(const std::string customer, StringField(json, "customer"));
   job.customer = CustomerName(customer);
-  constexpr std::int64_t kMax = (std::int64_t{1} << 53) - 1;
-  BW_TRY(job.accepted, IntField(json, "accepted", 0, kMax));
-  BW_TRY(job.finished, IntField(json, "finished", 0, kMax));
+  BW_TRY(job.accepted, IntField(json, "accepted", 0, kMaxNumber));
+  BW_TRY(job.finished, IntField(json, "finished", 0, kMaxNumber));
   BW_TRY(const std::string state, StringField(json, "state"));
   const auto parsed = kJobStates.Parse(state);
   if (!parsed)
     return Fail(ErrorCode::kStorageCorrupt, "job state \"" + state + "\"");
   job.state = *parsed;
-  BW_TRY(job.max_attempts, IntField(json, "attempts", 1, kMax));
+  BW_TRY(job.max_attempts, IntField(json, "attempts", 1, kMaxNumber));
   BW_TRY(const std::int64_t next, IntField(json, "next", 0, kMaxRepeats));
   job.next_occurrence = static_cast<std::uint32_t>(next);
-  BW_TRY(job.completed_occurrences, IntField(json, "completed", 0, kMax));
+  BW_TRY(job.completed_occurrences, IntField(json, "completed", 0, kMaxNumber));
   if (json.isMember("job")) {
     BW_TRY(JobSpec spec, JobSpecFromJson(json["job"]));
     job.spec = std::make_shared<const JobSpec>(std::move(spec));
@@ -121,7 +120,7 @@
   for (const Json& item : json["occurrences"]) {
     BW_TRY(const std::int64_t number, IntField(item, "number", 0, kMaxRepeats));
     Occurrence occurrence;
-    BW_TRY(occurrence.opened, IntField(item, "opened", 0, kMax));
+    BW_TRY(occurrence.opened, IntField(item, "opened", 0, kMaxNumber));
     for (const Json& tasks : item["steps"]) {
       BW_TRY(Step step, StepFromJson(tasks));
       occurrence.steps.push_back(std::move(step));
@@ -169,13 +168,12 @@
   BW_TRY(const Json json, ParseJson(bytes));
   if (!json.isObject())
     return Fail(ErrorCode::kStorageCorrupt, "a ledger snapshot is an object");
-  constexpr std::int64_t kMax = (std::int64_t{1} << 53) - 1;
   JobLedger ledger;
   BW_TRY(ledger.rules_, FleetRulesFromJson(json["rules"]));
   for (const Json& item : json["workers"]) {
     Worker worker;
     BW_TRY(worker.note, WorkerNoteFromJson(item["note"]));
-    BW_TRY(worker.ends_noted, IntField(item, "ends", 0, kMax));
+    BW_TRY(worker.ends_noted, IntField(item, "ends", 0, kMaxNumber));
     const WorkerLife life = worker.note.life;
     ledger.workers_[life] = std::move(worker);
   }
@@ -193,7 +191,7 @@
   for (const Json& item : json["waves"]) {
     Wave wave;
     BW_TRY(wave.order, WaveOrderFromJson(item["order"]));
-    BW_TRY(wave.started, IntField(item, "started", 0, kMax));
+    BW_TRY(wave.started, IntField(item, "started", 0, kMaxNumber));
     for (const Json& host : item["begun"])
       wave.begun.insert(HostName(host.asString()));
     const std::int64_t number = wave.order.number;
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -93,9 +93,10 @@
   if (!own) {
     Result<jobs::Batch> batch = jobs::DecodeBatch(bytes);
     if (!batch) {
-      // Written by this program and checked by the log's hashes: a newer
-      // version wrote it, or this one is wrong.
+      // This replica no longer has the state that the others have: it must
+      // not lead. A newer version wrote the batch, or this one is wrong.
       LogEvent(EventId::kStorageFailed, {{"error", batch.error().Text()}});
+      unreadable_ = true;
       return;
     }
     ledger_.Apply(batch.value());
@@ -113,7 +114,7 @@
 }
 
 bool LedgerReplica::MayAct(TimePoint now) const {
-  if (retired_ || !leading())
+  if (retired_ || unreadable_ || !leading())
     return false;
   // Followers that heard this leader vote for no other within the election
   // timeout, so a confirmation is good for a little less than that.
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -119,6 +119,7 @@
   TimePoint flushed_at_;
   bool acts_ = false;
   bool retired_ = false;
+  bool unreadable_ = false;  ///< a committed batch could not be decoded
   bool proposing_ = false;
 };
 
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -123,10 +123,12 @@
 int WorkerFleet::PercentOf(const jobs::RunName& run,
                            const jobs::WorkerLife& life) const {
   const WorkerLink* link = Find(life);
-  if (link == nullptr)
+  if (link == nullptr || !link->Reachable(loop_.now()))
     return 0;
   const auto track = link->tracks().find(run);
-  return track == link->tracks().end() ? 0 : track->second.percent;
+  return track == link->tracks().end() || track->second.stop_wanted
+             ? 0
+             : track->second.percent;
 }
 
 void WorkerFleet::SendStart(const jobs::Worker& worker,
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -40,8 +40,8 @@
   void Stop(const jobs::RunName& run,
             const jobs::WorkerLife& life,
             const char* reason);
-  /// \returns the share of readiness or of its work that the run has shown, 0
-  /// if it has not been seen.
+  /// \returns the share of readiness or of its work that a run has shown; 0 if
+  /// it has not been seen, is to be stopped or its worker is silent.
   [[nodiscard]] int PercentOf(const jobs::RunName& run,
                               const jobs::WorkerLife& life) const;
 
