--- a/src/scheduler/stop_planner.cc
+++ b/src/scheduler/stop_planner.cc
@@ -81,8 +81,7 @@
         continue;
       if (worker.note.draining)
         stops.push_back({run, life, "worker_drains"});
-      else if (clears &&
-               (percent_of(run, life) < kAtWork || away.Allow(run, spec)))
+      else if (clears && away.Allow(run, spec))
         stops.push_back({run, life, "host_maintenance"});
     }
   }
--- /dev/null
+++ b/tests/ledger_builder.h
@@ -0,0 +1,134 @@
+#ifndef BORAGEWINCH_TESTS_LEDGER_BUILDER_H_
+#define BORAGEWINCH_TESTS_LEDGER_BUILDER_H_
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/job_ledger.h"
+
+namespace boragewinch::jobs {
+
+/// \brief Builds ledgers for tests: one queue "q" on pool "p" for customer "c",
+/// then workers, jobs and runs.
+class LedgerBuilder {
+ public:
+  LedgerBuilder() {
+    FleetRules rules;
+    rules.version = 1;
+    rules.document = "{}";
+    QueueRule queue;
+    queue.name = QueueName("q");
+    queue.virtual_host = "example";
+    queue.path_prefix = "/q/";
+    queue.pool = PoolName("p");
+    queue.max_attempts = 2;
+    queue.stretch = 1.6;
+    queue.latency_target = Millis(600);
+    rules.queues.push_back(queue);
+    rules.pools[PoolName("p")] = {PoolName("p"), true, false};
+    CustomerRule customer;
+    customer.name = CustomerName("c");
+    customer.keys = {"key"};
+    rules.customers[customer.name] = customer;
+    Batch batch;
+    batch.rules = rules;
+    Apply(batch);
+  }
+
+  LedgerBuilder& Apply(Batch batch) {
+    batch.now = now_;
+    ledger_.Apply(batch);
+    return *this;
+  }
+
+  LedgerBuilder& At(UnixMillis now) {
+    now_ = now;
+    return *this;
+  }
+
+  LedgerBuilder& Limit(const Resources& limit) {
+    Batch batch;
+    batch.rules = ledger_.rules();
+    ++batch.rules->version;
+    batch.rules->customers[CustomerName("c")].limit = limit;
+    return Apply(batch);
+  }
+
+  static WorkerLife Life(const std::string& id, UnixMillis born = 1) {
+    return {WorkerId(id), born};
+  }
+
+  LedgerBuilder& AddWorker(const std::string& id,
+                           Resources capacity = {16'000, 32'000, 0},
+                           bool draining = false) {
+    WorkerNote note;
+    note.life = Life(id);
+    note.address = id + ":80";
+    note.pool = PoolName("p");
+    note.capacity = capacity;
+    note.draining = draining;
+    Batch batch;
+    batch.workers.push_back(note);
+    return Apply(batch);
+  }
+
+  static StepSpec Tasks(std::int64_t count, std::int64_t cpu = 1'000) {
+    StepSpec step;
+    step.tasks = count;
+    step.request = {cpu, 1'000, 0};
+    step.estimate = Millis(1'000);
+    return step;
+  }
+
+  LedgerBuilder& Submit(const std::string& id, std::vector<StepSpec> steps) {
+    Batch batch;
+    JobSpec spec;
+    spec.payload = "payload of " + id;
+    spec.steps = std::move(steps);
+    batch.submissions.push_back(
+        {JobId(id), QueueName("q"), CustomerName("c"), spec});
+    return Apply(batch);
+  }
+
+  static RunName Run(const std::string& job,
+                     std::uint32_t step,
+                     std::uint32_t index,
+                     std::uint32_t number = 1) {
+    return {{JobId(job), 0, step, index}, number};
+  }
+
+  LedgerBuilder& Start(const RunName& run, const std::string& worker) {
+    Batch batch;
+    batch.starts.push_back({run, Life(worker)});
+    return Apply(batch);
+  }
+
+  LedgerBuilder& End(const RunName& run,
+                     const std::string& worker,
+                     RunEnd how,
+                     std::int64_t list_number = 0) {
+    Batch batch;
+    batch.ends.push_back({run, Life(worker), how, "", list_number});
+    return Apply(batch);
+  }
+
+  LedgerBuilder& Cancel(const std::string& job) {
+    Batch batch;
+    batch.cancels.emplace_back(job);
+    return Apply(batch);
+  }
+
+  [[nodiscard]] const JobLedger& ledger() const noexcept { return ledger_; }
+  [[nodiscard]] const Job& job(const std::string& id) const {
+    return *ledger_.FindJob(JobId(id));
+  }
+
+ private:
+  JobLedger ledger_;
+  UnixMillis now_ = 1'000;
+};
+
+}  // namespace boragewinch::jobs
+
+#endif  // BORAGEWINCH_TESTS_LEDGER_BUILDER_H_
--- /dev/null
+++ b/tests/stop_planner_test.cc
@@ -0,0 +1,73 @@
+#define BOOST_TEST_MODULE stop_planner
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+#include <set>
+
+#include "ledger_builder.h"
+#include "scheduler/stop_planner.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+using jobs::LedgerBuilder;
+
+/// Three tasks of a long-running job, one on each worker; one may be away.
+[[nodiscard]] LedgerBuilder LastingJob() {
+  LedgerBuilder builder;
+  jobs::StepSpec step = LedgerBuilder::Tasks(3);
+  step.long_running = true;
+  step.may_be_away = 1;
+  builder.AddWorker("a").AddWorker("b").AddWorker("c").Submit("job", {step});
+  builder.Start(LedgerBuilder::Run("job", 0, 0), "a")
+      .Start(LedgerBuilder::Run("job", 0, 1), "b")
+      .Start(LedgerBuilder::Run("job", 0, 2), "c");
+  return builder;
+}
+
+[[nodiscard]] PercentOf Percents(std::map<std::string, int> by_worker) {
+  return [by_worker](const jobs::RunName&, const jobs::WorkerLife& life) {
+    const auto found = by_worker.find(life.id.str());
+    return found == by_worker.end() ? 0 : found->second;
+  };
+}
+
+const std::set<jobs::WorkerLife> kClearAll = {LedgerBuilder::Life("a"),
+                                              LedgerBuilder::Life("b"),
+                                              LedgerBuilder::Life("c")};
+
+// Guards against planned work that takes a second task of a step away.
+BOOST_AUTO_TEST_CASE(ClearingStopsOneTaskWhereOneMayBeAway) {
+  const LedgerBuilder builder = LastingJob();
+  const auto stops = PlanStops(builder.ledger(), kClearAll,
+                               Percents({{"a", 100}, {"b", 100}, {"c", 100}}));
+  BOOST_TEST(stops.size() == 1U);
+}
+
+// Guards against a stop of a task that began its work after the last list of
+// its worker, while another task of the step is away.
+BOOST_AUTO_TEST_CASE(ATaskOfUnknownReadinessNeedsTheAllowanceToo) {
+  const LedgerBuilder builder = LastingJob();
+  const auto stops = PlanStops(builder.ledger(), kClearAll,
+                               Percents({{"a", 0}, {"b", 40}, {"c", 100}}));
+  BOOST_TEST(stops.empty());
+}
+
+// Guards against evacuations that leave a task on a worker that ends.
+BOOST_AUTO_TEST_CASE(DrainingWorkersAreClearedOfLongRunningTasks) {
+  LedgerBuilder builder = LastingJob();
+  builder.AddWorker("a", {16'000, 32'000, 0}, true);
+  const auto stops = PlanStops(builder.ledger(), {}, Percents({}));
+  BOOST_REQUIRE(stops.size() == 1U);
+  BOOST_TEST(stops[0].worker.id.str() == "a");
+}
+
+// Guards against tasks of a cancelled job that run on.
+BOOST_AUTO_TEST_CASE(RunsOfCancelledJobsAreStopped) {
+  LedgerBuilder builder = LastingJob();
+  builder.Cancel("job");
+  BOOST_TEST(PlanStops(builder.ledger(), {}, Percents({})).size() == 3U);
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
