Move hosts to the pool that is in demand; let hopeless jobs yield

src/scheduler/pool_balancer moves hosts without runs, src/scheduler/host_book keeps the platform's list for it and for the waves. A new life on a host now ends the one before it. Ruled out for the refusals 'busy': tasks on the host; the host was in maintenance.

--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -108,13 +108,14 @@
     Depart(note.life);
     return;
   }
-  // A new life at the same id or address ends the one before it.
+  // A new life at the same id, address or host ends the one before it.
   std::vector<WorkerLife> over;
   for (const auto& [life, worker] : workers_) {
     if (life == note.life)
       continue;
-    const bool same_place =
-        life.id == note.life.id || worker.note.address == note.address;
+    const bool same_host = !note.host.empty() && worker.note.host == note.host;
+    const bool same_place = life.id == note.life.id || same_host ||
+                            worker.note.address == note.address;
     if (!same_place)
       continue;
     if (life.born > note.life.born)
--- a/src/jobs/ledger_batch.cc
+++ b/src/jobs/ledger_batch.cc
@@ -143,6 +143,7 @@
   json["id"] = note.life.id.str();
   json["born"] = ::Json::Int64(note.life.born);
   json["address"] = note.address;
+  json["host"] = note.host.str();
   json["pool"] = note.pool.str();
   json["zone"] = note.zone.str();
   json["rack"] = note.rack.str();
@@ -161,6 +162,8 @@
   note.life.id = WorkerId(id);
   BW_TRY(note.life.born, IntField(json, "born", 0, kMaxNumber));
   BW_TRY(note.address, StringField(json, "address"));
+  BW_TRY(const std::string host, StringFieldOr(json, "host", ""));
+  note.host = HostName(host);
   BW_TRY(const std::string pool, StringField(json, "pool"));
   note.pool = PoolName(pool);
   BW_TRY(const std::string zone, StringField(json, "zone"));
--- a/src/jobs/ledger_batch.h
+++ b/src/jobs/ledger_batch.h
@@ -18,6 +18,7 @@
 struct WorkerNote {
   WorkerLife life;
   std::string address;  ///< "IP:port" for calls
+  HostName host;        ///< empty if the worker does not say
   PoolName pool;
   ZoneName zone;
   RackName rack;
--- a/src/scheduler/host_calls.h
+++ b/src/scheduler/host_calls.h
@@ -59,6 +59,11 @@
                      std::uint64_t token,
                      Done<HostVerdict>)>
       maintain;
+  std::function<void(const HostName& host,
+                     const PoolName& to,
+                     std::uint64_t token,
+                     Done<HostVerdict>)>
+      move;
 };
 
 }  // namespace boragewinch::scheduler
--- /dev/null
+++ b/src/scheduler/pool_balancer.cc
@@ -0,0 +1,267 @@
+#include "scheduler/pool_balancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+/// A move takes 1.5 s and the worker's first announcement as long again.
+constexpr Millis kMoveForgotten{6'000};
+/// Assumed duration of a task without an estimate.
+constexpr double kUnknownEstimateMs = 1'000;
+/// Work arrives unevenly: hosts for so much more than its mean rate.
+constexpr double kArrivalHeadroom = 1.15;
+
+/// \returns processor milliseconds times thousandths of a core.
+[[nodiscard]] double WorkOf(const jobs::StepSpec& step, std::int64_t tasks) {
+  const double each = step.estimate.count() > 0
+                          ? static_cast<double>(step.estimate.count())
+                          : kUnknownEstimateMs;
+  return each * static_cast<double>(step.request.cpu_millis) *
+         static_cast<double>(tasks);
+}
+
+}  // namespace
+
+struct PoolBalancer::Pool {
+  bool standby = false;
+  double capacity = 0;  ///< thousandths of a core of the present workers
+  double lasting = 0;   ///< of it taken by long-running tasks
+  double arrival = 0;   ///< work that arrived in the window
+  double backlog = 0;   ///< work of tasks that wait and may start
+  double host_cpu = 0;  ///< of the largest worker
+  std::int64_t hosts = 0;
+  std::vector<const jobs::Worker*> empty;  ///< may be moved away
+};
+
+std::map<PoolName, PoolBalancer::Pool> PoolBalancer::Measure(
+    const jobs::JobLedger& ledger,
+    const std::set<jobs::WorkerLife>& held,
+    jobs::UnixMillis time_of_day) const {
+  std::map<PoolName, Pool> pools;
+  for (const auto& [name, rule] : ledger.rules().pools)
+    pools[name].standby = rule.standby;
+  for (const auto& [life, worker] : ledger.workers()) {
+    const auto found = pools.find(worker.note.pool);
+    if (found == pools.end() || worker.note.draining)
+      continue;
+    Pool& pool = found->second;
+    const auto cpu = static_cast<double>(worker.note.capacity.cpu_millis);
+    pool.host_cpu = std::max(pool.host_cpu, cpu);
+    if (clearing_.count(life) > 0)
+      continue;
+    pool.capacity += cpu;
+    ++pool.hosts;
+    if (worker.runs.empty() && held.count(life) == 0 &&
+        !worker.note.host.empty()) {
+      pool.empty.push_back(&worker);
+    }
+  }
+  AddDemand(ledger, time_of_day, &pools);
+  return pools;
+}
+
+void PoolBalancer::AddDemand(const jobs::JobLedger& ledger,
+                             jobs::UnixMillis time_of_day,
+                             std::map<PoolName, Pool>* pools) const {
+  const jobs::UnixMillis window_start =
+      time_of_day - options_.arrival_window.count();
+  for (const jobs::JobId& id : ledger.active()) {
+    const jobs::Job* job = ledger.FindJob(id);
+    const jobs::QueueRule* queue = ledger.rules().FindQueue(job->queue);
+    const auto found =
+        queue == nullptr ? pools->end() : pools->find(queue->pool);
+    if (found == pools->end())
+      continue;
+    Pool& pool = found->second;
+    for (const auto& [number, occurrence] : job->occurrences) {
+      const bool recent = occurrence.opened >= window_start;
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+        const jobs::StepSpec& spec = job->spec->steps[s];
+        const jobs::Step& step = occurrence.steps[s];
+        if (spec.fills)
+          continue;
+        if (spec.long_running) {
+          pool.lasting += static_cast<double>(spec.request.cpu_millis) *
+                          static_cast<double>(spec.tasks);
+          continue;
+        }
+        if (recent)
+          pool.arrival += WorkOf(spec, spec.tasks);
+        if (step.waiting() > 0 && job->StepReady(occurrence, s))
+          pool.backlog += WorkOf(spec, step.waiting());
+      }
+    }
+  }
+}
+
+bool PoolBalancer::MayOrder(const HostName& host, TimePoint now) const {
+  const auto refused = refused_until_.find(host);
+  return open_.count(host) == 0 &&
+         (refused == refused_until_.end() || now >= refused->second);
+}
+
+void PoolBalancer::Order(const HostMove& move,
+                         TimePoint now,
+                         std::vector<HostMove>* out) {
+  open_[move.host] = {move, now, false};
+  if (!move.worker.id.empty())
+    clearing_.insert(move.worker);
+  out->push_back(move);
+}
+
+// A move is settled when the host's new worker is there.
+void PoolBalancer::ForgetSettled(const jobs::JobLedger& ledger, TimePoint now) {
+  std::set<HostName> arrived;
+  for (const auto& [life, worker] : ledger.workers()) {
+    const auto open = open_.find(worker.note.host);
+    if (open != open_.end() && life != open->second.move.worker)
+      arrived.insert(worker.note.host);
+  }
+  std::erase_if(open_, [&](const auto& item) {
+    const bool over =
+        arrived.count(item.first) > 0 ||
+        (item.second.answered && now - item.second.at > kMoveForgotten);
+    if (over)
+      clearing_.erase(item.second.move.worker);
+    return over;
+  });
+}
+
+bool PoolBalancer::OnAnswer(const HostMove& move,
+                            const Result<HostVerdict>& verdict,
+                            TimePoint now) {
+  const auto open = open_.find(move.host);
+  if (open == open_.end())
+    return false;
+  open->second.answered = true;
+  open->second.at = now;
+  if (verdict && verdict.value() == HostVerdict::kDone)
+    return true;
+  refused_until_[move.host] = now + options_.refused_pause;
+  // Without an answer the host may move: it stays reserved for a while.
+  if (verdict) {
+    clearing_.erase(move.worker);
+    open_.erase(open);
+  }
+  return false;
+}
+
+std::vector<HostMove> PoolBalancer::Decide(
+    const jobs::JobLedger& ledger,
+    const HostBook& hosts,
+    const std::set<jobs::WorkerLife>& held,
+    jobs::UnixMillis time_of_day,
+    TimePoint now) {
+  ForgetSettled(ledger, now);
+  std::map<PoolName, Pool> pools = Measure(ledger, held, time_of_day);
+  std::vector<HostMove> moves;
+
+  PoolName standby;
+  std::int64_t serving = 0;
+  std::int64_t serving_hosts = 0;
+  for (const auto& [name, pool] : pools) {
+    if (pool.standby) {
+      standby = name;
+    } else {
+      ++serving;
+      serving_hosts += pool.hosts;
+    }
+  }
+  if (serving == 0)
+    return moves;
+  std::vector<HostName> off;
+  for (const auto& [host, row] : hosts.rows()) {
+    const auto pool = pools.find(row.pool);
+    if (pool != pools.end() && pool->second.standby &&
+        row.state == HostState::kUp && row.worker.empty() &&
+        MayOrder(host, now)) {
+      off.push_back(host);
+    }
+  }
+  std::map<PoolName, std::int64_t> arriving;
+  for (const auto& [host, open] : open_)
+    ++arriving[open.move.to];
+  const double mean_hosts =
+      static_cast<double>(serving_hosts +
+                          static_cast<std::int64_t>(off.size())) /
+      static_cast<double>(serving);
+  const auto floor_hosts =
+      static_cast<std::int64_t>(std::ceil(options_.floor_share * mean_hosts));
+
+  const auto window = static_cast<double>(options_.arrival_window.count());
+  const auto target = static_cast<double>(options_.backlog_target.count());
+  const auto wanted_hosts = [&](const Pool& pool) {
+    const double cpu = std::max(1.0, pool.host_cpu);
+    const double rate = kArrivalHeadroom * pool.arrival / window;
+    const double wanted = pool.lasting + std::max(rate, pool.backlog / target);
+    return std::max(floor_hosts,
+                    static_cast<std::int64_t>(std::ceil(wanted / cpu)));
+  };
+
+  // Hosts that another pool can spare, most idle pool first.
+  struct Source {
+    const jobs::Worker* worker = nullptr;
+    PoolName pool;
+  };
+  std::vector<Source> spare;
+  for (const auto& [name, pool] : pools) {
+    if (pool.standby)
+      continue;
+    std::int64_t surplus = pool.hosts - wanted_hosts(pool);
+    for (const jobs::Worker* worker : pool.empty) {
+      if (surplus <= 0)
+        break;
+      if (!MayOrder(worker->note.host, now))
+        continue;
+      spare.push_back({worker, name});
+      --surplus;
+    }
+  }
+
+  for (const auto& [name, pool] : pools) {
+    if (pool.standby)
+      continue;
+    std::int64_t missing = wanted_hosts(pool) - pool.hosts - arriving[name];
+    // One host more or less is within the error of the estimates.
+    if (pool.backlog <= 0 || missing <= 0)
+      continue;
+    while (missing > 0 && open_.size() < options_.max_open) {
+      if (!off.empty()) {
+        Order({off.back(), name, {}}, now, &moves);
+        off.pop_back();
+      } else {
+        const auto source =
+            std::find_if(spare.begin(), spare.end(),
+                         [&](const Source& s) { return s.pool != name; });
+        if (source == spare.end())
+          break;
+        const jobs::WorkerNote& note = source->worker->note;
+        Order({note.host, name, note.life}, now, &moves);
+        spare.erase(source);
+      }
+      --missing;
+    }
+  }
+
+  // What stays idle is switched off.
+  std::map<jobs::WorkerLife, TimePoint> idle;
+  for (const Source& source : spare) {
+    const jobs::WorkerLife& life = source.worker->note.life;
+    const auto before = idle_since_.find(life);
+    const TimePoint since = before == idle_since_.end() ? now : before->second;
+    if (!standby.empty() && now - since >= options_.idle &&
+        open_.size() < options_.max_open) {
+      Order({source.worker->note.host, standby, life}, now, &moves);
+    } else {
+      idle[life] = since;
+    }
+  }
+  idle_since_ = std::move(idle);
+  return moves;
+}
+
+}  // namespace boragewinch::scheduler
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -11,7 +11,7 @@
 
 /// Lists, repeated orders and lapses fall due between batches.
 constexpr Millis kTickInterval{50};
-constexpr Millis kWaveInterval{250};
+constexpr Millis kHostInterval{100};
 /// How long a stopping host goes on passing calls to the next leader.
 constexpr Millis kStopWait{1'500};
 /// Occurrences of repeated jobs that one batch opens.
@@ -57,7 +57,8 @@
   job_desk_ = std::make_unique<JobDesk>(*replica_, metrics_);
   rules_desk_ = std::make_unique<RulesDesk>(*replica_);
   registry_ = std::make_unique<WorkerRegistry>(*replica_);
-  waves_ = std::make_unique<WaveKeeper>(options_.maintenance, loop_->now());
+  waves_ = std::make_unique<WaveKeeper>(options_.maintenance, hosts_);
+  pools_ = std::make_unique<PoolBalancer>(options_.pools);
 
   RelayServer::Hooks relay;
   relay.leads = [this] { return replica_->MayAct(loop_->now()); };
@@ -115,11 +116,11 @@
 void SchedulerService::Decide(jobs::Batch* batch, TimePoint now) {
   const jobs::UnixMillis time_of_day = loop_->unix_millis();
   OpenDue(batch, time_of_day);
+  const std::set<jobs::WorkerLife> reserved = Reserved();
   batch->starts = planner_.Plan(
       replica_->ledger(),
       [&](const jobs::WorkerLife& life) {
-        return waves_->clearing().count(life) == 0 &&
-               fleet_->MayStartOn(life, now);
+        return reserved.count(life) == 0 && fleet_->MayStartOn(life, now);
       },
       time_of_day);
 }
@@ -157,7 +158,10 @@
   LogEvent(EventId::kLeadershipChanged,
            {{"acts", acts ? "yes" : "no"}, {"term", replica_->term()}});
   ++era_;
-  waves_ = std::make_unique<WaveKeeper>(options_.maintenance, now);
+  acts_since_ = now;
+  hosts_ = HostBook();
+  waves_ = std::make_unique<WaveKeeper>(options_.maintenance, hosts_);
+  pools_ = std::make_unique<PoolBalancer>(options_.pools);
   fleet_->OnLeadership(acts, now);
   if (acts)
     replica_->Wake();
@@ -168,25 +172,63 @@
     return;
   fleet_->Tick(now);
   StopRuns();
-  if (now >= waves_due_) {
-    waves_due_ = now + kWaveInterval;
-    DriveWaves(now);
+  if (now >= hosts_due_ && now - acts_since_ >= options_.host_lease) {
+    hosts_due_ = now + kHostInterval;
+    DriveHosts(now);
   }
   replica_->Wake();
 }
 
-void SchedulerService::DriveWaves(TimePoint now) {
-  const WaveSteps steps = waves_->Decide(replica_->ledger(), now);
-  if (steps.list_hosts) {
+std::set<jobs::WorkerLife> SchedulerService::Reserved() const {
+  std::set<jobs::WorkerLife> reserved = waves_->clearing();
+  reserved.insert(pools_->clearing().begin(), pools_->clearing().end());
+  return reserved;
+}
+
+void SchedulerService::DriveHosts(TimePoint now) {
+  if (hosts_.TakeDue(now)) {
     host_calls_.list([this, now,
                       era = era_](const Result<std::vector<HostRow>>& hosts) {
       if (era != era_)
         return;
       if (!hosts)
         LogEvent(EventId::kPlatformFailed, {{"error", hosts.error().Text()}});
-      waves_->OnList(hosts, now, loop_->now());
+      hosts_.OnList(hosts, now, loop_->now());
     });
   }
+  DriveWaves(now);
+  if (hosts_.listed())
+    DrivePools(now);
+}
+
+void SchedulerService::DrivePools(TimePoint now) {
+  const std::vector<HostMove> moves =
+      pools_->Decide(replica_->ledger(), hosts_, waves_->clearing(),
+                     loop_->unix_millis(), now);
+  for (const HostMove& move : moves) {
+    host_calls_.move(
+        move.host, move.to, replica_->term(),
+        [this, move, era = era_](const Result<HostVerdict>& verdict) {
+          if (era != era_)
+            return;
+          LogEvent(EventId::kBufferMove,
+                   {{"host", move.host.str()},
+                    {"to", move.to.str()},
+                    {"worker", move.worker.Text()},
+                    {"outcome",
+                     verdict ? std::string(kHostVerdicts.Name(verdict.value()))
+                             : verdict.error().Text()}});
+          hosts_.RefreshBy(loop_->now());
+          if (pools_->OnAnswer(move, verdict, loop_->now()) &&
+              !move.worker.id.empty()) {
+            fleet_->NoteDeparture(move.worker, "its host moved");
+          }
+        });
+  }
+}
+
+void SchedulerService::DriveWaves(TimePoint now) {
+  const WaveSteps steps = waves_->Decide(replica_->ledger(), now);
   for (const jobs::WaveProgress& gone : steps.progress)
     NoteProgress(gone);
   for (const WaveSteps::Order& order : steps.maintain) {
@@ -204,6 +246,8 @@
                              : verdict.error().Text()}});
           if (const auto progress = waves_->OnAnswer(order.host, order.wave,
                                                      verdict, loop_->now())) {
+            if (!order.worker.id.empty())
+              fleet_->NoteDeparture(order.worker, "its host is maintained");
             NoteProgress(*progress);
           }
         });
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/metrics.h"
@@ -11,9 +12,11 @@
 #include "net/http_server.h"
 #include "net/rpc_client.h"
 #include "net/rpc_server.h"
+#include "scheduler/host_book.h"
 #include "scheduler/host_calls.h"
 #include "scheduler/job_desk.h"
 #include "scheduler/ledger_replica.h"
+#include "scheduler/pool_balancer.h"
 #include "scheduler/relay.h"
 #include "scheduler/rules_desk.h"
 #include "scheduler/task_planner.h"
@@ -34,6 +37,10 @@
   WorkerLinkOptions links;
   TaskPlannerOptions planner;
   Millis maintenance{2'000};  ///< shortest maintenance of a host
+  /// A new leader orders nothing of hosts for so long, so that two leaders do
+  /// not take turns. The platform's lease for holders.
+  Millis host_lease{3'000};
+  PoolBalancerOptions pools;
 };
 
 /// \brief What the scheduler needs of its surroundings.
@@ -68,7 +75,10 @@
   void OnLeadership(bool acts, TimePoint now);
   void OnTick(TimePoint now);
   void StopRuns();
+  void DriveHosts(TimePoint now);
   void DriveWaves(TimePoint now);
+  void DrivePools(TimePoint now);
+  [[nodiscard]] std::set<jobs::WorkerLife> Reserved() const;
   void OpenDue(jobs::Batch* batch, jobs::UnixMillis now) const;
   void NoteProgress(const jobs::WaveProgress& progress);
 
@@ -84,7 +94,9 @@
   std::unique_ptr<JobDesk> job_desk_;
   std::unique_ptr<RulesDesk> rules_desk_;
   std::unique_ptr<WorkerRegistry> registry_;
+  HostBook hosts_;
   std::unique_ptr<WaveKeeper> waves_;
+  std::unique_ptr<PoolBalancer> pools_;
   HostCalls host_calls_;
   TaskPlanner planner_;
   std::unique_ptr<RelayServer> relay_;
@@ -94,7 +106,8 @@
   std::unique_ptr<HttpServer> metrics_server_;
   WatchHandle tick_;
   WatchHandle stop_timer_;
-  TimePoint waves_due_;
+  TimePoint hosts_due_;
+  TimePoint acts_since_;
   std::uint64_t era_ = 0;
 };
 
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -74,10 +74,11 @@
         const jobs::UnixMillis from =
             job->spec->repeats > 0 ? job->spec->due(number) : job->accepted;
         const jobs::UnixMillis deadline = ObjectiveOf(*job, *queue, from);
-        const auto allowed = static_cast<jobs::UnixMillis>(
-            static_cast<double>(deadline - from) * options_.late_factor);
-        candidates.push_back(
-            {job, queue, number, now_ > from + allowed, deadline});
+        const double left =
+            options_.chain_margin *
+            static_cast<double>(RemainingChain(*job, occurrence).count());
+        const bool late = now_ + static_cast<jobs::UnixMillis>(left) > deadline;
+        candidates.push_back({job, queue, number, late, deadline});
       }
     }
     std::sort(
@@ -248,18 +249,38 @@
 
 }  // namespace
 
-jobs::UnixMillis ObjectiveOf(const jobs::Job& job,
-                             const jobs::QueueRule& queue,
-                             jobs::UnixMillis from) {
+namespace {
+
+/// \returns the longest chain of the steps for which `counts` holds.
+template <typename Counts>
+[[nodiscard]] Millis LongestChain(const jobs::JobSpec& spec,
+                                  const Counts& counts) {
   std::vector<Millis> ends;
   Millis longest{0};
-  for (const jobs::StepSpec& step : job.spec->steps) {
+  for (std::size_t s = 0; s < spec.steps.size(); ++s) {
     Millis begin{0};
-    for (const std::uint32_t earlier : step.depends_on)
+    for (const std::uint32_t earlier : spec.steps[s].depends_on)
       begin = std::max(begin, ends[earlier]);
-    ends.push_back(begin + EstimateOf(step));
+    ends.push_back(begin + (counts(s) ? EstimateOf(spec.steps[s]) : Millis(0)));
     longest = std::max(longest, ends.back());
   }
+  return longest;
+}
+
+}  // namespace
+
+Millis RemainingChain(const jobs::Job& job,
+                      const jobs::Occurrence& occurrence) {
+  return LongestChain(*job.spec, [&](std::size_t s) {
+    return !occurrence.steps[s].complete();
+  });
+}
+
+jobs::UnixMillis ObjectiveOf(const jobs::Job& job,
+                             const jobs::QueueRule& queue,
+                             jobs::UnixMillis from) {
+  const Millis longest =
+      LongestChain(*job.spec, [](std::size_t) { return true; });
   return from +
          static_cast<jobs::UnixMillis>(queue.stretch *
                                        static_cast<double>(longest.count())) +
--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -12,9 +12,9 @@
 struct TaskPlannerOptions {
   /// Starts of one plan: they share one entry of the log.
   std::size_t max_starts = 96;
-  /// Times that a job runs longer than its objective before it is late; late
-  /// jobs yield to those that can still meet theirs.
-  double late_factor = 1.0;
+  /// Estimates are rough: a job counts as too late to meet its objective when
+  /// so many times its remaining chain no longer fits.
+  double chain_margin = 1.0;
 };
 
 /// \brief What the planner asks about a worker.
@@ -26,6 +26,10 @@
                                            const jobs::QueueRule& queue,
                                            jobs::UnixMillis from);
 
+/// \returns the longest chain of estimates of the steps that are not complete.
+[[nodiscard]] Millis RemainingChain(const jobs::Job& job,
+                                    const jobs::Occurrence& occurrence);
+
 /// \brief Decides which waiting tasks start on which workers. It answers the
 /// load in which one queue at a time asks for several times its mean, more than
 /// its pool holds: jobs that can still meet their objective go first, the
--- a/src/scheduler/wave_keeper.cc
+++ b/src/scheduler/wave_keeper.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Least time between two lists; each is paid for.
+/// Longest time between two lists while a wave is open.
 constexpr Millis kListInterval{1'000};
 /// Pause after an answer that did not take the order.
 constexpr Millis kRefusedPause{500};
@@ -16,27 +16,6 @@
 
 }  // namespace
 
-const HostRow* WaveKeeper::FindRow(const HostName& host) const {
-  const auto found = hosts_.find(host);
-  return found == hosts_.end() ? nullptr : &found->second;
-}
-
-void WaveKeeper::OnList(const Result<std::vector<HostRow>>& hosts,
-                        TimePoint sent,
-                        TimePoint now) {
-  list_open_ = false;
-  list_due_ = now + kListInterval;
-  if (!hosts)
-    return;
-  listed_ = true;
-  listed_at_ = sent;
-  hosts_.clear();
-  for (const HostRow& row : hosts.value())
-    hosts_[row.host] = row;
-  std::erase_if(missing_,
-                [&](const auto& item) { return hosts_.count(item.first) > 0; });
-}
-
 void WaveKeeper::OnOrderSent(const HostName& host, TimePoint now) {
   ordered_[host] = {now, true, false};
 }
@@ -49,7 +28,7 @@
   Ordered& order = ordered_[host];
   order.open = false;
   order.at = now;
-  list_due_ = std::min(list_due_, now + down_);
+  hosts_.RefreshBy(now + down_);
   if (verdict && verdict.value() == HostVerdict::kDone) {
     order.begun = true;
     return jobs::WaveProgress{wave, host};
@@ -66,10 +45,10 @@
 // shortest maintenance shows it up again.
 bool WaveKeeper::IsDown(const HostName& host, TimePoint now) const {
   const auto ordered = ordered_.find(host);
-  const HostRow* row = FindRow(host);
+  const HostRow* row = hosts_.Find(host);
   if (ordered != ordered_.end()) {
     if (ordered->second.open || now < ordered->second.at + down_ ||
-        listed_at_ < ordered->second.at + down_) {
+        hosts_.listed_at() < ordered->second.at + down_) {
       return true;
     }
   }
@@ -79,18 +58,13 @@
 WaveSteps WaveKeeper::Decide(const jobs::JobLedger& ledger, TimePoint now) {
   WaveSteps steps;
   clearing_.clear();
-  bool any_open = false;
   for (const auto& [number, wave] : ledger.waves()) {
     if (wave.complete())
       continue;
-    any_open = true;
-    if (listed_)
+    hosts_.RefreshBy(hosts_.listed_at() + kListInterval);
+    if (hosts_.listed())
       DecideWave(ledger, wave, now, &steps);
   }
-  if (any_open && !list_open_ && now >= list_due_) {
-    list_open_ = true;
-    steps.list_hosts = true;
-  }
   return steps;
 }
 
@@ -112,11 +86,9 @@
     }
     if (wave.begun.count(host) > 0)
       continue;
-    const HostRow* row = FindRow(host);
+    const HostRow* row = hosts_.Find(host);
     if (row == nullptr) {
-      if (list_open_ || now < list_due_)
-        continue;
-      if (++missing_[host] >= kMissingLists)
+      if (hosts_.MissingLists(host) >= kMissingLists)
         steps->progress.push_back({wave.order.number, host});
       continue;
     }
@@ -140,7 +112,10 @@
     if (item.worker != nullptr)
       clearing_.insert(item.worker->note.life);
     if (item.runs == 0)
-      steps->maintain.push_back({item.host, wave.order.number});
+      steps->maintain.push_back({item.host, wave.order.number,
+                                 item.worker == nullptr
+                                     ? jobs::WorkerLife{}
+                                     : item.worker->note.life});
   }
 }
 
--- a/src/scheduler/wave_keeper.h
+++ b/src/scheduler/wave_keeper.h
@@ -10,16 +10,17 @@
 
 #include "base/time.h"
 #include "jobs/job_ledger.h"
+#include "scheduler/host_book.h"
 #include "scheduler/host_calls.h"
 
 namespace boragewinch::scheduler {
 
 /// \brief What the keeper of the waves asks for.
 struct WaveSteps {
-  bool list_hosts = false;
   struct Order {
     HostName host;
     std::int64_t wave = 0;
+    jobs::WorkerLife worker;  ///< ends by the order; empty id: none
   };
   std::vector<Order> maintain;
   /// Hosts that the platform no longer has: nothing is left to do for them.
@@ -31,13 +32,10 @@
 class WaveKeeper {
  public:
   /// \param down how long a maintenance takes at least.
-  WaveKeeper(Millis down, TimePoint now) : down_(down), listed_at_(now) {}
+  WaveKeeper(Millis down, HostBook& hosts) : down_(down), hosts_(hosts) {}
 
   [[nodiscard]] WaveSteps Decide(const jobs::JobLedger& ledger, TimePoint now);
 
-  void OnList(const Result<std::vector<HostRow>>& hosts,
-              TimePoint sent,
-              TimePoint now);
   void OnOrderSent(const HostName& host, TimePoint now);
   /// \returns the progress to store, if the answer establishes one.
   [[nodiscard]] std::optional<jobs::WaveProgress> OnAnswer(
@@ -63,15 +61,9 @@
                   TimePoint now,
                   WaveSteps* steps);
   [[nodiscard]] bool IsDown(const HostName& host, TimePoint now) const;
-  [[nodiscard]] const HostRow* FindRow(const HostName& host) const;
 
   Millis down_;
-  std::map<HostName, HostRow> hosts_;
-  std::map<HostName, int> missing_;  ///< lists in a row without the host
-  bool listed_ = false;
-  bool list_open_ = false;
-  TimePoint listed_at_;  ///< when the newest list was asked for
-  TimePoint list_due_;
+  HostBook& hosts_;
   std::map<HostName, Ordered> ordered_;
   std::map<HostName, TimePoint> refused_until_;
   std::set<jobs::WorkerLife> clearing_;
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -184,7 +184,7 @@
       NoteHealth(*worker, false, now);
   }
   if (answer && answer.value().verdict == CallVerdict::kOtherLife)
-    NoteDeparture(*worker, "another life answers");
+    NoteDeparture(life, "another life answers");
   if (const auto how = link->OnStartAnswer(run, answer, now))
     NoteEnds({{run, life, *how, "", 0}}, now);
 }
@@ -249,7 +249,7 @@
           answer ? std::string(kCallVerdicts.Name(answer.value().call.verdict))
                  : answer.error().Text()}});
     if (other)
-      NoteDeparture(*worker, "another life answers");
+      NoteDeparture(life, "another life answers");
     return;
   }
   std::vector<jobs::RunName> strays;
@@ -300,8 +300,11 @@
       });
 }
 
-void WorkerFleet::NoteDeparture(const jobs::Worker& worker, const char* why) {
-  jobs::WorkerNote note = worker.note;
+void WorkerFleet::NoteDeparture(const jobs::WorkerLife& life, const char* why) {
+  const jobs::Worker* worker = replica_.ledger().FindWorker(life);
+  if (worker == nullptr)
+    return;
+  jobs::WorkerNote note = worker->note;
   note.departed = true;
   LogEvent(EventId::kWorkerLost,
            {{"worker", note.life.Text()}, {"reason", why}});
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -40,6 +40,8 @@
   void Stop(const jobs::RunName& run,
             const jobs::WorkerLife& life,
             const char* reason);
+  /// \brief Notes that a life of a worker is over, so that its runs are.
+  void NoteDeparture(const jobs::WorkerLife& life, const char* why);
   /// \returns the share of readiness or of its work that a run has shown; 0 if
   /// it has not been seen, is to be stopped or its worker is silent.
   [[nodiscard]] int PercentOf(const jobs::RunName& run,
@@ -57,7 +59,6 @@
                const jobs::RunName& run,
                const Result<CallAnswer>& answer);
   void NoteEnds(std::vector<jobs::EndNote> ends, TimePoint now);
-  void NoteDeparture(const jobs::Worker& worker, const char* why);
   void NoteHealth(const jobs::Worker& worker, bool ok, TimePoint now);
 
   EventLoop& loop_;
