Test the ledger, worker contact, planner, host decisions and codecs

Tables of malformed configurations, jobs and announcements; leases, unanswered orders and lists that prove nothing; a spike with hopeless jobs; moves and waves. Lint covers platform/.

--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")/.."
 build="${1:-build}"
-git ls-files -z 'src/*.cc' 'bench/*.cc' |
+git ls-files -z 'src/*.cc' 'platform/*.cc' 'bench/*.cc' |
   xargs -0 -n 4 -P "${LINT_JOBS:-8}" clang-tidy -quiet -p "$build"
--- /dev/null
+++ b/tests/host_decisions_test.cc
@@ -0,0 +1,200 @@
+#define BOOST_TEST_MODULE host_decisions
+#include <boost/test/unit_test.hpp>
+
+#include "ledger_builder.h"
+#include "scheduler/pool_balancer.h"
+#include "scheduler/wave_keeper.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+using jobs::LedgerBuilder;
+
+[[nodiscard]] TimePoint At(std::int64_t millis) {
+  return FromMillis(100'000 + millis);
+}
+
+/// Pools "p" and "idle" with four hosts each, and "off" with two hosts in
+/// standby.
+class HostWorld {
+ public:
+  HostWorld() {
+    jobs::Batch batch;
+    batch.rules = builder.ledger().rules();
+    ++batch.rules->version;
+    batch.rules->pools[PoolName("idle")] = {PoolName("idle"), true, false};
+    batch.rules->pools[PoolName("off")] = {PoolName("off"), true, true};
+    builder.Apply(batch);
+    for (const char* pool : {"p", "idle"}) {
+      for (int i = 0; i < 4; ++i)
+        AddHost(pool + std::to_string(i), pool);
+    }
+    for (const char* host : {"off0", "off1"})
+      rows.push_back({HostName(host), PoolName("off"), HostState::kUp, {}});
+  }
+
+  void AddHost(const std::string& name, const std::string& pool) {
+    jobs::WorkerNote note;
+    note.life = LedgerBuilder::Life("w-" + name);
+    note.host = HostName(name);
+    note.address = name + ":80";
+    note.pool = PoolName(pool);
+    note.capacity = {16'000, 32'000, 0};
+    jobs::Batch batch;
+    batch.workers.push_back(note);
+    builder.Apply(batch);
+    rows.push_back({note.host, note.pool, HostState::kUp, note.life.id});
+  }
+
+  void List(std::int64_t millis) { book.OnList(rows, At(millis), At(millis)); }
+
+  void StartWave(std::vector<HostName> hosts, std::int64_t at_once) {
+    jobs::Batch batch;
+    batch.waves.push_back({1, std::move(hosts), Millis(20'000), at_once});
+    builder.Apply(batch);
+  }
+
+  LedgerBuilder builder;
+  std::vector<HostRow> rows;
+  HostBook book;
+};
+
+struct Balance : HostWorld {
+  std::vector<HostMove> Decide(std::int64_t millis) {
+    return balancer.Decide(builder.ledger(), book, {}, 1'000 + millis,
+                           At(millis));
+  }
+  /// A spike: jobs of 8 tasks of 1 s on 4 cores each, 32 core seconds a job.
+  void Spike(int count) {
+    for (int i = 0; i < count; ++i)
+      builder.Submit("job" + std::to_string(i),
+                     {LedgerBuilder::Tasks(8, 4'000)});
+  }
+
+  PoolBalancer balancer{PoolBalancerOptions{}};
+};
+
+// Guards against a pool that stays too small while others idle: the spike of
+// one queue beyond what its pool holds.
+BOOST_FIXTURE_TEST_CASE(ASpikeBringsHosts, Balance) {
+  List(0);
+  BOOST_TEST(Decide(0).empty());
+  Spike(5);
+  const auto moves = Decide(50);
+  BOOST_TEST(moves.size() >= 3U);
+  std::size_t from_standby = 0;
+  for (const HostMove& move : moves) {
+    BOOST_TEST(move.to.str() == "p");
+    from_standby += move.worker.id.empty() ? 1 : 0;
+  }
+  // Hosts that are off cost least; the idle pool keeps its floor.
+  BOOST_TEST(from_standby == 2U);
+  BOOST_TEST(moves.size() - from_standby <= 1U);
+}
+
+// Guards against a host that is moved twice before its new worker is there.
+BOOST_FIXTURE_TEST_CASE(AMoveUnderWayIsNotOrderedAgain, Balance) {
+  List(0);
+  Spike(5);
+  const auto first = Decide(50);
+  BOOST_TEST(!first.empty());
+  for (const HostMove& move : first) {
+    const bool done = balancer.OnAnswer(move, HostVerdict::kDone, At(60));
+    BOOST_TEST(done);
+  }
+  BOOST_TEST(Decide(100).empty());
+}
+
+// Guards against moves that end running tasks.
+BOOST_FIXTURE_TEST_CASE(HostsWithRunsStay, Balance) {
+  builder.Submit("busy", {LedgerBuilder::Tasks(4)});
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    builder.Start(LedgerBuilder::Run("busy", 0, i),
+                  "w-idle" + std::to_string(i));
+  }
+  List(0);
+  Spike(9);
+  for (const HostMove& move : Decide(50))
+    BOOST_TEST(move.worker.id.empty());
+}
+
+// Guards against hosts that are paid for and idle, and against moves back and
+// forth: they are switched off only after a while.
+BOOST_FIXTURE_TEST_CASE(IdleHostsAreSwitchedOffAfterAWhile, Balance) {
+  for (int i = 0; i < 6; ++i)
+    AddHost("extra" + std::to_string(i), "idle");
+  List(0);
+  BOOST_TEST(Decide(0).empty());
+  BOOST_TEST(Decide(1'000).empty());
+  const auto moves = Decide(1'600);
+  BOOST_TEST(!moves.empty());
+  for (const HostMove& move : moves)
+    BOOST_TEST(move.to.str() == "off");
+}
+
+struct Wave : HostWorld {
+  WaveSteps Decide(std::int64_t millis) {
+    return keeper.Decide(builder.ledger(), At(millis));
+  }
+  WaveKeeper keeper{Millis(2'000), book};
+};
+
+// Guards against more hosts down at once than the wave allows.
+BOOST_FIXTURE_TEST_CASE(AWaveKeepsItsCap, Wave) {
+  List(0);
+  StartWave({HostName("p0"), HostName("p1"), HostName("p2")}, 2);
+  const auto steps = Decide(10);
+  BOOST_REQUIRE(steps.maintain.size() == 2U);
+  for (const auto& order : steps.maintain) {
+    keeper.OnOrderSent(order.host, At(10));
+    const auto progress =
+        keeper.OnAnswer(order.host, 1, HostVerdict::kDone, At(20));
+    BOOST_REQUIRE(progress.has_value());
+    jobs::Batch batch;
+    batch.progress.push_back(*progress);
+    builder.Apply(batch);
+  }
+  BOOST_TEST(Decide(100).maintain.empty());
+  // A list from before the end of the maintenance proves nothing.
+  List(1'500);
+  BOOST_TEST(Decide(2'500).maintain.empty());
+  List(2'600);
+  BOOST_TEST(Decide(2'700).maintain.size() == 1U);
+}
+
+// Guards against an order without an answer that is counted as not given.
+BOOST_FIXTURE_TEST_CASE(AnUnansweredOrderCountsAsDown, Wave) {
+  List(0);
+  StartWave({HostName("p0"), HostName("p1")}, 1);
+  const auto steps = Decide(10);
+  BOOST_REQUIRE(steps.maintain.size() == 1U);
+  keeper.OnOrderSent(steps.maintain[0].host, At(10));
+  BOOST_TEST(!keeper.OnAnswer(steps.maintain[0].host, 1,
+                              Fail(ErrorCode::kTimeout, ""), At(3'010)));
+  BOOST_TEST(Decide(3'100).maintain.empty());
+}
+
+// Guards against a maintenance that ends running tasks: the host's worker gets
+// no new work and the order waits.
+BOOST_FIXTURE_TEST_CASE(AHostWithRunsIsClearedFirst, Wave) {
+  builder.Submit("job", {LedgerBuilder::Tasks(1)});
+  builder.Start(LedgerBuilder::Run("job", 0, 0), "w-p0");
+  List(0);
+  StartWave({HostName("p0")}, 1);
+  BOOST_TEST(Decide(10).maintain.empty());
+  BOOST_TEST(keeper.clearing().count(LedgerBuilder::Life("w-p0")) == 1U);
+  builder.End(LedgerBuilder::Run("job", 0, 0), "w-p0", jobs::RunEnd::kDone, 1);
+  BOOST_TEST(Decide(20).maintain.size() == 1U);
+}
+
+// Guards against a wave that never ends because a host is gone for good.
+BOOST_FIXTURE_TEST_CASE(AHostThatLeftNeedsNoMaintenance, Wave) {
+  StartWave({HostName("gone")}, 1);
+  List(0);
+  BOOST_TEST(Decide(10).progress.empty());
+  List(1'000);
+  BOOST_TEST(Decide(1'010).progress.size() == 1U);
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
--- /dev/null
+++ b/tests/job_ledger_test.cc
@@ -0,0 +1,264 @@
+#define BOOST_TEST_MODULE job_ledger
+#include <boost/test/unit_test.hpp>
+
+#include "ledger_builder.h"
+
+namespace boragewinch::jobs {
+namespace {
+
+using Builder = LedgerBuilder;
+
+[[nodiscard]] Batch RoundTrip(const Batch& batch) {
+  const Result<Batch> read = DecodeBatch(EncodeBatch(batch));
+  BOOST_REQUIRE_MESSAGE(read, (read ? "" : read.error().Text()));
+  return read.value();
+}
+
+// Guards against a batch that the leader stores and the followers cannot read:
+// a customer's limit covers a whole fleet and exceeds the bounds of one host.
+BOOST_AUTO_TEST_CASE(LimitsOfAWholeFleetAreReadBack) {
+  Batch batch;
+  batch.rules =
+      Builder().Limit({113'600'000, 908'800'000, 5'000}).ledger().rules();
+  const Batch read = RoundTrip(batch);
+  BOOST_TEST(read.rules->customers.at(CustomerName("c")).limit.cpu_millis ==
+             113'600'000);
+}
+
+// Guards against members that one side of the codec forgets.
+BOOST_AUTO_TEST_CASE(EveryPartOfABatchIsReadBack) {
+  Batch batch;
+  batch.now = 77;
+  WorkerNote worker;
+  worker.life = Builder::Life("w", 5);
+  worker.address = "10.0.0.1:80";
+  worker.host = HostName("h");
+  worker.pool = PoolName("p");
+  worker.labels = {"a", "r1"};
+  worker.rack = RackName("r1");
+  worker.capacity = {1, 2, 3};
+  worker.draining = true;
+  batch.workers = {worker};
+  StepSpec step = Builder::Tasks(3);
+  step.depends_on = {};
+  step.speculative = step.checkpointing = step.fills = true;
+  step.may_be_away = 2;
+  step.max_per_worker = 1;
+  step.image = "image";
+  batch.submissions = {{JobId("j"),
+                        QueueName("q"),
+                        CustomerName("c"),
+                        {"payload", {step}, 4, 1'000, Millis(50)}}};
+  batch.cancels = {JobId("k")};
+  batch.openings = {{JobId("j"), 3}};
+  batch.ends = {
+      {Builder::Run("j", 0, 1, 2), worker.life, RunEnd::kLapsed, "saved", 9}};
+  batch.starts = {{Builder::Run("j", 0, 2, 7), worker.life}};
+  batch.waves = {{3, {HostName("h")}, Millis(2'000), 4}};
+  batch.progress = {{3, HostName("h")}};
+  const Batch read = RoundTrip(batch);
+  BOOST_TEST(read.now == 77);
+  BOOST_TEST((read.workers.at(0) == worker));
+  const JobSpec& spec = read.submissions.at(0).spec;
+  BOOST_TEST(spec.payload == "payload");
+  BOOST_TEST(spec.due(2) == 1'100);
+  BOOST_TEST(spec.steps.at(0).image == "image");
+  BOOST_TEST(spec.steps.at(0).may_be_away == 2);
+  BOOST_TEST(spec.steps.at(0).fills);
+  BOOST_TEST(read.cancels.at(0).str() == "k");
+  BOOST_TEST(read.openings.at(0).occurrence == 3U);
+  BOOST_TEST((read.ends.at(0).run == batch.ends[0].run));
+  BOOST_TEST(read.ends.at(0).checkpoint == "saved");
+  BOOST_TEST(read.ends.at(0).list_number == 9);
+  BOOST_TEST((read.starts.at(0).worker == worker.life));
+  BOOST_TEST(read.waves.at(0).at_once == 4);
+  BOOST_TEST(read.progress.at(0).host.str() == "h");
+}
+
+// Guards against a job that is accepted twice, with the second copy's content.
+BOOST_AUTO_TEST_CASE(ARepeatedSubmissionIsOneJob) {
+  Builder builder;
+  builder.AddWorker("w").Submit("job", {Builder::Tasks(2)});
+  builder.Start(Builder::Run("job", 0, 0), "w");
+  builder.Submit("job", {Builder::Tasks(9)});
+  BOOST_TEST(builder.job("job").spec->steps[0].tasks == 2);
+  BOOST_TEST((builder.job("job").state == JobState::kRunning));
+  BOOST_TEST(builder.ledger().QueuedOf(QueueName("q")) == 0);
+}
+
+// Guards against a job shown as completed while a task has not ended, and
+// against steps that start before those they depend on.
+BOOST_AUTO_TEST_CASE(StepsFollowTheirDependencies) {
+  StepSpec second = Builder::Tasks(1);
+  second.depends_on = {0};
+  Builder builder;
+  builder.AddWorker("w").Submit("job", {Builder::Tasks(2), second});
+  const auto ready = [&](std::size_t step) {
+    const Job& job = builder.job("job");
+    return job.StepReady(job.occurrences.at(0), step);
+  };
+  BOOST_TEST(ready(0));
+  BOOST_TEST(!ready(1));
+  for (std::uint32_t i : {0U, 1U}) {
+    builder.Start(Builder::Run("job", 0, i), "w");
+    builder.End(Builder::Run("job", 0, i), "w", RunEnd::kDone, i + 1);
+  }
+  BOOST_TEST(ready(1));
+  BOOST_TEST((builder.job("job").state == JobState::kRunning));
+  builder.Start(Builder::Run("job", 1, 0), "w");
+  builder.End(Builder::Run("job", 1, 0), "w", RunEnd::kDone, 3);
+  BOOST_TEST((builder.job("job").state == JobState::kCompleted));
+  BOOST_TEST(builder.ledger().UsageOf(CustomerName("c")).cpu_millis == 0);
+}
+
+// Guards against one end that is counted twice when a worker lists it again.
+BOOST_AUTO_TEST_CASE(AListedEndCountsOnce) {
+  Builder builder;
+  builder.AddWorker("w").Submit("job", {Builder::Tasks(1)});
+  builder.Start(Builder::Run("job", 0, 0), "w");
+  for (int i = 0; i < 3; ++i)
+    builder.End(Builder::Run("job", 0, 0), "w", RunEnd::kFailed, 1);
+  BOOST_TEST((builder.job("job").state == JobState::kRunning));
+  builder.Start(Builder::Run("job", 0, 0, 2), "w");
+  builder.End(Builder::Run("job", 0, 0, 2), "w", RunEnd::kFailed, 2);
+  BOOST_TEST((builder.job("job").state == JobState::kFailed));
+}
+
+// Guards against a second start of a task that an unreachable worker had done:
+// its late list counts if the task is not done yet.
+BOOST_AUTO_TEST_CASE(ALateDoneOfALostRunCompletesTheTask) {
+  Builder builder;
+  builder.AddWorker("w").AddWorker("v").Submit("job", {Builder::Tasks(1)});
+  builder.Start(Builder::Run("job", 0, 0), "w");
+  builder.End(Builder::Run("job", 0, 0), "w", RunEnd::kLost);
+  builder.Start(Builder::Run("job", 0, 0, 2), "v");
+  builder.End(Builder::Run("job", 0, 0), "w", RunEnd::kDone, 1);
+  BOOST_TEST((builder.job("job").state == JobState::kCompleted));
+  // The other run is still somewhere and keeps its room until it is stopped.
+  BOOST_TEST(builder.job("job").runs == 1);
+  builder.End(Builder::Run("job", 0, 0, 2), "v", RunEnd::kStopped, 1);
+  BOOST_TEST(builder.job("job").runs == 0);
+}
+
+// Guards against run numbers that are used twice.
+BOOST_AUTO_TEST_CASE(RunNumbersRise) {
+  Builder builder;
+  builder.AddWorker("w").Submit("job", {Builder::Tasks(1)});
+  builder.Start(Builder::Run("job", 0, 0, 3), "w");
+  builder.End(Builder::Run("job", 0, 0, 3), "w", RunEnd::kRejected);
+  builder.Start(Builder::Run("job", 0, 0, 3), "w");
+  BOOST_TEST(builder.job("job").runs == 0);
+  builder.Start(Builder::Run("job", 0, 0, 4), "w");
+  BOOST_TEST(builder.job("job").runs == 1);
+}
+
+// Guards against tasks of a cancelled job that are started by the same batch.
+BOOST_AUTO_TEST_CASE(ACancelledJobStartsNothing) {
+  Builder builder;
+  builder.AddWorker("w").Submit("job", {Builder::Tasks(1)});
+  Batch batch;
+  batch.cancels = {JobId("job")};
+  batch.starts = {{Builder::Run("job", 0, 0), Builder::Life("w")}};
+  builder.Apply(batch);
+  BOOST_TEST((builder.job("job").state == JobState::kCanceled));
+  BOOST_TEST(builder.ledger().FindWorker(Builder::Life("w"))->runs.empty());
+}
+
+// Guards against a host that looks empty because its former worker is kept
+// beside the present one.
+BOOST_AUTO_TEST_CASE(ANewLifeOnAHostEndsTheOneBefore) {
+  Builder builder;
+  WorkerNote old;
+  old.life = Builder::Life("old", 10);
+  old.address = "10.0.0.1:80";
+  old.host = HostName("h");
+  old.pool = PoolName("p");
+  WorkerNote fresh = old;
+  fresh.life = Builder::Life("fresh", 20);
+  fresh.address = "10.0.0.2:80";
+  Batch batch;
+  batch.workers = {old, fresh, old};
+  builder.Apply(batch);
+  BOOST_TEST(builder.ledger().workers().size() == 1U);
+  BOOST_TEST(builder.ledger().FindPresent(WorkerId("fresh")) != nullptr);
+}
+
+// Guards against an announcement that was delayed past the worker's end.
+BOOST_AUTO_TEST_CASE(ADepartedLifeDoesNotComeBack) {
+  Builder builder;
+  builder.AddWorker("w").Submit("job", {Builder::Tasks(1)});
+  builder.Start(Builder::Run("job", 0, 0), "w");
+  Batch batch;
+  WorkerNote gone;
+  gone.life = Builder::Life("w");
+  gone.departed = true;
+  batch.workers = {gone};
+  builder.Apply(batch);
+  BOOST_TEST(builder.job("job").runs == 0);
+  builder.AddWorker("w");
+  BOOST_TEST(builder.ledger().workers().empty());
+}
+
+// Guards against a drain that is forgotten by a message from before it.
+BOOST_AUTO_TEST_CASE(AWorkerDoesNotTakeADrainBack) {
+  Builder builder;
+  builder.AddWorker("w", {1'000, 1'000, 0}, true).AddWorker("w");
+  BOOST_TEST(builder.ledger().FindWorker(Builder::Life("w"))->note.draining);
+}
+
+// Guards against a configuration that reverts.
+BOOST_AUTO_TEST_CASE(AnOlderConfigurationChangesNothing) {
+  Builder builder;
+  builder.Limit({5, 5, 5}).Limit({6, 6, 6});
+  Batch batch;
+  batch.rules = builder.ledger().rules();
+  batch.rules->version = 2;
+  batch.rules->document = "older";
+  builder.Apply(batch);
+  BOOST_TEST(builder.ledger().rules().version == 3);
+  BOOST_TEST(builder.ledger().rules().document == "{}");
+}
+
+// Guards against members of a gang that count as missing after its end.
+BOOST_AUTO_TEST_CASE(OneEndStandsForTheWholeGang) {
+  StepSpec gang = Builder::Tasks(3);
+  gang.gang = true;
+  Builder builder;
+  builder.AddWorker("w").Submit("job", {gang});
+  for (std::uint32_t i : {0U, 1U, 2U})
+    builder.Start(Builder::Run("job", 0, i), "w");
+  builder.End(Builder::Run("job", 0, 1), "w", RunEnd::kDone, 1);
+  BOOST_TEST((builder.job("job").state == JobState::kCompleted));
+  BOOST_TEST(builder.ledger().FindWorker(Builder::Life("w"))->runs.empty());
+}
+
+// Guards against a replica that loses state by a snapshot.
+BOOST_AUTO_TEST_CASE(ASnapshotRestoresTheLedger) {
+  StepSpec second = Builder::Tasks(2);
+  second.depends_on = {0};
+  Builder builder;
+  builder.AddWorker("w").Submit("job", {Builder::Tasks(2), second});
+  builder.Submit("waits", {Builder::Tasks(1)});
+  builder.Start(Builder::Run("job", 0, 0), "w");
+  builder.Start(Builder::Run("job", 0, 1), "w");
+  builder.End(Builder::Run("job", 0, 0), "w", RunEnd::kDone, 1);
+  Batch batch;
+  batch.waves = {{1, {HostName("h"), HostName("i")}, Millis(1'000), 1}};
+  batch.progress = {{1, HostName("h")}};
+  builder.Apply(batch);
+  const Result<JobLedger> read =
+      JobLedger::Restore(builder.ledger().Snapshot());
+  BOOST_REQUIRE(read);
+  const JobLedger& restored = read.value();
+  BOOST_TEST(restored.Snapshot().size() == builder.ledger().Snapshot().size());
+  BOOST_TEST(restored.QueuedOf(QueueName("q")) == 1);
+  BOOST_TEST(restored.UsageOf(CustomerName("c")).cpu_millis == 1'000);
+  BOOST_TEST(restored.FindWorker(Builder::Life("w"))->used.cpu_millis == 1'000);
+  BOOST_TEST(restored.FindWorker(Builder::Life("w"))->ends_noted == 1);
+  BOOST_TEST(restored.HasRun(Builder::Run("job", 0, 1), Builder::Life("w")));
+  BOOST_TEST(restored.waves().at(1).begun.size() == 1U);
+  BOOST_TEST(restored.active().size() == 2U);
+}
+
+}  // namespace
+}  // namespace boragewinch::jobs
--- /dev/null
+++ b/tests/task_planner_test.cc
@@ -0,0 +1,114 @@
+#define BOOST_TEST_MODULE task_planner
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+#include "ledger_builder.h"
+#include "scheduler/task_planner.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+using jobs::LedgerBuilder;
+
+[[nodiscard]] std::vector<jobs::StartNote> PlanAll(const LedgerBuilder& builder,
+                                                   jobs::UnixMillis now) {
+  return TaskPlanner(TaskPlannerOptions{})
+      .Plan(
+          builder.ledger(), [](const jobs::WorkerLife&) { return true; }, now);
+}
+
+[[nodiscard]] std::map<std::string, int> CountByJob(
+    const std::vector<jobs::StartNote>& starts) {
+  std::map<std::string, int> counts;
+  for (const jobs::StartNote& start : starts)
+    ++counts[start.run.task.job.str()];
+  return counts;
+}
+
+// Guards against starts over the room of a worker.
+BOOST_AUTO_TEST_CASE(RoomBoundsTheStarts) {
+  LedgerBuilder builder;
+  builder.AddWorker("w", {2'500, 32'000, 0})
+      .Submit("job", {LedgerBuilder::Tasks(5)});
+  BOOST_TEST(PlanAll(builder, 1'000).size() == 2U);
+}
+
+// Guards against a customer that takes more than its limit.
+BOOST_AUTO_TEST_CASE(TheCustomersLimitBoundsTheStarts) {
+  LedgerBuilder builder;
+  builder.Limit({3'000, 0, 0})
+      .AddWorker("w")
+      .Submit("job", {LedgerBuilder::Tasks(8)});
+  BOOST_TEST(PlanAll(builder, 1'000).size() == 3U);
+}
+
+// Guards against more tasks of a step on one worker than it allows.
+BOOST_AUTO_TEST_CASE(TasksOfAStepKeepApart) {
+  jobs::StepSpec step = LedgerBuilder::Tasks(6);
+  step.max_per_worker = 2;
+  LedgerBuilder builder;
+  builder.AddWorker("a").AddWorker("b").Submit("job", {step});
+  std::map<std::string, int> by_worker;
+  for (const auto& start : PlanAll(builder, 1'000))
+    ++by_worker[start.worker.id.str()];
+  BOOST_TEST(by_worker.at("a") == 2);
+  BOOST_TEST(by_worker.at("b") == 2);
+}
+
+// Guards against a gang of which only some members can start.
+BOOST_AUTO_TEST_CASE(AGangStartsWholeOrNotAtAll) {
+  jobs::StepSpec gang = LedgerBuilder::Tasks(3);
+  gang.gang = true;
+  LedgerBuilder builder;
+  builder.AddWorker("a", {2'000, 32'000, 0}).Submit("gang", {gang});
+  builder.Submit("small", {LedgerBuilder::Tasks(1)});
+  const auto counts = CountByJob(PlanAll(builder, 1'000));
+  BOOST_TEST(counts.count("gang") == 0U);
+  BOOST_TEST(counts.at("small") == 1);
+  builder.AddWorker("b");
+  BOOST_TEST(CountByJob(PlanAll(builder, 1'000)).at("gang") == 3);
+}
+
+// Guards against tasks on workers without the label that their step needs.
+BOOST_AUTO_TEST_CASE(LabelsAreKept) {
+  jobs::StepSpec step = LedgerBuilder::Tasks(1);
+  step.required_label = "fast";
+  LedgerBuilder builder;
+  builder.AddWorker("w").Submit("job", {step});
+  BOOST_TEST(PlanAll(builder, 1'000).empty());
+}
+
+// Guards against new work on a worker that leaves.
+BOOST_AUTO_TEST_CASE(DrainingWorkersGetNothing) {
+  LedgerBuilder builder;
+  builder.AddWorker("w", {16'000, 32'000, 0}, true)
+      .Submit("job", {LedgerBuilder::Tasks(1)});
+  BOOST_TEST(PlanAll(builder, 1'000).empty());
+}
+
+// Guards against a spike in which jobs that can no longer meet their objective
+// hold up those that can. Jobs of 1 s come at 20 ms intervals, twice what the
+// pool holds; the objective leaves 1.2 s of waiting.
+BOOST_AUTO_TEST_CASE(HopelessJobsYieldInASpike) {
+  LedgerBuilder builder;
+  builder.AddWorker("w", {2'000, 32'000, 0});
+  builder.At(1'000).Submit("old", {LedgerBuilder::Tasks(2)});
+  builder.At(2'400).Submit("fresh", {LedgerBuilder::Tasks(2)});
+  // At 2,500 the old job, due at 3,200, needs until 3,500.
+  const auto counts = CountByJob(PlanAll(builder, 2'500));
+  BOOST_TEST(counts.count("old") == 0U);
+  BOOST_TEST(counts.at("fresh") == 2);
+}
+
+// Guards against the oldest job waiting behind later ones that have time.
+BOOST_AUTO_TEST_CASE(TheEarlierObjectiveGoesFirst) {
+  LedgerBuilder builder;
+  builder.AddWorker("w", {2'000, 32'000, 0});
+  builder.At(1'000).Submit("zz-first", {LedgerBuilder::Tasks(2)});
+  builder.At(1'500).Submit("aa-second", {LedgerBuilder::Tasks(2)});
+  BOOST_TEST(CountByJob(PlanAll(builder, 1'600)).count("aa-second") == 0U);
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
--- /dev/null
+++ b/tests/worker_link_test.cc
@@ -0,0 +1,164 @@
+#define BOOST_TEST_MODULE worker_link
+#include <boost/test/unit_test.hpp>
+
+#include "ledger_builder.h"
+#include "scheduler/worker_link.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+using jobs::LedgerBuilder;
+using jobs::RunEnd;
+
+const jobs::RunName kRun = LedgerBuilder::Run("job", 0, 0);
+
+/// A worker with one run that the ledger has, and the leader's link to it.
+struct Fixture {
+  Fixture() {
+    builder.AddWorker("w").Submit("job", {LedgerBuilder::Tasks(1)});
+    builder.Start(kRun, "w");
+    link.Sync(worker(), At(0));
+  }
+
+  static TimePoint At(std::int64_t millis) {
+    return FromMillis(1'000 + millis);
+  }
+  [[nodiscard]] const jobs::Worker& worker() const {
+    return *builder.ledger().FindWorker(LedgerBuilder::Life("w"));
+  }
+  /// Sends a list request at `sent` and gets the answer at `now`.
+  std::vector<jobs::EndNote> List(std::int64_t sent,
+                                  std::int64_t now,
+                                  HoldAnswer answer) {
+    link.OnHoldSent(At(sent));
+    answer.call.clock_ms = 500'000 + now;
+    return link.OnHoldAnswer(worker(), answer, At(now), &strays);
+  }
+  static HoldAnswer Running(const jobs::RunName& run, int percent = 10) {
+    HoldAnswer answer;
+    answer.running.push_back({run, "saved", percent});
+    return answer;
+  }
+  static Result<CallAnswer> Verdict(CallVerdict verdict) {
+    return CallAnswer{verdict, 500'000};
+  }
+
+  LedgerBuilder builder;
+  WorkerLink link{WorkerLinkOptions{}, At(0)};
+  std::vector<jobs::RunName> strays;
+};
+
+// Guards against a second start of a task that an earlier leader has started
+// and that still runs.
+BOOST_FIXTURE_TEST_CASE(AnInheritedRunThatIsListedGoesOn, Fixture) {
+  BOOST_TEST(List(0, 5, Running(kRun)).empty());
+  BOOST_TEST((link.tracks().at(kRun).phase == RunPhase::kConfirmed));
+}
+
+// Guards against a task that waits for ever because its start was never sent.
+BOOST_FIXTURE_TEST_CASE(AnInheritedRunThatIsNotListedIsLost, Fixture) {
+  const auto ends = List(0, 5, {});
+  BOOST_REQUIRE(ends.size() == 1U);
+  BOOST_TEST((ends[0].how == RunEnd::kLost));
+}
+
+// Guards against two runs of one task: a start without an answer may be
+// carried out seconds later, so a list without the run proves nothing.
+BOOST_FIXTURE_TEST_CASE(AnUnansweredStartIsNotLostByAList, Fixture) {
+  link.OnStartSent(kRun, At(1));
+  BOOST_TEST(!link.OnStartAnswer(kRun, Fail(ErrorCode::kTimeout, ""), At(900)));
+  BOOST_TEST(List(901, 905, {}).empty());
+  // It is sent again once, then stopped.
+  BOOST_TEST(link.StartsDue(At(1'200)).size() == 1U);
+  link.OnStartSent(kRun, At(1'200));
+  BOOST_TEST(
+      !link.OnStartAnswer(kRun, Fail(ErrorCode::kTimeout, ""), At(2'200)));
+  BOOST_TEST(link.StartsDue(At(3'000)).empty());
+  BOOST_TEST(link.StopsDue(At(3'000)).size() == 1U);
+  link.OnStopSent(kRun, At(3'000));
+  link.OnStopAnswer(kRun, Verdict(CallVerdict::kDone), At(3'010));
+  // A list that was asked for before the stop was taken proves nothing either.
+  BOOST_TEST(List(3'005, 3'020, {}).empty());
+  BOOST_TEST(List(3'021, 3'030, {}).size() == 1U);
+}
+
+// Guards against a rejected copy of a start that hides the first one.
+BOOST_FIXTURE_TEST_CASE(ARejectedSecondCopyIsNotARejectedRun, Fixture) {
+  link.OnStartSent(kRun, At(1));
+  BOOST_TEST(!link.OnStartAnswer(kRun, Fail(ErrorCode::kTimeout, ""), At(900)));
+  link.OnStartSent(kRun, At(1'200));
+  BOOST_TEST(
+      !link.OnStartAnswer(kRun, Verdict(CallVerdict::kNoRoom), At(1'210)));
+  BOOST_TEST(link.StopsDue(At(1'500)).size() == 1U);
+}
+
+// Guards against room that a rejected start keeps.
+BOOST_FIXTURE_TEST_CASE(ARejectedFirstStartEndsAtOnce, Fixture) {
+  link.OnStartSent(kRun, At(1));
+  const auto how =
+      link.OnStartAnswer(kRun, Verdict(CallVerdict::kNoRoom), At(5));
+  BOOST_REQUIRE(how.has_value());
+  BOOST_TEST((*how == RunEnd::kRejected));
+}
+
+// Guards against a confirmed run that is taken for lost by a list from before
+// its start.
+BOOST_FIXTURE_TEST_CASE(AListFromBeforeTheStartProvesNothing, Fixture) {
+  link.OnStartSent(kRun, At(1));
+  link.OnHoldSent(At(2));
+  BOOST_TEST(!link.OnStartAnswer(kRun, Verdict(CallVerdict::kDone), At(4)));
+  BOOST_TEST(link.OnHoldAnswer(worker(), {}, At(6), &strays).empty());
+  BOOST_TEST(List(7, 9, {}).size() == 1U);
+}
+
+// Guards against a restart while the cut-off worker may still run the task: its
+// lease ends on its own clock, which may be slow.
+BOOST_FIXTURE_TEST_CASE(ASilentWorkerLapsesAfterItsLease, Fixture) {
+  BOOST_TEST(List(0, 10, Running(kRun)).empty());
+  link.OnGrant(*link.LeaseUntil());
+  const std::int64_t lease = WorkerLinkOptions().lease.count();
+  BOOST_TEST(link.Lapse(worker(), At(10 + lease + lease * 2 / 100)).empty());
+  const auto ends =
+      link.Lapse(worker(), At(10 + lease + lease * 5 / 100 + 300));
+  BOOST_REQUIRE(ends.size() == 1U);
+  BOOST_TEST(ends[0].checkpoint == "saved");
+}
+
+// Guards against a new leader that trusts no lease but its own.
+BOOST_FIXTURE_TEST_CASE(LeasesOfEarlierLeadersAreWaitedFor, Fixture) {
+  const std::int64_t lease = WorkerLinkOptions().lease.count();
+  BOOST_TEST(link.Lapse(worker(), At(lease)).empty());
+  BOOST_TEST(link.Lapse(worker(), At(lease * 2)).size() == 1U);
+}
+
+// Guards against work that runs unknown to the ledger.
+BOOST_FIXTURE_TEST_CASE(RunsThatTheLedgerLacksAreStrays, Fixture) {
+  const jobs::RunName other = LedgerBuilder::Run("other", 0, 0);
+  HoldAnswer answer = Running(kRun);
+  answer.running.push_back({other, "", 5});
+  BOOST_TEST(List(0, 5, answer).empty());
+  BOOST_REQUIRE(strays.size() == 1U);
+  BOOST_TEST((strays[0] == other));
+}
+
+// Guards against ends that are noted again after they were stored.
+BOOST_FIXTURE_TEST_CASE(StoredEndsAreNotNotedAgain, Fixture) {
+  HoldAnswer answer;
+  answer.ended.push_back({1, kRun, RunEnd::kDone, ""});
+  BOOST_TEST(List(0, 5, answer).size() == 1U);
+  builder.End(kRun, "w", RunEnd::kDone, 1);
+  link.Sync(worker(), At(6));
+  BOOST_TEST(List(7, 9, answer).empty());
+}
+
+// Guards against new work for a worker that has stopped answering.
+BOOST_FIXTURE_TEST_CASE(ASilentWorkerGetsNoNewWork, Fixture) {
+  BOOST_TEST(!link.Reachable(At(0)));
+  BOOST_TEST(List(0, 5, Running(kRun)).empty());
+  BOOST_TEST(link.Reachable(At(100)));
+  link.OnHoldFailed(At(200));
+  BOOST_TEST(!link.Reachable(At(200)));
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
