Pack long-running tasks and off-peak work on few hosts; settings for the pools

Cause: five to seven long-running tasks per job lay on as many hosts of each pool of nine to twelve, so few hosts could follow the demand or be switched off.

--- a/src/scheduler/pool_balancer.cc
+++ b/src/scheduler/pool_balancer.cc
@@ -34,6 +34,7 @@
   double backlog = 0;   ///< work of tasks that wait and may start
   double host_cpu = 0;  ///< of the largest worker
   std::int64_t hosts = 0;
+  std::int64_t wanted = 0;
   std::vector<const jobs::Worker*> empty;  ///< may be moved away
 };
 
@@ -150,29 +151,20 @@
   return false;
 }
 
-std::vector<HostMove> PoolBalancer::Decide(
-    const jobs::JobLedger& ledger,
-    const HostBook& hosts,
-    const std::set<jobs::WorkerLife>& held,
-    jobs::UnixMillis time_of_day,
-    TimePoint now) {
-  ForgetSettled(ledger, now);
-  std::map<PoolName, Pool> pools = Measure(ledger, held, time_of_day);
-  std::vector<HostMove> moves;
+std::int64_t PoolBalancer::WantedHosts(const Pool& pool,
+                                       std::int64_t floor_hosts) const {
+  const auto window = static_cast<double>(options_.arrival_window.count());
+  const auto target = static_cast<double>(options_.backlog_target.count());
+  const double rate = kArrivalHeadroom * pool.arrival / window;
+  const double wanted = pool.lasting + std::max(rate, pool.backlog / target);
+  return std::max(floor_hosts, static_cast<std::int64_t>(std::ceil(
+                                   wanted / std::max(1.0, pool.host_cpu))));
+}
 
-  PoolName standby;
-  std::int64_t serving = 0;
-  std::int64_t serving_hosts = 0;
-  for (const auto& [name, pool] : pools) {
-    if (pool.standby) {
-      standby = name;
-    } else {
-      ++serving;
-      serving_hosts += pool.hosts;
-    }
-  }
-  if (serving == 0)
-    return moves;
+std::vector<HostName> PoolBalancer::HostsOff(
+    const std::map<PoolName, Pool>& pools,
+    const HostBook& hosts,
+    TimePoint now) const {
   std::vector<HostName> off;
   for (const auto& [host, row] : hosts.rows()) {
     const auto pool = pools.find(row.pool);
@@ -182,85 +174,105 @@
       off.push_back(host);
     }
   }
-  std::map<PoolName, std::int64_t> arriving;
-  for (const auto& [host, open] : open_)
-    ++arriving[open.move.to];
-  const double mean_hosts =
-      static_cast<double>(serving_hosts +
-                          static_cast<std::int64_t>(off.size())) /
-      static_cast<double>(serving);
-  const auto floor_hosts =
-      static_cast<std::int64_t>(std::ceil(options_.floor_share * mean_hosts));
-
-  const auto window = static_cast<double>(options_.arrival_window.count());
-  const auto target = static_cast<double>(options_.backlog_target.count());
-  const auto wanted_hosts = [&](const Pool& pool) {
-    const double cpu = std::max(1.0, pool.host_cpu);
-    const double rate = kArrivalHeadroom * pool.arrival / window;
-    const double wanted = pool.lasting + std::max(rate, pool.backlog / target);
-    return std::max(floor_hosts,
-                    static_cast<std::int64_t>(std::ceil(wanted / cpu)));
-  };
+  return off;
+}
 
-  // Hosts that another pool can spare, most idle pool first.
-  struct Source {
-    const jobs::Worker* worker = nullptr;
-    PoolName pool;
-  };
-  std::vector<Source> spare;
+// Hosts beyond what their pool wants.
+std::vector<const jobs::Worker*> PoolBalancer::SpareHosts(
+    const std::map<PoolName, Pool>& pools,
+    TimePoint now) const {
+  std::vector<const jobs::Worker*> spare;
   for (const auto& [name, pool] : pools) {
-    if (pool.standby)
-      continue;
-    std::int64_t surplus = pool.hosts - wanted_hosts(pool);
+    std::int64_t surplus = pool.standby ? 0 : pool.hosts - pool.wanted;
     for (const jobs::Worker* worker : pool.empty) {
       if (surplus <= 0)
         break;
       if (!MayOrder(worker->note.host, now))
         continue;
-      spare.push_back({worker, name});
+      spare.push_back(worker);
       --surplus;
     }
   }
+  return spare;
+}
 
+// Hosts that are off come first: the others may be wanted again where they are.
+void PoolBalancer::FillPools(const std::map<PoolName, Pool>& pools,
+                             std::vector<HostName> off,
+                             std::vector<const jobs::Worker*>* spare,
+                             TimePoint now,
+                             std::vector<HostMove>* moves) {
+  std::map<PoolName, std::int64_t> arriving;
+  for (const auto& [host, open] : open_)
+    ++arriving[open.move.to];
   for (const auto& [name, pool] : pools) {
-    if (pool.standby)
-      continue;
-    std::int64_t missing = wanted_hosts(pool) - pool.hosts - arriving[name];
-    // One host more or less is within the error of the estimates.
-    if (pool.backlog <= 0 || missing <= 0)
+    if (pool.standby || pool.backlog <= 0)
       continue;
-    while (missing > 0 && open_.size() < options_.max_open) {
+    const PoolName& to = name;
+    std::int64_t missing = pool.wanted - pool.hosts - arriving[to];
+    for (; missing > 0 && open_.size() < options_.max_open; --missing) {
       if (!off.empty()) {
-        Order({off.back(), name, {}}, now, &moves);
+        Order({off.back(), to, {}}, now, moves);
         off.pop_back();
-      } else {
-        const auto source =
-            std::find_if(spare.begin(), spare.end(),
-                         [&](const Source& s) { return s.pool != name; });
-        if (source == spare.end())
-          break;
-        const jobs::WorkerNote& note = source->worker->note;
-        Order({note.host, name, note.life}, now, &moves);
-        spare.erase(source);
+        continue;
       }
-      --missing;
+      const auto source = std::find_if(
+          spare->begin(), spare->end(),
+          [&](const jobs::Worker* worker) { return worker->note.pool != to; });
+      if (source == spare->end())
+        break;
+      const jobs::WorkerNote& note = (*source)->note;
+      Order({note.host, to, note.life}, now, moves);
+      spare->erase(source);
     }
   }
+}
 
-  // What stays idle is switched off.
+void PoolBalancer::SwitchOff(const PoolName& standby,
+                             const std::vector<const jobs::Worker*>& spare,
+                             TimePoint now,
+                             std::vector<HostMove>* moves) {
   std::map<jobs::WorkerLife, TimePoint> idle;
-  for (const Source& source : spare) {
-    const jobs::WorkerLife& life = source.worker->note.life;
+  for (const jobs::Worker* worker : spare) {
+    const jobs::WorkerLife& life = worker->note.life;
     const auto before = idle_since_.find(life);
     const TimePoint since = before == idle_since_.end() ? now : before->second;
     if (!standby.empty() && now - since >= options_.idle &&
         open_.size() < options_.max_open) {
-      Order({source.worker->note.host, standby, life}, now, &moves);
+      Order({worker->note.host, standby, life}, now, moves);
     } else {
       idle[life] = since;
     }
   }
   idle_since_ = std::move(idle);
+}
+
+std::vector<HostMove> PoolBalancer::Decide(
+    const jobs::JobLedger& ledger,
+    const HostBook& hosts,
+    const std::set<jobs::WorkerLife>& held,
+    jobs::UnixMillis time_of_day,
+    TimePoint now) {
+  ForgetSettled(ledger, now);
+  std::map<PoolName, Pool> pools = Measure(ledger, held, time_of_day);
+  const std::vector<HostName> off = HostsOff(pools, hosts, now);
+  PoolName standby;
+  double serving = 0;
+  auto available = static_cast<double>(off.size());
+  for (const auto& [name, pool] : pools) {
+    if (pool.standby)
+      standby = name;
+    serving += pool.standby ? 0 : 1;
+    available += pool.standby ? 0 : static_cast<double>(pool.hosts);
+  }
+  const auto floor_hosts = static_cast<std::int64_t>(
+      std::ceil(options_.floor_share * available / std::max(1.0, serving)));
+  for (auto& [name, pool] : pools)
+    pool.wanted = WantedHosts(pool, floor_hosts);
+  std::vector<const jobs::Worker*> spare = SpareHosts(pools, now);
+  std::vector<HostMove> moves;
+  FillPools(pools, off, &spare, now, &moves);
+  SwitchOff(standby, spare, now, &moves);
   return moves;
 }
 
--- a/src/scheduler/pool_balancer.h
+++ b/src/scheduler/pool_balancer.h
@@ -79,6 +79,24 @@
   void AddDemand(const jobs::JobLedger& ledger,
                  jobs::UnixMillis time_of_day,
                  std::map<PoolName, Pool>* pools) const;
+  [[nodiscard]] std::int64_t WantedHosts(const Pool& pool,
+                                         std::int64_t floor_hosts) const;
+  [[nodiscard]] std::vector<HostName> HostsOff(
+      const std::map<PoolName, Pool>& pools,
+      const HostBook& hosts,
+      TimePoint now) const;
+  [[nodiscard]] std::vector<const jobs::Worker*> SpareHosts(
+      const std::map<PoolName, Pool>& pools,
+      TimePoint now) const;
+  void FillPools(const std::map<PoolName, Pool>& pools,
+                 std::vector<HostName> off,
+                 std::vector<const jobs::Worker*>* spare,
+                 TimePoint now,
+                 std::vector<HostMove>* moves);
+  void SwitchOff(const PoolName& standby,
+                 const std::vector<const jobs::Worker*>& spare,
+                 TimePoint now,
+                 std::vector<HostMove>* moves);
   void Order(const HostMove& move, TimePoint now, std::vector<HostMove>* out);
   [[nodiscard]] bool MayOrder(const HostName& host, TimePoint now) const;
   void ForgetSettled(const jobs::JobLedger& ledger, TimePoint now);
--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -228,7 +228,7 @@
     reply(outcome::failure(request.error()));
     return;
   }
-  hooks_.serve(request.value(), [this, reply](HttpResponse response) {
+  hooks_.serve(request.value(), [this, reply](const HttpResponse& response) {
     // Nothing was stored: the caller's host asks the next leader.
     if (response.status == 503 && !hooks_.leads())
       reply(View());
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -21,6 +21,8 @@
 struct Seat {
   const jobs::Worker* worker = nullptr;
   Resources free;
+  std::int64_t lasting = 0;  ///< long-running tasks on it
+  bool occupied = false;
 };
 
 struct Candidate {
@@ -44,7 +46,8 @@
         continue;
       Resources free = worker.note.capacity;
       free -= worker.used;
-      seats_[worker.note.pool].push_back({&worker, free});
+      seats_[worker.note.pool].push_back(
+          {&worker, free, CountLasting(worker), !worker.runs.empty()});
     }
   }
 
@@ -90,6 +93,15 @@
     return candidates;
   }
 
+  [[nodiscard]] std::int64_t CountLasting(const jobs::Worker& worker) const {
+    return std::count_if(worker.runs.begin(), worker.runs.end(),
+                         [&](const jobs::RunName& run) {
+                           const jobs::Job* job = ledger_.FindJob(run.task.job);
+                           return job != nullptr && job->spec &&
+                                  job->spec->steps[run.task.step].long_running;
+                         });
+  }
+
   void PlaceJob(const Candidate& candidate) {
     const jobs::Job& job = *candidate.job;
     const auto seats = seats_.find(candidate.queue->pool);
@@ -200,15 +212,17 @@
     return place->second;
   }
 
-  // The worker with the most free processor time: tasks on one worker slow each
-  // other. A step whose data or tasks belong to a rack takes that rack first.
+  // Long-running tasks share few hosts, and other tasks go beside them first:
+  // hosts without runs can follow the demand or be switched off. Among equals
+  // the worker with the most free processor time is taken. A step whose data
+  // belongs to a rack takes that rack first.
   [[nodiscard]] Seat* Choose(
       const jobs::StepSpec& spec,
       std::vector<Seat>* seats,
       const std::map<jobs::WorkerLife, std::int64_t>& per_worker) const {
     const Resources need = jobs::JobLedger::RoomOf(spec);
     Seat* best = nullptr;
-    std::tuple<bool, std::int64_t, std::int64_t> best_rank;
+    std::tuple<bool, std::int64_t, bool, std::int64_t, std::int64_t> best_rank;
     for (Seat& seat : *seats) {
       const jobs::WorkerNote& note = seat.worker->note;
       if (!need.FitsInto(seat.free) || !HasLabel(note, spec.required_label))
@@ -219,7 +233,10 @@
           continue;
       }
       const bool near = spec.data_rack.empty() || spec.data_rack == note.rack;
-      const std::tuple rank(near, seat.free.cpu_millis, seat.free.memory_mb);
+      const std::int64_t company =
+          spec.long_running && !spec.fills ? seat.lasting : 0;
+      const std::tuple rank(near, company, seat.occupied, seat.free.cpu_millis,
+                            seat.free.memory_mb);
       if (best == nullptr || rank > best_rank) {
         best = &seat;
         best_rank = rank;
@@ -236,6 +253,8 @@
 
   void Take(const jobs::Job& job, const jobs::StepSpec& spec, Seat* seat) {
     seat->free -= jobs::JobLedger::RoomOf(spec);
+    seat->lasting += spec.long_running ? 1 : 0;
+    seat->occupied = true;
     Usage(job.customer) += spec.request;
   }
 
--- a/tests/task_planner_test.cc
+++ b/tests/task_planner_test.cc
@@ -101,6 +101,23 @@
   BOOST_TEST(counts.at("fresh") == 2);
 }
 
+// Guards against hosts that a few long-running tasks each keep from following
+// the demand: between the spikes a pool is nearly idle.
+BOOST_AUTO_TEST_CASE(LongRunningTasksShareFewHosts) {
+  jobs::StepSpec lasting = LedgerBuilder::Tasks(2);
+  lasting.long_running = true;
+  lasting.max_per_worker = 1;
+  LedgerBuilder builder;
+  for (const char* worker : {"a", "b", "c", "d", "e"})
+    builder.AddWorker(worker);
+  builder.Submit("first", {lasting}).Submit("second", {lasting});
+  builder.Submit("small", {LedgerBuilder::Tasks(2)});
+  std::map<std::string, int> by_worker;
+  for (const auto& start : PlanAll(builder, 1'000))
+    ++by_worker[start.worker.id.str()];
+  BOOST_TEST(by_worker.size() == 2U);
+}
+
 // Guards against the oldest job waiting behind later ones that have time.
 BOOST_AUTO_TEST_CASE(TheEarlierObjectiveGoesFirst) {
   LedgerBuilder builder;
