--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr long kMaxConnectMs = 1'000;
+/// Idle connections kept: libcurl's default is too few for calls to hundreds
+/// of workers, which then pay for a new connection each time.
+constexpr long kMaxIdleConnections = 2'048;
 
 struct Transfer {
   CURL* easy = nullptr;
@@ -83,6 +86,7 @@
     curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       limits.max_connections_per_host);
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
   }
 
   static int OnSocket(CURL*,
--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -83,6 +83,7 @@
   TimePoint deadline;
   Respond done;
   bool maybe_seen = false;  ///< a try ended without an answer
+  std::size_t tries = 0;
   WatchHandle timer;
 };
 
@@ -105,7 +106,7 @@
                        const Respond& done) {
   auto pending = std::make_shared<Pending>();
   pending->body = ToJson(request);
-  pending->deadline = deadline;
+  pending->deadline = deadline - options_.answer_margin;
   pending->done = done;
   Try(pending);
 }
@@ -113,7 +114,11 @@
 void RelayClient::Try(const std::shared_ptr<Pending>& pending) {
   const TimePoint now = loop_.now();
   const std::string host = NextHost();
-  if (now >= pending->deadline || host.empty()) {
+  const bool hopeless = !pending->maybe_seen &&
+                        now - heard_ > options_.leader_silence &&
+                        pending->tries >= hosts_.size();
+  ++pending->tries;
+  if (now >= pending->deadline || host.empty() || hopeless) {
     HttpResponse response;
     response.status = pending->maybe_seen ? 504 : 503;
     response.body = R"({"error":"unavailable","detail":"no leader answers"})";
--- a/src/scheduler/relay.h
+++ b/src/scheduler/relay.h
@@ -48,6 +48,11 @@
     /// election some 100 ms to 1 s.
     Millis try_timeout{900};
     Millis retry_pause{60};
+    /// A request that no leader can have seen is refused once none has been
+    /// heard of for so long: an election ends within it.
+    Millis leader_silence{1'500};
+    /// The answer leaves so long before the caller stops waiting.
+    Millis answer_margin{150};
   };
 
   RelayClient(EventLoop& loop, RpcClient& rpc, Options options);
