Advice, replacement of voters, reopening after disk faults, SIGHUP

Cause: kinds of trouble that these sites do not name but that may come: queues with advice could start nothing; a core host that is gone for good kept its vote, so the next loss stopped the core; a replica whose disk was full once stayed stopped; SIGHUP ended the process; an order for maintenance or a move without an answer could end tasks that were started after it.

The reopening of a replica after a disk fault has no test yet.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -25,6 +25,8 @@
      "A queue or table is full; further entries are refused."},
     {EventId::kMalformedMessage, kWarn, "malformed_message",
      "A message could not be parsed and was refused."},
+    {EventId::kReloadAsked, kInfo, "reload_asked",
+     "SIGHUP: settings are flags and take effect at the next start."},
     {EventId::kRoleChanged, kInfo, "role_changed",
      "A control replica changed its role."},
     {EventId::kLogTailCut, kWarn, "log_tail_cut",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -22,6 +22,7 @@
   kCallFailed = 1006,
   kBoundReached = 1007,
   kMalformedMessage = 1008,
+  kReloadAsked = 1009,
   kRoleChanged = 2001,
   kLogTailCut = 2002,
   kStorageFailed = 2003,
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -204,7 +204,11 @@
     } else {
       const SettingSpec& spec = specs_[id - 1];
       char* argument = poptGetOptArg(context);
-      settings.values_[spec.name] = argument ? argument : "1";
+      // A deployment without a value for a number leaves it empty.
+      const bool absent =
+          spec.kind == SettingKind::kInteger && argument && *argument == '\0';
+      if (!absent)
+        settings.values_[spec.name] = argument ? argument : "1";
       std::free(argument);
     }
   }
--- a/src/kernel/kernel.cc
+++ b/src/kernel/kernel.cc
@@ -46,6 +46,9 @@
       loop_.OnSignal(SIGTERM, [this] { RequestStop(); });
   const WatchHandle interrupt =
       loop_.OnSignal(SIGINT, [this] { RequestStop(); });
+  // Its default action would end the process.
+  const WatchHandle reload =
+      loop_.OnSignal(SIGHUP, [] { LogEvent(EventId::kReloadAsked, {}); });
   LogEvent(EventId::kProcessStarted, {{"version", kVersion}});
   loop_.Run();
   unsigned long violations = 0;
--- a/src/raft/node.h
+++ b/src/raft/node.h
@@ -121,6 +121,9 @@
   /// \returns whether `id` has answered within the election timeout and has
   /// all committed entries; false unless this replica is the leader.
   [[nodiscard]] bool IsCaughtUp(const ReplicaId& id, TimePoint now) const;
+  /// \returns how long ago `id` answered this leader, or how long this replica
+  /// has led if it never did; 0 unless this replica is the leader.
+  [[nodiscard]] Millis SilentFor(const ReplicaId& id, TimePoint now) const;
   /// \returns whether `id` has answered within the election timeout; false
   /// unless this replica is the leader.
   [[nodiscard]] bool IsInContact(const ReplicaId& id, TimePoint now) const;
--- a/src/raft/node_leader.cc
+++ b/src/raft/node_leader.cc
@@ -150,6 +150,14 @@
          now - *found->second.contact <= options_.election_timeout;
 }
 
+Millis Node::SilentFor(const ReplicaId& id, TimePoint now) const {
+  if (role_ != Role::kLeader || id == self_)
+    return Millis(0);
+  const auto found = progress_.find(id);
+  const bool answered = found != progress_.end() && found->second.contact;
+  return now - (answered ? *found->second.contact : leader_since_);
+}
+
 bool Node::IsCaughtUp(const ReplicaId& id, TimePoint now) const {
   return IsInContact(id, now) &&
          (id == self_ || progress_.at(id).match >= commit_);
--- a/src/raft/replica.cc
+++ b/src/raft/replica.cc
@@ -616,6 +616,22 @@
   return Ok();
 }
 
+bool Replica::MayPromote(const ReplicaId& learner, TimePoint now) const {
+  const Configuration members = configuration();
+  if (options_.voters == 0 || members.voters.size() < options_.voters)
+    return true;
+  // More voters than wanted are allowed only until the silent one is demoted.
+  if (members.voters.size() > options_.voters)
+    return false;
+  return std::any_of(members.voters.begin(), members.voters.end(),
+                     [&](const ReplicaId& voter) {
+                       const Millis silent = node_->SilentFor(voter, now);
+                       return silent >= options_.replace_after ||
+                              (HostOf(voter) == HostOf(learner) &&
+                               !node_->IsInContact(voter, now));
+                     });
+}
+
 // One due change at a time. The new replica of a host becomes a voter before
 // the lost one is removed, so the majority never gets smaller than before.
 void Replica::ManageMembers(TimePoint now) {
@@ -639,7 +655,7 @@
   }
   for (const ReplicaId& id : members.learners) {
     if (members.retired.count(id) == 0 && node_->IsCaughtUp(id, now) &&
-        change(MemberChange::kPromote, id)) {
+        MayPromote(id, now) && change(MemberChange::kPromote, id)) {
       return;
     }
   }
@@ -660,6 +676,15 @@
       }
     }
   }
+  // A host that is gone for good is no voter for ever: its place in the
+  // majority goes to the member that was promoted for it.
+  for (const ReplicaId& id : members.voters) {
+    if (options_.voters > 0 && members.voters.size() > options_.voters &&
+        id != id_ && node_->SilentFor(id, now) >= options_.replace_after &&
+        change(MemberChange::kDemote, id)) {
+      return;
+    }
+  }
   for (const auto& [host, joining] : joining_) {
     if (now - joining.at <= 2 * options_.join_interval &&
         !members.IsMember(joining.id) &&
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -36,6 +36,10 @@
   Millis join_interval{500};
   /// Whether the leader adds, promotes, demotes and removes members by itself.
   bool manage_members = true;
+  /// Voters that the leader keeps; further members stay learners until a voter
+  /// is silent for `replace_after`. 0: every member becomes a voter.
+  std::size_t voters = 0;
+  Millis replace_after{2'000};
   /// Whether this replica may form a new cluster with `hosts`. Set only at the
   /// first start of an installation: replicas that have all lost their folders
   /// must not start again from nothing.
@@ -184,6 +188,7 @@
   void SendJoin(const ReplicaId& to, const std::string& host);
   void MaybeForm(TimePoint now);
   void ManageMembers(TimePoint now);
+  [[nodiscard]] bool MayPromote(const ReplicaId& learner, TimePoint now) const;
   void ReportRegression(const ReplicaId& id, const std::string& evidence);
 
   FileSystem file_system_;
--- /dev/null
+++ b/src/scheduler/advice_book.cc
@@ -0,0 +1,91 @@
+#include "scheduler/advice_book.h"
+
+#include <utility>
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+[[nodiscard]] jobs::TaskName StepOf(jobs::TaskName task) {
+  task.index = 0;
+  return task;
+}
+
+}  // namespace
+
+std::vector<AdviceBook::Question> AdviceBook::Decide(
+    const jobs::JobLedger& ledger,
+    const std::function<bool(const jobs::WorkerLife&)>& may_start,
+    TimePoint now) {
+  std::vector<Question> questions;
+  std::erase_if(entries_, [&](const auto& item) {
+    return !item.second.open && ledger.FindTask(item.first) == nullptr;
+  });
+  for (const jobs::JobId& id : ledger.active()) {
+    const jobs::Job* job = ledger.FindJob(id);
+    const jobs::QueueRule* queue = ledger.rules().FindQueue(job->queue);
+    if (queue == nullptr || !queue->advised)
+      continue;
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        if (open_ >= options_.open)
+          return questions;
+        if (occurrence.steps[s].waiting() == 0 ||
+            !job->StepReady(occurrence, s)) {
+          continue;
+        }
+        const jobs::TaskName step{id, number, s, 0};
+        Entry& entry = entries_[step];
+        if (entry.open || now < entry.retry_at ||
+            now < entry.valid_until - options_.margin) {
+          continue;
+        }
+        Question question{step, {}};
+        for (const auto& [life, worker] : ledger.workers()) {
+          if (worker.note.pool == queue->pool && !worker.note.draining &&
+              question.workers.size() < options_.workers && may_start(life)) {
+            question.workers.push_back(life.id);
+          }
+        }
+        if (question.workers.empty())
+          continue;
+        entry.open = true;
+        ++open_;
+        questions.push_back(std::move(question));
+      }
+    }
+  }
+  return questions;
+}
+
+void AdviceBook::OnAnswer(const jobs::TaskName& step,
+                          const Result<Advice>& advice,
+                          TimePoint now) {
+  const auto found = entries_.find(step);
+  if (found == entries_.end() || !found->second.open)
+    return;
+  Entry& entry = found->second;
+  entry.open = false;
+  --open_;
+  entry.retry_at = now + options_.retry_pause;
+  if (!advice)
+    return;
+  entry.tickets = advice.value().tickets;
+  entry.valid_until = now + advice.value().valid;
+}
+
+std::optional<std::string> AdviceBook::TicketFor(const jobs::TaskName& task,
+                                                 const jobs::WorkerId& worker,
+                                                 TimePoint now) const {
+  const auto entry = entries_.find(StepOf(task));
+  if (entry == entries_.end() ||
+      now >= entry->second.valid_until - options_.margin / 2) {
+    return std::nullopt;
+  }
+  const auto ticket = entry->second.tickets.find(worker);
+  if (ticket == entry->second.tickets.end())
+    return std::nullopt;
+  return ticket->second;
+}
+
+}  // namespace boragewinch::scheduler
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -24,6 +24,7 @@
   std::vector<std::string> hosts;  ///< IPv4 addresses known at the start
   std::string port;  ///< of the internal calls, equal on all hosts
   bool may_form = false;
+  std::size_t voters = 3;  ///< replicas that vote; 0: all
   /// Silence of the leader before an election. A sync of a slow disk takes
   /// 150 ms, a stolen processor share up to 100 ms.
   Millis election_timeout{700};
@@ -78,7 +79,7 @@
   /// \returns the host that leads as far as is known, or an empty text.
   [[nodiscard]] std::string LeaderHost() const;
   [[nodiscard]] bool leading() const noexcept {
-    return replica_->role() == raft::Role::kLeader;
+    return opened_ && replica_->role() == raft::Role::kLeader;
   }
   /// \brief Hands leadership over and stores nothing from now on.
   void Retire();
@@ -98,6 +99,8 @@
   [[nodiscard]] raft::ReplicaHooks MakeHooks();
   void OnStep(const Json& body, const RpcReply& reply);
   void OnApply(std::uint64_t index, const std::string& bytes);
+  [[nodiscard]] Status Open(bool may_form);
+  void Reopen();
   void OnTick(TimePoint now);
   void NoteLeadership(TimePoint now);
   void Flush(TimePoint now);
@@ -111,6 +114,7 @@
   std::unique_ptr<raft::Replica> replica_;
   WatchHandle tick_;
   WatchHandle flush_;
+  WatchHandle reopen_;
   bool flush_due_ = false;
   jobs::Batch pending_;
   std::vector<Reply> replies_;         ///< of `pending_`
@@ -118,7 +122,9 @@
   std::optional<OpenBatch> open_;
   TimePoint flushed_at_;
   bool acts_ = false;
+  std::uint64_t acts_term_ = 0;
   bool retired_ = false;
+  bool opened_ = true;       ///< the data folder was read
   bool unreadable_ = false;  ///< a committed batch could not be decoded
   bool proposing_ = false;
 };
--- a/src/scheduler/pool_balancer.cc
+++ b/src/scheduler/pool_balancer.cc
@@ -10,6 +10,9 @@
 
 /// A move takes 1.5 s and the worker's first announcement as long again.
 constexpr Millis kMoveForgotten{6'000};
+/// An order without an answer may be carried out for so long: the platform
+/// delays calls by up to 12 s.
+constexpr Millis kUnansweredForgotten{14'000};
 /// Assumed duration of a task without an estimate.
 constexpr double kUnknownEstimateMs = 1'000;
 /// Work arrives unevenly: hosts for so much more than its mean rate.
@@ -125,7 +128,8 @@
   std::erase_if(open_, [&](const auto& item) {
     const bool over =
         arrived.count(item.first) > 0 ||
-        (item.second.answered && now - item.second.at > kMoveForgotten);
+        now - item.second.at >
+            (item.second.answered ? kMoveForgotten : kUnansweredForgotten);
     if (over)
       clearing_.erase(item.second.move.worker);
     return over;
@@ -138,7 +142,7 @@
   const auto open = open_.find(move.host);
   if (open == open_.end())
     return false;
-  open->second.answered = true;
+  open->second.answered = verdict.has_value();
   open->second.at = now;
   if (verdict && verdict.value() == HostVerdict::kDone)
     return true;
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -50,9 +50,14 @@
   };
   replica_ = std::make_unique<LedgerReplica>(*loop_, *rpc_client_,
                                              options_.ledger, std::move(hooks));
-  fleet_ = std::make_unique<WorkerFleet>(*loop_, *replica_,
-                                         ports_.worker_calls(*client_),
-                                         options_.links, metrics_);
+  worker_calls_ = ports_.worker_calls(*client_);
+  advice_ = std::make_unique<AdviceBook>(AdviceOptions{});
+  fleet_ = std::make_unique<WorkerFleet>(
+      *loop_, *replica_, worker_calls_,
+      [this](const jobs::TaskName& task, const jobs::WorkerId& worker) {
+        return advice_->TicketFor(task, worker, loop_->now()).value_or("");
+      },
+      options_.links, metrics_);
   host_calls_ = ports_.host_calls(*client_);
   job_desk_ = std::make_unique<JobDesk>(*replica_, metrics_);
   rules_desk_ = std::make_unique<RulesDesk>(*replica_);
@@ -122,6 +127,9 @@
       [&](const jobs::WorkerLife& life) {
         return reserved.count(life) == 0 && fleet_->MayStartOn(life, now);
       },
+      [&](const jobs::TaskName& task, const jobs::WorkerLife& life) {
+        return advice_->TicketFor(task, life.id, now).has_value();
+      },
       time_of_day);
 }
 
@@ -138,8 +146,33 @@
   }
 }
 
+void SchedulerService::AskAdvice(TimePoint now) {
+  const auto questions = advice_->Decide(
+      replica_->ledger(),
+      [&](const jobs::WorkerLife& life) {
+        return fleet_->MayStartOn(life, now);
+      },
+      now);
+  for (const AdviceBook::Question& question : questions) {
+    worker_calls_.advise(
+        question.step, question.workers,
+        [this, step = question.step, era = era_](const Result<Advice>& advice) {
+          if (era != era_)
+            return;
+          if (!advice)
+            LogEvent(EventId::kCallFailed, {{"call", "advise"},
+                                            {"step", step.Text()},
+                                            {"error", advice.error().Text()}});
+          advice_->OnAnswer(step, advice, loop_->now());
+          replica_->Wake();
+        });
+  }
+}
+
 void SchedulerService::OnStored(const jobs::Batch& batch, TimePoint now) {
   fleet_->OnStored(batch, now);
+  if (replica_->MayAct(now))
+    AskAdvice(now);
   StopRuns();
 }
 
@@ -158,6 +191,7 @@
   LogEvent(EventId::kLeadershipChanged,
            {{"acts", acts ? "yes" : "no"}, {"term", replica_->term()}});
   ++era_;
+  advice_ = std::make_unique<AdviceBook>(AdviceOptions{});
   acts_since_ = now;
   hosts_ = HostBook();
   waves_ = std::make_unique<WaveKeeper>(options_.maintenance, hosts_);
@@ -172,6 +206,7 @@
     return;
   fleet_->Tick(now);
   StopRuns();
+  AskAdvice(now);
   if (now >= hosts_due_ && now - acts_since_ >= options_.host_lease) {
     hosts_due_ = now + kHostInterval;
     DriveHosts(now);
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -12,6 +12,7 @@
 #include "net/http_server.h"
 #include "net/rpc_client.h"
 #include "net/rpc_server.h"
+#include "scheduler/advice_book.h"
 #include "scheduler/host_book.h"
 #include "scheduler/host_calls.h"
 #include "scheduler/job_desk.h"
@@ -75,6 +76,7 @@
   void OnLeadership(bool acts, TimePoint now);
   void OnTick(TimePoint now);
   void StopRuns();
+  void AskAdvice(TimePoint now);
   void DriveHosts(TimePoint now);
   void DriveWaves(TimePoint now);
   void DrivePools(TimePoint now);
@@ -97,7 +99,9 @@
   HostBook hosts_;
   std::unique_ptr<WaveKeeper> waves_;
   std::unique_ptr<PoolBalancer> pools_;
+  WorkerCalls worker_calls_;
   HostCalls host_calls_;
+  std::unique_ptr<AdviceBook> advice_;
   TaskPlanner planner_;
   std::unique_ptr<RelayServer> relay_;
   std::unique_ptr<RelayClient> control_relay_;  ///< while another host leads
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -39,8 +39,9 @@
   PlanRun(const jobs::JobLedger& ledger,
           const TaskPlannerOptions& options,
           const MayStart& may_start,
+          const IsAdvised& is_advised,
           jobs::UnixMillis now)
-      : ledger_(ledger), options_(options), now_(now) {
+      : ledger_(ledger), options_(options), is_advised_(is_advised), now_(now) {
     for (const auto& [life, worker] : ledger.workers()) {
       if (worker.note.draining || !may_start(life))
         continue;
@@ -131,14 +132,13 @@
         continue;
       if (starts_.size() >= options_.max_starts || !CustomerHasRoom(job, spec))
         return;
-      Seat* seat = Choose(spec, seats, per_worker);
+      const jobs::TaskName name{job.id, candidate.occurrence, s, i};
+      Seat* seat = Choose(candidate, name, seats, per_worker);
       if (seat == nullptr)
         return;
       Take(job, spec, seat);
       ++per_worker[seat->worker->note.life];
-      starts_.push_back(
-          {{{job.id, candidate.occurrence, s, i}, task.last_run + 1},
-           seat->worker->note.life});
+      starts_.push_back({{name, task.last_run + 1}, seat->worker->note.life});
     }
   }
 
@@ -160,8 +160,10 @@
     const std::size_t kept_starts = starts_.size();
     std::map<jobs::WorkerLife, std::int64_t> per_worker;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-      Seat* seat = CustomerHasRoom(job, spec) ? Choose(spec, seats, per_worker)
-                                              : nullptr;
+      const jobs::TaskName name{job.id, candidate.occurrence, s, i};
+      Seat* seat = CustomerHasRoom(job, spec)
+                       ? Choose(candidate, name, seats, per_worker)
+                       : nullptr;
       if (seat == nullptr) {
         usage_ = kept_usage;
         *seats = kept_seats;
@@ -170,8 +172,7 @@
       }
       Take(job, spec, seat);
       ++per_worker[seat->worker->note.life];
-      starts_.push_back({{{job.id, candidate.occurrence, s, i}, number + 1},
-                         seat->worker->note.life});
+      starts_.push_back({{name, number + 1}, seat->worker->note.life});
     }
   }
 
@@ -217,9 +218,11 @@
   // the worker with the most free processor time is taken. A step whose data
   // belongs to a rack takes that rack first.
   [[nodiscard]] Seat* Choose(
-      const jobs::StepSpec& spec,
+      const Candidate& candidate,
+      const jobs::TaskName& task,
       std::vector<Seat>* seats,
       const std::map<jobs::WorkerLife, std::int64_t>& per_worker) const {
+    const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
     const Resources need = jobs::JobLedger::RoomOf(spec);
     Seat* best = nullptr;
     std::tuple<bool, std::int64_t, bool, std::int64_t, std::int64_t> best_rank;
@@ -227,6 +230,8 @@
       const jobs::WorkerNote& note = seat.worker->note;
       if (!need.FitsInto(seat.free) || !HasLabel(note, spec.required_label))
         continue;
+      if (candidate.queue->advised && !is_advised_(task, note.life))
+        continue;
       if (spec.max_per_worker > 0) {
         const auto count = per_worker.find(note.life);
         if (count != per_worker.end() && count->second >= spec.max_per_worker)
@@ -260,6 +265,7 @@
 
   const jobs::JobLedger& ledger_;
   const TaskPlannerOptions& options_;
+  const IsAdvised& is_advised_;
   jobs::UnixMillis now_;
   std::map<PoolName, std::vector<Seat>> seats_;
   std::map<CustomerName, Resources> usage_;
@@ -308,8 +314,9 @@
 
 std::vector<jobs::StartNote> TaskPlanner::Plan(const jobs::JobLedger& ledger,
                                                const MayStart& may_start,
+                                               const IsAdvised& is_advised,
                                                jobs::UnixMillis now) const {
-  return PlanRun(ledger, options_, may_start, now).Make();
+  return PlanRun(ledger, options_, may_start, is_advised, now).Make();
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -19,6 +19,9 @@
 
 /// \brief What the planner asks about a worker.
 using MayStart = std::function<bool(const jobs::WorkerLife&)>;
+/// \brief Whether a task of a queue with advice may run on a worker now.
+using IsAdvised =
+    std::function<bool(const jobs::TaskName&, const jobs::WorkerLife&)>;
 
 /// \returns the time by which callers expect the job: `stretch` times its
 /// longest chain of estimates and the target latency of its queue.
@@ -42,6 +45,7 @@
   /// and the customers' limits.
   [[nodiscard]] std::vector<jobs::StartNote> Plan(const jobs::JobLedger& ledger,
                                                   const MayStart& may_start,
+                                                  const IsAdvised& is_advised,
                                                   jobs::UnixMillis now) const;
 
  private:
--- a/src/scheduler/wave_keeper.cc
+++ b/src/scheduler/wave_keeper.cc
@@ -11,8 +11,9 @@
 constexpr Millis kListInterval{1'000};
 /// Pause after an answer that did not take the order.
 constexpr Millis kRefusedPause{500};
-/// A host counts as gone after so many lists without it.
-constexpr int kMissingLists = 2;
+/// A host counts as gone after this time without it in the lists: a crashed one
+/// is missing for some seconds and comes back.
+constexpr Millis kGoneAfter{30'000};
 
 }  // namespace
 
@@ -82,13 +83,19 @@
   for (const HostName& host : wave.order.hosts) {
     if (IsDown(host, now)) {
       ++down;
+      // An order without an answer may still end what runs there.
+      const HostRow* row = hosts_.Find(host);
+      const jobs::Worker* worker =
+          row == nullptr ? nullptr : ledger.FindPresent(row->worker);
+      if (worker != nullptr && wave.begun.count(host) == 0)
+        clearing_.insert(worker->note.life);
       continue;
     }
     if (wave.begun.count(host) > 0)
       continue;
     const HostRow* row = hosts_.Find(host);
     if (row == nullptr) {
-      if (hosts_.MissingLists(host) >= kMissingLists)
+      if (hosts_.MissingFor(host, now) >= kGoneAfter)
         steps->progress.push_back({wave.order.number, host});
       continue;
     }
--- a/src/scheduler/worker_calls.h
+++ b/src/scheduler/worker_calls.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -90,6 +91,13 @@
   std::string checkpoint;
 };
 
+/// \brief Answer of the advice service about one step.
+struct Advice {
+  /// Ticket of each worker that may run the step.
+  std::map<jobs::WorkerId, std::string> tickets;
+  Millis valid{0};
+};
+
 struct HoldAnswer {
   CallAnswer call;
   std::vector<RunningRow> running;
@@ -112,6 +120,12 @@
   std::function<
       void(const jobs::WorkerNote&, const HoldCall&, Done<HoldAnswer>)>
       hold;
+  /// Asks which of `workers` may run a step; only step and above of the name
+  /// count. kTableFull: the service has too many calls waiting.
+  std::function<void(const jobs::TaskName& step,
+                     const std::vector<jobs::WorkerId>& workers,
+                     Done<Advice>)>
+      advise;
 };
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -30,11 +30,13 @@
 WorkerFleet::WorkerFleet(EventLoop& loop,
                          LedgerReplica& replica,
                          WorkerCalls calls,
+                         TicketOf ticket_of,
                          WorkerLinkOptions options,
                          Metrics& metrics)
     : loop_(loop),
       replica_(replica),
       calls_(std::move(calls)),
+      ticket_of_(std::move(ticket_of)),
       options_(options),
       metrics_(metrics),
       health_(WorkerHealth::Make(HealthConfig()).value()) {}
@@ -146,6 +148,7 @@
   call.run = run;
   call.payload = job->spec->payload;
   call.checkpoint = task->checkpoint;
+  call.ticket = ticket_of_(run.task, life.id);
   call.token = replica_.term();
   call.lease_until_ms = *lease;
   link->OnGrant(*lease);
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -20,9 +20,14 @@
 /// What the answers establish goes to the ledger.
 class WorkerFleet {
  public:
+  /// \returns the ticket for a start, empty if none is needed.
+  using TicketOf =
+      std::function<std::string(const jobs::TaskName&, const jobs::WorkerId&)>;
+
   WorkerFleet(EventLoop& loop,
               LedgerReplica& replica,
               WorkerCalls calls,
+              TicketOf ticket_of,
               WorkerLinkOptions options,
               Metrics& metrics);
 
@@ -64,6 +69,7 @@
   EventLoop& loop_;
   LedgerReplica& replica_;
   WorkerCalls calls_;
+  TicketOf ticket_of_;
   WorkerLinkOptions options_;
   Metrics& metrics_;
   WorkerHealth health_;
--- /dev/null
+++ b/tests/raft_replacement_test.cc
@@ -0,0 +1,78 @@
+#define BOOST_TEST_MODULE raft_replacement
+#include <boost/test/unit_test.hpp>
+
+#include "raft_cluster.h"
+
+namespace boragewinch::raft {
+namespace {
+
+/// Three voters that formed the cluster, and a fourth host that joins later at
+/// an address that no setting names.
+struct FourHosts {
+  FourHosts() {
+    cluster.options.hosts.pop_back();
+    cluster.options.voters = 3;
+    cluster.options.admit_any_host = true;
+    cluster.fault = [](const std::string& text) { BOOST_ERROR(text); };
+    for (std::size_t i = 0; i < 3; ++i)
+      BOOST_REQUIRE(cluster.Start(*cluster.hosts[i]));
+    BOOST_REQUIRE(
+        cluster.RunUntil([&] { return Voters() == 3; }, Millis(5'000)));
+    BOOST_REQUIRE(cluster.Start(*cluster.hosts[3]));
+  }
+
+  [[nodiscard]] std::size_t Voters() {
+    Cluster::Host* leader = cluster.leader();
+    return leader ? leader->replica->configuration().voters.size() : 0;
+  }
+  [[nodiscard]] bool IsVoter(std::size_t host) {
+    Cluster::Host* leader = cluster.leader();
+    return leader && leader->replica->configuration().IsVoter(
+                         cluster.hosts[host]->replica->id());
+  }
+  [[nodiscard]] std::size_t Follower() {
+    for (std::size_t i = 0; i < 3; ++i) {
+      if (cluster.hosts[i].get() != cluster.leader())
+        return i;
+    }
+    return 0;
+  }
+
+  Cluster cluster{4, 11};
+};
+
+// Guards against more voters than wanted: a larger majority tolerates no more
+// losses and makes each change wait for more disks.
+BOOST_FIXTURE_TEST_CASE(AFurtherHostStaysALearner, FourHosts) {
+  const bool joined = cluster.RunUntil(
+      [&] {
+        return !cluster.leader()->replica->configuration().learners.empty();
+      },
+      Millis(5'000));
+  BOOST_TEST(joined);
+  BOOST_TEST(!cluster.RunUntil([&] { return IsVoter(3); }, Millis(5'000)));
+  BOOST_TEST(Voters() == 3U);
+}
+
+// Guards against a host that is gone for good and keeps its vote: the next loss
+// would stop the cluster.
+BOOST_FIXTURE_TEST_CASE(AHostGoneForGoodIsReplaced, FourHosts) {
+  cluster.Crash(*cluster.hosts[Follower()]);
+  const bool replaced = cluster.RunUntil(
+      [&] { return cluster.leader() && IsVoter(3) && Voters() == 3; },
+      Millis(10'000));
+  BOOST_REQUIRE(replaced);
+  Cluster::Host* leader = cluster.leader();
+  for (std::size_t i = 0; i < 3; ++i) {
+    if (cluster.hosts[i]->replica && cluster.hosts[i].get() != leader)
+      cluster.Crash(*cluster.hosts[i]);
+  }
+  const auto index = leader->replica->Propose("after", cluster.now);
+  BOOST_REQUIRE(index);
+  BOOST_TEST(cluster.RunUntil(
+      [&] { return leader->replica->commit_index() >= index.value(); },
+      Millis(3'000)));
+}
+
+}  // namespace
+}  // namespace boragewinch::raft
