Do not take 'done' of a move or maintenance for the end of a worker

Cause: the platform answers 'done' also to an order that was carried out before, for example under an earlier leader.

A worker's end now follows from its next life, or from a list that was asked for after the move and shows the host up without it. Hosts get no new work from the order until then, and workers in the open batch are not moved.

--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -160,6 +160,15 @@
   return leader.empty() ? "" : raft::HostOf(leader);
 }
 
+std::set<jobs::WorkerLife> LedgerReplica::WorkersInOpenBatch() const {
+  std::set<jobs::WorkerLife> workers;
+  if (open_) {
+    for (const jobs::StartNote& start : open_->batch.starts)
+      workers.insert(start.worker);
+  }
+  return workers;
+}
+
 std::vector<std::string> LedgerReplica::MemberHosts() const {
   std::vector<std::string> hosts;
   if (!opened_)
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,8 @@
   [[nodiscard]] std::size_t open_changes() const noexcept {
     return replies_.size() + stored_replies_.size();
   }
+  /// \returns the workers of starts that are being stored.
+  [[nodiscard]] std::set<jobs::WorkerLife> WorkersInOpenBatch() const;
   /// Hosts of all members.
   [[nodiscard]] std::vector<std::string> MemberHosts() const;
 
--- a/src/scheduler/pool_balancer.cc
+++ b/src/scheduler/pool_balancer.cc
@@ -136,23 +136,37 @@
   });
 }
 
-bool PoolBalancer::OnAnswer(const HostMove& move,
+std::vector<jobs::WorkerLife> PoolBalancer::Ended(const jobs::JobLedger& ledger,
+                                                  const HostBook& hosts) const {
+  std::vector<jobs::WorkerLife> ended;
+  for (const auto& [host, open] : open_) {
+    const jobs::WorkerLife& life = open.move.worker;
+    const HostRow* row = hosts.Find(host);
+    if (ledger.FindWorker(life) != nullptr && row != nullptr &&
+        row->state == HostState::kUp && row->worker != life.id &&
+        hosts.listed_at() > open.at) {
+      ended.push_back(life);
+    }
+  }
+  return ended;
+}
+
+void PoolBalancer::OnAnswer(const HostMove& move,
                             const Result<HostVerdict>& verdict,
                             TimePoint now) {
   const auto open = open_.find(move.host);
   if (open == open_.end())
-    return false;
+    return;
   open->second.answered = verdict.has_value();
   open->second.at = now;
   if (verdict && verdict.value() == HostVerdict::kDone)
-    return true;
+    return;
   refused_until_[move.host] = now + options_.refused_pause;
   // Without an answer the host may move: it stays reserved for a while.
   if (verdict) {
     clearing_.erase(move.worker);
     open_.erase(open);
   }
-  return false;
 }
 
 std::int64_t PoolBalancer::WantedHosts(const Pool& pool,
--- a/src/scheduler/pool_balancer.h
+++ b/src/scheduler/pool_balancer.h
@@ -54,10 +54,17 @@
       jobs::UnixMillis time_of_day,
       TimePoint now);
 
-  /// \returns whether the move was carried out, so that the life has ended.
-  [[nodiscard]] bool OnAnswer(const HostMove& move,
-                              const Result<HostVerdict>& verdict,
-                              TimePoint now);
+  /// \brief Notes the answer to a move. "Done" does not end the life of the
+  /// worker: the platform says it of a move that was carried out long ago, too.
+  void OnAnswer(const HostMove& move,
+                const Result<HostVerdict>& verdict,
+                TimePoint now);
+
+  /// \returns the workers of moved hosts whose end the newest list shows: their
+  /// host is up with another worker or without one.
+  [[nodiscard]] std::vector<jobs::WorkerLife> Ended(
+      const jobs::JobLedger& ledger,
+      const HostBook& hosts) const;
 
   /// Workers that get no new work, because their host moves.
   [[nodiscard]] const std::set<jobs::WorkerLife>& clearing() const noexcept {
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -229,6 +229,10 @@
       if (!hosts)
         LogEvent(EventId::kPlatformFailed, {{"error", hosts.error().Text()}});
       hosts_.OnList(hosts, now, loop_->now());
+      for (const jobs::WorkerLife& life :
+           pools_->Ended(replica_->ledger(), hosts_)) {
+        fleet_->NoteDeparture(life, "its host moved");
+      }
     });
   }
   DriveWaves(now);
@@ -237,9 +241,11 @@
 }
 
 void SchedulerService::DrivePools(TimePoint now) {
-  const std::vector<HostMove> moves =
-      pools_->Decide(replica_->ledger(), hosts_, waves_->clearing(),
-                     loop_->unix_millis(), now);
+  // A start that is being stored does not show in the ledger yet.
+  std::set<jobs::WorkerLife> held = replica_->WorkersInOpenBatch();
+  held.insert(waves_->clearing().begin(), waves_->clearing().end());
+  const std::vector<HostMove> moves = pools_->Decide(
+      replica_->ledger(), hosts_, held, loop_->unix_millis(), now);
   for (const HostMove& move : moves) {
     host_calls_.move(
         move.host, move.to, replica_->term(),
@@ -254,10 +260,7 @@
                      verdict ? std::string(kHostVerdicts.Name(verdict.value()))
                              : verdict.error().Text()}});
           hosts_.RefreshBy(loop_->now());
-          if (pools_->OnAnswer(move, verdict, loop_->now()) &&
-              !move.worker.id.empty()) {
-            fleet_->NoteDeparture(move.worker, "its host moved");
-          }
+          pools_->OnAnswer(move, verdict, loop_->now());
         });
   }
 }
@@ -266,7 +269,10 @@
   const WaveSteps steps = waves_->Decide(replica_->ledger(), now);
   for (const jobs::WaveProgress& gone : steps.progress)
     NoteProgress(gone);
+  const std::set<jobs::WorkerLife> starting = replica_->WorkersInOpenBatch();
   for (const WaveSteps::Order& order : steps.maintain) {
+    if (starting.count(order.worker) > 0)
+      continue;
     waves_->OnOrderSent(order.host, now);
     host_calls_.maintain(
         order.host, order.wave, replica_->term(),
@@ -281,8 +287,6 @@
                              : verdict.error().Text()}});
           if (const auto progress = waves_->OnAnswer(order.host, order.wave,
                                                      verdict, loop_->now())) {
-            if (!order.worker.id.empty())
-              fleet_->NoteDeparture(order.worker, "its host is maintained");
             NoteProgress(*progress);
           }
         });
--- a/src/scheduler/wave_keeper.cc
+++ b/src/scheduler/wave_keeper.cc
@@ -83,11 +83,12 @@
   for (const HostName& host : wave.order.hosts) {
     if (IsDown(host, now)) {
       ++down;
-      // An order without an answer may still end what runs there.
+      // The order, or one without an answer, ends what runs there until the
+      // host's next worker is listed.
       const HostRow* row = hosts_.Find(host);
       const jobs::Worker* worker =
           row == nullptr ? nullptr : ledger.FindPresent(row->worker);
-      if (worker != nullptr && wave.begun.count(host) == 0)
+      if (worker != nullptr)
         clearing_.insert(worker->note.life);
       continue;
     }
