Free requests of the relay client after a retry

Cause: the retry timer of a request held the request, which held the timer, so every request that was tried more than once leaked. Found by relay_test under AddressSanitizer.

--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -164,8 +164,11 @@
   // Another host may know the leader at once; a known one is asked at once.
   const Millis pause =
       leader_.empty() || leader_ == host ? options_.retry_pause : Millis(0);
-  pending->timer =
-      loop_.After(pause, [this, pending](TimePoint) { Try(pending); });
+  pending->timer = loop_.After(pause, [this, pending](TimePoint) {
+    // The timer holds `pending`, which holds the timer.
+    pending->timer.reset();
+    Try(pending);
+  });
 }
 
 void RelayClient::Learn(const std::string& host, const Json& answer) {
