--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -93,6 +93,8 @@
     ApplyStart(start, batch.now);
   for (const WaveOrder& order : batch.waves)
     waves_.try_emplace(order.number, Wave{order, batch.now, {}});
+  for (const HostOrderNote& order : batch.host_orders)
+    host_orders_[order.host] = {order, batch.now};
   for (const WaveProgress& progress : batch.progress) {
     if (const auto wave = waves_.find(progress.wave); wave != waves_.end())
       wave->second.begun.insert(progress.host);
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -95,6 +95,12 @@
   }
 };
 
+/// \brief The newest order for a host.
+struct HostOrder {
+  HostOrderNote note;
+  UnixMillis decided = 0;
+};
+
 /// \brief The replicated state of jobs, workers, rules and waves. Apply is
 /// deterministic: equal sequences of batches give equal ledgers.
 class JobLedger {
@@ -129,6 +135,10 @@
   [[nodiscard]] const std::map<std::int64_t, Wave>& waves() const noexcept {
     return waves_;
   }
+  [[nodiscard]] const std::map<HostName, HostOrder>& host_orders()
+      const noexcept {
+    return host_orders_;
+  }
 
   /// \returns what a run of `step` takes of its worker's capacity.
   [[nodiscard]] static Resources RoomOf(const StepSpec& step);
@@ -166,6 +176,7 @@
   std::map<CustomerName, Resources> usage_;
   std::map<QueueName, std::int64_t> queued_;
   std::map<std::int64_t, Wave> waves_;
+  std::map<HostName, HostOrder> host_orders_;
 };
 
 }  // namespace boragewinch::jobs
--- a/src/jobs/ledger_batch.cc
+++ b/src/jobs/ledger_batch.cc
@@ -181,6 +181,27 @@
   return note;
 }
 
+Json ToJson(const HostOrderNote& order) {
+  Json json;
+  json["host"] = order.host.str();
+  json["term"] = ::Json::UInt64(order.term);
+  json["wave"] = ::Json::Int64(order.wave);
+  json["to"] = order.to.str();
+  return json;
+}
+
+Result<HostOrderNote> HostOrderFromJson(const Json& json) {
+  HostOrderNote order;
+  BW_TRY(const std::string host, StringField(json, "host"));
+  order.host = HostName(host);
+  BW_TRY(const std::int64_t term, IntField(json, "term", 0, kMaxNumber));
+  order.term = static_cast<std::uint64_t>(term);
+  BW_TRY(order.wave, IntField(json, "wave", 0, kMaxNumber));
+  BW_TRY(const std::string to, StringField(json, "to"));
+  order.to = PoolName(to);
+  return order;
+}
+
 Json ToJson(const WaveOrder& order) {
   Json json;
   json["number"] = ::Json::Int64(order.number);
@@ -221,6 +242,7 @@
   PutAll(&json, "start", batch.starts);
   PutAll(&json, "waves", batch.waves);
   PutAll(&json, "progress", batch.progress);
+  PutAll(&json, "host_orders", batch.host_orders);
   return WriteJson(json);
 }
 
@@ -245,6 +267,7 @@
   BW_CHECK(ReadAll(json, "start", StartFromJson, &batch.starts));
   BW_CHECK(ReadAll(json, "waves", WaveOrderFromJson, &batch.waves));
   BW_CHECK(ReadAll(json, "progress", ProgressFromJson, &batch.progress));
+  BW_CHECK(ReadAll(json, "host_orders", HostOrderFromJson, &batch.host_orders));
   return batch;
 }
 
--- a/src/jobs/ledger_batch.h
+++ b/src/jobs/ledger_batch.h
@@ -75,6 +75,16 @@
   HostName host;
 };
 
+/// \brief An order for a host that its leader is about to send to the platform.
+/// It is stored first, so that the next leader knows which hosts the platform
+/// may still be changing on behalf of this one.
+struct HostOrderNote {
+  HostName host;
+  std::uint64_t term = 0;  ///< of the leader that orders
+  std::int64_t wave = 0;   ///< of a maintenance; 0 for a move
+  PoolName to;             ///< of a move; empty for a maintenance
+};
+
 /// \brief One entry of the replicated log: changes that take effect together,
 /// in the order of the members.
 struct Batch {
@@ -88,11 +98,13 @@
   std::vector<StartNote> starts;
   std::vector<WaveOrder> waves;
   std::vector<WaveProgress> progress;
+  std::vector<HostOrderNote> host_orders;
 
   [[nodiscard]] bool empty() const noexcept {
     return !rules && workers.empty() && submissions.empty() &&
            cancels.empty() && openings.empty() && ends.empty() &&
-           starts.empty() && waves.empty() && progress.empty();
+           starts.empty() && waves.empty() && progress.empty() &&
+           host_orders.empty();
   }
 };
 
@@ -102,6 +114,8 @@
 
 [[nodiscard]] Json ToJson(const WorkerNote& note);
 [[nodiscard]] Result<WorkerNote> WorkerNoteFromJson(const Json& json);
+[[nodiscard]] Json ToJson(const HostOrderNote& order);
+[[nodiscard]] Result<HostOrderNote> HostOrderFromJson(const Json& json);
 [[nodiscard]] Json ToJson(const WaveOrder& order);
 [[nodiscard]] Result<WaveOrder> WaveOrderFromJson(const Json& json);
 
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -161,6 +161,12 @@
       item["begun"].append(host.str());
     json["waves"].append(std::move(item));
   }
+  for (const auto& [host, order] : host_orders_) {
+    Json item;
+    item["order"] = ToJson(order.note);
+    item["decided"] = ::Json::Int64(order.decided);
+    json["host_orders"].append(std::move(item));
+  }
   return WriteJson(json);
 }
 
@@ -197,6 +203,13 @@
     const std::int64_t number = wave.order.number;
     ledger.waves_[number] = std::move(wave);
   }
+  for (const Json& item : json["host_orders"]) {
+    HostOrder order;
+    BW_TRY(order.note, HostOrderFromJson(item["order"]));
+    BW_TRY(order.decided, IntField(item, "decided", 0, kMaxNumber));
+    const HostName host = order.note.host;
+    ledger.host_orders_[host] = std::move(order);
+  }
   return ledger;
 }
 
--- /dev/null
+++ b/src/scheduler/host_keeper.cc
@@ -0,0 +1,197 @@
+#include "scheduler/host_keeper.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/event_log.h"
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+/// Pause between two decisions on hosts; a move takes 15 times as long.
+constexpr Millis kInterval{100};
+
+[[nodiscard]] std::string OutcomeOf(const Result<HostVerdict>& verdict) {
+  return verdict ? std::string(kHostVerdicts.Name(verdict.value()))
+                 : verdict.error().Text();
+}
+
+}  // namespace
+
+HostKeeper::HostKeeper(EventLoop& loop,
+                       LedgerReplica& replica,
+                       HostCalls calls,
+                       NoteDeparture note_departure,
+                       HostKeeperOptions options)
+    : loop_(loop),
+      replica_(replica),
+      calls_(std::move(calls)),
+      note_departure_(std::move(note_departure)),
+      options_(options),
+      orders_(options.holder_lease),
+      waves_(std::make_unique<WaveKeeper>(options.maintenance, hosts_)),
+      pools_(std::make_unique<PoolBalancer>(options.pools)) {}
+
+void HostKeeper::OnApplied(const jobs::Batch& batch, TimePoint now) {
+  orders_.OnApplied(batch, loop_.unix_millis(), now);
+}
+
+void HostKeeper::OnLeadership(bool acts, TimePoint now) {
+  ++era_;
+  hosts_ = HostBook();
+  waves_ = std::make_unique<WaveKeeper>(options_.maintenance, hosts_);
+  pools_ = std::make_unique<PoolBalancer>(options_.pools);
+  if (acts)
+    Inherit(now);
+}
+
+// An order of an earlier leader may be on its way, also one that the platform
+// has not answered.
+void HostKeeper::Inherit(TimePoint now) {
+  const jobs::JobLedger& ledger = replica_.ledger();
+  for (const auto& [host, order] : ledger.host_orders()) {
+    const TimePoint at = orders_.GivenAt(order, loop_.unix_millis(), now);
+    if (order.note.wave > 0)
+      waves_->Inherit(host, at);
+    else
+      pools_->Inherit(ledger, host, order.note.to, at, now);
+  }
+}
+
+void HostKeeper::Tick(TimePoint now) {
+  if (now < due_)
+    return;
+  due_ = now + kInterval;
+  AskForList(now);
+  DriveWaves(now);
+  if (hosts_.listed())
+    DrivePools(now);
+}
+
+std::set<jobs::WorkerLife> HostKeeper::Reserved() const {
+  std::set<jobs::WorkerLife> reserved = waves_->clearing();
+  reserved.insert(pools_->clearing().begin(), pools_->clearing().end());
+  return reserved;
+}
+
+void HostKeeper::AskForList(TimePoint now) {
+  if (!hosts_.TakeDue(now))
+    return;
+  calls_.list(
+      [this, now, era = era_](const Result<std::vector<HostRow>>& hosts) {
+        if (era != era_)
+          return;
+        if (!hosts)
+          LogEvent(EventId::kPlatformFailed, {{"error", hosts.error().Text()}});
+        hosts_.OnList(hosts, now, loop_.now());
+        for (const jobs::WorkerLife& life :
+             pools_->Ended(replica_.ledger(), hosts_)) {
+          note_departure_(life, "its host moved");
+        }
+      });
+}
+
+void HostKeeper::DrivePools(TimePoint now) {
+  // A start that is being stored does not show in the ledger yet.
+  std::set<jobs::WorkerLife> held = replica_.WorkersInOpenBatch();
+  held.insert(waves_->clearing().begin(), waves_->clearing().end());
+  const jobs::UnixMillis time_of_day = loop_.unix_millis();
+  const auto may_order = [&](const HostName& host) {
+    return orders_.MayOrder(replica_.ledger(), host, replica_.term(),
+                            time_of_day, now);
+  };
+  for (const HostMove& move : pools_->Decide(replica_.ledger(), hosts_, held,
+                                             may_order, time_of_day, now)) {
+    Move(move);
+  }
+}
+
+void HostKeeper::Move(const HostMove& move) {
+  const auto on_answer = [this, move,
+                          era = era_](const Result<HostVerdict>& verdict) {
+    if (era != era_)
+      return;
+    LogEvent(EventId::kBufferMove, {{"host", move.host.str()},
+                                    {"to", move.to.str()},
+                                    {"worker", move.worker.Text()},
+                                    {"outcome", OutcomeOf(verdict)}});
+    hosts_.RefreshBy(loop_.now());
+    pools_->OnAnswer(move, verdict, loop_.now());
+  };
+  Order(
+      {move.host, replica_.term(), 0, move.to},
+      [this, move, on_answer] {
+        calls_.move(move.host, move.to, replica_.term(), on_answer);
+      },
+      [on_answer](const Error&) { on_answer(HostVerdict::kBusy); });
+}
+
+void HostKeeper::DriveWaves(TimePoint now) {
+  const WaveSteps steps = waves_->Decide(replica_.ledger(), now);
+  for (const jobs::WaveProgress& gone : steps.progress)
+    NoteProgress(gone);
+  const std::set<jobs::WorkerLife> starting = replica_.WorkersInOpenBatch();
+  for (const WaveSteps::Order& order : steps.maintain) {
+    if (starting.count(order.worker) == 0 &&
+        orders_.MayOrder(replica_.ledger(), order.host, replica_.term(),
+                         loop_.unix_millis(), now)) {
+      waves_->OnOrderSent(order.host, now);
+      Maintain(order);
+    }
+  }
+}
+
+void HostKeeper::Maintain(const WaveSteps::Order& order) {
+  const auto on_answer = [this, order,
+                          era = era_](const Result<HostVerdict>& verdict) {
+    if (era != era_)
+      return;
+    LogEvent(EventId::kWaveProgress, {{"wave", static_cast<long>(order.wave)},
+                                      {"host", order.host.str()},
+                                      {"outcome", OutcomeOf(verdict)}});
+    if (const auto progress =
+            waves_->OnAnswer(order.host, order.wave, verdict, loop_.now())) {
+      NoteProgress(*progress);
+    }
+  };
+  Order(
+      {order.host, replica_.term(), order.wave, PoolName()},
+      [this, order, on_answer] {
+        calls_.maintain(order.host, order.wave, replica_.term(), on_answer);
+      },
+      [on_answer](const Error&) { on_answer(HostVerdict::kBusy); });
+}
+
+void HostKeeper::Order(const jobs::HostOrderNote& note,
+                       const std::function<void()>& send,
+                       const std::function<void(const Error&)>& dropped) {
+  replica_.Submit(
+      [note](jobs::Batch* batch) { batch->host_orders.push_back(note); },
+      [this, note, send, dropped](const Status& stored) {
+        if (!stored) {
+          LogEvent(EventId::kCallFailed, {{"call", "host order"},
+                                          {"host", note.host.str()},
+                                          {"error", stored.error().Text()}});
+          dropped(stored.error());
+        } else if (replica_.MayAct(loop_.now()) &&
+                   replica_.term() == note.term) {
+          send();
+        } else {
+          dropped({ErrorCode::kNotLeader, "leadership was lost", std::nullopt});
+        }
+      });
+}
+
+void HostKeeper::NoteProgress(const jobs::WaveProgress& progress) {
+  replica_.Submit(
+      [progress](jobs::Batch* batch) { batch->progress.push_back(progress); },
+      [](const Status& stored) {
+        // The next leader orders the maintenance again, which is idempotent.
+        if (!stored)
+          LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
+      });
+}
+
+}  // namespace boragewinch::scheduler
--- /dev/null
+++ b/src/scheduler/host_keeper.h
@@ -0,0 +1,87 @@
+#ifndef BORAGEWINCH_SCHEDULER_HOST_KEEPER_H_
+#define BORAGEWINCH_SCHEDULER_HOST_KEEPER_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "base/time.h"
+#include "kernel/event_loop.h"
+#include "scheduler/host_book.h"
+#include "scheduler/host_calls.h"
+#include "scheduler/host_orders.h"
+#include "scheduler/ledger_replica.h"
+#include "scheduler/pool_balancer.h"
+#include "scheduler/wave_keeper.h"
+
+namespace boragewinch::scheduler {
+
+/// \brief Settings of the host keeper.
+struct HostKeeperOptions {
+  Millis maintenance{2'000};  ///< shortest maintenance of a host
+  /// Two leaders must not take turns at a host within this time. The platform's
+  /// lease for holders.
+  Millis holder_lease{3'000};
+  PoolBalancerOptions pools;
+};
+
+/// \brief The leader's contact with the platform about hosts: lists, moves and
+/// maintenance. Each order is stored in the ledger before it is sent.
+class HostKeeper {
+ public:
+  /// Notes that a life of a worker is over.
+  using NoteDeparture =
+      std::function<void(const jobs::WorkerLife&, const char* why)>;
+
+  HostKeeper(EventLoop& loop,
+             LedgerReplica& replica,
+             HostCalls calls,
+             NoteDeparture note_departure,
+             HostKeeperOptions options);
+
+  /// \brief Follows the orders of all leaders; called on every replica.
+  void OnApplied(const jobs::Batch& batch, TimePoint now);
+  /// \brief Begins or ends the orders of this leader.
+  void OnLeadership(bool acts, TimePoint now);
+  /// \brief Asks for lists and gives the orders that are due.
+  void Tick(TimePoint now);
+
+  /// \returns the workers that get no new work, because their host is about to
+  /// move or to be maintained.
+  [[nodiscard]] std::set<jobs::WorkerLife> Reserved() const;
+  /// \returns the workers whose host is next in a wave.
+  [[nodiscard]] const std::set<jobs::WorkerLife>& clearing() const noexcept {
+    return waves_->clearing();
+  }
+
+ private:
+  void Inherit(TimePoint now);
+  void AskForList(TimePoint now);
+  void DriveWaves(TimePoint now);
+  void DrivePools(TimePoint now);
+  void Maintain(const WaveSteps::Order& order);
+  void Move(const HostMove& move);
+  /// \brief Stores `note`, then calls `send` if this leader still acts, or
+  /// `dropped`.
+  void Order(const jobs::HostOrderNote& note,
+             const std::function<void()>& send,
+             const std::function<void(const Error&)>& dropped);
+  void NoteProgress(const jobs::WaveProgress& progress);
+
+  EventLoop& loop_;
+  LedgerReplica& replica_;
+  HostCalls calls_;
+  NoteDeparture note_departure_;
+  HostKeeperOptions options_;
+  HostOrders orders_;
+  HostBook hosts_;
+  std::unique_ptr<WaveKeeper> waves_;
+  std::unique_ptr<PoolBalancer> pools_;
+  TimePoint due_;
+  std::uint64_t era_ = 0;  ///< rises with each change of leadership
+};
+
+}  // namespace boragewinch::scheduler
+
+#endif  // BORAGEWINCH_SCHEDULER_HOST_KEEPER_H_
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -131,11 +131,13 @@
       return;
     }
     ledger_.Apply(batch.value());
+    hooks_.on_applied(batch.value(), loop_.now());
     return;
   }
   const jobs::Batch batch = std::move(open_->batch);
   open_.reset();
   ledger_.Apply(batch);
+  hooks_.on_applied(batch, loop_.now());
   loop_.Post([this, batch, replies = std::exchange(stored_replies_, {})] {
     for (const Reply& reply : replies)
       reply(Ok());
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -48,6 +48,8 @@
     std::function<void(jobs::Batch*, TimePoint)> decide;
     /// A batch of this leader has been applied.
     std::function<void(const jobs::Batch&, TimePoint)> on_stored;
+    /// A batch of any leader has been applied to this replica.
+    std::function<void(const jobs::Batch&, TimePoint)> on_applied;
     /// This replica has begun (true) or ceased to act as the leader.
     std::function<void(bool acts, TimePoint)> on_leadership;
   };
--- a/src/scheduler/pool_balancer.cc
+++ b/src/scheduler/pool_balancer.cc
@@ -13,108 +13,45 @@
 /// An order without an answer may be carried out for so long: the platform
 /// delays calls by up to 12 s.
 constexpr Millis kUnansweredForgotten{14'000};
-/// Assumed duration of a task without an estimate.
-constexpr double kUnknownEstimateMs = 1'000;
-/// Work arrives unevenly: hosts for so much more than its mean rate.
-constexpr double kArrivalHeadroom = 1.15;
-
-/// \returns processor milliseconds times thousandths of a core.
-[[nodiscard]] double WorkOf(const jobs::StepSpec& step, std::int64_t tasks) {
-  const double each = step.estimate.count() > 0
-                          ? static_cast<double>(step.estimate.count())
-                          : kUnknownEstimateMs;
-  return each * static_cast<double>(step.request.cpu_millis) *
-         static_cast<double>(tasks);
-}
 
 }  // namespace
 
-struct PoolBalancer::Pool {
-  bool standby = false;
-  double capacity = 0;  ///< thousandths of a core of the present workers
-  double lasting = 0;   ///< of it taken by long-running tasks
-  double arrival = 0;   ///< work that arrived in the window
-  double backlog = 0;   ///< work of tasks that wait and may start
-  double host_cpu = 0;  ///< of the largest worker
-  std::int64_t hosts = 0;
-  std::int64_t wanted = 0;
-  std::vector<const jobs::Worker*> empty;  ///< may be moved away
+/// The moves of one decision and what they depend on.
+struct PoolBalancer::Decision {
+  const MayOrder& may_order;
+  TimePoint now;
+  std::vector<HostMove> moves;
 };
 
-std::map<PoolName, PoolBalancer::Pool> PoolBalancer::Measure(
-    const jobs::JobLedger& ledger,
-    const std::set<jobs::WorkerLife>& held,
-    jobs::UnixMillis time_of_day) const {
-  std::map<PoolName, Pool> pools;
-  for (const auto& [name, rule] : ledger.rules().pools)
-    pools[name].standby = rule.standby;
+void PoolBalancer::Inherit(const jobs::JobLedger& ledger,
+                           const HostName& host,
+                           const PoolName& to,
+                           TimePoint at,
+                           TimePoint now) {
+  if (now - at > kUnansweredForgotten)
+    return;
   for (const auto& [life, worker] : ledger.workers()) {
-    const auto found = pools.find(worker.note.pool);
-    if (found == pools.end() || worker.note.draining)
-      continue;
-    Pool& pool = found->second;
-    const auto cpu = static_cast<double>(worker.note.capacity.cpu_millis);
-    pool.host_cpu = std::max(pool.host_cpu, cpu);
-    if (clearing_.count(life) > 0)
-      continue;
-    pool.capacity += cpu;
-    ++pool.hosts;
-    if (worker.runs.empty() && held.count(life) == 0 &&
-        !worker.note.host.empty()) {
-      pool.empty.push_back(&worker);
+    if (worker.note.host == host && worker.note.pool != to) {
+      open_[host] = {{host, to, life}, at, false};
+      clearing_.insert(life);
+      return;
     }
   }
-  AddDemand(ledger, time_of_day, &pools);
-  return pools;
 }
 
-void PoolBalancer::AddDemand(const jobs::JobLedger& ledger,
-                             jobs::UnixMillis time_of_day,
-                             std::map<PoolName, Pool>* pools) const {
-  const jobs::UnixMillis window_start =
-      time_of_day - options_.arrival_window.count();
-  for (const jobs::JobId& id : ledger.active()) {
-    const jobs::Job* job = ledger.FindJob(id);
-    const jobs::QueueRule* queue = ledger.rules().FindQueue(job->queue);
-    const auto found =
-        queue == nullptr ? pools->end() : pools->find(queue->pool);
-    if (found == pools->end())
-      continue;
-    Pool& pool = found->second;
-    for (const auto& [number, occurrence] : job->occurrences) {
-      const bool recent = occurrence.opened >= window_start;
-      for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-        const jobs::StepSpec& spec = job->spec->steps[s];
-        const jobs::Step& step = occurrence.steps[s];
-        if (spec.fills)
-          continue;
-        if (spec.long_running) {
-          pool.lasting += static_cast<double>(spec.request.cpu_millis) *
-                          static_cast<double>(spec.tasks);
-          continue;
-        }
-        if (recent)
-          pool.arrival += WorkOf(spec, spec.tasks);
-        if (step.waiting() > 0 && job->StepReady(occurrence, s))
-          pool.backlog += WorkOf(spec, step.waiting());
-      }
-    }
-  }
-}
-
-bool PoolBalancer::MayOrder(const HostName& host, TimePoint now) const {
+bool PoolBalancer::IsFree(const HostName& host,
+                          const Decision& decision) const {
   const auto refused = refused_until_.find(host);
   return open_.count(host) == 0 &&
-         (refused == refused_until_.end() || now >= refused->second);
+         (refused == refused_until_.end() || decision.now >= refused->second) &&
+         decision.may_order(host);
 }
 
-void PoolBalancer::Order(const HostMove& move,
-                         TimePoint now,
-                         std::vector<HostMove>* out) {
-  open_[move.host] = {move, now, false};
+void PoolBalancer::Order(const HostMove& move, Decision* decision) {
+  open_[move.host] = {move, decision->now, false};
   if (!move.worker.id.empty())
     clearing_.insert(move.worker);
-  out->push_back(move);
+  decision->moves.push_back(move);
 }
 
 // A move is settled when the host's new worker is there.
@@ -169,26 +106,81 @@
   }
 }
 
-std::int64_t PoolBalancer::WantedHosts(const Pool& pool,
-                                       std::int64_t floor_hosts) const {
-  const auto window = static_cast<double>(options_.arrival_window.count());
-  const auto target = static_cast<double>(options_.backlog_target.count());
-  const double rate = kArrivalHeadroom * pool.arrival / window;
-  const double wanted = pool.lasting + std::max(rate, pool.backlog / target);
-  return std::max(floor_hosts, static_cast<std::int64_t>(std::ceil(
-                                   wanted / std::max(1.0, pool.host_cpu))));
+double PoolBalancer::NeededHosts(const PoolDemand& pool) const {
+  Load waiting = pool.ready;
+  waiting += pool.blocked;
+  Load demand = pool.arriving.Times(options_.arrival_headroom).Max(waiting);
+  demand += pool.lasting;
+  return demand.HostsOf(pool.host);
 }
 
-std::vector<HostName> PoolBalancer::HostsOff(
-    const std::map<PoolName, Pool>& pools,
-    const HostBook& hosts,
-    TimePoint now) const {
+// Pools rank by the time since their last burst: the one that has waited
+// longest, or has not had one, keeps the whole reserve.
+std::map<PoolName, std::int64_t> PoolBalancer::Reserves(const Pools& pools,
+                                                        std::size_t off) const {
+  auto available = static_cast<double>(off);
+  std::vector<PoolName> had_burst;
+  std::size_t serving = 0;
+  for (const auto& [name, pool] : pools) {
+    if (pool.standby)
+      continue;
+    ++serving;
+    available += static_cast<double>(pool.hosts);
+    if (last_burst_.count(name) > 0)
+      had_burst.push_back(name);
+  }
+  // The latest burst first.
+  std::sort(had_burst.begin(), had_burst.end(),
+            [&](const PoolName& a, const PoolName& b) {
+              return last_burst_.at(a) > last_burst_.at(b);
+            });
+  const double mean =
+      available / static_cast<double>(std::max<std::size_t>(1, serving));
+  const double others =
+      static_cast<double>(std::max<std::size_t>(2, serving) - 1);
+  std::map<PoolName, std::int64_t> reserves;
+  for (const auto& [name, pool] : pools) {
+    if (pool.standby)
+      continue;
+    const auto place = std::find(had_burst.begin(), had_burst.end(), name);
+    const double rank =
+        place == had_burst.end()
+            ? 1.0
+            : static_cast<double>(place - had_burst.begin()) / others;
+    const double share =
+        options_.least_share +
+        rank * std::max(0.0, options_.reserve_share - options_.least_share);
+    reserves[name] = static_cast<std::int64_t>(std::ceil(share * mean));
+  }
+  return reserves;
+}
+
+void PoolBalancer::Judge(const Pools& pools, std::size_t off, TimePoint now) {
+  views_.clear();
+  for (const auto& [host, open] : open_)
+    ++views_[open.move.to].arriving;
+  for (const auto& [name, reserve] : Reserves(pools, off)) {
+    const PoolDemand& pool = pools.at(name);
+    PoolView& view = views_[name];
+    view.hosts = pool.hosts;
+    view.reserve = reserve;
+    view.needed = NeededHosts(pool);
+    const auto needed = static_cast<std::int64_t>(std::ceil(view.needed));
+    view.wanted = std::max({view.reserve, pool.spread, needed});
+    if (needed > view.reserve)
+      last_burst_[name] = now;
+  }
+}
+
+std::vector<HostName> PoolBalancer::HostsOff(const Pools& pools,
+                                             const HostBook& hosts,
+                                             const Decision& decision) const {
   std::vector<HostName> off;
   for (const auto& [host, row] : hosts.rows()) {
     const auto pool = pools.find(row.pool);
     if (pool != pools.end() && pool->second.standby &&
         row.state == HostState::kUp && row.worker.empty() &&
-        MayOrder(host, now)) {
+        IsFree(host, decision)) {
       off.push_back(host);
     }
   }
@@ -197,15 +189,17 @@
 
 // Hosts beyond what their pool wants.
 std::vector<const jobs::Worker*> PoolBalancer::SpareHosts(
-    const std::map<PoolName, Pool>& pools,
-    TimePoint now) const {
+    const Pools& pools,
+    const Decision& decision) const {
   std::vector<const jobs::Worker*> spare;
   for (const auto& [name, pool] : pools) {
-    std::int64_t surplus = pool.standby ? 0 : pool.hosts - pool.wanted;
+    if (pool.standby)
+      continue;
+    std::int64_t surplus = pool.hosts - views_.at(name).wanted;
     for (const jobs::Worker* worker : pool.empty) {
       if (surplus <= 0)
         break;
-      if (!MayOrder(worker->note.host, now))
+      if (!IsFree(worker->note.host, decision))
         continue;
       spare.push_back(worker);
       --surplus;
@@ -215,32 +209,30 @@
 }
 
 // Hosts that are off come first: the others may be wanted again where they are.
-void PoolBalancer::FillPools(const std::map<PoolName, Pool>& pools,
-                             std::vector<HostName> off,
+void PoolBalancer::FillPools(std::vector<HostName> off,
                              std::vector<const jobs::Worker*>* spare,
-                             TimePoint now,
-                             std::vector<HostMove>* moves) {
-  std::map<PoolName, std::int64_t> arriving;
-  for (const auto& [host, open] : open_)
-    ++arriving[open.move.to];
-  for (const auto& [name, pool] : pools) {
-    if (pool.standby || pool.backlog <= 0)
+                             const Pools& pools,
+                             Decision* decision) {
+  for (const auto& [to, pool] : pools) {
+    if (pool.standby || pool.ready.HostsOf(pool.host) <= 0)
       continue;
-    const PoolName& to = name;
-    std::int64_t missing = pool.wanted - pool.hosts - arriving[to];
+    const PoolView& view = views_.at(to);
+    std::int64_t missing = view.wanted - view.hosts - view.arriving;
     for (; missing > 0 && open_.size() < options_.max_open; --missing) {
       if (!off.empty()) {
-        Order({off.back(), to, {}}, now, moves);
+        Order({off.back(), to, {}}, decision);
         off.pop_back();
         continue;
       }
-      const auto source = std::find_if(
-          spare->begin(), spare->end(),
-          [&](const jobs::Worker* worker) { return worker->note.pool != to; });
+      const auto source =
+          std::find_if(spare->begin(), spare->end(),
+                       [&, &pool_name = to](const jobs::Worker* worker) {
+                         return worker->note.pool != pool_name;
+                       });
       if (source == spare->end())
         break;
       const jobs::WorkerNote& note = (*source)->note;
-      Order({note.host, to, note.life}, now, moves);
+      Order({note.host, to, note.life}, decision);
       spare->erase(source);
     }
   }
@@ -248,16 +240,16 @@
 
 void PoolBalancer::SwitchOff(const PoolName& standby,
                              const std::vector<const jobs::Worker*>& spare,
-                             TimePoint now,
-                             std::vector<HostMove>* moves) {
+                             Decision* decision) {
   std::map<jobs::WorkerLife, TimePoint> idle;
+  const TimePoint now = decision->now;
   for (const jobs::Worker* worker : spare) {
     const jobs::WorkerLife& life = worker->note.life;
     const auto before = idle_since_.find(life);
     const TimePoint since = before == idle_since_.end() ? now : before->second;
     if (!standby.empty() && now - since >= options_.idle &&
         open_.size() < options_.max_open) {
-      Order({worker->note.host, standby, life}, now, moves);
+      Order({worker->note.host, standby, life}, decision);
     } else {
       idle[life] = since;
     }
@@ -269,29 +261,23 @@
     const jobs::JobLedger& ledger,
     const HostBook& hosts,
     const std::set<jobs::WorkerLife>& held,
+    const MayOrder& may_order,
     jobs::UnixMillis time_of_day,
     TimePoint now) {
   ForgetSettled(ledger, now);
-  std::map<PoolName, Pool> pools = Measure(ledger, held, time_of_day);
-  const std::vector<HostName> off = HostsOff(pools, hosts, now);
-  PoolName standby;
-  double serving = 0;
-  auto available = static_cast<double>(off.size());
-  for (const auto& [name, pool] : pools) {
-    if (pool.standby)
-      standby = name;
-    serving += pool.standby ? 0 : 1;
-    available += pool.standby ? 0 : static_cast<double>(pool.hosts);
-  }
-  const auto floor_hosts = static_cast<std::int64_t>(
-      std::ceil(options_.floor_share * available / std::max(1.0, serving)));
-  for (auto& [name, pool] : pools)
-    pool.wanted = WantedHosts(pool, floor_hosts);
-  std::vector<const jobs::Worker*> spare = SpareHosts(pools, now);
-  std::vector<HostMove> moves;
-  FillPools(pools, off, &spare, now, &moves);
-  SwitchOff(standby, spare, now, &moves);
-  return moves;
+  const Pools pools =
+      MeasurePools(ledger, options_.demand, clearing_, held, time_of_day);
+  Decision decision{may_order, now, {}};
+  const std::vector<HostName> off = HostsOff(pools, hosts, decision);
+  Judge(pools, off.size(), now);
+  std::vector<const jobs::Worker*> spare = SpareHosts(pools, decision);
+  FillPools(off, &spare, pools, &decision);
+  const auto standby =
+      std::find_if(pools.begin(), pools.end(),
+                   [](const auto& item) { return item.second.standby; });
+  SwitchOff(standby == pools.end() ? PoolName() : standby->first, spare,
+            &decision);
+  return std::move(decision.moves);
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/pool_balancer.h
+++ b/src/scheduler/pool_balancer.h
@@ -2,6 +2,7 @@
 #define BORAGEWINCH_SCHEDULER_POOL_BALANCER_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -10,18 +11,20 @@
 #include "jobs/job_ledger.h"
 #include "scheduler/host_book.h"
 #include "scheduler/host_calls.h"
+#include "scheduler/pool_demand.h"
 
 namespace boragewinch::scheduler {
 
 /// \brief Policy of the balancer.
 struct PoolBalancerOptions {
-  /// Time over which the arrival of work is measured. Shorter ones follow the
-  /// chance of single jobs, longer ones miss the begin of a spike.
-  Millis arrival_window{700};
-  /// Time within which waiting work should have started.
-  Millis backlog_target{1'000};
-  /// Share of the mean number of hosts of a serving pool that each keeps.
-  double floor_share = 0.6;
+  PoolDemandOptions demand;
+  /// Hosts for so much more than the mean rate at which work arrives: it comes
+  /// unevenly, and tasks do not fill a host exactly.
+  double arrival_headroom = 1.15;
+  /// Share of the mean number of hosts of a serving pool that each keeps while
+  /// its next burst may be near, and just after a burst.
+  double reserve_share = 0.6;
+  double least_share = 0.6;
   /// Hosts beyond what is wanted are switched off after this time; a move costs
   /// as much as 1.4 s of a host in a pool.
   Millis idle{1'500};
@@ -38,22 +41,51 @@
   jobs::WorkerLife worker;  ///< empty id for a host that is off
 };
 
+/// \brief What the balancer found for a pool.
+struct PoolView {
+  std::int64_t hosts = 0;
+  std::int64_t arriving = 0;  ///< hosts on their way to the pool
+  std::int64_t reserve = 0;   ///< hosts to keep without demand
+  double needed = 0;          ///< hosts that the demand asks for
+  std::int64_t wanted = 0;    ///< the larger of the two, whole
+};
+
 /// \brief Decides which hosts change their pool. It answers demand that
 /// alternates between pools: one asks for several times its mean for some
 /// seconds while the others are nearly idle. Only hosts without runs move.
+///
+/// The pool whose burst is longest ago keeps the largest reserve, since demand
+/// goes around; a pool that has just had its burst keeps the smallest.
 class PoolBalancer {
  public:
+  /// \returns whether this leader may order something of a host now.
+  using MayOrder = std::function<bool(const HostName&)>;
+
   explicit PoolBalancer(PoolBalancerOptions options) : options_(options) {}
 
+  /// \brief Enters a move of an earlier leader that may still be carried out.
+  /// \param at when it was ordered, at the latest.
+  void Inherit(const jobs::JobLedger& ledger,
+               const HostName& host,
+               const PoolName& to,
+               TimePoint at,
+               TimePoint now);
+
   /// \param held hosts and workers that are reserved for something else.
   /// \returns the moves to order now. Their workers are in clearing().
   [[nodiscard]] std::vector<HostMove> Decide(
       const jobs::JobLedger& ledger,
       const HostBook& hosts,
       const std::set<jobs::WorkerLife>& held,
+      const MayOrder& may_order,
       jobs::UnixMillis time_of_day,
       TimePoint now);
 
+  /// \returns what the last decision found for each pool that is not off.
+  [[nodiscard]] const std::map<PoolName, PoolView>& views() const noexcept {
+    return views_;
+  }
+
   /// \brief Notes the answer to a move. "Done" does not end the life of the
   /// worker: the platform says it of a move that was carried out long ago, too.
   void OnAnswer(const HostMove& move,
@@ -72,40 +104,35 @@
   }
 
  private:
-  struct Pool;
+  using Pools = std::map<PoolName, PoolDemand>;
   struct Open {
     HostMove move;
     TimePoint at;
     bool answered = false;
   };
+  struct Decision;
 
-  [[nodiscard]] std::map<PoolName, Pool> Measure(
-      const jobs::JobLedger& ledger,
-      const std::set<jobs::WorkerLife>& held,
-      jobs::UnixMillis time_of_day) const;
-  void AddDemand(const jobs::JobLedger& ledger,
-                 jobs::UnixMillis time_of_day,
-                 std::map<PoolName, Pool>* pools) const;
-  [[nodiscard]] std::int64_t WantedHosts(const Pool& pool,
-                                         std::int64_t floor_hosts) const;
-  [[nodiscard]] std::vector<HostName> HostsOff(
-      const std::map<PoolName, Pool>& pools,
-      const HostBook& hosts,
-      TimePoint now) const;
+  void Judge(const Pools& pools, std::size_t off, TimePoint now);
+  [[nodiscard]] std::map<PoolName, std::int64_t> Reserves(
+      const Pools& pools,
+      std::size_t off) const;
+  [[nodiscard]] double NeededHosts(const PoolDemand& pool) const;
+  [[nodiscard]] std::vector<HostName> HostsOff(const Pools& pools,
+                                               const HostBook& hosts,
+                                               const Decision& decision) const;
   [[nodiscard]] std::vector<const jobs::Worker*> SpareHosts(
-      const std::map<PoolName, Pool>& pools,
-      TimePoint now) const;
-  void FillPools(const std::map<PoolName, Pool>& pools,
-                 std::vector<HostName> off,
+      const Pools& pools,
+      const Decision& decision) const;
+  void FillPools(std::vector<HostName> off,
                  std::vector<const jobs::Worker*>* spare,
-                 TimePoint now,
-                 std::vector<HostMove>* moves);
+                 const Pools& pools,
+                 Decision* decision);
   void SwitchOff(const PoolName& standby,
                  const std::vector<const jobs::Worker*>& spare,
-                 TimePoint now,
-                 std::vector<HostMove>* moves);
-  void Order(const HostMove& move, TimePoint now, std::vector<HostMove>* out);
-  [[nodiscard]] bool MayOrder(const HostName& host, TimePoint now) const;
+                 Decision* decision);
+  void Order(const HostMove& move, Decision* decision);
+  [[nodiscard]] bool IsFree(const HostName& host,
+                            const Decision& decision) const;
   void ForgetSettled(const jobs::JobLedger& ledger, TimePoint now);
 
   PoolBalancerOptions options_;
@@ -113,6 +140,8 @@
   std::map<HostName, TimePoint> refused_until_;
   std::map<jobs::WorkerLife, TimePoint> idle_since_;
   std::set<jobs::WorkerLife> clearing_;
+  std::map<PoolName, TimePoint> last_burst_;
+  std::map<PoolName, PoolView> views_;
 };
 
 }  // namespace boragewinch::scheduler
--- /dev/null
+++ b/src/scheduler/pool_demand.cc
@@ -0,0 +1,161 @@
+#include "scheduler/pool_demand.h"
+
+#include <algorithm>
+
+#include "scheduler/task_planner.h"
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+/// Assumed duration of a task without an estimate.
+constexpr double kUnknownEstimateMs = 1'000;
+
+[[nodiscard]] double DurationOf(const jobs::StepSpec& step) {
+  return step.estimate.count() > 0 ? static_cast<double>(step.estimate.count())
+                                   : kUnknownEstimateMs;
+}
+
+void AddWorkers(const jobs::JobLedger& ledger,
+                const std::set<jobs::WorkerLife>& clearing,
+                const std::set<jobs::WorkerLife>& held,
+                std::map<PoolName, PoolDemand>* pools) {
+  for (const auto& [life, worker] : ledger.workers()) {
+    const auto found = pools->find(worker.note.pool);
+    if (found == pools->end() || worker.note.draining)
+      continue;
+    PoolDemand& pool = found->second;
+    Load size;
+    size.Add(worker.note.capacity, 1);
+    pool.host = pool.host.Max(size);
+    if (clearing.count(life) > 0)
+      continue;
+    pool.capacity += size;
+    pool.used.Add(worker.used, 1);
+    ++pool.hosts;
+    if (worker.runs.empty() && held.count(life) == 0 &&
+        !worker.note.host.empty()) {
+      pool.empty.push_back(&worker);
+    }
+  }
+}
+
+/// Adds the demand of the open occurrences of one job.
+class JobDemand {
+ public:
+  JobDemand(const PoolDemandOptions& options,
+            const jobs::Job& job,
+            const jobs::QueueRule& queue,
+            jobs::UnixMillis time_of_day)
+      : options_(options),
+        job_(job),
+        queue_(queue),
+        time_of_day_(time_of_day) {}
+
+  void AddTo(PoolDemand* pool) const {
+    for (const auto& [number, occurrence] : job_.occurrences) {
+      const jobs::UnixMillis from =
+          job_.spec->repeats > 0 ? job_.spec->due(number) : job_.accepted;
+      const double left =
+          static_cast<double>(ObjectiveOf(job_, queue_, from) - time_of_day_);
+      for (std::size_t s = 0; s < occurrence.steps.size(); ++s)
+        AddStep(occurrence, s, left, pool);
+    }
+  }
+
+ private:
+  void AddStep(const jobs::Occurrence& occurrence,
+               std::size_t s,
+               double left_ms,
+               PoolDemand* pool) const {
+    const jobs::StepSpec& spec = job_.spec->steps[s];
+    const jobs::Step& step = occurrence.steps[s];
+    if (step.complete())
+      return;
+    const bool ready = job_.StepReady(occurrence, s);
+    if (ready && spec.max_per_worker > 0) {
+      const std::int64_t open = spec.tasks - step.done;
+      pool->spread = std::max(
+          pool->spread, (open + spec.max_per_worker - 1) / spec.max_per_worker);
+    }
+    const Resources room = jobs::JobLedger::RoomOf(spec);
+    if (spec.long_running) {
+      pool->lasting.Add(room, static_cast<double>(spec.tasks));
+      return;
+    }
+    const double work_ms =
+        DurationOf(spec) * static_cast<double>(step.waiting());
+    const auto window = static_cast<double>(options_.arrival_window.count());
+    const auto target = static_cast<double>(options_.backlog_target.count());
+    if (occurrence.opened >= time_of_day_ - options_.arrival_window.count()) {
+      pool->arriving.Add(
+          room, DurationOf(spec) * static_cast<double>(spec.tasks) / window);
+    }
+    if (ready)
+      pool->ready.Add(room, work_ms / target);
+    else
+      pool->blocked.Add(room, work_ms / std::max(target, left_ms));
+  }
+
+  const PoolDemandOptions& options_;
+  const jobs::Job& job_;
+  const jobs::QueueRule& queue_;
+  jobs::UnixMillis time_of_day_;
+};
+
+}  // namespace
+
+Load& Load::operator+=(const Load& other) noexcept {
+  cpu_millis += other.cpu_millis;
+  memory_mb += other.memory_mb;
+  accelerators += other.accelerators;
+  return *this;
+}
+
+void Load::Add(const Resources& amount, double times) noexcept {
+  cpu_millis += static_cast<double>(amount.cpu_millis) * times;
+  memory_mb += static_cast<double>(amount.memory_mb) * times;
+  accelerators += static_cast<double>(amount.accelerators) * times;
+}
+
+Load Load::Times(double factor) const noexcept {
+  return {cpu_millis * factor, memory_mb * factor, accelerators * factor};
+}
+
+Load Load::Max(const Load& other) const noexcept {
+  return {std::max(cpu_millis, other.cpu_millis),
+          std::max(memory_mb, other.memory_mb),
+          std::max(accelerators, other.accelerators)};
+}
+
+double Load::HostsOf(const Load& host) const noexcept {
+  const auto of = [](double load, double size) {
+    return size > 0 ? load / size : 0;
+  };
+  return std::max({of(cpu_millis, host.cpu_millis),
+                   of(memory_mb, host.memory_mb),
+                   of(accelerators, host.accelerators)});
+}
+
+std::map<PoolName, PoolDemand> MeasurePools(
+    const jobs::JobLedger& ledger,
+    const PoolDemandOptions& options,
+    const std::set<jobs::WorkerLife>& clearing,
+    const std::set<jobs::WorkerLife>& held,
+    jobs::UnixMillis time_of_day) {
+  std::map<PoolName, PoolDemand> pools;
+  for (const auto& [name, rule] : ledger.rules().pools)
+    pools[name].standby = rule.standby;
+  AddWorkers(ledger, clearing, held, &pools);
+  for (const jobs::JobId& id : ledger.active()) {
+    const jobs::Job* job = ledger.FindJob(id);
+    const jobs::QueueRule* queue = ledger.rules().FindQueue(job->queue);
+    if (queue == nullptr)
+      continue;
+    if (const auto pool = pools.find(queue->pool); pool != pools.end())
+      JobDemand(options, *job, *queue, time_of_day).AddTo(&pool->second);
+  }
+  return pools;
+}
+
+}  // namespace boragewinch::scheduler
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -11,7 +11,6 @@
 
 /// Lists, repeated orders and lapses fall due between batches.
 constexpr Millis kTickInterval{50};
-constexpr Millis kHostInterval{100};
 /// How long a stopping host goes on passing calls to the next leader.
 constexpr Millis kStopWait{1'500};
 /// Occurrences of repeated jobs that one batch opens.
@@ -45,6 +44,9 @@
   hooks.on_stored = [this](const jobs::Batch& batch, TimePoint now) {
     OnStored(batch, now);
   };
+  hooks.on_applied = [this](const jobs::Batch& batch, TimePoint now) {
+    hosts_->OnApplied(batch, now);
+  };
   hooks.on_leadership = [this](bool acts, TimePoint now) {
     OnLeadership(acts, now);
   };
@@ -58,12 +60,15 @@
         return advice_->TicketFor(task, worker, loop_->now()).value_or("");
       },
       options_.links, metrics_);
-  host_calls_ = ports_.host_calls(*client_);
+  hosts_ = std::make_unique<HostKeeper>(
+      *loop_, *replica_, ports_.host_calls(*client_),
+      [this](const jobs::WorkerLife& life, const char* why) {
+        fleet_->NoteDeparture(life, why);
+      },
+      options_.hosts);
   job_desk_ = std::make_unique<JobDesk>(*replica_, metrics_);
   rules_desk_ = std::make_unique<RulesDesk>(*replica_);
   registry_ = std::make_unique<WorkerRegistry>(*replica_);
-  waves_ = std::make_unique<WaveKeeper>(options_.maintenance, hosts_);
-  pools_ = std::make_unique<PoolBalancer>(options_.pools);
 
   RelayServer::Hooks relay;
   relay.leads = [this] { return replica_->MayAct(loop_->now()); };
@@ -121,7 +126,7 @@
 void SchedulerService::Decide(jobs::Batch* batch, TimePoint now) {
   const jobs::UnixMillis time_of_day = loop_->unix_millis();
   OpenDue(batch, time_of_day);
-  const std::set<jobs::WorkerLife> reserved = Reserved();
+  const std::set<jobs::WorkerLife> reserved = hosts_->Reserved();
   batch->starts = planner_.Plan(
       replica_->ledger(),
       [&](const jobs::WorkerLife& life) {
@@ -182,7 +187,7 @@
     return fleet_->PercentOf(run, life);
   };
   for (const StopOrder& stop :
-       PlanStops(replica_->ledger(), waves_->clearing(), percent)) {
+       PlanStops(replica_->ledger(), hosts_->clearing(), percent)) {
     fleet_->Stop(stop.run, stop.worker, stop.reason);
   }
 }
@@ -192,10 +197,7 @@
            {{"acts", acts ? "yes" : "no"}, {"term", replica_->term()}});
   ++era_;
   advice_ = std::make_unique<AdviceBook>(AdviceOptions{});
-  acts_since_ = now;
-  hosts_ = HostBook();
-  waves_ = std::make_unique<WaveKeeper>(options_.maintenance, hosts_);
-  pools_ = std::make_unique<PoolBalancer>(options_.pools);
+  hosts_->OnLeadership(acts, now);
   fleet_->OnLeadership(acts, now);
   if (acts)
     replica_->Wake();
@@ -207,102 +209,10 @@
   fleet_->Tick(now);
   StopRuns();
   AskAdvice(now);
-  if (now >= hosts_due_ && now - acts_since_ >= options_.host_lease) {
-    hosts_due_ = now + kHostInterval;
-    DriveHosts(now);
-  }
+  hosts_->Tick(now);
   replica_->Wake();
 }
 
-std::set<jobs::WorkerLife> SchedulerService::Reserved() const {
-  std::set<jobs::WorkerLife> reserved = waves_->clearing();
-  reserved.insert(pools_->clearing().begin(), pools_->clearing().end());
-  return reserved;
-}
-
-void SchedulerService::DriveHosts(TimePoint now) {
-  if (hosts_.TakeDue(now)) {
-    host_calls_.list([this, now,
-                      era = era_](const Result<std::vector<HostRow>>& hosts) {
-      if (era != era_)
-        return;
-      if (!hosts)
-        LogEvent(EventId::kPlatformFailed, {{"error", hosts.error().Text()}});
-      hosts_.OnList(hosts, now, loop_->now());
-      for (const jobs::WorkerLife& life :
-           pools_->Ended(replica_->ledger(), hosts_)) {
-        fleet_->NoteDeparture(life, "its host moved");
-      }
-    });
-  }
-  DriveWaves(now);
-  if (hosts_.listed())
-    DrivePools(now);
-}
-
-void SchedulerService::DrivePools(TimePoint now) {
-  // A start that is being stored does not show in the ledger yet.
-  std::set<jobs::WorkerLife> held = replica_->WorkersInOpenBatch();
-  held.insert(waves_->clearing().begin(), waves_->clearing().end());
-  const std::vector<HostMove> moves = pools_->Decide(
-      replica_->ledger(), hosts_, held, loop_->unix_millis(), now);
-  for (const HostMove& move : moves) {
-    host_calls_.move(
-        move.host, move.to, replica_->term(),
-        [this, move, era = era_](const Result<HostVerdict>& verdict) {
-          if (era != era_)
-            return;
-          LogEvent(EventId::kBufferMove,
-                   {{"host", move.host.str()},
-                    {"to", move.to.str()},
-                    {"worker", move.worker.Text()},
-                    {"outcome",
-                     verdict ? std::string(kHostVerdicts.Name(verdict.value()))
-                             : verdict.error().Text()}});
-          hosts_.RefreshBy(loop_->now());
-          pools_->OnAnswer(move, verdict, loop_->now());
-        });
-  }
-}
-
-void SchedulerService::DriveWaves(TimePoint now) {
-  const WaveSteps steps = waves_->Decide(replica_->ledger(), now);
-  for (const jobs::WaveProgress& gone : steps.progress)
-    NoteProgress(gone);
-  const std::set<jobs::WorkerLife> starting = replica_->WorkersInOpenBatch();
-  for (const WaveSteps::Order& order : steps.maintain) {
-    if (starting.count(order.worker) > 0)
-      continue;
-    waves_->OnOrderSent(order.host, now);
-    host_calls_.maintain(
-        order.host, order.wave, replica_->term(),
-        [this, order, era = era_](const Result<HostVerdict>& verdict) {
-          if (era != era_)
-            return;
-          LogEvent(EventId::kWaveProgress,
-                   {{"wave", static_cast<long>(order.wave)},
-                    {"host", order.host.str()},
-                    {"outcome",
-                     verdict ? std::string(kHostVerdicts.Name(verdict.value()))
-                             : verdict.error().Text()}});
-          if (const auto progress = waves_->OnAnswer(order.host, order.wave,
-                                                     verdict, loop_->now())) {
-            NoteProgress(*progress);
-          }
-        });
-  }
-}
-
-void SchedulerService::NoteProgress(const jobs::WaveProgress& progress) {
-  replica_->Submit(
-      [progress](jobs::Batch* batch) { batch->progress.push_back(progress); },
-      [](const Status& stored) {
-        // The next leader orders the maintenance again, which is idempotent.
-        if (!stored)
-          LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
-      });
-}
-
 void SchedulerService::Stop(const std::function<void()>& done) {
   replica_->Retire();
   stop_timer_ = loop_->After(kStopWait, [this, done](TimePoint) {
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -3,7 +3,6 @@
 
 #include <functional>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "base/metrics.h"
@@ -13,15 +12,13 @@
 #include "net/rpc_client.h"
 #include "net/rpc_server.h"
 #include "scheduler/advice_book.h"
-#include "scheduler/host_book.h"
 #include "scheduler/host_calls.h"
+#include "scheduler/host_keeper.h"
 #include "scheduler/job_desk.h"
 #include "scheduler/ledger_replica.h"
-#include "scheduler/pool_balancer.h"
 #include "scheduler/relay.h"
 #include "scheduler/rules_desk.h"
 #include "scheduler/task_planner.h"
-#include "scheduler/wave_keeper.h"
 #include "scheduler/worker_calls.h"
 #include "scheduler/worker_fleet.h"
 #include "scheduler/worker_registry.h"
@@ -37,11 +34,7 @@
   std::string cluster_secret;
   WorkerLinkOptions links;
   TaskPlannerOptions planner;
-  Millis maintenance{2'000};  ///< shortest maintenance of a host
-  /// A new leader orders nothing of hosts for so long, so that two leaders do
-  /// not take turns. The platform's lease for holders.
-  Millis host_lease{3'000};
-  PoolBalancerOptions pools;
+  HostKeeperOptions hosts;
 };
 
 /// \brief What the scheduler needs of its surroundings.
@@ -77,12 +70,7 @@
   void OnTick(TimePoint now);
   void StopRuns();
   void AskAdvice(TimePoint now);
-  void DriveHosts(TimePoint now);
-  void DriveWaves(TimePoint now);
-  void DrivePools(TimePoint now);
-  [[nodiscard]] std::set<jobs::WorkerLife> Reserved() const;
   void OpenDue(jobs::Batch* batch, jobs::UnixMillis now) const;
-  void NoteProgress(const jobs::WaveProgress& progress);
 
   SchedulerOptions options_;
   SchedulerPorts ports_;
@@ -96,11 +84,8 @@
   std::unique_ptr<JobDesk> job_desk_;
   std::unique_ptr<RulesDesk> rules_desk_;
   std::unique_ptr<WorkerRegistry> registry_;
-  HostBook hosts_;
-  std::unique_ptr<WaveKeeper> waves_;
-  std::unique_ptr<PoolBalancer> pools_;
+  std::unique_ptr<HostKeeper> hosts_;
   WorkerCalls worker_calls_;
-  HostCalls host_calls_;
   std::unique_ptr<AdviceBook> advice_;
   TaskPlanner planner_;
   std::unique_ptr<RelayServer> relay_;
@@ -110,8 +95,6 @@
   std::unique_ptr<HttpServer> metrics_server_;
   WatchHandle tick_;
   WatchHandle stop_timer_;
-  TimePoint hosts_due_;
-  TimePoint acts_since_;
   std::uint64_t era_ = 0;
 };
 
--- a/src/scheduler/wave_keeper.cc
+++ b/src/scheduler/wave_keeper.cc
@@ -17,6 +17,11 @@
 
 }  // namespace
 
+void WaveKeeper::Inherit(const HostName& host, TimePoint at) {
+  ordered_[host] = {at, false, false};
+  hosts_.RefreshBy(at + down_);
+}
+
 void WaveKeeper::OnOrderSent(const HostName& host, TimePoint now) {
   ordered_[host] = {now, true, false};
 }
--- a/src/scheduler/wave_keeper.h
+++ b/src/scheduler/wave_keeper.h
@@ -36,6 +36,8 @@
 
   [[nodiscard]] WaveSteps Decide(const jobs::JobLedger& ledger, TimePoint now);
 
+  /// \brief Enters an order that an earlier leader gave at `at`.
+  void Inherit(const HostName& host, TimePoint at);
   void OnOrderSent(const HostName& host, TimePoint now);
   /// \returns the progress to store, if the answer establishes one.
   [[nodiscard]] std::optional<jobs::WaveProgress> OnAnswer(
--- a/tests/host_decisions_test.cc
+++ b/tests/host_decisions_test.cc
@@ -61,8 +61,9 @@
 
 struct Balance : HostWorld {
   std::vector<HostMove> Decide(std::int64_t millis) {
-    return balancer.Decide(builder.ledger(), book, {}, 1'000 + millis,
-                           At(millis));
+    return balancer.Decide(
+        builder.ledger(), book, {}, [](const HostName&) { return true; },
+        1'000 + millis, At(millis));
   }
   /// A spike: jobs of 8 tasks of 1 s on 4 cores each, 32 core seconds a job.
   void Spike(int count) {
@@ -155,6 +156,30 @@
   BOOST_TEST((ended[0] == moves[0].worker));
 }
 
+// Guards against work for a worker whose host an earlier leader has ordered
+// away: the order may be carried out after the change of leadership.
+BOOST_FIXTURE_TEST_CASE(AnInheritedMoveKeepsTheWorkerClear, Balance) {
+  const jobs::WorkerLife life = LedgerBuilder::Life("w-idle0");
+  balancer.Inherit(builder.ledger(), HostName("idle0"), PoolName("p"), At(-500),
+                   At(0));
+  BOOST_TEST(balancer.clearing().count(life) == 1U);
+  for (HostRow& row : rows) {
+    if (row.host.str() == "idle0")
+      row = {row.host, PoolName("p"), HostState::kUp, jobs::WorkerId("next")};
+  }
+  List(1'000);
+  BOOST_REQUIRE(balancer.Ended(builder.ledger(), book).size() == 1U);
+  BOOST_TEST((balancer.Ended(builder.ledger(), book)[0] == life));
+}
+
+// Guards against a move of long ago that reserves its host after each change
+// of leadership.
+BOOST_FIXTURE_TEST_CASE(AnOldInheritedMoveIsForgotten, Balance) {
+  balancer.Inherit(builder.ledger(), HostName("idle0"), PoolName("p"),
+                   At(-20'000), At(0));
+  BOOST_TEST(balancer.clearing().empty());
+}
+
 struct Wave : HostWorld {
   WaveSteps Decide(std::int64_t millis) {
     return keeper.Decide(builder.ledger(), At(millis));
@@ -197,6 +222,17 @@
   BOOST_TEST(Decide(3'100).maintain.empty());
 }
 
+// Guards against more hosts down than the wave allows after a change of
+// leadership: the earlier leader's order may just be carried out.
+BOOST_FIXTURE_TEST_CASE(AnInheritedOrderCountsAsDown, Wave) {
+  List(0);
+  StartWave({HostName("p0"), HostName("p1")}, 1);
+  keeper.Inherit(HostName("p0"), At(0));
+  BOOST_TEST(Decide(10).maintain.empty());
+  List(2'100);
+  BOOST_TEST(Decide(2'110).maintain.size() == 1U);
+}
+
 // Guards against work for a worker that is about to end, and against runs that
 // count as over because the platform says "done": it says so too of a
 // maintenance that an earlier leader ordered, and then nothing has ended.
