Bring the hosts of a burst at its begin and free them at its end

(2) Tasks spread over all workers, so hosts had runs until a burst was over and stayed 2 s longer. (4) Silent workers counted as capacity.

Change: demand counts threefold at the begin of a burst, less and less for 2 s; the worker with the least free room is filled first; a pool keeps 0.6 of the mean before its burst and 0.25 after it, by the order of the last bursts; silent workers are no capacity; long-running tasks come first, their waiting brings hosts, and a worker's room is kept for one that does not fit. A worker that leaves a start without an answer for 200 ms gets no further work until it answers.

Tests: TheBeginOfABurstBringsHostsForItsPeak, TheReserveFollowsTheTurns, TasksOfABurstFillHostsOneAfterTheOther, SilentWorkersAreReplaced, ALongRunningTaskThatWaitsBringsHosts, ALongRunningTaskComesBeforeABurst, RoomIsKeptForALongRunningTask, AnUnansweredStartHoldsFurtherOnesBack. Event 6010 shows what a pool has and wants.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -111,6 +111,8 @@
      "A task was stopped on a draining host and is queued again."},
     {EventId::kTaskStays, kInfo, "task_stays",
      "The worker has no checkpoint, so the drain waits for the task."},
+    {EventId::kPoolJudged, kInfo, "pool_judged",
+     "The hosts that a pool has and wants, with the demand that decided it."},
     {EventId::kRunOrdered, kInfo, "run_ordered",
      "A stored start of a task is sent to its worker."},
     {EventId::kRunNotTaken, kInfo, "run_not_taken",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -65,6 +65,7 @@
   kPlatformFailed = 6007,
   kTaskMoved = 6008,
   kTaskStays = 6009,
+  kPoolJudged = 6010,
   kRunOrdered = 7001,
   kRunNotTaken = 7002,
   kRunEnded = 7003,
--- a/src/scheduler/host_keeper.cc
+++ b/src/scheduler/host_keeper.cc
@@ -1,5 +1,6 @@
 #include "scheduler/host_keeper.h"
 
+#include <cmath>
 #include <string>
 #include <utility>
 #include <vector>
@@ -12,6 +13,8 @@
 
 /// Pause between two decisions on hosts; a move takes 15 times as long.
 constexpr Millis kInterval{100};
+/// Least time between two lines about a pool.
+constexpr Millis kViewLogInterval{500};
 
 [[nodiscard]] std::string OutcomeOf(const Result<HostVerdict>& verdict) {
   return verdict ? std::string(kHostVerdicts.Name(verdict.value()))
@@ -23,11 +26,13 @@
 HostKeeper::HostKeeper(EventLoop& loop,
                        LedgerReplica& replica,
                        HostCalls calls,
+                       AskWorker usable,
                        NoteDeparture note_departure,
                        HostKeeperOptions options)
     : loop_(loop),
       replica_(replica),
       calls_(std::move(calls)),
+      usable_(std::move(usable)),
       note_departure_(std::move(note_departure)),
       options_(options),
       orders_(options.holder_lease),
@@ -102,10 +107,32 @@
     return orders_.MayOrder(replica_.ledger(), host, replica_.term(),
                             time_of_day, now);
   };
-  for (const HostMove& move : pools_->Decide(replica_.ledger(), hosts_, held,
-                                             may_order, time_of_day, now)) {
+  for (const HostMove& move :
+       pools_->Decide(replica_.ledger(), hosts_, usable_, held, may_order,
+                      time_of_day, now)) {
     Move(move);
   }
+  LogViews(now);
+}
+
+void HostKeeper::LogViews(TimePoint now) {
+  for (const auto& [pool, view] : pools_->views()) {
+    const auto [logged, added] = logged_.try_emplace(pool);
+    if (!added && (logged->second.wanted == view.wanted ||
+                   now - logged->second.at < kViewLogInterval)) {
+      continue;
+    }
+    logged->second = {view.wanted, now};
+    LogEvent(EventId::kPoolJudged,
+             {{"pool", pool.str()},
+              {"hosts", view.hosts},
+              {"arriving", view.arriving},
+              {"reserve", view.reserve},
+              {"needed", static_cast<long>(std::ceil(view.needed))},
+              {"wanted", view.wanted},
+              {"list_age_ms",
+               static_cast<long>((now - hosts_.listed_at()).count())}});
+  }
 }
 
 void HostKeeper::Move(const HostMove& move) {
--- a/src/scheduler/host_keeper.h
+++ b/src/scheduler/host_keeper.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -34,9 +35,11 @@
   using NoteDeparture =
       std::function<void(const jobs::WorkerLife&, const char* why)>;
 
+  /// \param usable whether a worker can take work.
   HostKeeper(EventLoop& loop,
              LedgerReplica& replica,
              HostCalls calls,
+             AskWorker usable,
              NoteDeparture note_departure,
              HostKeeperOptions options);
 
@@ -61,6 +64,7 @@
   void DriveWaves(TimePoint now);
   void DrivePools(TimePoint now);
   void Maintain(const WaveSteps::Order& order);
+  void LogViews(TimePoint now);
   void Move(const HostMove& move);
   /// \brief Stores `note`, then calls `send` if this leader still acts, or
   /// `dropped`.
@@ -72,12 +76,18 @@
   EventLoop& loop_;
   LedgerReplica& replica_;
   HostCalls calls_;
+  AskWorker usable_;
   NoteDeparture note_departure_;
   HostKeeperOptions options_;
   HostOrders orders_;
   HostBook hosts_;
   std::unique_ptr<WaveKeeper> waves_;
   std::unique_ptr<PoolBalancer> pools_;
+  struct LoggedView {
+    std::int64_t wanted = 0;
+    TimePoint at;
+  };
+  std::map<PoolName, LoggedView> logged_;  ///< newest line of each pool
   TimePoint due_;
   std::uint64_t era_ = 0;  ///< rises with each change of leadership
 };
--- a/src/scheduler/pool_balancer.cc
+++ b/src/scheduler/pool_balancer.cc
@@ -117,16 +117,12 @@
 // Pools rank by the time since their last burst: the one that has waited
 // longest, or has not had one, keeps the whole reserve.
 std::map<PoolName, std::int64_t> PoolBalancer::Reserves(const Pools& pools,
-                                                        std::size_t off) const {
-  auto available = static_cast<double>(off);
+                                                        double mean) const {
   std::vector<PoolName> had_burst;
   std::size_t serving = 0;
   for (const auto& [name, pool] : pools) {
-    if (pool.standby)
-      continue;
-    ++serving;
-    available += static_cast<double>(pool.hosts);
-    if (last_burst_.count(name) > 0)
+    serving += pool.standby ? 0 : 1;
+    if (!pool.standby && last_burst_.count(name) > 0)
       had_burst.push_back(name);
   }
   // The latest burst first.
@@ -134,9 +130,7 @@
             [&](const PoolName& a, const PoolName& b) {
               return last_burst_.at(a) > last_burst_.at(b);
             });
-  const double mean =
-      available / static_cast<double>(std::max<std::size_t>(1, serving));
-  const double others =
+  const auto others =
       static_cast<double>(std::max<std::size_t>(2, serving) - 1);
   std::map<PoolName, std::int64_t> reserves;
   for (const auto& [name, pool] : pools) {
@@ -155,20 +149,43 @@
   return reserves;
 }
 
-void PoolBalancer::Judge(const Pools& pools, std::size_t off, TimePoint now) {
+void PoolBalancer::NoteBurst(const PoolName& name, double mean, TimePoint now) {
+  PoolView& view = views_.at(name);
+  const double least = options_.burst_share * mean;
+  if (view.needed >= least) {
+    burst_since_.try_emplace(name, now);
+    last_burst_[name] = now;
+  } else if (view.needed < least / 2) {
+    burst_since_.erase(name);
+  }
+  const auto since = burst_since_.find(name);
+  view.burst = since != burst_since_.end();
+  if (!view.burst || now - since->second >= options_.surge_time)
+    return;
+  const double left =
+      1.0 - static_cast<double>((now - since->second).count()) /
+                static_cast<double>(options_.surge_time.count());
+  view.needed *= 1.0 + (options_.surge - 1.0) * left;
+}
+
+void PoolBalancer::Judge(const Pools& pools, std::size_t hosts, TimePoint now) {
   views_.clear();
   for (const auto& [host, open] : open_)
     ++views_[open.move.to].arriving;
-  for (const auto& [name, reserve] : Reserves(pools, off)) {
+  const auto serving =
+      std::count_if(pools.begin(), pools.end(),
+                    [](const auto& item) { return !item.second.standby; });
+  const double mean = static_cast<double>(hosts) /
+                      static_cast<double>(std::max<std::ptrdiff_t>(1, serving));
+  for (const auto& [name, reserve] : Reserves(pools, mean)) {
     const PoolDemand& pool = pools.at(name);
     PoolView& view = views_[name];
     view.hosts = pool.hosts;
     view.reserve = reserve;
     view.needed = NeededHosts(pool);
-    const auto needed = static_cast<std::int64_t>(std::ceil(view.needed));
-    view.wanted = std::max({view.reserve, pool.spread, needed});
-    if (needed > view.reserve)
-      last_burst_[name] = now;
+    NoteBurst(name, mean, now);
+    view.wanted = std::max({view.reserve, pool.spread,
+                            static_cast<std::int64_t>(std::ceil(view.needed))});
   }
 }
 
@@ -214,9 +231,14 @@
                              const Pools& pools,
                              Decision* decision) {
   for (const auto& [to, pool] : pools) {
-    if (pool.standby || pool.ready.HostsOf(pool.host) <= 0)
+    if (pool.standby)
       continue;
     const PoolView& view = views_.at(to);
+    // Without a burst the free room may well hold what has arrived.
+    if (!view.burst && !pool.lasting_waits &&
+        pool.ready.HostsOf(pool.host) <= 0) {
+      continue;
+    }
     std::int64_t missing = view.wanted - view.hosts - view.arriving;
     for (; missing > 0 && open_.size() < options_.max_open; --missing) {
       if (!off.empty()) {
@@ -260,16 +282,21 @@
 std::vector<HostMove> PoolBalancer::Decide(
     const jobs::JobLedger& ledger,
     const HostBook& hosts,
+    const AskWorker& usable,
     const std::set<jobs::WorkerLife>& held,
     const MayOrder& may_order,
     jobs::UnixMillis time_of_day,
     TimePoint now) {
   ForgetSettled(ledger, now);
-  const Pools pools =
-      MeasurePools(ledger, options_.demand, clearing_, held, time_of_day);
+  const Pools pools = MeasurePools(
+      ledger, options_.demand,
+      [&](const jobs::WorkerLife& life) {
+        return clearing_.count(life) == 0 && usable(life);
+      },
+      held, time_of_day);
   Decision decision{may_order, now, {}};
   const std::vector<HostName> off = HostsOff(pools, hosts, decision);
-  Judge(pools, off.size(), now);
+  Judge(pools, hosts.rows().size(), now);
   std::vector<const jobs::Worker*> spare = SpareHosts(pools, decision);
   FillPools(off, &spare, pools, &decision);
   const auto standby =
--- a/src/scheduler/pool_balancer.h
+++ b/src/scheduler/pool_balancer.h
@@ -24,7 +24,14 @@
   /// Share of the mean number of hosts of a serving pool that each keeps while
   /// its next burst may be near, and just after a burst.
   double reserve_share = 0.6;
-  double least_share = 0.6;
+  double least_share = 0.25;
+  /// A pool is in a burst while its demand asks for at least this share of the
+  /// mean number of hosts of a serving pool.
+  double burst_share = 0.5;
+  /// At the begin of a burst the demand counts so many times, less and less
+  /// until `surge_time`: it is still rising, and a host takes 1.7 s to come.
+  double surge = 3.0;
+  Millis surge_time{2'000};
   /// Hosts beyond what is wanted are switched off after this time; a move costs
   /// as much as 1.4 s of a host in a pool.
   Millis idle{1'500};
@@ -47,6 +54,7 @@
   std::int64_t arriving = 0;  ///< hosts on their way to the pool
   std::int64_t reserve = 0;   ///< hosts to keep without demand
   double needed = 0;          ///< hosts that the demand asks for
+  bool burst = false;         ///< the demand is far above what is usual
   std::int64_t wanted = 0;    ///< the larger of the two, whole
 };
 
@@ -71,11 +79,13 @@
                TimePoint at,
                TimePoint now);
 
+  /// \param usable whether a worker can take work.
   /// \param held hosts and workers that are reserved for something else.
   /// \returns the moves to order now. Their workers are in clearing().
   [[nodiscard]] std::vector<HostMove> Decide(
       const jobs::JobLedger& ledger,
       const HostBook& hosts,
+      const AskWorker& usable,
       const std::set<jobs::WorkerLife>& held,
       const MayOrder& may_order,
       jobs::UnixMillis time_of_day,
@@ -112,10 +122,11 @@
   };
   struct Decision;
 
-  void Judge(const Pools& pools, std::size_t off, TimePoint now);
-  [[nodiscard]] std::map<PoolName, std::int64_t> Reserves(
-      const Pools& pools,
-      std::size_t off) const;
+  void Judge(const Pools& pools, std::size_t hosts, TimePoint now);
+  [[nodiscard]] std::map<PoolName, std::int64_t> Reserves(const Pools& pools,
+                                                          double mean) const;
+  /// \brief Follows the begin and end of a pool's burst.
+  void NoteBurst(const PoolName& name, double mean, TimePoint now);
   [[nodiscard]] double NeededHosts(const PoolDemand& pool) const;
   [[nodiscard]] std::vector<HostName> HostsOff(const Pools& pools,
                                                const HostBook& hosts,
@@ -140,6 +151,7 @@
   std::map<HostName, TimePoint> refused_until_;
   std::map<jobs::WorkerLife, TimePoint> idle_since_;
   std::set<jobs::WorkerLife> clearing_;
+  std::map<PoolName, TimePoint> burst_since_;  ///< of the open bursts
   std::map<PoolName, TimePoint> last_burst_;
   std::map<PoolName, PoolView> views_;
 };
--- a/src/scheduler/pool_demand.cc
+++ b/src/scheduler/pool_demand.cc
@@ -17,7 +17,7 @@
 }
 
 void AddWorkers(const jobs::JobLedger& ledger,
-                const std::set<jobs::WorkerLife>& clearing,
+                const AskWorker& usable,
                 const std::set<jobs::WorkerLife>& held,
                 std::map<PoolName, PoolDemand>* pools) {
   for (const auto& [life, worker] : ledger.workers()) {
@@ -28,7 +28,7 @@
     Load size;
     size.Add(worker.note.capacity, 1);
     pool.host = pool.host.Max(size);
-    if (clearing.count(life) > 0)
+    if (!usable(life))
       continue;
     pool.capacity += size;
     pool.used.Add(worker.used, 1);
@@ -81,6 +81,8 @@
     const Resources room = jobs::JobLedger::RoomOf(spec);
     if (spec.long_running) {
       pool->lasting.Add(room, static_cast<double>(spec.tasks));
+      pool->lasting_waits =
+          pool->lasting_waits || (ready && step.waiting() > 0);
       return;
     }
     const double work_ms =
@@ -140,13 +142,13 @@
 std::map<PoolName, PoolDemand> MeasurePools(
     const jobs::JobLedger& ledger,
     const PoolDemandOptions& options,
-    const std::set<jobs::WorkerLife>& clearing,
+    const AskWorker& usable,
     const std::set<jobs::WorkerLife>& held,
     jobs::UnixMillis time_of_day) {
   std::map<PoolName, PoolDemand> pools;
   for (const auto& [name, rule] : ledger.rules().pools)
     pools[name].standby = rule.standby;
-  AddWorkers(ledger, clearing, held, &pools);
+  AddWorkers(ledger, usable, held, &pools);
   for (const jobs::JobId& id : ledger.active()) {
     const jobs::Job* job = ledger.FindJob(id);
     const jobs::QueueRule* queue = ledger.rules().FindQueue(job->queue);
--- a/src/scheduler/pool_demand.h
+++ b/src/scheduler/pool_demand.h
@@ -2,6 +2,7 @@
 #define BORAGEWINCH_SCHEDULER_POOL_DEMAND_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <vector>
@@ -29,16 +30,17 @@
 
 /// \brief What a pool has and what its queues ask of it.
 struct PoolDemand {
-  bool standby = false;     ///< its hosts are off
-  std::int64_t hosts = 0;   ///< with a worker that is not about to leave
-  Load host;                ///< the largest worker
-  Load capacity;            ///< of these hosts
-  Load used;                ///< of it by runs
-  Load lasting;             ///< by long-running tasks, started or not
-  Load arriving;            ///< needed for what arrives, as in the window
-  Load ready;               ///< needed to run what waits, within the target
-  Load blocked;             ///< needed later by steps that wait for others
-  std::int64_t spread = 0;  ///< hosts that limits per worker ask for
+  bool standby = false;        ///< its hosts are off
+  std::int64_t hosts = 0;      ///< with a worker that can take work
+  Load host;                   ///< the largest worker
+  Load capacity;               ///< of these hosts
+  Load used;                   ///< of it by runs
+  Load lasting;                ///< by long-running tasks, started or not
+  Load arriving;               ///< needed for what arrives, as in the window
+  Load ready;                  ///< needed to run what waits, within the target
+  Load blocked;                ///< needed later by steps that wait for others
+  std::int64_t spread = 0;     ///< hosts that limits per worker ask for
+  bool lasting_waits = false;  ///< a long-running task is not at work
   std::vector<const jobs::Worker*> empty;  ///< without runs, may be moved
 };
 
@@ -51,13 +53,17 @@
   Millis backlog_target{1'000};
 };
 
-/// \param clearing workers whose host moves: no capacity.
+/// \brief Tells of a worker what the ledger does not know.
+using AskWorker = std::function<bool(const jobs::WorkerLife&)>;
+
+/// \param usable whether the worker can take work: not if it is silent or its
+/// host is about to move.
 /// \param held workers that are reserved for something else: not empty.
 /// \returns the demand of each pool of the rules.
 [[nodiscard]] std::map<PoolName, PoolDemand> MeasurePools(
     const jobs::JobLedger& ledger,
     const PoolDemandOptions& options,
-    const std::set<jobs::WorkerLife>& clearing,
+    const AskWorker& usable,
     const std::set<jobs::WorkerLife>& held,
     jobs::UnixMillis time_of_day);
 
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -62,6 +62,9 @@
       options_.links, metrics_);
   hosts_ = std::make_unique<HostKeeper>(
       *loop_, *replica_, ports_.host_calls(*client_),
+      [this](const jobs::WorkerLife& life) {
+        return fleet_->IsPresent(life, loop_->now());
+      },
       [this](const jobs::WorkerLife& life, const char* why) {
         fleet_->NoteDeparture(life, why);
       },
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -23,12 +23,14 @@
   Resources free;
   std::int64_t lasting = 0;  ///< long-running tasks on it
   bool occupied = false;
+  bool kept = false;  ///< its free room is kept for a task that waits for it
 };
 
 struct Candidate {
   const jobs::Job* job = nullptr;
   const jobs::QueueRule* queue = nullptr;
   std::uint32_t occurrence = 0;
+  bool lasting = false;  ///< a long-running task waits
   bool late = false;
   jobs::UnixMillis deadline = 0;
 };
@@ -70,9 +72,14 @@
       if (queue == nullptr)
         continue;
       for (const auto& [number, occurrence] : job->occurrences) {
-        const bool waits =
-            std::any_of(occurrence.steps.begin(), occurrence.steps.end(),
-                        [](const jobs::Step& s) { return s.waiting() > 0; });
+        bool waits = false;
+        bool lasting = false;
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+          const bool has_waiting = occurrence.steps[s].waiting() > 0;
+          waits = waits || has_waiting;
+          lasting =
+              lasting || (has_waiting && job->spec->steps[s].long_running);
+        }
         if (!waits)
           continue;
         const jobs::UnixMillis from =
@@ -82,15 +89,20 @@
             options_.chain_margin *
             static_cast<double>(RemainingChain(*job, occurrence).count());
         const bool late = now_ + static_cast<jobs::UnixMillis>(left) > deadline;
-        candidates.push_back({job, queue, number, late, deadline});
+        candidates.push_back({job, queue, number, lasting, late, deadline});
       }
     }
-    std::sort(
-        candidates.begin(), candidates.end(),
-        [](const Candidate& a, const Candidate& b) {
-          return std::tie(a.queue->priority, a.late, a.deadline, a.job->id) <
-                 std::tie(b.queue->priority, b.late, b.deadline, b.job->id);
-        });
+    std::sort(candidates.begin(), candidates.end(),
+              [](const Candidate& a, const Candidate& b) {
+                // A long-running task serves its users only while it is at
+                // work.
+                const bool a_after = !a.lasting;
+                const bool b_after = !b.lasting;
+                return std::tie(a_after, a.queue->priority, a.late, a.deadline,
+                                a.job->id) < std::tie(b_after,
+                                                      b.queue->priority, b.late,
+                                                      b.deadline, b.job->id);
+              });
     return candidates;
   }
 
@@ -134,14 +146,50 @@
         return;
       const jobs::TaskName name{job.id, candidate.occurrence, s, i};
       Seat* seat = Choose(candidate, name, seats, per_worker);
-      if (seat == nullptr)
+      if (seat == nullptr) {
+        if (spec.long_running)
+          KeepRoom(spec, seats, per_worker);
         return;
+      }
       Take(job, spec, seat);
       ++per_worker[seat->worker->note.life];
       starts_.push_back({{name, task.last_run + 1}, seat->worker->note.life});
     }
   }
 
+  // In a full pool each end frees less room than a large task needs, and small
+  // ones would take it at once: the worker with the most free room is kept.
+  static void KeepRoom(
+      const jobs::StepSpec& spec,
+      std::vector<Seat>* seats,
+      const std::map<jobs::WorkerLife, std::int64_t>& per_worker) {
+    Seat* best = nullptr;
+    for (Seat& seat : *seats) {
+      if (seat.kept || !MayHold(spec, seat, per_worker) ||
+          !jobs::JobLedger::RoomOf(spec).FitsInto(seat.worker->note.capacity)) {
+        continue;
+      }
+      if (best == nullptr || seat.free.cpu_millis > best->free.cpu_millis)
+        best = &seat;
+    }
+    if (best != nullptr)
+      best->kept = true;
+  }
+
+  /// \returns whether the worker has the step's label and fewer of its tasks
+  /// than it allows.
+  [[nodiscard]] static bool MayHold(
+      const jobs::StepSpec& spec,
+      const Seat& seat,
+      const std::map<jobs::WorkerLife, std::int64_t>& per_worker) {
+    if (!HasLabel(seat.worker->note, spec.required_label))
+      return false;
+    if (spec.max_per_worker == 0)
+      return true;
+    const auto count = per_worker.find(seat.worker->note.life);
+    return count == per_worker.end() || count->second < spec.max_per_worker;
+  }
+
   // A gang is started whole or not at all: a member without the others only
   // holds room.
   void PlaceGang(const Candidate& candidate,
@@ -213,10 +261,10 @@
     return place->second;
   }
 
-  // Long-running tasks share few hosts, and other tasks go beside them first:
-  // hosts without runs can follow the demand or be switched off. Among equals
-  // the worker with the most free processor time is taken. A step whose data
-  // belongs to a rack takes that rack first.
+  // Workers are filled one after the other, the ones with long-running tasks
+  // first: hosts without runs can follow the demand or be switched off, and
+  // large tasks find room. A step whose data belongs to a rack takes that rack
+  // first.
   [[nodiscard]] Seat* Choose(
       const Candidate& candidate,
       const jobs::TaskName& task,
@@ -228,20 +276,17 @@
     std::tuple<bool, std::int64_t, bool, std::int64_t, std::int64_t> best_rank;
     for (Seat& seat : *seats) {
       const jobs::WorkerNote& note = seat.worker->note;
-      if (!need.FitsInto(seat.free) || !HasLabel(note, spec.required_label))
+      if (seat.kept || !need.FitsInto(seat.free) ||
+          !MayHold(spec, seat, per_worker)) {
         continue;
+      }
       if (candidate.queue->advised && !is_advised_(task, note.life))
         continue;
-      if (spec.max_per_worker > 0) {
-        const auto count = per_worker.find(note.life);
-        if (count != per_worker.end() && count->second >= spec.max_per_worker)
-          continue;
-      }
       const bool near = spec.data_rack.empty() || spec.data_rack == note.rack;
       const std::int64_t company =
           spec.long_running && !spec.fills ? seat.lasting : 0;
-      const std::tuple rank(near, company, seat.occupied, seat.free.cpu_millis,
-                            seat.free.memory_mb);
+      const std::tuple rank(near, company, seat.occupied, -seat.free.cpu_millis,
+                            -seat.free.memory_mb);
       if (best == nullptr || rank > best_rank) {
         best = &seat;
         best_rank = rank;
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -110,6 +110,12 @@
          health_.Allows(HealthName(life), now);
 }
 
+bool WorkerFleet::IsPresent(const jobs::WorkerLife& life, TimePoint now) const {
+  const WorkerLink* link = Find(life);
+  return link != nullptr &&
+         (now - acts_since_ <= options_.silence || link->Heard(now));
+}
+
 void WorkerFleet::Stop(const jobs::RunName& run,
                        const jobs::WorkerLife& life,
                        const char* reason) {
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -41,6 +41,10 @@
   /// \returns whether new work may go to the worker.
   [[nodiscard]] bool MayStartOn(const jobs::WorkerLife& life,
                                 TimePoint now) const;
+  /// \returns whether the worker counts as capacity: it has answered lately, or
+  /// this leader has not yet had the time to hear of it.
+  [[nodiscard]] bool IsPresent(const jobs::WorkerLife& life,
+                               TimePoint now) const;
   /// \brief Stops a run that may be at work. Repeated calls have no effect.
   void Stop(const jobs::RunName& run,
             const jobs::WorkerLife& life,
--- a/src/scheduler/worker_link.cc
+++ b/src/scheduler/worker_link.cc
@@ -285,7 +285,14 @@
 }
 
 bool WorkerLink::Reachable(TimePoint now) const {
-  return clock_ms_ && !silent_ && now - clock_at_ <= options_.silence;
+  if (silent_ || !Heard(now))
+    return false;
+  return std::none_of(tracks_.begin(), tracks_.end(), [&](const auto& item) {
+    const RunTrack& track = item.second;
+    return track.phase == RunPhase::kOrdered && track.starts_sent > 0 &&
+           clock_at_ < track.since &&
+           now - track.since >= options_.unanswered_start;
+  });
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/worker_link.h
+++ b/src/scheduler/worker_link.h
@@ -23,6 +23,9 @@
   /// A worker that has not answered for this long gets no new work. A waiting
   /// call is answered after kHoldWait at the latest.
   Millis silence{1'700};
+  /// A worker that has left a start without an answer for this long gets no
+  /// new work until it answers: answers take some 5 ms.
+  Millis unanswered_start{200};
   /// Time for which a hold call waits for an end.
   Millis hold_wait{1'000};
   /// Pause after an answer with ends, so that one call brings several.
@@ -119,6 +122,10 @@
   [[nodiscard]] std::vector<jobs::RunName> StopsDue(TimePoint now) const;
   /// \returns whether new work may go to the worker.
   [[nodiscard]] bool Reachable(TimePoint now) const;
+  /// \returns whether the worker has answered within options.silence.
+  [[nodiscard]] bool Heard(TimePoint now) const {
+    return clock_ms_ && now - clock_at_ <= options_.silence;
+  }
   /// \returns whether the worker has answered this leader.
   [[nodiscard]] bool heard() const noexcept { return clock_ms_.has_value(); }
   [[nodiscard]] const std::map<jobs::RunName, RunTrack>& tracks()
--- a/tests/host_decisions_test.cc
+++ b/tests/host_decisions_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE host_decisions
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+
 #include "ledger_builder.h"
 #include "scheduler/pool_balancer.h"
 #include "scheduler/wave_keeper.h"
@@ -62,19 +64,54 @@
 struct Balance : HostWorld {
   std::vector<HostMove> Decide(std::int64_t millis) {
     return balancer.Decide(
-        builder.ledger(), book, {}, [](const HostName&) { return true; },
-        1'000 + millis, At(millis));
+        builder.ledger(), book,
+        [&](const jobs::WorkerLife& life) {
+          return silent.count(life.id.str()) == 0;
+        },
+        {}, [](const HostName&) { return true; }, 1'000 + millis, At(millis));
   }
   /// A spike: jobs of 8 tasks of 1 s on 4 cores each, 32 core seconds a job.
-  void Spike(int count) {
+  void Spike(int count, const std::string& name = "job") {
     for (int i = 0; i < count; ++i)
-      builder.Submit("job" + std::to_string(i),
+      builder.Submit(name + std::to_string(i),
                      {LedgerBuilder::Tasks(8, 4'000)});
   }
 
+  std::set<std::string> silent;  ///< workers that do not answer
   PoolBalancer balancer{PoolBalancerOptions{}};
 };
 
+// Guards against a long-running task that never starts because its pool has
+// fewer hosts than its limit per worker asks for: with nothing else waiting, no
+// host was brought for 20 s.
+BOOST_FIXTURE_TEST_CASE(ALongRunningTaskThatWaitsBringsHosts, Balance) {
+  jobs::StepSpec lasting = LedgerBuilder::Tasks(6);
+  lasting.long_running = true;
+  lasting.max_per_worker = 1;
+  builder.Submit("lasting", {lasting});
+  for (std::uint32_t i = 0; i < 4; ++i)
+    builder.Start(LedgerBuilder::Run("lasting", 0, i),
+                  "w-p" + std::to_string(i));
+  List(0);
+  const auto moves = Decide(50);
+  BOOST_REQUIRE(moves.size() == 2U);
+  BOOST_TEST(moves[0].to.str() == "p");
+  BOOST_TEST(moves[1].to.str() == "p");
+}
+
+// Guards against workers that have gone dark and count as capacity, so that
+// work waits until they are heard of again.
+BOOST_FIXTURE_TEST_CASE(SilentWorkersAreReplaced, Balance) {
+  List(0);
+  builder.Submit("job", {LedgerBuilder::Tasks(2, 16'000)});
+  // The work arrived a while ago; the reserve of three hosts holds it.
+  BOOST_TEST(Decide(1'800).empty());
+  silent = {"w-p0", "w-p1", "w-p2"};
+  const auto moves = Decide(1'900);
+  BOOST_REQUIRE(moves.size() == 2U);
+  BOOST_TEST(moves[0].to.str() == "p");
+}
+
 // Guards against a pool that stays too small while others idle: the spike of
 // one queue beyond what its pool holds.
 BOOST_FIXTURE_TEST_CASE(ASpikeBringsHosts, Balance) {
@@ -93,6 +130,53 @@
   BOOST_TEST(moves.size() - from_standby <= 1U);
 }
 
+/// Replays the begin of a burst: jobs of 32 core seconds, `per_second` of them.
+/// \returns the hosts that are ordered in the first `millis`.
+[[nodiscard]] std::size_t OrderedAtTheBegin(Balance* world,
+                                            int per_second,
+                                            std::int64_t millis) {
+  std::size_t ordered = 0;
+  const std::int64_t gap = 1'000 / per_second;
+  int jobs = 0;
+  for (std::int64_t at = 0; at <= millis; at += 100) {
+    world->builder.At(1'000 + at);
+    for (; jobs * gap <= at; ++jobs)
+      world->Spike(1, "burst" + std::to_string(jobs));
+    world->List(at);
+    ordered += world->Decide(at).size();
+  }
+  return ordered;
+}
+
+// Guards against hosts that follow a burst step by step: a burst of 8 s whose
+// demand rises for 2 s had its last host 5 s after its begin.
+BOOST_FIXTURE_TEST_CASE(TheBeginOfABurstBringsHostsForItsPeak, Balance) {
+  for (int i = 0; i < 20; ++i) {
+    rows.push_back({HostName("spare" + std::to_string(i)),
+                    PoolName("off"),
+                    HostState::kUp,
+                    {}});
+  }
+  // Five jobs a second ask for ten hosts; four are there.
+  BOOST_TEST(OrderedAtTheBegin(this, 5, 500) >= 6U);
+}
+
+// Guards against hosts that are kept for a pool whose burst is just over, while
+// the next pool in turn has too few.
+BOOST_FIXTURE_TEST_CASE(TheReserveFollowsTheTurns, Balance) {
+  for (int i = 0; i < 8; ++i)
+    AddHost("extra" + std::to_string(i), "p");
+  List(0);
+  BOOST_TEST(Decide(0).empty());
+  BOOST_TEST(balancer.views().at(PoolName("p")).reserve ==
+             balancer.views().at(PoolName("idle")).reserve);
+  Spike(9);
+  (void)Decide(100);
+  (void)Decide(200);
+  BOOST_TEST(balancer.views().at(PoolName("p")).reserve <
+             balancer.views().at(PoolName("idle")).reserve);
+}
+
 // Guards against a host that is moved twice before its new worker is there.
 BOOST_FIXTURE_TEST_CASE(AMoveUnderWayIsNotOrderedAgain, Balance) {
   List(0);
--- a/tests/task_planner_test.cc
+++ b/tests/task_planner_test.cc
@@ -137,6 +137,55 @@
   BOOST_TEST(by_worker.size() == 2U);
 }
 
+// Guards against a burst whose tasks spread over all hosts, so that none of
+// them becomes empty when it ebbs and can follow the demand of another pool.
+BOOST_AUTO_TEST_CASE(TasksOfABurstFillHostsOneAfterTheOther) {
+  LedgerBuilder builder;
+  for (const char* worker : {"a", "b", "c", "d"})
+    builder.AddWorker(worker, {4'000, 32'000, 0});
+  builder.Submit("first", {LedgerBuilder::Tasks(3)});
+  builder.Submit("second", {LedgerBuilder::Tasks(4)});
+  std::map<std::string, int> by_worker;
+  for (const auto& start : PlanAll(builder, 1'000))
+    ++by_worker[start.worker.id.str()];
+  BOOST_TEST(by_worker.size() == 2U);
+}
+
+// Guards against a long-running task that stays away while its pool is full:
+// one that a wave had stopped waited 10 s behind a burst of short jobs, each of
+// which had an objective that it could still meet.
+BOOST_AUTO_TEST_CASE(ALongRunningTaskComesBeforeABurst) {
+  jobs::StepSpec lasting = LedgerBuilder::Tasks(1, 1'500);
+  lasting.long_running = true;
+  lasting.estimate = Millis(0);
+  LedgerBuilder builder;
+  builder.AddWorker("w", {2'000, 32'000, 0});
+  builder.At(1'000).Submit("lasting", {lasting});
+  builder.At(9'000).Submit("burst", {LedgerBuilder::Tasks(4, 500)});
+  const auto counts = CountByJob(PlanAll(builder, 9'100));
+  BOOST_TEST(counts.at("lasting") == 1);
+  BOOST_TEST(counts.at("burst") == 1);
+}
+
+// Guards against small tasks that take each bit of room as it becomes free, so
+// that a long-running task which needs more never starts.
+BOOST_AUTO_TEST_CASE(RoomIsKeptForALongRunningTask) {
+  jobs::StepSpec lasting = LedgerBuilder::Tasks(1, 1'500);
+  lasting.long_running = true;
+  LedgerBuilder builder;
+  builder.AddWorker("a", {2'000, 32'000, 0})
+      .AddWorker("b", {2'000, 32'000, 0})
+      .Submit("old", {LedgerBuilder::Tasks(5, 500)});
+  for (std::uint32_t i = 0; i < 5; ++i)
+    builder.Start(LedgerBuilder::Run("old", 0, i), i < 2 ? "a" : "b");
+  builder.Submit("lasting", {lasting})
+      .Submit("burst", {LedgerBuilder::Tasks(4, 500)});
+  // "a" has 1,000 free and is kept; only "b" with 500 takes a short task.
+  const auto starts = PlanAll(builder, 1'100);
+  BOOST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts[0].worker.id.str() == "b");
+}
+
 // Guards against the oldest job waiting behind later ones that have time.
 BOOST_AUTO_TEST_CASE(TheEarlierObjectiveGoesFirst) {
   LedgerBuilder builder;
--- a/tests/worker_link_test.cc
+++ b/tests/worker_link_test.cc
@@ -171,5 +171,17 @@
   BOOST_TEST(!link.Reachable(At(200)));
 }
 
+// Guards against work for a worker that has gone dark: the waiting list call
+// shows it after a second and more, a start that is not answered after 200 ms.
+BOOST_FIXTURE_TEST_CASE(AnUnansweredStartHoldsFurtherOnesBack, Fixture) {
+  (void)List(0, 5, {});
+  link.OnStartSent(kRun, At(10));
+  BOOST_TEST(link.Reachable(At(150)));
+  BOOST_TEST(!link.Reachable(At(210)));
+  // Any later answer shows that the worker is there; the order may be late.
+  (void)List(20, 220, {});
+  BOOST_TEST(link.Reachable(At(230)));
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
