Give failing and slow workers one try at a time; failed tasks go elsewhere

Cause: a worker that fails what it starts always has room, so it got the tasks of a whole plan, and a task could fail as often as it may on one sick worker. Slow workers and those on which tasks stand still counted as sound, since only failures were judged. A lost answer to a start cost 1.2 s.

Change: a worker that stands out gets one task a second until one ends well; a task is not started where it has failed while others have room; a run that takes over four times as long as its queue's runs counts against its worker (learned ratio of duration and estimate, run_durations), and on a worker that is set aside it is stopped to run elsewhere; orders are sent again after 0.5 s. The time-outs of worker calls move from the adapter into WorkerLinkOptions.

Tests: AWorkerOnProbationGetsOneTask, AFailedTaskGoesToAnotherWorker, run_durations_test.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -125,6 +125,9 @@
      "A run is to be stopped, with the reason."},
     {EventId::kRunStopOrdered, kInfo, "run_stop_ordered",
      "A stop of a run is sent to its worker."},
+    {EventId::kRunSlow, kInfo, "run_slow",
+     "A run takes far longer than runs of its queue do; it counts against its "
+     "worker."},
     {EventId::kInvariantViolated, kError, "invariant_violated",
      "An internal check failed; the action was refused. Report this."},
 };
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -72,6 +72,7 @@
   kRunStray = 7004,
   kRunStopDecided = 7005,
   kRunStopOrdered = 7006,
+  kRunSlow = 7007,
   kInvariantViolated = 9001,
 };
 
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -130,15 +130,18 @@
   const jobs::UnixMillis time_of_day = loop_->unix_millis();
   OpenDue(batch, time_of_day);
   const std::set<jobs::WorkerLife> reserved = hosts_->Reserved();
-  batch->starts = planner_.Plan(
-      replica_->ledger(),
-      [&](const jobs::WorkerLife& life) {
-        return reserved.count(life) == 0 && fleet_->MayStartOn(life, now);
-      },
-      [&](const jobs::TaskName& task, const jobs::WorkerLife& life) {
-        return advice_->TicketFor(task, life.id, now).has_value();
-      },
-      time_of_day);
+  PlannerHooks hooks;
+  hooks.allowance = [&](const jobs::WorkerLife& life) -> std::size_t {
+    return reserved.count(life) > 0 ? 0 : fleet_->AllowanceOf(life, now);
+  };
+  hooks.is_advised = [&](const jobs::TaskName& task,
+                         const jobs::WorkerLife& life) {
+    return advice_->TicketFor(task, life.id, now).has_value();
+  };
+  hooks.avoids = [&](const jobs::TaskName& task, const jobs::WorkerLife& life) {
+    return fleet_->HasFailedOn(task, life);
+  };
+  batch->starts = planner_.Plan(replica_->ledger(), hooks, time_of_day);
 }
 
 void SchedulerService::OpenDue(jobs::Batch* batch, jobs::UnixMillis now) const {
@@ -158,7 +161,7 @@
   const auto questions = advice_->Decide(
       replica_->ledger(),
       [&](const jobs::WorkerLife& life) {
-        return fleet_->MayStartOn(life, now);
+        return fleet_->AllowanceOf(life, now) > 0;
       },
       now);
   for (const AdviceBook::Question& question : questions) {
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -21,7 +21,8 @@
 struct Seat {
   const jobs::Worker* worker = nullptr;
   Resources free;
-  std::int64_t lasting = 0;  ///< long-running tasks on it
+  std::size_t allowance = 0;  ///< tasks that may start on it now
+  std::int64_t lasting = 0;   ///< long-running tasks on it
   bool occupied = false;
   bool kept = false;  ///< its free room is kept for a task that waits for it
 };
@@ -40,17 +41,19 @@
  public:
   PlanRun(const jobs::JobLedger& ledger,
           const TaskPlannerOptions& options,
-          const MayStart& may_start,
-          const IsAdvised& is_advised,
+          const PlannerHooks& hooks,
           jobs::UnixMillis now)
-      : ledger_(ledger), options_(options), is_advised_(is_advised), now_(now) {
+      : ledger_(ledger), options_(options), hooks_(hooks), now_(now) {
     for (const auto& [life, worker] : ledger.workers()) {
-      if (worker.note.draining || !may_start(life))
+      const std::size_t allowance =
+          worker.note.draining ? 0 : hooks.allowance(life);
+      if (allowance == 0)
         continue;
       Resources free = worker.note.capacity;
       free -= worker.used;
-      seats_[worker.note.pool].push_back(
-          {&worker, free, CountLasting(worker), !worker.runs.empty()});
+      seats_[worker.note.pool].push_back({&worker, free, allowance,
+                                          CountLasting(worker),
+                                          !worker.runs.empty()});
     }
   }
 
@@ -276,11 +279,13 @@
     std::tuple<bool, std::int64_t, bool, std::int64_t, std::int64_t> best_rank;
     for (Seat& seat : *seats) {
       const jobs::WorkerNote& note = seat.worker->note;
-      if (seat.kept || !need.FitsInto(seat.free) ||
+      if (seat.kept || seat.allowance == 0 || !need.FitsInto(seat.free) ||
           !MayHold(spec, seat, per_worker)) {
         continue;
       }
-      if (candidate.queue->advised && !is_advised_(task, note.life))
+      if (candidate.queue->advised && !hooks_.is_advised(task, note.life))
+        continue;
+      if (seats->size() > 1 && hooks_.avoids(task, note.life))
         continue;
       const bool near = spec.data_rack.empty() || spec.data_rack == note.rack;
       const std::int64_t company =
@@ -305,12 +310,13 @@
     seat->free -= jobs::JobLedger::RoomOf(spec);
     seat->lasting += spec.long_running ? 1 : 0;
     seat->occupied = true;
+    --seat->allowance;
     Usage(job.customer) += spec.request;
   }
 
   const jobs::JobLedger& ledger_;
   const TaskPlannerOptions& options_;
-  const IsAdvised& is_advised_;
+  const PlannerHooks& hooks_;
   jobs::UnixMillis now_;
   std::map<PoolName, std::vector<Seat>> seats_;
   std::map<CustomerName, Resources> usage_;
@@ -358,10 +364,9 @@
 }
 
 std::vector<jobs::StartNote> TaskPlanner::Plan(const jobs::JobLedger& ledger,
-                                               const MayStart& may_start,
-                                               const IsAdvised& is_advised,
+                                               const PlannerHooks& hooks,
                                                jobs::UnixMillis now) const {
-  return PlanRun(ledger, options_, may_start, is_advised, now).Make();
+  return PlanRun(ledger, options_, hooks, now).Make();
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -17,11 +17,17 @@
   double chain_margin = 1.0;
 };
 
-/// \brief What the planner asks about a worker.
-using MayStart = std::function<bool(const jobs::WorkerLife&)>;
-/// \brief Whether a task of a queue with advice may run on a worker now.
-using IsAdvised =
-    std::function<bool(const jobs::TaskName&, const jobs::WorkerLife&)>;
+/// \brief What the planner asks about workers.
+struct PlannerHooks {
+  /// \returns how many tasks may start on the worker now: none on a silent one,
+  /// one on a worker that has failed lately.
+  std::function<std::size_t(const jobs::WorkerLife&)> allowance;
+  /// Whether a task of a queue with advice may run on the worker now.
+  std::function<bool(const jobs::TaskName&, const jobs::WorkerLife&)>
+      is_advised;
+  /// Whether the task has failed on the worker.
+  std::function<bool(const jobs::TaskName&, const jobs::WorkerLife&)> avoids;
+};
 
 /// \returns the time by which callers expect the job: `stretch` times its
 /// longest chain of estimates and the target latency of its queue.
@@ -44,8 +50,7 @@
   /// \returns the starts to store now, within room, labels, limits per worker
   /// and the customers' limits.
   [[nodiscard]] std::vector<jobs::StartNote> Plan(const jobs::JobLedger& ledger,
-                                                  const MayStart& may_start,
-                                                  const IsAdvised& is_advised,
+                                                  const PlannerHooks& hooks,
                                                   jobs::UnixMillis now) const;
 
  private:
--- a/src/scheduler/worker_calls.h
+++ b/src/scheduler/worker_calls.h
@@ -22,12 +22,14 @@
   std::string ticket;       ///< of the advice service, if the queue needs one
   std::uint64_t token = 0;  ///< fencing token
   std::int64_t lease_until_ms = 0;  ///< on the worker's clock
+  Millis timeout{0};
 };
 
 /// \brief Order to stop a run, and to refuse it if it comes later.
 struct StopCall {
   jobs::RunName run;
   std::uint64_t token = 0;
+  Millis timeout{0};
 };
 
 /// \brief Asks for the runs and ends of a worker and renews its lease.
@@ -36,7 +38,8 @@
   std::int64_t ends_noted = 0;  ///< ends up to this number are stored
   /// On the worker's clock; nothing while that is unknown.
   std::optional<std::int64_t> lease_until_ms;
-  Millis wait{0};  ///< the answer waits so long for an end
+  Millis wait{0};     ///< the answer waits so long for an end
+  Millis timeout{0};  ///< beyond `wait`
 };
 
 /// \brief Order to let a task work at a share of its speed.
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -1,5 +1,6 @@
 #include "scheduler/worker_fleet.h"
 
+#include <limits>
 #include <utility>
 
 #include "base/event_log.h"
@@ -13,7 +14,7 @@
 [[nodiscard]] WorkerHealthConfig HealthConfig() {
   WorkerHealthConfig config;
   config.half_life = Millis(5'000);
-  config.min_failures = 3;
+  config.min_failures = 2;
   config.pool_factor = 3;
   config.try_interval = Millis(1'000);
   config.first_aside = Millis(4'000);
@@ -97,17 +98,30 @@
       SendStart(*worker, run);
     if (link.HoldDue(now))
       SendHold(*worker, &link, now);
+    JudgeOpenRuns(*worker, &link, now);
     for (jobs::EndNote& end : link.Lapse(*worker, now))
       ends.push_back(std::move(end));
   }
   NoteEnds(std::move(ends), now);
 }
 
-bool WorkerFleet::MayStartOn(const jobs::WorkerLife& life,
-                             TimePoint now) const {
+std::size_t WorkerFleet::AllowanceOf(const jobs::WorkerLife& life,
+                                     TimePoint now) const {
   const WorkerLink* link = Find(life);
-  return link != nullptr && link->Reachable(now) &&
-         health_.Allows(HealthName(life), now);
+  const HostName name = HealthName(life);
+  if (link == nullptr || !link->Reachable(now) || !health_.Allows(name, now))
+    return 0;
+  // A worker that fails what it starts always has room: without a bound it
+  // would get all tasks of a burst.
+  return health_.State(name, now) == HealthState::kNormal
+             ? std::numeric_limits<std::size_t>::max()
+             : 1;
+}
+
+bool WorkerFleet::HasFailedOn(const jobs::TaskName& task,
+                              const jobs::WorkerLife& life) const {
+  const auto found = failed_on_.find(task);
+  return found != failed_on_.end() && found->second.count(life) > 0;
 }
 
 bool WorkerFleet::IsPresent(const jobs::WorkerLife& life, TimePoint now) const {
@@ -157,9 +171,11 @@
   call.ticket = ticket_of_(run.task, life.id);
   call.token = replica_.term();
   call.lease_until_ms = *lease;
+  call.timeout = options_.order_timeout;
   link->OnGrant(*lease);
   const TimePoint now = loop_.now();
   link->OnStartSent(run, now);
+  health_.OnTried(HealthName(life), now);
   LogEvent(EventId::kRunOrdered, {{"run", run.task.Text()},
                                   {"number", std::to_string(run.number)},
                                   {"worker", life.Text()},
@@ -208,7 +224,7 @@
   LogEvent(EventId::kRunStopOrdered, {{"run", run.task.Text()},
                                       {"number", std::to_string(run.number)},
                                       {"worker", life.Text()}});
-  calls_.stop(worker.note, {run, replica_.term()},
+  calls_.stop(worker.note, {run, replica_.term(), options_.order_timeout},
               [this, life, run, era = era_](const Result<CallAnswer>& answer) {
                 if (era != era_)
                   return;
@@ -223,6 +239,7 @@
   HoldCall call;
   call.token = replica_.term();
   call.ends_noted = worker.ends_noted;
+  call.timeout = options_.hold_timeout;
   call.lease_until_ms = link->LeaseUntil();
   if (call.lease_until_ms) {
     link->OnGrant(*call.lease_until_ms);
@@ -269,15 +286,13 @@
     LogEvent(EventId::kRunStray, {{"run", run.task.Text()},
                                   {"number", std::to_string(run.number)},
                                   {"worker", life.Text()}});
-    calls_.stop(worker->note, {run, replica_.term()},
+    calls_.stop(worker->note, {run, replica_.term(), options_.order_timeout},
                 [](const Result<CallAnswer>&) {
                   // The next list shows whether the run is still there.
                 });
   }
-  for (const jobs::EndNote& end : ends) {
-    if (end.how == jobs::RunEnd::kDone || end.how == jobs::RunEnd::kFailed)
-      NoteHealth(*worker, end.how == jobs::RunEnd::kDone, now);
-  }
+  for (const jobs::EndNote& end : ends)
+    JudgeEnd(*worker, *link, end, now);
   if (!ends.empty())
     NoteEnds(std::move(ends), now);
   if (first)
@@ -325,6 +340,71 @@
       });
 }
 
+Millis WorkerFleet::SlowAfter(const jobs::RunName& run) const {
+  const jobs::Job* job = replica_.ledger().FindJob(run.task.job);
+  if (job == nullptr || !job->spec)
+    return Millis::max();
+  const jobs::StepSpec& step = job->spec->steps[run.task.step];
+  // Members of a gang wait for each other, and data on another rack slows a
+  // task down: neither is the worker's doing.
+  if (step.long_running || step.gang || step.fills || !step.data_rack.empty())
+    return Millis::max();
+  return durations_.SlowAfter(job->queue, step.estimate);
+}
+
+void WorkerFleet::JudgeEnd(const jobs::Worker& worker,
+                           const WorkerLink& link,
+                           const jobs::EndNote& end,
+                           TimePoint now) {
+  if (end.how == jobs::RunEnd::kFailed) {
+    NoteHealth(worker, false, now);
+    std::erase_if(failed_on_, [&](const auto& item) {
+      return replica_.ledger().FindTask(item.first) == nullptr;
+    });
+    failed_on_[end.run.task].insert(end.worker);
+    return;
+  }
+  const auto track = link.tracks().find(end.run);
+  // A run that was slow before has counted.
+  if (end.how != jobs::RunEnd::kDone || track == link.tracks().end() ||
+      track->second.slow || track->second.starts_sent == 0) {
+    return;
+  }
+  const Millis took = now - track->second.since;
+  NoteHealth(worker, took <= SlowAfter(end.run), now);
+  const jobs::Job* job = replica_.ledger().FindJob(end.run.task.job);
+  if (job != nullptr && job->spec)
+    durations_.OnDone(job->queue, job->spec->steps[end.run.task.step].estimate,
+                      took);
+}
+
+void WorkerFleet::JudgeOpenRuns(const jobs::Worker& worker,
+                                WorkerLink* link,
+                                TimePoint now) {
+  const jobs::WorkerLife life = worker.note.life;
+  std::vector<jobs::RunName> slow;
+  for (const auto& [run, track] : link->tracks()) {
+    // Until the list is younger than the run's time, its end may be on its way.
+    if (track.phase != RunPhase::kConfirmed || track.starts_sent == 0 ||
+        track.stop_wanted || !link->Heard(now)) {
+      continue;
+    }
+    if (track.slow || now - track.since > SlowAfter(run))
+      slow.push_back(run);
+  }
+  for (const jobs::RunName& run : slow) {
+    if (link->MarkSlow(run)) {
+      LogEvent(EventId::kRunSlow, {{"run", run.task.Text()},
+                                   {"number", std::to_string(run.number)},
+                                   {"worker", life.Text()}});
+      metrics_.Count("runs_slow", {"", worker.note.pool.str()});
+      NoteHealth(worker, false, now);
+    }
+    if (health_.State(HealthName(life), now) == HealthState::kSetAside)
+      Stop(run, life, "worker_slow");
+  }
+}
+
 void WorkerFleet::NoteHealth(const jobs::Worker& worker,
                              bool ok,
                              TimePoint now) {
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -11,6 +12,7 @@
 #include "base/time.h"
 #include "policy/worker_health.h"
 #include "scheduler/ledger_replica.h"
+#include "scheduler/run_durations.h"
 #include "scheduler/worker_calls.h"
 #include "scheduler/worker_link.h"
 
@@ -38,9 +40,12 @@
   /// \brief Sends what is due: lists, repeated orders and lapses.
   void Tick(TimePoint now);
 
-  /// \returns whether new work may go to the worker.
-  [[nodiscard]] bool MayStartOn(const jobs::WorkerLife& life,
-                                TimePoint now) const;
+  /// \returns how many tasks may start on the worker now.
+  [[nodiscard]] std::size_t AllowanceOf(const jobs::WorkerLife& life,
+                                        TimePoint now) const;
+  /// \returns whether the task has failed on the worker.
+  [[nodiscard]] bool HasFailedOn(const jobs::TaskName& task,
+                                 const jobs::WorkerLife& life) const;
   /// \returns whether the worker counts as capacity: it has answered lately, or
   /// this leader has not yet had the time to hear of it.
   [[nodiscard]] bool IsPresent(const jobs::WorkerLife& life,
@@ -69,6 +74,19 @@
                const Result<CallAnswer>& answer);
   void NoteEnds(std::vector<jobs::EndNote> ends, TimePoint now);
   void NoteHealth(const jobs::Worker& worker, bool ok, TimePoint now);
+  /// \brief Learns from a listed end: failures and slowness count against the
+  /// worker.
+  void JudgeEnd(const jobs::Worker& worker,
+                const WorkerLink& link,
+                const jobs::EndNote& end,
+                TimePoint now);
+  /// \brief Finds runs that should have ended long ago. On a worker that stands
+  /// out they are stopped, to run elsewhere.
+  void JudgeOpenRuns(const jobs::Worker& worker,
+                     WorkerLink* link,
+                     TimePoint now);
+  /// \returns the time after which the run is slow.
+  [[nodiscard]] Millis SlowAfter(const jobs::RunName& run) const;
 
   EventLoop& loop_;
   LedgerReplica& replica_;
@@ -77,6 +95,9 @@
   WorkerLinkOptions options_;
   Metrics& metrics_;
   WorkerHealth health_;
+  RunDurations durations_;
+  /// Workers on which open tasks have failed; another one gets the next try.
+  std::map<jobs::TaskName, std::set<jobs::WorkerLife>> failed_on_;
   bool acts_ = false;
   TimePoint acts_since_;
   std::uint64_t era_ = 0;  ///< rises with each change of leadership
--- a/src/scheduler/worker_link.cc
+++ b/src/scheduler/worker_link.cc
@@ -140,6 +140,11 @@
   return track != nullptr && !std::exchange(track->stop_wanted, true);
 }
 
+bool WorkerLink::MarkSlow(const jobs::RunName& run) {
+  RunTrack* track = Find(run);
+  return track != nullptr && !std::exchange(track->slow, true);
+}
+
 void WorkerLink::OnStopSent(const jobs::RunName& run, TimePoint now) {
   if (RunTrack* track = Find(run); track != nullptr) {
     track->phase = RunPhase::kStopping;
--- a/src/scheduler/worker_link.h
+++ b/src/scheduler/worker_link.h
@@ -32,8 +32,13 @@
   Millis hold_pause{40};
   /// Pause after a failed call.
   Millis retry_pause{250};
+  /// Time for the answer to a start or stop: some 5 ms, 200 ms more if a packet
+  /// is lost. Both are idempotent and sent again.
+  Millis order_timeout{400};
+  /// Time for the answer to a hold call beyond its wait.
+  Millis hold_timeout{900};
   /// Pause before a start without an answer is sent again.
-  Millis start_retry{200};
+  Millis start_retry{100};
 };
 
 /// \brief What is known of a run that the ledger has on a worker.
@@ -61,6 +66,7 @@
   int starts_sent = 0;
   bool stop_wanted = false;
   int percent = 0;
+  bool slow = false;       ///< took far longer than runs of its queue do
   std::string checkpoint;  ///< newest that a list of the worker has shown
 };
 
@@ -128,6 +134,8 @@
   }
   /// \returns whether the worker has answered this leader.
   [[nodiscard]] bool heard() const noexcept { return clock_ms_.has_value(); }
+  /// \brief Marks a run as slow. \returns whether it was not marked before.
+  bool MarkSlow(const jobs::RunName& run);
   [[nodiscard]] const std::map<jobs::RunName, RunTrack>& tracks()
       const noexcept {
     return tracks_;
--- /dev/null
+++ b/tests/run_durations_test.cc
@@ -0,0 +1,33 @@
+#define BOOST_TEST_MODULE run_durations
+#include <boost/test/unit_test.hpp>
+
+#include "scheduler/run_durations.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+const QueueName kQueue("q");
+
+// Guards against sound workers that are set aside because all estimates of a
+// queue are too low, and against slow ones that pass where they are too high.
+BOOST_AUTO_TEST_CASE(TheQueuesTypicalErrorIsLearned) {
+  RunDurations durations;
+  BOOST_TEST(durations.SlowAfter(kQueue, Millis(1'000)).count() == 4'500);
+  for (int i = 0; i < 50; ++i)
+    durations.OnDone(kQueue, Millis(1'000), Millis(2'000));
+  BOOST_TEST(durations.SlowAfter(kQueue, Millis(1'000)).count() >= 8'400);
+  for (int i = 0; i < 400; ++i)
+    durations.OnDone(kQueue, Millis(1'000), Millis(500));
+  BOOST_TEST(durations.SlowAfter(kQueue, Millis(1'000)).count() <= 3'200);
+}
+
+// Guards against a queue without estimates whose runs all count as slow.
+BOOST_AUTO_TEST_CASE(WithoutAnEstimateNoRunIsSlow) {
+  RunDurations durations;
+  durations.OnDone(kQueue, Millis(0), Millis(60'000));
+  BOOST_TEST(durations.SlowAfter(kQueue, Millis(0)).count() ==
+             Millis::max().count());
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
--- a/tests/task_planner_test.cc
+++ b/tests/task_planner_test.cc
@@ -11,15 +11,25 @@
 
 using jobs::LedgerBuilder;
 
-[[nodiscard]] std::vector<jobs::StartNote> PlanAll(const LedgerBuilder& builder,
-                                                   jobs::UnixMillis now) {
-  return TaskPlanner(TaskPlannerOptions{})
-      .Plan(
-          builder.ledger(), [](const jobs::WorkerLife&) { return true; },
-          [](const jobs::TaskName&, const jobs::WorkerLife& life) {
-            return life.id.str() == "advised";
-          },
-          now);
+[[nodiscard]] PlannerHooks AllMayStart() {
+  PlannerHooks hooks;
+  hooks.allowance = [](const jobs::WorkerLife&) -> std::size_t {
+    return 1'000;
+  };
+  hooks.is_advised = [](const jobs::TaskName&, const jobs::WorkerLife& life) {
+    return life.id.str() == "advised";
+  };
+  hooks.avoids = [](const jobs::TaskName&, const jobs::WorkerLife&) {
+    return false;
+  };
+  return hooks;
+}
+
+[[nodiscard]] std::vector<jobs::StartNote> PlanAll(
+    const LedgerBuilder& builder,
+    jobs::UnixMillis now,
+    const PlannerHooks& hooks = AllMayStart()) {
+  return TaskPlanner(TaskPlannerOptions{}).Plan(builder.ledger(), hooks, now);
 }
 
 [[nodiscard]] std::map<std::string, int> CountByJob(
@@ -186,6 +196,37 @@
   BOOST_TEST(starts[0].worker.id.str() == "b");
 }
 
+// Guards against a worker that fails all it starts and so always has room: in a
+// burst it would get every task of the next plan.
+BOOST_AUTO_TEST_CASE(AWorkerOnProbationGetsOneTask) {
+  LedgerBuilder builder;
+  builder.AddWorker("sick").AddWorker("sound", {3'000, 32'000, 0});
+  builder.Submit("job", {LedgerBuilder::Tasks(8)});
+  PlannerHooks hooks = AllMayStart();
+  hooks.allowance = [](const jobs::WorkerLife& life) -> std::size_t {
+    return life.id.str() == "sick" ? 1 : 1'000;
+  };
+  std::map<std::string, int> by_worker;
+  for (const auto& start : PlanAll(builder, 1'000, hooks))
+    ++by_worker[start.worker.id.str()];
+  BOOST_TEST(by_worker.at("sick") == 1);
+  BOOST_TEST(by_worker.at("sound") == 3);
+}
+
+// Guards against a task that fails as often as it may on one sick worker.
+BOOST_AUTO_TEST_CASE(AFailedTaskGoesToAnotherWorker) {
+  LedgerBuilder builder;
+  builder.AddWorker("a", {1'000, 32'000, 0}).AddWorker("b");
+  builder.Submit("job", {LedgerBuilder::Tasks(1)});
+  PlannerHooks hooks = AllMayStart();
+  hooks.avoids = [](const jobs::TaskName&, const jobs::WorkerLife& life) {
+    return life.id.str() == "a";
+  };
+  const auto starts = PlanAll(builder, 1'000, hooks);
+  BOOST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts[0].worker.id.str() == "b");
+}
+
 // Guards against the oldest job waiting behind later ones that have time.
 BOOST_AUTO_TEST_CASE(TheEarlierObjectiveGoesFirst) {
   LedgerBuilder builder;
