Send each HTTP request once; move leadership off a slow disk

A start could so be read twice by a worker: the second copy is rejected for want of room, which the leader takes for the end of a run that was sent once, and the first copy runs.

Ruled out: stores and their notices that overtake each other (posted callbacks run in each iteration before sockets are read), lists from before a start (hold_sent_), a token that was used by two leaderships.

Change: a second sending of one transfer is aborted, and a request counts as unsent only if its sending never began.

A leader whose syncs take 60 ms or more on average asks another replica to lead, at most each 10 s.

Tests: ARequestIsSentOnce (three requests instead of two before the fix), disk_watch_test.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -43,6 +43,8 @@
      "A replica runs with an old copy of its data folder and is demoted."},
     {EventId::kLeadershipChanged, kInfo, "leadership_changed",
      "A scheduler host began or ceased to answer and to give orders."},
+    {EventId::kLeaderDiskSlow, kWarn, "leader_disk_slow",
+     "The syncs of the leader take long, so another replica is asked to lead."},
     {EventId::kCommandCommitted, kInfo, "command_committed",
      "A command is synced on a majority of control replicas."},
     {EventId::kCommandRefused, kInfo, "command_refused",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -31,6 +31,7 @@
   kReplicaRejoined = 2006,
   kReplicaRegressed = 2007,
   kLeadershipChanged = 2008,
+  kLeaderDiskSlow = 2009,
   kCommandCommitted = 3001,
   kCommandRefused = 3002,
   kStateApplied = 3003,
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -24,6 +24,7 @@
   HttpResponse response;
   std::size_t max_bytes = 0;
   bool too_large = false;
+  bool sent = false;  ///< the request, or a part of it, has left
 
   ~Transfer() {
     curl_slist_free_all(headers);
@@ -45,11 +46,14 @@
   return bytes;
 }
 
-// The connect time can't decide this: it is 0 on a reused connection too.
-[[nodiscard]] bool NothingSent(const Transfer& transfer) {
-  long sent_bytes = 0;
-  curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sent_bytes);
-  return sent_bytes == 0;
+// libcurl calls this before each sending of the request. Where a reused
+// connection ends without an answer it would send it again by itself; the
+// receiver may have read the first copy, and whether to repeat a request is the
+// caller's decision.
+int OnConnected(void* self, char*, char*, int, int) {
+  auto* transfer = static_cast<Transfer*>(self);
+  return std::exchange(transfer->sent, true) ? CURL_PREREQFUNC_ABORT
+                                             : CURL_PREREQFUNC_OK;
 }
 
 [[nodiscard]] Result<HttpResponse> ToResult(CURLcode code, Transfer& transfer) {
@@ -65,13 +69,11 @@
       return std::move(transfer.response);
     }
     case CURLE_OPERATION_TIMEDOUT:
-      return Fail(
-          NothingSent(transfer) ? ErrorCode::kTransport : ErrorCode::kTimeout,
-          detail);
+      return Fail(!transfer.sent ? ErrorCode::kTransport : ErrorCode::kTimeout,
+                  detail);
     default:
-      return Fail(
-          NothingSent(transfer) ? ErrorCode::kTransport : ErrorCode::kProtocol,
-          detail);
+      return Fail(!transfer.sent ? ErrorCode::kTransport : ErrorCode::kProtocol,
+                  detail);
   }
 }
 
@@ -199,6 +201,8 @@
   }
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnConnected);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, timeout_ms);
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    std::min(timeout_ms, kMaxConnectMs));
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -225,6 +225,7 @@
   proposing_ = true;
   const Result<std::uint64_t> index = replica_->Propose(std::move(bytes), now);
   proposing_ = false;
+  disk_.OnSync(loop_.now() - now);
   if (!index) {
     LogEvent(EventId::kCallFailed, {{"error", index.error().Text()}});
     open_.reset();
@@ -236,6 +237,18 @@
   // A replica without others has applied the batch by now.
   if (open_)
     open_->index = index.value();
+  HandOverIfSlow(loop_.now());
+}
+
+void LedgerReplica::HandOverIfSlow(TimePoint now) {
+  if (!disk_.HandOverDue(now))
+    return;
+  const Millis mean = disk_.mean();
+  disk_.OnHandOver(now);
+  const Status moved = replica_->TransferLeadership(now);
+  LogEvent(EventId::kLeaderDiskSlow,
+           {{"mean_sync_ms", static_cast<long>(mean.count())},
+            {"outcome", moved ? "handed over" : moved.error().Text()}});
 }
 
 void LedgerReplica::OnTick(TimePoint now) {
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -15,6 +15,7 @@
 #include "net/rpc_client.h"
 #include "net/rpc_server.h"
 #include "raft/replica.h"
+#include "scheduler/disk_watch.h"
 
 namespace boragewinch::scheduler {
 
@@ -113,6 +114,7 @@
   void OnTick(TimePoint now);
   void NoteLeadership(TimePoint now);
   void Flush(TimePoint now);
+  void HandOverIfSlow(TimePoint now);
   void FailAll(ErrorCode code, const std::string& why);
 
   EventLoop& loop_;
@@ -130,6 +132,7 @@
   std::vector<Reply> stored_replies_;  ///< of the open batch
   std::optional<OpenBatch> open_;
   TimePoint flushed_at_;
+  DiskWatch disk_;
   bool acts_ = false;
   std::uint64_t acts_term_ = 0;
   bool retired_ = false;
--- /dev/null
+++ b/tests/disk_watch_test.cc
@@ -0,0 +1,46 @@
+#define BOOST_TEST_MODULE disk_watch
+#include <boost/test/unit_test.hpp>
+
+#include "scheduler/disk_watch.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+[[nodiscard]] TimePoint At(std::int64_t millis) {
+  return FromMillis(100'000 + millis);
+}
+
+// Guards against a leader that goes on with a slow disk: with 150 ms a sync a
+// burst got a third of its starts in time, while the other replicas' disks were
+// sound.
+BOOST_AUTO_TEST_CASE(ASlowDiskMovesLeadership) {
+  DiskWatch watch;
+  for (int i = 0; i < 20; ++i)
+    watch.OnSync(Millis(6));
+  BOOST_TEST(!watch.HandOverDue(At(0)));
+  for (int i = 0; i < 4; ++i)
+    watch.OnSync(Millis(150));
+  BOOST_TEST(watch.HandOverDue(At(600)));
+}
+
+// Guards against a leader that goes because of one slow sync.
+BOOST_AUTO_TEST_CASE(OneSlowSyncMovesNothing) {
+  DiskWatch watch;
+  for (int i = 0; i < 20; ++i)
+    watch.OnSync(Millis(6));
+  watch.OnSync(Millis(200));
+  BOOST_TEST(!watch.HandOverDue(At(0)));
+}
+
+// Guards against leadership that goes round while all disks are slow.
+BOOST_AUTO_TEST_CASE(LeadershipStaysForAWhileAfterAMove) {
+  DiskWatch watch;
+  watch.OnHandOver(At(0));
+  for (int i = 0; i < 10; ++i)
+    watch.OnSync(Millis(150));
+  BOOST_TEST(!watch.HandOverDue(At(9'000)));
+  BOOST_TEST(watch.HandOverDue(At(10'000)));
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -1,6 +1,13 @@
 #define BOOST_TEST_MODULE net
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <thread>
+
 #include <memory>
 #include <vector>
 
@@ -96,6 +103,78 @@
   BOOST_TEST(requests == 2);
 }
 
+/// Reads one request with a body of one byte. \returns whether it came.
+[[nodiscard]] bool ReadRequest(int connection) {
+  std::string text;
+  char byte = 0;
+  while (recv(connection, &byte, 1, 0) == 1) {
+    text += byte;
+    if (text.find("\r\n\r\n") != std::string::npos && text.ends_with("a"))
+      return true;
+  }
+  return false;
+}
+
+/// A server that answers the first request of a connection, reads the second
+/// one and closes the connection without an answer.
+class ClosingServer {
+ public:
+  ClosingServer() : listener_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    auto* plain = reinterpret_cast<sockaddr*>(&address);
+    BOOST_REQUIRE(bind(listener_, plain, size) == 0);
+    BOOST_REQUIRE(listen(listener_, 4) == 0);
+    BOOST_REQUIRE(getsockname(listener_, plain, &size) == 0);
+    port_ = ntohs(address.sin_port);
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~ClosingServer() {
+    shutdown(listener_, SHUT_RDWR);
+    thread_.join();
+    close(listener_);
+  }
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(port_);
+  }
+  [[nodiscard]] int requests() const { return requests_; }
+
+ private:
+  void Serve() {
+    for (int connection = accept(listener_, nullptr, nullptr); connection >= 0;
+         connection = accept(listener_, nullptr, nullptr)) {
+      static constexpr std::string_view kAnswer =
+          "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+      requests_ += ReadRequest(connection) ? 1 : 0;
+      send(connection, kAnswer.data(), kAnswer.size(), MSG_NOSIGNAL);
+      requests_ += ReadRequest(connection) ? 1 : 0;
+      close(connection);
+    }
+  }
+
+  int listener_;
+  int port_ = 0;
+  std::atomic<int> requests_{0};
+  std::thread thread_;
+};
+
+// Guards against two runs of one task: where a reused connection ends without
+// an answer, libcurl sends the request again on a new one by itself. The first
+// copy may be carried out after the answer to the second.
+BOOST_FIXTURE_TEST_CASE(ARequestIsSentOnce, Fixture) {
+  ClosingServer server;
+  HttpCall call{"POST", "http://" + server.address() + "/", {}, "a"};
+  call.timeout = Millis(2'000);
+  BOOST_REQUIRE(Call(call));
+  const auto answer = Call(call);
+  BOOST_REQUIRE(!answer);
+  // It may have been carried out.
+  BOOST_TEST((answer.error().code == ErrorCode::kProtocol));
+  BOOST_TEST(server.requests() == 2);
+}
+
 // Guards against two processes that share a port and each get a part of the
 // connections.
 BOOST_FIXTURE_TEST_CASE(PortInUseIsRefused, Fixture) {
