Do not take a run whose start is about to be sent for a lost one

The earlier notice entered the runs of both into the links of the workers, as if an earlier leader had ordered them; a list that was read before the second notice lacked such a run, so it counted as lost and was started elsewhere; then its first start was sent.

Change: the next batch waits until the notice of the last one has been carried out; a run that this leader has stored is 'planned' until its start is sent, and no list settles it. A planned start that was held back is sent later.

Test: ARunWhoseStartIsAboutToBeSentIsNotLost.

--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -139,7 +139,11 @@
   open_.reset();
   ledger_.Apply(batch);
   hooks_.on_applied(batch, loop_.now());
+  // The next batch waits: its starts would show in the ledger before the ones
+  // of this batch are sent.
+  noticing_ = true;
   loop_.Post([this, batch, replies = std::exchange(stored_replies_, {})] {
+    noticing_ = false;
     for (const Reply& reply : replies)
       reply(Ok());
     hooks_.on_stored(batch, loop_.now());
@@ -200,7 +204,7 @@
 }
 
 void LedgerReplica::Wake() {
-  if (flush_due_ || open_)
+  if (flush_due_ || open_ || noticing_)
     return;
   flush_due_ = true;
   const TimePoint now = loop_.now();
@@ -212,7 +216,7 @@
 }
 
 void LedgerReplica::Flush(TimePoint now) {
-  if (open_ || !MayAct(now))
+  if (open_ || noticing_ || !MayAct(now))
     return;
   hooks_.decide(&pending_, now);
   if (pending_.empty() && replies_.empty())
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -139,6 +139,7 @@
   bool opened_ = true;       ///< the data folder was read
   bool unreadable_ = false;  ///< a committed batch could not be decoded
   bool proposing_ = false;
+  bool noticing_ = false;     ///< a stored batch has yet to be carried out
   bool catching_up_ = false;  ///< a further slice of the log is to be applied
 };
 
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -58,23 +58,24 @@
   links_.clear();
   acts_since_ = now;
   if (acts)
-    SyncLinks(now);
+    SyncLinks(RunPhase::kInherited, now);
 }
 
-void WorkerFleet::SyncLinks(TimePoint now) {
+void WorkerFleet::SyncLinks(RunPhase added, TimePoint now) {
   const auto& workers = replica_.ledger().workers();
   std::erase_if(
       links_, [&](const auto& item) { return workers.count(item.first) == 0; });
   for (const auto& [life, worker] : workers) {
-    const auto [link, added] = links_.try_emplace(life, options_, acts_since_);
-    link->second.Sync(worker, now);
+    WorkerLink& link =
+        links_.try_emplace(life, options_, acts_since_).first->second;
+    link.Sync(worker, added, now);
   }
 }
 
 void WorkerFleet::OnStored(const jobs::Batch& batch, TimePoint now) {
   if (!acts_ || !replica_.MayAct(now))
     return;
-  SyncLinks(now);
+  SyncLinks(RunPhase::kPlanned, now);
   const jobs::JobLedger& ledger = replica_.ledger();
   for (const jobs::StartNote& start : batch.starts) {
     const jobs::Worker* worker = ledger.FindWorker(start.worker);
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -64,7 +64,7 @@
  private:
   [[nodiscard]] WorkerLink* Find(const jobs::WorkerLife& life);
   [[nodiscard]] const WorkerLink* Find(const jobs::WorkerLife& life) const;
-  void SyncLinks(TimePoint now);
+  void SyncLinks(RunPhase added, TimePoint now);
   void SendStart(const jobs::Worker& worker, const jobs::RunName& run);
   void SendStop(const jobs::Worker& worker, const jobs::RunName& run);
   void SendHold(const jobs::Worker& worker, WorkerLink* link, TimePoint now);
--- a/src/scheduler/worker_link.cc
+++ b/src/scheduler/worker_link.cc
@@ -35,14 +35,18 @@
   return found == tracks_.end() ? nullptr : &found->second;
 }
 
-void WorkerLink::Sync(const jobs::Worker& worker, TimePoint now) {
+void WorkerLink::Sync(const jobs::Worker& worker,
+                      RunPhase added,
+                      TimePoint now) {
   std::erase_if(tracks_, [&](const auto& item) {
     return worker.runs.count(item.first) == 0;
   });
   for (const jobs::RunName& run : worker.runs) {
-    const auto [track, added] = tracks_.try_emplace(run);
-    if (added)
+    const auto [track, is_new] = tracks_.try_emplace(run);
+    if (is_new) {
+      track->second.phase = added;
       track->second.since = now;
+    }
   }
 }
 
@@ -251,8 +255,10 @@
 std::vector<jobs::RunName> WorkerLink::StartsDue(TimePoint now) const {
   std::vector<jobs::RunName> due;
   for (const auto& [run, track] : tracks_) {
-    if (track.phase == RunPhase::kUnsure && !track.stop_wanted &&
-        track.starts_sent > 0 && track.starts_sent < kMaxStarts &&
+    const bool again = track.phase == RunPhase::kUnsure &&
+                       track.starts_sent > 0 && track.starts_sent < kMaxStarts;
+    // A planned start was held back if leadership was not confirmed just then.
+    if ((again || track.phase == RunPhase::kPlanned) && !track.stop_wanted &&
         now - track.since >= options_.start_retry) {
       due.push_back(run);
     }
@@ -272,6 +278,7 @@
           due.push_back(run);
         break;
       case RunPhase::kInherited:
+      case RunPhase::kPlanned:
       case RunPhase::kOrdered:
       case RunPhase::kConfirmed:
         if (track.stop_wanted)
--- a/src/scheduler/worker_link.h
+++ b/src/scheduler/worker_link.h
@@ -44,6 +44,7 @@
 /// \brief What is known of a run that the ledger has on a worker.
 enum class RunPhase {
   kInherited,  ///< ordered by an earlier leader, not seen yet
+  kPlanned,    ///< stored by this leader, its start is about to be sent
   kOrdered,    ///< the start is under way
   kUnsure,     ///< the start got no answer
   kConfirmed,  ///< the worker took the start or lists the run
@@ -51,8 +52,9 @@
   kStopped,    ///< the worker took the stop; its list has not shown the end
 };
 
-inline constexpr EnumTable<RunPhase, 6> kRunPhases{{{
+inline constexpr EnumTable<RunPhase, 7> kRunPhases{{{
     {RunPhase::kInherited, "inherited"},
+    {RunPhase::kPlanned, "planned"},
     {RunPhase::kOrdered, "ordered"},
     {RunPhase::kUnsure, "unsure"},
     {RunPhase::kConfirmed, "confirmed"},
@@ -83,7 +85,9 @@
   WorkerLink(WorkerLinkOptions options, TimePoint now);
 
   /// \brief Enters the runs that the ledger has and forgets the others.
-  void Sync(const jobs::Worker& worker, TimePoint now);
+  /// \param added phase of runs that were not known: kInherited when this
+  /// leader begins to act, kPlanned later.
+  void Sync(const jobs::Worker& worker, RunPhase added, TimePoint now);
 
   /// \returns the lease for an order given now, nothing while the worker's
   /// clock is unknown.
--- a/tests/worker_link_test.cc
+++ b/tests/worker_link_test.cc
@@ -17,7 +17,7 @@
   Fixture() {
     builder.AddWorker("w").Submit("job", {LedgerBuilder::Tasks(1)});
     builder.Start(kRun, "w");
-    link.Sync(worker(), At(0));
+    link.Sync(worker(), RunPhase::kInherited, At(0));
   }
 
   static TimePoint At(std::int64_t millis) {
@@ -158,7 +158,7 @@
   answer.ended.push_back({1, kRun, RunEnd::kDone, ""});
   BOOST_TEST(List(0, 5, answer).size() == 1U);
   builder.End(kRun, "w", RunEnd::kDone, 1);
-  link.Sync(worker(), At(6));
+  link.Sync(worker(), RunPhase::kPlanned, At(6));
   BOOST_TEST(List(7, 9, answer).empty());
 }
 
@@ -183,5 +183,19 @@
   BOOST_TEST(link.Reachable(At(230)));
 }
 
+// Guards against two runs of one task: the start of a run that this leader has
+// just stored is sent after a list of the worker that lacks it was read, so
+// that list says nothing. Under load the two are milliseconds apart.
+BOOST_FIXTURE_TEST_CASE(ARunWhoseStartIsAboutToBeSentIsNotLost, Fixture) {
+  const jobs::RunName next = LedgerBuilder::Run("next", 0, 0);
+  builder.Submit("next", {LedgerBuilder::Tasks(1)}).Start(next, "w");
+  link.Sync(worker(), RunPhase::kPlanned, At(100));
+  const auto ends = List(90, 105, Running(kRun));
+  BOOST_TEST(ends.empty());
+  // It is sent later if leadership was not confirmed at that moment.
+  BOOST_TEST(link.StartsDue(At(150)).empty());
+  BOOST_TEST(link.StartsDue(At(250)).size() == 1U);
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
