--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -4,6 +4,8 @@
 set -eu
 cd "$(dirname "$0")/.."
 build="${BUILD_DIR:-build}"
+# Clones of the repository share what the compiler cache has.
+export CCACHE_BASEDIR="$PWD" CCACHE_NOHASHDIR=1
 scripts/install-packages.sh
 scripts/check-format.sh
 cmake -S . -B "$build" -G Ninja >/dev/null
