--- a/src/raft/replica.cc
+++ b/src/raft/replica.cc
@@ -440,9 +440,10 @@
     else if (entry.kind == EntryKind::kConfiguration)
       BW_CHECK(NoteMembership(log.ConfigurationAt(applied_)));
   }
-  CheckInvariant(Invariant::kConfiguration,
-                 applied_ >= before && applied_ <= node_->commit_index(),
-                 "the applied index moved backwards");
+  CheckInvariant(
+      Invariant::kConfiguration,
+      applied_ == before + std::min(node_->commit_index() - before, at_most),
+      "the applied index moved backwards");
   if (applied_ > before && hooks_.on_commit)
     hooks_.on_commit(applied_);
   return Ok();
