Add failing tests for long-running tasks that stay away

Between 11.4 s and 16.7 s all 20 hosts that changed their pool went to the pool in a burst; the task's pool got its first at 17.416 s.

--- /dev/null
+++ b/tests/lasting_task_starvation_test.cc
@@ -0,0 +1,183 @@
+#define BOOST_TEST_MODULE lasting_task_starvation
+#include <boost/test/unit_test.hpp>
+
+#include "ledger_builder.h"
+#include "scheduler/pool_balancer.h"
+#include "scheduler/task_planner.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+using jobs::LedgerBuilder;
+
+[[nodiscard]] TimePoint At(std::int64_t millis) {
+  return FromMillis(100'000 + millis);
+}
+
+[[nodiscard]] jobs::StepSpec Lasting(std::int64_t count,
+                                     std::int64_t cpu = 1'000) {
+  jobs::StepSpec step = LedgerBuilder::Tasks(count, cpu);
+  step.long_running = true;
+  return step;
+}
+
+/// Pool "p" with the queue "q" of the builder, pool "a" with queue "burst", and
+/// hosts that are off in pool "off".
+struct Starvation {
+  explicit Starvation(int hosts_off = 2) {
+    jobs::Batch batch;
+    batch.rules = builder.ledger().rules();
+    ++batch.rules->version;
+    jobs::QueueRule burst = batch.rules->queues.front();
+    burst.name = QueueName("burst");
+    burst.path_prefix = "/burst/";
+    burst.pool = PoolName("a");
+    batch.rules->queues.push_back(burst);
+    batch.rules->pools[PoolName("a")] = {PoolName("a"), true, false};
+    batch.rules->pools[PoolName("off")] = {PoolName("off"), true, true};
+    builder.Apply(batch);
+    AddHost("a0", "a");
+    AddHost("p0", "p");
+    for (int i = 0; i < hosts_off; ++i) {
+      rows.push_back({HostName("off" + std::to_string(i)),
+                      PoolName("off"),
+                      HostState::kUp,
+                      {}});
+    }
+    book.OnList(rows, At(0), At(0));
+  }
+
+  void AddHost(const std::string& name, const std::string& pool) {
+    jobs::WorkerNote note;
+    note.life = LedgerBuilder::Life("w-" + name);
+    note.host = HostName(name);
+    note.address = name + ":80";
+    note.pool = PoolName(pool);
+    note.capacity = {16'000, 32'000, 0};
+    jobs::Batch batch;
+    batch.workers.push_back(note);
+    builder.Apply(batch);
+    rows.push_back({note.host, note.pool, HostState::kUp, note.life.id});
+  }
+
+  /// Jobs of pool "a", each of 32 core seconds.
+  void Burst(int jobs) {
+    for (int i = 0; i < jobs; ++i) {
+      jobs::Batch batch;
+      jobs::JobSpec spec;
+      spec.steps = {LedgerBuilder::Tasks(8, 4'000)};
+      batch.submissions.push_back({jobs::JobId("burst" + std::to_string(i)),
+                                   QueueName("burst"), CustomerName("c"),
+                                   spec});
+      builder.Apply(batch);
+    }
+  }
+
+  std::vector<HostMove> Balance(std::int64_t millis) {
+    return balancer.Decide(
+        builder.ledger(), book, [](const jobs::WorkerLife&) { return true; },
+        {}, [](const HostName&) { return true; }, 1'000 + millis, At(millis));
+  }
+
+  std::vector<jobs::StartNote> Plan(
+      const std::set<std::string>& failed_on,
+      const std::set<std::string>& set_aside = {}) {
+    PlannerHooks hooks;
+    hooks.allowance = [&](const jobs::WorkerLife& life) -> std::size_t {
+      return set_aside.count(life.id.str()) > 0 ? 0 : 1'000;
+    };
+    hooks.is_advised = [](const jobs::TaskName&, const jobs::WorkerLife&) {
+      return true;
+    };
+    hooks.avoids = [&](const jobs::TaskName&, const jobs::WorkerLife& life) {
+      return failed_on.count(life.id.str()) > 0;
+    };
+    return TaskPlanner(TaskPlannerOptions{})
+        .Plan(builder.ledger(), hooks, 1'000);
+  }
+
+  LedgerBuilder builder;
+  std::vector<HostRow> rows;
+  HostBook book;
+  PoolBalancer balancer{PoolBalancerOptions{}};
+};
+
+// Guards against a long-running task that stays away while the burst of
+// another pool takes all hosts that are free.
+BOOST_FIXTURE_TEST_CASE(AWaitingLongRunningTaskGetsAHostBeforeABurst,
+                        Starvation) {
+  builder.Submit("full", {Lasting(1, 16'000)})
+      .Start(LedgerBuilder::Run("full", 0, 0), "w-p0")
+      .Submit("waits", {Lasting(1, 8'000)});
+  Burst(20);
+  const auto moves = Balance(50);
+  BOOST_REQUIRE(moves.size() == 2U);
+  BOOST_TEST((moves[0].to.str() == "p" || moves[1].to.str() == "p"));
+}
+
+// Guards against a long-running task that stays away while the moves of a
+// burst use up the moves that may be under way at once.
+BOOST_AUTO_TEST_CASE(AWaitingLongRunningTaskGetsAMoveBeforeABurst) {
+  Starvation world(60);
+  world.builder.Submit("full", {Lasting(1, 16'000)})
+      .Start(LedgerBuilder::Run("full", 0, 0), "w-p0");
+  world.Burst(100);
+  const auto burst = world.Balance(50);
+  BOOST_TEST(!burst.empty());
+  world.builder.Submit("waits", {Lasting(1, 8'000)});
+  std::size_t to_p = 0;
+  for (const HostMove& move : world.Balance(150))
+    to_p += move.to.str() == "p" ? 1 : 0;
+  BOOST_TEST(to_p == 1U);
+}
+
+// Guards against a long-running task that never starts again because it has
+// failed once on each worker of its pool.
+BOOST_FIXTURE_TEST_CASE(ALongRunningTaskReturnsToAWorkerThatItFailedOn,
+                        Starvation) {
+  AddHost("p1", "p");
+  builder.Submit("waits", {Lasting(1, 8'000)});
+  BOOST_TEST(Plan({"w-p0", "w-p1"}).size() == 1U);
+  const auto elsewhere = Plan({"w-p0"});
+  BOOST_REQUIRE(elsewhere.size() == 1U);
+  BOOST_TEST(elsewhere[0].worker.id.str() == "w-p1");
+}
+
+// Guards against a failed task that uses up its attempts on a worker that
+// fails all it starts, while another worker is full.
+BOOST_FIXTURE_TEST_CASE(AFailedTaskWaitsForAnotherWorker, Starvation) {
+  AddHost("p1", "p");
+  builder.Submit("full", {Lasting(1, 16'000)})
+      .Start(LedgerBuilder::Run("full", 0, 0), "w-p1")
+      .Submit("waits", {LedgerBuilder::Tasks(1, 8'000)});
+  BOOST_TEST(Plan({"w-p0"}).empty());
+}
+
+// Guards against a failed task that waits for ever where no worker of its pool
+// is left that it has not failed on.
+BOOST_FIXTURE_TEST_CASE(AFailedTaskReturnsWhereItHasFailedEverywhere,
+                        Starvation) {
+  AddHost("p1", "p");
+  builder.Submit("waits", {LedgerBuilder::Tasks(1, 8'000)});
+  BOOST_TEST(Plan({"w-p0", "w-p1"}).size() == 1U);
+}
+
+// Guards against room that is kept on a worker which the waiting task does not
+// use, so that neither it nor the work behind it starts.
+BOOST_FIXTURE_TEST_CASE(RoomIsKeptWhereTheWaitingTaskMayStart, Starvation) {
+  AddHost("p1", "p");
+  // p0 has more room left; the task has failed there.
+  builder.Submit("on0", {LedgerBuilder::Tasks(1, 9'000)})
+      .Start(LedgerBuilder::Run("on0", 0, 0), "w-p0")
+      .Submit("on1", {LedgerBuilder::Tasks(1, 10'000)})
+      .Start(LedgerBuilder::Run("on1", 0, 0), "w-p1")
+      .Submit("waits", {Lasting(1, 8'000)})
+      .Submit("small", {LedgerBuilder::Tasks(1, 1'000)});
+  const auto starts = Plan({"w-p0"});
+  BOOST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts[0].run.task.job.str() == "small");
+  BOOST_TEST(starts[0].worker.id.str() == "w-p0");
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
