Bring hosts for waiting long-running tasks before those of a burst

Cause: hosts and the moves that may be under way went to pools in the order of their names. While one pool was in a burst that wants more hosts than there are, a pool later in that order got none.

Why it works: waiting long-running tasks get their hosts in a first pass, which the bound of moves does not hold back. The other hosts go first to the pool that has the smallest part of what it wants.

--- a/src/scheduler/pool_balancer.cc
+++ b/src/scheduler/pool_balancer.cc
@@ -225,41 +225,84 @@
   return spare;
 }
 
-// Hosts that are off come first: the others may be wanted again where they are.
+bool PoolBalancer::OrderHostFor(const PoolName& to,
+                                std::vector<HostName>* off,
+                                std::vector<const jobs::Worker*>* spare,
+                                Decision* decision) {
+  // Hosts that are off come first: the others may be wanted again where they
+  // are.
+  if (!off->empty()) {
+    Order({off->back(), to, {}}, decision);
+    off->pop_back();
+    return true;
+  }
+  const auto source = std::find_if(
+      spare->begin(), spare->end(),
+      [&](const jobs::Worker* worker) { return worker->note.pool != to; });
+  if (source == spare->end())
+    return false;
+  const jobs::WorkerNote& note = (*source)->note;
+  Order({note.host, to, note.life}, decision);
+  spare->erase(source);
+  return true;
+}
+
 void PoolBalancer::FillPools(std::vector<HostName> off,
                              std::vector<const jobs::Worker*>* spare,
                              const Pools& pools,
                              Decision* decision) {
+  std::map<PoolName, std::int64_t> missing;
+  for (const auto& [name, pool] : pools) {
+    if (pool.standby)
+      continue;
+    const PoolView& view = views_.at(name);
+    missing[name] = view.wanted - view.hosts - view.arriving;
+  }
+  // A long-running task serves its users only while it is at work, and a burst
+  // elsewhere may ask for more hosts than there are.
   for (const auto& [to, pool] : pools) {
     if (pool.standby)
       continue;
-    const PoolView& view = views_.at(to);
+    const auto waiting = static_cast<std::int64_t>(
+        std::ceil(pool.lasting_waiting.HostsOf(pool.host)));
+    std::int64_t needed =
+        std::min(missing.at(to), waiting - views_.at(to).arriving);
+    for (; needed > 0 && OrderHostFor(to, &off, spare, decision); --needed)
+      --missing.at(to);
+  }
+  for (const PoolName& to : ByCoverage()) {
+    const PoolDemand& pool = pools.at(to);
     // Without a burst the free room may well hold what has arrived.
-    if (!view.burst && !pool.lasting_waits &&
-        pool.ready.HostsOf(pool.host) <= 0) {
+    if (!views_.at(to).burst && pool.ready.HostsOf(pool.host) <= 0 &&
+        pool.lasting_waiting.HostsOf(pool.host) <= 0) {
       continue;
     }
-    std::int64_t missing = view.wanted - view.hosts - view.arriving;
-    for (; missing > 0 && open_.size() < options_.max_open; --missing) {
-      if (!off.empty()) {
-        Order({off.back(), to, {}}, decision);
-        off.pop_back();
-        continue;
-      }
-      const auto source =
-          std::find_if(spare->begin(), spare->end(),
-                       [&, &pool_name = to](const jobs::Worker* worker) {
-                         return worker->note.pool != pool_name;
-                       });
-      if (source == spare->end())
-        break;
-      const jobs::WorkerNote& note = (*source)->note;
-      Order({note.host, to, note.life}, decision);
-      spare->erase(source);
+    for (std::int64_t left = missing.at(to);
+         left > 0 && open_.size() < options_.max_open; --left) {
+      if (!OrderHostFor(to, &off, spare, decision))
+        return;
     }
   }
 }
 
+// Pools that have the smallest part of what they want come first.
+std::vector<PoolName> PoolBalancer::ByCoverage() const {
+  const auto coverage = [](const PoolView& view) {
+    return static_cast<double>(view.hosts + view.arriving) /
+           static_cast<double>(std::max<std::int64_t>(1, view.wanted));
+  };
+  std::vector<PoolName> names;
+  for (const auto& [name, view] : views_) {
+    if (view.wanted > 0)
+      names.push_back(name);
+  }
+  std::stable_sort(names.begin(), names.end(),
+                   [&](const PoolName& a, const PoolName& b) {
+                     return coverage(views_.at(a)) < coverage(views_.at(b));
+                   });
+  return names;
+}
+
 void PoolBalancer::SwitchOff(const PoolName& standby,
                              const std::vector<const jobs::Worker*>& spare,
                              Decision* decision) {
--- a/src/scheduler/pool_balancer.h
+++ b/src/scheduler/pool_balancer.h
@@ -134,10 +134,18 @@
   [[nodiscard]] std::vector<const jobs::Worker*> SpareHosts(
       const Pools& pools,
       const Decision& decision) const;
+  /// \brief Orders hosts for the pools that lack some: first for long-running
+  /// tasks that wait, which the bound of moves under way does not hold back.
   void FillPools(std::vector<HostName> off,
                  std::vector<const jobs::Worker*>* spare,
                  const Pools& pools,
                  Decision* decision);
+  /// \returns whether there was a host to move.
+  bool OrderHostFor(const PoolName& to,
+                    std::vector<HostName>* off,
+                    std::vector<const jobs::Worker*>* spare,
+                    Decision* decision);
+  [[nodiscard]] std::vector<PoolName> ByCoverage() const;
   void SwitchOff(const PoolName& standby,
                  const std::vector<const jobs::Worker*>& spare,
                  Decision* decision);
--- a/src/scheduler/pool_demand.cc
+++ b/src/scheduler/pool_demand.cc
@@ -81,8 +81,8 @@
     const Resources room = jobs::JobLedger::RoomOf(spec);
     if (spec.long_running) {
       pool->lasting.Add(room, static_cast<double>(spec.tasks));
-      pool->lasting_waits =
-          pool->lasting_waits || (ready && step.waiting() > 0);
+      if (ready)
+        pool->lasting_waiting.Add(room, static_cast<double>(step.waiting()));
       return;
     }
     const double work_ms =
--- a/src/scheduler/pool_demand.h
+++ b/src/scheduler/pool_demand.h
@@ -30,17 +30,17 @@
 
 /// \brief What a pool has and what its queues ask of it.
 struct PoolDemand {
-  bool standby = false;        ///< its hosts are off
-  std::int64_t hosts = 0;      ///< with a worker that can take work
-  Load host;                   ///< the largest worker
-  Load capacity;               ///< of these hosts
-  Load used;                   ///< of it by runs
-  Load lasting;                ///< by long-running tasks, started or not
-  Load arriving;               ///< needed for what arrives, as in the window
-  Load ready;                  ///< needed to run what waits, within the target
-  Load blocked;                ///< needed later by steps that wait for others
-  std::int64_t spread = 0;     ///< hosts that limits per worker ask for
-  bool lasting_waits = false;  ///< a long-running task is not at work
+  bool standby = false;     ///< its hosts are off
+  std::int64_t hosts = 0;   ///< with a worker that can take work
+  Load host;                ///< the largest worker
+  Load capacity;            ///< of these hosts
+  Load used;                ///< of it by runs
+  Load lasting;             ///< by long-running tasks, started or not
+  Load lasting_waiting;     ///< by those of them that could start now
+  Load arriving;            ///< needed for what arrives, as in the window
+  Load ready;               ///< needed to run what waits, within the target
+  Load blocked;             ///< needed later by steps that wait for others
+  std::int64_t spread = 0;  ///< hosts that limits per worker ask for
   std::vector<const jobs::Worker*> empty;  ///< without runs, may be moved
 };
 
