Let a task return to a worker that it failed on where no other is left

Cause: the planner passed over every worker on which the task had failed. With all workers of a pool passed over, the task was never placed again, and the room kept for it was on a worker that it would not use.

Evidence: ALongRunningTaskReturnsToAWorkerThatItFailedOn, AFailedTaskReturnsWhereItHasFailedEverywhere and RoomIsKeptWhereTheWaitingTaskMayStart failed before.

Why it works: a worker is passed over only while the pool has another one that suits. A long-running task may be tried without end, so for it only workers count that take work now; another task has few attempts and waits for any other worker of its pool.

--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -151,7 +151,7 @@
       Seat* seat = Choose(candidate, name, seats, per_worker);
       if (seat == nullptr) {
         if (spec.long_running)
-          KeepRoom(spec, seats, per_worker);
+          KeepRoom(candidate, name, seats, per_worker);
         return;
       }
       Take(job, spec, seat);
@@ -162,14 +162,18 @@
 
   // In a full pool each end frees less room than a large task needs, and small
   // ones would take it at once: the worker with the most free room is kept.
-  static void KeepRoom(
-      const jobs::StepSpec& spec,
+  void KeepRoom(
+      const Candidate& candidate,
+      const jobs::TaskName& task,
       std::vector<Seat>* seats,
-      const std::map<jobs::WorkerLife, std::int64_t>& per_worker) {
+      const std::map<jobs::WorkerLife, std::int64_t>& per_worker) const {
+    const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
+    const bool elsewhere = MayGoElsewhere(candidate, task);
     Seat* best = nullptr;
     for (Seat& seat : *seats) {
       if (seat.kept || !MayHold(spec, seat, per_worker) ||
-          !jobs::JobLedger::RoomOf(spec).FitsInto(seat.worker->note.capacity)) {
+          !jobs::JobLedger::RoomOf(spec).FitsInto(seat.worker->note.capacity) ||
+          (elsewhere && hooks_.avoids(task, seat.worker->note.life))) {
         continue;
       }
       if (best == nullptr || seat.free.cpu_millis > best->free.cpu_millis)
@@ -193,6 +197,33 @@
     return count == per_worker.end() || count->second < spec.max_per_worker;
   }
 
+  /// \returns whether the pool has a worker that the task has not failed on.
+  /// For a long-running task, which may be tried without end, only those count
+  /// that take work now.
+  [[nodiscard]] bool MayGoElsewhere(const Candidate& candidate,
+                                    const jobs::TaskName& task) const {
+    const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
+    const Resources need = jobs::JobLedger::RoomOf(spec);
+    const auto suits = [&](const jobs::WorkerNote& note) {
+      return need.FitsInto(note.capacity) &&
+             HasLabel(note, spec.required_label) &&
+             !hooks_.avoids(task, note.life);
+    };
+    if (spec.long_running) {
+      const auto seats = seats_.find(candidate.queue->pool);
+      return seats != seats_.end() &&
+             std::any_of(
+                 seats->second.begin(), seats->second.end(),
+                 [&](const Seat& seat) { return suits(seat.worker->note); });
+    }
+    const auto& workers = ledger_.workers();
+    return std::any_of(workers.begin(), workers.end(), [&](const auto& item) {
+      const jobs::WorkerNote& note = item.second.note;
+      return note.pool == candidate.queue->pool && !note.draining &&
+             suits(note);
+    });
+  }
+
   // A gang is started whole or not at all: a member without the others only
   // holds room.
   void PlaceGang(const Candidate& candidate,
@@ -276,6 +307,7 @@
     const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
     const Resources need = jobs::JobLedger::RoomOf(spec);
     Seat* best = nullptr;
+    std::optional<bool> elsewhere;
     std::tuple<bool, std::int64_t, bool, std::int64_t, std::int64_t> best_rank;
     for (Seat& seat : *seats) {
       const jobs::WorkerNote& note = seat.worker->note;
@@ -285,8 +317,12 @@
       }
       if (candidate.queue->advised && !hooks_.is_advised(task, note.life))
         continue;
-      if (seats->size() > 1 && hooks_.avoids(task, note.life))
-        continue;
+      if (hooks_.avoids(task, note.life)) {
+        if (!elsewhere)
+          elsewhere = MayGoElsewhere(candidate, task);
+        if (*elsewhere)
+          continue;
+      }
       const bool near = spec.data_rack.empty() || spec.data_rack == note.rack;
       const std::int64_t company =
           spec.long_running && !spec.fills ? seat.lasting : 0;
--- a/tests/lasting_task_starvation_test.cc
+++ b/tests/lasting_task_starvation_test.cc
@@ -1,6 +1,9 @@
 #define BOOST_TEST_MODULE lasting_task_starvation
 #include <boost/test/unit_test.hpp>
 
+#include <set>
+#include <string>
+
 #include "ledger_builder.h"
 #include "scheduler/pool_balancer.h"
 #include "scheduler/task_planner.h"
@@ -79,6 +82,8 @@
         {}, [](const HostName&) { return true; }, 1'000 + millis, At(millis));
   }
 
+  /// \param failed_on workers on which the tasks of job "waits" have failed.
+  /// \param set_aside workers that get no work now.
   std::vector<jobs::StartNote> Plan(
       const std::set<std::string>& failed_on,
       const std::set<std::string>& set_aside = {}) {
@@ -89,8 +94,9 @@
     hooks.is_advised = [](const jobs::TaskName&, const jobs::WorkerLife&) {
       return true;
     };
-    hooks.avoids = [&](const jobs::TaskName&, const jobs::WorkerLife& life) {
-      return failed_on.count(life.id.str()) > 0;
+    hooks.avoids = [&](const jobs::TaskName& task,
+                       const jobs::WorkerLife& life) {
+      return task.job.str() == "waits" && failed_on.count(life.id.str()) > 0;
     };
     return TaskPlanner(TaskPlannerOptions{})
         .Plan(builder.ledger(), hooks, 1'000);
@@ -141,6 +147,7 @@
   const auto elsewhere = Plan({"w-p0"});
   BOOST_REQUIRE(elsewhere.size() == 1U);
   BOOST_TEST(elsewhere[0].worker.id.str() == "w-p1");
+  BOOST_TEST(Plan({"w-p0"}, {"w-p1"}).size() == 1U);
 }
 
 // Guards against a failed task that uses up its attempts on a worker that
