Bound the moves of hosts by the platform's rate of orders

Cause: at most 32 moves were under way at once, whatever the size of the fleet. A burst wants a hundred hosts there, and a move takes 1.7 s.

Why it works: the platform states how many orders a second it takes. Moves use 0.8 of that rate, and up to half a second's orders at once at the begin of a burst. Test MovesFollowTheRateOfThePlatform.

--- a/src/scheduler/pool_balancer.cc
+++ b/src/scheduler/pool_balancer.cc
@@ -52,6 +52,19 @@
   if (!move.worker.id.empty())
     clearing_.insert(move.worker);
   decision->moves.push_back(move);
+  --budget_;
+}
+
+void PoolBalancer::RefillBudget(TimePoint now) {
+  constexpr Millis kBurst{500};
+  const Millis since =
+      refilled_at_ ? std::min(kBurst, now - *refilled_at_) : kBurst;
+  const double rate = options_.orders_per_second * options_.move_share;
+  const auto seconds = [](Millis span) {
+    return static_cast<double>(span.count()) / 1'000;
+  };
+  budget_ = std::min(budget_ + rate * seconds(since), rate * seconds(kBurst));
+  refilled_at_ = now;
 }
 
 // A move is settled when the host's new worker is there.
@@ -277,8 +290,7 @@
         pool.lasting_waiting.HostsOf(pool.host) <= 0) {
       continue;
     }
-    for (std::int64_t left = missing.at(to);
-         left > 0 && open_.size() < options_.max_open; --left) {
+    for (std::int64_t left = missing.at(to); left > 0 && budget_ >= 1; --left) {
       if (!OrderHostFor(to, &off, spare, decision))
         return;
     }
@@ -312,8 +324,7 @@
     const jobs::WorkerLife& life = worker->note.life;
     const auto before = idle_since_.find(life);
     const TimePoint since = before == idle_since_.end() ? now : before->second;
-    if (!standby.empty() && now - since >= options_.idle &&
-        open_.size() < options_.max_open) {
+    if (!standby.empty() && now - since >= options_.idle && budget_ >= 1) {
       Order({worker->note.host, standby, life}, decision);
     } else {
       idle[life] = since;
@@ -331,6 +342,7 @@
     jobs::UnixMillis time_of_day,
     TimePoint now) {
   ForgetSettled(ledger, now);
+  RefillBudget(now);
   const Pools pools = MeasurePools(
       ledger, options_.demand,
       [&](const jobs::WorkerLife& life) {
--- a/src/scheduler/pool_balancer.h
+++ b/src/scheduler/pool_balancer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -35,8 +36,11 @@
   /// Hosts beyond what is wanted are switched off after this time; a move costs
   /// as much as 1.4 s of a host in a pool.
   Millis idle{1'500};
-  /// Moves under way at once.
-  std::size_t max_open = 32;
+  /// Orders for hosts that the platform takes in a second, from all processes
+  /// together.
+  double orders_per_second = 64;
+  /// Share of them that moves may use; maintenance needs some, too.
+  double move_share = 0.8;
   /// Pause before a host is ordered again after a refusal.
   Millis refused_pause{1'000};
 };
@@ -135,7 +139,7 @@
       const Pools& pools,
       const Decision& decision) const;
   /// \brief Orders hosts for the pools that lack some: first for long-running
-  /// tasks that wait, which the bound of moves under way does not hold back.
+  /// tasks that wait, which the bound of the rate does not hold back.
   void FillPools(std::vector<HostName> off,
                  std::vector<const jobs::Worker*>* spare,
                  const Pools& pools,
@@ -153,6 +157,9 @@
   [[nodiscard]] bool IsFree(const HostName& host,
                             const Decision& decision) const;
   void ForgetSettled(const jobs::JobLedger& ledger, TimePoint now);
+  /// \brief Adds the orders that the rate allows since the last decision, up
+  /// to those of half a second.
+  void RefillBudget(TimePoint now);
 
   PoolBalancerOptions options_;
   std::map<HostName, Open> open_;  ///< ordered, the new worker not seen yet
@@ -162,6 +169,8 @@
   std::map<PoolName, TimePoint> burst_since_;  ///< of the open bursts
   std::map<PoolName, TimePoint> last_burst_;
   std::map<PoolName, PoolView> views_;
+  double budget_ = 0;  ///< moves that may be ordered now
+  std::optional<TimePoint> refilled_at_;
 };
 
 }  // namespace boragewinch::scheduler
--- a/tests/host_decisions_test.cc
+++ b/tests/host_decisions_test.cc
@@ -99,6 +99,30 @@
   BOOST_TEST(moves[1].to.str() == "p");
 }
 
+// Guards against a pool that waits for hosts in a burst because few moves may
+// be under way at once, and against more orders than the platform takes.
+BOOST_FIXTURE_TEST_CASE(MovesFollowTheRateOfThePlatform, Balance) {
+  for (int i = 0; i < 200; ++i) {
+    rows.push_back({HostName("more" + std::to_string(i)),
+                    PoolName("off"),
+                    HostState::kUp,
+                    {}});
+  }
+  List(0);
+  Spike(200);
+  std::size_t first_second = 0;
+  for (int millis = 0; millis < 1'000; millis += 100)
+    first_second += Decide(millis).size();
+  // 64 a second, of which moves may use 0.8, and those saved in half a second.
+  BOOST_TEST(first_second >= 60U);
+  BOOST_TEST(first_second <= 77U);
+  std::size_t next_second = 0;
+  for (int millis = 1'000; millis < 2'000; millis += 100)
+    next_second += Decide(millis).size();
+  BOOST_TEST(next_second >= 48U);
+  BOOST_TEST(next_second <= 52U);
+}
+
 // Guards against workers that have gone dark and count as capacity, so that
 // work waits until they are heard of again.
 BOOST_FIXTURE_TEST_CASE(SilentWorkersAreReplaced, Balance) {
--- a/tests/lasting_task_starvation_test.cc
+++ b/tests/lasting_task_starvation_test.cc
@@ -122,7 +122,7 @@
 }
 
 // Guards against a long-running task that stays away while the moves of a
-// burst use up the moves that may be under way at once.
+// burst use up the orders that the platform takes.
 BOOST_AUTO_TEST_CASE(AWaitingLongRunningTaskGetsAMoveBeforeABurst) {
   Starvation world(60);
   world.builder.Submit("full", {Lasting(1, 16'000)})
