Confirm no leadership once another replica was asked to take over

What callers saw: nothing yet; found by reading. A leader that hands over (planned stop, slow disk) could go on to grant leases, send orders and answer reads beside its successor.

Cause: the target of a transfer is elected without waiting for the followers' silence, but the old leader's confirmations stayed good for the whole lease. A request that was delayed past the time of the transfer started an election in a term whose leader acted again.

Why it works: ConfirmedAt returns nothing from the moment at which the request is handed out, so MayAct is false. If the target does not take over within the election timeout, the leader holds an election itself; a request that arrives after that finds a term in which the majority has voted.

--- a/src/raft/node.cc
+++ b/src/raft/node.cc
@@ -130,8 +130,18 @@
       StartPreVote(now);
     return;
   }
-  if (!transfer_to_.empty() && now >= transfer_until_)
+  if (!transfer_to_.empty() && now >= transfer_until_) {
     transfer_to_ = ReplicaId();
+    if (handed_over_) {
+      // The request may still arrive and start an election in the next term, so
+      // this term cannot go on; the next one has at most one leader.
+      const bool voter = configuration().IsVoter(self_);
+      BecomeFollower(term_, ReplicaId(), now);
+      if (voter)
+        StartElection(true, now);
+      return;
+    }
+  }
   if (now >= heartbeat_at_)
     Broadcast(true, now);
 }
--- a/src/raft/node.h
+++ b/src/raft/node.h
@@ -84,14 +84,18 @@
                                              const ReplicaId& id,
                                              TimePoint now);
 
-  /// \brief Asks a voter to become leader as soon as it has all entries.
+  /// \brief Asks a voter to become leader as soon as it has all entries. If it
+  /// was asked and does not within the election timeout, this replica holds an
+  /// election of its own.
   [[nodiscard]] Status TransferLeadership(const ReplicaId& to, TimePoint now);
 
   /// \brief Sends a round of heartbeats, whose answers advance ConfirmedAt.
   [[nodiscard]] Status RequestConfirmation(TimePoint now);
 
   /// \returns the latest time at which this replica certainly was leader and
-  /// knew every entry committed by then; nothing if there is none.
+  /// knew every entry committed by then; nothing if there is none, or once
+  /// another replica was asked to take over: its election does not wait for
+  /// the followers' silence, so no lease follows from a confirmation.
   [[nodiscard]] std::optional<TimePoint> ConfirmedAt(TimePoint now) const;
 
   /// \returns the work left by the calls since the last one.
@@ -223,6 +227,7 @@
   TimePoint heartbeat_at_;
   ReplicaId transfer_to_;
   TimePoint transfer_until_;
+  bool handed_over_ = false;  ///< the target was asked in this term
 };
 
 }  // namespace boragewinch::raft
--- a/src/raft/node_leader.cc
+++ b/src/raft/node_leader.cc
@@ -10,6 +10,7 @@
   role_ = Role::kLeader;
   leader_ = self_;
   leader_since_ = now;
+  handed_over_ = false;
   votes_.clear();
   progress_.clear();
   AppendAsLeader(EntryKind::kNoop, "", now);
@@ -62,7 +63,7 @@
 }
 
 std::optional<TimePoint> Node::ConfirmedAt(TimePoint now) const {
-  if (role_ != Role::kLeader || log_.TermAt(commit_) != term_)
+  if (role_ != Role::kLeader || handed_over_ || log_.TermAt(commit_) != term_)
     return std::nullopt;
   return MajorityContact(now);
 }
@@ -130,8 +131,10 @@
 }
 
 void Node::MaybeTransfer(const ReplicaId& to) {
-  if (to == transfer_to_ && progress_[to].match == log_.last_index())
-    Send(MessageKind::kTimeoutNow, to);
+  if (to != transfer_to_ || progress_[to].match != log_.last_index())
+    return;
+  handed_over_ = true;
+  Send(MessageKind::kTimeoutNow, to);
 }
 
 Status Node::RequestConfirmation(TimePoint now) {
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -461,6 +461,40 @@
       Millis(100)));
 }
 
+// Guards against two replicas that act as leader: the target of a transfer is
+// elected without waiting for the lease of the leader that asked it.
+BOOST_AUTO_TEST_CASE(ALeaderThatHandsOverConfirmsNothing) {
+  Formed cluster(3);
+  Replica& leader = *cluster.leader()->replica;
+  BOOST_REQUIRE(leader.ConfirmedAt(cluster.now));
+  BOOST_REQUIRE(leader.TransferLeadership(cluster.now));
+  BOOST_TEST(!leader.ConfirmedAt(cluster.now));
+}
+
+// Guards against a term in which nobody acts: the message that moves
+// leadership is lost, or delayed until after the time of the transfer.
+BOOST_AUTO_TEST_CASE(AFailedTransferEndsInANewTerm) {
+  for (const bool delayed : {false, true}) {
+    Formed cluster(3);
+    const std::uint64_t term = cluster.leader()->replica->term();
+    cluster.network = [&](const Cluster::Sent& sent) {
+      if (sent.message.kind != MessageKind::kTimeoutNow)
+        return std::vector<Millis>{Millis(1)};
+      return delayed ? std::vector<Millis>{Millis(520)} : std::vector<Millis>{};
+    };
+    BOOST_REQUIRE(cluster.leader()->replica->TransferLeadership(cluster.now));
+    const Millis limit = cluster.options.node.election_timeout + Millis(100);
+    BOOST_TEST(cluster.RunUntil(
+        [&] {
+          const Cluster::Host* const leader = cluster.leader();
+          return leader && leader->replica->term() > term &&
+                 leader->replica->ConfirmedAt(cluster.now);
+        },
+        limit));
+    cluster.Settle();
+  }
+}
+
 // Guards against a restart or a rejoin that needs the whole history, and
 // against a snapshot that is put together wrongly.
 BOOST_AUTO_TEST_CASE(SnapshotsBoundTheLogAndReachNewReplicas) {
