Keep the runs of a worker that starts again until its later life settles them

Cause: an order names a worker's id, not its life. A worker that starts again under its id carries out a start that was meant for the life before, with a lease on another clock that is only cut to the longest one. The answer does not name the life, so it passed for one of the earlier life, and the runs of that life ended with the next announcement or list. The tasks were started elsewhere beside them, the sooner the later the leader heard of the new life.

Why it works: in the ledger the runs go on to the later life. Its link stops each run first, as a start may still be on its way, and believes a list that was asked for after the stop; a new leader believes a list under its own token; a silent life is waited for as long as the longest lease. A clock far behind the last answer shows another life, too, and then no lease is extended there.

Evidence: with the ledger or the link as before, ALaterLifeOfAWorkerTakesOverItsRuns, ARunOfAnEarlierLifeIsStoppedFirst, ARunOfAnEarlierLifeLapsesAfterTheLongestLease and AClockThatBeginsAnewShowsAnotherLife fail.

--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -110,7 +110,8 @@
     Depart(note.life);
     return;
   }
-  // A new life at the same id, address or host ends the one before it.
+  // A new life at the same id, address or host ends the one before it. An order
+  // reaches another life only under the same id.
   std::vector<WorkerLife> over;
   for (const auto& [life, worker] : workers_) {
     if (life == note.life)
@@ -124,9 +125,13 @@
       return;
     over.push_back(life);
   }
-  for (const WorkerLife& life : over)
-    Depart(life);
   Worker& worker = workers_[note.life];
+  for (const WorkerLife& life : over) {
+    if (life.id == note.life.id)
+      CarryOver(life, note.life);
+    else
+      Depart(life);
+  }
   // A worker never takes a drain back within one life.
   const bool draining = worker.note.draining || note.draining;
   worker.note = note;
@@ -149,6 +154,30 @@
   workers_.erase(life);
 }
 
+void JobLedger::CarryOver(const WorkerLife& life, const WorkerLife& later) {
+  const auto from = workers_.find(life);
+  Worker& to = workers_.at(later);
+  for (const RunName& name : from->second.runs) {
+    Job* job = MutableJob(name.task.job);
+    if (job == nullptr)
+      continue;
+    Task& task = job->occurrences.at(name.task.occurrence)
+                     .steps[name.task.step]
+                     .tasks[name.task.index];
+    for (Run& run : task.runs) {
+      if (run.number == name.number && run.worker == life) {
+        run.worker = later;
+        run.carried = true;
+      }
+    }
+    to.used += RoomOf(job->spec->steps[name.task.step]);
+    to.runs.insert(name);
+    to.carried.insert(name);
+  }
+  from->second.runs.clear();
+  Depart(life);
+}
+
 void JobLedger::ApplySubmission(const Submission& submission, UnixMillis now) {
   const auto [place, added] = jobs_.try_emplace(submission.id);
   if (!added)
@@ -219,6 +248,7 @@
   if (const auto found = workers_.find(worker); found != workers_.end()) {
     found->second.used -= RoomOf(spec);
     found->second.runs.erase(run);
+    found->second.carried.erase(run);
   }
   return true;
 }
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -21,6 +21,8 @@
   std::uint32_t number = 0;
   WorkerLife worker;
   UnixMillis decided = 0;
+  /// Ordered from an earlier life of the worker; see Worker::carried.
+  bool carried = false;
 };
 
 /// \brief State of one task.
@@ -83,6 +85,9 @@
   std::int64_t ends_noted = 0;  ///< highest list number that is stored
   Resources used;               ///< by its runs, as far as they count
   std::set<RunName> runs;
+  /// Those of `runs` that were ordered from an earlier life under the same id.
+  /// An order names only the id, so this life may carry it out.
+  std::set<RunName> carried;
 };
 
 struct Wave {
@@ -163,6 +168,8 @@
   void Finish(Job* job, JobState state, UnixMillis now);
   void Compact(Job* job);
   void Depart(const WorkerLife& life);
+  /// \brief Ends a life whose id has come back; its runs go on to `later`.
+  void CarryOver(const WorkerLife& life, const WorkerLife& later);
   void AdoptJob(Job job);
   [[nodiscard]] Job* MutableJob(const JobId& id);
 
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -12,6 +12,7 @@
   row.append(run.worker.id.str());
   row.append(::Json::Int64(run.worker.born));
   row.append(::Json::Int64(run.decided));
+  row.append(run.carried);
   return row;
 }
 
@@ -67,13 +68,17 @@
   task.checkpoint = row[3].asString();
   for (::Json::ArrayIndex i = 4; i < row.size(); ++i) {
     const Json& run = row[i];
-    if (!run.isArray() || run.size() != 4 || !run[0].isUInt() ||
-        !run[1].isString() || !run[2].isInt64() || !run[3].isInt64()) {
+    // Earlier versions wrote four fields.
+    const bool has_carried = run.isArray() && run.size() == 5;
+    if (!run.isArray() || (run.size() != 4 && !has_carried) ||
+        !run[0].isUInt() || !run[1].isString() || !run[2].isInt64() ||
+        !run[3].isInt64() || (has_carried && !run[4].isBool())) {
       return Fail(ErrorCode::kStorageCorrupt, "run in a ledger snapshot");
     }
     task.runs.push_back({run[0].asUInt(),
                          {WorkerId(run[1].asString()), run[2].asInt64()},
-                         run[3].asInt64()});
+                         run[3].asInt64(),
+                         has_carried && run[4].asBool()});
   }
   return task;
 }
@@ -226,7 +231,10 @@
           if (const auto worker = workers_.find(run.worker);
               worker != workers_.end()) {
             worker->second.used += RoomOf(spec);
-            worker->second.runs.insert({{job.id, number, s, i}, run.number});
+            const RunName name{{job.id, number, s, i}, run.number};
+            worker->second.runs.insert(name);
+            if (run.carried)
+              worker->second.carried.insert(name);
           }
         }
       }
--- a/src/scheduler/worker_calls.h
+++ b/src/scheduler/worker_calls.h
@@ -51,17 +51,18 @@
 
 enum class CallVerdict {
   kDone,
-  kFenced,     ///< the worker has seen a higher fencing token
-  kStale,      ///< a run of that number or a later one was there before
-  kLate,       ///< the lease in the order has run out
-  kNoRoom,     ///< the worker has not enough room
-  kNoTicket,   ///< the ticket is missing or not valid
-  kInvalid,    ///< the order was not understood
-  kUnhealthy,  ///< the worker takes nothing now and has done nothing
-  kOtherLife,  ///< another worker or another life answers at the address
+  kFenced,       ///< the worker has seen a higher fencing token
+  kStale,        ///< a run of that number or a later one was there before
+  kLate,         ///< the lease in the order has run out
+  kNoRoom,       ///< the worker has not enough room
+  kNoTicket,     ///< the ticket is missing or not valid
+  kInvalid,      ///< the order was not understood
+  kUnhealthy,    ///< the worker takes nothing now and has done nothing
+  kOtherLife,    ///< another life of the worker answers; it has acted
+  kOtherWorker,  ///< a worker with another id answers; it has done nothing
 };
 
-inline constexpr EnumTable<CallVerdict, 9> kCallVerdicts{{{
+inline constexpr EnumTable<CallVerdict, 10> kCallVerdicts{{{
     {CallVerdict::kDone, "done"},
     {CallVerdict::kFenced, "fenced"},
     {CallVerdict::kStale, "stale"},
@@ -71,6 +72,7 @@
     {CallVerdict::kInvalid, "invalid"},
     {CallVerdict::kUnhealthy, "unhealthy"},
     {CallVerdict::kOtherLife, "other_life"},
+    {CallVerdict::kOtherWorker, "other_worker"},
 }}};
 
 /// \brief What a worker answered to an order.
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -209,8 +209,8 @@
     if (answer && answer.value().verdict == CallVerdict::kUnhealthy)
       NoteHealth(*worker, false, now);
   }
-  if (answer && answer.value().verdict == CallVerdict::kOtherLife)
-    NoteDeparture(life, "another life answers");
+  if (answer && answer.value().verdict == CallVerdict::kOtherWorker)
+    NoteDeparture(life, "another worker answers");
   if (const auto how = link->OnStartAnswer(run, answer, now))
     NoteEnds({{run, life, *how, "", 0}}, now);
 }
@@ -244,7 +244,8 @@
   call.lease_until_ms = link->LeaseUntil();
   if (call.lease_until_ms) {
     link->OnGrant(*call.lease_until_ms);
-    call.wait = options_.hold_wait;
+    if (!WorkerLink::Settling(worker))
+      call.wait = options_.hold_wait;
   }
   link->OnHoldSent(now);
   calls_.hold(worker.note, call,
@@ -265,9 +266,13 @@
   const bool listed =
       answer && answer.value().call.verdict == CallVerdict::kDone;
   if (!listed) {
-    const bool other =
-        answer && answer.value().call.verdict == CallVerdict::kOtherLife;
+    const auto answers = [&](CallVerdict verdict) {
+      return answer && answer.value().call.verdict == verdict;
+    };
     link->OnHoldFailed(now);
+    // The runs go on to the later life when it announces itself.
+    if (answers(CallVerdict::kOtherLife))
+      link->OnOtherLife(now);
     LogEvent(
         EventId::kCallFailed,
         {{"call", "hold"},
@@ -275,8 +280,8 @@
          {"error",
           answer ? std::string(kCallVerdicts.Name(answer.value().call.verdict))
                  : answer.error().Text()}});
-    if (other)
-      NoteDeparture(life, "another life answers");
+    if (answers(CallVerdict::kOtherWorker))
+      NoteDeparture(life, "another worker answers");
     return;
   }
   std::vector<jobs::RunName> strays;
--- a/src/scheduler/worker_link.cc
+++ b/src/scheduler/worker_link.cc
@@ -19,6 +19,10 @@
 /// Longest time that workers take for a stop is below 1 s on any deployment.
 constexpr Millis kStopRepeat{2'000};
 
+/// Answers come within 2 s or not at all, so one with a clock that is further
+/// behind an earlier answer is not from the same life.
+constexpr std::int64_t kClockDisorderMs = 5'000;
+
 [[nodiscard]] Millis WithDrift(Millis lease) {
   return lease * (100 + kLeaseDriftPercent) / 100 + kLapseMargin;
 }
@@ -43,10 +47,22 @@
   });
   for (const jobs::RunName& run : worker.runs) {
     const auto [track, is_new] = tracks_.try_emplace(run);
-    if (is_new) {
-      track->second.phase = added;
-      track->second.since = now;
-    }
+    if (!is_new)
+      continue;
+    track->second.phase = added;
+    track->second.since = now;
+    if (worker.carried.count(run) == 0)
+      continue;
+    carried_until_ =
+        std::max(carried_until_, now + WithDrift(options_.max_lease));
+    if (added == RunPhase::kInherited)
+      continue;
+    // Its start may still be on its way with this leader's token, which the
+    // worker does not refuse.
+    track->second.phase = RunPhase::kUnsure;
+    track->second.since = now - options_.start_retry;
+    track->second.starts_sent = kMaxStarts;
+    track->second.stop_wanted = true;
   }
 }
 
@@ -60,13 +76,27 @@
   granted_ms_ = std::max(granted_ms_, lease_until_ms);
 }
 
-void WorkerLink::OnClock(std::int64_t clock_ms, TimePoint now) {
+bool WorkerLink::OnClock(std::int64_t clock_ms, TimePoint now) {
+  if (clock_ms_ && clock_ms + kClockDisorderMs < *clock_ms_)
+    OnOtherLife(now);
+  if (other_life_)
+    return false;
   silent_ = false;
   // Answers may overtake each other.
   if (clock_ms_ && clock_ms < *clock_ms_)
-    return;
+    return true;
   clock_ms_ = clock_ms;
   clock_at_ = now;
+  return true;
+}
+
+void WorkerLink::OnOtherLife(TimePoint now) {
+  if (std::exchange(other_life_, true))
+    return;
+  carried_until_ =
+      std::max(carried_until_, now + WithDrift(options_.max_lease));
+  clock_ms_.reset();
+  silent_ = true;
 }
 
 void WorkerLink::OnSilence(TimePoint) {
@@ -76,7 +106,7 @@
 // The worker's clock showed at least clock_ms_ at clock_at_.
 TimePoint WorkerLink::LapsedAt() const {
   if (!clock_ms_)
-    return inherited_until_;
+    return other_life_ ? carried_until_ : inherited_until_;
   const Millis left(std::max<std::int64_t>(0, granted_ms_ - *clock_ms_));
   return std::max(inherited_until_, clock_at_ + WithDrift(left));
 }
@@ -106,8 +136,15 @@
     }
     return std::nullopt;
   }
+  if (answer.value().verdict == CallVerdict::kOtherLife)
+    OnOtherLife(now);
   if (answer.value().clock_ms)
-    OnClock(*answer.value().clock_ms, now);
+    (void)OnClock(*answer.value().clock_ms, now);
+  if (other_life_) {
+    track->phase = RunPhase::kUnsure;
+    track->since = now;
+    return std::nullopt;
+  }
   switch (answer.value().verdict) {
     case CallVerdict::kDone:
       if (track->phase == RunPhase::kOrdered) {
@@ -117,6 +154,7 @@
       return std::nullopt;
     case CallVerdict::kStale:
     case CallVerdict::kOtherLife:
+    case CallVerdict::kOtherWorker:
       // An earlier copy of the order may have started the run; the list of the
       // worker tells.
       track->phase = RunPhase::kConfirmed;
@@ -163,8 +201,10 @@
   if (track == nullptr || track->phase != RunPhase::kStopping)
     return;
   track->since = now;
+  if (answer && answer.value().verdict == CallVerdict::kOtherLife)
+    OnOtherLife(now);
   if (answer && answer.value().clock_ms)
-    OnClock(*answer.value().clock_ms, now);
+    (void)OnClock(*answer.value().clock_ms, now);
   const bool taken = answer && (answer.value().verdict == CallVerdict::kDone ||
                                 answer.value().verdict == CallVerdict::kStale);
   track->phase = taken ? RunPhase::kStopped : RunPhase::kUnsure;
@@ -189,9 +229,13 @@
     TimePoint now,
     std::vector<jobs::RunName>* strays) {
   hold_open_ = false;
-  hold_due_ = answer.ended.empty() ? now : now + options_.hold_pause;
+  hold_due_ = answer.ended.empty() && !Settling(worker)
+                  ? now
+                  : now + options_.hold_pause;
+  // A list names the life that it is from.
+  other_life_ = false;
   if (answer.call.clock_ms)
-    OnClock(*answer.call.clock_ms, now);
+    (void)OnClock(*answer.call.clock_ms, now);
   std::vector<jobs::EndNote> ends;
   std::set<jobs::RunName> listed;
   for (const EndedRow& row : answer.ended) {
@@ -241,6 +285,8 @@
   if (worker.runs.empty() || now < LapsedAt())
     return ends;
   for (const jobs::RunName& run : worker.runs) {
+    if (worker.carried.count(run) > 0 && now < carried_until_)
+      continue;
     const RunTrack* track = Find(run);
     ends.push_back({run, worker.note.life, jobs::RunEnd::kLost,
                     track != nullptr ? track->checkpoint : "", 0});
@@ -254,6 +300,8 @@
 
 std::vector<jobs::RunName> WorkerLink::StartsDue(TimePoint now) const {
   std::vector<jobs::RunName> due;
+  if (other_life_)
+    return due;
   for (const auto& [run, track] : tracks_) {
     const bool again = track.phase == RunPhase::kUnsure &&
                        track.starts_sent > 0 && track.starts_sent < kMaxStarts;
--- a/src/scheduler/worker_link.h
+++ b/src/scheduler/worker_link.h
@@ -20,6 +20,9 @@
   /// out an election with the start of the new leader (some 2 s) and delays the
   /// restart of what ran on a lost worker.
   Millis lease{5'000};
+  /// Longest lease that workers grant, whatever an order says: the lease in an
+  /// order for an earlier life is a time on another clock.
+  Millis max_lease{10'000};
   /// A worker that has not answered for this long gets no new work. A waiting
   /// call is answered after kHoldWait at the latest.
   Millis silence{1'700};
@@ -77,7 +80,8 @@
 ///
 /// A run is known to be over only when the worker lists its end, when a list
 /// lacks it although no start of it can still arrive, or when every lease that
-/// could have been granted has run out.
+/// could have been granted has run out. A run that was ordered from an earlier
+/// life of the worker is stopped first, as its start may still be on its way.
 class WorkerLink {
  public:
   /// \param now time at which this leader began to act: leases that earlier
@@ -94,8 +98,9 @@
   [[nodiscard]] std::optional<std::int64_t> LeaseUntil() const;
   /// \brief Notes that an order with that lease is being sent.
   void OnGrant(std::int64_t lease_until_ms);
-  /// \brief Notes an answer with the worker's clock.
-  void OnClock(std::int64_t clock_ms, TimePoint now);
+  /// \brief Notes that another life answers at the worker's address. Its list
+  /// and clock say nothing about this one, and it may carry out orders for it.
+  void OnOtherLife(TimePoint now);
   void OnSilence(TimePoint now);
 
   void OnStartSent(const jobs::RunName& run, TimePoint now);
@@ -127,6 +132,11 @@
                                                  TimePoint now);
 
   [[nodiscard]] bool HoldDue(TimePoint now) const;
+  /// \returns whether runs of an earlier life are to be settled by lists, so
+  /// that these should not wait for ends.
+  [[nodiscard]] static bool Settling(const jobs::Worker& worker) {
+    return !worker.carried.empty();
+  }
   /// \returns runs whose start or stop is to be sent again.
   [[nodiscard]] std::vector<jobs::RunName> StartsDue(TimePoint now) const;
   [[nodiscard]] std::vector<jobs::RunName> StopsDue(TimePoint now) const;
@@ -146,6 +156,9 @@
   }
 
  private:
+  /// \brief Notes an answer with the worker's clock. \returns whether the clock
+  /// can be that of this life.
+  bool OnClock(std::int64_t clock_ms, TimePoint now);
   [[nodiscard]] TimePoint LapsedAt() const;
   [[nodiscard]] RunTrack* Find(const jobs::RunName& run);
 
@@ -155,6 +168,10 @@
   TimePoint clock_at_;                    ///< when that answer came
   std::int64_t granted_ms_ = 0;  ///< latest lease sent, on the worker's clock
   TimePoint inherited_until_;    ///< end of leases of earlier leaders
+  /// End of leases that a later life may have given to orders for an earlier
+  /// one.
+  TimePoint carried_until_;
+  bool other_life_ = false;  ///< another life has answered
   bool hold_open_ = false;
   TimePoint hold_sent_;
   TimePoint hold_due_;
--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -183,6 +183,44 @@
   BOOST_TEST(builder.ledger().FindPresent(WorkerId("fresh")) != nullptr);
 }
 
+// Guards against two runs of one task: a start that was meant for the earlier
+// life may still be carried out by the later one, which has the same id.
+BOOST_AUTO_TEST_CASE(ALaterLifeOfAWorkerTakesOverItsRuns) {
+  Builder builder;
+  builder.AddWorker("w").Submit("job", {Builder::Tasks(1)});
+  const RunName run = Builder::Run("job", 0, 0);
+  builder.Start(run, "w");
+  WorkerNote later;
+  later.life = Builder::Life("w", 2);
+  later.address = "w:80";
+  later.pool = PoolName("p");
+  later.capacity = {16'000, 32'000, 0};
+  Batch batch;
+  batch.workers = {later};
+  builder.Apply(batch);
+  BOOST_TEST(builder.ledger().workers().size() == 1U);
+  BOOST_TEST(builder.job("job").runs == 1);
+  BOOST_TEST(builder.ledger().HasRun(run, later.life));
+  const Worker* worker = builder.ledger().FindWorker(later.life);
+  BOOST_REQUIRE(worker != nullptr);
+  BOOST_TEST(worker->runs.count(run) == 1U);
+  BOOST_TEST(worker->carried.count(run) == 1U);
+  BOOST_TEST(worker->used.cpu_millis == 1'000);
+
+  const Result<JobLedger> restored =
+      JobLedger::Restore(builder.ledger().Snapshot());
+  BOOST_REQUIRE(restored);
+  BOOST_TEST(restored.value().FindWorker(later.life)->carried.count(run) == 1U);
+
+  batch = {};
+  batch.ends = {{run, later.life, RunEnd::kLost, "", 0}};
+  builder.Apply(batch);
+  BOOST_TEST(builder.job("job").runs == 0);
+  BOOST_TEST(builder.ledger().FindWorker(later.life)->used.cpu_millis == 0);
+  BOOST_TEST(builder.ledger().FindWorker(later.life)->carried.empty());
+  BOOST_TEST(builder.ledger().UsageOf(CustomerName("c")).cpu_millis == 0);
+}
+
 // Guards against an announcement that was delayed past the worker's end.
 BOOST_AUTO_TEST_CASE(ADepartedLifeDoesNotComeBack) {
   Builder builder;
--- a/tests/worker_link_test.cc
+++ b/tests/worker_link_test.cc
@@ -197,5 +197,99 @@
   BOOST_TEST(link.StartsDue(At(250)).size() == 1U);
 }
 
+/// A worker that has started again under its id: its later life has taken over
+/// the run in the ledger.
+struct LaterLife : Fixture {
+  LaterLife() {
+    jobs::WorkerNote note = worker().note;
+    note.life = life;
+    jobs::Batch batch;
+    batch.workers = {note};
+    builder.Apply(batch);
+  }
+  [[nodiscard]] const jobs::Worker& later() const {
+    return *builder.ledger().FindWorker(life);
+  }
+  std::vector<jobs::EndNote> ListLater(std::int64_t sent, std::int64_t now) {
+    next.OnHoldSent(At(sent));
+    HoldAnswer answer;
+    answer.call.clock_ms = now;
+    return next.OnHoldAnswer(later(), answer, At(now), &strays);
+  }
+
+  jobs::WorkerLife life = LedgerBuilder::Life("w", 2);
+  /// The leader has acted for a minute when the later life announces itself.
+  WorkerLink next{WorkerLinkOptions{}, At(-60'000)};
+};
+
+// Guards against two runs of one task: a start for the earlier life may still
+// arrive at the later one, so a list that lacks the run proves nothing before
+// the later life has taken a stop.
+BOOST_FIXTURE_TEST_CASE(ARunOfAnEarlierLifeIsStoppedFirst, LaterLife) {
+  next.Sync(later(), RunPhase::kPlanned, At(0));
+  BOOST_TEST(next.StartsDue(At(5'000)).empty());
+  BOOST_REQUIRE(next.StopsDue(At(0)).size() == 1U);
+  next.OnStopSent(kRun, At(0));
+  BOOST_TEST(ListLater(1, 3).empty());
+  next.OnStopAnswer(kRun, CallAnswer{CallVerdict::kDone, 4}, At(4));
+  const auto ends = ListLater(5, 8);
+  BOOST_REQUIRE(ends.size() == 1U);
+  BOOST_TEST((ends[0].worker == life));
+  BOOST_TEST((ends[0].how == RunEnd::kLost));
+}
+
+// Guards against the same where the later life does not answer: an order for
+// the earlier life gets the longest lease there, as the clocks differ.
+BOOST_FIXTURE_TEST_CASE(ARunOfAnEarlierLifeLapsesAfterTheLongestLease,
+                        LaterLife) {
+  const WorkerLinkOptions options;
+  BOOST_REQUIRE(options.max_lease > options.lease);
+  for (const RunPhase added : {RunPhase::kPlanned, RunPhase::kInherited}) {
+    next = WorkerLink{options, At(added == RunPhase::kPlanned ? -60'000 : 0)};
+    next.Sync(later(), added, At(0));
+    const std::int64_t longest = options.max_lease.count();
+    BOOST_TEST(next.Lapse(later(), At(0)).empty());
+    BOOST_TEST(next.Lapse(later(), At(longest)).empty());
+    BOOST_TEST(next.Lapse(later(), At(longest * 5 / 4)).size() == 1U);
+  }
+}
+
+// Guards against a new leader that starts a task again which a later life of
+// its worker has started.
+BOOST_FIXTURE_TEST_CASE(AnInheritedRunOfAnEarlierLifeIsSettledByAList,
+                        LaterLife) {
+  next.Sync(later(), RunPhase::kInherited, At(0));
+  BOOST_TEST(next.StopsDue(At(0)).empty());
+  BOOST_TEST(ListLater(1, 3).size() == 1U);
+}
+
+// Guards against two runs of one task: a start answered by a later life of the
+// worker, whose clock begins anew, passes for one that the earlier life took.
+BOOST_FIXTURE_TEST_CASE(AClockThatBeginsAnewShowsAnotherLife, Fixture) {
+  BOOST_TEST(List(0, 5, Running(kRun)).empty());
+  BOOST_TEST(link.Reachable(At(10)));
+  link.OnStartSent(kRun, At(10));
+  BOOST_TEST(
+      !link.OnStartAnswer(kRun, CallAnswer{CallVerdict::kDone, 700}, At(14)));
+  BOOST_TEST((link.tracks().at(kRun).phase == RunPhase::kUnsure));
+  BOOST_TEST(!link.Reachable(At(14)));
+  // No call extends leases at the later life, whose runs are not known.
+  BOOST_TEST(!link.LeaseUntil());
+  BOOST_TEST(link.StartsDue(At(5'000)).empty());
+  const std::int64_t longest = WorkerLinkOptions().max_lease.count();
+  BOOST_TEST(link.Lapse(worker(), At(14 + longest)).empty());
+  BOOST_TEST(link.Lapse(worker(), At(14 + longest * 5 / 4)).size() == 1U);
+}
+
+// Guards against answers that overtook each other and pass for another life.
+BOOST_FIXTURE_TEST_CASE(ALateAnswerIsNoOtherLife, Fixture) {
+  BOOST_TEST(List(0, 2'000, Running(kRun)).empty());
+  link.OnStartSent(kRun, At(10));
+  BOOST_TEST(!link.OnStartAnswer(kRun, CallAnswer{CallVerdict::kDone, 500'000},
+                                 At(2'010)));
+  BOOST_TEST((link.tracks().at(kRun).phase == RunPhase::kConfirmed));
+  BOOST_TEST(link.LeaseUntil().has_value());
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
