Do not let a drained host that left hold a wave up

Cause: a host that is no longer listed counted as gone after 30 s, since a crashed one comes back within some seconds.

Why it works: a host whose last worker had said that it drains counts as gone after 8 s.

Test ADrainedHostThatLeftHoldsNoWaveUp fails before.

--- a/src/scheduler/wave_keeper.cc
+++ b/src/scheduler/wave_keeper.cc
@@ -14,6 +14,9 @@
 /// A host counts as gone after this time without it in the lists: a crashed one
 /// is missing for some seconds and comes back.
 constexpr Millis kGoneAfter{30'000};
+/// The same for a host whose worker had said that it drains: it was taken away
+/// on purpose. A new worker would be listed within some seconds.
+constexpr Millis kLeftAfter{8'000};
 
 }  // namespace
 
@@ -101,17 +104,23 @@
       continue;
     const HostRow* row = hosts_.Find(host);
     if (row == nullptr) {
-      if (hosts_.MissingFor(host, now) >= kGoneAfter)
+      if (hosts_.MissingFor(host, now) >=
+          (drained_.count(host) > 0 ? kLeftAfter : kGoneAfter)) {
         steps->progress.push_back({wave.order.number, host});
+      }
       continue;
     }
+    const jobs::Worker* worker =
+        row->worker.empty() ? nullptr : ledger.FindPresent(row->worker);
+    if (worker != nullptr && worker->note.draining)
+      drained_.insert(host);
+    else if (worker != nullptr)
+      drained_.erase(host);
     const auto refused = refused_until_.find(host);
     if (row->state != HostState::kUp ||
         (refused != refused_until_.end() && now < refused->second)) {
       continue;
     }
-    const jobs::Worker* worker =
-        row->worker.empty() ? nullptr : ledger.FindPresent(row->worker);
     next.push_back({host, worker, worker == nullptr ? 0 : worker->runs.size()});
   }
   // Empty hosts go first: they need no waiting and stop no task.
--- a/src/scheduler/wave_keeper.h
+++ b/src/scheduler/wave_keeper.h
@@ -69,6 +69,7 @@
   std::map<HostName, Ordered> ordered_;
   std::map<HostName, TimePoint> refused_until_;
   std::set<jobs::WorkerLife> clearing_;
+  std::set<HostName> drained_;  ///< hosts whose last worker said it drains
 };
 
 }  // namespace boragewinch::scheduler
--- a/tests/host_decisions_test.cc
+++ b/tests/host_decisions_test.cc
@@ -391,6 +391,28 @@
   BOOST_TEST(Decide(31'010).progress.size() == 1U);
 }
 
+// Guards against a wave that is late because of a host that was taken away on
+// purpose: its worker drained, then the host was listed no more.
+BOOST_FIXTURE_TEST_CASE(ADrainedHostThatLeftHoldsNoWaveUp, Wave) {
+  jobs::WorkerNote note =
+      builder.ledger().FindWorker(LedgerBuilder::Life("w-p0"))->note;
+  note.draining = true;
+  jobs::Batch batch;
+  batch.workers.push_back(note);
+  builder.Apply(batch);
+  StartWave({HostName("p0"), HostName("p1")}, 2);
+  List(0);
+  (void)keeper.Decide(builder.ledger(), At(0));
+  std::erase_if(rows, [](const HostRow& row) {
+    return row.host.str() == "p0" || row.host.str() == "p1";
+  });
+  List(1'000);
+  BOOST_TEST(keeper.Decide(builder.ledger(), At(7'000)).progress.empty());
+  const WaveSteps steps = keeper.Decide(builder.ledger(), At(9'100));
+  BOOST_REQUIRE(steps.progress.size() == 1U);
+  BOOST_TEST(steps.progress[0].host.str() == "p0");
+}
+
 // Guards against work that an unanswered order for maintenance ends later.
 BOOST_FIXTURE_TEST_CASE(AnUnansweredOrderKeepsTheHostClear, Wave) {
   List(0);
