Pass calls to workers on to the other schedulers

Callers of the grown sites got few of their jobs in time: the leader made some 1,700 HTTP calls a second to 350 workers itself, on 0.35 of a core, while the other core hosts idled. The leader still decides on every call; its transport now goes in batches to agents on the other schedulers, which make the calls and return the answers in batches.

Each call is given to one agent, and to a second one only if the first surely has not made it. A lost batch, a restarted or a silent agent ends its calls as ones that may have been made, which the leader's proofs of the end of a run already expect.

--- a/src/base/event.h
+++ b/src/base/event.h
@@ -57,6 +57,8 @@
   kWorkerLost = 5002,
   kWorkerLeaving = 5003,
   kWorkerSetAside = 5004,
+  kCallAgentLeft = 5005,
+  kCallAgentChanged = 5006,
   kDrainGranted = 6001,
   kDrainDone = 6002,
   kDrainRefused = 6003,
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -36,7 +36,7 @@
 
 void RpcClient::Call(const std::string& address,
                      const std::string& method,
-                     const Json& body,
+                     Json body,
                      Millis timeout,
                      Done done) {
   const std::uint64_t id = next_id_++;
@@ -44,7 +44,7 @@
   envelope["jsonrpc"] = "2.0";
   envelope["method"] = method;
   envelope["id"] = ::Json::UInt64(id);
-  envelope["params"]["body"] = body;
+  envelope["params"]["body"] = std::move(body);
   HttpCall call;
   call.method = "POST";
   call.url = "http://" + address + "/rpc";
--- a/src/net/rpc_client.h
+++ b/src/net/rpc_client.h
@@ -25,7 +25,7 @@
   /// Error (kTransport: the other side has not seen the call).
   void Call(const std::string& address,
             const std::string& method,
-            const Json& body,
+            Json body,
             Millis timeout,
             Done done);
 
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -1,5 +1,7 @@
 #include "scheduler/scheduler_service.h"
 
+#include <algorithm>
+#include <random>
 #include <utility>
 
 #include "base/event_log.h"
@@ -19,6 +21,14 @@
 /// An operator's or worker's call is passed on for so long; they call another
 /// host after a second.
 constexpr Millis kControlDeadline{900};
+/// Answers of workers that come within this time share a message to the leader.
+/// It delays the note of an end, against tasks of 640 ms and more.
+constexpr Millis kAnswerBatch{10};
+
+[[nodiscard]] Incarnation NewIncarnation() {
+  std::random_device seed;
+  return Incarnation(std::to_string(seed()) + "-" + std::to_string(seed()));
+}
 
 }  // namespace
 
@@ -53,9 +63,10 @@
   replica_ = std::make_unique<LedgerReplica>(*loop_, *rpc_client_,
                                              options_.ledger, std::move(hooks));
   worker_calls_ = ports_.worker_calls(*client_);
+  StartCallAgents();
   advice_ = std::make_unique<AdviceBook>(AdviceOptions{});
   fleet_ = std::make_unique<WorkerFleet>(
-      *loop_, *replica_, worker_calls_,
+      *loop_, *replica_, call_router_->AsWorkerCalls(),
       [this](const jobs::TaskName& task, const jobs::WorkerId& worker) {
         return advice_->TicketFor(task, worker, loop_->now()).value_or("");
       },
@@ -108,6 +119,42 @@
   return Ok();
 }
 
+void SchedulerService::StartCallAgents() {
+  WorkerCallAgentOptions agent;
+  agent.incarnation = NewIncarnation();
+  agent.zone = options_.zone;
+  WorkerCallAgent::Hooks agent_hooks;
+  agent_hooks.calls = worker_calls_;
+  agent_hooks.flush_soon = [this] {
+    call_flush_ =
+        loop_->After(kAnswerBatch, [this](TimePoint) { call_agent_->Flush(); });
+  };
+  agent_hooks.term = [this] { return replica_->term(); };
+  call_agent_ = std::make_unique<WorkerCallAgent>(std::move(agent),
+                                                  std::move(agent_hooks));
+  rpc_server_->Bind(kCallExchangeMethod,
+                    [this](const Json& body, const RpcReply& reply) {
+                      call_agent_->OnExchange(body, reply, loop_->now());
+                    });
+  WorkerCallRouter::Hooks router;
+  router.exchange = [this](const std::string& host, Json body, Millis timeout,
+                           RpcClient::Done done) {
+    rpc_client_->Call(host + ":" + options_.ledger.port, kCallExchangeMethod,
+                      std::move(body), timeout, std::move(done));
+  };
+  router.hosts = [this] {
+    std::vector<std::string> hosts = replica_->MemberHosts();
+    std::erase(hosts, options_.ledger.host);
+    return hosts;
+  };
+  router.flush_soon = [this] {
+    loop_->Post([this] { call_router_->Flush(loop_->now()); });
+  };
+  router.now = [this] { return loop_->now(); };
+  call_router_ = std::make_unique<WorkerCallRouter>(
+      options_.calls, worker_calls_, std::move(router), metrics_);
+}
+
 void SchedulerService::ServeControl(const RelayedRequest& request,
                                     const HttpResponder& respond) {
   const TimePoint now = loop_->now();
@@ -205,11 +252,18 @@
   advice_ = std::make_unique<AdviceBook>(AdviceOptions{});
   hosts_->OnLeadership(acts, now);
   fleet_->OnLeadership(acts, now);
+  // The fleet drops the answers to calls of an earlier leadership.
+  if (acts)
+    call_router_->Begin(replica_->term(), now);
+  else
+    call_router_->End();
   if (acts)
     replica_->Wake();
 }
 
 void SchedulerService::OnTick(TimePoint now) {
+  call_agent_->Tick(now);
+  call_router_->Tick(now);
   if (!replica_->MayAct(now))
     return;
   fleet_->Tick(now);
@@ -221,6 +275,7 @@
 
 void SchedulerService::Stop(const std::function<void()>& done) {
   replica_->Retire();
+  call_agent_->Retire();
   stop_timer_ = loop_->After(kStopWait, [this, done](TimePoint) {
     control_->StopAccepting();
     internal_->StopAccepting();
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -19,6 +19,8 @@
 #include "scheduler/relay.h"
 #include "scheduler/rules_desk.h"
 #include "scheduler/task_planner.h"
+#include "scheduler/worker_call_agent.h"
+#include "scheduler/worker_call_router.h"
 #include "scheduler/worker_calls.h"
 #include "scheduler/worker_fleet.h"
 #include "scheduler/worker_registry.h"
@@ -32,7 +34,9 @@
   std::string listen_control;   ///< calls of workers and operators
   std::string listen_metrics;   ///< empty: none
   std::string cluster_secret;
+  ZoneName zone;  ///< empty if unknown
   WorkerLinkOptions links;
+  WorkerCallRouterOptions calls;
   TaskPlannerOptions planner;
   HostKeeperOptions hosts;
 };
@@ -69,6 +73,7 @@
   void OnLeadership(bool acts, TimePoint now);
   void OnTick(TimePoint now);
   void StopRuns();
+  void StartCallAgents();
   void AskAdvice(TimePoint now);
   void OpenDue(jobs::Batch* batch, jobs::UnixMillis now) const;
 
@@ -85,7 +90,10 @@
   std::unique_ptr<RulesDesk> rules_desk_;
   std::unique_ptr<WorkerRegistry> registry_;
   std::unique_ptr<HostKeeper> hosts_;
-  WorkerCalls worker_calls_;
+  WorkerCalls worker_calls_;  ///< made by this host
+  std::unique_ptr<WorkerCallRouter> call_router_;
+  std::unique_ptr<WorkerCallAgent> call_agent_;
+  WatchHandle call_flush_;
   std::unique_ptr<AdviceBook> advice_;
   TaskPlanner planner_;
   std::unique_ptr<RelayServer> relay_;
--- /dev/null
+++ b/src/scheduler/worker_call_agent.cc
@@ -0,0 +1,148 @@
+#include "scheduler/worker_call_agent.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+[[nodiscard]] Result<HoldAnswer> AsHoldAnswer(
+    const Result<CallAnswer>& answer) {
+  if (!answer)
+    return outcome::failure(answer.error());
+  HoldAnswer hold;
+  hold.call = answer.value();
+  return hold;
+}
+
+}  // namespace
+
+WorkerCallAgent::WorkerCallAgent(WorkerCallAgentOptions options, Hooks hooks)
+    : options_(std::move(options)), hooks_(std::move(hooks)) {}
+
+Status WorkerCallAgent::Check(const CallExchange& exchange,
+                              TimePoint now) const {
+  if (exchange.term < term_ || exchange.term < hooks_.term())
+    return Fail(ErrorCode::kFenced, "a later leader is known");
+  const bool stalled =
+      (ticked_ != TimePoint() && now - ticked_ >= options_.stall) ||
+      now < stalled_until_;
+  if (stalled && !exchange.calls.empty())
+    return Fail(ErrorCode::kUnavailable, "this host has stood still");
+  return Ok();
+}
+
+void WorkerCallAgent::OnExchange(const Json& body,
+                                 const RpcReply& reply,
+                                 TimePoint now) {
+  Result<CallExchange> exchange = CallExchangeFromJson(body);
+  if (!exchange) {
+    LogEvent(EventId::kMalformedMessage, {{"error", exchange.error().Text()}});
+    reply(outcome::failure(exchange.error()));
+    return;
+  }
+  if (Status allowed = Check(exchange.value(), now); !allowed) {
+    LogEvent(EventId::kCallFailed, {{"call", kCallExchangeMethod},
+                                    {"error", allowed.error().Text()}});
+    reply(outcome::failure(allowed.error()));
+    return;
+  }
+  if (exchange.value().term > term_)
+    BeginTerm(exchange.value().term);
+  // Answers that are still here have found no exchange open when they came.
+  const bool overdue = !answers_.empty() && !flush_due_;
+  waiting_.push_back({reply, now + exchange.value().wait});
+  for (DelegatedCall& call : exchange.value().calls)
+    Make(std::move(call));
+  if (overdue || waiting_.size() > options_.max_open_exchanges)
+    ReplyToOldest();
+}
+
+void WorkerCallAgent::BeginTerm(std::uint64_t term) {
+  term_ = term;
+  open_.clear();
+  answers_.clear();
+  for (const Waiting& waiting : std::exchange(waiting_, {}))
+    waiting.reply(Fail(ErrorCode::kFenced, "a later leader is known"));
+}
+
+void WorkerCallAgent::Make(DelegatedCall call) {
+  const std::uint64_t id = call.id;
+  const std::uint64_t term = term_;
+  if (open_.count(id) > 0) {
+    // The answer of the first copy is under way.
+    LogEvent(EventId::kMalformedMessage,
+             {{"error", "call " + std::to_string(id) + " came twice"}});
+    return;
+  }
+  open_.insert(id);
+  if (open_.size() > options_.max_open_calls) {
+    LogEvent(EventId::kBoundReached, {{"bound", "delegated_calls"}});
+    OnAnswer(term, id, Fail(ErrorCode::kTableFull, "too many calls"));
+    return;
+  }
+  if (TimeAllowed(call.order).count() <= 0) {
+    OnAnswer(term, id, Fail(ErrorCode::kTransport, "no time left"));
+    return;
+  }
+  const auto on_order = [this, term, id](const Result<CallAnswer>& answer) {
+    OnAnswer(term, id, AsHoldAnswer(answer));
+  };
+  if (const auto* start = std::get_if<StartCall>(&call.order)) {
+    hooks_.calls.start(call.worker, *start, on_order);
+  } else if (const auto* stop = std::get_if<StopCall>(&call.order)) {
+    hooks_.calls.stop(call.worker, *stop, on_order);
+  } else {
+    hooks_.calls.hold(call.worker, std::get<HoldCall>(call.order),
+                      [this, term, id](Result<HoldAnswer> answer) {
+                        OnAnswer(term, id, std::move(answer));
+                      });
+  }
+}
+
+void WorkerCallAgent::OnAnswer(std::uint64_t term,
+                               std::uint64_t id,
+                               Result<HoldAnswer> answer) {
+  // The leader of an earlier term no longer waits.
+  if (term != term_ || open_.erase(id) == 0)
+    return;
+  answers_.push_back({id, std::move(answer)});
+  if (!std::exchange(flush_due_, true))
+    hooks_.flush_soon();
+}
+
+void WorkerCallAgent::Flush() {
+  flush_due_ = false;
+  while (!answers_.empty() && !waiting_.empty())
+    ReplyToOldest();
+}
+
+void WorkerCallAgent::Tick(TimePoint now) {
+  if (ticked_ != TimePoint() && now - ticked_ >= options_.stall)
+    stalled_until_ = now + options_.stall_backlog;
+  ticked_ = now;
+  while (!waiting_.empty() && now >= waiting_.front().until)
+    ReplyToOldest();
+}
+
+void WorkerCallAgent::ReplyToOldest() {
+  CallExchangeReply reply;
+  reply.agent = options_.incarnation;
+  reply.zone = options_.zone;
+  reply.leaving = leaving_;
+  std::size_t bytes = 0;
+  while (!answers_.empty()) {
+    bytes += SizeOf(answers_.front());
+    if (!reply.answers.empty() && bytes > options_.max_reply_bytes)
+      break;
+    reply.answers.push_back(std::move(answers_.front()));
+    answers_.pop_front();
+  }
+  const RpcReply send = std::move(waiting_.front().reply);
+  waiting_.pop_front();
+  send(ToJson(reply));
+}
+
+}  // namespace boragewinch::scheduler
