Test the agents of the leader's calls to workers

Lost messages, late and repeated answers, restarted, stalled, stopping and removed agents, earlier leaders, time limits, bounds and malformed messages.

--- /dev/null
+++ b/tests/worker_call_agent_test.cc
@@ -0,0 +1,207 @@
+#define BOOST_TEST_MODULE worker_call_agent
+#include <boost/test/unit_test.hpp>
+
+#include "ledger_builder.h"
+#include "scheduler/worker_call_agent.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+using jobs::LedgerBuilder;
+
+/// An agent whose workers answer when the test says so.
+struct Fixture {
+  Fixture() : agent(Options(), MakeHooks()) { agent.Tick(At(0)); }
+
+  static WorkerCallAgentOptions Options() {
+    WorkerCallAgentOptions options;
+    options.incarnation = Incarnation("agent");
+    options.max_open_exchanges = 2;
+    options.max_open_calls = 3;
+    return options;
+  }
+  WorkerCallAgent::Hooks MakeHooks() {
+    WorkerCallAgent::Hooks hooks;
+    hooks.calls.start = [this](const jobs::WorkerNote&, const StartCall& call,
+                               WorkerCalls::Done<CallAnswer> done) {
+      starts.push_back({call, std::move(done)});
+    };
+    hooks.flush_soon = [this] { ++flushes_asked; };
+    hooks.term = [this] { return replica_term; };
+    return hooks;
+  }
+  static TimePoint At(std::int64_t millis) {
+    return FromMillis(1'000 + millis);
+  }
+  static DelegatedCall Call(std::uint64_t id, Millis timeout = Millis(400)) {
+    StartCall start;
+    start.run = LedgerBuilder::Run("job", 0, static_cast<std::uint32_t>(id));
+    start.timeout = timeout;
+    DelegatedCall call{id, {}, start};
+    call.worker.life = LedgerBuilder::Life("w");
+    return call;
+  }
+  /// Sends an exchange; its reply goes to `replies`.
+  void Send(std::uint64_t term,
+            std::vector<DelegatedCall> calls,
+            std::int64_t now = 0) {
+    CallExchange exchange;
+    exchange.term = term;
+    exchange.wait = Millis(100);
+    exchange.calls = std::move(calls);
+    agent.OnExchange(
+        ToJson(exchange),
+        [this](Result<Json> reply) { replies.push_back(std::move(reply)); },
+        At(now));
+  }
+  [[nodiscard]] CallExchangeReply Reply(std::size_t index) const {
+    return CallExchangeReplyFromJson(replies.at(index).value()).value();
+  }
+
+  struct Made {
+    StartCall call;
+    WorkerCalls::Done<CallAnswer> done;
+  };
+  std::uint64_t replica_term = 0;
+  int flushes_asked = 0;
+  std::vector<Made> starts;
+  std::vector<Result<Json>> replies;
+  WorkerCallAgent agent;
+};
+
+// Guards against one message for each answer, which the leader pays for.
+BOOST_FIXTURE_TEST_CASE(AnswersShareAReply, Fixture) {
+  Send(1, {Call(1), Call(2)});
+  BOOST_REQUIRE(starts.size() == 2U);
+  starts[0].done(CallAnswer());
+  starts[1].done(CallAnswer());
+  BOOST_TEST(flushes_asked == 1);
+  BOOST_TEST(replies.empty());
+  agent.Flush();
+  BOOST_REQUIRE(replies.size() == 1U);
+  BOOST_TEST(Reply(0).answers.size() == 2U);
+  BOOST_TEST(agent.open_calls() == 0U);
+}
+
+// Guards against a leader that gives up a sound agent because its workers have
+// nothing to say.
+BOOST_FIXTURE_TEST_CASE(AnExchangeWithoutAnswersIsRepliedTo, Fixture) {
+  Send(1, {Call(1)});
+  agent.Tick(At(50));
+  BOOST_TEST(replies.empty());
+  agent.Tick(At(100));
+  BOOST_REQUIRE(replies.size() == 1U);
+  BOOST_TEST(Reply(0).answers.empty());
+}
+
+// Guards against answers that are lost, or wait for the next one, because no
+// exchange was open when they came.
+BOOST_FIXTURE_TEST_CASE(AnAnswerWaitsForTheNextExchange, Fixture) {
+  Send(1, {Call(1)});
+  agent.Tick(At(100));
+  starts[0].done(CallAnswer());
+  agent.Flush();
+  BOOST_TEST(replies.size() == 1U);
+  Send(1, {}, 120);
+  BOOST_REQUIRE(replies.size() == 2U);
+  BOOST_TEST(Reply(1).answers.size() == 1U);
+}
+
+// Guards against exchanges that pile up at an agent.
+BOOST_FIXTURE_TEST_CASE(AFurtherExchangeMakesTheOldestReply, Fixture) {
+  Send(1, {});
+  Send(1, {});
+  BOOST_TEST(replies.empty());
+  Send(1, {});
+  BOOST_TEST(replies.size() == 1U);
+}
+
+// Guards against orders of a deposed leader that an agent still passes on.
+BOOST_FIXTURE_TEST_CASE(AnEarlierLeaderIsRefused, Fixture) {
+  Send(2, {});
+  Send(1, {Call(1)});
+  BOOST_TEST((replies.at(0).error().code == ErrorCode::kFenced));
+  replica_term = 3;
+  Send(2, {Call(2)});
+  BOOST_TEST((replies.at(1).error().code == ErrorCode::kFenced));
+  BOOST_TEST(starts.empty());
+}
+
+// Guards against answers of an earlier leader's calls that a later leader takes
+// for those of its own calls with the same numbers.
+BOOST_FIXTURE_TEST_CASE(ALaterLeaderGetsNoEarlierAnswers, Fixture) {
+  Send(1, {Call(1)});
+  Send(2, {Call(1)});
+  BOOST_TEST((replies.at(0).error().code == ErrorCode::kFenced));
+  starts[0].done(CallAnswer{CallVerdict::kNoRoom, {}});
+  agent.Flush();
+  BOOST_TEST(replies.size() == 1U);
+  starts[1].done(CallAnswer());
+  agent.Flush();
+  BOOST_REQUIRE(Reply(1).answers.size() == 1U);
+  BOOST_TEST(
+      (Reply(1).answers[0].answer.value().call.verdict == CallVerdict::kDone));
+}
+
+// Guards against a start that an agent makes long after the leader gave it up:
+// the time that a message waited in a socket cannot be seen otherwise.
+BOOST_FIXTURE_TEST_CASE(CallsThatWaitedThroughAStallAreNotMade, Fixture) {
+  Send(1, {Call(1)}, 3'000);
+  BOOST_TEST((replies.at(0).error().code == ErrorCode::kUnavailable));
+  agent.Tick(At(3'000));
+  Send(1, {Call(2)}, 3'010);
+  BOOST_TEST((replies.at(1).error().code == ErrorCode::kUnavailable));
+  BOOST_TEST(starts.empty());
+  agent.Tick(At(3'050));
+  agent.Tick(At(3'100));
+  Send(1, {Call(3)}, 3'110);
+  BOOST_TEST(starts.size() == 1U);
+}
+
+// Guards against a call without time that is made all the same.
+BOOST_FIXTURE_TEST_CASE(ACallWithoutTimeIsNotMade, Fixture) {
+  Send(1, {Call(1, Millis(0))});
+  agent.Flush();
+  BOOST_TEST(starts.empty());
+  BOOST_REQUIRE(Reply(0).answers.size() == 1U);
+  BOOST_TEST(
+      (Reply(0).answers[0].answer.error().code == ErrorCode::kTransport));
+}
+
+// Guards against a task that starts twice because a call came twice.
+BOOST_FIXTURE_TEST_CASE(AnOpenCallIsMadeOnce, Fixture) {
+  Send(1, {Call(1)});
+  Send(1, {Call(1)});
+  BOOST_TEST(starts.size() == 1U);
+}
+
+// Guards against memory that grows with the calls of a leader.
+BOOST_FIXTURE_TEST_CASE(CallsBeyondTheBoundAreRefused, Fixture) {
+  Send(1, {Call(1), Call(2), Call(3), Call(4)});
+  agent.Flush();
+  BOOST_TEST(starts.size() == 3U);
+  BOOST_REQUIRE(Reply(0).answers.size() == 1U);
+  BOOST_TEST(Reply(0).answers[0].id == 4U);
+  BOOST_TEST(
+      (Reply(0).answers[0].answer.error().code == ErrorCode::kTableFull));
+}
+
+// Guards against calls that a stopping host takes and does not finish.
+BOOST_FIXTURE_TEST_CASE(AStoppingHostSaysSo, Fixture) {
+  agent.Retire();
+  Send(1, {});
+  agent.Tick(At(100));
+  BOOST_TEST(Reply(0).leaving);
+}
+
+// Guards against a malformed message that is taken for an empty one.
+BOOST_FIXTURE_TEST_CASE(AMalformedMessageIsRefused, Fixture) {
+  agent.OnExchange(
+      Json(::Json::objectValue),
+      [this](Result<Json> reply) { replies.push_back(std::move(reply)); },
+      At(0));
+  BOOST_TEST((replies.at(0).error().code == ErrorCode::kMissingField));
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
--- /dev/null
+++ b/tests/worker_call_router_test.cc
@@ -0,0 +1,433 @@
+#define BOOST_TEST_MODULE worker_call_router
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+#include "ledger_builder.h"
+#include "scheduler/worker_call_router.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+using jobs::LedgerBuilder;
+
+/// A router with fake agents "a" and "b": the test answers their exchanges.
+struct Fixture {
+  struct Exchange {
+    std::string host;
+    CallExchange message;
+    std::function<void(Result<Json>)> done;
+  };
+
+  Fixture()
+      : router(WorkerCallRouterOptions(), Direct(), MakeHooks(), metrics) {}
+
+  WorkerCalls Direct() {
+    WorkerCalls calls;
+    calls.start = [this](const jobs::WorkerNote&, const StartCall& call,
+                         WorkerCalls::Done<CallAnswer> done) {
+      direct_times.push_back(call.timeout);
+      done(CallAnswer{CallVerdict::kDone, 1});
+    };
+    return calls;
+  }
+  WorkerCallRouter::Hooks MakeHooks() {
+    WorkerCallRouter::Hooks hooks;
+    hooks.exchange = [this](const std::string& host, const Json& body, Millis,
+                            std::function<void(Result<Json>)> done) {
+      exchanges.push_back(
+          {host, CallExchangeFromJson(body).value(), std::move(done)});
+    };
+    hooks.hosts = [this] { return hosts; };
+    hooks.flush_soon = [] {};
+    hooks.now = [this] { return now; };
+    return hooks;
+  }
+  void At(std::int64_t millis) { now = FromMillis(1'000 + millis); }
+
+  static jobs::WorkerNote Worker(int number, const std::string& zone = "") {
+    jobs::WorkerNote worker;
+    worker.life = LedgerBuilder::Life("w" + std::to_string(number));
+    worker.zone = ZoneName(zone);
+    return worker;
+  }
+  /// Starts a task on a worker; its answer goes to `answers`.
+  void Start(const jobs::WorkerNote& worker) {
+    StartCall call;
+    call.run = LedgerBuilder::Run("job", 0, 0);
+    call.timeout = Millis(400);
+    router.Start(
+        worker, call,
+        [this](Result<CallAnswer> answer) {
+          answers.push_back(std::move(answer));
+        },
+        now);
+  }
+  static CallExchangeReply Reply(const std::string& incarnation = "1") {
+    CallExchangeReply reply;
+    reply.agent = Incarnation(incarnation);
+    return reply;
+  }
+  void Answer(std::size_t index, const CallExchangeReply& reply) {
+    const auto done = exchanges.at(index).done;
+    done(ToJson(reply));
+  }
+  /// Answers all calls of an exchange.
+  void AnswerAll(std::size_t index) {
+    CallExchangeReply reply = Reply();
+    for (const DelegatedCall& call : exchanges.at(index).message.calls)
+      reply.answers.push_back({call.id, HoldAnswer()});
+    Answer(index, reply);
+  }
+  /// Makes the agents known and clears what that took.
+  void Begin() {
+    router.Begin(5, now);
+    for (std::size_t n = 0; n < hosts.size(); ++n)
+      Answer(n, Reply());
+    exchanges.clear();
+  }
+  [[nodiscard]] std::string OtherThan(const std::string& host) const {
+    return host == "a" ? "b" : "a";
+  }
+  [[nodiscard]] ErrorCode CodeOf(std::size_t index) const {
+    return answers.at(index).error().code;
+  }
+
+  TimePoint now = FromMillis(1'000);
+  std::vector<std::string> hosts = {"a", "b"};
+  std::vector<Exchange> exchanges;
+  std::vector<Millis> direct_times;
+  std::vector<Result<CallAnswer>> answers;
+  Metrics metrics;
+  WorkerCallRouter router;
+};
+
+// Guards against one message for each call, which the leader pays for.
+BOOST_FIXTURE_TEST_CASE(CallsOfOneTurnShareAMessage, Fixture) {
+  Begin();
+  for (int n = 0; n < 20; ++n)
+    Start(Worker(n));
+  router.Flush(now);
+  std::set<std::string> used;
+  std::size_t calls = 0;
+  for (const Exchange& exchange : exchanges) {
+    BOOST_TEST(used.insert(exchange.host).second);
+    BOOST_TEST(exchange.message.term == 5U);
+    calls += exchange.message.calls.size();
+  }
+  BOOST_TEST(calls == 20U);
+  BOOST_TEST(used.size() == 2U);
+  BOOST_TEST(direct_times.empty());
+  AnswerAll(0);
+  AnswerAll(1);
+  BOOST_TEST(answers.size() == 20U);
+  BOOST_TEST(router.open_calls() == 0U);
+}
+
+// Guards against calls to one worker that overtake each other on two agents,
+// and against connections that are opened on each host.
+BOOST_FIXTURE_TEST_CASE(AWorkerKeepsItsAgent, Fixture) {
+  Begin();
+  std::set<std::string> used;
+  for (int round = 0; round < 5; ++round) {
+    exchanges.clear();
+    Start(Worker(1));
+    for (int n = 10; n < 13; ++n)
+      Start(Worker(10 * round + n));
+    router.Flush(now);
+    for (const Exchange& exchange : exchanges) {
+      for (const DelegatedCall& call : exchange.message.calls) {
+        if (call.worker.life == Worker(1).life)
+          used.insert(exchange.host);
+      }
+    }
+  }
+  BOOST_TEST(used.size() == 1U);
+}
+
+// Guards against bytes between zones, and against one agent that gets all
+// workers of the only zone that has any.
+BOOST_FIXTURE_TEST_CASE(AgentsInTheWorkersZoneComeFirstUpToTheirShare,
+                        Fixture) {
+  router.Begin(5, now);
+  for (std::size_t n = 0; n < 2; ++n) {
+    CallExchangeReply reply = Reply();
+    reply.zone = ZoneName("zone-" + exchanges[n].host);
+    Answer(n, reply);
+  }
+  exchanges.clear();
+  for (int n = 0; n < 8; ++n)
+    Start(Worker(n, "zone-b"));
+  router.Flush(now);
+  std::map<std::string, std::size_t> calls;
+  for (const Exchange& exchange : exchanges)
+    calls[exchange.host] += exchange.message.calls.size();
+  BOOST_TEST(calls["b"] == 8U);
+  exchanges.clear();
+  for (int n = 8; n < 100; ++n)
+    Start(Worker(n, "zone-b"));
+  router.Flush(now);
+  for (const Exchange& exchange : exchanges)
+    calls[exchange.host] += exchange.message.calls.size();
+  BOOST_TEST(calls["b"] <= 66U);
+  BOOST_TEST(calls["a"] >= 34U);
+}
+
+// Guards against a start that passes for never sent although the agent may have
+// made it: the task could run twice.
+BOOST_FIXTURE_TEST_CASE(ALostMessageEndsItsCallsAsOnesThatMayHaveActed,
+                        Fixture) {
+  Begin();
+  Start(Worker(1));
+  router.Flush(now);
+  const Exchange sent = exchanges.at(0);
+  sent.done(Fail(ErrorCode::kTimeout, "no answer"));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((CodeOf(0) == ErrorCode::kTimeout));
+  BOOST_TEST((router.StateOf(sent.host) == AgentState::kLeft));
+  // The call is not made a second time.
+  exchanges.clear();
+  router.Flush(now);
+  for (const Exchange& exchange : exchanges)
+    BOOST_TEST(exchange.message.calls.empty());
+}
+
+// Guards against calls that wait for their time to run out although the agent
+// has surely not made them.
+BOOST_FIXTURE_TEST_CASE(ACallThatWasNotTakenGoesToAnotherAgent, Fixture) {
+  for (const ErrorCode code :
+       {ErrorCode::kTransport, ErrorCode::kFenced, ErrorCode::kUnavailable}) {
+    exchanges.clear();
+    Begin();
+    answers.clear();
+    Start(Worker(1));
+    router.Flush(now);
+    const Exchange sent = exchanges.at(0);
+    BOOST_REQUIRE(sent.message.calls.size() == 1U);
+    exchanges.clear();
+    At(100);
+    sent.done(Fail(code, "not taken"));
+    router.Flush(now);
+    BOOST_REQUIRE(answers.empty());
+    std::size_t calls = 0;
+    for (const Exchange& exchange : exchanges) {
+      if (exchange.message.calls.empty())
+        continue;
+      ++calls;
+      BOOST_TEST(exchange.host == OtherThan(sent.host));
+      BOOST_TEST(TimeAllowed(exchange.message.calls[0].order).count() == 300);
+    }
+    BOOST_TEST(calls == 1U);
+    At(0);
+  }
+}
+
+// Guards against a call that ends twice, first by its time and then by a late
+// or repeated answer.
+BOOST_FIXTURE_TEST_CASE(LateAndRepeatedAnswersAreDropped, Fixture) {
+  Begin();
+  Start(Worker(1));
+  router.Flush(now);
+  const Exchange sent = exchanges.at(0);
+  CallExchangeReply reply = Reply();
+  const std::uint64_t id = sent.message.calls.at(0).id;
+  reply.answers = {{id, HoldAnswer()}, {id, HoldAnswer()}, {999, HoldAnswer()}};
+  sent.done(ToJson(reply));
+  BOOST_TEST(answers.size() == 1U);
+
+  exchanges.clear();
+  Start(Worker(1));
+  router.Flush(now);
+  At(600);
+  router.Tick(now);
+  BOOST_REQUIRE(answers.size() == 2U);
+  BOOST_TEST((CodeOf(1) == ErrorCode::kTimeout));
+  AnswerAll(0);
+  BOOST_TEST(answers.size() == 2U);
+  BOOST_TEST(metrics.counter("worker_call_answers_late", {"", sent.host}) ==
+             3U);
+}
+
+// Guards against calls of a restarted agent that wait for their time to run
+// out, or that pass for unsent.
+BOOST_FIXTURE_TEST_CASE(ARestartedAgentEndsTheCallsOfItsEarlierProcess,
+                        Fixture) {
+  Begin();
+  Start(Worker(1));
+  router.Flush(now);
+  const std::string host = exchanges.at(0).host;
+  // The agent confirms the call and has no answer yet.
+  Answer(0, Reply("1"));
+  exchanges.clear();
+  Start(Worker(1));
+  router.Flush(now);
+  BOOST_TEST(exchanges.at(0).host == host);
+  Answer(0, Reply("2"));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((CodeOf(0) == ErrorCode::kTimeout));
+  // The call of the message that the new process has taken stays open.
+  BOOST_TEST(router.open_calls() == 1U);
+}
+
+// Guards against answers of an earlier leadership that pass for those of this
+// one, and against calls that never end.
+BOOST_FIXTURE_TEST_CASE(TheEndOfLeadershipEndsAllCalls, Fixture) {
+  Begin();
+  Start(Worker(1));
+  router.Flush(now);
+  const Exchange sent = exchanges.at(0);
+  Start(Worker(2));  // not sent yet
+  router.End();
+  BOOST_REQUIRE(answers.size() == 2U);
+  BOOST_TEST((CodeOf(0) == ErrorCode::kTimeout));
+  exchanges.clear();
+  router.Begin(6, now);
+  CallExchangeReply reply = Reply();
+  reply.answers.push_back({sent.message.calls.at(0).id, HoldAnswer()});
+  sent.done(ToJson(reply));
+  BOOST_TEST(answers.size() == 2U);
+  BOOST_TEST((router.StateOf(sent.host) == AgentState::kUnknown));
+  for (const Exchange& exchange : exchanges)
+    BOOST_TEST(exchange.message.term == 6U);
+}
+
+// Guards against a leader without followers that sends nothing.
+BOOST_FIXTURE_TEST_CASE(WithoutAnAgentCallsAreMadeDirectly, Fixture) {
+  hosts.clear();
+  router.Begin(5, now);
+  Start(Worker(1));
+  At(20);
+  router.Flush(now);
+  BOOST_REQUIRE(direct_times.size() == 1U);
+  BOOST_TEST(direct_times[0].count() == 380);
+  BOOST_TEST(answers.size() == 1U);
+}
+
+// Guards against a new leader that makes the first calls to all workers itself,
+// and against one that waits for ever for agents that are gone.
+BOOST_FIXTURE_TEST_CASE(TheFirstCallsWaitForAnAgentForAMoment, Fixture) {
+  router.Begin(5, now);
+  Start(Worker(1));
+  router.Flush(now);
+  BOOST_TEST(direct_times.empty());
+  At(60);
+  router.Tick(now);
+  BOOST_TEST(direct_times.size() == 1U);
+}
+
+// Guards against a call that leaves the leader after its time.
+BOOST_FIXTURE_TEST_CASE(ACallWhoseTimeIsUpIsNotSent, Fixture) {
+  Begin();
+  Start(Worker(1));
+  At(400);
+  router.Flush(now);
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((CodeOf(0) == ErrorCode::kTransport));
+  for (const Exchange& exchange : exchanges)
+    BOOST_TEST(exchange.message.calls.empty());
+}
+
+// Guards against an agent that is asked again and again while it is gone, and
+// against one that is never asked again.
+BOOST_FIXTURE_TEST_CASE(AnAgentRestsLongerWithEachFailure, Fixture) {
+  hosts = {"a"};
+  Begin();
+  router.Flush(now);
+  const auto fail = [this] {
+    const auto done = exchanges.back().done;
+    exchanges.clear();
+    done(Fail(ErrorCode::kTransport, "gone"));
+  };
+  fail();
+  Start(Worker(1));
+  router.Flush(now);
+  BOOST_TEST(direct_times.size() == 1U);
+  At(999);
+  router.Tick(now);
+  BOOST_TEST(exchanges.empty());
+  At(1'000);
+  router.Tick(now);
+  BOOST_REQUIRE(exchanges.size() == 1U);
+  fail();
+  At(2'999);
+  router.Tick(now);
+  BOOST_TEST(exchanges.empty());
+  At(3'000);
+  router.Tick(now);
+  BOOST_REQUIRE(exchanges.size() == 1U);
+  Answer(0, Reply());
+  BOOST_TEST((router.StateOf("a") == AgentState::kWell));
+  Start(Worker(1));
+  router.Flush(now);
+  BOOST_TEST(direct_times.size() == 1U);
+}
+
+// Guards against calls to a stopping agent, and against open ones of it that
+// are given up although it still answers.
+BOOST_FIXTURE_TEST_CASE(ALeavingAgentFinishesItsCalls, Fixture) {
+  hosts = {"a"};
+  Begin();
+  Start(Worker(1));
+  router.Flush(now);
+  const std::uint64_t id = exchanges.at(0).message.calls.at(0).id;
+  CallExchangeReply reply = Reply();
+  reply.leaving = true;
+  Answer(0, reply);
+  BOOST_TEST(answers.empty());
+  Start(Worker(2));
+  router.Flush(now);
+  BOOST_TEST(direct_times.size() == 1U);
+  // The exchange that brings the answer of the open call.
+  BOOST_REQUIRE(exchanges.size() == 2U);
+  reply.answers.push_back({id, HoldAnswer()});
+  Answer(1, reply);
+  BOOST_TEST(answers.size() == 2U);
+}
+
+// Guards against an agent that replies and loses its calls.
+BOOST_FIXTURE_TEST_CASE(AnAgentThatAnswersNoCallIsLeft, Fixture) {
+  hosts = {"a"};
+  Begin();
+  for (int n = 0; n < 3; ++n)
+    Start(Worker(n));
+  router.Flush(now);
+  Answer(0, Reply());
+  At(550);
+  router.Tick(now);
+  BOOST_TEST(answers.size() == 3U);
+  BOOST_TEST((router.StateOf("a") == AgentState::kLeft));
+}
+
+// Guards against a malformed reply that passes for one without answers.
+BOOST_FIXTURE_TEST_CASE(AMalformedReplyLeavesTheAgent, Fixture) {
+  hosts = {"a"};
+  Begin();
+  Start(Worker(1));
+  router.Flush(now);
+  const auto done = exchanges.at(0).done;
+  done(Json(::Json::objectValue));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((CodeOf(0) == ErrorCode::kTimeout));
+  BOOST_TEST((router.StateOf("a") == AgentState::kLeft));
+}
+
+// Guards against calls of a removed member that never end, and against its
+// replies that are taken for those of its successor at the same address.
+BOOST_FIXTURE_TEST_CASE(ARemovedHostIsNoAgent, Fixture) {
+  hosts = {"a"};
+  Begin();
+  Start(Worker(1));
+  router.Flush(now);
+  hosts.clear();
+  router.Tick(now);
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((CodeOf(0) == ErrorCode::kTimeout));
+  hosts = {"a"};
+  router.Tick(now);
+  AnswerAll(0);
+  BOOST_TEST(answers.size() == 1U);
+  BOOST_TEST((router.StateOf("a") == AgentState::kUnknown));
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
