Measure the scheduler's decisions by part for four sizes of fleet

bench/scheduler_main.cc drives ledger, planner, stop planner, advice, pool demand and worker links with one burst after another. A digest of all starts tells whether a change keeps the decisions.

--- /dev/null
+++ b/bench/scheduler_main.cc
@@ -0,0 +1,416 @@
+/// \file
+/// \brief Processor time of the scheduler's decisions by part, for fleets of
+/// several sizes under the load of a large site: each pool in turn asks for
+/// more than it holds, for some seconds.
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <queue>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/job_ledger.h"
+#include "jobs/ledger_batch.h"
+#include "scheduler/advice_book.h"
+#include "scheduler/pool_demand.h"
+#include "scheduler/stop_planner.h"
+#include "scheduler/task_planner.h"
+#include "scheduler/worker_link.h"
+
+namespace boragewinch {
+namespace {
+
+using jobs::Batch;
+using jobs::JobLedger;
+using jobs::RunName;
+using jobs::UnixMillis;
+using jobs::WorkerLife;
+
+/// Shape of the load.
+struct Shape {
+  int workers = 350;
+  int pools = 4;
+  double tasks_per_second = 1'000;
+  int lasting_tasks = 100;
+  Millis span{20'000};
+};
+
+/// Simulated time between two batches, and between two lists of a worker.
+constexpr Millis kBatchInterval{20};
+constexpr Millis kListInterval{60};
+constexpr Millis kMeasureInterval{100};
+constexpr Millis kTurn{4'000};
+constexpr int kAnnounceMs = 1'500;
+
+/// Time and calls of one part.
+struct Part {
+  double micros = 0;
+  std::int64_t calls = 0;
+};
+
+class Timer {
+ public:
+  explicit Timer(Part* part)
+      : part_(part), begun_(std::chrono::steady_clock::now()) {}
+  ~Timer() {
+    const std::chrono::duration<double, std::micro> took =
+        std::chrono::steady_clock::now() - begun_;
+    part_->micros += took.count();
+    ++part_->calls;
+  }
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+
+ private:
+  Part* part_;
+  std::chrono::steady_clock::time_point begun_;
+};
+
+/// A run that the simulated worker will end.
+struct PlannedEnd {
+  UnixMillis at = 0;
+  RunName run;
+  WorkerLife worker;
+
+  friend bool operator<(const PlannedEnd& a, const PlannedEnd& b) noexcept {
+    return a.at > b.at;
+  }
+};
+
+[[nodiscard]] PoolName PoolOf(int number) {
+  return PoolName("pool-" + std::to_string(number));
+}
+
+class Simulation {
+ public:
+  explicit Simulation(const Shape& shape) : shape_(shape) {
+    Batch batch = BatchAt(now_);
+    batch.rules = Rules();
+    for (int i = 0; i < shape_.workers; ++i)
+      batch.workers.push_back(NoteOf(i));
+    ledger_.Apply(batch);
+    for (int i = 0; i < shape_.lasting_tasks; i += kLastingTasksAJob)
+      SubmitLasting();
+    Decide();
+  }
+
+  void Play() {
+    const UnixMillis end = now_ + shape_.span.count();
+    while (now_ < end) {
+      now_ += kBatchInterval.count();
+      Arrive();
+      TakeEnds();
+      Announce();
+      Decide();
+      if (now_ % kMeasureInterval.count() == 0)
+        Measure();
+      most_active_ = std::max(most_active_, ledger_.active().size());
+    }
+  }
+
+  void Print() const {
+    std::printf(
+        "%d workers, %d pools, %.0f tasks/s, %lld starts, %zu jobs, digest "
+        "%016llx\n",
+        shape_.workers, shape_.pools, shape_.tasks_per_second,
+        static_cast<long long>(starts_), most_active_,
+        static_cast<unsigned long long>(digest_));
+    double sum = 0;
+    const auto batches = static_cast<double>(parts_.at("apply").calls);
+    for (const auto& [name, part] : parts_) {
+      sum += part.micros;
+      std::printf("  %-16s %9.1f us a call %9.1f us a decision\n", name.c_str(),
+                  part.micros / static_cast<double>(part.calls),
+                  part.micros / batches);
+    }
+    std::printf("  %-16s %33.1f us a decision, %.1f%% of a core\n", "sum",
+                sum / batches,
+                sum / (static_cast<double>(shape_.span.count()) * 10));
+  }
+
+ private:
+  static constexpr int kLastingTasksAJob = 24;
+
+  [[nodiscard]] static Batch BatchAt(UnixMillis now) {
+    Batch batch;
+    batch.now = now;
+    return batch;
+  }
+
+  [[nodiscard]] jobs::FleetRules Rules() const {
+    jobs::FleetRules rules;
+    rules.version = 1;
+    rules.document = "{}";
+    for (int p = 0; p < shape_.pools; ++p) {
+      const PoolName pool = PoolOf(p);
+      rules.pools[pool] = {pool, true, false};
+      jobs::QueueRule queue;
+      queue.name = QueueName("queue-" + std::to_string(p));
+      queue.virtual_host = "example";
+      queue.path_prefix = "/" + queue.name.str() + "/";
+      queue.pool = pool;
+      queue.max_attempts = 2;
+      queue.stretch = 1.6;
+      queue.latency_target = Millis(600);
+      rules.queues.push_back(queue);
+    }
+    jobs::CustomerRule customer;
+    customer.name = CustomerName("customer");
+    customer.keys = {"key"};
+    rules.customers[customer.name] = customer;
+    return rules;
+  }
+
+  [[nodiscard]] jobs::WorkerNote NoteOf(int number) const {
+    jobs::WorkerNote note;
+    note.life = {jobs::WorkerId("worker-" + std::to_string(number)), 1};
+    note.address = "10.0." + std::to_string(number / 250) + "." +
+                   std::to_string(number % 250) + ":8080";
+    note.host = HostName("host-" + std::to_string(number));
+    note.pool = PoolOf(number % shape_.pools);
+    note.rack = RackName("rack-" + std::to_string(number / 8));
+    note.capacity = {16'000, 32'768, 0};
+    return note;
+  }
+
+  [[nodiscard]] jobs::JobId NextId() {
+    char text[17];
+    std::snprintf(text, sizeof text, "%016llx",
+                  static_cast<unsigned long long>(luck_()));
+    return jobs::JobId(text);
+  }
+
+  void SubmitLasting() {
+    jobs::StepSpec step;
+    step.tasks = kLastingTasksAJob;
+    step.request = {2'000, 1'000, 0};
+    step.estimate = Millis(900);
+    step.long_running = true;
+    Submit({step}, static_cast<int>(luck_() % shape_.pools));
+  }
+
+  void Submit(std::vector<jobs::StepSpec> steps, int pool) {
+    jobs::JobSpec spec;
+    spec.payload = std::string(1'200, 'x');
+    spec.steps = std::move(steps);
+    pending_.submissions.push_back({NextId(),
+                                    QueueName("queue-" + std::to_string(pool)),
+                                    CustomerName("customer"), std::move(spec)});
+  }
+
+  // One pool at a time gets most of the load.
+  void Arrive() {
+    owed_ += shape_.tasks_per_second *
+             static_cast<double>(kBatchInterval.count()) / 1'000;
+    while (owed_ > 0) {
+      const int turn = static_cast<int>(now_ / kTurn.count()) % 4;
+      const int group = luck_() % 5 == 0 ? static_cast<int>(luck_() % 4) : turn;
+      const int pool =
+          (static_cast<int>(luck_() % shape_.pools) / 4 * 4 + group) %
+          shape_.pools;
+      std::vector<jobs::StepSpec> steps;
+      const int count = 1 + static_cast<int>(luck_() % 2);
+      for (int s = 0; s < count; ++s) {
+        jobs::StepSpec step;
+        step.tasks = 4 + static_cast<std::int64_t>(luck_() % 5);
+        step.request = {1'000 + static_cast<std::int64_t>(luck_() % 2'000),
+                        2'000, 0};
+        step.estimate = Millis(640 + static_cast<int>(luck_() % 660));
+        if (s > 0)
+          step.depends_on = {static_cast<std::uint32_t>(s - 1)};
+        owed_ -= static_cast<double>(step.tasks);
+        steps.push_back(step);
+      }
+      Submit(std::move(steps), pool);
+    }
+  }
+
+  // Each worker lists its ends at intervals; the lists of the fleet are spread
+  // evenly over time.
+  void TakeEnds() {
+    while (!running_.empty() && running_.top().at <= now_) {
+      const PlannedEnd& end = running_.top();
+      ended_[end.worker].push_back(end.run);
+      running_.pop();
+    }
+    for (auto& [life, runs] : ended_) {
+      const auto phase =
+          static_cast<UnixMillis>(std::hash<std::string>()(life.id.str()) % 3);
+      if (runs.empty() || (now_ / kBatchInterval.count() + phase) %
+                                  (kListInterval / kBatchInterval) !=
+                              0) {
+        continue;
+      }
+      for (RunName& run : runs) {
+        pending_.ends.push_back(
+            {std::move(run), life, jobs::RunEnd::kDone, "", ++listed_[life]});
+      }
+      runs.clear();
+    }
+  }
+
+  // Announcements that change nothing are not stored; one worker in 100 of
+  // them says something new.
+  void Announce() {
+    announced_ += static_cast<double>(shape_.workers) *
+                  static_cast<double>(kBatchInterval.count()) / kAnnounceMs /
+                  100;
+    for (; announced_ >= 1; --announced_) {
+      pending_.workers.push_back(
+          NoteOf(static_cast<int>(luck_() % shape_.workers)));
+    }
+  }
+
+  void Decide();
+  void Measure();
+
+  Shape shape_;
+  JobLedger ledger_;
+  UnixMillis now_ = 1'000'000;
+  TimePoint begun_;
+  std::mt19937_64 luck_{17};
+  Batch pending_;
+  std::priority_queue<PlannedEnd> running_;
+  std::map<WorkerLife, std::vector<RunName>> ended_;
+  std::map<WorkerLife, std::int64_t> listed_;
+  std::map<WorkerLife, scheduler::WorkerLink> links_;
+  scheduler::AdviceBook advice_{scheduler::AdviceOptions{}};
+  std::map<std::string, Part> parts_;
+  double owed_ = 0;
+  double announced_ = 0;
+  std::int64_t starts_ = 0;
+  std::uint64_t digest_ =
+      0;  ///< of all starts; equal decisions give equal ones
+  std::size_t most_active_ = 0;
+};
+
+void Simulation::Decide() {
+  const TimePoint now = begun_ + Millis(now_);
+  scheduler::PlannerHooks hooks;
+  hooks.allowance = [&](const WorkerLife& life) -> std::size_t {
+    return links_.count(life) > 0 || links_.empty() ? 1'000 : 0;
+  };
+  hooks.is_advised = [](const jobs::TaskName&, const WorkerLife&) {
+    return true;
+  };
+  hooks.avoids = [](const jobs::TaskName&, const WorkerLife&) { return false; };
+  {
+    const Timer timer(&parts_["plan"]);
+    pending_.starts = scheduler::TaskPlanner(scheduler::TaskPlannerOptions{})
+                          .Plan(ledger_, hooks, now_);
+  }
+  pending_.now = now_;
+  const Batch batch = std::exchange(pending_, {});
+  {
+    const Timer timer(&parts_["encode"]);
+    if (jobs::EncodeBatch(batch).empty())
+      std::abort();
+  }
+  {
+    const Timer timer(&parts_["apply"]);
+    ledger_.Apply(batch);
+  }
+  starts_ += static_cast<std::int64_t>(batch.starts.size());
+  for (const jobs::StartNote& start : batch.starts) {
+    digest_ = (digest_ ^ std::hash<std::string>()(start.run.task.Text() +
+                                                  start.worker.Text())) *
+              0x100000001b3ULL;
+    const jobs::Job* job = ledger_.FindJob(start.run.task.job);
+    if (!job->spec->steps[start.run.task.step].long_running) {
+      running_.push({now_ + 640 + static_cast<UnixMillis>(luck_() % 660),
+                     start.run, start.worker});
+    }
+  }
+  {
+    const Timer timer(&parts_["links sync"]);
+    std::erase_if(links_, [&](const auto& item) {
+      return ledger_.workers().count(item.first) == 0;
+    });
+    for (const auto& [life, worker] : ledger_.workers()) {
+      links_.try_emplace(life, scheduler::WorkerLinkOptions{}, now)
+          .first->second.Sync(worker, scheduler::RunPhase::kPlanned, now);
+    }
+  }
+  for (const jobs::StartNote& start : batch.starts) {
+    scheduler::WorkerLink& link = links_.at(start.worker);
+    link.OnStartSent(start.run, now);
+    if (link.OnStartAnswer(start.run, scheduler::CallAnswer{}, now))
+      std::abort();
+  }
+  {
+    const Timer timer(&parts_["links due"]);
+    for (auto& [life, link] : links_) {
+      const jobs::Worker* worker = ledger_.FindWorker(life);
+      if (!link.StopsDue(now).empty() || !link.StartsDue(now).empty())
+        std::abort();
+      if (link.HoldDue(now)) {
+        link.OnGrant(now_ + 5'000);
+        link.OnClock(now_, now);
+      }
+      if (!link.Lapse(*worker, now).empty())
+        std::abort();
+    }
+  }
+  {
+    const Timer timer(&parts_["advice"]);
+    if (!advice_
+             .Decide(
+                 ledger_, [](const WorkerLife&) { return true; }, now)
+             .empty()) {
+      std::abort();
+    }
+  }
+  {
+    const Timer timer(&parts_["stops"]);
+    if (!scheduler::PlanStops(
+             ledger_, {}, [](const RunName&, const WorkerLife&) { return 0; })
+             .empty()) {
+      std::abort();
+    }
+  }
+}
+
+void Simulation::Measure() {
+  const Timer timer(&parts_["measure pools"]);
+  const auto pools = scheduler::MeasurePools(
+      ledger_, scheduler::PoolDemandOptions{},
+      [&](const WorkerLife& life) { return links_.count(life) > 0; }, {}, now_);
+  if (pools.empty())
+    std::abort();
+}
+
+void Run(int workers, int pools, double tasks_per_second, int lasting) {
+  Shape shape;
+  shape.workers = workers;
+  shape.pools = pools;
+  shape.tasks_per_second = tasks_per_second;
+  shape.lasting_tasks = lasting;
+  Simulation simulation(shape);
+  simulation.Play();
+  simulation.Print();
+}
+
+}  // namespace
+}  // namespace boragewinch
+
+int main(int argc, char** argv) {
+  using boragewinch::Run;
+  const int only = argc > 1 ? std::atoi(argv[1]) : 0;
+  // Tasks a second follow the size of the fleet; the last two rows keep them
+  // to show what the size alone costs.
+  if (only == 0 || only == 50)
+    Run(50, 4, 143, 24);
+  if (only == 0 || only == 350)
+    Run(350, 4, 1'000, 96);
+  if (only == 0 || only == 1'000)
+    Run(1'000, 8, 1'000, 96);
+  if (only == 0 || only == 7'100)
+    Run(7'100, 306, 1'000, 96);
+  return 0;
+}
