Keep in the ledger what decisions ask for

The leader of a fleet of 350 workers swept all workers, runs and jobs for each plan, each search for stops and each question for advice, and all workers for each announcement and each judged end. The ledger now keeps jobs that can start, jobs with occurrences to open, workers by pool, address and host, workers with runs to stop, and counts of long-running and surplus runs. The planner makes the seats of a pool when a task asks for them, asks hooks only about seats that would be better, and skips a pool in which nothing has the room.

--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -76,7 +76,99 @@
   return found == queued_.end() ? 0 : found->second;
 }
 
+const WorkerSet& JobLedger::WorkersOf(const PoolName& pool) const {
+  static const WorkerSet kNone;
+  const auto found = pool_workers_.find(pool);
+  return found == pool_workers_.end() ? kNone : found->second;
+}
+
+void JobLedger::IndexPlace(const Worker& worker) {
+  const WorkerNote& note = worker.note;
+  pool_workers_[note.pool].insert(&worker);
+  lives_by_address_.emplace(note.address, note.life);
+  if (!note.host.empty())
+    lives_by_host_.emplace(note.host, note.life);
+}
+
+void JobLedger::ForgetPlace(const Worker& worker) {
+  const WorkerNote& note = worker.note;
+  const auto erase = [&](auto* index, const auto& key) {
+    const auto [begin, end] = index->equal_range(key);
+    const auto place = std::find_if(
+        begin, end, [&](const auto& item) { return item.second == note.life; });
+    if (place != end)
+      index->erase(place);
+  };
+  erase(&lives_by_address_, note.address);
+  erase(&lives_by_host_, note.host);
+  const auto pool = pool_workers_.find(note.pool);
+  if (pool == pool_workers_.end())
+    return;
+  pool->second.erase(&worker);
+  if (pool->second.empty())
+    pool_workers_.erase(pool);
+}
+
+void JobLedger::IndexStops(const Worker& worker) {
+  if (worker.note.draining || worker.surplus > 0)
+    stop_candidates_.insert(&worker);
+  else
+    stop_candidates_.erase(&worker);
+}
+
+void JobLedger::IndexJob(Job* job) {
+  const auto waits = [&](const Occurrence& occurrence) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      if (occurrence.steps[s].waiting() > 0 && job->StepReady(occurrence, s))
+        return true;
+    }
+    return false;
+  };
+  const bool startable =
+      !job->final() &&
+      std::any_of(job->occurrences.begin(), job->occurrences.end(),
+                  [&](const auto& item) { return waits(item.second); });
+  if (startable != job->startable) {
+    job->startable = startable;
+    if (startable)
+      startable_.insert(job);
+    else
+      startable_.erase(job);
+  }
+  const bool repeats = !job->final() && job->spec->repeats > 0 &&
+                       job->next_occurrence < job->spec->occurrences();
+  if (repeats)
+    repeating_.insert(job);
+  else if (!repeating_.empty())
+    repeating_.erase(job);
+}
+
+void JobLedger::CountSurplus(const WorkerLife& life, std::int64_t change) {
+  const auto worker = workers_.find(life);
+  if (worker == workers_.end())
+    return;
+  worker->second.surplus += change;
+  IndexStops(worker->second);
+}
+
+void JobLedger::CountFinalRuns(const Job& job) {
+  if (job.runs == 0)
+    return;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (const Step& step : occurrence.steps) {
+      for (const Task& task : step.tasks) {
+        for (const Run& run : task.runs) {
+          if (!task.done)
+            CountSurplus(run.worker, 1);
+        }
+      }
+    }
+  }
+}
+
 void JobLedger::Apply(const Batch& batch) {
+  ++applied_;
+  touched_.clear();
   if (batch.rules && batch.rules->version > rules_.version)
     rules_ = *batch.rules;
   for (const WorkerNote& note : batch.workers)
@@ -99,6 +191,32 @@
     if (const auto wave = waves_.find(progress.wave); wave != waves_.end())
       wave->second.begun.insert(progress.host);
   }
+  std::sort(touched_.begin(), touched_.end());
+  touched_.erase(std::unique(touched_.begin(), touched_.end()), touched_.end());
+}
+
+std::vector<WorkerLife> JobLedger::LivesAtPlaceOf(
+    const WorkerNote& note) const {
+  std::vector<WorkerLife> lives;
+  const auto add = [&](const WorkerLife& life) {
+    if (life != note.life)
+      lives.push_back(life);
+  };
+  for (auto it = workers_.lower_bound(
+           WorkerLife{note.life.id, std::numeric_limits<UnixMillis>::min()});
+       it != workers_.end() && it->first.id == note.life.id; ++it) {
+    add(it->first);
+  }
+  const auto [address, address_end] =
+      lives_by_address_.equal_range(note.address);
+  for (auto it = address; it != address_end; ++it)
+    add(it->second);
+  const auto [host, host_end] = lives_by_host_.equal_range(note.host);
+  for (auto it = host; it != host_end; ++it)
+    add(it->second);
+  std::sort(lives.begin(), lives.end());
+  lives.erase(std::unique(lives.begin(), lives.end()), lives.end());
+  return lives;
 }
 
 void JobLedger::ApplyWorker(const WorkerNote& note) {
@@ -111,26 +229,25 @@
     return;
   }
   // A new life at the same id, address or host ends the one before it.
-  std::vector<WorkerLife> over;
-  for (const auto& [life, worker] : workers_) {
-    if (life == note.life)
-      continue;
-    const bool same_host = !note.host.empty() && worker.note.host == note.host;
-    const bool same_place = life.id == note.life.id || same_host ||
-                            worker.note.address == note.address;
-    if (!same_place)
-      continue;
-    if (life.born > note.life.born)
-      return;
-    over.push_back(life);
+  const std::vector<WorkerLife> over = LivesAtPlaceOf(note);
+  if (std::any_of(over.begin(), over.end(), [&](const WorkerLife& life) {
+        return life.born > note.life.born;
+      })) {
+    return;
   }
   for (const WorkerLife& life : over)
     Depart(life);
-  Worker& worker = workers_[note.life];
+  const auto [place, added] = workers_.try_emplace(note.life);
+  Worker& worker = place->second;
   // A worker never takes a drain back within one life.
   const bool draining = worker.note.draining || note.draining;
+  if (!added)
+    ForgetPlace(worker);
   worker.note = note;
   worker.note.draining = draining;
+  IndexPlace(worker);
+  IndexStops(worker);
+  touched_.push_back(note.life);
 }
 
 void JobLedger::Depart(const WorkerLife& life) {
@@ -146,7 +263,10 @@
       Compact(job);
     }
   }
-  workers_.erase(life);
+  ForgetPlace(found->second);
+  stop_candidates_.erase(&found->second);
+  workers_.erase(found);
+  touched_.push_back(life);
 }
 
 void JobLedger::ApplySubmission(const Submission& submission, UnixMillis now) {
@@ -165,6 +285,7 @@
   ++queued_[job.queue];
   if (job.spec->repeats == 0)
     OpenOccurrence(&job, 0, now);
+  IndexJob(&job);
 }
 
 void JobLedger::ApplyCancel(const JobId& id, UnixMillis now) {
@@ -194,6 +315,7 @@
   }
   job->occurrences[occurrence] = std::move(opened);
   job->next_occurrence = occurrence + 1;
+  IndexJob(job);
 }
 
 bool JobLedger::RemoveRun(Job* job,
@@ -219,7 +341,12 @@
   if (const auto found = workers_.find(worker); found != workers_.end()) {
     found->second.used -= RoomOf(spec);
     found->second.runs.erase(run);
+    found->second.lasting -= spec.long_running ? 1 : 0;
+    if (job->final() || task.done)
+      CountSurplus(worker, -1);
+    touched_.push_back(worker);
   }
+  IndexJob(job);
   return true;
 }
 
@@ -272,6 +399,8 @@
     if (!task->runs.empty())
       --step.placed;
     ++step.done;
+    for (const Run& run : task->runs)
+      CountSurplus(run.worker, 1);
   };
   if (job->spec->steps[name.step].gang) {
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
@@ -286,6 +415,7 @@
   } else {
     complete(&step.tasks[name.index]);
   }
+  IndexJob(job);
   const bool occurrence_done =
       std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
                   [](const Step& s) { return s.complete(); });
@@ -308,9 +438,11 @@
 void JobLedger::Finish(Job* job, JobState state, UnixMillis now) {
   if (job->state == JobState::kQueued)
     --queued_[job->queue];
+  CountFinalRuns(*job);
   job->state = state;
   job->finished = now;
   active_.erase(job->id);
+  IndexJob(job);
   Compact(job);
 }
 
@@ -359,6 +491,9 @@
   usage_[job->customer] += spec.request;
   worker->second.used += RoomOf(spec);
   worker->second.runs.insert(start.run);
+  worker->second.lasting += spec.long_running ? 1 : 0;
+  touched_.push_back(start.worker);
+  IndexJob(job);
   if (job->state == JobState::kQueued) {
     job->state = JobState::kRunning;
     --queued_[job->queue];
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -67,6 +67,8 @@
   std::uint32_t next_occurrence = 0;                ///< first not yet opened
   std::int64_t completed_occurrences = 0;
   std::int64_t runs = 0;  ///< runs of its tasks that may be at work
+  /// A task waits whose step is ready; never of a job in a final state.
+  bool startable = false;
 
   [[nodiscard]] bool final() const noexcept {
     return state == JobState::kCompleted || state == JobState::kFailed ||
@@ -83,8 +85,31 @@
   std::int64_t ends_noted = 0;  ///< highest list number that is stored
   Resources used;               ///< by its runs, as far as they count
   std::set<RunName> runs;
+  std::int64_t lasting = 0;  ///< runs of long-running tasks
+  /// Runs of jobs in a final state and of finished tasks.
+  std::int64_t surplus = 0;
 };
 
+/// \brief Orders pointers to jobs by id and pointers to workers by life.
+struct ByName {
+  using is_transparent = void;
+  bool operator()(const Job* a, const Job* b) const noexcept {
+    return a->id < b->id;
+  }
+  bool operator()(const Worker* a, const Worker* b) const noexcept {
+    return a->note.life < b->note.life;
+  }
+  bool operator()(const Worker* a, const WorkerLife& b) const noexcept {
+    return a->note.life < b;
+  }
+  bool operator()(const WorkerLife& a, const Worker* b) const noexcept {
+    return a < b->note.life;
+  }
+};
+
+using JobSet = std::set<const Job*, ByName>;
+using WorkerSet = std::set<const Worker*, ByName>;
+
 struct Wave {
   WaveOrder order;
   UnixMillis started = 0;
@@ -103,8 +128,20 @@
 
 /// \brief The replicated state of jobs, workers, rules and waves. Apply is
 /// deterministic: equal sequences of batches give equal ledgers.
+///
+/// Besides the state itself it keeps indexes of what decisions ask for, so that
+/// their cost follows what has changed. They are derived: snapshots leave them
+/// out, and Restore builds them again.
 class JobLedger {
  public:
+  JobLedger() = default;
+  JobLedger(JobLedger&&) = default;
+  JobLedger& operator=(JobLedger&&) = default;
+  // The indexes point into the ledger.
+  JobLedger(const JobLedger&) = delete;
+  JobLedger& operator=(const JobLedger&) = delete;
+  ~JobLedger() = default;
+
   /// \brief Applies one committed batch. Parts that no longer fit the state
   /// (a start of a cancelled job, an end of an unknown run) change nothing.
   void Apply(const Batch& batch);
@@ -121,6 +158,23 @@
   [[nodiscard]] const std::map<WorkerLife, Worker>& workers() const noexcept {
     return workers_;
   }
+  /// Active jobs with a waiting task whose step is ready.
+  [[nodiscard]] const JobSet& startable() const noexcept { return startable_; }
+  /// Active jobs that still have occurrences to open by their due time.
+  [[nodiscard]] const JobSet& repeating() const noexcept { return repeating_; }
+  /// \returns the workers of a pool, also those that drain.
+  [[nodiscard]] const WorkerSet& WorkersOf(const PoolName& pool) const;
+  /// Workers that drain or have surplus runs.
+  [[nodiscard]] const WorkerSet& stop_candidates() const noexcept {
+    return stop_candidates_;
+  }
+  /// Batches applied to this object; not part of the replicated state.
+  [[nodiscard]] std::uint64_t applied() const noexcept { return applied_; }
+  /// Lives whose note or runs the last batch changed, also those that it ended;
+  /// each once, sorted.
+  [[nodiscard]] const std::vector<WorkerLife>& touched() const noexcept {
+    return touched_;
+  }
   [[nodiscard]] const Worker* FindWorker(const WorkerLife& life) const;
   /// \returns the newest life of a worker id that has not departed.
   [[nodiscard]] const Worker* FindPresent(const WorkerId& id) const;
@@ -164,6 +218,19 @@
   void Compact(Job* job);
   void Depart(const WorkerLife& life);
   void AdoptJob(Job job);
+  void AdoptWorker(Worker worker);
+  /// \returns other lives at the note's id, address or host.
+  [[nodiscard]] std::vector<WorkerLife> LivesAtPlaceOf(
+      const WorkerNote& note) const;
+  void IndexPlace(const Worker& worker);
+  void ForgetPlace(const Worker& worker);
+  void IndexStops(const Worker& worker);
+  /// \brief Brings the job's place in the indexes up to date.
+  void IndexJob(Job* job);
+  void CountSurplus(const WorkerLife& life, std::int64_t change);
+  /// \brief Counts the runs of unfinished tasks as surplus; the job is about to
+  /// get a final state.
+  void CountFinalRuns(const Job& job);
   [[nodiscard]] Job* MutableJob(const JobId& id);
 
   FleetRules rules_;
@@ -177,6 +244,15 @@
   std::map<QueueName, std::int64_t> queued_;
   std::map<std::int64_t, Wave> waves_;
   std::map<HostName, HostOrder> host_orders_;
+
+  JobSet startable_;
+  JobSet repeating_;
+  std::unordered_map<PoolName, WorkerSet> pool_workers_;
+  WorkerSet stop_candidates_;
+  std::unordered_multimap<std::string, WorkerLife> lives_by_address_;
+  std::unordered_multimap<HostName, WorkerLife> lives_by_host_;
+  std::uint64_t applied_ = 0;
+  std::vector<WorkerLife> touched_;
 };
 
 }  // namespace boragewinch::jobs
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -180,8 +180,7 @@
     Worker worker;
     BW_TRY(worker.note, WorkerNoteFromJson(item["note"]));
     BW_TRY(worker.ends_noted, IntField(item, "ends", 0, kMaxNumber));
-    const WorkerLife life = worker.note.life;
-    ledger.workers_[life] = std::move(worker);
+    ledger.AdoptWorker(std::move(worker));
   }
   for (const Json& row : json["departed"]) {
     if (!row.isArray() || row.size() != 2 || !row[0].isString() ||
@@ -213,6 +212,16 @@
   return ledger;
 }
 
+void JobLedger::AdoptWorker(Worker worker) {
+  const WorkerLife life = worker.note.life;
+  const auto [place, added] = workers_.try_emplace(life);
+  if (!added)
+    ForgetPlace(place->second);
+  place->second = std::move(worker);
+  IndexPlace(place->second);
+  IndexStops(place->second);
+}
+
 // Derives the counts and indexes that the snapshot leaves out.
 void JobLedger::AdoptJob(Job job) {
   for (auto& [number, occurrence] : job.occurrences) {
@@ -227,6 +236,9 @@
               worker != workers_.end()) {
             worker->second.used += RoomOf(spec);
             worker->second.runs.insert({{job.id, number, s, i}, run.number});
+            worker->second.lasting += spec.long_running ? 1 : 0;
+            if (job.final() || tasks[i].done)
+              CountSurplus(run.worker, 1);
           }
         }
       }
@@ -237,7 +249,10 @@
   if (job.state == JobState::kQueued)
     ++queued_[job.queue];
   const JobId id = job.id;
-  jobs_[id] = std::move(job);
+  Job& adopted = jobs_[id];
+  adopted = std::move(job);
+  if (!adopted.final() && adopted.spec)
+    IndexJob(&adopted);
 }
 
 }  // namespace boragewinch::jobs
--- a/src/scheduler/advice_book.cc
+++ b/src/scheduler/advice_book.cc
@@ -1,5 +1,6 @@
 #include "scheduler/advice_book.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace boragewinch::scheduler {
@@ -21,8 +22,11 @@
   std::erase_if(entries_, [&](const auto& item) {
     return !item.second.open && ledger.FindTask(item.first) == nullptr;
   });
-  for (const jobs::JobId& id : ledger.active()) {
-    const jobs::Job* job = ledger.FindJob(id);
+  const auto& queues = ledger.rules().queues;
+  if (std::none_of(queues.begin(), queues.end(),
+                   [](const jobs::QueueRule& queue) { return queue.advised; }))
+    return questions;
+  for (const jobs::Job* job : ledger.startable()) {
     const jobs::QueueRule* queue = ledger.rules().FindQueue(job->queue);
     if (queue == nullptr || !queue->advised)
       continue;
@@ -34,18 +38,19 @@
             !job->StepReady(occurrence, s)) {
           continue;
         }
-        const jobs::TaskName step{id, number, s, 0};
+        const jobs::TaskName step{job->id, number, s, 0};
         Entry& entry = entries_[step];
         if (entry.open || now < entry.retry_at ||
             now < entry.valid_until - options_.margin) {
           continue;
         }
         Question question{step, {}};
-        for (const auto& [life, worker] : ledger.workers()) {
-          if (worker.note.pool == queue->pool && !worker.note.draining &&
-              question.workers.size() < options_.workers && may_start(life)) {
+        for (const jobs::Worker* worker : ledger.WorkersOf(queue->pool)) {
+          if (question.workers.size() >= options_.workers)
+            break;
+          const jobs::WorkerLife& life = worker->note.life;
+          if (!worker->note.draining && may_start(life))
             question.workers.push_back(life.id);
-          }
         }
         if (question.workers.empty())
           continue;
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -145,15 +145,11 @@
 }
 
 void SchedulerService::OpenDue(jobs::Batch* batch, jobs::UnixMillis now) const {
-  for (const jobs::JobId& id : replica_->ledger().active()) {
+  for (const jobs::Job* job : replica_->ledger().repeating()) {
     if (batch->openings.size() >= kMaxOpenings)
       return;
-    const jobs::Job* job = replica_->ledger().FindJob(id);
-    if (job->spec->repeats > 0 &&
-        job->next_occurrence < job->spec->occurrences() &&
-        job->spec->due(job->next_occurrence) <= now) {
-      batch->openings.push_back({id, job->next_occurrence});
-    }
+    if (job->spec->due(job->next_occurrence) <= now)
+      batch->openings.push_back({job->id, job->next_occurrence});
   }
 }
 
--- a/src/scheduler/stop_planner.cc
+++ b/src/scheduler/stop_planner.cc
@@ -61,7 +61,14 @@
                                  const PercentOf& percent_of) {
   std::vector<StopOrder> stops;
   AwayCounts away(ledger, percent_of);
-  for (const auto& [life, worker] : ledger.workers()) {
+  jobs::WorkerSet candidates = ledger.stop_candidates();
+  for (const jobs::WorkerLife& life : clearing) {
+    if (const jobs::Worker* worker = ledger.FindWorker(life))
+      candidates.insert(worker);
+  }
+  for (const jobs::Worker* candidate : candidates) {
+    const jobs::Worker& worker = *candidate;
+    const jobs::WorkerLife& life = worker.note.life;
     const bool clears = clearing.count(life) > 0;
     for (const jobs::RunName& run : worker.runs) {
       const jobs::Job* job = ledger.FindJob(run.task.job);
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -1,9 +1,11 @@
 #include "scheduler/task_planner.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <optional>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 
 namespace boragewinch::scheduler {
@@ -21,10 +23,20 @@
 struct Seat {
   const jobs::Worker* worker = nullptr;
   Resources free;
-  std::size_t allowance = 0;  ///< tasks that may start on it now
-  std::int64_t lasting = 0;   ///< long-running tasks on it
+  /// Tasks that may start on it now; asked for when a task would fit.
+  mutable std::optional<std::size_t> allowance;
+  std::int64_t lasting = 0;  ///< long-running tasks on it
   bool occupied = false;
-  bool kept = false;  ///< its free room is kept for a task that waits for it
+  bool used_up = false;  ///< this plan has used its allowance
+  bool kept = false;     ///< its free room is kept for a task that waits for it
+};
+
+/// The workers of a pool that do not drain.
+struct SeatRow {
+  std::vector<Seat> seats;
+  /// No worker has more room than this; what does not fit into it need not be
+  /// tried on each of them.
+  Resources most_free;
 };
 
 struct Candidate {
@@ -43,19 +55,7 @@
           const TaskPlannerOptions& options,
           const PlannerHooks& hooks,
           jobs::UnixMillis now)
-      : ledger_(ledger), options_(options), hooks_(hooks), now_(now) {
-    for (const auto& [life, worker] : ledger.workers()) {
-      const std::size_t allowance =
-          worker.note.draining ? 0 : hooks.allowance(life);
-      if (allowance == 0)
-        continue;
-      Resources free = worker.note.capacity;
-      free -= worker.used;
-      seats_[worker.note.pool].push_back({&worker, free, allowance,
-                                          CountLasting(worker),
-                                          !worker.runs.empty()});
-    }
-  }
+      : ledger_(ledger), options_(options), hooks_(hooks), now_(now) {}
 
   [[nodiscard]] std::vector<jobs::StartNote> Make() {
     for (const Candidate& candidate : Ordered()) {
@@ -69,8 +69,7 @@
  private:
   [[nodiscard]] std::vector<Candidate> Ordered() const {
     std::vector<Candidate> candidates;
-    for (const jobs::JobId& id : ledger_.active()) {
-      const jobs::Job* job = ledger_.FindJob(id);
+    for (const jobs::Job* job : ledger_.startable()) {
       const jobs::QueueRule* queue = ledger_.rules().FindQueue(job->queue);
       if (queue == nullptr)
         continue;
@@ -109,34 +108,59 @@
     return candidates;
   }
 
-  [[nodiscard]] std::int64_t CountLasting(const jobs::Worker& worker) const {
-    return std::count_if(worker.runs.begin(), worker.runs.end(),
-                         [&](const jobs::RunName& run) {
-                           const jobs::Job* job = ledger_.FindJob(run.task.job);
-                           return job != nullptr && job->spec &&
-                                  job->spec->steps[run.task.step].long_running;
-                         });
+  /// \returns the row of a pool, made when the first task asks for it.
+  [[nodiscard]] SeatRow* RowOf(const PoolName& pool) {
+    const auto [place, added] = rows_.try_emplace(pool);
+    SeatRow* row = &place->second;
+    if (!added)
+      return row;
+    const jobs::WorkerSet& workers = ledger_.WorkersOf(pool);
+    row->seats.reserve(workers.size());
+    for (const jobs::Worker* worker : workers) {
+      if (worker->note.draining)
+        continue;
+      Resources free = worker->note.capacity;
+      free -= worker->used;
+      row->seats.push_back({worker, free, std::nullopt, worker->lasting,
+                            !worker->runs.empty(), false, false});
+    }
+    NoteMostFree(row);
+    return row;
+  }
+
+  static void NoteMostFree(SeatRow* row) {
+    Resources most;
+    for (const Seat& seat : row->seats) {
+      most.cpu_millis = std::max(most.cpu_millis, seat.free.cpu_millis);
+      most.memory_mb = std::max(most.memory_mb, seat.free.memory_mb);
+      most.accelerators = std::max(most.accelerators, seat.free.accelerators);
+    }
+    row->most_free = most;
+  }
+
+  [[nodiscard]] std::size_t& AllowanceOf(const Seat& seat) const {
+    if (!seat.allowance)
+      seat.allowance = hooks_.allowance(seat.worker->note.life);
+    return *seat.allowance;
   }
 
   void PlaceJob(const Candidate& candidate) {
     const jobs::Job& job = *candidate.job;
-    const auto seats = seats_.find(candidate.queue->pool);
-    if (seats == seats_.end())
+    SeatRow* row = RowOf(candidate.queue->pool);
+    if (row->seats.empty())
       return;
     const auto& occurrence = job.occurrences.at(candidate.occurrence);
     for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
       if (occurrence.steps[s].waiting() == 0 || !job.StepReady(occurrence, s))
         continue;
       if (job.spec->steps[s].gang)
-        PlaceGang(candidate, s, &seats->second);
+        PlaceGang(candidate, s, row);
       else
-        PlaceStep(candidate, s, &seats->second);
+        PlaceStep(candidate, s, row);
     }
   }
 
-  void PlaceStep(const Candidate& candidate,
-                 std::uint32_t s,
-                 std::vector<Seat>* seats) {
+  void PlaceStep(const Candidate& candidate, std::uint32_t s, SeatRow* row) {
     const jobs::Job& job = *candidate.job;
     const jobs::StepSpec& spec = job.spec->steps[s];
     const jobs::Step& step = job.occurrences.at(candidate.occurrence).steps[s];
@@ -148,10 +172,10 @@
       if (starts_.size() >= options_.max_starts || !CustomerHasRoom(job, spec))
         return;
       const jobs::TaskName name{job.id, candidate.occurrence, s, i};
-      Seat* seat = Choose(candidate, name, seats, per_worker);
+      Seat* seat = Choose(candidate, name, row, per_worker);
       if (seat == nullptr) {
         if (spec.long_running)
-          KeepRoom(candidate, name, seats, per_worker);
+          KeepRoom(candidate, name, row, per_worker);
         return;
       }
       Take(job, spec, seat);
@@ -165,13 +189,16 @@
   void KeepRoom(
       const Candidate& candidate,
       const jobs::TaskName& task,
-      std::vector<Seat>* seats,
+      SeatRow* row,
       const std::map<jobs::WorkerLife, std::int64_t>& per_worker) const {
     const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
     const bool elsewhere = MayGoElsewhere(candidate, task);
     Seat* best = nullptr;
-    for (Seat& seat : *seats) {
-      if (seat.kept || !MayHold(spec, seat, per_worker) ||
+    for (Seat& seat : row->seats) {
+      // A worker that took nothing when the plan began is not kept; one that
+      // this plan has filled up may be.
+      const bool takes = seat.used_up || AllowanceOf(seat) > 0;
+      if (!takes || seat.kept || !MayHold(spec, seat, per_worker) ||
           !jobs::JobLedger::RoomOf(spec).FitsInto(seat.worker->note.capacity) ||
           (elsewhere && hooks_.avoids(task, seat.worker->note.life))) {
         continue;
@@ -210,25 +237,24 @@
              !hooks_.avoids(task, note.life);
     };
     if (spec.long_running) {
-      const auto seats = seats_.find(candidate.queue->pool);
-      return seats != seats_.end() &&
-             std::any_of(
-                 seats->second.begin(), seats->second.end(),
-                 [&](const Seat& seat) { return suits(seat.worker->note); });
+      const auto row = rows_.find(candidate.queue->pool);
+      return row != rows_.end() &&
+             std::any_of(row->second.seats.begin(), row->second.seats.end(),
+                         [&](const Seat& seat) {
+                           return (seat.used_up || AllowanceOf(seat) > 0) &&
+                                  suits(seat.worker->note);
+                         });
     }
-    const auto& workers = ledger_.workers();
-    return std::any_of(workers.begin(), workers.end(), [&](const auto& item) {
-      const jobs::WorkerNote& note = item.second.note;
-      return note.pool == candidate.queue->pool && !note.draining &&
-             suits(note);
-    });
+    const jobs::WorkerSet& workers = ledger_.WorkersOf(candidate.queue->pool);
+    return std::any_of(workers.begin(), workers.end(),
+                       [&](const jobs::Worker* worker) {
+                         return !worker->note.draining && suits(worker->note);
+                       });
   }
 
   // A gang is started whole or not at all: a member without the others only
   // holds room.
-  void PlaceGang(const Candidate& candidate,
-                 std::uint32_t s,
-                 std::vector<Seat>* seats) {
+  void PlaceGang(const Candidate& candidate, std::uint32_t s, SeatRow* row) {
     const jobs::Job& job = *candidate.job;
     const jobs::StepSpec& spec = job.spec->steps[s];
     const jobs::Step& step = job.occurrences.at(candidate.occurrence).steps[s];
@@ -238,17 +264,17 @@
     for (const jobs::Task& task : step.tasks)
       number = std::max(number, task.last_run);
     const auto kept_usage = usage_;
-    const std::vector<Seat> kept_seats = *seats;
+    const SeatRow kept_row = *row;
     const std::size_t kept_starts = starts_.size();
     std::map<jobs::WorkerLife, std::int64_t> per_worker;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
       const jobs::TaskName name{job.id, candidate.occurrence, s, i};
       Seat* seat = CustomerHasRoom(job, spec)
-                       ? Choose(candidate, name, seats, per_worker)
+                       ? Choose(candidate, name, row, per_worker)
                        : nullptr;
       if (seat == nullptr) {
         usage_ = kept_usage;
-        *seats = kept_seats;
+        *row = kept_row;
         starts_.resize(kept_starts);
         return;
       }
@@ -302,19 +328,31 @@
   [[nodiscard]] Seat* Choose(
       const Candidate& candidate,
       const jobs::TaskName& task,
-      std::vector<Seat>* seats,
+      SeatRow* row,
       const std::map<jobs::WorkerLife, std::int64_t>& per_worker) const {
     const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
     const Resources need = jobs::JobLedger::RoomOf(spec);
     Seat* best = nullptr;
     std::optional<bool> elsewhere;
     std::tuple<bool, std::int64_t, bool, std::int64_t, std::int64_t> best_rank;
-    for (Seat& seat : *seats) {
+    if (!need.FitsInto(row->most_free))
+      return nullptr;
+    bool fits = false;
+    for (Seat& seat : row->seats) {
       const jobs::WorkerNote& note = seat.worker->note;
-      if (seat.kept || seat.allowance == 0 || !need.FitsInto(seat.free) ||
-          !MayHold(spec, seat, per_worker)) {
+      if (!need.FitsInto(seat.free))
+        continue;
+      fits = true;
+      if (seat.kept || !MayHold(spec, seat, per_worker))
+        continue;
+      const bool near = spec.data_rack.empty() || spec.data_rack == note.rack;
+      const std::int64_t company =
+          spec.long_running && !spec.fills ? seat.lasting : 0;
+      const std::tuple rank(near, company, seat.occupied, -seat.free.cpu_millis,
+                            -seat.free.memory_mb);
+      // The hooks are the costly part.
+      if ((best != nullptr && rank <= best_rank) || AllowanceOf(seat) == 0)
         continue;
-      }
       if (candidate.queue->advised && !hooks_.is_advised(task, note.life))
         continue;
       if (hooks_.avoids(task, note.life)) {
@@ -323,16 +361,11 @@
         if (*elsewhere)
           continue;
       }
-      const bool near = spec.data_rack.empty() || spec.data_rack == note.rack;
-      const std::int64_t company =
-          spec.long_running && !spec.fills ? seat.lasting : 0;
-      const std::tuple rank(near, company, seat.occupied, -seat.free.cpu_millis,
-                            -seat.free.memory_mb);
-      if (best == nullptr || rank > best_rank) {
-        best = &seat;
-        best_rank = rank;
-      }
+      best = &seat;
+      best_rank = rank;
     }
+    if (!fits)
+      NoteMostFree(row);
     return best;
   }
 
@@ -346,7 +379,7 @@
     seat->free -= jobs::JobLedger::RoomOf(spec);
     seat->lasting += spec.long_running ? 1 : 0;
     seat->occupied = true;
-    --seat->allowance;
+    seat->used_up = --AllowanceOf(*seat) == 0;
     Usage(job.customer) += spec.request;
   }
 
@@ -354,7 +387,7 @@
   const TaskPlannerOptions& options_;
   const PlannerHooks& hooks_;
   jobs::UnixMillis now_;
-  std::map<PoolName, std::vector<Seat>> seats_;
+  std::unordered_map<PoolName, SeatRow> rows_;
   std::map<CustomerName, Resources> usage_;
   std::vector<jobs::StartNote> starts_;
 };
@@ -367,14 +400,14 @@
 template <typename Counts>
 [[nodiscard]] Millis LongestChain(const jobs::JobSpec& spec,
                                   const Counts& counts) {
-  std::vector<Millis> ends;
+  std::array<Millis, jobs::kMaxSteps> ends;
   Millis longest{0};
   for (std::size_t s = 0; s < spec.steps.size(); ++s) {
     Millis begin{0};
     for (const std::uint32_t earlier : spec.steps[s].depends_on)
       begin = std::max(begin, ends[earlier]);
-    ends.push_back(begin + (counts(s) ? EstimateOf(spec.steps[s]) : Millis(0)));
-    longest = std::max(longest, ends.back());
+    ends.at(s) = begin + (counts(s) ? EstimateOf(spec.steps[s]) : Millis(0));
+    longest = std::max(longest, ends.at(s));
   }
   return longest;
 }
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -412,9 +412,8 @@
   const HostName name = HealthName(worker.note.life);
   const HealthState before = health_.State(name, now);
   // Half of a pool may be set aside: a fault of the jobs shows on all workers.
-  std::int64_t pool_size = 0;
-  for (const auto& [life, other] : replica_.ledger().workers())
-    pool_size += other.note.pool == worker.note.pool ? 1 : 0;
+  const auto pool_size = static_cast<std::int64_t>(
+      replica_.ledger().WorkersOf(worker.note.pool).size());
   health_.SetBudget(worker.note.pool, pool_size / 2);
   const HealthState after = health_.OnStart(name, worker.note.pool, ok, now);
   if (after != before) {
--- /dev/null
+++ b/tests/ledger_index_test.cc
@@ -0,0 +1,351 @@
+#define BOOST_TEST_MODULE ledger_index
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jobs/job_ledger.h"
+#include "scheduler/stop_planner.h"
+
+// Guards against indexes of the ledger that no longer agree with its state:
+// decisions that use them would miss work that waits, or leave runs of
+// cancelled jobs at work.
+
+namespace boragewinch::jobs {
+namespace {
+
+/// Draws batches that touch every index.
+class RandomLoad {
+ public:
+  explicit RandomLoad(std::uint64_t seed) : luck_(seed) {}
+
+  [[nodiscard]] Batch Rules() const {
+    Batch batch;
+    batch.rules = FleetRules();
+    batch.rules->version = 1;
+    batch.rules->document = "{}";
+    for (const char* name : {"a", "b"}) {
+      QueueRule queue;
+      queue.name = QueueName(name);
+      queue.virtual_host = "example";
+      queue.path_prefix = std::string("/") + name + "/";
+      queue.pool = PoolName(name);
+      queue.max_attempts = 2;
+      batch.rules->queues.push_back(queue);
+      batch.rules->pools[queue.pool] = {queue.pool, true, false};
+    }
+    return batch;
+  }
+
+  [[nodiscard]] Batch Draw(const JobLedger& ledger) {
+    Batch batch;
+    batch.now = ++now_;
+    const std::size_t changes = 1 + Below(4);
+    for (std::size_t i = 0; i < changes; ++i)
+      Add(ledger, &batch);
+    return batch;
+  }
+
+ private:
+  [[nodiscard]] std::size_t Below(std::size_t bound) { return luck_() % bound; }
+  [[nodiscard]] bool Coin() { return Below(2) == 0; }
+
+  void Add(const JobLedger& ledger, Batch* batch) {
+    switch (Below(8)) {
+      case 0:
+        batch->workers.push_back(Worker());
+        break;
+      case 1:
+        batch->submissions.push_back(Job());
+        break;
+      case 2:
+        if (const auto* job = AnyJob(ledger); job != nullptr && Below(4) == 0)
+          batch->cancels.push_back(job->id);
+        break;
+      case 3:
+        for (const JobId& id : ledger.active())
+          batch->openings.push_back({id, ledger.FindJob(id)->next_occurrence});
+        break;
+      case 4:
+      case 5:
+        End(ledger, batch);
+        break;
+      default:
+        Start(ledger, batch);
+        break;
+    }
+  }
+
+  [[nodiscard]] WorkerNote Worker() {
+    WorkerNote note;
+    note.life = {WorkerId("w" + std::to_string(Below(6))),
+                 static_cast<UnixMillis>(1 + Below(3) + now_ / 40)};
+    note.address = "10.0.0." + std::to_string(Below(7)) + ":80";
+    if (Coin())
+      note.host = HostName("h" + std::to_string(Below(7)));
+    note.pool = PoolName(Coin() ? "a" : "b");
+    note.capacity = {16'000, 32'000, 0};
+    note.draining = Below(5) == 0;
+    note.departed = Below(8) == 0;
+    return note;
+  }
+
+  [[nodiscard]] Submission Job() {
+    JobSpec spec;
+    spec.payload = "x";
+    const std::size_t steps = 1 + Below(3);
+    for (std::size_t s = 0; s < steps; ++s) {
+      StepSpec step;
+      step.tasks = static_cast<std::int64_t>(1 + Below(3));
+      step.request = {1'000, 1'000, 0};
+      step.gang = Below(4) == 0;
+      step.speculative = !step.gang && Below(3) == 0;
+      step.long_running = !step.gang && Below(4) == 0;
+      if (s > 0 && Coin())
+        step.depends_on = {static_cast<std::uint32_t>(s - 1)};
+      spec.steps.push_back(step);
+    }
+    if (Below(4) == 0) {
+      spec.repeats = 2;
+      spec.interval = Millis(10);
+    }
+    return {JobId("job" + std::to_string(Below(60))),
+            QueueName(Coin() ? "a" : "b"), CustomerName("c"), spec};
+  }
+
+  [[nodiscard]] const jobs::Job* AnyJob(const JobLedger& ledger) {
+    if (ledger.jobs().empty())
+      return nullptr;
+    auto job = ledger.jobs().begin();
+    std::advance(job, Below(ledger.jobs().size()));
+    return &job->second;
+  }
+
+  void Start(const JobLedger& ledger, Batch* batch) {
+    const jobs::Job* job = AnyJob(ledger);
+    if (job == nullptr || ledger.workers().empty())
+      return;
+    for (const auto& [number, occurrence] : job->occurrences) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        const auto& tasks = occurrence.steps[s].tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+          auto worker = ledger.workers().begin();
+          std::advance(worker, Below(ledger.workers().size()));
+          if (Below(3) > 0)
+            batch->starts.push_back(
+                {{{job->id, number, s, i}, tasks[i].last_run + 1},
+                 worker->first});
+        }
+      }
+    }
+  }
+
+  void End(const JobLedger& ledger, Batch* batch) {
+    for (const auto& [life, worker] : ledger.workers()) {
+      std::int64_t listed = worker.ends_noted;
+      for (const RunName& run : worker.runs) {
+        if (Coin())
+          continue;
+        const RunEnd how = Below(5) == 0   ? RunEnd::kFailed
+                           : Below(5) == 0 ? RunEnd::kLost
+                                           : RunEnd::kDone;
+        batch->ends.push_back(
+            {run, life, how, "", how == RunEnd::kLost ? 0 : ++listed});
+      }
+    }
+  }
+
+  std::mt19937_64 luck_;
+  UnixMillis now_ = 1;
+};
+
+[[nodiscard]] bool IsStartable(const Job& job) {
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      if (occurrence.steps[s].waiting() > 0 && job.StepReady(occurrence, s))
+        return true;
+    }
+  }
+  return false;
+}
+
+void CheckJobIndexes(const JobLedger& ledger) {
+  std::vector<JobId> startable;
+  std::vector<JobId> repeating;
+  for (const JobId& id : ledger.active()) {
+    const Job& job = *ledger.FindJob(id);
+    if (IsStartable(job))
+      startable.push_back(id);
+    if (job.spec->repeats > 0 &&
+        job.next_occurrence < job.spec->occurrences()) {
+      repeating.push_back(id);
+    }
+  }
+  const auto ids = [](const JobSet& jobs) {
+    std::vector<JobId> names;
+    for (const Job* job : jobs)
+      names.push_back(job->id);
+    return names;
+  };
+  BOOST_TEST(ids(ledger.startable()) == startable,
+             boost::test_tools::per_element());
+  BOOST_TEST(ids(ledger.repeating()) == repeating,
+             boost::test_tools::per_element());
+}
+
+void CheckWorkerIndexes(const JobLedger& ledger) {
+  std::map<PoolName, std::vector<const Worker*>> pools;
+  std::vector<const Worker*> candidates;
+  for (const auto& [life, worker] : ledger.workers()) {
+    pools[worker.note.pool].push_back(&worker);
+    std::int64_t lasting = 0;
+    std::int64_t surplus = 0;
+    for (const RunName& run : worker.runs) {
+      const Job& job = *ledger.FindJob(run.task.job);
+      lasting += job.spec->steps[run.task.step].long_running ? 1 : 0;
+      surplus += job.final() || ledger.FindTask(run.task)->done ? 1 : 0;
+    }
+    BOOST_TEST(worker.lasting == lasting);
+    BOOST_TEST(worker.surplus == surplus);
+    if (worker.note.draining || surplus > 0)
+      candidates.push_back(&worker);
+  }
+  const auto all = [](const WorkerSet& set) {
+    return std::vector<const Worker*>(set.begin(), set.end());
+  };
+  for (const char* pool : {"a", "b"})
+    BOOST_TEST(
+        (all(ledger.WorkersOf(PoolName(pool))) == pools[PoolName(pool)]));
+  BOOST_TEST((all(ledger.stop_candidates()) == candidates));
+}
+
+/// A worker is over once another life has its id, address or host.
+void CheckPlaces(const JobLedger& ledger) {
+  std::set<std::string> places;
+  std::size_t expected = 0;
+  for (const auto& [life, worker] : ledger.workers()) {
+    places.insert("id " + life.id.str());
+    places.insert("address " + worker.note.address);
+    expected += 2;
+    if (worker.note.host.empty())
+      continue;
+    places.insert("host " + worker.note.host.str());
+    ++expected;
+  }
+  BOOST_TEST(places.size() == expected);
+}
+
+/// Follows the lives that a batch reports as changed, as the leader does.
+class Follower {
+ public:
+  void Take(const JobLedger& ledger) {
+    for (const WorkerLife& life : ledger.touched()) {
+      const Worker* worker = ledger.FindWorker(life);
+      if (worker == nullptr)
+        known_.erase(life);
+      else
+        known_[life] = {worker->note, worker->runs};
+    }
+    BOOST_TEST(known_.size() == ledger.workers().size());
+    for (const auto& [life, worker] : ledger.workers()) {
+      const auto found = known_.find(life);
+      BOOST_REQUIRE(found != known_.end());
+      BOOST_TEST((found->second.first == worker.note));
+      BOOST_TEST((found->second.second == worker.runs));
+    }
+  }
+
+ private:
+  std::map<WorkerLife, std::pair<WorkerNote, std::set<RunName>>> known_;
+};
+
+/// All runs that a sweep over the fleet finds to be stopped.
+[[nodiscard]] std::vector<std::pair<RunName, std::string>> SweepStops(
+    const JobLedger& ledger,
+    const std::set<WorkerLife>& clearing) {
+  std::vector<std::pair<RunName, std::string>> stops;
+  for (const auto& [life, worker] : ledger.workers()) {
+    for (const RunName& run : worker.runs) {
+      const Job* job = ledger.FindJob(run.task.job);
+      const Task* task = ledger.FindTask(run.task);
+      if (job->final())
+        stops.emplace_back(run, "job_final");
+      else if (task->done)
+        stops.emplace_back(run, "task_done");
+      else if (!job->spec->steps[run.task.step].long_running)
+        continue;
+      else if (worker.note.draining)
+        stops.emplace_back(run, "worker_drains");
+      else if (clearing.count(life) > 0)
+        stops.emplace_back(run, "host_maintenance");
+    }
+  }
+  return stops;
+}
+
+void CheckStops(const JobLedger& ledger) {
+  std::set<WorkerLife> clearing;
+  for (const auto& [life, worker] : ledger.workers()) {
+    if (clearing.size() < 2)
+      clearing.insert(life);
+  }
+  std::vector<std::pair<RunName, std::string>> stops;
+  for (const scheduler::StopOrder& stop : scheduler::PlanStops(
+           ledger, clearing,
+           [](const RunName&, const WorkerLife&) { return 100; })) {
+    stops.emplace_back(stop.run, stop.reason);
+  }
+  BOOST_TEST((stops == SweepStops(ledger, clearing)));
+}
+
+BOOST_AUTO_TEST_CASE(IndexesEqualASweepAfterEveryBatch) {
+  std::size_t stops = 0;
+  std::size_t startable = 0;
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      RandomLoad load(seed);
+      JobLedger ledger;
+      Follower follower;
+      ledger.Apply(load.Rules());
+      for (int i = 0; i < 300; ++i) {
+        ledger.Apply(load.Draw(ledger));
+        CheckJobIndexes(ledger);
+        CheckWorkerIndexes(ledger);
+        CheckPlaces(ledger);
+        CheckStops(ledger);
+        follower.Take(ledger);
+        stops += ledger.stop_candidates().size();
+        startable += ledger.startable().size();
+      }
+    }
+  }
+  // The load has to reach the indexes.
+  BOOST_TEST(stops > 500U);
+  BOOST_TEST(startable > 500U);
+}
+
+BOOST_AUTO_TEST_CASE(ARestoredLedgerHasTheSameIndexes) {
+  for (std::uint64_t seed = 21; seed <= 24; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed) {
+      RandomLoad load(seed);
+      JobLedger ledger;
+      ledger.Apply(load.Rules());
+      for (int i = 0; i < 200; ++i) {
+        ledger.Apply(load.Draw(ledger));
+        if (i % 20 != 0)
+          continue;
+        auto restored = JobLedger::Restore(ledger.Snapshot());
+        BOOST_REQUIRE(restored.has_value());
+        ledger = std::move(restored.value());
+        CheckJobIndexes(ledger);
+        CheckWorkerIndexes(ledger);
+        CheckStops(ledger);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace boragewinch::jobs
