--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -228,17 +228,22 @@
     Depart(note.life);
     return;
   }
-  // A new life at the same id, address or host ends the one before it.
+  // A new life at the same id, address or host ends the one before it. An order
+  // reaches another life only under the same id.
   const std::vector<WorkerLife> over = LivesAtPlaceOf(note);
   if (std::any_of(over.begin(), over.end(), [&](const WorkerLife& life) {
         return life.born > note.life.born;
       })) {
     return;
   }
-  for (const WorkerLife& life : over)
-    Depart(life);
   const auto [place, added] = workers_.try_emplace(note.life);
   Worker& worker = place->second;
+  for (const WorkerLife& life : over) {
+    if (life.id == note.life.id)
+      CarryOver(life, note.life);
+    else
+      Depart(life);
+  }
   // A worker never takes a drain back within one life.
   const bool draining = worker.note.draining || note.draining;
   if (!added)
@@ -269,6 +274,32 @@
   touched_.push_back(life);
 }
 
+void JobLedger::CarryOver(const WorkerLife& life, const WorkerLife& later) {
+  const auto from = workers_.find(life);
+  Worker& to = workers_.at(later);
+  for (const RunName& name : from->second.runs) {
+    Job* job = MutableJob(name.task.job);
+    if (job == nullptr)
+      continue;
+    Task& task = job->occurrences.at(name.task.occurrence)
+                     .steps[name.task.step]
+                     .tasks[name.task.index];
+    for (Run& run : task.runs) {
+      if (run.number == name.number && run.worker == life) {
+        run.worker = later;
+        run.carried = true;
+      }
+    }
+    to.used += RoomOf(job->spec->steps[name.task.step]);
+    to.runs.insert(name);
+    to.carried.insert(name);
+  }
+  to.lasting += std::exchange(from->second.lasting, 0);
+  to.surplus += std::exchange(from->second.surplus, 0);
+  from->second.runs.clear();
+  Depart(life);
+}
+
 void JobLedger::ApplySubmission(const Submission& submission, UnixMillis now) {
   const auto [place, added] = jobs_.try_emplace(submission.id);
   if (!added)
@@ -341,6 +372,7 @@
   if (const auto found = workers_.find(worker); found != workers_.end()) {
     found->second.used -= RoomOf(spec);
     found->second.runs.erase(run);
+    found->second.carried.erase(run);
     found->second.lasting -= spec.long_running ? 1 : 0;
     if (job->final() || task.done)
       CountSurplus(worker, -1);
