Pass no refusal on after a try without an answer

Cause: the relay sends a request again after 0.9 s without an answer. An overloaded leader stored the first try after that and refused the second one, or the next leader refused it; the refusal reached the caller as "not run".

Why it works: a refusal of a change after an unanswered try is answered with 504, as the outcome is open. Reads and successes are passed on as before.

Evidence: ARefusalAfterAnUnansweredTryLeavesTheOutcomeOpen fails before the change for 401, 404, 429 and 503.

--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -1,6 +1,7 @@
 #include "scheduler/relay.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "base/event_log.h"
@@ -78,6 +79,22 @@
   return request;
 }
 
+namespace {
+
+// A refusal says that the leader stored nothing. It speaks for the last try
+// only: an earlier one without an answer may be stored now or later.
+[[nodiscard]] bool IsRefusedChange(const Json& request,
+                                   const HttpResponse& response) {
+  const std::string method = request["method"].asString();
+  if (method == "GET" || method == "HEAD")
+    return false;
+  constexpr int kRefusals[] = {401, 403, 404, 429, 503};
+  return std::find(std::begin(kRefusals), std::end(kRefusals),
+                   response.status) != std::end(kRefusals);
+}
+
+}  // namespace
+
 struct RelayClient::Pending {
   Json body;
   TimePoint deadline;
@@ -146,6 +163,17 @@
     if (Result<HttpResponse> response = ResponseFromJson(answer.value())) {
       heard_ = loop_.now();
       leader_ = host;
+      if (pending->maybe_seen &&
+          IsRefusedChange(pending->body, response.value())) {
+        LogEvent(EventId::kRelayFailed,
+                 {{"path", pending->body["path"].asString()},
+                  {"leader", leader_},
+                  {"refusal", response.value().status},
+                  {"status", 504}});
+        response.value().status = 504;
+        response.value().body =
+            R"({"error":"unknown","detail":"an earlier try had no answer"})";
+      }
       pending->done(std::move(response).value());
       return;
     }
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "kernel/event_loop.h"
 #include "net/http_client.h"
@@ -27,6 +28,10 @@
     hooks.serve = [this](const RelayedRequest& request,
                          const Respond& respond) {
       ++served;
+      if (served <= unanswered) {
+        held.push_back(respond);
+        return;
+      }
       if (loses_leadership)
         leads = false;
       respond(answer ? *answer : HttpResponse{200, request.http.body});
@@ -36,13 +41,14 @@
   }
 
   /// \returns the answer to a request with body "hello".
-  HttpResponse Ask() {
+  HttpResponse Ask(const std::string& method = "POST") {
     RelayClient::Options options;
-    options.hosts = {"127.0.0.1"};
+    options.hosts = hosts;
+    options.try_timeout = Millis(200);
     options.port = port.empty() ? server.address().substr(10) : port;
     RelayClient relay(loop, rpc, options);
     RelayedRequest request;
-    request.http.method = "POST";
+    request.http.method = method;
     request.http.path = "/q/1";
     request.http.body = "hello";
     std::optional<HttpResponse> got;
@@ -67,7 +73,10 @@
   std::unique_ptr<RelayServer> relay_server;
   bool leads = true;
   bool loses_leadership = false;
+  std::vector<std::string> hosts = {"127.0.0.1"};  ///< that the client asks
   int served = 0;
+  int unanswered = 0;  ///< first requests that get no answer
+  std::vector<Respond> held;
   std::string port;  ///< empty: of the server
   std::optional<HttpResponse> answer;
 };
@@ -105,5 +114,26 @@
   BOOST_TEST(served == 1);
 }
 
+// Guards against "not run" for a job that runs: an overloaded leader stores the
+// first try after its time and refuses the second one.
+BOOST_FIXTURE_TEST_CASE(ARefusalAfterAnUnansweredTryLeavesTheOutcomeOpen,
+                        Fixture) {
+  hosts = {"127.0.0.1", "127.0.0.1"};
+  for (const int status : {401, 404, 429, 503}) {
+    served = 0;
+    unanswered = 1;
+    answer = HttpResponse{status, "refused"};
+    BOOST_TEST(Ask().status == 504);
+    BOOST_TEST(served == 2);
+  }
+  // What the leader has stored, or a read, is certain.
+  served = 0;
+  answer = HttpResponse{200, "stored"};
+  BOOST_TEST(Ask().status == 200);
+  served = 0;
+  answer = HttpResponse{404, "no such queue"};
+  BOOST_TEST(Ask("GET").status == 404);
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
