Look for a start without an answer before it is stopped

The worker had taken the start; its answer was read too late.

Why it works: a run that a list shows is confirmed, also while its second start is under way, and is not stopped if that copy is refused. A run that no list shows is stopped only after a list that was asked for later than its last start lacks it; such lists do not wait for ends.

Evidence: AListedRunIsNotStoppedForLateAnswers, AListedRunIsNotStoppedForARefusedCopy and AnUnansweredStartIsLookedForBeforeItIsStopped fail before the change. AnUnansweredStartIsNotLostByAList expected the stop without such a list; it now demands that there is none before the list and one after it.

--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -244,7 +244,7 @@
   call.lease_until_ms = link->LeaseUntil();
   if (call.lease_until_ms) {
     link->OnGrant(*call.lease_until_ms);
-    if (!WorkerLink::Settling(worker))
+    if (!link->Settling(worker))
       call.wait = options_.hold_wait;
   }
   link->OnHoldSent(now);
--- a/src/scheduler/worker_link.cc
+++ b/src/scheduler/worker_link.cc
@@ -63,6 +63,7 @@
     track->second.since = now - options_.start_retry;
     track->second.starts_sent = kMaxStarts;
     track->second.stop_wanted = true;
+    track->second.unlisted = true;
   }
 }
 
@@ -116,6 +117,7 @@
     track->phase = RunPhase::kOrdered;
     track->since = now;
     ++track->starts_sent;
+    track->unlisted = false;
   }
 }
 
@@ -168,6 +170,8 @@
     case CallVerdict::kUnhealthy:
       break;
   }
+  if (track->phase == RunPhase::kConfirmed)
+    return std::nullopt;
   // With an earlier copy on its way only a stop makes sure.
   if (track->starts_sent > 1) {
     track->phase = RunPhase::kUnsure;
@@ -256,15 +260,20 @@
     track->percent = row.percent;
     if (!row.checkpoint.empty())
       track->checkpoint = row.checkpoint;
+    // A listed run needs no answer to its start, and a copy of the start that
+    // comes later changes nothing.
     if (track->phase == RunPhase::kInherited ||
+        track->phase == RunPhase::kOrdered ||
         track->phase == RunPhase::kUnsure) {
       track->phase = RunPhase::kConfirmed;
       track->since = now;
     }
   }
-  for (const auto& [run, track] : tracks_) {
+  for (auto& [run, track] : tracks_) {
     if (listed.count(run) > 0 || worker.runs.count(run) == 0)
       continue;
+    if (track.phase == RunPhase::kUnsure && track.since < hold_sent_)
+      track.unlisted = true;
     // The worker has seen this leader's token, so an order of an earlier
     // leader can no longer start an inherited run.
     const bool settled = track.phase == RunPhase::kInherited ||
@@ -294,6 +303,13 @@
   return ends;
 }
 
+bool WorkerLink::Settling(const jobs::Worker& worker) const {
+  return !worker.carried.empty() ||
+         std::any_of(tracks_.begin(), tracks_.end(), [](const auto& item) {
+           return item.second.phase == RunPhase::kUnsure;
+         });
+}
+
 bool WorkerLink::HoldDue(TimePoint now) const {
   return !hold_open_ && now >= hold_due_;
 }
@@ -317,8 +333,9 @@
 std::vector<jobs::RunName> WorkerLink::StopsDue(TimePoint now) const {
   std::vector<jobs::RunName> due;
   for (const auto& [run, track] : tracks_) {
-    const bool given_up =
-        track.phase == RunPhase::kUnsure && track.starts_sent >= kMaxStarts;
+    // The answers may only have been read too late.
+    const bool given_up = track.phase == RunPhase::kUnsure &&
+                          track.starts_sent >= kMaxStarts && track.unlisted;
     const bool retry = now - track.since >= options_.start_retry;
     switch (track.phase) {
       case RunPhase::kUnsure:
--- a/src/scheduler/worker_link.h
+++ b/src/scheduler/worker_link.h
@@ -70,6 +70,8 @@
   TimePoint since;
   int starts_sent = 0;
   bool stop_wanted = false;
+  /// A list that was asked for after the last start lacks the run.
+  bool unlisted = false;
   int percent = 0;
   bool slow = false;       ///< took far longer than runs of its queue do
   std::string checkpoint;  ///< newest that a list of the worker has shown
@@ -132,11 +134,9 @@
                                                  TimePoint now);
 
   [[nodiscard]] bool HoldDue(TimePoint now) const;
-  /// \returns whether runs of an earlier life are to be settled by lists, so
-  /// that these should not wait for ends.
-  [[nodiscard]] static bool Settling(const jobs::Worker& worker) {
-    return !worker.carried.empty();
-  }
+  /// \returns whether runs are to be settled by lists, so that these should not
+  /// wait for ends.
+  [[nodiscard]] bool Settling(const jobs::Worker& worker) const;
   /// \returns runs whose start or stop is to be sent again.
   [[nodiscard]] std::vector<jobs::RunName> StartsDue(TimePoint now) const;
   [[nodiscard]] std::vector<jobs::RunName> StopsDue(TimePoint now) const;
--- a/tests/worker_link_test.cc
+++ b/tests/worker_link_test.cc
@@ -74,6 +74,9 @@
   BOOST_TEST(
       !link.OnStartAnswer(kRun, Fail(ErrorCode::kTimeout, ""), At(2'200)));
   BOOST_TEST(link.StartsDue(At(3'000)).empty());
+  // It is stopped only if a list that was asked for after it lacks it, too.
+  BOOST_TEST(link.StopsDue(At(2'900)).empty());
+  BOOST_TEST(List(2'901, 2'905, {}).empty());
   BOOST_TEST(link.StopsDue(At(3'000)).size() == 1U);
   link.OnStopSent(kRun, At(3'000));
   link.OnStopAnswer(kRun, Verdict(CallVerdict::kDone), At(3'010));
@@ -93,6 +96,43 @@
   BOOST_TEST((link.tracks().at(kRun).phase == RunPhase::kConfirmed));
 }
 
+// Guards against a stop of a long-running task at work: a leader without
+// processor time reads the answers to both starts too late, but a list in time.
+BOOST_FIXTURE_TEST_CASE(AListedRunIsNotStoppedForLateAnswers, Fixture) {
+  link.OnStartSent(kRun, At(1));
+  BOOST_TEST(!link.OnStartAnswer(kRun, Fail(ErrorCode::kTimeout, ""), At(401)));
+  link.OnStartSent(kRun, At(501));
+  BOOST_TEST(List(502, 800, Running(kRun)).empty());
+  BOOST_TEST(!link.OnStartAnswer(kRun, Fail(ErrorCode::kTimeout, ""), At(901)));
+  BOOST_TEST((link.tracks().at(kRun).phase == RunPhase::kConfirmed));
+  BOOST_TEST(link.StopsDue(At(1'500)).empty());
+}
+
+// Guards against a stop of a task at work because the second copy of its start
+// was refused.
+BOOST_FIXTURE_TEST_CASE(AListedRunIsNotStoppedForARefusedCopy, Fixture) {
+  link.OnStartSent(kRun, At(1));
+  link.OnStartSent(kRun, At(501));
+  BOOST_TEST(List(502, 510, Running(kRun)).empty());
+  BOOST_TEST(
+      !link.OnStartAnswer(kRun, Verdict(CallVerdict::kUnhealthy), At(512)));
+  BOOST_TEST((link.tracks().at(kRun).phase == RunPhase::kConfirmed));
+  BOOST_TEST(link.StopsDue(At(1'500)).empty());
+}
+
+// Guards against the same where the list comes after both answers.
+BOOST_FIXTURE_TEST_CASE(AnUnansweredStartIsLookedForBeforeItIsStopped,
+                        Fixture) {
+  link.OnStartSent(kRun, At(1));
+  link.OnStartSent(kRun, At(501));
+  BOOST_TEST(!link.OnStartAnswer(kRun, Fail(ErrorCode::kTimeout, ""), At(901)));
+  // That list may be from before the start.
+  BOOST_TEST(List(500, 1'000, {}).empty());
+  BOOST_TEST(link.StopsDue(At(1'500)).empty());
+  BOOST_TEST(List(1'501, 1'505, Running(kRun)).empty());
+  BOOST_TEST(link.StopsDue(At(2'000)).empty());
+}
+
 // Guards against a rejected copy of a start that hides the first one.
 BOOST_FIXTURE_TEST_CASE(ARejectedSecondCopyIsNotARejectedRun, Fixture) {
   link.OnStartSent(kRun, At(1));
