--- /dev/null
+++ b/soak/platform_soak_main.cc
@@ -0,0 +1,1 @@
+int main() {}
--- a/tests/cut_relay.cc
+++ b/tests/cut_relay.cc
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <stdexcept>
 #include <utility>
@@ -16,7 +17,8 @@
 
 namespace {
 
-constexpr int kPollMs = 20;  // bound on the delay of a change of mode
+constexpr int kPollMs = 20;        // bound on the delay of a change of mode
+constexpr int kDelayedPollMs = 2;  // grain of the delay
 constexpr std::size_t kMaxPendingBytes = 256 * 1024;
 
 [[nodiscard]] sockaddr_in Endpoint(const std::string& address) {
@@ -37,15 +39,19 @@
 
 }  // namespace
 
-CutRelay::CutRelay(std::string target) : target_(std::move(target)) {
+CutRelay::CutRelay(std::string target, const std::string& listen_address)
+    : target_(std::move(target)) {
   listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
-  sockaddr_in endpoint = Endpoint("127.0.0.1:0");
+  const int on = 1;
+  setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  sockaddr_in endpoint = Endpoint(listen_address);
   socklen_t size = sizeof(endpoint);
   auto* generic = reinterpret_cast<sockaddr*>(&endpoint);
   if (bind(listener_, generic, size) != 0 || listen(listener_, 512) != 0 ||
       getsockname(listener_, generic, &size) != 0)
     throw std::runtime_error("the relay can't listen");
-  address_ = "127.0.0.1:" + std::to_string(ntohs(endpoint.sin_port));
+  address_ = listen_address.substr(0, listen_address.rfind(':') + 1) +
+             std::to_string(ntohs(endpoint.sin_port));
   thread_ = std::thread([this] { Run(); });
 }
 
@@ -62,6 +68,28 @@
   close(link.up.to);
 }
 
+void CutRelay::Reset(const Link& link) {
+  const linger abort{1, 0};
+  setsockopt(link.up.from, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+  setsockopt(link.up.to, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+  Close(link);
+}
+
+std::size_t CutRelay::Ripe(const Pipe& pipe) const {
+  const std::int64_t delay = delay_ms_;
+  if (delay == 0)
+    return pipe.pending.size();
+  const auto limit =
+      std::chrono::steady_clock::now() - std::chrono::milliseconds(delay);
+  std::size_t ripe = 0;
+  for (const auto& [at, bytes] : pipe.arrivals) {
+    if (at > limit)
+      break;
+    ripe += bytes;
+  }
+  return std::min(ripe, pipe.pending.size());
+}
+
 void CutRelay::Accept() {
   for (;;) {
     const int caller =
@@ -81,7 +109,7 @@
     Prepare(caller);
     Prepare(server);
     links_.push_back(
-        Link{{caller, server, {}}, {server, caller, {}}, silenced_});
+        Link{{caller, server, {}, {}}, {server, caller, {}, {}}, silenced_});
   }
 }
 
@@ -94,14 +122,25 @@
     if (got < 0)
       break;
     pipe->pending.append(buffer, static_cast<std::size_t>(got));
+    pipe->arrivals.emplace_back(std::chrono::steady_clock::now(),
+                                static_cast<std::size_t>(got));
   }
-  while (!pipe->pending.empty()) {
-    const ssize_t put = send(pipe->to, pipe->pending.data(),
-                             pipe->pending.size(), MSG_NOSIGNAL);
+  for (std::size_t ripe = Ripe(*pipe); ripe > 0;) {
+    const ssize_t put =
+        send(pipe->to, pipe->pending.data(), ripe, MSG_NOSIGNAL);
     if (put < 0)
       return errno == EAGAIN;
-    bytes_ += static_cast<std::uint64_t>(put);
-    pipe->pending.erase(0, static_cast<std::size_t>(put));
+    auto sent = static_cast<std::size_t>(put);
+    bytes_ += sent;
+    ripe -= sent;
+    pipe->pending.erase(0, sent);
+    while (sent > 0) {
+      const std::size_t first = std::min(sent, pipe->arrivals.front().second);
+      pipe->arrivals.front().second -= first;
+      sent -= first;
+      if (pipe->arrivals.front().second == 0)
+        pipe->arrivals.pop_front();
+    }
   }
   return true;
 }
@@ -110,6 +149,7 @@
   char buffer[64 * 1024];
   *dropped = *dropped || !pipe->pending.empty();
   pipe->pending.clear();
+  pipe->arrivals.clear();
   for (;;) {
     const ssize_t got = read(pipe->from, buffer, sizeof(buffer));
     if (got <= 0)
@@ -130,6 +170,7 @@
 }
 
 void CutRelay::Run() {
+  int resets_done = 0;
   while (!stop_) {
     const RelayMode mode = mode_;
     if (mode == RelayMode::kCut) {
@@ -137,6 +178,12 @@
         Close(link);
       links_.clear();
     }
+    if (const int resets = resets_; resets != resets_done) {
+      resets_done = resets;
+      for (const Link& link : links_)
+        Reset(link);
+      links_.clear();
+    }
     std::vector<pollfd> polled{{listener_, POLLIN, 0}};
     if (mode != RelayMode::kCut && mode != RelayMode::kStall) {
       for (const Link& link : links_) {
@@ -145,12 +192,13 @@
         for (const Pipe* pipe : {&link.up, &link.down}) {
           if (pipe->pending.size() < kMaxPendingBytes)
             polled.push_back({pipe->from, POLLIN, 0});
-          if (!pipe->pending.empty())
+          if (Ripe(*pipe) > 0)
             polled.push_back({pipe->to, POLLOUT, 0});
         }
       }
     }
-    poll(polled.data(), polled.size(), kPollMs);
+    poll(polled.data(), polled.size(),
+         delay_ms_ == 0 ? kPollMs : kDelayedPollMs);
     Accept();
     if (mode == RelayMode::kCut || mode == RelayMode::kStall || mode_ != mode)
       continue;
--- /dev/null
+++ b/tests/platform_world.cc
@@ -0,0 +1,324 @@
+#include "platform_world.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <stdexcept>
+#include <utility>
+
+namespace boragewinch::platform {
+
+namespace {
+
+constexpr char kSecret[] = "test-cluster";
+constexpr char kVirtualHost[] = "jobs.example";
+constexpr char kKey[] = "key-of-t1";
+constexpr char kInternalPort[] = "7000";
+constexpr char kControlPort[] = "8345";
+constexpr char kCallerPort[] = "8340";
+constexpr char kReadyPort[] = "8343";
+constexpr int kMaxAttempts = 4;
+constexpr Millis kConditionStep{20};
+constexpr Millis kLeaderPoll{100};
+constexpr Millis kConfigReadInterval{400};
+constexpr Millis kConfigTimeout{1'000};
+constexpr Millis kConfigPause{300};
+/// A process listens this much above the number of its relay's address.
+constexpr int kBehindRelay = 100;
+constexpr int kFirstGateway = 20;
+
+[[nodiscard]] std::string Numbered(const std::string& network, int number) {
+  return network + std::to_string(number);
+}
+
+// Loopback addresses that no earlier world of this machine is likely to use:
+// the ports are the same on all hosts of an installation.
+[[nodiscard]] std::string DrawNetwork() {
+  std::random_device random;
+  return "127." + std::to_string(16 + random() % 200) + "." +
+         std::to_string(1 + random() % 250) + ".";
+}
+
+}  // namespace
+
+PlatformWorld::PlatformWorld(WorldShape shape)
+    : shape_(std::move(shape)),
+      client_(loop_, HttpClientLimits{}),
+      rpc_(client_, kSecret),
+      checker_(kMaxAttempts),
+      random_(shape_.seed),
+      folder_(shape_.folder) {
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  signal(SIGPIPE, SIG_IGN);
+  if (folder_.empty()) {
+    folder_ = (std::filesystem::temp_directory_path() / "boragewinch-XXXXXX")
+                  .string();
+    if (mkdtemp(folder_.data()) == nullptr)
+      throw std::runtime_error("no temporary folder");
+    keep_folder_ = std::getenv("PROCESS_FLEET_KEEP") != nullptr;
+  }
+  const std::string network = DrawNetwork();
+  for (int i = 1; i <= shape_.schedulers; ++i) {
+    const std::string name = "s" + std::to_string(i);
+    const std::string ip = Numbered(network, i);
+    const std::string behind = Numbered(network, i + kBehindRelay);
+    relays_[name] = std::make_unique<CutRelay>(behind + ":" + kInternalPort,
+                                               ip + ":" + kInternalPort);
+    relays_[name + "-control"] = std::make_unique<CutRelay>(
+        behind + ":" + kControlPort, ip + ":" + kControlPort);
+    controls_.push_back(ip + ":" + kControlPort);
+    seeds_ += (seeds_.empty() ? "" : ",") + controls_.back();
+    schedulers_.push_back(name);
+  }
+  FakeHostsConfig hosts;
+  hosts.pools = shape_.pools;
+  hosts.standby = "spare";
+  hosts.controls = controls_;
+  hosts_ =
+      std::make_unique<FakeHosts>(loop_, client_, checker_, std::move(hosts));
+  if (!hosts_->Start())
+    throw std::runtime_error("the stand-in hosts can't listen");
+  DefineSchedulers(network);
+  DefineGateways(network);
+  FakeCallersConfig callers = shape_.callers;
+  callers.virtual_host = kVirtualHost;
+  callers.key = kKey;
+  callers.seed = shape_.seed;
+  callers.prefixes = {"/main/", "/batch/"};
+  for (const std::string& name : gateways_)
+    callers.gateways.push_back(address(name));
+  callers_ = std::make_unique<FakeCallers>(loop_, checker_, std::move(callers));
+}
+
+PlatformWorld::~PlatformWorld() {
+  for (auto& [name, program] : programs_)
+    program.process.Signal(SIGKILL);
+  programs_.clear();
+  if (!keep_folder_)
+    std::filesystem::remove_all(folder_);
+}
+
+void PlatformWorld::DefineSchedulers(const std::string& network) {
+  for (int i = 1; i <= shape_.schedulers; ++i) {
+    const std::string& name = schedulers_[static_cast<std::size_t>(i - 1)];
+    const std::string behind = Numbered(network, i + kBehindRelay);
+    Program& program = programs_[name];
+    program.internal = behind + ":" + kInternalPort;
+    const std::string data = folder_ + "/data-" + name;
+    std::filesystem::create_directories(data);
+    program.arguments = {
+        std::string(BORAGEWINCH_BIN) + "/boraged-scheduler",
+        "--name=" + name,
+        "--ip=" + Numbered(network, i),
+        "--internal-listen=" + program.internal,
+        "--control=" + behind + ":" + kControlPort,
+        "--data=" + data,
+        "--seeds=" + seeds_,
+        std::string("--internal-port=") + kInternalPort,
+        std::string("--cluster-secret=") + kSecret,
+        "--host-platform=" + hosts_->address(),
+    };
+  }
+}
+
+void PlatformWorld::DefineGateways(const std::string& network) {
+  for (int i = 1; i <= shape_.gateways; ++i) {
+    const std::string name = "g" + std::to_string(i);
+    const std::string ip = Numbered(network, kFirstGateway + i);
+    const std::string behind =
+        Numbered(network, kFirstGateway + i + kBehindRelay);
+    Program& program = programs_[name];
+    program.caller_address = ip + ":" + kCallerPort;
+    relays_[name] = std::make_unique<CutRelay>(behind + ":" + kCallerPort,
+                                               program.caller_address);
+    program.arguments = {
+        std::string(BORAGEWINCH_BIN) + "/boraged-gateway",
+        "--name=" + name,
+        "--callers=" + behind + ":" + kCallerPort,
+        "--ready=" + behind + ":" + kReadyPort,
+        "--seeds=" + seeds_,
+        std::string("--internal-port=") + kInternalPort,
+        std::string("--cluster-secret=") + kSecret,
+    };
+    gateways_.push_back(name);
+  }
+}
+
+void PlatformWorld::Start(const std::string& name) {
+  Program& program = programs_.at(name);
+  std::vector<std::string> arguments = program.arguments;
+  if (!program.internal.empty()) {
+    arguments.push_back(std::string("--first-start=") +
+                        (program.started ? "false" : "true"));
+  }
+  program.started = true;
+  program.process.Start(std::move(arguments), folder_ + "/" + name + ".log");
+}
+
+ChildProcess& PlatformWorld::process(const std::string& name) {
+  return programs_.at(name).process;
+}
+
+CutRelay& PlatformWorld::relay(const std::string& name) {
+  return *relays_.at(name);
+}
+
+std::vector<std::string> PlatformWorld::relays() const {
+  std::vector<std::string> names;
+  for (const auto& [name, relay] : relays_)
+    names.push_back(name);
+  return names;
+}
+
+const std::string& PlatformWorld::address(const std::string& name) const {
+  return programs_.at(name).caller_address;
+}
+
+std::string PlatformWorld::Leader() const {
+  for (const std::string& name : schedulers_) {
+    if (programs_.at(name).leads)
+      return name;
+  }
+  return "";
+}
+
+void PlatformWorld::AskLeaders() {
+  for (const std::string& name : schedulers_) {
+    Program& program = programs_.at(name);
+    rpc_.Call(program.internal, "relay.view", Json(::Json::objectValue),
+              Millis(500), [&program](const Result<Json>& answer) {
+                program.leads = answer && answer.value().isObject() &&
+                                answer.value()["leads"].isBool() &&
+                                answer.value()["leads"].asBool();
+              });
+  }
+}
+
+bool PlatformWorld::RunUntil(Millis limit, std::function<bool()> holds) {
+  const TimePoint deadline = loop_.now() + limit;
+  bool held = false;
+  const WatchHandle step = loop_.Every(kConditionStep, [&](TimePoint now) {
+    held = holds();
+    if (held || now >= deadline)
+      loop_.Stop();
+  });
+  loop_.Run();
+  return held;
+}
+
+void PlatformWorld::RunFor(Millis time) {
+  (void)RunUntil(time, [] { return false; });
+}
+
+bool PlatformWorld::Begin(Millis limit) {
+  for (auto& [name, program] : programs_)
+    Start(name);
+  leader_poll_ = loop_.Every(kLeaderPoll, [this](TimePoint) { AskLeaders(); });
+  config_reader_ =
+      loop_.Every(kConfigReadInterval, [this](TimePoint) { ReadConfig(); });
+  ChangeConfig();
+  return RunUntil(limit, [this] {
+    return checker_.newest_acknowledged() > 0 && !Leader().empty();
+  });
+}
+
+bool PlatformWorld::Settle(Millis limit) {
+  callers_->StopSubmitting();
+  callers_->CancelLongRunning();
+  const bool settled = RunUntil(limit, [this] {
+    return callers_->open() == 0 && checker_.Unfinished().empty() &&
+           config_retries_.empty() &&
+           checker_.newest_acknowledged() == last_read_;
+  });
+  checker_.CheckEnd(loop_.now());
+  return settled;
+}
+
+std::string PlatformWorld::AnyControl() {
+  return controls_[random_() % controls_.size()];
+}
+
+std::string PlatformWorld::Configuration(std::int64_t version) const {
+  Json body;
+  body["version"] = ::Json::Int64(version);
+  const std::string extra = "extra" + std::to_string(version);
+  for (const std::string& name :
+       {std::string("main"), std::string("batch"), extra}) {
+    Json route;
+    route["name"] = "r-" + name;
+    route["host"] = kVirtualHost;
+    route["pathPrefix"] = "/" + name + "/";
+    route["kind"] = "non_idempotent";
+    route["timeoutMs"] = 3'000;
+    route["targetLatencyMs"] = 600;
+    route["priority"] = 0;
+    route["service"] = name == extra ? "main" : name;
+    route["maxAttempts"] = kMaxAttempts;
+    route["stretch"] = 2.0;
+    route["public"] = false;
+    body["routes"].append(std::move(route));
+  }
+  for (const auto& [name, hosts] : shape_.pools) {
+    Json service;
+    service["name"] = name;
+    service["enforcesCapacity"] = true;
+    service["standby"] = name == "spare";
+    body["services"].append(std::move(service));
+  }
+  Json tenant;
+  tenant["name"] = "t1";
+  tenant["apiKeys"].append(kKey);
+  tenant["weight"] = 10;
+  body["tenants"].append(std::move(tenant));
+  return WriteJson(body);
+}
+
+std::int64_t PlatformWorld::ChangeConfig() {
+  version_ += 1 + static_cast<std::int64_t>(random_() % 3);
+  SendConfig(version_, Configuration(version_));
+  return version_;
+}
+
+void PlatformWorld::SendConfig(std::int64_t version,
+                               const std::string& document) {
+  HttpCall call;
+  call.method = "PUT";
+  call.url = "http://" + AnyControl() + "/-/config";
+  call.body = document;
+  call.timeout = kConfigTimeout;
+  config_retries_[version] = nullptr;
+  client_.Send(std::move(call),
+               [this, version, document](const Result<HttpResponse>& result) {
+                 if (result && result.value().status == 200) {
+                   checker_.OnConfigAcknowledged(version);
+                   config_retries_.erase(version);
+                   return;
+                 }
+                 config_retries_[version] = loop_.After(
+                     kConfigPause, [this, version, document](TimePoint) {
+                       SendConfig(version, document);
+                     });
+               });
+}
+
+void PlatformWorld::ReadConfig() {
+  HttpCall call;
+  call.url = "http://" + AnyControl() + "/-/config";
+  call.timeout = kConfigTimeout;
+  const std::int64_t floor = checker_.config_floor();
+  client_.Send(std::move(call),
+               [this, floor](const Result<HttpResponse>& result) {
+                 if (!result || result.value().status != 200)
+                   return;
+                 const Result<Json> json = ParseJson(result.value().body);
+                 if (!json || !json.value()["version"].isInt64())
+                   return;
+                 last_read_ = json.value()["version"].asInt64();
+                 checker_.OnConfigRead(last_read_, floor, loop_.now());
+               });
+}
+
+}  // namespace boragewinch::platform
--- /dev/null
+++ b/tests/platform_world.h
@@ -0,0 +1,123 @@
+#ifndef BORAGEWINCH_TESTS_PLATFORM_WORLD_H_
+#define BORAGEWINCH_TESTS_PLATFORM_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "child_process.h"
+#include "cut_relay.h"
+#include "net/rpc_client.h"
+#include "platform/fakes/fake_callers.h"
+#include "platform/fakes/fake_hosts.h"
+#include "platform/fakes/promise_checker.h"
+
+namespace boragewinch::platform {
+
+struct WorldShape {
+  int schedulers = 3;
+  int gateways = 2;
+  /// Hosts of the pools "main", "batch" and the standby pool "spare".
+  std::map<std::string, int> pools{{"main", 5}, {"batch", 4}, {"spare", 3}};
+  FakeCallersConfig callers;
+  std::uint64_t seed = 1;
+  std::string folder;  ///< for logs and data; empty: a temporary one
+};
+
+/// \brief The programs of the platform path as processes on loopback, with
+/// stand-ins for workers, hosts, callers and the operator in this process.
+/// Schedulers are s1.., gateways g1... Every connection to a scheduler ("s1",
+/// and "s1-control" for workers and operators) or to a gateway ("g1") passes
+/// a relay of that name.
+class PlatformWorld {
+ public:
+  explicit PlatformWorld(WorldShape shape);
+  PlatformWorld(const PlatformWorld&) = delete;
+  PlatformWorld& operator=(const PlatformWorld&) = delete;
+  ~PlatformWorld();
+
+  /// \brief Waits until the first configuration is in force and gateways and
+  /// workers are known.
+  [[nodiscard]] bool Begin(Millis limit);
+  /// \brief Runs the stand-ins until `holds` or until `limit` is over.
+  /// \returns whether it held.
+  [[nodiscard]] bool RunUntil(Millis limit, std::function<bool()> holds);
+  void RunFor(Millis time);
+  /// \brief Ends submissions, waits until every accepted job has ended, and
+  /// checks the promises that hold at the end.
+  /// \returns whether all of that came within `limit`.
+  [[nodiscard]] bool Settle(Millis limit);
+
+  void Start(const std::string& name);
+  [[nodiscard]] ChildProcess& process(const std::string& name);
+  [[nodiscard]] CutRelay& relay(const std::string& name);
+  [[nodiscard]] const std::vector<std::string>& schedulers() const {
+    return schedulers_;
+  }
+  [[nodiscard]] const std::vector<std::string>& gateways() const {
+    return gateways_;
+  }
+  [[nodiscard]] std::vector<std::string> relays() const;
+  /// \returns the scheduler that says it leads; empty if none does.
+  [[nodiscard]] std::string Leader() const;
+  /// \returns "IP:port" at which callers reach a gateway.
+  [[nodiscard]] const std::string& address(const std::string& name) const;
+  /// \brief Sends a new version of the configuration until it is acknowledged.
+  /// \returns the version.
+  std::int64_t ChangeConfig();
+
+  [[nodiscard]] EventLoop& loop() { return loop_; }
+  [[nodiscard]] PromiseChecker& checker() { return checker_; }
+  [[nodiscard]] FakeHosts& hosts() { return *hosts_; }
+  [[nodiscard]] FakeCallers& callers() { return *callers_; }
+  [[nodiscard]] const std::string& folder() const { return folder_; }
+
+ private:
+  struct Program {
+    std::vector<std::string> arguments;
+    std::string internal;  ///< of a scheduler, behind its relay
+    std::string caller_address;
+    bool started = false;
+    bool leads = false;
+    ChildProcess process;
+  };
+
+  void DefineSchedulers(const std::string& network);
+  void DefineGateways(const std::string& network);
+  [[nodiscard]] std::string Configuration(std::int64_t version) const;
+  void SendConfig(std::int64_t version, const std::string& document);
+  void ReadConfig();
+  void AskLeaders();
+  [[nodiscard]] std::string AnyControl();
+
+  WorldShape shape_;
+  EventLoop loop_;
+  HttpClient client_;
+  RpcClient rpc_;
+  PromiseChecker checker_;
+  std::mt19937_64 random_;
+  std::string folder_;
+  bool keep_folder_ = true;
+  std::map<std::string, Program> programs_;
+  std::map<std::string, std::unique_ptr<CutRelay>> relays_;
+  std::vector<std::string> schedulers_;
+  std::vector<std::string> gateways_;
+  std::vector<std::string> controls_;
+  std::string seeds_;
+  std::unique_ptr<FakeHosts> hosts_;
+  std::unique_ptr<FakeCallers> callers_;
+  std::int64_t version_ = 0;
+  std::int64_t last_read_ = 0;
+  WatchHandle config_reader_;
+  WatchHandle leader_poll_;
+  std::map<std::int64_t, WatchHandle> config_retries_;
+};
+
+}  // namespace boragewinch::platform
+
+#endif  // BORAGEWINCH_TESTS_PLATFORM_WORLD_H_
--- a/tests/process_fleet.cc
+++ b/tests/process_fleet.cc
@@ -1,17 +1,11 @@
 #include "process_fleet.h"
 
-#include <arpa/inet.h>
 #include <curl/curl.h>
-#include <fcntl.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
-#include <random>
 #include <stdexcept>
 
 namespace boragewinch {
@@ -20,26 +14,6 @@
 
 constexpr char kZoneLetters[] = "0123456789";
 
-// Below the range from which the kernel takes ports for outgoing connections,
-// so a port found free stays free. The start is random: tests may run twice.
-[[nodiscard]] std::string FreeAddress() {
-  static std::uint32_t next = std::random_device()();
-  for (int attempt = 0; attempt < 5'000; ++attempt) {
-    const auto port = static_cast<std::uint16_t>(12'000 + next++ % 20'000);
-    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in endpoint{};
-    endpoint.sin_family = AF_INET;
-    endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    endpoint.sin_port = htons(port);
-    const bool is_free = bind(probe, reinterpret_cast<sockaddr*>(&endpoint),
-                              sizeof(endpoint)) == 0;
-    close(probe);
-    if (is_free)
-      return "127.0.0.1:" + std::to_string(port);
-  }
-  throw std::runtime_error("no free port");
-}
-
 [[nodiscard]] std::string Joined(const std::vector<std::string>& parts) {
   std::string text;
   for (const std::string& part : parts)
@@ -76,28 +50,13 @@
   }
   for (const std::string& child : start_order_)
     Start(child);
-  try {
-    WaitUntilReady();
-  } catch (...) {
-    for (auto& [unused, child] : children_) {
-      if (child.pid > 0) {
-        kill(child.pid, SIGKILL);
-        Reap(&child, true);
-      }
-    }
-    throw;
-  }
+  WaitUntilReady();
 }
 
 ProcessFleet::~ProcessFleet() {
-  for (auto& [name, child] : children_) {
-    if (child.pid > 0)
-      kill(child.pid, SIGKILL);
-  }
-  for (auto& [name, child] : children_) {
-    if (child.pid > 0)
-      Reap(&child, true);
-  }
+  for (auto& [name, child] : children_)
+    child.process.Signal(SIGKILL);
+  children_.clear();
   if (std::getenv("PROCESS_FLEET_KEEP") == nullptr)
     std::filesystem::remove_all(folder_);
 }
@@ -206,68 +165,31 @@
   Child& child = children_.at(name);
   std::vector<std::string> arguments = child.arguments;
   arguments.front() = std::string(BORAGEWINCH_BIN) + "/" + arguments.front();
-  std::vector<char*> pointers;
-  pointers.reserve(arguments.size() + 1);
-  for (std::string& argument : arguments)
-    pointers.push_back(argument.data());
-  pointers.push_back(nullptr);
-  const std::string log = folder_ + "/" + name + ".log";
   setenv("BORAGEWINCH_CLUSTER_SECRET", kTestClusterSecret, 1);
   setenv("BORAGEWINCH_OPERATOR_SECRET", kTestOperatorSecret, 1);
-  const pid_t pid = fork();
-  if (pid < 0)
-    throw std::runtime_error("can't start " + name);
-  if (pid == 0) {
-    // A child must not outlive a test that is ended from outside.
-    prctl(PR_SET_PDEATHSIG, SIGKILL);
-    const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-    dup2(output, STDOUT_FILENO);
-    dup2(output, STDERR_FILENO);
-    signal(SIGPIPE, SIG_DFL);
-    execv(pointers.front(), pointers.data());
-    _exit(127);
-  }
-  child.pid = pid;
-  child.exit_code = -1'000;
-}
-
-void ProcessFleet::Reap(Child* child, bool wait) {
-  int status = 0;
-  if (child->pid > 0 &&
-      waitpid(child->pid, &status, wait ? 0 : WNOHANG) == child->pid) {
-    child->pid = 0;
-    child->exit_code =
-        WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
-  }
+  child.process.Start(arguments, folder_ + "/" + name + ".log");
 }
 
 void ProcessFleet::Signal(const std::string& name, int signal_number) {
-  if (const Child& child = children_.at(name); child.pid > 0)
-    kill(child.pid, signal_number);
+  children_.at(name).process.Signal(signal_number);
 }
 
 void ProcessFleet::Kill(const std::string& name) {
-  Signal(name, SIGKILL);
-  Reap(&children_.at(name), true);
+  children_.at(name).process.Kill();
 }
 
 int ProcessFleet::WaitExit(const std::string& name, Millis limit) {
-  Child& child = children_.at(name);
-  (void)Eventually(limit, [&] {
-    Reap(&child, false);
-    return child.pid == 0;
-  });
-  return child.exit_code;
+  ChildProcess& child = children_.at(name).process;
+  (void)Eventually(limit, [&] { return !child.Runs(); });
+  return child.exit_code();
 }
 
 bool ProcessFleet::Runs(const std::string& name) {
-  Child& child = children_.at(name);
-  Reap(&child, false);
-  return child.pid > 0;
+  return children_.at(name).process.Runs();
 }
 
 pid_t ProcessFleet::pid(const std::string& name) const {
-  return children_.at(name).pid;
+  return children_.at(name).process.pid();
 }
 
 const std::string& ProcessFleet::address(const std::string& name) const {
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -13,6 +13,7 @@
 
 #include "base/json.h"
 #include "base/time.h"
+#include "child_process.h"
 #include "cut_relay.h"
 #include "fakes/load_generator.h"
 
@@ -161,8 +162,7 @@
     std::vector<std::string> arguments;
     std::string address;
     std::string peer_address;
-    pid_t pid = 0;
-    int exit_code = -1'000;
+    ChildProcess process;
   };
 
   void Define(const std::string& name, std::vector<std::string> arguments);
@@ -170,7 +170,6 @@
   void DefineZone(int zone, const std::string& control);
   void DefineWorkers(int zone, const std::string& entries);
   void WaitUntilReady();
-  void Reap(Child* child, bool wait);
 
   FleetShape shape_;
   std::string folder_;
