Add a fault soak of the platform path's programs

platform-soak draws a schedule of faults from a seed, plays it on the real programs behind loopback relays and checks the promises to callers, workers and operators.

--- /dev/null
+++ b/soak/fault_schedule.h
@@ -0,0 +1,91 @@
+#ifndef BORAGEWINCH_SOAK_FAULT_SCHEDULE_H_
+#define BORAGEWINCH_SOAK_FAULT_SCHEDULE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/enum_table.h"
+#include "base/time.h"
+
+namespace boragewinch::platform {
+
+/// \brief What is done to the fleet from outside.
+enum class FaultKind {
+  kKill,
+  kStop,
+  kFreeze,
+  kReload,
+  kKillAll,
+  kLoseDisk,
+  kDelay,
+  kCut,
+  kStall,
+  kSwallowCalls,
+  kSwallowAnswers,
+  kSilence,
+  kReset,
+  kWorkerCrash,
+  kWorkerSilent,
+  kWorkerLate,
+  kWorkerFails,
+  kWorkerRefuses,
+  kWorkerDrain,
+  kHostsAway,
+  kConfig,
+};
+
+inline constexpr EnumTable<FaultKind, 21> kFaultKinds{{{
+    {FaultKind::kKill, "kill"},
+    {FaultKind::kStop, "stop"},
+    {FaultKind::kFreeze, "freeze"},
+    {FaultKind::kReload, "reload"},
+    {FaultKind::kKillAll, "kill_all"},
+    {FaultKind::kLoseDisk, "lose_disk"},
+    {FaultKind::kDelay, "delay"},
+    {FaultKind::kCut, "cut"},
+    {FaultKind::kStall, "stall"},
+    {FaultKind::kSwallowCalls, "swallow_calls"},
+    {FaultKind::kSwallowAnswers, "swallow_answers"},
+    {FaultKind::kSilence, "silence"},
+    {FaultKind::kReset, "reset"},
+    {FaultKind::kWorkerCrash, "worker_crash"},
+    {FaultKind::kWorkerSilent, "worker_silent"},
+    {FaultKind::kWorkerLate, "worker_late"},
+    {FaultKind::kWorkerFails, "worker_fails"},
+    {FaultKind::kWorkerRefuses, "worker_refuses"},
+    {FaultKind::kWorkerDrain, "worker_drain"},
+    {FaultKind::kHostsAway, "hosts_away"},
+    {FaultKind::kConfig, "config"},
+}}};
+
+/// \brief One fault of a schedule.
+struct Fault {
+  Millis at{0};  ///< from the start of the faults
+  FaultKind kind = FaultKind::kKill;
+  /// Program, relay or host; "leader" is whichever scheduler leads then.
+  std::string target;
+  Millis length{0};
+};
+
+/// \brief What a schedule may name.
+struct FaultTargets {
+  std::vector<std::string> schedulers;
+  std::vector<std::string> gateways;
+  std::vector<std::string> relays;
+  std::vector<std::string> hosts;
+};
+
+/// \returns faults in the order of their times, the same ones for the same
+/// arguments. Single, overlapping and repeated faults are drawn.
+[[nodiscard]] std::vector<Fault> DrawFaults(std::uint64_t seed,
+                                            Millis time,
+                                            const FaultTargets& targets);
+
+/// \returns one line, without its end.
+[[nodiscard]] std::string ToText(const Fault& fault);
+
+}  // namespace boragewinch::platform
+
+#endif  // BORAGEWINCH_SOAK_FAULT_SCHEDULE_H_
--- a/soak/platform_soak_main.cc
+++ b/soak/platform_soak_main.cc
@@ -1,1 +1,143 @@
-int main() {}
+// platform-soak: runs the programs of the platform path as processes on
+// loopback, plays faults on them and checks the promises to callers.
+
+#include <cstdio>
+#include <fstream>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/settings.h"
+#include "fault_player.h"
+
+namespace boragewinch::platform {
+namespace {
+
+constexpr Millis kBeginLimit{30'000};
+/// After the last fault: leases, elections and the work that is left.
+constexpr Millis kSettleLimit{60'000};
+
+void Print(const std::string& line) {
+  std::printf("%s\n", line.c_str());
+  std::fflush(stdout);
+}
+
+// Processor time of a process so far, in seconds; none if it cannot be read.
+[[nodiscard]] std::optional<double> ProcessorSeconds(pid_t pid) {
+  std::ifstream file("/proc/" + std::to_string(pid) + "/schedstat");
+  double nanoseconds = 0;
+  constexpr double kNanosPerSecond = 1e9;
+  if (!(file >> nanoseconds))
+    return std::nullopt;
+  return nanoseconds / kNanosPerSecond;
+}
+
+[[nodiscard]] FaultTargets TargetsOf(PlatformWorld& world) {
+  return {world.schedulers(), world.gateways(), world.relays(),
+          world.hosts().names()};
+}
+
+void PrintProcessorTime(PlatformWorld& world) {
+  for (const std::string& name : world.schedulers()) {
+    const pid_t pid = world.process(name).pid();
+    const auto seconds = ProcessorSeconds(pid);
+    Print(name + (name == world.Leader() ? " (leader)" : "") + " pid " +
+          std::to_string(pid) + " processor seconds " +
+          (seconds ? std::to_string(*seconds) : "unknown"));
+  }
+}
+
+int Run(const Settings& settings) {
+  WorldShape shape;
+  shape.seed = static_cast<std::uint64_t>(settings.integer("seed"));
+  shape.folder = settings.text("folder");
+  const auto hosts = static_cast<int>(settings.integer("hosts"));
+  shape.pools = {{"main", hosts - hosts / 3 - hosts / 4},
+                 {"batch", hosts / 3},
+                 {"spare", hosts / 4}};
+  shape.callers.jobs_per_second =
+      static_cast<double>(settings.integer("jobs-per-second"));
+  PlatformWorld world(std::move(shape));
+  const Millis time = Millis(1'000) * settings.integer("seconds");
+  const bool calm = settings.flag("calm");
+  std::vector<Fault> faults;
+  if (!calm) {
+    faults = DrawFaults(static_cast<std::uint64_t>(settings.integer("seed")),
+                        time, TargetsOf(world));
+  }
+  Print("seed " + settings.text("seed") + " seconds " +
+        settings.text("seconds") + " folder " + world.folder());
+  for (const Fault& fault : faults)
+    Print("schedule: " + ToText(fault));
+  if (settings.flag("schedule"))
+    return kExitOk;
+  if (!world.Begin(kBeginLimit)) {
+    Print("BROKEN START the programs did not begin to work");
+    return kExitFailed;
+  }
+  const TimePoint begun = world.loop().now();
+  const auto log = [&world, begun](const std::string& line) {
+    Print(std::to_string((world.loop().now() - begun).count()) + " " + line);
+  };
+  if (calm)
+    PrintProcessorTime(world);
+  FaultPlayer player(world, std::move(faults), log);
+  world.callers().Start();
+  player.Begin();
+  // The first broken promise ends the faults: what follows may come of it.
+  if (world.RunUntil(time,
+                     [&world] { return !world.checker().broken().empty(); }))
+    log("a promise is broken");
+  if (calm)
+    PrintProcessorTime(world);
+  player.Heal();
+  log("healed: " + world.checker().Summary());
+  const bool settled = world.Settle(kSettleLimit);
+  log("end: " + world.checker().Summary());
+  Print("clock at begin " + std::to_string(ToMillis(begun)));
+  bool kept = true;
+  for (const std::string& promise : world.checker().broken()) {
+    Print("BROKEN " + promise);
+    kept = false;
+  }
+  for (const std::string& end : player.own_ends()) {
+    Print("BROKEN END " + end);
+    kept = false;
+  }
+  if (!settled && kept) {
+    Print("BROKEN LOST something is open after " +
+          std::to_string(kSettleLimit.count()) +
+          " ms: " + std::to_string(world.callers().open()) + " calls");
+    kept = false;
+  }
+  Print(std::string(kept ? "kept" : "FAILED") + " seed " +
+        settings.text("seed") + " seconds " + settings.text("seconds"));
+  return kept ? kExitOk : kExitFailed;
+}
+
+int Main(int argc, const char* const* argv) {
+  SettingsBuilder builder("platform-soak",
+                          "fault soak of the programs of the platform path");
+  builder.Integer("seed", "draws the faults and the load", 1, 0, 1L << 62)
+      .Integer("seconds", "time of faults", 30, 1, 86'400)
+      .Integer("hosts", "stand-in hosts, a quarter of them off", 12, 4, 400)
+      .Integer("jobs-per-second", "load", 4, 1, 500)
+      .Text("folder", "keeps logs and data in this folder; empty: removed")
+      .Flag("calm", "plays no fault; prints the schedulers' processor time")
+      .Flag("schedule", "prints the schedule and ends");
+  std::vector<Error> errors;
+  const Settings settings = builder.Parse(argc, argv, &errors);
+  if (auto code = HandleStandardSettings(builder, settings, errors))
+    return *code;
+  ConfigureEventLog("platform-soak", EventLevel::kInfo,
+                    EventStream::kStandardError);
+  return Run(settings);
+}
+
+}  // namespace
+}  // namespace boragewinch::platform
+
+int main(int argc, char** argv) {
+  return boragewinch::platform::Main(argc, argv);
+}
--- a/tests/platform_world.cc
+++ b/tests/platform_world.cc
@@ -107,15 +107,14 @@
     const std::string behind = Numbered(network, i + kBehindRelay);
     Program& program = programs_[name];
     program.internal = behind + ":" + kInternalPort;
-    const std::string data = folder_ + "/data-" + name;
-    std::filesystem::create_directories(data);
+    std::filesystem::create_directories(data(name));
     program.arguments = {
         std::string(BORAGEWINCH_BIN) + "/boraged-scheduler",
         "--name=" + name,
         "--ip=" + Numbered(network, i),
         "--internal-listen=" + program.internal,
         "--control=" + behind + ":" + kControlPort,
-        "--data=" + data,
+        "--data=" + data(name),
         "--seeds=" + seeds_,
         std::string("--internal-port=") + kInternalPort,
         std::string("--cluster-secret=") + kSecret,
--- a/tests/platform_world.h
+++ b/tests/platform_world.h
@@ -76,6 +76,10 @@
   [[nodiscard]] FakeHosts& hosts() { return *hosts_; }
   [[nodiscard]] FakeCallers& callers() { return *callers_; }
   [[nodiscard]] const std::string& folder() const { return folder_; }
+  /// \returns the data folder of a scheduler.
+  [[nodiscard]] std::string data(const std::string& scheduler) const {
+    return folder_ + "/data-" + scheduler;
+  }
 
  private:
   struct Program {
