--- a/src/scheduler/worker_call_router.cc
+++ b/src/scheduler/worker_call_router.cc
@@ -45,6 +45,8 @@
   active_ = true;
   term_ = term;
   begun_ = now;
+  ticked_ = now;
+  stall_ended_ = now;
   LearnHosts(now);
   for (auto& [host, agent] : agents_)
     SendTo(host, now);
@@ -278,12 +280,13 @@
     LimitTime(&delegated.order, call.due - now);
     exchange.calls.push_back(std::move(delegated));
   }
-  ++agent.open_exchanges;
+  if (agent.open_exchanges++ == 0)
+    agent.heard = now;
   if (!ids.empty())
     metrics_.Count("worker_calls", {"", host}, ids.size());
   metrics_.Count("worker_call_exchanges", {"", host});
   hooks_.exchange(
-      host, ToJson(exchange), options_.exchange_wait + options_.exchange_slack,
+      host, ToJson(exchange), options_.exchange_timeout,
       [this, host, epoch = agent.epoch, ids](const Result<Json>& reply) {
         OnReply(host, epoch, ids, reply, hooks_.now());
       });
@@ -301,6 +304,7 @@
     return;
   }
   --agent->second.open_exchanges;
+  agent->second.heard = now;
   if (!reply) {
     if (IsRefusal(reply.error().code)) {
       OnRefused(host, ids, reply.error(), now);
@@ -457,19 +461,12 @@
 void WorkerCallRouter::Tick(TimePoint now) {
   if (!active_)
     return;
+  if (now - ticked_ >= options_.stall)
+    stall_ended_ = now;
+  ticked_ = now;
   LearnHosts(now);
-  std::map<std::string, std::vector<std::uint64_t>> overdue;
-  for (const auto& [id, call] : calls_) {
-    if (!call.host.empty() && now >= call.due + options_.answer_slack)
-      overdue[call.host].push_back(id);
-  }
-  for (const auto& [host, ids] : overdue) {
-    metrics_.Count("worker_calls_unanswered", {"", host}, ids.size());
-    for (const std::uint64_t id : ids)
-      Finish(id, Fail(ErrorCode::kTimeout, "agent " + host + " is silent"));
-    if (ids.size() >= options_.max_overdue)
-      Leave(host, "calls without an answer", now);
-  }
+  LeaveSilentAgents(now);
+  EndOverdueCalls(now);
   for (auto& [host, agent] : agents_) {
     const bool probes =
         agent.state == AgentState::kUnknown ||
@@ -486,6 +483,36 @@
   Flush(now);
 }
 
+void WorkerCallRouter::LeaveSilentAgents(TimePoint now) {
+  const Millis patience = options_.exchange_wait + options_.exchange_slack;
+  std::vector<std::string> silent;
+  for (const auto& [host, agent] : agents_) {
+    if (agent.open_exchanges > 0 &&
+        now - std::max(agent.heard, stall_ended_) >= patience) {
+      silent.push_back(host);
+    }
+  }
+  for (const std::string& host : silent)
+    Leave(host, "no reply", now);
+}
+
+void WorkerCallRouter::EndOverdueCalls(TimePoint now) {
+  if (now - stall_ended_ < options_.answer_slack)
+    return;
+  std::map<std::string, std::vector<std::uint64_t>> overdue;
+  for (const auto& [id, call] : calls_) {
+    if (!call.host.empty() && now >= call.due + options_.answer_slack)
+      overdue[call.host].push_back(id);
+  }
+  for (const auto& [host, ids] : overdue) {
+    metrics_.Count("worker_calls_unanswered", {"", host}, ids.size());
+    for (const std::uint64_t id : ids)
+      Finish(id, Fail(ErrorCode::kTimeout, "agent " + host + " is silent"));
+    if (ids.size() >= options_.max_overdue)
+      Leave(host, "calls without an answer", now);
+  }
+}
+
 AgentState WorkerCallRouter::StateOf(const std::string& host) const {
   const auto agent = agents_.find(host);
   return agent == agents_.end() ? AgentState::kUnknown : agent->second.state;
--- a/src/scheduler/worker_call_router.h
+++ b/src/scheduler/worker_call_router.h
@@ -18,11 +18,16 @@
 namespace boragewinch::scheduler {
 
 struct WorkerCallRouterOptions {
-  /// An agent replies after this time even without answers, so a silent one is
-  /// found within exchange_wait + exchange_slack.
+  /// An agent replies after this time even without answers. One that is silent
+  /// for exchange_wait + exchange_slack is left.
   Millis exchange_wait{100};
   /// A sync of a slow disk or a used-up processor share takes 100 to 150 ms.
   Millis exchange_slack{250};
+  /// Time after which an exchange fails whatever this host was busy with.
+  Millis exchange_timeout{1'000};
+  /// A leader whose event loop stood still for so long has replies waiting; it
+  /// reads them before it finds an agent silent or a call overdue.
+  Millis stall{120};
   /// Time for the way of an answer beyond the time of its call.
   Millis answer_slack{150};
   /// Time for which calls of a new leader wait for the first agent.
@@ -132,6 +137,7 @@
     std::uint64_t epoch = 0;  ///< changes when its exchanges are given up
     std::size_t open_exchanges = 0;
     std::size_t workers = 0;  ///< assigned to it
+    TimePoint heard;  ///< last reply, or begin of the first open exchange
     TimePoint rest_until;
     Millis rest{0};
     TimePoint well_since;
@@ -190,6 +196,8 @@
                   const std::string& why);
   void Finish(std::uint64_t id, Result<HoldAnswer> answer);
   void LearnHosts(TimePoint now);
+  void LeaveSilentAgents(TimePoint now);
+  void EndOverdueCalls(TimePoint now);
 
   WorkerCallRouterOptions options_;
   WorkerCalls direct_;
@@ -200,6 +208,8 @@
   std::uint64_t next_id_ = 1;
   std::uint64_t next_epoch_ = 1;
   TimePoint begun_;
+  TimePoint ticked_;
+  TimePoint stall_ended_;
   bool flush_due_ = false;
   std::map<std::string, Agent> agents_;  ///< by host
   std::map<std::uint64_t, Call> calls_;
--- a/tests/worker_call_router_test.cc
+++ b/tests/worker_call_router_test.cc
@@ -1,7 +1,10 @@
 #define BOOST_TEST_MODULE worker_call_router
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <map>
 #include <set>
+#include <utility>
 
 #include "ledger_builder.h"
 #include "scheduler/worker_call_router.h"
@@ -44,6 +47,24 @@
     return hooks;
   }
   void At(std::int64_t millis) { now = FromMillis(1'000 + millis); }
+  /// Lets time pass until `millis` with the ticks of an idle event loop.
+  void RunUntil(std::int64_t millis) {
+    const TimePoint end = FromMillis(1'000 + millis);
+    while (now < end) {
+      now = std::min(end, now + Millis(50));
+      router.Tick(now);
+    }
+  }
+  /// As RunUntil; the agents reply to all exchanges, without answers.
+  void RunWithoutAnswersUntil(std::int64_t millis) {
+    const TimePoint end = FromMillis(1'000 + millis);
+    while (now < end) {
+      for (const Exchange& exchange : std::exchange(exchanges, {}))
+        exchange.done(ToJson(Reply()));
+      now = std::min(end, now + Millis(50));
+      router.Tick(now);
+    }
+  }
 
   static jobs::WorkerNote Worker(int number, const std::string& zone = "") {
     jobs::WorkerNote worker;
@@ -238,11 +259,14 @@
   exchanges.clear();
   Start(Worker(1));
   router.Flush(now);
-  At(600);
-  router.Tick(now);
+  reply.answers = {{exchanges.at(0).message.calls.at(0).id, HoldAnswer()}};
+  RunWithoutAnswersUntil(600);
   BOOST_REQUIRE(answers.size() == 2U);
   BOOST_TEST((CodeOf(1) == ErrorCode::kTimeout));
-  AnswerAll(0);
+  for (const Exchange& exchange : std::exchange(exchanges, {})) {
+    if (exchange.host == sent.host)
+      exchange.done(ToJson(reply));
+  }
   BOOST_TEST(answers.size() == 2U);
   BOOST_TEST(metrics.counter("worker_call_answers_late", {"", sent.host}) ==
              3U);
@@ -391,13 +415,42 @@
   for (int n = 0; n < 3; ++n)
     Start(Worker(n));
   router.Flush(now);
-  Answer(0, Reply());
-  At(550);
-  router.Tick(now);
+  RunWithoutAnswersUntil(550);
   BOOST_TEST(answers.size() == 3U);
   BOOST_TEST((router.StateOf("a") == AgentState::kLeft));
 }
 
+// Guards against calls that wait for the end of their time because their agent
+// froze or was cut off.
+BOOST_FIXTURE_TEST_CASE(ASilentAgentIsLeft, Fixture) {
+  hosts = {"a"};
+  Begin();
+  Start(Worker(1));
+  router.Flush(now);
+  RunUntil(300);
+  BOOST_TEST(answers.empty());
+  RunUntil(350);
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((CodeOf(0) == ErrorCode::kTimeout));
+  BOOST_TEST((router.StateOf("a") == AgentState::kLeft));
+}
+
+// Guards against a busy leader that gives up all its agents, and with them
+// hundreds of calls, although their replies wait in its sockets.
+BOOST_FIXTURE_TEST_CASE(AStalledLeaderReadsRepliesFirst, Fixture) {
+  hosts = {"a"};
+  Begin();
+  Start(Worker(1));
+  router.Flush(now);
+  At(2'000);
+  router.Tick(now);
+  BOOST_TEST(answers.empty());
+  BOOST_TEST((router.StateOf("a") == AgentState::kWell));
+  AnswerAll(0);
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST(answers[0].has_value());
+}
+
 // Guards against a malformed reply that passes for one without answers.
 BOOST_FIXTURE_TEST_CASE(AMalformedReplyLeavesTheAgent, Fixture) {
   hosts = {"a"};
