--- a/src/scheduler/worker_call_router.h
+++ b/src/scheduler/worker_call_router.h
@@ -34,7 +34,7 @@
   Millis first_contact{60};
   /// Rest of an agent that failed; doubles with each failure in a row.
   Millis rest{1'000};
-  Millis longest_rest{8'000};
+  Millis longest_rest{4'000};
   /// An agent that has worked for so long counts as sound again.
   Millis probation{20'000};
   /// Unanswered calls, found at one time, after which an agent is left.
