--- a/src/scheduler/worker_call_codec.cc
+++ b/src/scheduler/worker_call_codec.cc
@@ -202,7 +202,7 @@
   BW_TRY(hold.lease_until_ms, OptionalFromJson(row[6]));
   BW_TRY(hold.wait, TimeFromJson(row[7]));
   BW_TRY(hold.timeout, TimeFromJson(row[3]));
-  return WorkerOrder(std::move(hold));
+  return WorkerOrder(hold);
 }
 
 [[nodiscard]] Result<DelegatedCall> CallFromJson(
--- a/src/scheduler/worker_call_router.cc
+++ b/src/scheduler/worker_call_router.cc
@@ -179,7 +179,7 @@
     Release(assigned->second);
     assignments_.erase(assigned);
   }
-  const std::string host = LeastLoaded(worker.zone);
+  std::string host = LeastLoaded(worker.zone);
   if (host.empty())
     return "";
   assignments_[worker.life] = {host, now};
--- a/tests/worker_call_router_test.cc
+++ b/tests/worker_call_router_test.cc
@@ -28,7 +28,7 @@
   WorkerCalls Direct() {
     WorkerCalls calls;
     calls.start = [this](const jobs::WorkerNote&, const StartCall& call,
-                         WorkerCalls::Done<CallAnswer> done) {
+                         const WorkerCalls::Done<CallAnswer>& done) {
       direct_times.push_back(call.timeout);
       done(CallAnswer{CallVerdict::kDone, 1});
     };
