Look at a worker when something falls due

After each batch and each 50 ms the leader went through all links and runs for lists, repeated orders, lapses and slow runs, and brought every link up to date with the ledger. Links are now synced where the last batch changed the worker, and looked at by time: WorkerLink::NextDue says when a list, a repeated order or a lapse falls due, and slow runs add their own time.

--- a/bench/scheduler_main.cc
+++ b/bench/scheduler_main.cc
@@ -11,6 +11,7 @@
 #include <map>
 #include <queue>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -281,6 +282,7 @@
   std::map<WorkerLife, std::int64_t> listed_;
   std::map<WorkerLife, scheduler::WorkerLink> links_;
   scheduler::AdviceBook advice_{scheduler::AdviceOptions{}};
+  std::set<std::pair<TimePoint, WorkerLife>> looks_;
   std::map<std::string, Part> parts_;
   double owed_ = 0;
   double announced_ = 0;
@@ -329,12 +331,17 @@
   }
   {
     const Timer timer(&parts_["links sync"]);
-    std::erase_if(links_, [&](const auto& item) {
-      return ledger_.workers().count(item.first) == 0;
-    });
-    for (const auto& [life, worker] : ledger_.workers()) {
-      links_.try_emplace(life, scheduler::WorkerLinkOptions{}, now)
-          .first->second.Sync(worker, scheduler::RunPhase::kPlanned, now);
+    for (const WorkerLife& life : ledger_.touched()) {
+      const jobs::Worker* worker = ledger_.FindWorker(life);
+      if (worker == nullptr) {
+        links_.erase(life);
+        continue;
+      }
+      const auto [link, added] =
+          links_.try_emplace(life, scheduler::WorkerLinkOptions{}, now);
+      link->second.Sync(*worker, scheduler::RunPhase::kPlanned, now);
+      if (added)
+        looks_.emplace(now, life);
     }
   }
   for (const jobs::StartNote& start : batch.starts) {
@@ -345,7 +352,20 @@
   }
   {
     const Timer timer(&parts_["links due"]);
-    for (auto& [life, link] : links_) {
+    std::vector<WorkerLife> due = ledger_.touched();
+    while (!looks_.empty() && looks_.begin()->first <= now) {
+      const WorkerLife life = looks_.begin()->second;
+      looks_.erase(looks_.begin());
+      if (links_.count(life) == 0)
+        continue;
+      looks_.emplace(now + kListInterval, life);
+      due.push_back(life);
+    }
+    for (const WorkerLife& life : due) {
+      const auto found = links_.find(life);
+      if (found == links_.end())
+        continue;
+      scheduler::WorkerLink& link = found->second;
       const jobs::Worker* worker = ledger_.FindWorker(life);
       if (!link.StopsDue(now).empty() || !link.StartsDue(now).empty())
         std::abort();
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -1,5 +1,6 @@
 #include "scheduler/worker_fleet.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -9,6 +10,11 @@
 
 namespace {
 
+/// Longest time between two looks at a worker. Runs that become slow earlier
+/// than expected, as their queue turns out to be fast, are found with this
+/// delay.
+constexpr Millis kLookInterval{500};
+
 /// Workers that fail what they start are recognised within a few tasks; tasks
 /// take about a second.
 [[nodiscard]] WorkerHealthConfig HealthConfig() {
@@ -42,40 +48,88 @@
       metrics_(metrics),
       health_(WorkerHealth::Make(HealthConfig()).value()) {}
 
+WorkerFleet::Contact* WorkerFleet::FindContact(const jobs::WorkerLife& life) {
+  const auto found = contacts_.find(life);
+  return found == contacts_.end() ? nullptr : &found->second;
+}
+
 WorkerLink* WorkerFleet::Find(const jobs::WorkerLife& life) {
-  const auto found = links_.find(life);
-  return found == links_.end() ? nullptr : &found->second;
+  Contact* contact = FindContact(life);
+  return contact == nullptr ? nullptr : &contact->link;
 }
 
 const WorkerLink* WorkerFleet::Find(const jobs::WorkerLife& life) const {
-  const auto found = links_.find(life);
-  return found == links_.end() ? nullptr : &found->second;
+  const auto found = contacts_.find(life);
+  return found == contacts_.end() ? nullptr : &found->second.link;
 }
 
 void WorkerFleet::OnLeadership(bool acts, TimePoint now) {
   acts_ = acts;
   ++era_;
-  links_.clear();
+  contacts_.clear();
+  looks_.clear();
   acts_since_ = now;
   if (acts)
     SyncLinks(RunPhase::kInherited, now);
 }
 
+void WorkerFleet::Forget(
+    std::map<jobs::WorkerLife, Contact>::iterator contact) {
+  looks_.erase(contact->second.look);
+  contacts_.erase(contact);
+}
+
+void WorkerFleet::SyncLink(const jobs::WorkerLife& life,
+                           RunPhase added,
+                           TimePoint now) {
+  const jobs::Worker* worker = replica_.ledger().FindWorker(life);
+  auto contact = contacts_.find(life);
+  if (worker == nullptr) {
+    if (contact != contacts_.end())
+      Forget(contact);
+    return;
+  }
+  if (contact == contacts_.end()) {
+    contact = contacts_
+                  .try_emplace(life, Contact{life,
+                                             WorkerLink(options_, acts_since_),
+                                             HealthName(life),
+                                             {}})
+                  .first;
+    contact->second.look = looks_.emplace(now, &contact->second);
+  }
+  contact->second.link.Sync(*worker, added, now);
+  LookWhenDue(life, now);
+}
+
 void WorkerFleet::SyncLinks(RunPhase added, TimePoint now) {
-  const auto& workers = replica_.ledger().workers();
-  std::erase_if(
-      links_, [&](const auto& item) { return workers.count(item.first) == 0; });
-  for (const auto& [life, worker] : workers) {
-    WorkerLink& link =
-        links_.try_emplace(life, options_, acts_since_).first->second;
-    link.Sync(worker, added, now);
+  const jobs::JobLedger& ledger = replica_.ledger();
+  for (auto it = contacts_.begin(); it != contacts_.end();) {
+    const auto contact = it++;
+    if (ledger.FindWorker(contact->first) == nullptr)
+      Forget(contact);
+  }
+  for (const auto& [life, worker] : ledger.workers())
+    SyncLink(life, added, now);
+  synced_ = ledger.applied();
+}
+
+void WorkerFleet::SyncTouched(TimePoint now) {
+  const jobs::JobLedger& ledger = replica_.ledger();
+  // The ledger tells the changes of its last batch only.
+  if (ledger.applied() != synced_ + 1) {
+    SyncLinks(RunPhase::kPlanned, now);
+    return;
   }
+  for (const jobs::WorkerLife& life : ledger.touched())
+    SyncLink(life, RunPhase::kPlanned, now);
+  synced_ = ledger.applied();
 }
 
 void WorkerFleet::OnStored(const jobs::Batch& batch, TimePoint now) {
   if (!acts_ || !replica_.MayAct(now))
     return;
-  SyncLinks(RunPhase::kPlanned, now);
+  SyncTouched(now);
   const jobs::JobLedger& ledger = replica_.ledger();
   for (const jobs::StartNote& start : batch.starts) {
     const jobs::Worker* worker = ledger.FindWorker(start.worker);
@@ -85,32 +139,69 @@
   Tick(now);
 }
 
+void WorkerFleet::MoveLook(Contact* contact, TimePoint at) {
+  looks_.erase(contact->look);
+  contact->look = looks_.emplace(at, contact);
+}
+
+void WorkerFleet::LookWhenDue(const jobs::WorkerLife& life, TimePoint now) {
+  Contact* contact = FindContact(life);
+  if (contact == nullptr)
+    return;
+  if (const TimePoint due = contact->link.NextDue(now);
+      due < contact->look->first) {
+    MoveLook(contact, due);
+  }
+}
+
+void WorkerFleet::LookSoon(const jobs::WorkerLife& life) {
+  if (Contact* contact = FindContact(life); contact != nullptr)
+    MoveLook(contact, TimePoint::min());
+}
+
+void WorkerFleet::Look(Contact* contact,
+                       TimePoint now,
+                       std::vector<jobs::EndNote>* ends) {
+  MoveLook(contact, now + kLookInterval);
+  const jobs::WorkerLife& life = contact->life;
+  WorkerLink& link = contact->link;
+  const jobs::Worker* worker = replica_.ledger().FindWorker(life);
+  if (worker == nullptr)
+    return;
+  for (const jobs::RunName& run : link.StopsDue(now))
+    SendStop(*worker, run);
+  for (const jobs::RunName& run : link.StartsDue(now))
+    SendStart(*worker, run);
+  if (link.HoldDue(now))
+    SendHold(*worker, &link, now);
+  const TimePoint slow_at = JudgeOpenRuns(*worker, &link, now);
+  for (jobs::EndNote& end : link.Lapse(*worker, now))
+    ends->push_back(std::move(end));
+  const TimePoint next =
+      std::min({link.NextDue(now), slow_at, now + kLookInterval});
+  // What is due now but could not be sent waits for the next tick.
+  MoveLook(contact, std::max(next, now + Millis(1)));
+}
+
 void WorkerFleet::Tick(TimePoint now) {
   if (!acts_ || !replica_.MayAct(now))
     return;
   std::vector<jobs::EndNote> ends;
-  for (auto& [life, link] : links_) {
-    const jobs::Worker* worker = replica_.ledger().FindWorker(life);
-    if (worker == nullptr)
-      continue;
-    for (const jobs::RunName& run : link.StopsDue(now))
-      SendStop(*worker, run);
-    for (const jobs::RunName& run : link.StartsDue(now))
-      SendStart(*worker, run);
-    if (link.HoldDue(now))
-      SendHold(*worker, &link, now);
-    JudgeOpenRuns(*worker, &link, now);
-    for (jobs::EndNote& end : link.Lapse(*worker, now))
-      ends.push_back(std::move(end));
-  }
+  std::vector<Contact*> due;
+  for (auto it = looks_.begin(); it != looks_.end() && it->first <= now; ++it)
+    due.push_back(it->second);
+  for (Contact* contact : due)
+    Look(contact, now, &ends);
   NoteEnds(std::move(ends), now);
 }
 
 std::size_t WorkerFleet::AllowanceOf(const jobs::WorkerLife& life,
                                      TimePoint now) const {
-  const WorkerLink* link = Find(life);
-  const HostName name = HealthName(life);
-  if (link == nullptr || !link->Reachable(now) || !health_.Allows(name, now))
+  const auto contact = contacts_.find(life);
+  if (contact == contacts_.end() || !contact->second.link.Reachable(now))
+    return 0;
+  const HostName& name = contact->second.health_name;
+  if (!health_.Allows(name, now))
     return 0;
   // A worker that fails what it starts always has room: without a bound it
   // would get all tasks of a burst.
@@ -137,6 +228,7 @@
   WorkerLink* link = Find(life);
   if (link == nullptr || !link->WantStop(run))
     return;
+  LookWhenDue(life, loop_.now());
   LogEvent(EventId::kRunStopDecided, {{"run", run.task.Text()},
                                       {"number", std::to_string(run.number)},
                                       {"worker", life.Text()},
@@ -213,6 +305,7 @@
     NoteDeparture(life, "another worker answers");
   if (const auto how = link->OnStartAnswer(run, answer, now))
     NoteEnds({{run, life, *how, "", 0}}, now);
+  LookWhenDue(life, now);
 }
 
 void WorkerFleet::SendStop(const jobs::Worker& worker,
@@ -229,8 +322,10 @@
               [this, life, run, era = era_](const Result<CallAnswer>& answer) {
                 if (era != era_)
                   return;
-                if (WorkerLink* open = Find(life); open != nullptr)
+                if (WorkerLink* open = Find(life); open != nullptr) {
                   open->OnStopAnswer(run, answer, loop_.now());
+                  LookWhenDue(life, loop_.now());
+                }
               });
 }
 
@@ -270,6 +365,7 @@
       return answer && answer.value().call.verdict == verdict;
     };
     link->OnHoldFailed(now);
+    LookWhenDue(life, now);
     // The runs go on to the later life when it announces itself.
     if (answers(CallVerdict::kOtherLife))
       link->OnOtherLife(now);
@@ -286,6 +382,7 @@
   }
   std::vector<jobs::RunName> strays;
   const bool first = !link->heard();
+  const bool was_silent = !link->Heard(now);
   std::vector<jobs::EndNote> ends =
       link->OnHoldAnswer(*worker, answer.value(), now, &strays);
   for (const jobs::RunName& run : strays) {
@@ -305,6 +402,11 @@
     replica_.Wake();
   if (link->HoldDue(now) && replica_.MayAct(now))
     SendHold(*worker, link, now);
+  // Runs on a silent worker were not judged.
+  if (was_silent)
+    LookSoon(life);
+  else
+    LookWhenDue(life, now);
 }
 
 void WorkerFleet::NoteEnds(std::vector<jobs::EndNote> ends, TimePoint) {
@@ -384,19 +486,23 @@
                       took);
 }
 
-void WorkerFleet::JudgeOpenRuns(const jobs::Worker& worker,
-                                WorkerLink* link,
-                                TimePoint now) {
+TimePoint WorkerFleet::JudgeOpenRuns(const jobs::Worker& worker,
+                                     WorkerLink* link,
+                                     TimePoint now) {
   const jobs::WorkerLife life = worker.note.life;
   std::vector<jobs::RunName> slow;
+  TimePoint next = TimePoint::max();
   for (const auto& [run, track] : link->tracks()) {
     // Until the list is younger than the run's time, its end may be on its way.
     if (track.phase != RunPhase::kConfirmed || track.starts_sent == 0 ||
         track.stop_wanted || !link->Heard(now)) {
       continue;
     }
-    if (track.slow || now - track.since > SlowAfter(run))
+    const Millis slow_after = track.slow ? Millis::min() : SlowAfter(run);
+    if (now - track.since > slow_after)
       slow.push_back(run);
+    else if (slow_after != Millis::max())
+      next = std::min(next, track.since + slow_after + Millis(1));
   }
   for (const jobs::RunName& run : slow) {
     if (link->MarkSlow(run)) {
@@ -409,6 +515,7 @@
     if (health_.State(HealthName(life), now) == HealthState::kSetAside)
       Stop(run, life, "worker_slow");
   }
+  return next;
 }
 
 void WorkerFleet::NoteHealth(const jobs::Worker& worker,
@@ -421,6 +528,8 @@
       replica_.ledger().WorkersOf(worker.note.pool).size());
   health_.SetBudget(worker.note.pool, pool_size / 2);
   const HealthState after = health_.OnStart(name, worker.note.pool, ok, now);
+  if (!ok)
+    LookSoon(worker.note.life);
   if (after != before) {
     LogEvent(EventId::kWorkerSetAside,
              {{"worker", worker.note.life.Text()},
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -62,9 +62,34 @@
                               const jobs::WorkerLife& life) const;
 
  private:
+  struct Contact;
+  /// Contacts by the time at which they are to be looked at.
+  using Looks = std::multimap<TimePoint, Contact*>;
+
+  /// \brief A link with the time of the next look at it.
+  struct Contact {
+    jobs::WorkerLife life;
+    WorkerLink link;
+    HostName health_name;
+    Looks::iterator look;
+  };
+
+  [[nodiscard]] Contact* FindContact(const jobs::WorkerLife& life);
   [[nodiscard]] WorkerLink* Find(const jobs::WorkerLife& life);
   [[nodiscard]] const WorkerLink* Find(const jobs::WorkerLife& life) const;
+  /// \brief Brings all links up to date with the ledger.
   void SyncLinks(RunPhase added, TimePoint now);
+  /// \brief Brings the links up to date that the last batch has changed.
+  void SyncTouched(TimePoint now);
+  void SyncLink(const jobs::WorkerLife& life, RunPhase added, TimePoint now);
+  void Forget(std::map<jobs::WorkerLife, Contact>::iterator contact);
+  /// \brief Sends what is due to one worker and notes when to look again.
+  void Look(Contact* contact, TimePoint now, std::vector<jobs::EndNote>* ends);
+  void MoveLook(Contact* contact, TimePoint at);
+  /// \brief Looks at the worker as early as its link now asks for.
+  void LookWhenDue(const jobs::WorkerLife& life, TimePoint now);
+  /// \brief Looks at the worker with the next tick, to judge its runs.
+  void LookSoon(const jobs::WorkerLife& life);
   void SendStart(const jobs::Worker& worker, const jobs::RunName& run);
   void SendStop(const jobs::Worker& worker, const jobs::RunName& run);
   void SendHold(const jobs::Worker& worker, WorkerLink* link, TimePoint now);
@@ -82,9 +107,10 @@
                 TimePoint now);
   /// \brief Finds runs that should have ended long ago. On a worker that stands
   /// out they are stopped, to run elsewhere.
-  void JudgeOpenRuns(const jobs::Worker& worker,
-                     WorkerLink* link,
-                     TimePoint now);
+  /// \returns when the next of its runs becomes slow, as far as is known now.
+  TimePoint JudgeOpenRuns(const jobs::Worker& worker,
+                          WorkerLink* link,
+                          TimePoint now);
   /// \returns the time after which the run is slow.
   [[nodiscard]] Millis SlowAfter(const jobs::RunName& run) const;
 
@@ -101,7 +127,9 @@
   bool acts_ = false;
   TimePoint acts_since_;
   std::uint64_t era_ = 0;  ///< rises with each change of leadership
-  std::map<jobs::WorkerLife, WorkerLink> links_;
+  std::map<jobs::WorkerLife, Contact> contacts_;
+  Looks looks_;
+  std::uint64_t synced_ = 0;  ///< batches of the ledger that the links show
 };
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/worker_link.cc
+++ b/src/scheduler/worker_link.cc
@@ -294,6 +294,33 @@
   return ends;
 }
 
+TimePoint WorkerLink::NextDue(TimePoint now) const {
+  TimePoint next = hold_open_ ? TimePoint::max() : hold_due_;
+  if (!tracks_.empty())
+    next = std::min(next, LapsedAt());
+  for (const auto& [run, track] : tracks_) {
+    switch (track.phase) {
+      case RunPhase::kPlanned:
+      case RunPhase::kUnsure:
+        next = std::min(next, track.since + options_.start_retry);
+        break;
+      case RunPhase::kStopped:
+        next = std::min(next, track.since + kStopRepeat);
+        break;
+      case RunPhase::kInherited:
+      case RunPhase::kOrdered:
+      case RunPhase::kConfirmed:
+      case RunPhase::kStopping:
+        break;
+    }
+    if (track.stop_wanted && track.phase != RunPhase::kStopping &&
+        track.phase != RunPhase::kStopped && track.phase != RunPhase::kUnsure) {
+      next = std::min(next, now);
+    }
+  }
+  return next;
+}
+
 bool WorkerLink::HoldDue(TimePoint now) const {
   return !hold_open_ && now >= hold_due_;
 }
--- a/src/scheduler/worker_link.h
+++ b/src/scheduler/worker_link.h
@@ -131,6 +131,9 @@
   [[nodiscard]] std::vector<jobs::EndNote> Lapse(const jobs::Worker& worker,
                                                  TimePoint now);
 
+  /// \returns the time before which no list, repeated order or lapse falls due,
+  /// if nothing happens until then; not after `now` if one is due.
+  [[nodiscard]] TimePoint NextDue(TimePoint now) const;
   [[nodiscard]] bool HoldDue(TimePoint now) const;
   /// \returns whether runs of an earlier life are to be settled by lists, so
   /// that these should not wait for ends.
