--- a/bench/scheduler_main.cc
+++ b/bench/scheduler_main.cc
@@ -370,8 +370,16 @@
       if (!link.StopsDue(now).empty() || !link.StartsDue(now).empty())
         std::abort();
       if (link.HoldDue(now)) {
-        link.OnGrant(now_ + 5'000);
-        link.OnClock(now_, now);
+        scheduler::HoldAnswer list;
+        list.call.clock_ms = now_;
+        for (const RunName& run : worker->runs)
+          list.running.push_back({run, "", 10});
+        std::vector<RunName> strays;
+        link.OnHoldSent(now);
+        if (!link.OnHoldAnswer(*worker, list, now, &strays).empty())
+          std::abort();
+        if (const auto lease = link.LeaseUntil())
+          link.OnGrant(*lease);
       }
       if (!link.Lapse(*worker, now).empty())
         std::abort();
