--- a/src/scheduler/pool_demand.cc
+++ b/src/scheduler/pool_demand.cc
@@ -20,22 +20,23 @@
                 const AskWorker& usable,
                 const std::set<jobs::WorkerLife>& held,
                 std::map<PoolName, PoolDemand>* pools) {
-  for (const auto& [life, worker] : ledger.workers()) {
-    const auto found = pools->find(worker.note.pool);
-    if (found == pools->end() || worker.note.draining)
-      continue;
-    PoolDemand& pool = found->second;
-    Load size;
-    size.Add(worker.note.capacity, 1);
-    pool.host = pool.host.Max(size);
-    if (!usable(life))
-      continue;
-    pool.capacity += size;
-    pool.used.Add(worker.used, 1);
-    ++pool.hosts;
-    if (worker.runs.empty() && held.count(life) == 0 &&
-        !worker.note.host.empty()) {
-      pool.empty.push_back(&worker);
+  for (auto& [name, pool] : *pools) {
+    for (const jobs::Worker* worker : ledger.WorkersOf(name)) {
+      if (worker->note.draining)
+        continue;
+      Load size;
+      size.Add(worker->note.capacity, 1);
+      pool.host = pool.host.Max(size);
+      const jobs::WorkerLife& life = worker->note.life;
+      if (!usable(life))
+        continue;
+      pool.capacity += size;
+      pool.used.Add(worker->used, 1);
+      ++pool.hosts;
+      if (worker->runs.empty() && held.count(life) == 0 &&
+          !worker->note.host.empty()) {
+        pool.empty.push_back(worker);
+      }
     }
   }
 }
