Leave the outcome of a batch open where the disk failed

Cause: a batch whose sync failed was answered as certainly not stored. The replica reads its folder again a second later, and the bytes of the batch may be there: the job runs although its caller was refused.

A batch that the node did not take is refused as before.

Evidence: AFailedSyncLeavesTheOutcomeOpen fails before the change. The file system is an option of the ledger's replica for it.

--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "base/event_log.h"
-#include "storage/file_system.h"
 
 namespace boragewinch::scheduler {
 
@@ -46,7 +45,7 @@
   replica.node.election_timeout = options_.election_timeout;
   std::random_device seed;
   replica_ = std::make_unique<raft::Replica>(
-      PosixFileSystem(), std::move(replica), MakeHooks(),
+      options_.file_system, std::move(replica), MakeHooks(),
       [generator = std::mt19937_64(seed())]() mutable { return generator(); });
   return replica_->Start(loop_.now());
 }
@@ -234,8 +233,12 @@
     LogEvent(EventId::kCallFailed, {{"error", index.error().Text()}});
     open_.reset();
     const auto replies = std::exchange(stored_replies_, {});
+    // A failed replica may find the batch in its log when it reads its folder
+    // again; otherwise the node has not taken it.
+    const ErrorCode code =
+        replica_->failure() ? ErrorCode::kUnavailable : ErrorCode::kNotLeader;
     for (const Reply& reply : replies)
-      reply(Fail(ErrorCode::kNotLeader, index.error().detail));
+      reply(Fail(code, index.error().detail));
     return;
   }
   // A replica without others has applied the batch by now.
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -16,6 +16,7 @@
 #include "net/rpc_server.h"
 #include "raft/replica.h"
 #include "scheduler/disk_watch.h"
+#include "storage/file_system.h"
 
 namespace boragewinch::scheduler {
 
@@ -34,6 +35,7 @@
   /// Silence of the leader before an election. A sync of a slow disk takes
   /// 150 ms, a stolen processor share up to 100 ms.
   Millis election_timeout{700};
+  FileSystem file_system = PosixFileSystem();
 };
 
 /// \brief The replicated job ledger of a process: a Raft replica, its calls to
--- /dev/null
+++ b/tests/ledger_replica_test.cc
@@ -0,0 +1,73 @@
+#define BOOST_TEST_MODULE ledger_replica
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <string>
+
+#include "kernel/event_loop.h"
+#include "memory_disk.h"
+#include "net/http_client.h"
+#include "net/rpc_client.h"
+#include "net/rpc_server.h"
+#include "scheduler/ledger_replica.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+/// A replica without others on a disk in memory.
+struct Fixture {
+  Fixture() {
+    options.folder = "d";
+    options.host = "127.0.0.1";
+    options.hosts = {"127.0.0.1"};
+    options.port = "1";
+    options.may_form = true;
+    options.election_timeout = Millis(50);
+    options.file_system = disk.Hooks();
+    hooks.decide = [](jobs::Batch*, TimePoint) {};
+    hooks.on_stored = [](const jobs::Batch&, TimePoint) {};
+    hooks.on_applied = [](const jobs::Batch&, TimePoint) {};
+    hooks.on_leadership = [this](bool acts, TimePoint) {
+      if (acts)
+        loop.Stop();
+    };
+  }
+
+  /// \returns how the storing of a cancellation ended.
+  Status Store(LedgerReplica* replica) {
+    std::optional<Status> stored;
+    replica->Submit(
+        [](jobs::Batch* batch) { batch->cancels.emplace_back("job"); },
+        [&](const Status& status) {
+          stored = status;
+          loop.Stop();
+        });
+    if (!stored)
+      loop.Run();
+    return *stored;
+  }
+
+  EventLoop loop;
+  HttpClient client{loop, HttpClientLimits{}};
+  RpcClient rpc{client, "secret"};
+  RpcServer server{"secret"};
+  MemoryDisk disk;
+  LedgerReplicaOptions options;
+  LedgerReplica::Hooks hooks;
+};
+
+// Guards against "not stored" for a change that is in the log when the folder
+// is read again: its job would run although its caller was refused.
+BOOST_FIXTURE_TEST_CASE(AFailedSyncLeavesTheOutcomeOpen, Fixture) {
+  LedgerReplica replica(loop, rpc, options, hooks);
+  BOOST_REQUIRE(replica.Start(&server));
+  loop.Run();
+  BOOST_REQUIRE(Store(&replica));
+  disk.fail_sync = true;
+  const Status stored = Store(&replica);
+  BOOST_REQUIRE(!stored);
+  BOOST_TEST((stored.error().code == ErrorCode::kUnavailable));
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
