Bound what a queue accepts by the rate at which its tasks end

Cause: jobs were accepted up to 8,000 unfinished ones, some 100,000 tasks. The leader starts 500 to 750 tasks a second there, so a backlog of minutes built up.

Why it works: the ledger counts the open and ended tasks of a queue. Long-running and scheduled jobs do not wait behind it and are always taken. The refusal (429) says when to come back.

--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -76,6 +76,23 @@
   return found == queued_.end() ? 0 : found->second;
 }
 
+QueueLoad JobLedger::LoadOf(const QueueName& queue) const {
+  const auto found = loads_.find(queue);
+  return found == loads_.end() ? QueueLoad{} : found->second;
+}
+
+std::int64_t JobLedger::OpenTasksOf(const Job& job) {
+  std::int64_t open = 0;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const Step& step = occurrence.steps[i];
+      if (!job.spec->steps[i].long_running)
+        open += static_cast<std::int64_t>(step.tasks.size()) - step.done;
+    }
+  }
+  return open;
+}
+
 void JobLedger::Apply(const Batch& batch) {
   if (batch.rules && batch.rules->version > rules_.version)
     rules_ = *batch.rules;
@@ -220,6 +237,8 @@
   for (std::size_t i = 0; i < opened.steps.size(); ++i) {
     opened.steps[i].tasks.resize(
         static_cast<std::size_t>(job->spec->steps[i].tasks));
+    if (!job->spec->steps[i].long_running)
+      loads_[job->queue].open_tasks += job->spec->steps[i].tasks;
   }
   job->occurrences[occurrence] = std::move(opened);
   job->next_occurrence = occurrence + 1;
@@ -302,6 +321,9 @@
     if (!task->runs.empty())
       --step.placed;
     ++step.done;
+    QueueLoad& load = loads_[job->queue];
+    --load.open_tasks;
+    ++load.ended_tasks;
   };
   if (job->spec->steps[name.step].gang) {
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
@@ -338,6 +360,7 @@
 void JobLedger::Finish(Job* job, JobState state, UnixMillis now) {
   if (job->state == JobState::kQueued)
     --queued_[job->queue];
+  loads_[job->queue].open_tasks -= OpenTasksOf(*job);
   job->state = state;
   job->finished = now;
   active_.erase(job->id);
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -90,6 +90,14 @@
   std::set<RunName> carried;
 };
 
+/// \brief Tasks of a queue's jobs that come to an end by themselves.
+struct QueueLoad {
+  std::int64_t open_tasks = 0;  ///< of unfinished jobs, waiting or at work
+  /// Tasks that have ended `done`. It only rises and begins at 0 when a
+  /// snapshot is read.
+  std::int64_t ended_tasks = 0;
+};
+
 struct Wave {
   WaveOrder order;
   UnixMillis started = 0;
@@ -137,6 +145,7 @@
   [[nodiscard]] Resources UsageOf(const CustomerName& customer) const;
   /// \returns accepted jobs of a queue of which no task has started.
   [[nodiscard]] std::int64_t QueuedOf(const QueueName& queue) const;
+  [[nodiscard]] QueueLoad LoadOf(const QueueName& queue) const;
   [[nodiscard]] const std::map<std::int64_t, Wave>& waves() const noexcept {
     return waves_;
   }
@@ -171,6 +180,8 @@
   /// \brief Ends a life whose id has come back; its runs go on to `later`.
   void CarryOver(const WorkerLife& life, const WorkerLife& later);
   void AdoptJob(Job job);
+  /// \returns tasks of the opened occurrences that are to end by themselves.
+  [[nodiscard]] static std::int64_t OpenTasksOf(const Job& job);
   [[nodiscard]] Job* MutableJob(const JobId& id);
 
   FleetRules rules_;
@@ -182,6 +193,7 @@
   std::map<WorkerId, UnixMillis> departed_;
   std::map<CustomerName, Resources> usage_;
   std::map<QueueName, std::int64_t> queued_;
+  std::map<QueueName, QueueLoad> loads_;
   std::map<std::int64_t, Wave> waves_;
   std::map<HostName, HostOrder> host_orders_;
 };
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -240,8 +240,10 @@
       }
     }
   }
-  if (!job.final())
+  if (!job.final()) {
     active_.insert(job.id);
+    loads_[job.queue].open_tasks += OpenTasksOf(job);
+  }
   if (job.state == JobState::kQueued)
     ++queued_[job.queue];
   const JobId id = job.id;
--- a/src/scheduler/job_desk.cc
+++ b/src/scheduler/job_desk.cc
@@ -1,5 +1,6 @@
 #include "scheduler/job_desk.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/event_log.h"
@@ -21,6 +22,14 @@
          text.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
 
+// Long-running tasks come first, and a scheduled job comes later.
+[[nodiscard]] bool WaitsForOthers(const jobs::JobSpec& spec) {
+  return spec.repeats == 0 && std::none_of(spec.steps.begin(), spec.steps.end(),
+                                           [](const jobs::StepSpec& step) {
+                                             return step.long_running;
+                                           });
+}
+
 }  // namespace
 
 JobDesk::Place JobDesk::Locate(const CallerAddress& caller,
@@ -96,6 +105,12 @@
     } else if (replica_.ledger().active().size() >= kMaxActiveJobs) {
       answer.verdict = DeskVerdict::kOverloaded;
       answer.retry_after = kRetryOverloaded;
+    } else if (WaitsForOthers(spec.value()) &&
+               !gate_.Admits(place.queue->name,
+                             replica_.ledger().LoadOf(place.queue->name),
+                             now)) {
+      answer.verdict = DeskVerdict::kOverloaded;
+      answer.retry_after = kRetryOverloaded;
     }
   }
   if (answer.verdict != DeskVerdict::kDone) {
--- a/src/scheduler/job_desk.h
+++ b/src/scheduler/job_desk.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "jobs/job_types.h"
 #include "scheduler/ledger_replica.h"
+#include "scheduler/queue_gate.h"
 
 namespace boragewinch::scheduler {
 
@@ -89,6 +90,7 @@
 
   LedgerReplica& replica_;
   Metrics& metrics_;
+  QueueGate gate_{QueueGateOptions{}};
 };
 
 }  // namespace boragewinch::scheduler
--- /dev/null
+++ b/src/scheduler/queue_gate.cc
@@ -0,0 +1,41 @@
+#include "scheduler/queue_gate.h"
+
+namespace boragewinch::scheduler {
+
+namespace {
+
+/// Pause between two samples of the number of ended tasks.
+constexpr Millis kSampleInterval{250};
+/// A rate over less time than this says nothing.
+constexpr Millis kLeastWindow{1'000};
+
+}  // namespace
+
+bool QueueGate::Admits(const QueueName& queue,
+                       const jobs::QueueLoad& load,
+                       TimePoint now) {
+  std::deque<Sample>& samples = samples_[queue];
+  // Cancelled tasks count as not accepted.
+  const std::int64_t accepted = load.open_tasks + load.ended_tasks;
+  // The count begins anew where the ledger was read from a snapshot.
+  if (!samples.empty() && samples.back().ended > load.ended_tasks)
+    samples.clear();
+  while (samples.size() > 1 && now - samples[1].at >= options_.window)
+    samples.pop_front();
+  if (samples.empty() || now - samples.back().at >= kSampleInterval)
+    samples.push_back({now, load.ended_tasks, accepted});
+  if (load.open_tasks <= options_.free_tasks)
+    return true;
+  const Millis span = now - samples.front().at;
+  if (span < kLeastWindow)
+    return true;
+  const std::int64_t ended = load.ended_tasks - samples.front().ended;
+  // Both sides are tasks times milliseconds.
+  if (load.open_tasks * span.count() <= ended * options_.longest_wait.count())
+    return true;
+  constexpr std::int64_t kAll = 100;
+  return (accepted - samples.front().accepted) * kAll <
+         ended * options_.overload_percent;
+}
+
+}  // namespace boragewinch::scheduler
--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -270,6 +270,30 @@
   BOOST_TEST(builder.ledger().FindWorker(Builder::Life("w"))->runs.empty());
 }
 
+// Guards against a queue that refuses jobs for tasks that no longer wait, or
+// accepts without bound.
+BOOST_AUTO_TEST_CASE(TheLoadOfAQueueFollowsItsTasks) {
+  const QueueName queue("q");
+  StepSpec lasting = Builder::Tasks(4);
+  lasting.long_running = true;
+  Builder builder;
+  builder.AddWorker("w").Submit("job", {Builder::Tasks(2), Builder::Tasks(3)});
+  builder.Submit("lasts", {lasting}).Submit("dropped", {Builder::Tasks(7)});
+  BOOST_TEST(builder.ledger().LoadOf(queue).open_tasks == 12);
+  builder.Start(Builder::Run("job", 0, 0), "w");
+  builder.End(Builder::Run("job", 0, 0), "w", RunEnd::kDone, 1);
+  BOOST_TEST(builder.ledger().LoadOf(queue).open_tasks == 11);
+  BOOST_TEST(builder.ledger().LoadOf(queue).ended_tasks == 1);
+  builder.Cancel("dropped").Cancel("lasts");
+  BOOST_TEST(builder.ledger().LoadOf(queue).open_tasks == 4);
+  const Result<JobLedger> restored =
+      JobLedger::Restore(builder.ledger().Snapshot());
+  BOOST_REQUIRE(restored);
+  BOOST_TEST(restored.value().LoadOf(queue).open_tasks == 4);
+  builder.Cancel("job");
+  BOOST_TEST(builder.ledger().LoadOf(queue).open_tasks == 0);
+}
+
 // Guards against a replica that loses state by a snapshot.
 BOOST_AUTO_TEST_CASE(ASnapshotRestoresTheLedger) {
   StepSpec second = Builder::Tasks(2);
