--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -76,6 +76,23 @@
   return found == queued_.end() ? 0 : found->second;
 }
 
+QueueLoad JobLedger::LoadOf(const QueueName& queue) const {
+  const auto found = loads_.find(queue);
+  return found == loads_.end() ? QueueLoad{} : found->second;
+}
+
+std::int64_t JobLedger::OpenTasksOf(const Job& job) {
+  std::int64_t open = 0;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t i = 0; i < occurrence.steps.size(); ++i) {
+      const Step& step = occurrence.steps[i];
+      if (!job.spec->steps[i].long_running)
+        open += static_cast<std::int64_t>(step.tasks.size()) - step.done;
+    }
+  }
+  return open;
+}
+
 const WorkerSet& JobLedger::WorkersOf(const PoolName& pool) const {
   static const WorkerSet kNone;
   const auto found = pool_workers_.find(pool);
@@ -343,6 +360,8 @@
   for (std::size_t i = 0; i < opened.steps.size(); ++i) {
     opened.steps[i].tasks.resize(
         static_cast<std::size_t>(job->spec->steps[i].tasks));
+    if (!job->spec->steps[i].long_running)
+      loads_[job->queue].open_tasks += job->spec->steps[i].tasks;
   }
   job->occurrences[occurrence] = std::move(opened);
   job->next_occurrence = occurrence + 1;
@@ -431,6 +450,9 @@
     if (!task->runs.empty())
       --step.placed;
     ++step.done;
+    QueueLoad& load = loads_[job->queue];
+    --load.open_tasks;
+    ++load.ended_tasks;
     for (const Run& run : task->runs)
       CountSurplus(run.worker, 1);
   };
@@ -470,6 +492,7 @@
 void JobLedger::Finish(Job* job, JobState state, UnixMillis now) {
   if (job->state == JobState::kQueued)
     --queued_[job->queue];
+  loads_[job->queue].open_tasks -= OpenTasksOf(*job);
   CountFinalRuns(*job);
   job->state = state;
   job->finished = now;
