Answer replication messages in the answer to their call

The leader of a large site spent much of its processor time on messages: each batch cost two calls to each of five followers (the entries and the commit), and each follower acknowledged both with calls of its own, 20 HTTP exchanges a batch.

A message for the sender of a call now travels in the answer to that call; the caller says in its message that it reads answers, so earlier versions still get calls. The scheduler's followers learn of a commit with the next entries or heartbeat instead of a message of its own; changes of members are still announced. Entries that go to every member count as a heartbeat. That leaves 5 exchanges a batch, all of them calls by the leader.

Safety: messages may be lost, doubled and late as before, and each is checked by Replica::Receive in the same way. An acknowledgement is still made after the sync, in the same call.

ledger_replica_test: 20 stored batches cause at most 2 calls to the leader (a call per follower and message before). raft_test: 50 entries to 2 followers take at most 110 append messages, 200 or more with announcements.

--- a/src/raft/node.h
+++ b/src/raft/node.h
@@ -33,6 +33,10 @@
   /// Entries of the leader that are not yet committed.
   std::uint64_t max_uncommitted_entries = 4096;
   std::size_t snapshot_chunk_bytes = 512UL * 1024;
+  /// Whether followers are told of each commit at once. Otherwise they learn of
+  /// it with the next entries or heartbeat, which halves the leader's messages;
+  /// a committed change of members is still announced.
+  bool announce_commits = true;
 };
 
 /// \brief What a node starts from.
@@ -174,7 +178,8 @@
   void SyncProgress();
 
   void Broadcast(bool heartbeat, TimePoint now);
-  void SendAppend(const ReplicaId& to,
+  /// \returns whether a message was sent.
+  bool SendAppend(const ReplicaId& to,
                   Progress* progress,
                   bool heartbeat,
                   TimePoint now);
--- a/src/raft/node_leader.cc
+++ b/src/raft/node_leader.cc
@@ -164,25 +164,28 @@
 }
 
 void Node::Broadcast(bool heartbeat, TimePoint now) {
-  if (heartbeat)
-    heartbeat_at_ = now + options_.heartbeat_interval;
+  bool all = true;
   for (auto& [id, progress] : progress_) {
     if (heartbeat)
       progress.probe_sent = false;
-    SendAppend(id, &progress, heartbeat, now);
+    all = SendAppend(id, &progress, heartbeat, now) && all;
   }
+  // Entries that go to every member are a heartbeat too.
+  if (heartbeat || all)
+    heartbeat_at_ = now + options_.heartbeat_interval;
 }
 
-void Node::SendAppend(const ReplicaId& to,
+bool Node::SendAppend(const ReplicaId& to,
                       Progress* progress,
                       bool heartbeat,
                       TimePoint now) {
   if (progress->snapshot != nullptr || progress->next <= log_.base_index()) {
     // A chunk goes out only in answer to a reply, so a follower that is down
     // costs little.
-    if (heartbeat || progress->snapshot == nullptr)
+    const bool due = heartbeat || progress->snapshot == nullptr;
+    if (due)
       SendSnapshot(to, progress, false, now);
-    return;
+    return due;
   }
   bool first = true;
   while (first || progress->next <= log_.last_index()) {
@@ -194,7 +197,7 @@
     const bool probe = progress->probing && !progress->probe_sent;
     if (!heartbeat && !probe &&
         (limited || progress->next > log_.last_index())) {
-      return;
+      return !first;
     }
     Message& message = Send(MessageKind::kAppend, to);
     message.index = progress->next - 1;
@@ -215,12 +218,13 @@
     }
     if (progress->probing) {
       progress->probe_sent = true;
-      return;
+      return true;
     }
     progress->next = index;
     heartbeat = false;
     first = false;
   }
+  return true;
 }
 
 void Node::SendSnapshot(const ReplicaId& to,
@@ -342,8 +346,10 @@
   // replacing them.
   if (index <= commit_ || log_.TermAt(index) != term_)
     return;
+  const bool changing = change_pending();
   commit_ = index;
-  Broadcast(true, now);
+  if (options_.announce_commits || (changing && !change_pending()))
+    Broadcast(true, now);
   if (!change_pending() && !members.IsVoter(self_))
     BecomeFollower(term_, ReplicaId(), now);
 }
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -18,6 +18,10 @@
 constexpr Millis kStepTimeout{1'000};
 /// Pause before a replica whose disk failed reads its folder again.
 constexpr Millis kReopenPause{1'000};
+/// Fields of the replicas' call: the sender reads messages for it from the
+/// answer, and these messages.
+constexpr char kTakesAnswers[] = "takes_answers";
+constexpr char kAnswers[] = "answers";
 /// Changes that wait for the next batch; more are refused.
 constexpr std::size_t kMaxWaitingChanges = 4'096;
 
@@ -44,6 +48,9 @@
   replica.voters = options_.voters;
   replica.snapshot_entries = options_.snapshot_entries;
   replica.node.election_timeout = options_.election_timeout;
+  // Nobody asks a follower for the ledger, and a new leader commits an entry
+  // of its own before it acts.
+  replica.node.announce_commits = false;
   std::random_device seed;
   replica_ = std::make_unique<raft::Replica>(
       PosixFileSystem(), std::move(replica), MakeHooks(),
@@ -63,9 +70,10 @@
 raft::ReplicaHooks LedgerReplica::MakeHooks() {
   raft::ReplicaHooks hooks;
   hooks.send = [this](const std::string& host, const raft::Message& message) {
-    // A lost message is sent again by the replica.
-    rpc_.Call(host + ":" + options_.port, "raft.step", ToJson(message),
-              kStepTimeout, [](const Result<Json>&) {});
+    if (answers_ != nullptr && host == answered_host_)
+      answers_->append(ToJson(message));
+    else
+      SendStep(host, message);
   };
   hooks.apply = [this](std::uint64_t index, const std::string& bytes) {
     OnApply(index, bytes);
@@ -101,6 +109,33 @@
   opened_ = true;
 }
 
+// A lost message is sent again by the replica.
+void LedgerReplica::SendStep(const std::string& host,
+                             const raft::Message& message) {
+  Json body = ToJson(message);
+  body[kTakesAnswers] = true;
+  rpc_.Call(host + ":" + options_.port, "raft.step", body, kStepTimeout,
+            [this](const Result<Json>& answer) {
+              if (!answer || !answer.value().isObject())
+                return;
+              for (const Json& sent : answer.value()[kAnswers])
+                TakeAnswer(sent);
+            });
+}
+
+void LedgerReplica::TakeAnswer(const Json& json) {
+  const Result<raft::Message> message = raft::MessageFromJson(json);
+  if (!message) {
+    LogEvent(EventId::kMalformedMessage, {{"error", message.error().Text()}});
+    return;
+  }
+  if (!opened_)
+    return;
+  if (Status taken = replica_->Receive(message.value(), loop_.now()); !taken)
+    LogEvent(EventId::kCallFailed, {{"error", taken.error().Text()}});
+  NoteLeadership(loop_.now());
+}
+
 void LedgerReplica::OnStep(const Json& body, const RpcReply& reply) {
   const Result<raft::Message> message = raft::MessageFromJson(body);
   if (!message) {
@@ -113,9 +148,21 @@
     return;
   }
   const TimePoint now = loop_.now();
-  if (Status taken = replica_->Receive(message.value(), now); !taken)
+  // Messages to the sender travel in the answer to its call, which saves a call
+  // for each of them. Earlier versions do not look for them there.
+  Json answers(::Json::arrayValue);
+  if (body[kTakesAnswers].isBool() && body[kTakesAnswers].asBool()) {
+    answers_ = &answers;
+    answered_host_ = raft::HostOf(message.value().from);
+  }
+  const Status taken = replica_->Receive(message.value(), now);
+  answers_ = nullptr;
+  if (!taken)
     LogEvent(EventId::kCallFailed, {{"error", taken.error().Text()}});
-  reply(Json(::Json::objectValue));
+  Json result(::Json::objectValue);
+  if (!answers.empty())
+    result[kAnswers] = std::move(answers);
+  reply(std::move(result));
   NoteLeadership(loop_.now());
 }
 
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -107,7 +107,10 @@
   };
 
   [[nodiscard]] raft::ReplicaHooks MakeHooks();
+  void SendStep(const std::string& host, const raft::Message& message);
   void OnStep(const Json& body, const RpcReply& reply);
+  /// \brief Handles a message that came in the answer to one of this replica.
+  void TakeAnswer(const Json& json);
   void OnApply(std::uint64_t index, const std::string& bytes);
   [[nodiscard]] Status Open(bool may_form);
   void Reopen();
@@ -127,6 +130,8 @@
   WatchHandle flush_;
   WatchHandle reopen_;
   bool flush_due_ = false;
+  Json* answers_ = nullptr;    ///< messages for the sender of a call
+  std::string answered_host_;  ///< of `answers_`
   jobs::Batch pending_;
   std::vector<Reply> replies_;         ///< of `pending_`
   std::vector<Reply> stored_replies_;  ///< of the open batch
--- /dev/null
+++ b/tests/ledger_replica_test.cc
@@ -0,0 +1,206 @@
+#define BOOST_TEST_MODULE ledger_replica
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <unistd.h>
+
+#include "net/http_client.h"
+#include "net/http_server.h"
+#include "raft/message.h"
+#include "scheduler/ledger_replica.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+/// A folder for one test.
+struct Folder {
+  Folder()
+      : path(std::filesystem::temp_directory_path() /
+             ("ledger_replica_test." + std::to_string(getpid()))) {
+    std::filesystem::remove_all(path);
+    std::filesystem::create_directories(path);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+
+  std::filesystem::path path;
+};
+
+/// One host with its replica; the hosts differ in their loopback address.
+struct Host {
+  Host(EventLoop& loop,
+       const Folder& folder,
+       const std::string& ip,
+       const std::string& port,
+       const std::vector<std::string>& hosts)
+      : http(loop, {}),
+        rpc_client(http, "secret"),
+        server(
+            loop,
+            {},
+            [this](const HttpRequest& request, const HttpResponder& respond) {
+              ++calls;
+              rpc_server.Serve(request, respond);
+            }) {
+    LedgerReplicaOptions options;
+    options.folder = folder.path / ip;
+    std::filesystem::create_directories(options.folder);
+    options.host = ip;
+    options.hosts = hosts;
+    options.port = port;
+    options.may_form = true;
+    options.election_timeout = Millis(2'000);
+    LedgerReplica::Hooks hooks;
+    hooks.decide = [](jobs::Batch*, TimePoint) {};
+    hooks.on_stored = [](const jobs::Batch&, TimePoint) {};
+    hooks.on_applied = [](const jobs::Batch&, TimePoint) {};
+    hooks.on_leadership = [](bool, TimePoint) {};
+    replica = std::make_unique<LedgerReplica>(loop, rpc_client, options,
+                                              std::move(hooks));
+  }
+
+  HttpClient http;
+  RpcClient rpc_client;
+  RpcServer rpc_server{"secret"};
+  HttpServer server;
+  std::unique_ptr<LedgerReplica> replica;
+  int calls = 0;  ///< that other hosts made to this one
+};
+
+/// Three hosts on one loop.
+struct Fleet {
+  Fleet() {
+    const std::vector<std::string> ips = {"127.0.0.1", "127.0.0.2",
+                                          "127.0.0.3"};
+    for (const std::string& ip : ips) {
+      hosts.push_back(std::make_unique<Host>(loop, folder, ip, Port(), ips));
+      BOOST_REQUIRE(hosts.back()->server.Listen(ip + ":" + Port()));
+    }
+    for (const auto& host : hosts)
+      BOOST_REQUIRE(host->replica->Start(&host->rpc_server));
+  }
+
+  /// A port of its own for each process that runs the test.
+  [[nodiscard]] static std::string Port() {
+    constexpr int kFirst = 20'000;
+    constexpr int kPorts = 10'000;
+    return std::to_string(kFirst + getpid() % kPorts);
+  }
+
+  [[nodiscard]] bool RunUntil(const std::function<bool()>& done) {
+    constexpr Millis kLimit{20'000};
+    bool reached = false;
+    const WatchHandle poll = loop.Every(Millis(5), [&](TimePoint) {
+      reached = done();
+      if (reached)
+        loop.Stop();
+    });
+    const WatchHandle limit =
+        loop.After(kLimit, [&](TimePoint) { loop.Stop(); });
+    loop.Run();
+    return reached;
+  }
+
+  [[nodiscard]] Host* leader() {
+    for (const auto& host : hosts) {
+      if (host->replica->MayAct(loop.now()))
+        return host.get();
+    }
+    return nullptr;
+  }
+
+  Folder folder;
+  EventLoop loop;
+  std::vector<std::unique_ptr<Host>> hosts;
+};
+
+/// Stores `count` jobs at the leader, one batch after the other.
+void StoreJobs(Fleet* fleet, int count) {
+  Host& leader = *fleet->leader();
+  for (int i = 0; i < count; ++i) {
+    bool stored = false;
+    leader.replica->Submit(
+        [i](jobs::Batch* batch) {
+          jobs::Submission submission;
+          submission.id = jobs::JobId("job" + std::to_string(i));
+          submission.spec.steps.resize(1);
+          submission.spec.steps[0].tasks = 1;
+          batch->submissions.push_back(submission);
+        },
+        [&stored](const Status& status) { stored = status.has_value(); });
+    BOOST_REQUIRE(fleet->RunUntil([&] { return stored; }));
+  }
+}
+
+// Guards against followers that acknowledge each batch by a call of their own,
+// which took the leader as much processor time as the batch itself, and against
+// a commit that followers never learn of.
+BOOST_AUTO_TEST_CASE(AcknowledgementsComeInTheAnswers) {
+  constexpr int kJobs = 20;
+  Fleet fleet;
+  BOOST_REQUIRE(fleet.RunUntil([&] { return fleet.leader() != nullptr; }));
+  fleet.leader()->calls = 0;
+  StoreJobs(&fleet, kJobs);
+  BOOST_TEST(fleet.leader()->calls <= 2);
+  const bool everywhere = fleet.RunUntil([&] {
+    return std::all_of(fleet.hosts.begin(), fleet.hosts.end(),
+                       [](const auto& host) {
+                         return host->replica->ledger().jobs().size() == kJobs;
+                       });
+  });
+  BOOST_TEST(everywhere);
+}
+
+// Guards against a replica of an earlier version, which reads no messages from
+// answers and would wait for them during an upgrade.
+BOOST_AUTO_TEST_CASE(EarlierVersionsGetCalls) {
+  const Folder folder;
+  EventLoop loop;
+  const std::string first = "127.0.0.1";
+  const std::string second = "127.0.0.2";
+  Host host(loop, folder, first, Fleet::Port(), {first, second});
+  BOOST_REQUIRE(host.server.Listen(first + ":" + Fleet::Port()));
+  // The other host is only a server that counts what is addressed to it.
+  const std::string asker = second + ".0123456789abcdef";
+  int calls = 0;
+  HttpServer other(
+      loop, {}, [&](const HttpRequest& request, const HttpResponder& respond) {
+        const Result<Json> envelope = ParseJson(request.body);
+        BOOST_REQUIRE(envelope);
+        calls += envelope.value()["params"]["body"]["to"] == asker ? 1 : 0;
+        respond({200, "{}"});
+      });
+  BOOST_REQUIRE(other.Listen(second + ":" + Fleet::Port()));
+  BOOST_REQUIRE(host.replica->Start(&host.rpc_server));
+  // A replica without a cluster answers the same message of another one.
+  const auto answers_to_join = [&](bool takes_answers) {
+    raft::Message join;
+    join.kind = raft::MessageKind::kJoin;
+    join.from = raft::ReplicaId(asker);
+    Json body = raft::ToJson(join);
+    if (takes_answers)
+      body["takes_answers"] = true;
+    std::size_t answers = 0;
+    host.rpc_client.Call(first + ":" + Fleet::Port(), "raft.step", body,
+                         Millis(1'000), [&](const Result<Json>& answer) {
+                           BOOST_REQUIRE(answer);
+                           answers = answer.value()["answers"].size();
+                         });
+    const WatchHandle end =
+        loop.After(Millis(200), [&](TimePoint) { loop.Stop(); });
+    loop.Run();
+    return answers;
+  };
+  BOOST_TEST(answers_to_join(false) == 0U);
+  BOOST_TEST(calls == 1);
+  BOOST_TEST(answers_to_join(true) == 1U);
+  BOOST_TEST(calls == 1);
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
--- a/tests/raft_random_test.cc
+++ b/tests/raft_random_test.cc
@@ -45,6 +45,7 @@
     options.node.max_batch_bytes = 64;
     options.node.max_inflight_entries = 8;
     options.node.snapshot_chunk_bytes = 100;
+    options.node.announce_commits = seed % 4 < 2;
     options.log.segment_bytes = 400;
     options.snapshot_entries = 20;
     options.apply_slice = 3;
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -461,6 +461,37 @@
       Millis(100)));
 }
 
+// Guards against a follower that never learns of a commit that is not announced
+// by a message of its own, and against the messages that this saves.
+BOOST_AUTO_TEST_CASE(CommitsTravelWithTheNextMessage) {
+  const auto appends_of = [](bool announce) {
+    Formed cluster(3);
+    cluster.options.node.announce_commits = announce;
+    for (const auto& host : cluster.hosts) {
+      cluster.Crash(*host);
+      BOOST_REQUIRE(cluster.Start(*host));
+    }
+    cluster.Settle();
+    std::size_t appends = 0;
+    cluster.network = [&appends](const Cluster::Sent& sent) {
+      appends += sent.message.kind == MessageKind::kAppend ? 1 : 0;
+      return std::vector<Millis>{Millis(1)};
+    };
+    for (int i = 0; i < 50; ++i) {
+      cluster.Put("c" + std::to_string(i));
+      cluster.Step(Millis(10));
+      cluster.Step(Millis(10));
+    }
+    const std::size_t sent = appends;
+    // The last commit has no entries after it and comes with a heartbeat.
+    BOOST_TEST(
+        cluster.RunUntil([&] { return cluster.Converged(); }, Millis(200)));
+    return sent;
+  };
+  BOOST_TEST(appends_of(true) >= 200U);
+  BOOST_TEST(appends_of(false) <= 110U);
+}
+
 // Guards against a restart or a rejoin that needs the whole history, and
 // against a snapshot that is put together wrongly.
 BOOST_AUTO_TEST_CASE(SnapshotsBoundTheLogAndReachNewReplicas) {
