--- a/tests/worker_client_test.cc
+++ b/tests/worker_client_test.cc
@@ -29,6 +29,7 @@
     call.payload = "text";
     call.token = 7;
     call.lease_until_ms = 486'000;
+    call.timeout = Millis(5'000);
     std::optional<Result<CallAnswer>> got;
     calls.start(worker, call, [&](Result<CallAnswer> answer) {
       got = std::move(answer);
