Keep curl handles for later calls

Each call of a worker made and freed a curl handle. Handles are reset and kept now, up to 64. A reset drops every option and callback of the call before.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace boragewinch {
 
@@ -16,6 +17,9 @@
 /// of workers, which then pay for a new connection each time.
 constexpr long kMaxIdleConnections = 2'048;
 
+/// Handles kept for later calls; a new one takes longer than a reset.
+constexpr std::size_t kMaxIdleHandles = 64;
+
 struct Transfer {
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
@@ -141,15 +145,35 @@
       const std::unique_ptr<Transfer> transfer = std::move(found->second);
       transfers.erase(found);
       auto result = ToResult(code, *transfer);
+      KeepHandle(std::exchange(transfer->easy, nullptr));
       loop.Post(
           [done = std::move(transfer->done),
            result = std::move(result)]() mutable { done(std::move(result)); });
     }
   }
 
+  [[nodiscard]] CURL* TakeHandle() {
+    if (idle_handles.empty())
+      return curl_easy_init();
+    CURL* easy = idle_handles.back();
+    idle_handles.pop_back();
+    return easy;
+  }
+
+  void KeepHandle(CURL* easy) {
+    if (idle_handles.size() >= kMaxIdleHandles) {
+      curl_easy_cleanup(easy);
+      return;
+    }
+    // Drops every option of the call, its callbacks included.
+    curl_easy_reset(easy);
+    idle_handles.push_back(easy);
+  }
+
   EventLoop& loop;
   HttpClientLimits limits;
   CURLM* multi;
+  std::vector<CURL*> idle_handles;
   std::map<CURL*, std::unique_ptr<Transfer>> transfers;
   std::map<curl_socket_t, WatchHandle> sockets;
   WatchHandle timer;
@@ -162,6 +186,8 @@
   for (const auto& [easy, transfer] : impl_->transfers)
     curl_multi_remove_handle(impl_->multi, easy);
   impl_->transfers.clear();
+  for (CURL* easy : impl_->idle_handles)
+    curl_easy_cleanup(easy);
   curl_multi_cleanup(impl_->multi);
 }
 
@@ -173,7 +199,7 @@
     return;
   }
   auto transfer = std::make_unique<Transfer>();
-  transfer->easy = curl_easy_init();
+  transfer->easy = impl_->TakeHandle();
   transfer->call = std::move(call);
   transfer->done = std::move(done);
   transfer->max_bytes = impl_->limits.max_response_bytes;
