--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,7 +8,7 @@
 build="${1:-build}"
 jobs="${LINT_JOBS:-8}"
 cache="${LINT_CACHE_DIR-${XDG_CACHE_HOME:-$HOME/.cache}/boragewinch-lint}"
-list_sources() { git ls-files 'src/*.cc' 'platform/*.cc' 'bench/*.cc'; }
+list_sources() { git ls-files 'src/*.cc' 'platform/*.cc' 'bench/*.cc' 'soak/*.cc'; }
 if [ -z "$cache" ]; then
   list_sources | xargs -n 4 -P "$jobs" clang-tidy -quiet -p "$build"
   exit
--- /dev/null
+++ b/tests/platform_fakes_test.cc
@@ -0,0 +1,298 @@
+#define BOOST_TEST_MODULE platform_fakes
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+
+#include "platform/fakes/fake_backend.h"
+#include "platform/fakes/promise_checker.h"
+
+namespace boragewinch::platform {
+namespace {
+
+constexpr char kId[] = "00000000000000aa";
+const std::string kFirst = std::string(kId) + ".0.0.0";
+const std::string kSecond = std::string(kId) + ".0.1.0";
+
+// --- The checker: each test guards against a broken promise that passes ---
+
+struct CheckedJob {
+  PromiseChecker checker{2};
+  TimePoint now = FromMillis(1'000);
+
+  CheckedJob() {
+    FakeJob job;
+    job.payload = "p";
+    FakeStep step;
+    job.steps.push_back(step);
+    step.depends_on = {0};
+    job.steps.push_back(step);
+    checker.AddJob(kId, job);
+    checker.OnSubmit(kId, CallOutcome::kAccepted, now);
+  }
+  void Start(const std::string& task, const std::string& life) {
+    now += Millis(1);
+    checker.OnRunStarted(task, life, "p", false, now);
+  }
+  void End(const std::string& task, const std::string& life, const char* how) {
+    now += Millis(1);
+    checker.OnRunEnded(task, life, how, now);
+  }
+  void Note(const std::string& task, const char* how, bool lapsed = false) {
+    checker.OnEndNoted(task, how, now, lapsed, now);
+  }
+  void Show(const std::string& state) {
+    now += Millis(1);
+    checker.OnState(kId, state, now, now);
+  }
+  void Broken(const std::string& promise) {
+    BOOST_TEST(checker.broken().size() == 1U);
+    for (const std::string& line : checker.broken())
+      BOOST_TEST((line.find(promise) != std::string::npos), line);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(AJobWithoutFaultsBreaksNothing, CheckedJob) {
+  for (const std::string& task : {kFirst, kSecond}) {
+    Start(task, "w1");
+    End(task, "w1", "done");
+    Note(task, "done");
+  }
+  Show("completed");
+  checker.CheckEnd(now);
+  BOOST_TEST(checker.broken().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(TwoRunsAtOnceAreFound, CheckedJob) {
+  Start(kFirst, "w1");
+  Start(kFirst, "w2");
+  Broken("TWICE");
+}
+
+BOOST_FIXTURE_TEST_CASE(ARunOfADeadWorkerIsNone, CheckedJob) {
+  Start(kFirst, "w1");
+  checker.OnLifeGone("w1");
+  Start(kFirst, "w2");
+  BOOST_TEST(checker.broken().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AStartAfterANotedEndIsFound, CheckedJob) {
+  Start(kFirst, "w1");
+  End(kFirst, "w1", "done");
+  Note(kFirst, "done");
+  Start(kFirst, "w2");
+  Broken("TWICE");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEndThatIsNotedAfterAFurtherStartIsFound, CheckedJob) {
+  Start(kFirst, "w1");
+  End(kFirst, "w1", "done");
+  const TimePoint ended = now;
+  Start(kFirst, "w2");
+  checker.OnEndNoted(kFirst, "done", ended, false, now);
+  Broken("TWICE");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEndBeforeALapseMayBeRepeated, CheckedJob) {
+  Start(kFirst, "w1");
+  End(kFirst, "w1", "done");
+  Start(kFirst, "w2");
+  Note(kFirst, "done", true);
+  BOOST_TEST(checker.broken().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AStartBeforeItsDependenciesIsFound, CheckedJob) {
+  Start(kSecond, "w1");
+  Broken("ORDER");
+}
+
+BOOST_FIXTURE_TEST_CASE(AStartBeyondTheAttemptsIsFound, CheckedJob) {
+  for (int i = 0; i < 2; ++i) {
+    Start(kFirst, "w1");
+    End(kFirst, "w1", "failed");
+    Note(kFirst, "failed");
+  }
+  Start(kFirst, "w1");
+  Broken("BUDGET");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUnknownTaskIsFound, CheckedJob) {
+  Start("00000000000000bb.0.0.0", "w1");
+  Broken("UNASKED");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnotherPayloadIsFound, CheckedJob) {
+  checker.OnRunStarted(kFirst, "w1", "q", false, now);
+  Broken("UNASKED");
+}
+
+BOOST_FIXTURE_TEST_CASE(AStartLongAfterACancellationIsFound, CheckedJob) {
+  checker.OnCancelSent(kId);
+  checker.OnCanceled(kId, now);
+  now += Millis(60'000);
+  Start(kFirst, "w1");
+  Broken("UNASKED");
+}
+
+BOOST_FIXTURE_TEST_CASE(CompletionBeforeTheLastEndIsFound, CheckedJob) {
+  Start(kFirst, "w1");
+  End(kFirst, "w1", "done");
+  Show("completed");
+  Broken("MIXED");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAcceptedJobMustBeKnown, CheckedJob) {
+  Show("");
+  Broken("LOST");
+}
+
+BOOST_FIXTURE_TEST_CASE(AFailureNeedsACause, CheckedJob) {
+  Show("failed");
+  Broken("LOST");
+}
+
+BOOST_FIXTURE_TEST_CASE(ACancellationNeedsACaller, CheckedJob) {
+  Show("canceled");
+  Broken("LOST");
+}
+
+BOOST_FIXTURE_TEST_CASE(AFinalStateStays, CheckedJob) {
+  checker.OnCancelSent(kId);
+  Show("canceled");
+  Show("running");
+  Broken("MIXED");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAcceptedJobMustEnd, CheckedJob) {
+  Show("running");
+  checker.CheckEnd(now);
+  Broken("LOST");
+}
+
+BOOST_AUTO_TEST_CASE(ARefusedJobMustNotRun) {
+  PromiseChecker checker(2);
+  FakeJob job;
+  job.steps.emplace_back();
+  checker.AddJob(kId, job);
+  checker.OnSubmit(kId, CallOutcome::kRefused, TimePoint());
+  checker.OnRunStarted(kFirst, "w1", "", false, TimePoint());
+  checker.CheckEnd(TimePoint());
+  BOOST_TEST(checker.broken().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(AnOlderConfigurationIsFound) {
+  PromiseChecker checker(2);
+  checker.OnConfigAcknowledged(5);
+  checker.OnConfigRead(5, checker.config_floor(), TimePoint());
+  BOOST_TEST(checker.broken().empty());
+  checker.OnConfigRead(4, checker.config_floor(), TimePoint());
+  BOOST_TEST(checker.broken().size() == 1U);
+}
+
+// --- The worker: refusals on which the checker's verdicts rest ---
+
+struct BackendWorld {
+  EventLoop loop;
+  HttpClient client{loop, HttpClientLimits{}};
+  PromiseChecker checker{4};
+  std::unique_ptr<FakeBackend> worker;
+
+  BackendWorld() {
+    FakeJob job;
+    job.steps.emplace_back();
+    job.steps.front().run = Millis(60'000);
+    checker.AddJob(kId, job);
+    FakeBackendConfig config;
+    config.id = "i-1";
+    // Nobody takes announcements here.
+    config.controls = {"127.0.0.1:9"};
+    worker = std::make_unique<FakeBackend>(loop, client, checker, config);
+    BOOST_REQUIRE(worker->Start());
+  }
+  HttpResponse Call(const std::string& path,
+                    const Json& body,
+                    const std::string& instance = "i-1") {
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://" + worker->address() + path;
+    call.headers["Expect-Instance"] = instance;
+    call.body = WriteJson(body);
+    HttpResponse response;
+    response.status = 0;
+    client.Send(std::move(call), [&](const Result<HttpResponse>& result) {
+      if (result)
+        response = result.value();
+      loop.Stop();
+    });
+    loop.Run();
+    return response;
+  }
+  static Json Order(int run, int token, int deadline) {
+    Json body;
+    body["task"] = kFirst;
+    body["runId"] = run;
+    body["fencingToken"] = token;
+    body["deadlineMs"] = deadline;
+    body["spec"] = "";
+    return body;
+  }
+  std::string ReasonOf(const HttpResponse& response) {
+    BOOST_TEST(response.status == 409);
+    const Result<Json> json = ParseJson(response.body);
+    return json ? json.value()["reason"].asString() : "";
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(ALowerTokenIsFenced, BackendWorld) {
+  BOOST_TEST(Call("/-/run-start", Order(1, 7, 60'000)).status == 200);
+  BOOST_TEST(ReasonOf(Call("/-/run-start", Order(2, 6, 60'000))) == "fence");
+  BOOST_TEST(ReasonOf(Call("/-/run-stop", Order(1, 6, 60'000))) == "fence");
+  BOOST_TEST(ReasonOf(Call("/-/hold", Order(1, 6, 60'000))) == "fence");
+  BOOST_TEST(worker->running() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(AStoppedRunDoesNotStartLater, BackendWorld) {
+  BOOST_TEST(Call("/-/run-stop", Order(2, 7, 0)).status == 200);
+  BOOST_TEST(ReasonOf(Call("/-/run-start", Order(2, 7, 60'000))) == "old");
+  BOOST_TEST(Call("/-/run-start", Order(3, 7, 60'000)).status == 200);
+}
+
+BOOST_FIXTURE_TEST_CASE(AStartAfterItsLeaseIsLate, BackendWorld) {
+  BOOST_TEST(ReasonOf(Call("/-/run-start", Order(1, 7, 0))) == "late");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnotherLifeIsNotMeant, BackendWorld) {
+  constexpr int kMisdirected = 421;
+  BOOST_TEST(Call("/-/run-start", Order(1, 7, 60'000), "i-2").status ==
+             kMisdirected);
+}
+
+BOOST_FIXTURE_TEST_CASE(EndsAreListedUntilTheyAreNoted, BackendWorld) {
+  Json hold;
+  hold["fencingToken"] = 7;
+  hold["ackCursor"] = 0;
+  hold["waitMs"] = 2'000;
+  BOOST_TEST(Call("/-/run-start", Order(1, 7, 60'000)).status == 200);
+  BOOST_TEST(Call("/-/run-stop", Order(1, 7, 0)).status == 200);
+  for (int i = 0; i < 2; ++i) {
+    const Json lists = ParseJson(Call("/-/hold", hold).body).value();
+    BOOST_TEST(lists["finished"].size() == 1U);
+    BOOST_TEST(lists["finished"][0][3].asString() == "stopped");
+    BOOST_TEST(lists["running"].empty());
+  }
+  hold["ackCursor"] = 1;
+  hold.removeMember("waitMs");
+  BOOST_TEST(ParseJson(Call("/-/hold", hold).body).value()["finished"].empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ARunEndsWithItsLease, BackendWorld) {
+  BOOST_TEST(Call("/-/run-start", Order(1, 7, 600)).status == 200);
+  Json hold;
+  hold["fencingToken"] = 7;
+  hold["ackCursor"] = 0;
+  hold["waitMs"] = 2'000;
+  const Json lists = ParseJson(Call("/-/hold", hold).body).value();
+  BOOST_TEST(lists["finished"][0][3].asString() == "lapsed");
+}
+
+}  // namespace
+}  // namespace boragewinch::platform
