Take signals from the begin of a start

SIGTERM at that time is now a planned stop. Without the change SignalsDuringTheStartWaitForItsEnd ends with signal 1.

--- a/src/kernel/kernel.cc
+++ b/src/kernel/kernel.cc
@@ -38,17 +38,18 @@
                   "two services are called \"" + name + "\"");
     }
   }
-  for (const auto& [name, service] : services_) {
-    BW_CHECK(service->Start(*this));
-    ++running_;
-  }
+  // Watched from here on, since a start takes some 100 ms: their default action
+  // would end the process. They are handled once the loop runs.
   const WatchHandle terminate =
       loop_.OnSignal(SIGTERM, [this] { RequestStop(); });
   const WatchHandle interrupt =
       loop_.OnSignal(SIGINT, [this] { RequestStop(); });
-  // Its default action would end the process.
   const WatchHandle reload =
       loop_.OnSignal(SIGHUP, [] { LogEvent(EventId::kReloadAsked, {}); });
+  for (const auto& [name, service] : services_) {
+    BW_CHECK(service->Start(*this));
+    ++running_;
+  }
   LogEvent(EventId::kProcessStarted, {{"version", kVersion}});
   loop_.Run();
   unsigned long violations = 0;
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE kernel
 #include <boost/test/unit_test.hpp>
 
+#include <csignal>
+
 #include "base/event_log.h"
 #include "kernel/kernel.h"
 
@@ -54,6 +56,28 @@
   Recorder* found_ = nullptr;
 };
 
+// Gets signals while it starts.
+class Signaled final : public Recorder {
+ public:
+  using Recorder::Recorder;
+  Status Start(Kernel& kernel) override {
+    std::raise(SIGHUP);
+    std::raise(SIGTERM);
+    return Recorder::Start(kernel);
+  }
+};
+
+// Guards against a process that a reload ends while it starts, and against a
+// stop at that time that is not a planned one.
+BOOST_AUTO_TEST_CASE(SignalsDuringTheStartWaitForItsEnd) {
+  Steps steps;
+  Kernel kernel;
+  kernel.Add("a", std::make_unique<Signaled>("a", &steps));
+  BOOST_TEST(kernel.Run().has_value());
+  const Steps expected{"start a", "stop a"};
+  BOOST_TEST(steps == expected, boost::test_tools::per_element());
+}
+
 // Guards against services that start before, or stop after, those they need,
 // and against a lookup that depends on the order of starts.
 BOOST_AUTO_TEST_CASE(StartsInOrderAndStopsInReverse) {
