--- a/tests/platform_path_process_test.cc
+++ b/tests/platform_path_process_test.cc
@@ -86,7 +86,8 @@
     BOOST_TEST((call.gateway != world.address(gateway) ||
                 call.sent > stopped + kReadForSure),
                call.what << " sent " << (call.sent - stopped).count()
-                         << " ms after SIGTERM got no answer");
+                         << " ms after SIGTERM got no answer: "
+                         << kErrorCodes.Name(call.error));
   }
   world.Start(gateway);
   Complete(5);
