--- a/src/scheduler/worker_link.h
+++ b/src/scheduler/worker_link.h
@@ -100,6 +100,9 @@
   [[nodiscard]] std::optional<std::int64_t> LeaseUntil() const;
   /// \brief Notes that an order with that lease is being sent.
   void OnGrant(std::int64_t lease_until_ms);
+  /// \brief Notes an answer with the worker's clock. \returns whether the clock
+  /// can be that of this life.
+  bool OnClock(std::int64_t clock_ms, TimePoint now);
   /// \brief Notes that another life answers at the worker's address. Its list
   /// and clock say nothing about this one, and it may carry out orders for it.
   void OnOtherLife(TimePoint now);
@@ -156,9 +159,6 @@
   }
 
  private:
-  /// \brief Notes an answer with the worker's clock. \returns whether the clock
-  /// can be that of this life.
-  bool OnClock(std::int64_t clock_ms, TimePoint now);
   [[nodiscard]] TimePoint LapsedAt() const;
   [[nodiscard]] RunTrack* Find(const jobs::RunName& run);
 
