Answer for a replica that cannot read its folder again

Cause: after a failed reopening the replica has no node, and whoever asked for its term used it; a leader in that state was not told that it no longer acts.

Why it works: the term is 0 while the folder cannot be read, and the end of leadership is noted at once.

Evidence: AReplicaThatCannotReopenAnswers crashes before the change.

--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -94,6 +94,7 @@
   if (Status opened = Open(false); !opened) {
     LogEvent(EventId::kStorageFailed, {{"error", opened.error().Text()}});
     opened_ = false;
+    NoteLeadership(loop_.now());
     reopen_ = loop_.After(kReopenPause, [this](TimePoint) { Reopen(); });
     return;
   }
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -84,8 +84,10 @@
   /// leadership lease and may therefore answer reads and give orders.
   [[nodiscard]] bool MayAct(TimePoint now) const;
   /// \returns the number under which this leader gives orders; later leaders
-  /// have higher ones.
-  [[nodiscard]] std::uint64_t term() const noexcept { return replica_->term(); }
+  /// have higher ones. 0 while the data folder cannot be read.
+  [[nodiscard]] std::uint64_t term() const noexcept {
+    return opened_ ? replica_->term() : 0;
+  }
   /// \returns the host that leads as far as is known, or an empty text.
   [[nodiscard]] std::string LeaderHost() const;
   [[nodiscard]] bool leading() const noexcept {
--- a/tests/ledger_replica_test.cc
+++ b/tests/ledger_replica_test.cc
@@ -69,5 +69,21 @@
   BOOST_TEST((stored.error().code == ErrorCode::kUnavailable));
 }
 
+// Guards against a crash of a replica that cannot read its folder again, as on
+// a full disk, when its number is asked for.
+BOOST_FIXTURE_TEST_CASE(AReplicaThatCannotReopenAnswers, Fixture) {
+  LedgerReplica replica(loop, rpc, options, hooks);
+  BOOST_REQUIRE(replica.Start(&server));
+  loop.Run();
+  disk.fail_sync = true;
+  BOOST_REQUIRE(!Store(&replica));
+  const WatchHandle stop =
+      loop.After(Millis(1'200), [this](TimePoint) { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(replica.term() == 0U);
+  BOOST_TEST(replica.LeaderHost().empty());
+  BOOST_TEST(!replica.MayAct(loop.now()));
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
