--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -102,6 +102,7 @@
   if (Status opened = Open(false); !opened) {
     LogEvent(EventId::kStorageFailed, {{"error", opened.error().Text()}});
     opened_ = false;
+    NoteLeadership(loop_.now());
     reopen_ = loop_.After(kReopenPause, [this](TimePoint) { Reopen(); });
     return;
   }
