Bring a host for a long-running task that no worker has room for

Cause: a pool was compared with its demand in whole hosts. Three hosts of 16 cores with a task of 9 cores each counted as enough for a fourth task, for ever; and short tasks at work count neither as waiting nor as arriving, so a pool full of them counted as enough, too.

Evidence: AFragmentedPoolGetsAHostForALongRunningTask and APoolFullOfShortTasksGetsAHostForALongRunningTask failed before.

Why it works: each waiting long-running task is looked for room on the workers of its pool that take work; hosts are brought for those that find none. The test of the moves of a burst asks 5 ms after it again, before the rate allows another order: since the bound became a rate, 100 ms later was not strict.

--- a/src/scheduler/pool_balancer.cc
+++ b/src/scheduler/pool_balancer.cc
@@ -276,18 +276,15 @@
   for (const auto& [to, pool] : pools) {
     if (pool.standby)
       continue;
-    const auto waiting = static_cast<std::int64_t>(
-        std::ceil(pool.lasting_waiting.HostsOf(pool.host)));
-    std::int64_t needed =
-        std::min(missing.at(to), waiting - views_.at(to).arriving);
+    std::int64_t needed = pool.lasting_hosts - views_.at(to).arriving;
     for (; needed > 0 && OrderHostFor(to, &off, spare, decision); --needed)
       --missing.at(to);
   }
   for (const PoolName& to : ByCoverage()) {
     const PoolDemand& pool = pools.at(to);
     // Without a burst the free room may well hold what has arrived.
-    if (!views_.at(to).burst && pool.ready.HostsOf(pool.host) <= 0 &&
-        pool.lasting_waiting.HostsOf(pool.host) <= 0) {
+    if (!views_.at(to).burst && !pool.lasting_waits &&
+        pool.ready.HostsOf(pool.host) <= 0) {
       continue;
     }
     for (std::int64_t left = missing.at(to); left > 0 && budget_ >= 1; --left) {
--- a/src/scheduler/pool_demand.cc
+++ b/src/scheduler/pool_demand.cc
@@ -1,6 +1,8 @@
 #include "scheduler/pool_demand.h"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 #include "scheduler/task_planner.h"
 
@@ -41,6 +43,78 @@
   }
 }
 
+/// Finds room for waiting long-running tasks on the workers of a pool. A pool
+/// may have enough room in all and none for such a task.
+class LastingRoom {
+ public:
+  LastingRoom(const jobs::JobLedger& ledger,
+              const PoolName& pool,
+              const AskWorker& usable,
+              const std::set<jobs::WorkerLife>& held) {
+    for (const jobs::Worker* worker : ledger.WorkersOf(pool)) {
+      const jobs::WorkerNote& note = worker->note;
+      largest_.cpu_millis =
+          std::max(largest_.cpu_millis, note.capacity.cpu_millis);
+      largest_.memory_mb =
+          std::max(largest_.memory_mb, note.capacity.memory_mb);
+      largest_.accelerators =
+          std::max(largest_.accelerators, note.capacity.accelerators);
+      if (note.draining || held.count(note.life) > 0 || !usable(note.life))
+        continue;
+      Resources free = note.capacity;
+      free -= worker->used;
+      free_.emplace_back(note.life, free);
+    }
+  }
+
+  /// \returns hosts for the tasks of the step that find no room.
+  [[nodiscard]] std::int64_t HostsFor(const jobs::StepSpec& spec,
+                                      const jobs::Step& step) {
+    const Resources need = jobs::JobLedger::RoomOf(spec);
+    const std::int64_t most = spec.max_per_worker > 0
+                                  ? spec.max_per_worker
+                                  : std::numeric_limits<std::int64_t>::max();
+    std::map<jobs::WorkerLife, std::int64_t> present;
+    for (const jobs::Task& task : step.tasks) {
+      for (const jobs::Run& run : task.runs)
+        ++present[run.worker];
+    }
+    std::int64_t left = step.waiting();
+    for (auto& [life, free] : free_) {
+      std::int64_t& count = present[life];
+      for (; left > 0 && count < most && need.FitsInto(free); --left) {
+        free -= need;
+        ++count;
+      }
+    }
+    std::int64_t on_one = 0;
+    for (Resources room = largest_;
+         on_one < left && on_one < most && need.FitsInto(room); ++on_one) {
+      room -= need;
+    }
+    // A task that is larger than every host gets none.
+    return on_one == 0 ? 0 : (left + on_one - 1) / on_one;
+  }
+
+ private:
+  std::vector<std::pair<jobs::WorkerLife, Resources>> free_;
+  Resources largest_;
+};
+
+/// Calls `visit` for each step of long-running tasks that could start now.
+template <typename Visit>
+void VisitWaitingLasting(const jobs::Job& job, const Visit& visit) {
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const jobs::StepSpec& spec = job.spec->steps[s];
+      if (spec.long_running && occurrence.steps[s].waiting() > 0 &&
+          job.StepReady(occurrence, s)) {
+        visit(spec, occurrence.steps[s]);
+      }
+    }
+  }
+}
+
 /// Adds the demand of the open occurrences of one job.
 class JobDemand {
  public:
@@ -82,8 +156,6 @@
     const Resources room = jobs::JobLedger::RoomOf(spec);
     if (spec.long_running) {
       pool->lasting.Add(room, static_cast<double>(spec.tasks));
-      if (ready)
-        pool->lasting_waiting.Add(room, static_cast<double>(step.waiting()));
       return;
     }
     const double work_ms =
@@ -150,13 +222,24 @@
   for (const auto& [name, rule] : ledger.rules().pools)
     pools[name].standby = rule.standby;
   AddWorkers(ledger, usable, held, &pools);
+  std::map<PoolName, LastingRoom> rooms;
   for (const jobs::JobId& id : ledger.active()) {
     const jobs::Job* job = ledger.FindJob(id);
     const jobs::QueueRule* queue = ledger.rules().FindQueue(job->queue);
     if (queue == nullptr)
       continue;
-    if (const auto pool = pools.find(queue->pool); pool != pools.end())
-      JobDemand(options, *job, *queue, time_of_day).AddTo(&pool->second);
+    const auto pool = pools.find(queue->pool);
+    if (pool == pools.end())
+      continue;
+    JobDemand(options, *job, *queue, time_of_day).AddTo(&pool->second);
+    VisitWaitingLasting(
+        *job, [&](const jobs::StepSpec& spec, const jobs::Step& step) {
+          const auto room =
+              rooms.try_emplace(queue->pool, ledger, queue->pool, usable, held)
+                  .first;
+          pool->second.lasting_hosts += room->second.HostsFor(spec, step);
+          pool->second.lasting_waits = true;
+        });
   }
   return pools;
 }
--- a/src/scheduler/pool_demand.h
+++ b/src/scheduler/pool_demand.h
@@ -30,13 +30,15 @@
 
 /// \brief What a pool has and what its queues ask of it.
 struct PoolDemand {
-  bool standby = false;     ///< its hosts are off
-  std::int64_t hosts = 0;   ///< with a worker that can take work
-  Load host;                ///< the largest worker
-  Load capacity;            ///< of these hosts
-  Load used;                ///< of it by runs
-  Load lasting;             ///< by long-running tasks, started or not
-  Load lasting_waiting;     ///< by those of them that could start now
+  bool standby = false;        ///< its hosts are off
+  std::int64_t hosts = 0;      ///< with a worker that can take work
+  Load host;                   ///< the largest worker
+  Load capacity;               ///< of these hosts
+  Load used;                   ///< of it by runs
+  Load lasting;                ///< by long-running tasks, started or not
+  bool lasting_waits = false;  ///< one of them could start now
+  /// Hosts for those of them that no worker of the pool has room for now.
+  std::int64_t lasting_hosts = 0;
   Load arriving;            ///< needed for what arrives, as in the window
   Load ready;               ///< needed to run what waits, within the target
   Load blocked;             ///< needed later by steps that wait for others
--- a/tests/lasting_task_starvation_test.cc
+++ b/tests/lasting_task_starvation_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE lasting_task_starvation
 #include <boost/test/unit_test.hpp>
 
+#include <optional>
 #include <set>
 #include <string>
 
@@ -41,7 +42,11 @@
     builder.Apply(batch);
     AddHost("a0", "a");
     AddHost("p0", "p");
-    for (int i = 0; i < hosts_off; ++i) {
+    AddHostsOff(hosts_off);
+  }
+
+  void AddHostsOff(int count) {
+    for (int i = 0; i < count; ++i) {
       rows.push_back({HostName("off" + std::to_string(i)),
                       PoolName("off"),
                       HostState::kUp,
@@ -96,12 +101,16 @@
     };
     hooks.avoids = [&](const jobs::TaskName& task,
                        const jobs::WorkerLife& life) {
-      return task.job.str() == "waits" && failed_on.count(life.id.str()) > 0;
+      return task.job.str() == "waits" &&
+             (!failed_index || task.index == *failed_index) &&
+             failed_on.count(life.id.str()) > 0;
     };
     return TaskPlanner(TaskPlannerOptions{})
         .Plan(builder.ledger(), hooks, 1'000);
   }
 
+  /// Index of the tasks of "waits" that have failed; nothing: all.
+  std::optional<std::uint32_t> failed_index;
   LedgerBuilder builder;
   std::vector<HostRow> rows;
   HostBook book;
@@ -132,11 +141,48 @@
   BOOST_TEST(!burst.empty());
   world.builder.Submit("waits", {Lasting(1, 8'000)});
   std::size_t to_p = 0;
-  for (const HostMove& move : world.Balance(150))
+  // Too soon for the rate to allow another order.
+  for (const HostMove& move : world.Balance(55))
     to_p += move.to.str() == "p" ? 1 : 0;
   BOOST_TEST(to_p == 1U);
 }
 
+// Guards against a long-running task that no worker has room for, while the
+// pool as a whole has enough: no host came for it.
+BOOST_AUTO_TEST_CASE(AFragmentedPoolGetsAHostForALongRunningTask) {
+  Starvation world(0);
+  for (const char* host : {"p1", "p2"})
+    world.AddHost(host, "p");
+  world.builder.Submit("lasting", {Lasting(3, 9'000)});
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    world.builder.Start(LedgerBuilder::Run("lasting", 0, i),
+                        "w-p" + std::to_string(i));
+  }
+  BOOST_TEST(world.Balance(50).empty());
+  world.AddHostsOff(2);
+  world.builder.Submit("waits", {Lasting(1, 9'000)});
+  // The pool no longer asks for more hosts than its demand needs in all.
+  const auto moves = world.Balance(3'000);
+  BOOST_REQUIRE(moves.size() == 1U);
+  BOOST_TEST(moves[0].to.str() == "p");
+  // One host is enough while it is on its way.
+  BOOST_TEST(world.Balance(3'100).empty());
+}
+
+// Guards against a long-running task that waits behind tasks at work, which
+// count neither as waiting nor as arriving.
+BOOST_FIXTURE_TEST_CASE(APoolFullOfShortTasksGetsAHostForALongRunningTask,
+                        Starvation) {
+  for (const char* host : {"p1", "p2"})
+    AddHost(host, "p");
+  builder.Submit("short", {LedgerBuilder::Tasks(3, 16'000)});
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    builder.Start(LedgerBuilder::Run("short", 0, i), "w-p" + std::to_string(i));
+  }
+  builder.Submit("waits", {Lasting(1, 8'000)});
+  BOOST_TEST(Balance(1'800).size() == 1U);
+}
+
 // Guards against a long-running task that never starts again because it has
 // failed once on each worker of its pool.
 BOOST_FIXTURE_TEST_CASE(ALongRunningTaskReturnsToAWorkerThatItFailedOn,
@@ -154,7 +200,7 @@
 // fails all it starts, while another worker is full.
 BOOST_FIXTURE_TEST_CASE(AFailedTaskWaitsForAnotherWorker, Starvation) {
   AddHost("p1", "p");
-  builder.Submit("full", {Lasting(1, 16'000)})
+  builder.Submit("full", {LedgerBuilder::Tasks(1, 16'000)})
       .Start(LedgerBuilder::Run("full", 0, 0), "w-p1")
       .Submit("waits", {LedgerBuilder::Tasks(1, 8'000)});
   BOOST_TEST(Plan({"w-p0"}).empty());
