Let a long-running task start where it failed if no other worker has room

Cause: a worker on which a task had failed was passed over while any other worker of the pool was large enough, also one that is full of tasks that never end or has its share of the step. A task passed over so held back the rest of its step.

Evidence: ALongRunningTaskDoesNotWaitForAFullWorker, ALongRunningTaskDoesNotWaitForAWorkerWithItsShare and ATaskWithoutAWorkerDoesNotHoldItsStepBack failed before.

Why it works: a long-running task prefers workers that it has not failed on and takes another one if none of them has room now. Tasks with few attempts go on to wait; the others of their step no longer do.

--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -172,10 +172,14 @@
       if (starts_.size() >= options_.max_starts || !CustomerHasRoom(job, spec))
         return;
       const jobs::TaskName name{job.id, candidate.occurrence, s, i};
-      Seat* seat = Choose(candidate, name, row, per_worker);
+      bool avoided = false;
+      Seat* seat = Choose(candidate, name, row, per_worker, &avoided);
       if (seat == nullptr) {
         if (spec.long_running)
           KeepRoom(candidate, name, row, per_worker);
+        // The others of the step may start where this one has failed.
+        if (avoided)
+          continue;
         return;
       }
       Take(job, spec, seat);
@@ -269,8 +273,9 @@
     std::map<jobs::WorkerLife, std::int64_t> per_worker;
     for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
       const jobs::TaskName name{job.id, candidate.occurrence, s, i};
+      bool avoided = false;
       Seat* seat = CustomerHasRoom(job, spec)
-                       ? Choose(candidate, name, row, per_worker)
+                       ? Choose(candidate, name, row, per_worker, &avoided)
                        : nullptr;
       if (seat == nullptr) {
         usage_ = kept_usage;
@@ -324,17 +329,24 @@
   // Workers are filled one after the other, the ones with long-running tasks
   // first: hosts without runs can follow the demand or be switched off, and
   // large tasks find room. A step whose data belongs to a rack takes that rack
-  // first.
+  // first. A long-running task may be tried without end, so it takes a worker
+  // that it failed on where no other has room now; another task waits while its
+  // pool has any other worker that suits.
+  /// \param avoided whether a worker with room was passed over for that.
   [[nodiscard]] Seat* Choose(
       const Candidate& candidate,
       const jobs::TaskName& task,
       SeatRow* row,
-      const std::map<jobs::WorkerLife, std::int64_t>& per_worker) const {
+      const std::map<jobs::WorkerLife, std::int64_t>& per_worker,
+      bool* avoided) const {
     const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
     const Resources need = jobs::JobLedger::RoomOf(spec);
+    using Rank =
+        std::tuple<bool, std::int64_t, bool, std::int64_t, std::int64_t>;
     Seat* best = nullptr;
-    std::optional<bool> elsewhere;
-    std::tuple<bool, std::int64_t, bool, std::int64_t, std::int64_t> best_rank;
+    Rank best_rank;
+    Seat* failed = nullptr;  // the best of those that it failed on
+    Rank failed_rank;
     if (!need.FitsInto(row->most_free))
       return nullptr;
     bool fits = false;
@@ -348,25 +360,31 @@
       const bool near = spec.data_rack.empty() || spec.data_rack == note.rack;
       const std::int64_t company =
           spec.long_running && !spec.fills ? seat.lasting : 0;
-      const std::tuple rank(near, company, seat.occupied, -seat.free.cpu_millis,
-                            -seat.free.memory_mb);
+      const Rank rank(near, company, seat.occupied, -seat.free.cpu_millis,
+                      -seat.free.memory_mb);
       // The hooks are the costly part.
       if ((best != nullptr && rank <= best_rank) || AllowanceOf(seat) == 0)
         continue;
       if (candidate.queue->advised && !hooks_.is_advised(task, note.life))
         continue;
       if (hooks_.avoids(task, note.life)) {
-        if (!elsewhere)
-          elsewhere = MayGoElsewhere(candidate, task);
-        if (*elsewhere)
-          continue;
+        if (failed == nullptr || rank > failed_rank) {
+          failed = &seat;
+          failed_rank = rank;
+        }
+        continue;
       }
       best = &seat;
       best_rank = rank;
     }
     if (!fits)
       NoteMostFree(row);
-    return best;
+    if (best != nullptr || failed == nullptr)
+      return best;
+    if (spec.long_running || !MayGoElsewhere(candidate, task))
+      return failed;
+    *avoided = true;
+    return nullptr;
   }
 
   [[nodiscard]] static bool HasLabel(const jobs::WorkerNote& note,
--- a/tests/lasting_task_starvation_test.cc
+++ b/tests/lasting_task_starvation_test.cc
@@ -183,6 +183,45 @@
   BOOST_TEST(Balance(1'800).size() == 1U);
 }
 
+// Guards against one task of a step that holds the others back although they
+// may start where it has failed.
+BOOST_FIXTURE_TEST_CASE(ATaskWithoutAWorkerDoesNotHoldItsStepBack, Starvation) {
+  AddHost("p1", "p");
+  builder.Submit("full", {Lasting(1, 16'000)})
+      .Start(LedgerBuilder::Run("full", 0, 0), "w-p1")
+      .Submit("waits", {LedgerBuilder::Tasks(3, 1'000)});
+  failed_index = 0;
+  const auto starts = Plan({"w-p0"});
+  BOOST_REQUIRE(starts.size() == 2U);
+  BOOST_TEST(starts[0].run.task.index == 1U);
+  BOOST_TEST(starts[1].run.task.index == 2U);
+}
+
+// Guards against a long-running task that waits for a worker which is full of
+// tasks that never end, or has as many of its step as it may.
+BOOST_FIXTURE_TEST_CASE(ALongRunningTaskDoesNotWaitForAFullWorker, Starvation) {
+  AddHost("p1", "p");
+  builder.Submit("full", {Lasting(1, 16'000)})
+      .Start(LedgerBuilder::Run("full", 0, 0), "w-p1")
+      .Submit("waits", {Lasting(1, 8'000)});
+  const auto starts = Plan({"w-p0"});
+  BOOST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts[0].worker.id.str() == "w-p0");
+}
+
+// Guards against the same where the other worker has its part of the step.
+BOOST_FIXTURE_TEST_CASE(ALongRunningTaskDoesNotWaitForAWorkerWithItsShare,
+                        Starvation) {
+  AddHost("p1", "p");
+  jobs::StepSpec step = Lasting(2, 1'000);
+  step.max_per_worker = 1;
+  builder.Submit("waits", {step})
+      .Start(LedgerBuilder::Run("waits", 0, 0), "w-p1");
+  const auto starts = Plan({"w-p0"});
+  BOOST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts[0].worker.id.str() == "w-p0");
+}
+
 // Guards against a long-running task that never starts again because it has
 // failed once on each worker of its pool.
 BOOST_FIXTURE_TEST_CASE(ALongRunningTaskReturnsToAWorkerThatItFailedOn,
