--- a/bench/plumbing_main.cc
+++ b/bench/plumbing_main.cc
@@ -226,7 +226,7 @@
       std::exit(1);
   }
   HttpClient client(loop, {});
-  const auto send = [&](int call, std::function<void()> done) {
+  const auto send = [&](int call, const std::function<void()>& done) {
     HttpCall http;
     http.method = "POST";
     http.url = "http://" + servers[call % kServers]->address() + "/-/run-start";
@@ -270,7 +270,7 @@
   reply.kind = raft::MessageKind::kAppendReply;
   reply.entries.clear();
   const auto call = [&](const raft::Message& message) {
-    return [&](int, std::function<void()> done) {
+    return [&](int, const std::function<void()>& done) {
       client.Call(server.address(), "raft.step", raft::ToJson(message),
                   Millis(1'000), [done](const Result<Json>&) { done(); });
     };
