--- a/src/scheduler/job_desk.cc
+++ b/src/scheduler/job_desk.cc
@@ -102,13 +102,11 @@
     }
     if (!spec || !IsJobId(place.rest)) {
       answer.verdict = DeskVerdict::kInvalid;
-    } else if (replica_.ledger().active().size() >= kMaxActiveJobs) {
-      answer.verdict = DeskVerdict::kOverloaded;
-      answer.retry_after = kRetryOverloaded;
-    } else if (WaitsForOthers(spec.value()) &&
-               !gate_.Admits(place.queue->name,
-                             replica_.ledger().LoadOf(place.queue->name),
-                             now)) {
+    } else if (replica_.ledger().active().size() >= kMaxActiveJobs ||
+               (WaitsForOthers(spec.value()) &&
+                !gate_.Admits(place.queue->name,
+                              replica_.ledger().LoadOf(place.queue->name),
+                              now))) {
       answer.verdict = DeskVerdict::kOverloaded;
       answer.retry_after = kRetryOverloaded;
     }
