Answer open requests before a gateway stops

A planned stop also cut requests off.

Cause: a stopping gateway takes requests for 2.5 s and ends 2.5 s later, while a request waits up to 3 s for a leader. Those that were still open were closed without an answer, and the bytes of a try that a cut had held up reached the leader when it ended. The caller's next try, at another gateway, had no time left and was refused.

Why it works: no try begins in the last second of a stop, so every open request gets its answer before the end, 504 where a leader may have seen it. Without the bound the new case of relay_test goes on trying.

--- a/src/scheduler/gateway_service.cc
+++ b/src/scheduler/gateway_service.cc
@@ -13,6 +13,8 @@
 constexpr Millis kRefreshInterval{1'000};
 constexpr Millis kLeaderSilence{3'000};
 constexpr Millis kStopTick{50};
+/// Time for the last answers of a stopping host to be written.
+constexpr Millis kStopAnswerTime{100};
 constexpr std::size_t kMaxBodyBytes = 512UL * 1024;
 /// Requests that wait for the leader; more are refused at once.
 constexpr std::size_t kMaxOpenRequests = 2'000;
@@ -91,6 +93,10 @@
   stopped_ = done;
   stop_accepting_at_ = now + options_.stop_ready_wait;
   stop_until_ = stop_accepting_at_ + options_.stop_open_wait;
+  // Without an answer the caller can't know whether a try, whose bytes may
+  // still be on their way to a leader, was taken.
+  relay_->StopTriesAt(stop_until_ - options_.relay.try_timeout -
+                      kStopAnswerTime);
   stop_tick_ =
       loop_->Every(kStopTick, [this](TimePoint at) { StopWhenQuiet(at); });
 }
--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -130,11 +130,12 @@
 
 void RelayClient::Try(const std::shared_ptr<Pending>& pending) {
   const TimePoint now = loop_.now();
+  const TimePoint deadline = std::min(pending->deadline, no_tries_from_);
   const std::string host = NextHost();
   const bool hopeless =
       now - heard_ > options_.leader_silence && pending->tries >= hosts_.size();
   ++pending->tries;
-  if (now >= pending->deadline || host.empty() || hopeless) {
+  if (now >= deadline || host.empty() || hopeless) {
     HttpResponse response;
     response.status = pending->maybe_seen ? 504 : 503;
     response.body = R"({"error":"unavailable","detail":"no leader answers"})";
--- a/src/scheduler/relay.h
+++ b/src/scheduler/relay.h
@@ -62,6 +62,9 @@
   void Send(const RelayedRequest& request,
             TimePoint deadline,
             const Respond& done);
+  /// \brief Lets no request, open or new, try again from `at` on. A try that is
+  /// under way then ends within Options::try_timeout.
+  void StopTriesAt(TimePoint at) { no_tries_from_ = at; }
   /// \brief Notes the leader as the caller knows it; empty: unknown.
   void SetLeader(const std::string& host) { leader_ = host; }
   /// \brief Asks a host for the members and the leader.
@@ -85,6 +88,7 @@
   std::string leader_;
   std::size_t next_ = 0;
   TimePoint heard_;
+  TimePoint no_tries_from_ = TimePoint::max();
 };
 
 /// \brief Answers relayed requests at a scheduler host.
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -47,6 +47,8 @@
     options.try_timeout = Millis(200);
     options.port = port.empty() ? server.address().substr(10) : port;
     RelayClient relay(loop, rpc, options);
+    if (stops_tries)
+      relay.StopTriesAt(loop.now() + Millis(100));
     RelayedRequest request;
     request.http.method = method;
     request.http.path = "/q/1";
@@ -72,6 +74,7 @@
       }};
   std::unique_ptr<RelayServer> relay_server;
   bool leads = true;
+  bool stops_tries = false;  ///< the client's host stops 100 ms later
   bool loses_leadership = false;
   std::vector<std::string> hosts = {"127.0.0.1"};  ///< that the client asks
   int served = 0;
@@ -135,5 +138,17 @@
   BOOST_TEST(Ask("GET").status == 404);
 }
 
+// Guards against a stopping host that closes requests without an answer: bytes
+// of a try may still reach a leader, while the caller's next try is refused.
+BOOST_FIXTURE_TEST_CASE(AStoppingHostAnswersWhatIsOpen, Fixture) {
+  stops_tries = true;
+  unanswered = 1'000;
+  BOOST_TEST(Ask().status == 504);
+  BOOST_TEST(served == 1);
+  // Nobody was asked who could have stored it.
+  leads = false;
+  BOOST_TEST(Ask().status == 503);
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
