--- a/soak/fault_schedule.cc
+++ b/soak/fault_schedule.cc
@@ -128,7 +128,7 @@
   for (Millis at{0}; at < time;
        at += Millis(drawing.Between(50, kLongestGap.count()))) {
     const KindRule& rule = drawing.Kind();
-    // The installation bears the loss of one disk.
+    // The deployment bears the loss of one disk.
     if (rule.kind == FaultKind::kLoseDisk && std::exchange(disk_lost, true))
       continue;
     Fault fault;
--- a/src/entry/entry_service.cc
+++ b/src/entry/entry_service.cc
@@ -152,7 +152,7 @@
       quiet && (control_->retired() || now - quiet_since_ > kRetireWait);
   if (finished || now >= stop_until_) {
     CheckInvariant(Invariant::kPlannedStop, quiet,
-                   "the stop reached its time limit with requests open");
+                   "the stop reached its deadline with requests open");
     tick_.reset();
     std::exchange(stopped_, nullptr)();
   }
--- a/src/net/rpc_server.h
+++ b/src/net/rpc_server.h
@@ -25,7 +25,7 @@
 /// leaves a placeholder which is replaced when its reply comes.
 class RpcServer {
  public:
-  /// \param secret shared by the processes of an installation; calls without
+  /// \param secret shared by the processes of a deployment; calls without
   /// it are refused.
   explicit RpcServer(const std::string& secret);
   RpcServer(const RpcServer&) = delete;
@@ -43,7 +43,7 @@
   std::unique_ptr<Impl> impl_;
 };
 
-/// Header with the installation's shared secret.
+/// Header with the deployment's shared secret.
 inline constexpr char kClusterSecretHeader[] = "x-boragewinch-cluster";
 
 }  // namespace boragewinch
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -44,7 +44,7 @@
   std::size_t voters = 0;
   Millis replace_after{2'000};
   /// Whether this replica may form a new cluster with `hosts`. Set only at the
-  /// first start of an installation: replicas that have all lost their folders
+  /// first start of a deployment: replicas that have all lost their folders
   /// must not start again from nothing.
   bool may_form = true;
   /// Whether hosts that are not in `hosts` may join.
--- a/src/scheduler/worker_call_router.h
+++ b/src/scheduler/worker_call_router.h
@@ -81,7 +81,7 @@
                        Millis timeout,
                        std::function<void(Result<Json>)> done)>
         exchange;
-    /// \returns the other hosts of the installation.
+    /// \returns the other hosts of the deployment.
     std::function<std::vector<std::string>()> hosts;
     /// Asks for a call of Flush at the end of this turn of the event loop.
     std::function<void()> flush_soon;
--- a/tests/upgrade_process_test.cc
+++ b/tests/upgrade_process_test.cc
@@ -157,7 +157,7 @@
 }
 
 // Guards against a stop without a backup that ends before its requests have,
-// although its time limit is not reached.
+// although its deadline is not reached.
 BOOST_FIXTURE_TEST_CASE(StopWithoutBackupWaitsForItsRequests, OneEntry) {
   ProcessFleet fleet(Shape(60'000));
   const std::string ticket = Started(fleet, 2'000);
