--- a/bench/scheduler_main.cc
+++ b/bench/scheduler_main.cc
@@ -310,7 +310,7 @@
 void Simulation::Decide() {
   const TimePoint now = begun_ + Millis(now_);
   scheduler::PlannerHooks hooks;
-  hooks.allowance = [&](const WorkerLife& life) -> std::size_t {
+  hooks.start_limit = [&](const WorkerLife& life) -> std::size_t {
     return links_.count(life) > 0 || links_.empty() ? 1'000 : 0;
   };
   hooks.is_advised = [](const jobs::TaskName&, const WorkerLife&) {
--- a/src/scheduler/pool_demand.cc
+++ b/src/scheduler/pool_demand.cc
@@ -32,8 +32,6 @@
       const jobs::WorkerLife& life = worker->note.life;
       if (!usable(life))
         continue;
-      pool.capacity += size;
-      pool.used.Add(worker->used, 1);
       ++pool.hosts;
       if (worker->runs.empty() && held.count(life) == 0 &&
           !worker->note.host.empty()) {
--- a/src/scheduler/pool_demand.h
+++ b/src/scheduler/pool_demand.h
@@ -33,8 +33,6 @@
   bool standby = false;        ///< its hosts are off
   std::int64_t hosts = 0;      ///< with a worker that can take work
   Load host;                   ///< the largest worker
-  Load capacity;               ///< of these hosts
-  Load used;                   ///< of it by runs
   Load lasting;                ///< by long-running tasks, started or not
   bool lasting_waits = false;  ///< one of them could start now
   /// Hosts for those of them that no worker of the pool has room for now.
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -178,8 +178,8 @@
   OpenDue(batch, time_of_day);
   const std::set<jobs::WorkerLife> reserved = hosts_->Reserved();
   PlannerHooks hooks;
-  hooks.allowance = [&](const jobs::WorkerLife& life) -> std::size_t {
-    return reserved.count(life) > 0 ? 0 : fleet_->AllowanceOf(life, now);
+  hooks.start_limit = [&](const jobs::WorkerLife& life) -> std::size_t {
+    return reserved.count(life) > 0 ? 0 : fleet_->StartLimitOf(life, now);
   };
   hooks.is_advised = [&](const jobs::TaskName& task,
                          const jobs::WorkerLife& life) {
@@ -204,7 +204,7 @@
   const auto questions = advice_->Decide(
       replica_->ledger(),
       [&](const jobs::WorkerLife& life) {
-        return fleet_->AllowanceOf(life, now) > 0;
+        return fleet_->StartLimitOf(life, now) > 0;
       },
       now);
   for (const AdviceBook::Question& question : questions) {
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -24,10 +24,10 @@
   const jobs::Worker* worker = nullptr;
   Resources free;
   /// Tasks that may start on it now; asked for when a task would fit.
-  mutable std::optional<std::size_t> allowance;
+  mutable std::optional<std::size_t> start_limit;
   std::int64_t lasting = 0;  ///< long-running tasks on it
   bool occupied = false;
-  bool used_up = false;  ///< this plan has used its allowance
+  bool used_up = false;  ///< this plan has used its start_limit
   bool kept = false;     ///< its free room is kept for a task that waits for it
 };
 
@@ -138,10 +138,10 @@
     row->most_free = most;
   }
 
-  [[nodiscard]] std::size_t& AllowanceOf(const Seat& seat) const {
-    if (!seat.allowance)
-      seat.allowance = hooks_.allowance(seat.worker->note.life);
-    return *seat.allowance;
+  [[nodiscard]] std::size_t& StartLimitOf(const Seat& seat) const {
+    if (!seat.start_limit)
+      seat.start_limit = hooks_.start_limit(seat.worker->note.life);
+    return *seat.start_limit;
   }
 
   void PlaceJob(const Candidate& candidate) {
@@ -201,7 +201,7 @@
     for (Seat& seat : row->seats) {
       // A worker that took nothing when the plan began is not kept; one that
       // this plan has filled up may be.
-      const bool takes = seat.used_up || AllowanceOf(seat) > 0;
+      const bool takes = seat.used_up || StartLimitOf(seat) > 0;
       if (!takes || seat.kept || !MayHold(spec, seat, per_worker) ||
           !jobs::JobLedger::RoomOf(spec).FitsInto(seat.worker->note.capacity) ||
           (elsewhere && hooks_.avoids(task, seat.worker->note.life))) {
@@ -245,7 +245,7 @@
       return row != rows_.end() &&
              std::any_of(row->second.seats.begin(), row->second.seats.end(),
                          [&](const Seat& seat) {
-                           return (seat.used_up || AllowanceOf(seat) > 0) &&
+                           return (seat.used_up || StartLimitOf(seat) > 0) &&
                                   suits(seat.worker->note);
                          });
     }
@@ -363,7 +363,7 @@
       const Rank rank(near, company, seat.occupied, -seat.free.cpu_millis,
                       -seat.free.memory_mb);
       // The hooks are the costly part.
-      if ((best != nullptr && rank <= best_rank) || AllowanceOf(seat) == 0)
+      if ((best != nullptr && rank <= best_rank) || StartLimitOf(seat) == 0)
         continue;
       if (candidate.queue->advised && !hooks_.is_advised(task, note.life))
         continue;
@@ -397,7 +397,7 @@
     seat->free -= jobs::JobLedger::RoomOf(spec);
     seat->lasting += spec.long_running ? 1 : 0;
     seat->occupied = true;
-    seat->used_up = --AllowanceOf(*seat) == 0;
+    seat->used_up = --StartLimitOf(*seat) == 0;
     Usage(job.customer) += spec.request;
   }
 
--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -21,7 +21,7 @@
 struct PlannerHooks {
   /// \returns how many tasks may start on the worker now: none on a silent one,
   /// one on a worker that has failed lately.
-  std::function<std::size_t(const jobs::WorkerLife&)> allowance;
+  std::function<std::size_t(const jobs::WorkerLife&)> start_limit;
   /// Whether a task of a queue with advice may run on the worker now.
   std::function<bool(const jobs::TaskName&, const jobs::WorkerLife&)>
       is_advised;
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -195,8 +195,8 @@
   NoteEnds(std::move(ends), now);
 }
 
-std::size_t WorkerFleet::AllowanceOf(const jobs::WorkerLife& life,
-                                     TimePoint now) const {
+std::size_t WorkerFleet::StartLimitOf(const jobs::WorkerLife& life,
+                                      TimePoint now) const {
   const auto contact = contacts_.find(life);
   if (contact == contacts_.end() || !contact->second.link.Reachable(now))
     return 0;
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -41,8 +41,8 @@
   void Tick(TimePoint now);
 
   /// \returns how many tasks may start on the worker now.
-  [[nodiscard]] std::size_t AllowanceOf(const jobs::WorkerLife& life,
-                                        TimePoint now) const;
+  [[nodiscard]] std::size_t StartLimitOf(const jobs::WorkerLife& life,
+                                         TimePoint now) const;
   /// \returns whether the task has failed on the worker.
   [[nodiscard]] bool HasFailedOn(const jobs::TaskName& task,
                                  const jobs::WorkerLife& life) const;
--- a/tests/lasting_task_starvation_test.cc
+++ b/tests/lasting_task_starvation_test.cc
@@ -93,7 +93,7 @@
       const std::set<std::string>& failed_on,
       const std::set<std::string>& set_aside = {}) {
     PlannerHooks hooks;
-    hooks.allowance = [&](const jobs::WorkerLife& life) -> std::size_t {
+    hooks.start_limit = [&](const jobs::WorkerLife& life) -> std::size_t {
       return set_aside.count(life.id.str()) > 0 ? 0 : 1'000;
     };
     hooks.is_advised = [](const jobs::TaskName&, const jobs::WorkerLife&) {
--- a/tests/task_planner_test.cc
+++ b/tests/task_planner_test.cc
@@ -13,7 +13,7 @@
 
 [[nodiscard]] PlannerHooks AllMayStart() {
   PlannerHooks hooks;
-  hooks.allowance = [](const jobs::WorkerLife&) -> std::size_t {
+  hooks.start_limit = [](const jobs::WorkerLife&) -> std::size_t {
     return 1'000;
   };
   hooks.is_advised = [](const jobs::TaskName&, const jobs::WorkerLife& life) {
@@ -203,7 +203,7 @@
   builder.AddWorker("sick").AddWorker("sound", {3'000, 32'000, 0});
   builder.Submit("job", {LedgerBuilder::Tasks(8)});
   PlannerHooks hooks = AllMayStart();
-  hooks.allowance = [](const jobs::WorkerLife& life) -> std::size_t {
+  hooks.start_limit = [](const jobs::WorkerLife& life) -> std::size_t {
     return life.id.str() == "sick" ? 1 : 1'000;
   };
   std::map<std::string, int> by_worker;
