--- /dev/null
+++ b/src/raft/replica_members.cc
@@ -0,0 +1,217 @@
+#include "raft/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/hash.h"
+
+// Forming a cluster, joining one, and the members that a leader keeps.
+namespace boragewinch::raft {
+
+namespace {
+
+/// The entry that forms a cluster; every first member stores the same one.
+constexpr std::uint64_t kFormTerm = 1;
+
+}  // namespace
+
+void Replica::SendJoin(const ReplicaId& to, const std::string& host) {
+  Message message;
+  message.kind = MessageKind::kJoin;
+  message.from = id_;
+  message.to = to;
+  message.cluster = hard_.cluster;
+  message.boots = hard_.boots;
+  message.session = session_;
+  hooks_.send(host, message);
+}
+
+void Replica::HandleJoin(const Message& message, TimePoint now) {
+  const std::string host = HostOf(message.from);
+  const bool known =
+      options_.admit_any_host ||
+      std::binary_search(options_.hosts.begin(), options_.hosts.end(), host);
+  if (host == options_.host || !known)
+    return;
+  if (!message.cluster.empty() && message.cluster != hard_.cluster)
+    return;
+  if (hard_.cluster.empty()) {
+    // Only an answer to this replica's own question shows that the other one
+    // has no cluster now.
+    if (message.to == id_)
+      joining_[host] = {message.from, now};
+    else
+      SendJoin(message.from, host);
+    return;
+  }
+  const RaftLog& log = node_->log();
+  if (configuration().IsVoter(message.from) && message.cluster.empty() &&
+      log.base_index() == 0 && log.last_index() > 0) {
+    // The message that formed the cluster was lost.
+    Message form;
+    form.kind = MessageKind::kForm;
+    form.to = message.from;
+    form.term = kFormTerm;
+    form.entries = {log.At(1)};
+    Send(std::move(form));
+  } else {
+    joining_[host] = {message.from, now};
+  }
+}
+
+// A cluster is formed only when every host has just answered that it has none,
+// so a replica that has lost its folder can't form a second one while any
+// member of the first still runs.
+void Replica::MaybeForm(TimePoint now) {
+  if (!hard_.cluster.empty() || !options_.may_form || options_.hosts.empty() ||
+      options_.hosts.front() != options_.host) {
+    return;
+  }
+  Configuration members;
+  members.voters.insert(id_);
+  for (const auto& [host, joining] : joining_) {
+    if (now - joining.at <= 2 * options_.join_interval)
+      members.voters.insert(joining.id);
+  }
+  if (members.voters.size() != options_.hosts.size())
+    return;
+  const Entry entry{kFormTerm, EntryKind::kConfiguration,
+                    WriteJson(ToJson(members))};
+  if (Status formed = FormCluster(Hex64(random_()), entry, now); !formed) {
+    Stop(formed.error());
+    return;
+  }
+  joining_.clear();
+  for (const ReplicaId& id : members.voters) {
+    if (id == id_)
+      continue;
+    Message form;
+    form.kind = MessageKind::kForm;
+    form.to = id;
+    form.term = kFormTerm;
+    form.entries = {entry};
+    Send(std::move(form));
+  }
+}
+
+Status Replica::HandleForm(const Message& message, TimePoint now) {
+  if (!hard_.cluster.empty())
+    return Ok();
+  if (message.entries.size() != 1 || message.entries[0].term != kFormTerm ||
+      message.entries[0].kind != EntryKind::kConfiguration) {
+    return Fail(ErrorCode::kProtocol, "a form message without members");
+  }
+  BW_TRY(const Json json, ParseJson(message.entries[0].data));
+  BW_TRY(const Configuration members, ConfigurationFromJson(json));
+  if (!members.IsVoter(id_)) {
+    return Fail(ErrorCode::kConflict,
+                "the cluster being formed does not contain " + id_.str());
+  }
+  if (Status formed = FormCluster(message.cluster, message.entries[0], now);
+      !formed) {
+    Stop(formed.error());
+    return formed;
+  }
+  joining_.clear();
+  return Ok();
+}
+
+Status Replica::FormCluster(const std::string& cluster,
+                            const Entry& members,
+                            TimePoint now) {
+  // The identity goes last: until it names the cluster, the log does not count.
+  BW_CHECK(log_.Append(EncodeEntry(members)));
+  BW_CHECK(log_.Sync());
+  hard_.cluster = cluster;
+  hard_.term = kFormTerm;
+  hard_.has_log = true;
+  hard_.member = true;
+  BW_CHECK(identity_.Write(hard_));
+  NodeState state;
+  state.term = kFormTerm;
+  state.snapshot = std::make_shared<const Snapshot>();
+  state.entries = {members};
+  node_ = std::make_unique<Node>(id_, options_.node, random_, state, now);
+  return Ok();
+}
+
+bool Replica::MayPromote(const ReplicaId& learner, TimePoint now) const {
+  const Configuration members = configuration();
+  if (options_.voters == 0 || members.voters.size() < options_.voters)
+    return true;
+  // More voters than wanted are allowed only until the silent one is demoted.
+  if (members.voters.size() > options_.voters)
+    return false;
+  return std::any_of(members.voters.begin(), members.voters.end(),
+                     [&](const ReplicaId& voter) {
+                       const Millis silent = node_->SilentFor(voter, now);
+                       return silent >= options_.replace_after ||
+                              (HostOf(voter) == HostOf(learner) &&
+                               !node_->IsInContact(voter, now));
+                     });
+}
+
+// One due change at a time. The new replica of a host becomes a voter before
+// the lost one is removed, so the majority never gets smaller than before.
+void Replica::ManageMembers(TimePoint now) {
+  if (node_->change_pending())
+    return;
+  const Configuration members = configuration();
+  const auto change = [&](MemberChange kind, const ReplicaId& id) {
+    // A refusal is met again at the next interval.
+    const auto index = node_->Change(kind, id, now);
+    if (index && kind == MemberChange::kAddLearner) {
+      LogEvent(EventId::kReplicaRejoined,
+               {{"replica", id.str()}, {"index", index.value()}});
+    }
+    return index.has_value();
+  };
+  for (const ReplicaId& id : members.voters) {
+    if (id != id_ && regressed_.count(id) > 0 &&
+        change(MemberChange::kDemote, id)) {
+      return;
+    }
+  }
+  for (const ReplicaId& id : members.learners) {
+    if (members.retired.count(id) == 0 && node_->IsCaughtUp(id, now) &&
+        MayPromote(id, now) && change(MemberChange::kPromote, id)) {
+      return;
+    }
+  }
+  const auto replaced = [&](const ReplicaId& id, const ReplicaId& other) {
+    return id != other && HostOf(id) == HostOf(other) &&
+           node_->IsInContact(other, now) &&
+           (members.IsVoter(other) || !members.IsVoter(id));
+  };
+  for (const auto* ids : {&members.voters, &members.learners}) {
+    for (const ReplicaId& id : *ids) {
+      if (node_->IsInContact(id, now))
+        continue;
+      for (const auto* others : {&members.voters, &members.learners}) {
+        for (const ReplicaId& other : *others) {
+          if (replaced(id, other) && change(MemberChange::kRemove, id))
+            return;
+        }
+      }
+    }
+  }
+  // A host that is gone for good is no voter for ever: its place in the
+  // majority goes to the member that was promoted for it.
+  for (const ReplicaId& id : members.voters) {
+    if (options_.voters > 0 && members.voters.size() > options_.voters &&
+        id != id_ && node_->SilentFor(id, now) >= options_.replace_after &&
+        change(MemberChange::kDemote, id)) {
+      return;
+    }
+  }
+  for (const auto& [host, joining] : joining_) {
+    if (now - joining.at <= 2 * options_.join_interval &&
+        !members.IsMember(joining.id) &&
+        change(MemberChange::kAddLearner, joining.id)) {
+      return;
+    }
+  }
+}
+
+}  // namespace boragewinch::raft
