--- a/bench/entry_bench_main.cc
+++ b/bench/entry_bench_main.cc
@@ -15,6 +15,7 @@
 #include "base/event_log.h"
 #include "base/hash.h"
 #include "base/secret.h"
+#include "fixture_error.h"
 #include "net/http_server.h"
 #include "process_fleet.h"
 
@@ -63,7 +64,7 @@
               Serve(request, respond);
             }) {
     if (!server_.Listen("127.0.0.1:0"))
-      throw std::runtime_error("the bench can't listen");
+      throw FixtureError(ErrorCode::kUnavailable, "the bench can't listen");
   }
 
   [[nodiscard]] const std::string& address() const { return server_.address(); }
--- a/tests/child_process.cc
+++ b/tests/child_process.cc
@@ -9,7 +9,8 @@
 
 #include <csignal>
 #include <random>
-#include <stdexcept>
+
+#include "fixture_error.h"
 
 namespace boragewinch {
 
@@ -30,7 +31,7 @@
     if (is_free)
       return "127.0.0.1:" + std::to_string(port);
   }
-  throw std::runtime_error("no free port");
+  throw FixtureError(ErrorCode::kUnavailable, "no free port");
 }
 
 ChildProcess::~ChildProcess() {
@@ -46,7 +47,8 @@
   pointers.push_back(nullptr);
   const pid_t pid = fork();
   if (pid < 0)
-    throw std::runtime_error("can't start " + arguments.front());
+    throw FixtureError(ErrorCode::kUnavailable,
+                       "can't start " + arguments.front());
   if (pid == 0) {
     // A child must not outlive a test that is ended from outside.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
--- a/tests/cut_relay.cc
+++ b/tests/cut_relay.cc
@@ -9,10 +9,11 @@
 
 #include <algorithm>
 #include <cerrno>
-#include <stdexcept>
 #include <utility>
 #include <vector>
 
+#include "fixture_error.h"
+
 namespace boragewinch {
 
 namespace {
@@ -49,7 +50,7 @@
   auto* generic = reinterpret_cast<sockaddr*>(&endpoint);
   if (bind(listener_, generic, size) != 0 || listen(listener_, 512) != 0 ||
       getsockname(listener_, generic, &size) != 0)
-    throw std::runtime_error("the relay can't listen");
+    throw FixtureError(ErrorCode::kUnavailable, "the relay can't listen");
   address_ = listen_address.substr(0, listen_address.rfind(':') + 1) +
              std::to_string(ntohs(endpoint.sin_port));
   thread_ = std::thread([this] { Run(); });
--- a/tests/fleet_calls.cc
+++ b/tests/fleet_calls.cc
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <fstream>
 #include <sstream>
-#include <stdexcept>
 
 #include "base/hash.h"
 #include "base/secret.h"
+#include "fixture_error.h"
 #include "kernel/event_loop.h"
 #include "process_fleet.h"
 
@@ -178,7 +178,8 @@
                               Operation(RandomHex64(), Version(), command));
   if (reply.status != 200 ||
       !InForce(reply.json()["version"].asInt64(), kStartLimit))
-    throw std::runtime_error("no key " + id + ": " + reply.body);
+    throw FixtureError(ErrorCode::kConflict,
+                       "no key " + id + ": " + reply.body);
   return id + "." + secret;
 }
 
@@ -195,16 +196,17 @@
         [this](const auto& name) { return Status(name)["fresh"].asBool(); });
   };
   if (!Eventually(kStartLimit, fresh))
-    throw std::runtime_error("the entry hosts did not become ready");
+    throw FixtureError(ErrorCode::kTimeout,
+                       "the entry hosts did not become ready");
   if (const Reply reply = ApplySheet(shape_.limit, false); reply.status != 200)
-    throw std::runtime_error("sheet: " + reply.body);
+    throw FixtureError(ErrorCode::kInvalidSheet, "sheet: " + reply.body);
   (void)CreateKey("k1", "t1");
   (void)CreateKey("k2", "t2");
   // Every worker has acknowledged its pool before the first job.
   for (const std::string& name : entry_names_) {
     const auto runs = [&] { return RunJob(name) == "finished"; };
     if (!Eventually(kStartLimit, runs))
-      throw std::runtime_error("no job runs through " + name);
+      throw FixtureError(ErrorCode::kTimeout, "no job runs through " + name);
   }
 }
 
--- a/tests/platform_world.cc
+++ b/tests/platform_world.cc
@@ -6,9 +6,10 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
-#include <stdexcept>
 #include <utility>
 
+#include "fixture_error.h"
+
 namespace boragewinch::platform {
 
 namespace {
@@ -35,7 +36,7 @@
 }
 
 // Loopback addresses that no earlier world of this machine is likely to use:
-// the ports are the same on all hosts of an installation.
+// the ports are the same on all hosts of a deployment.
 [[nodiscard]] std::string DrawNetwork() {
   std::random_device random;
   return "127." + std::to_string(16 + random() % 200) + "." +
@@ -57,7 +58,7 @@
     folder_ = (std::filesystem::temp_directory_path() / "boragewinch-XXXXXX")
                   .string();
     if (mkdtemp(folder_.data()) == nullptr)
-      throw std::runtime_error("no temporary folder");
+      throw FixtureError(ErrorCode::kStorageWrite, "no temporary folder");
     keep_folder_ = std::getenv("PROCESS_FLEET_KEEP") != nullptr;
   }
   const std::string network = DrawNetwork();
@@ -80,7 +81,8 @@
   hosts_ =
       std::make_unique<FakeHosts>(loop_, client_, checker_, std::move(hosts));
   if (!hosts_->Start())
-    throw std::runtime_error("the stand-in hosts can't listen");
+    throw FixtureError(ErrorCode::kUnavailable,
+                       "the stand-in hosts can't listen");
   DefineSchedulers(network);
   DefineGateways(network);
   FakeCallersConfig callers = shape_.callers;
--- a/tests/process_fleet.cc
+++ b/tests/process_fleet.cc
@@ -6,7 +6,8 @@
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
-#include <stdexcept>
+
+#include "fixture_error.h"
 
 namespace boragewinch {
 
@@ -30,7 +31,7 @@
   std::string name =
       (std::filesystem::temp_directory_path() / "boragewinch-XXXXXX").string();
   if (mkdtemp(name.data()) == nullptr)
-    throw std::runtime_error("no temporary folder");
+    throw FixtureError(ErrorCode::kStorageWrite, "no temporary folder");
   folder_ = name;
   Define("platform",
          {"fake-platform", "--reboot-ms=" + std::to_string(shape_.reboot_ms)});
