--- a/bench/scheduler_main.cc
+++ b/bench/scheduler_main.cc
@@ -297,7 +297,7 @@
   std::map<WorkerLife, std::int64_t> listed_;
   std::map<WorkerLife, scheduler::WorkerLink> links_;
   scheduler::AdviceBook advice_{scheduler::AdviceOptions{}};
-  std::set<std::pair<TimePoint, WorkerLife>> looks_;
+  std::set<std::pair<TimePoint, WorkerLife>> checks_;
   std::map<std::string, Part> parts_;
   double owed_ = 0;
   double announced_ = 0;
@@ -358,13 +358,13 @@
   {
     const Timer timer(&parts_["links due"]);
     std::vector<WorkerLife> due = ledger_.touched();
-    while (!looks_.empty() && looks_.begin()->first <= now) {
-      WorkerLife life = looks_.begin()->second;
-      looks_.erase(looks_.begin());
+    while (!checks_.empty() && checks_.begin()->first <= now) {
+      WorkerLife life = checks_.begin()->second;
+      checks_.erase(checks_.begin());
       if (links_.count(life) == 0)
         continue;
       const bool idle = ledger_.FindWorker(life)->runs.empty();
-      looks_.emplace(now + (idle ? kIdleListInterval : kListInterval), life);
+      checks_.emplace(now + (idle ? kIdleListInterval : kListInterval), life);
       due.push_back(std::move(life));
     }
     for (const WorkerLife& life : due) {
@@ -415,7 +415,7 @@
         links_.try_emplace(life, scheduler::WorkerLinkOptions{}, now);
     link->second.Sync(*worker, scheduler::RunPhase::kPlanned, now);
     if (added)
-      looks_.emplace(now, life);
+      checks_.emplace(now, life);
   }
 }
 
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -10,10 +10,10 @@
 
 namespace {
 
-/// Longest time between two looks at a worker. Runs that become slow earlier
+/// Longest time between two checks of a worker. Runs that become slow earlier
 /// than expected, as their queue turns out to be fast, are found with this
 /// delay.
-constexpr Millis kLookInterval{500};
+constexpr Millis kCheckInterval{500};
 
 /// Workers that fail what they start are recognised within a few tasks; tasks
 /// take about a second.
@@ -67,7 +67,7 @@
   acts_ = acts;
   ++era_;
   contacts_.clear();
-  looks_.clear();
+  checks_.clear();
   acts_since_ = now;
   if (acts)
     SyncLinks(RunPhase::kInherited, now);
@@ -75,7 +75,7 @@
 
 void WorkerFleet::Forget(
     std::map<jobs::WorkerLife, Contact>::iterator contact) {
-  looks_.erase(contact->second.look);
+  checks_.erase(contact->second.check);
   contacts_.erase(contact);
 }
 
@@ -96,10 +96,10 @@
                                              HealthName(life),
                                              {}})
                   .first;
-    contact->second.look = looks_.emplace(now, &contact->second);
+    contact->second.check = checks_.emplace(now, &contact->second);
   }
   contact->second.link.Sync(*worker, added, now);
-  LookWhenDue(life, now);
+  CheckWhenDue(life, now);
 }
 
 void WorkerFleet::SyncLinks(RunPhase added, TimePoint now) {
@@ -139,30 +139,30 @@
   Tick(now);
 }
 
-void WorkerFleet::MoveLook(Contact* contact, TimePoint at) {
-  looks_.erase(contact->look);
-  contact->look = looks_.emplace(at, contact);
+void WorkerFleet::MoveCheck(Contact* contact, TimePoint at) {
+  checks_.erase(contact->check);
+  contact->check = checks_.emplace(at, contact);
 }
 
-void WorkerFleet::LookWhenDue(const jobs::WorkerLife& life, TimePoint now) {
+void WorkerFleet::CheckWhenDue(const jobs::WorkerLife& life, TimePoint now) {
   Contact* contact = FindContact(life);
   if (contact == nullptr)
     return;
   if (const TimePoint due = contact->link.NextDue(now);
-      due < contact->look->first) {
-    MoveLook(contact, due);
+      due < contact->check->first) {
+    MoveCheck(contact, due);
   }
 }
 
-void WorkerFleet::LookSoon(const jobs::WorkerLife& life) {
+void WorkerFleet::CheckSoon(const jobs::WorkerLife& life) {
   if (Contact* contact = FindContact(life); contact != nullptr)
-    MoveLook(contact, TimePoint::min());
+    MoveCheck(contact, TimePoint::min());
 }
 
-void WorkerFleet::Look(Contact* contact,
-                       TimePoint now,
-                       std::vector<jobs::EndNote>* ends) {
-  MoveLook(contact, now + kLookInterval);
+void WorkerFleet::CheckWorker(Contact* contact,
+                              TimePoint now,
+                              std::vector<jobs::EndNote>* ends) {
+  MoveCheck(contact, now + kCheckInterval);
   const jobs::WorkerLife& life = contact->life;
   WorkerLink& link = contact->link;
   const jobs::Worker* worker = replica_.ledger().FindWorker(life);
@@ -178,9 +178,9 @@
   for (jobs::EndNote& end : link.Lapse(*worker, now))
     ends->push_back(std::move(end));
   const TimePoint next =
-      std::min({link.NextDue(now), slow_at, now + kLookInterval});
+      std::min({link.NextDue(now), slow_at, now + kCheckInterval});
   // What is due now but could not be sent waits for the next tick.
-  MoveLook(contact, std::max(next, now + Millis(1)));
+  MoveCheck(contact, std::max(next, now + Millis(1)));
 }
 
 void WorkerFleet::Tick(TimePoint now) {
@@ -188,10 +188,10 @@
     return;
   std::vector<jobs::EndNote> ends;
   std::vector<Contact*> due;
-  for (auto it = looks_.begin(); it != looks_.end() && it->first <= now; ++it)
+  for (auto it = checks_.begin(); it != checks_.end() && it->first <= now; ++it)
     due.push_back(it->second);
   for (Contact* contact : due)
-    Look(contact, now, &ends);
+    CheckWorker(contact, now, &ends);
   NoteEnds(std::move(ends), now);
 }
 
@@ -228,7 +228,7 @@
   WorkerLink* link = Find(life);
   if (link == nullptr || !link->WantStop(run))
     return;
-  LookWhenDue(life, loop_.now());
+  CheckWhenDue(life, loop_.now());
   LogEvent(EventId::kRunStopDecided, {{"run", run.task.Text()},
                                       {"number", std::to_string(run.number)},
                                       {"worker", life.Text()},
@@ -305,7 +305,7 @@
     NoteDeparture(life, "another worker answers");
   if (const auto how = link->OnStartAnswer(run, answer, now))
     NoteEnds({{run, life, *how, "", 0}}, now);
-  LookWhenDue(life, now);
+  CheckWhenDue(life, now);
 }
 
 void WorkerFleet::SendStop(const jobs::Worker& worker,
@@ -324,7 +324,7 @@
                   return;
                 if (WorkerLink* open = Find(life); open != nullptr) {
                   open->OnStopAnswer(run, answer, loop_.now());
-                  LookWhenDue(life, loop_.now());
+                  CheckWhenDue(life, loop_.now());
                 }
               });
 }
@@ -365,7 +365,7 @@
       return answer && answer.value().call.verdict == verdict;
     };
     link->OnHoldFailed(now);
-    LookWhenDue(life, now);
+    CheckWhenDue(life, now);
     // The runs go on to the later life when it announces itself.
     if (answers(CallVerdict::kOtherLife))
       link->OnOtherLife(now);
@@ -404,9 +404,9 @@
     SendHold(*worker, link, now);
   // Runs on a silent worker were not judged.
   if (was_silent)
-    LookSoon(life);
+    CheckSoon(life);
   else
-    LookWhenDue(life, now);
+    CheckWhenDue(life, now);
 }
 
 void WorkerFleet::NoteEnds(std::vector<jobs::EndNote> ends, TimePoint) {
@@ -529,7 +529,7 @@
   health_.SetBudget(worker.note.pool, pool_size / 2);
   const HealthState after = health_.OnStart(name, worker.note.pool, ok, now);
   if (!ok)
-    LookSoon(worker.note.life);
+    CheckSoon(worker.note.life);
   if (after != before) {
     LogEvent(EventId::kWorkerSetAside,
              {{"worker", worker.note.life.Text()},
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -64,14 +64,14 @@
  private:
   struct Contact;
   /// Contacts by the time at which they are to be looked at.
-  using Looks = std::multimap<TimePoint, Contact*>;
+  using Checks = std::multimap<TimePoint, Contact*>;
 
-  /// \brief A link with the time of the next look at it.
+  /// \brief A link with the time of its next check.
   struct Contact {
     jobs::WorkerLife life;
     WorkerLink link;
     HostName health_name;
-    Looks::iterator look;
+    Checks::iterator check;
   };
 
   [[nodiscard]] Contact* FindContact(const jobs::WorkerLife& life);
@@ -83,13 +83,15 @@
   void SyncTouched(TimePoint now);
   void SyncLink(const jobs::WorkerLife& life, RunPhase added, TimePoint now);
   void Forget(std::map<jobs::WorkerLife, Contact>::iterator contact);
-  /// \brief Sends what is due to one worker and notes when to look again.
-  void Look(Contact* contact, TimePoint now, std::vector<jobs::EndNote>* ends);
-  void MoveLook(Contact* contact, TimePoint at);
-  /// \brief Looks at the worker as early as its link now asks for.
-  void LookWhenDue(const jobs::WorkerLife& life, TimePoint now);
-  /// \brief Looks at the worker with the next tick, to judge its runs.
-  void LookSoon(const jobs::WorkerLife& life);
+  /// \brief Sends what is due to one worker and notes when to check it again.
+  void CheckWorker(Contact* contact,
+                   TimePoint now,
+                   std::vector<jobs::EndNote>* ends);
+  void MoveCheck(Contact* contact, TimePoint at);
+  /// \brief Checks at the worker as early as its link now asks for.
+  void CheckWhenDue(const jobs::WorkerLife& life, TimePoint now);
+  /// \brief Checks at the worker with the next tick, to judge its runs.
+  void CheckSoon(const jobs::WorkerLife& life);
   void SendStart(const jobs::Worker& worker, const jobs::RunName& run);
   void SendStop(const jobs::Worker& worker, const jobs::RunName& run);
   void SendHold(const jobs::Worker& worker, WorkerLink* link, TimePoint now);
@@ -128,7 +130,7 @@
   TimePoint acts_since_;
   std::uint64_t era_ = 0;  ///< rises with each change of leadership
   std::map<jobs::WorkerLife, Contact> contacts_;
-  Looks looks_;
+  Checks checks_;
   std::uint64_t synced_ = 0;  ///< batches of the ledger that the links show
 };
 
--- a/tests/replica_messages_test.cc
+++ b/tests/replica_messages_test.cc
@@ -72,26 +72,29 @@
   int calls = 0;  ///< that other hosts made to this one
 };
 
+/// \returns a port that was free a moment ago: the hosts of a deployment share
+/// one, each on its own address.
+[[nodiscard]] std::string FreePort() {
+  EventLoop loop;
+  HttpServer probe(loop, {}, [](const HttpRequest&, const HttpResponder&) {});
+  BOOST_REQUIRE(probe.Listen("127.0.0.1:0"));
+  return probe.address().substr(probe.address().rfind(':') + 1);
+}
+
 /// Three hosts on one loop.
 struct Fleet {
   Fleet() {
+    const std::string port = FreePort();
     const std::vector<std::string> ips = {"127.0.0.1", "127.0.0.2",
                                           "127.0.0.3"};
     for (const std::string& ip : ips) {
-      hosts.push_back(std::make_unique<Host>(loop, folder, ip, Port(), ips));
-      BOOST_REQUIRE(hosts.back()->server.Listen(ip + ":" + Port()));
+      hosts.push_back(std::make_unique<Host>(loop, folder, ip, port, ips));
+      BOOST_REQUIRE(hosts.back()->server.Listen(ip + ":" + port));
     }
     for (const auto& host : hosts)
       BOOST_REQUIRE(host->replica->Start(&host->rpc_server));
   }
 
-  /// A port of its own for each process that runs the test.
-  [[nodiscard]] static std::string Port() {
-    constexpr int kFirst = 20'000;
-    constexpr int kPorts = 10'000;
-    return std::to_string(kFirst + getpid() % kPorts);
-  }
-
   [[nodiscard]] bool RunUntil(const std::function<bool()>& done) {
     constexpr Millis kLimit{20'000};
     bool reached = false;
@@ -163,8 +166,9 @@
   EventLoop loop;
   const std::string first = "127.0.0.1";
   const std::string second = "127.0.0.2";
-  Host host(loop, folder, first, Fleet::Port(), {first, second});
-  BOOST_REQUIRE(host.server.Listen(first + ":" + Fleet::Port()));
+  const std::string port = FreePort();
+  Host host(loop, folder, first, port, {first, second});
+  BOOST_REQUIRE(host.server.Listen(first + ":" + port));
   // The other host is only a server that counts what is addressed to it.
   const std::string asker = second + ".0123456789abcdef";
   int calls = 0;
@@ -175,7 +179,7 @@
         calls += envelope.value()["params"]["body"]["to"] == asker ? 1 : 0;
         respond({200, "{}"});
       });
-  BOOST_REQUIRE(other.Listen(second + ":" + Fleet::Port()));
+  BOOST_REQUIRE(other.Listen(second + ":" + port));
   BOOST_REQUIRE(host.replica->Start(&host.rpc_server));
   // A replica without a cluster answers the same message of another one.
   const auto answers_to_join = [&](bool takes_answers) {
@@ -186,8 +190,8 @@
     if (takes_answers)
       body["takes_answers"] = true;
     std::size_t answers = 0;
-    host.rpc_client.Call(first + ":" + Fleet::Port(), "raft.step", body,
-                         Millis(1'000), [&](const Result<Json>& answer) {
+    host.rpc_client.Call(first + ":" + port, "raft.step", body, Millis(1'000),
+                         [&](const Result<Json>& answer) {
                            BOOST_REQUIRE(answer);
                            answers = answer.value()["answers"].size();
                          });
--- a/tests/worker_check_test.cc
+++ b/tests/worker_check_test.cc
@@ -1,4 +1,4 @@
-#define BOOST_TEST_MODULE worker_look
+#define BOOST_TEST_MODULE worker_check
 #include <boost/test/unit_test.hpp>
 #include <random>
 #include <string>
@@ -7,7 +7,7 @@
 #include "ledger_builder.h"
 #include "scheduler/worker_link.h"
 
-// Guards against a look at a worker that comes too late: its list, a repeated
+// Guards against a check of a worker that comes too late: its list, a repeated
 // order or the lapse of its runs would wait although it is due.
 
 namespace boragewinch::scheduler {
@@ -93,7 +93,7 @@
   std::vector<RunName> runs_;
 };
 
-BOOST_AUTO_TEST_CASE(NothingFallsDueBeforeTheNextLook) {
+BOOST_AUTO_TEST_CASE(NothingFallsDueBeforeTheNextCheck) {
   LedgerBuilder ledger;
   ledger.AddWorker("w").Submit("j", {LedgerBuilder::Tasks(3)});
   for (std::uint32_t i = 0; i < 3; ++i)
