--- a/tests/partition_table_process_test.cc
+++ b/tests/partition_table_process_test.cc
@@ -27,7 +27,7 @@
   std::string ticket;  ///< taken before the cut, not used
 };
 
-// The rows of the table "Network partitions" of docs/operations.md. Zone 2 has
+// The rows of the table "Network partitions" of docs/OPERATIONS.md. Zone 2 has
 // no control host during the cut. The peer port of one address serves callers
 // of all zones, so each test cuts the peer ports of the zone that it does not
 // look at, for all, and checks the answers of the other one, which is whole.
--- a/tests/upgrade_process_test.cc
+++ b/tests/upgrade_process_test.cc
@@ -40,7 +40,7 @@
     config.stop = &done;
     return config;
   }
-  // SIGTERM, exit with code 0, start, as operations.md says for one process.
+  // SIGTERM, exit with code 0, start, as OPERATIONS.md says for one process.
   void Restart(const std::string& name) {
     fleet.Signal(name, SIGTERM);
     BOOST_REQUIRE_MESSAGE(fleet.WaitExit(name, kLimit) == 0, name);
