Log each second what the leader has done and for how long it was busy

Whether the leader or the workers limit the starts of a burst could not be told from the logs. leader_load (6011) has the batches, starts, ends, accepted jobs and calls of a second, the jobs that wait, and the time in which the event loop did not wait (a processor clock is no use here: that of a simulated host is its wall clock).

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -119,6 +119,9 @@
      "The worker has no checkpoint, so the drain waits for the task."},
     {EventId::kPoolJudged, kInfo, "pool_judged",
      "The hosts that a pool has and wants, with the demand that decided it."},
+    {EventId::kLeaderLoad, kInfo, "leader_load",
+     "What the leading scheduler has done in the last second, and for how "
+     "long it was busy."},
     {EventId::kRunOrdered, kInfo, "run_ordered",
      "A stored start of a task is sent to its worker."},
     {EventId::kRunNotTaken, kInfo, "run_not_taken",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -69,6 +69,7 @@
   kTaskMoved = 6008,
   kTaskStays = 6009,
   kPoolJudged = 6010,
+  kLeaderLoad = 6011,
   kRunOrdered = 7001,
   kRunNotTaken = 7002,
   kRunEnded = 7003,
--- a/src/kernel/event_loop.cc
+++ b/src/kernel/event_loop.cc
@@ -99,7 +99,10 @@
 struct EventLoop::Impl {
   struct ev_loop* loop = nullptr;
   ev_prepare prepare{};
+  ev_check check{};
   ev_idle idle{};
+  std::chrono::steady_clock::time_point waits_since;
+  std::chrono::steady_clock::duration idle_time{0};
   std::deque<std::function<void()>> posted;
 
   void RunPosted() {
@@ -121,10 +124,19 @@
   impl_->loop = ev_loop_new(EVBACKEND_EPOLL);
   ev_prepare_init(&impl_->prepare,
                   [](struct ev_loop*, ev_prepare* watcher, int) {
-                    static_cast<Impl*>(watcher->data)->RunPosted();
+                    auto* impl = static_cast<Impl*>(watcher->data);
+                    impl->RunPosted();
+                    impl->waits_since = std::chrono::steady_clock::now();
                   });
   impl_->prepare.data = impl_.get();
   ev_prepare_start(impl_->loop, &impl_->prepare);
+  // libev waits between its prepare and its check watchers.
+  ev_check_init(&impl_->check, [](struct ev_loop*, ev_check* watcher, int) {
+    auto* impl = static_cast<Impl*>(watcher->data);
+    impl->idle_time += std::chrono::steady_clock::now() - impl->waits_since;
+  });
+  impl_->check.data = impl_.get();
+  ev_check_start(impl_->loop, &impl_->check);
   // An active idle watcher keeps the loop from sleeping while work is posted.
   ev_idle_init(&impl_->idle, [](struct ev_loop*, ev_idle*, int) {});
 }
@@ -133,6 +145,7 @@
   impl_->posted.clear();
   ev_idle_stop(impl_->loop, &impl_->idle);
   ev_prepare_stop(impl_->loop, &impl_->prepare);
+  ev_check_stop(impl_->loop, &impl_->check);
   ev_loop_destroy(impl_->loop);
 }
 
@@ -150,6 +163,10 @@
       .count();
 }
 
+Millis EventLoop::idle_time() const noexcept {
+  return std::chrono::duration_cast<Millis>(impl_->idle_time);
+}
+
 std::int64_t EventLoop::unix_seconds() const noexcept {
   return std::chrono::duration_cast<std::chrono::seconds>(
              std::chrono::system_clock::now().time_since_epoch())
--- a/src/kernel/event_loop.h
+++ b/src/kernel/event_loop.h
@@ -38,6 +38,8 @@
   [[nodiscard]] std::int64_t unix_seconds() const noexcept;
   /// \returns milliseconds since the Unix epoch.
   [[nodiscard]] std::int64_t unix_millis() const noexcept;
+  /// \returns for how long the loop has waited for events since its start.
+  [[nodiscard]] Millis idle_time() const noexcept;
 
   /// \brief Calls `callback` once from the loop, after the present callback.
   void Post(std::function<void()> callback);
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -24,6 +24,7 @@
 /// Answers of workers that come within this time share a message to the leader.
 /// It delays the note of an end, against tasks of 640 ms and more.
 constexpr Millis kAnswerBatch{10};
+constexpr Millis kLoadInterval{1'000};
 
 [[nodiscard]] Incarnation NewIncarnation() {
   std::random_device seed;
@@ -88,7 +89,13 @@
   relay.leads = [this] { return replica_->MayAct(loop_->now()); };
   relay.leader_host = [this] { return replica_->LeaderHost(); };
   relay.hosts = [this] { return replica_->MemberHosts(); };
-  relay.serve = ports_.serve;
+  relay.serve = [this](const RelayedRequest& request, const Respond& respond) {
+    if (request.surface == Surface::kCallers)
+      load_.OnCallerCall();
+    else
+      load_.OnControlCall();
+    ports_.serve(request, respond);
+  };
   relay_ = std::make_unique<RelayServer>(rpc_server_.get(), std::move(relay));
   BW_CHECK(replica_->Start(rpc_server_.get()));
 
@@ -224,6 +231,7 @@
 }
 
 void SchedulerService::OnStored(const jobs::Batch& batch, TimePoint now) {
+  load_.OnStored(batch);
   fleet_->OnStored(batch, now);
   if (replica_->MayAct(now))
     AskAdvice(now);
@@ -249,6 +257,7 @@
   hosts_->OnLeadership(acts, now);
   fleet_->OnLeadership(acts, now);
   // The fleet drops the answers to calls of an earlier leadership.
+  load_.Begin(now, loop_->idle_time());
   if (acts)
     call_router_->Begin(replica_->term(), now);
   else
@@ -266,9 +275,27 @@
   StopRuns();
   AskAdvice(now);
   hosts_->Tick(now);
+  LogLoad(now);
   replica_->Wake();
 }
 
+void SchedulerService::LogLoad(TimePoint now) {
+  const auto report = load_.Take(now, loop_->idle_time(), kLoadInterval);
+  if (!report)
+    return;
+  LogEvent(EventId::kLeaderLoad,
+           {{"ms", static_cast<long>(report->time.count())},
+            {"busy_ms", static_cast<long>(report->busy.count())},
+            {"batches", report->batches},
+            {"starts", report->starts},
+            {"ends", report->ends},
+            {"jobs", report->jobs},
+            {"worker_notes", report->worker_notes},
+            {"caller_calls", report->caller_calls},
+            {"control_calls", report->control_calls},
+            {"waiting_jobs", replica_->ledger().startable().size()}});
+}
+
 void SchedulerService::Stop(const std::function<void()>& done) {
   replica_->Retire();
   call_agent_->Retire();
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -15,6 +15,7 @@
 #include "scheduler/host_calls.h"
 #include "scheduler/host_keeper.h"
 #include "scheduler/job_desk.h"
+#include "scheduler/leader_load.h"
 #include "scheduler/ledger_replica.h"
 #include "scheduler/relay.h"
 #include "scheduler/rules_desk.h"
@@ -72,6 +73,7 @@
   void OnStored(const jobs::Batch& batch, TimePoint now);
   void OnLeadership(bool acts, TimePoint now);
   void OnTick(TimePoint now);
+  void LogLoad(TimePoint now);
   void StopRuns();
   void StartCallAgents();
   void AskAdvice(TimePoint now);
@@ -96,6 +98,7 @@
   WatchHandle call_flush_;
   std::unique_ptr<AdviceBook> advice_;
   TaskPlanner planner_;
+  LeaderLoad load_;
   std::unique_ptr<RelayServer> relay_;
   std::unique_ptr<RelayClient> control_relay_;  ///< while another host leads
   std::unique_ptr<HttpServer> internal_;
