Count tasks of draining workers as away when maintenance asks

Cause: one plan decided three stops at 22:28:57.008, task 5 for maintenance and tasks 28 and 29 because their worker drains; 2 and 31 were away already. The stops for draining workers need no allowance and were not counted, and their tasks are at work until the stops arrive.

A task on a draining worker now counts as away, wherever the plan meets it. The test fails before the change (two stops instead of one).

--- a/src/scheduler/stop_planner.cc
+++ b/src/scheduler/stop_planner.cc
@@ -41,7 +41,10 @@
       for (const jobs::Run& run : step.tasks[i].runs) {
         const jobs::RunName other{{name.job, name.occurrence, name.step, i},
                                   run.number};
-        at_work = at_work || percent_of_(other, run.worker) >= kAtWork;
+        // A draining worker is about to be cleared of its long-running tasks.
+        const jobs::Worker* worker = ledger_.FindWorker(run.worker);
+        at_work = at_work || (worker != nullptr && !worker->note.draining &&
+                              percent_of_(other, run.worker) >= kAtWork);
       }
       away += at_work ? 0 : 1;
     }
--- a/tests/stop_planner_test.cc
+++ b/tests/stop_planner_test.cc
@@ -62,6 +62,20 @@
   BOOST_TEST(stops[0].worker.id.str() == "a");
 }
 
+// Guards against maintenance that takes a task away beside one that a draining
+// worker gives up at the same moment.
+BOOST_AUTO_TEST_CASE(TasksOfDrainingWorkersCountAsAway) {
+  for (const char* draining : {"a", "c"}) {
+    LedgerBuilder builder = LastingJob();
+    builder.AddWorker(draining, {16'000, 32'000, 0}, true);
+    const auto stops =
+        PlanStops(builder.ledger(), {LedgerBuilder::Life("b")},
+                  Percents({{"a", 100}, {"b", 100}, {"c", 100}}));
+    BOOST_REQUIRE(stops.size() == 1U);
+    BOOST_TEST(stops[0].worker.id.str() == draining);
+  }
+}
+
 // Guards against tasks of a cancelled job that run on.
 BOOST_AUTO_TEST_CASE(RunsOfCancelledJobsAreStopped) {
   LedgerBuilder builder = LastingJob();
