Store entries of the ledger in a compact form

Cause: an entry was a JSON document, which the leader builds, and each replica parses, in several times the processor time of what it says. Starts and ends are now rows of numbers with the names of jobs and workers in tables; the other members, which are rare, stay JSON within the entry. Entries of earlier versions are read as before.

--- /dev/null
+++ b/src/base/wire.h
@@ -0,0 +1,144 @@
+#ifndef BORAGEWINCH_BASE_WIRE_H_
+#define BORAGEWINCH_BASE_WIRE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "base/enum_table.h"
+#include "base/result.h"
+
+namespace boragewinch {
+
+/// \brief Writes the compact form of log entries and of messages between the
+/// project's processes: numbers as LEB128, texts behind their length.
+class WireWriter {
+ public:
+  void Number(std::uint64_t value) {
+    constexpr std::uint64_t kMore = 0x80;
+    for (; value >= kMore; value >>= 7)
+      bytes_.push_back(static_cast<char>(value | kMore));
+    bytes_.push_back(static_cast<char>(value));
+  }
+  /// Numbers near 0 take few bytes, also negative ones.
+  void Signed(std::int64_t value) {
+    Number((static_cast<std::uint64_t>(value) << 1) ^
+           static_cast<std::uint64_t>(value >> 63));
+  }
+  void Flag(bool value) { bytes_.push_back(value ? 1 : 0); }
+  void Text(std::string_view text) {
+    Number(text.size());
+    bytes_.append(text);
+  }
+  /// \param value one of an enumeration that counts from 0.
+  template <typename E>
+  void Enum(E value) {
+    Number(static_cast<std::uint64_t>(value));
+  }
+  /// \brief Appends what another writer has written.
+  void Append(const WireWriter& other) { bytes_ += other.bytes_; }
+
+  [[nodiscard]] const std::string& bytes() const noexcept { return bytes_; }
+  [[nodiscard]] std::string Take() { return std::move(bytes_); }
+
+ private:
+  std::string bytes_;
+};
+
+/// \brief Reads what WireWriter has written, from a source that is not trusted.
+/// After a first fault everything reads as 0 or empty, so a decoder checks
+/// once, at its end, and before it uses what it has read.
+class WireReader {
+ public:
+  explicit WireReader(std::string_view bytes) noexcept : rest_(bytes) {}
+
+  [[nodiscard]] std::uint64_t Number(
+      std::uint64_t high = std::numeric_limits<std::uint64_t>::max()) {
+    std::uint64_t value = 0;
+    for (unsigned shift = 0; shift < 64 && !rest_.empty(); shift += 7) {
+      const auto byte = static_cast<unsigned char>(rest_.front());
+      rest_.remove_prefix(1);
+      const std::uint64_t part = byte & 0x7fU;
+      if (shift == 63 && part > 1)
+        break;
+      value |= part << shift;
+      if ((byte & 0x80U) == 0)
+        return value <= high ? value : Fault("a number is out of range");
+    }
+    return Fault("a number is cut short or too long");
+  }
+  [[nodiscard]] std::uint32_t Number32() {
+    return static_cast<std::uint32_t>(
+        Number(std::numeric_limits<std::uint32_t>::max()));
+  }
+  [[nodiscard]] std::int64_t Signed() {
+    const std::uint64_t value = Number();
+    return static_cast<std::int64_t>((value >> 1) ^ (~(value & 1) + 1));
+  }
+  [[nodiscard]] bool Flag() { return Number(1) == 1; }
+  /// The view is good as long as the bytes that are read.
+  [[nodiscard]] std::string_view Text(std::size_t max_bytes) {
+    const std::uint64_t size = Number();
+    if (size > max_bytes) {
+      Fault("a text is too long", ErrorCode::kTooLarge);
+      return {};
+    }
+    if (size > rest_.size()) {
+      Fault("a text is cut short");
+      return {};
+    }
+    const std::string_view text = rest_.substr(0, size);
+    rest_.remove_prefix(size);
+    return text;
+  }
+  /// \returns a number of items, of which each takes a byte at least.
+  [[nodiscard]] std::size_t Count(std::size_t high) {
+    const std::uint64_t count = Number();
+    if (count > high)
+      return Fault("too many items", ErrorCode::kTooLarge);
+    if (count > rest_.size())
+      return Fault("a list is cut short");
+    return count;
+  }
+  template <typename E, std::size_t N>
+  [[nodiscard]] E Enum(const EnumTable<E, N>&) {
+    return static_cast<E>(Number(N - 1));
+  }
+  /// \brief Notes a fault that the decoder has found.
+  std::uint64_t Fault(const char* what,
+                      ErrorCode code = ErrorCode::kInvalidField) {
+    if (fault_ == nullptr) {
+      fault_ = what;
+      code_ = code;
+    }
+    rest_ = {};
+    return 0;
+  }
+
+  [[nodiscard]] bool failed() const noexcept { return fault_ != nullptr; }
+  [[nodiscard]] bool empty() const noexcept { return rest_.empty(); }
+  /// \returns kInvalidField or kTooLarge after a fault.
+  [[nodiscard]] Status Check() const {
+    if (fault_ != nullptr)
+      return Fail(code_, fault_);
+    return Ok();
+  }
+  /// \returns as Check, and kInvalidField if bytes are left.
+  [[nodiscard]] Status Finish() const {
+    if (fault_ == nullptr && !rest_.empty())
+      return Fail(ErrorCode::kInvalidField, "bytes behind the end");
+    return Check();
+  }
+
+ private:
+  std::string_view rest_;
+  const char* fault_ = nullptr;
+  ErrorCode code_ = ErrorCode::kInvalidField;
+};
+
+}  // namespace boragewinch
+
+#endif  // BORAGEWINCH_BASE_WIRE_H_
--- a/src/jobs/ledger_batch.cc
+++ b/src/jobs/ledger_batch.cc
@@ -1,22 +1,69 @@
 #include "jobs/ledger_batch.h"
 
+#include <cstddef>
+#include <map>
 #include <utility>
 
+#include "base/wire.h"
+#include "jobs/run_tables.h"
+
 namespace boragewinch::jobs {
 
 namespace {
 
-[[nodiscard]] Json RunToJson(const RunName& run, const WorkerLife& worker) {
-  Json row(::Json::arrayValue);
-  row.append(run.task.job.str());
-  row.append(run.task.occurrence);
-  row.append(run.task.step);
-  row.append(run.task.index);
-  row.append(run.number);
-  row.append(worker.id.str());
-  row.append(::Json::Int64(worker.born));
-  return row;
-}
+/// First byte of the compact form; the JSON object of earlier versions begins
+/// with a brace.
+constexpr char kCompact = 1;
+constexpr std::size_t kMaxDocumentBytes = 64UL * 1024 * 1024;
+
+/// \brief Writes runs and their workers, with the names of both in tables.
+class RunWriter {
+ public:
+  void Write(const RunName& run, const WorkerLife& worker, WireWriter* out) {
+    jobs_.Write(run, out);
+    const auto [place, added] =
+        indexes_.try_emplace(worker, indexes_.size());
+    if (added) {
+      workers_.Text(worker.id.str());
+      workers_.Signed(worker.born);
+    }
+    out->Number(place->second);
+  }
+  void WriteTo(WireWriter* out) const {
+    jobs_.WriteTo(out);
+    out->Number(indexes_.size());
+    out->Append(workers_);
+  }
+
+ private:
+  JobTableWriter jobs_;
+  std::map<WorkerLife, std::size_t> indexes_;
+  WireWriter workers_;
+};
+
+/// \brief Reads what RunWriter has written.
+class RunReader {
+ public:
+  explicit RunReader(WireReader* in) : in_(*in), jobs_(in) {
+    for (std::size_t left = in_.Count(kMaxWireRows); left > 0; --left) {
+      WorkerId id{std::string(in_.Text(kMaxWireNameBytes))};
+      workers_.push_back({std::move(id), in_.Signed()});
+    }
+  }
+  void Read(RunName* run, WorkerLife* worker) {
+    *run = jobs_.Read();
+    const std::uint64_t index = in_.Number();
+    if (index < workers_.size())
+      *worker = workers_[index];
+    else
+      in_.Fault("a run without a worker");
+  }
+
+ private:
+  WireReader& in_;
+  JobTable jobs_;
+  std::vector<WorkerLife> workers_;
+};
 
 [[nodiscard]] Status RunFromJson(const Json& row,
                                  RunName* run,
@@ -34,14 +81,6 @@
   return Ok();
 }
 
-[[nodiscard]] Json ToJson(const EndNote& end) {
-  Json row = RunToJson(end.run, end.worker);
-  row.append(std::string(kRunEnds.Name(end.how)));
-  row.append(::Json::Int64(end.list_number));
-  row.append(end.checkpoint);
-  return row;
-}
-
 [[nodiscard]] Result<EndNote> EndFromJson(const Json& row) {
   EndNote end;
   BW_CHECK(RunFromJson(row, &end.run, &end.worker));
@@ -78,10 +117,6 @@
   return submission;
 }
 
-[[nodiscard]] Json ToJson(const StartNote& start) {
-  return RunToJson(start.run, start.worker);
-}
-
 [[nodiscard]] Result<StartNote> StartFromJson(const Json& row) {
   StartNote start;
   BW_CHECK(RunFromJson(row, &start.run, &start.worker));
@@ -228,9 +263,12 @@
   return order;
 }
 
-std::string EncodeBatch(const Batch& batch) {
+namespace {
+
+/// \returns the members of a batch other than its starts and ends; null if all
+/// are empty.
+[[nodiscard]] Json RareMembers(const Batch& batch) {
   Json json;
-  json["now"] = ::Json::Int64(batch.now);
   if (batch.rules)
     json["rules"] = ToJson(*batch.rules);
   PutAll(&json, "workers", batch.workers);
@@ -238,36 +276,94 @@
   for (const JobId& id : batch.cancels)
     json["cancel"].append(id.str());
   PutAll(&json, "open", batch.openings);
-  PutAll(&json, "end", batch.ends);
-  PutAll(&json, "start", batch.starts);
   PutAll(&json, "waves", batch.waves);
   PutAll(&json, "progress", batch.progress);
   PutAll(&json, "host_orders", batch.host_orders);
-  return WriteJson(json);
+  return json;
 }
 
-Result<Batch> DecodeBatch(std::string_view bytes) {
-  BW_TRY(const Json json, ParseJson(bytes));
+[[nodiscard]] Status ReadRareMembers(const Json& json, Batch* batch) {
   if (!json.isObject())
     return Fail(ErrorCode::kInvalidField, "a batch is an object");
-  Batch batch;
-  BW_TRY(batch.now, IntField(json, "now", 0, kMaxNumber));
   if (json.isMember("rules")) {
-    BW_TRY(batch.rules, FleetRulesFromJson(json["rules"]));
+    BW_TRY(batch->rules, FleetRulesFromJson(json["rules"]));
   }
-  BW_CHECK(ReadAll(json, "workers", WorkerNoteFromJson, &batch.workers));
-  BW_CHECK(ReadAll(json, "submit", SubmissionFromJson, &batch.submissions));
+  BW_CHECK(ReadAll(json, "workers", WorkerNoteFromJson, &batch->workers));
+  BW_CHECK(ReadAll(json, "submit", SubmissionFromJson, &batch->submissions));
   for (const Json& id : json["cancel"]) {
     if (!id.isString())
       return Fail(ErrorCode::kInvalidField, "id of a cancelled job");
-    batch.cancels.emplace_back(id.asString());
+    batch->cancels.emplace_back(id.asString());
   }
-  BW_CHECK(ReadAll(json, "open", OpeningFromJson, &batch.openings));
+  BW_CHECK(ReadAll(json, "open", OpeningFromJson, &batch->openings));
+  BW_CHECK(ReadAll(json, "waves", WaveOrderFromJson, &batch->waves));
+  BW_CHECK(ReadAll(json, "progress", ProgressFromJson, &batch->progress));
+  return ReadAll(json, "host_orders", HostOrderFromJson, &batch->host_orders);
+}
+
+/// Reads an entry that an earlier version has written.
+[[nodiscard]] Result<Batch> DecodeJsonBatch(std::string_view bytes) {
+  BW_TRY(const Json json, ParseJson(bytes));
+  Batch batch;
+  BW_CHECK(ReadRareMembers(json, &batch));
+  BW_TRY(batch.now, IntField(json, "now", 0, kMaxNumber));
   BW_CHECK(ReadAll(json, "end", EndFromJson, &batch.ends));
   BW_CHECK(ReadAll(json, "start", StartFromJson, &batch.starts));
-  BW_CHECK(ReadAll(json, "waves", WaveOrderFromJson, &batch.waves));
-  BW_CHECK(ReadAll(json, "progress", ProgressFromJson, &batch.progress));
-  BW_CHECK(ReadAll(json, "host_orders", HostOrderFromJson, &batch.host_orders));
+  return batch;
+}
+
+}  // namespace
+
+std::string EncodeBatch(const Batch& batch) {
+  RunWriter runs;
+  WireWriter rows;
+  rows.Number(batch.starts.size());
+  for (const StartNote& start : batch.starts)
+    runs.Write(start.run, start.worker, &rows);
+  rows.Number(batch.ends.size());
+  for (const EndNote& end : batch.ends) {
+    runs.Write(end.run, end.worker, &rows);
+    rows.Enum(end.how);
+    rows.Signed(end.list_number);
+    rows.Text(end.checkpoint);
+  }
+  const Json rare = RareMembers(batch);
+  WireWriter out;
+  out.Number(kCompact);
+  out.Signed(batch.now);
+  out.Text(rare.isNull() ? "" : WriteJson(rare));
+  runs.WriteTo(&out);
+  out.Append(rows);
+  return out.Take();
+}
+
+Result<Batch> DecodeBatch(std::string_view bytes) {
+  if (bytes.empty() || bytes.front() != kCompact)
+    return DecodeJsonBatch(bytes);
+  WireReader in(bytes.substr(1));
+  Batch batch;
+  batch.now = in.Signed();
+  if (const std::string_view rare = in.Text(kMaxDocumentBytes); !rare.empty()) {
+    BW_TRY(const Json json, ParseJson(rare));
+    BW_CHECK(ReadRareMembers(json, &batch));
+  }
+  RunReader runs(&in);
+  const std::size_t starts = in.Count(kMaxWireRows);
+  batch.starts.reserve(starts);
+  for (std::size_t i = 0; i < starts && !in.failed(); ++i) {
+    StartNote& start = batch.starts.emplace_back();
+    runs.Read(&start.run, &start.worker);
+  }
+  const std::size_t ends = in.Count(kMaxWireRows);
+  batch.ends.reserve(ends);
+  for (std::size_t i = 0; i < ends && !in.failed(); ++i) {
+    EndNote& end = batch.ends.emplace_back();
+    runs.Read(&end.run, &end.worker);
+    end.how = in.Enum(kRunEnds);
+    end.list_number = in.Signed();
+    end.checkpoint = in.Text(kMaxDocumentBytes);
+  }
+  BW_CHECK(in.Finish());
   return batch;
 }
 
--- /dev/null
+++ b/src/jobs/run_tables.h
@@ -0,0 +1,73 @@
+#ifndef BORAGEWINCH_JOBS_RUN_TABLES_H_
+#define BORAGEWINCH_JOBS_RUN_TABLES_H_
+
+#include <cstddef>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/wire.h"
+#include "jobs/job_types.h"
+
+namespace boragewinch::jobs {
+
+/// Longest name of a job or worker in an entry or a message.
+inline constexpr std::size_t kMaxWireNameBytes = 4'096;
+/// Most rows of one list in an entry or a message.
+inline constexpr std::size_t kMaxWireRows = 1'000'000;
+
+/// \brief Writes runs with the names of their jobs in a table, since the tasks
+/// of a job come together. The names must live as long as the table.
+class JobTableWriter {
+ public:
+  void Write(const RunName& run, WireWriter* out) {
+    const auto [place, added] =
+        indexes_.try_emplace(run.task.job.str(), indexes_.size());
+    if (added)
+      jobs_.Text(run.task.job.str());
+    out->Number(place->second);
+    out->Number(run.task.occurrence);
+    out->Number(run.task.step);
+    out->Number(run.task.index);
+    out->Number(run.number);
+  }
+  /// \brief Writes the table; it goes in front of the rows.
+  void WriteTo(WireWriter* out) const {
+    out->Number(indexes_.size());
+    out->Append(jobs_);
+  }
+
+ private:
+  std::unordered_map<std::string_view, std::size_t> indexes_;
+  WireWriter jobs_;
+};
+
+/// \brief Reads what JobTableWriter has written.
+class JobTable {
+ public:
+  explicit JobTable(WireReader* in) : in_(*in) {
+    for (std::size_t left = in_.Count(kMaxWireRows); left > 0; --left)
+      jobs_.emplace_back(std::string(in_.Text(kMaxWireNameBytes)));
+  }
+  [[nodiscard]] RunName Read() {
+    RunName run;
+    const std::uint64_t job = in_.Number();
+    run.task.occurrence = in_.Number32();
+    run.task.step = in_.Number32();
+    run.task.index = in_.Number32();
+    run.number = in_.Number32();
+    if (job < jobs_.size())
+      run.task.job = jobs_[job];
+    else
+      in_.Fault("a run without a job");
+    return run;
+  }
+
+ private:
+  WireReader& in_;
+  std::vector<JobId> jobs_;
+};
+
+}  // namespace boragewinch::jobs
+
+#endif  // BORAGEWINCH_JOBS_RUN_TABLES_H_
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -182,14 +182,15 @@
     hooks_.on_applied(batch.value(), loop_.now());
     return;
   }
-  const jobs::Batch batch = std::move(open_->batch);
+  jobs::Batch batch = std::move(open_->batch);
   open_.reset();
   ledger_.Apply(batch);
   hooks_.on_applied(batch, loop_.now());
   // The next batch waits: its starts would show in the ledger before the ones
   // of this batch are sent.
   noticing_ = true;
-  loop_.Post([this, batch, replies = std::exchange(stored_replies_, {})] {
+  loop_.Post([this, batch = std::move(batch),
+              replies = std::exchange(stored_replies_, {})] {
     noticing_ = false;
     for (const Reply& reply : replies)
       reply(Ok());
--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -25,6 +25,44 @@
              113'600'000);
 }
 
+// Guards against a data folder that cannot be read after an upgrade: earlier
+// versions wrote entries as JSON.
+BOOST_AUTO_TEST_CASE(EntriesOfEarlierVersionsAreRead) {
+  const Result<Batch> read = DecodeBatch(
+      R"({"now":77,"cancel":["k"],"start":[["j",0,1,2,7,"w",5]],)"
+      R"("end":[["j",0,0,1,2,"w",5,"lapsed",9,"saved"]]})");
+  BOOST_REQUIRE(read);
+  const Batch& batch = read.value();
+  BOOST_TEST(batch.now == 77);
+  BOOST_REQUIRE(batch.cancels.size() == 1U);
+  BOOST_REQUIRE(batch.starts.size() == 1U);
+  BOOST_TEST((batch.starts[0].run.task == TaskName{JobId("j"), 0, 1, 2}));
+  BOOST_TEST(batch.starts[0].run.number == 7U);
+  BOOST_TEST((batch.starts[0].worker == Builder::Life("w", 5)));
+  BOOST_REQUIRE(batch.ends.size() == 1U);
+  BOOST_TEST((batch.ends[0].how == RunEnd::kLapsed));
+  BOOST_TEST(batch.ends[0].list_number == 9);
+  BOOST_TEST(batch.ends[0].checkpoint == "saved");
+}
+
+// Guards against a replica that goes on with a part of a damaged entry.
+BOOST_AUTO_TEST_CASE(ADamagedEntryIsRefused) {
+  Batch batch;
+  batch.now = 77;
+  batch.cancels = {JobId("k")};
+  batch.starts = {{Builder::Run("j", 0, 2, 7), Builder::Life("w", 5)}};
+  batch.ends = {{Builder::Run("j", 0, 1, 2), Builder::Life("w", 5),
+                 RunEnd::kLapsed, "saved", 9}};
+  const std::string bytes = EncodeBatch(batch);
+  for (std::size_t size = 0; size < bytes.size(); ++size)
+    BOOST_TEST(!DecodeBatch(bytes.substr(0, size)));
+  BOOST_TEST(!DecodeBatch(bytes + "x"));
+  // The last row: 5 numbers of the run, its worker, the end, list and text.
+  std::string other = bytes;
+  other[bytes.size() - 9] = 9;
+  BOOST_TEST(!DecodeBatch(other));
+}
+
 // Guards against members that one side of the codec forgets.
 BOOST_AUTO_TEST_CASE(EveryPartOfABatchIsReadBack) {
   Batch batch;
