Carry messages of replicas as bytes between hosts that take them

A server says in its JSON-RPC responses that it takes calls of bytes; replicas then exchange a compact form. Hosts of earlier versions get JSON as before. The parameter of a JSON-RPC call is parsed once: libjsonrpccpp gets the envelope without it.

--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -211,7 +211,8 @@
   CURL* easy = transfer->easy;
   const HttpCall& sent = transfer->call;
   curl_slist* headers = curl_slist_append(nullptr, "Expect:");
-  headers = curl_slist_append(headers, "Content-Type: application/json");
+  headers = curl_slist_append(headers,
+                              ("Content-Type: " + sent.content_type).c_str());
   for (const auto& [name, value] : sent.headers)
     headers = curl_slist_append(headers, (name + ": " + value).c_str());
   transfer->headers = headers;
--- a/src/net/http_types.h
+++ b/src/net/http_types.h
@@ -27,12 +27,15 @@
   std::map<std::string, std::string> headers = {};
 };
 
+inline constexpr char kBytesContentType[] = "application/octet-stream";
+
 /// \brief A call to another process.
 struct HttpCall {
   std::string method = "GET";
   std::string url;
   std::map<std::string, std::string> headers;
   std::string body;
+  std::string content_type = "application/json";
   Millis timeout{2'000};
   std::size_t max_response_bytes = 0;  ///< 0: the bound of the client
 };
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -8,14 +8,15 @@
 
 namespace {
 
-[[nodiscard]] Result<Json> ReadEnvelope(const HttpResponse& response,
+[[nodiscard]] ErrorCode CodeOf(int status) {
+  return status == 401 ? ErrorCode::kUnauthorized : ErrorCode::kProtocol;
+}
+
+[[nodiscard]] Result<Json> ReadEnvelope(Json envelope,
+                                        int status,
                                         std::uint64_t id) {
-  BW_TRY(const Json envelope, ParseJson(response.body));
-  if (response.status != 200 || !envelope.isObject()) {
-    return Fail(response.status == 401 ? ErrorCode::kUnauthorized
-                                       : ErrorCode::kProtocol,
-                "status " + std::to_string(response.status));
-  }
+  if (status != 200 || !envelope.isObject())
+    return Fail(CodeOf(status), "status " + std::to_string(status));
   const Json& error = envelope["error"];
   if (error.isObject()) {
     const std::string name =
@@ -26,7 +27,22 @@
   }
   if (!envelope["id"].isUInt64() || envelope["id"].asUInt64() != id)
     return Fail(ErrorCode::kProtocol, "answer to another call");
-  return envelope["result"];
+  return std::move(envelope["result"]);
+}
+
+[[nodiscard]] Result<std::string> ReadBytes(HttpResponse response) {
+  if (response.status == 200)
+    return std::move(response.body);
+  const Result<Json> json = ParseJson(response.body);
+  const auto code = json && json.value()["error"].isString()
+                        ? kErrorCodes.Parse(json.value()["error"].asString())
+                        : std::nullopt;
+  if (!code || response.status == 401) {
+    return Fail(CodeOf(response.status),
+                "status " + std::to_string(response.status));
+  }
+  const Json& detail = json.value()["detail"];
+  return Fail(*code, detail.isString() ? detail.asString() : "");
 }
 
 }  // namespace
@@ -52,13 +68,51 @@
   call.body = WriteJson(envelope);
   call.timeout = timeout;
   http_.Send(std::move(call),
-             [id, done = std::move(done)](Result<HttpResponse> result) {
+             [this, id, address,
+              done = std::move(done)](const Result<HttpResponse>& result) {
                if (!result) {
                  done(outcome::failure(result.error()));
                  return;
                }
-               done(ReadEnvelope(result.value(), id));
+               Result<Json> envelope = ParseJson(result.value().body);
+               if (!envelope) {
+                 done(outcome::failure(envelope.error()));
+                 return;
+               }
+               if (const Json& json = envelope.value();
+                   json.isObject() && json[kTakesBytes].isBool()) {
+                 bytes_addresses_.insert(address);
+               }
+               done(ReadEnvelope(std::move(envelope).value(),
+                                 result.value().status, id));
              });
 }
 
+void RpcClient::CallBytes(const std::string& address,
+                          const std::string& method,
+                          std::string body,
+                          Millis timeout,
+                          BytesDone done) {
+  HttpCall call;
+  call.method = "POST";
+  call.url = "http://" + address + std::string(kBytesPath) + method;
+  call.headers[kClusterSecretHeader] = secret_;
+  call.body = std::move(body);
+  call.content_type = kBytesContentType;
+  call.timeout = timeout;
+  http_.Send(std::move(call), [this, address, done = std::move(done)](
+                                  Result<HttpResponse> result) {
+    if (!result) {
+      done(outcome::failure(result.error()));
+      return;
+    }
+    // A server of an earlier version takes the bytes for a malformed call.
+    if (const int status = result.value().status;
+        status == 400 || status == 404) {
+      bytes_addresses_.erase(address);
+    }
+    done(ReadBytes(std::move(result).value()));
+  });
+}
+
 }  // namespace boragewinch
--- a/src/net/rpc_client.h
+++ b/src/net/rpc_client.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 
 #include "base/json.h"
@@ -17,6 +18,7 @@
 class RpcClient {
  public:
   using Done = std::function<void(Result<Json>)>;
+  using BytesDone = std::function<void(Result<std::string>)>;
 
   RpcClient(HttpClient& http, std::string secret);
 
@@ -29,10 +31,23 @@
             Millis timeout,
             Done done);
 
+  /// \brief As Call, for a method that RpcServer::BindBytes has bound.
+  void CallBytes(const std::string& address,
+                 const std::string& method,
+                 std::string body,
+                 Millis timeout,
+                 BytesDone done);
+  /// \returns whether the server at `address` has said that it takes calls of
+  /// bytes; those of earlier versions do not.
+  [[nodiscard]] bool TakesBytes(const std::string& address) const {
+    return bytes_addresses_.count(address) > 0;
+  }
+
  private:
   HttpClient& http_;
   std::string secret_;
   std::uint64_t next_id_ = 1;
+  std::set<std::string> bytes_addresses_;
 };
 
 }  // namespace boragewinch
--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -1,7 +1,9 @@
 #include "net/rpc_server.h"
 
+#include <functional>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 #include <jsonrpccpp/server.h>
@@ -20,6 +22,7 @@
   Json json;
   json["jsonrpc"] = "2.0";
   json["id"] = id;
+  json[kTakesBytes] = true;
   if (result) {
     json["result"] = result.value();
   } else {
@@ -35,6 +38,7 @@
 struct Call {
   HttpResponder respond;
   Json id;
+  Json body;
   bool dispatched = false;  ///< libjsonrpccpp has returned the envelope
   std::optional<Result<Json>> result;
 
@@ -69,13 +73,13 @@
   }
 
   void HandleMethodCall(jsonrpc::Procedure& procedure,
-                        const Json& input,
+                        const Json&,
                         Json& output) override {
     output = Json(::Json::nullValue);
     const auto method = methods.find(procedure.GetProcedureName());
     if (method == methods.end() || !current)
       return;
-    method->second(input["body"], [call = current](Result<Json> result) {
+    method->second(current->body, [call = current](Result<Json> result) {
       if (call->result)
         return;
       call->result = std::move(result);
@@ -90,10 +94,36 @@
   std::string secret_hash;
   std::unique_ptr<jsonrpc::IProtocolHandler> protocol;
   Connector connector;
+  void ServeBytes(const HttpRequest& request,
+                  const HttpResponder& respond) const;
+
   std::map<std::string, RpcMethod> methods;
+  std::map<std::string, BytesMethod, std::less<>> bytes_methods;
   std::shared_ptr<Call> current;
 };
 
+void RpcServer::Impl::ServeBytes(const HttpRequest& request,
+                                 const HttpResponder& respond) const {
+  const auto method = bytes_methods.find(
+      std::string_view(request.path).substr(kBytesPath.size()));
+  if (method == bytes_methods.end()) {
+    LogEvent(EventId::kMalformedMessage, {{"reason", "bytes_method"}});
+    respond({404, R"({"error":"not_found"})"});
+    return;
+  }
+  method->second(request.body, [respond](Result<std::string> result) {
+    if (result) {
+      respond({200, std::move(result).value(), kBytesContentType});
+      return;
+    }
+    Json json;
+    json["error"] = std::string(kErrorCodes.Name(result.error().code));
+    json["detail"] = result.error().detail;
+    constexpr int kFailed = 500;
+    respond({kFailed, WriteJson(json)});
+  });
+}
+
 RpcServer::RpcServer(const std::string& secret)
     : impl_(std::make_unique<Impl>(secret)) {}
 
@@ -106,6 +136,10 @@
   impl_->methods[name] = std::move(method);
 }
 
+void RpcServer::BindBytes(const std::string& name, BytesMethod method) {
+  impl_->bytes_methods[name] = std::move(method);
+}
+
 void RpcServer::Serve(const HttpRequest& request,
                       const HttpResponder& respond) {
   const auto secret = request.headers.find(kClusterSecretHeader);
@@ -115,17 +149,29 @@
     respond({401, R"({"error":"unauthorized"})"});
     return;
   }
+  if (std::string_view(request.path).starts_with(kBytesPath)) {
+    impl_->ServeBytes(request, respond);
+    return;
+  }
   // libjsonrpccpp takes a batch; it would answer its parts synchronously, so
   // only single calls are accepted. The parse also bounds the nesting.
-  const Result<Json> parsed = ParseJson(request.body);
+  Result<Json> parsed = ParseJson(request.body);
   if (!parsed || !parsed.value().isObject()) {
     LogEvent(EventId::kMalformedMessage, {{"reason", "not_a_call"}});
     respond({400, R"({"error":"invalid_json"})"});
     return;
   }
-  auto call = std::make_shared<Call>(Call{respond, parsed.value()["id"]});
+  Json& envelope = parsed.value();
+  auto call = std::make_shared<Call>(Call{respond, envelope["id"]});
+  // libjsonrpccpp would parse the parameter a second time, so it gets an empty
+  // one in its place.
+  if (Json& params = envelope["params"];
+      params.isObject() && params["body"].isObject()) {
+    call->body.swap(params["body"]);
+    params["body"] = Json(::Json::objectValue);
+  }
   impl_->current = call;
-  impl_->connector.OnRequest(request.body);
+  impl_->connector.OnRequest(WriteJson(envelope));
   impl_->current = nullptr;
   call->dispatched = true;
   if (call->result) {
--- a/src/raft/message.cc
+++ b/src/raft/message.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/hash.h"
+#include "base/wire.h"
 #include "raft/configuration.h"
 
 namespace boragewinch::raft {
@@ -57,6 +58,14 @@
   return bytes;
 }
 
+[[nodiscard]] Status CheckEntry(const Entry& entry) {
+  if (entry.kind == EntryKind::kConfiguration) {
+    BW_TRY(const Json members, ParseJson(entry.data));
+    BW_CHECK(ConfigurationFromJson(members));
+  }
+  return Ok();
+}
+
 [[nodiscard]] Result<std::vector<Entry>> EntriesField(const Json& json) {
   std::vector<Entry> entries;
   if (!json.isMember("entries"))
@@ -82,10 +91,7 @@
       return Fail(ErrorCode::kInvalidField, "unknown kind of entry");
     entry.kind = *kind;
     BW_TRY(entry.data, DataField(item, "data"));
-    if (entry.kind == EntryKind::kConfiguration) {
-      BW_TRY(const Json members, ParseJson(entry.data));
-      BW_CHECK(ConfigurationFromJson(members));
-    }
+    BW_CHECK(CheckEntry(entry));
     entries.push_back(std::move(entry));
   }
   return entries;
@@ -129,6 +135,80 @@
   return bytes;
 }
 
+std::string EncodeMessage(const Message& message) {
+  WireWriter out;
+  out.Enum(message.kind);
+  out.Text(message.cluster);
+  out.Text(message.from.str());
+  out.Text(message.to.str());
+  out.Text(message.session);
+  out.Number(message.boots);
+  out.Number(message.term);
+  out.Number(message.index);
+  out.Number(message.log_term);
+  out.Number(message.last_index);
+  out.Number(message.commit);
+  out.Number(message.config_index);
+  out.Number(message.offset);
+  out.Number(message.total);
+  out.Signed(message.sent_ms);
+  out.Number(message.chain);
+  out.Number(message.hash);
+  out.Flag(message.granted);
+  out.Flag(message.transfer);
+  out.Text(message.data);
+  out.Number(message.entries.size());
+  for (const Entry& entry : message.entries) {
+    out.Number(entry.term);
+    out.Enum(entry.kind);
+    out.Text(entry.data);
+  }
+  return out.Take();
+}
+
+Result<Message> DecodeMessage(std::string_view bytes) {
+  WireReader in(bytes);
+  Message message;
+  message.kind = in.Enum(kMessageKinds);
+  message.cluster = in.Text(kMaxIdBytes);
+  message.from = ReplicaId(std::string(in.Text(kMaxIdBytes)));
+  message.to = ReplicaId(std::string(in.Text(kMaxIdBytes)));
+  message.session = in.Text(kMaxIdBytes);
+  message.boots = in.Number(kMaxIndex);
+  message.term = in.Number(kMaxIndex);
+  message.index = in.Number(kMaxIndex);
+  message.log_term = in.Number(kMaxIndex);
+  message.last_index = in.Number(kMaxIndex);
+  message.commit = in.Number(kMaxIndex);
+  message.config_index = in.Number(kMaxIndex);
+  message.offset = in.Number(kMaxSnapshotBytes);
+  message.total = in.Number(kMaxSnapshotBytes);
+  message.sent_ms = in.Signed();
+  if (message.sent_ms < 0 ||
+      message.sent_ms > std::numeric_limits<std::int64_t>::max() / 2) {
+    in.Fault("the time of a message is out of range");
+  }
+  message.chain = in.Number();
+  message.hash = in.Number();
+  message.granted = in.Flag();
+  message.transfer = in.Flag();
+  message.data = in.Text(kMaxDataBytes);
+  const std::size_t entries = in.Count(kMaxEntries);
+  message.entries.reserve(entries);
+  for (std::size_t i = 0; i < entries && !in.failed(); ++i) {
+    Entry& entry = message.entries.emplace_back();
+    entry.term = in.Number(kMaxIndex);
+    entry.kind = in.Enum(kEntryKinds);
+    entry.data = in.Text(kMaxDataBytes);
+  }
+  BW_CHECK(in.Finish());
+  if (message.from.empty())
+    return Fail(ErrorCode::kInvalidField, "a message without a sender");
+  for (const Entry& entry : message.entries)
+    BW_CHECK(CheckEntry(entry));
+  return message;
+}
+
 Json ToJson(const Message& message) {
   Json json(::Json::objectValue);
   json["kind"] = std::string(kMessageKinds.Name(message.kind));
--- a/src/raft/message.h
+++ b/src/raft/message.h
@@ -77,6 +77,14 @@
 /// \returns kMissingField, kInvalidField or kTooLarge.
 [[nodiscard]] Result<Message> MessageFromJson(const Json& json);
 
+/// \returns the compact form of a message.
+[[nodiscard]] std::string EncodeMessage(const Message& message);
+
+/// \brief Reads what EncodeMessage has written, with the bounds of
+/// MessageFromJson.
+/// \returns kInvalidField or kTooLarge.
+[[nodiscard]] Result<Message> DecodeMessage(std::string_view bytes);
+
 /// \brief Writes each byte as the code point of the same number, so that
 /// arbitrary bytes survive in a JSON string and ASCII text is unchanged.
 [[nodiscard]] std::string BytesToText(std::string_view bytes);
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/wire.h"
 
 namespace boragewinch::scheduler {
 
@@ -21,6 +22,8 @@
 /// answer, and these messages.
 constexpr char kTakesAnswers[] = "takes_answers";
 constexpr char kAnswers[] = "answers";
+/// Bound on one message in an answer, above that of its parts.
+constexpr std::size_t kMaxAnswer = 64UL * 1024 * 1024;
 /// Changes that wait for the next batch; more are refused.
 constexpr std::size_t kMaxWaitingChanges = 4'096;
 
@@ -62,6 +65,10 @@
   server->Bind("raft.step", [this](const Json& body, const RpcReply& reply) {
     OnStep(body, reply);
   });
+  server->BindBytes("raft.step",
+                    [this](std::string_view body, const BytesReply& reply) {
+                      OnStepBytes(body, reply);
+                    });
   tick_ = loop_.Every(kTickInterval, [this](TimePoint now) { OnTick(now); });
   return Ok();
 }
@@ -70,7 +77,7 @@
   raft::ReplicaHooks hooks;
   hooks.send = [this](const std::string& host, const raft::Message& message) {
     if (answers_ != nullptr && host == answered_host_)
-      answers_->append(ToJson(message));
+      answers_->push_back(message);
     else
       SendStep(host, message);
   };
@@ -112,26 +119,44 @@
 // A lost message is sent again by the replica.
 void LedgerReplica::SendStep(const std::string& host,
                              const raft::Message& message) {
+  const std::string address = host + ":" + options_.port;
+  if (rpc_.TakesBytes(address)) {
+    rpc_.CallBytes(address, "raft.step", raft::EncodeMessage(message),
+                   kStepTimeout, [this](const Result<std::string>& answer) {
+                     if (!answer)
+                       return;
+                     WireReader in(answer.value());
+                     while (!in.empty())
+                       TakeMessage(raft::DecodeMessage(in.Text(kMaxAnswer)),
+                                   nullptr);
+                   });
+    return;
+  }
   Json body = ToJson(message);
   body[kTakesAnswers] = true;
-  rpc_.Call(host + ":" + options_.port, "raft.step", body, kStepTimeout,
+  rpc_.Call(address, "raft.step", body, kStepTimeout,
             [this](const Result<Json>& answer) {
               if (!answer || !answer.value().isObject())
                 return;
               for (const Json& sent : answer.value()[kAnswers])
-                TakeAnswer(sent);
+                TakeMessage(raft::MessageFromJson(sent), nullptr);
             });
 }
 
-void LedgerReplica::TakeAnswer(const Json& json) {
-  const Result<raft::Message> message = raft::MessageFromJson(json);
+void LedgerReplica::TakeMessage(const Result<raft::Message>& message,
+                                std::vector<raft::Message>* answers) {
   if (!message) {
     LogEvent(EventId::kMalformedMessage, {{"error", message.error().Text()}});
     return;
   }
   if (!opened_)
     return;
-  if (Status taken = replica_->Receive(message.value(), loop_.now()); !taken)
+  answers_ = answers;
+  if (answers != nullptr)
+    answered_host_ = raft::HostOf(message.value().from);
+  const Status taken = replica_->Receive(message.value(), loop_.now());
+  answers_ = nullptr;
+  if (!taken)
     LogEvent(EventId::kCallFailed, {{"error", taken.error().Text()}});
   NoteLeadership(loop_.now());
 }
@@ -147,23 +172,36 @@
     reply(Fail(ErrorCode::kUnavailable, "the data folder cannot be read"));
     return;
   }
-  const TimePoint now = loop_.now();
   // Messages to the sender travel in the answer to its call, which saves a call
   // for each of them. Earlier versions do not look for them there.
-  Json answers(::Json::arrayValue);
-  if (body[kTakesAnswers].isBool() && body[kTakesAnswers].asBool()) {
-    answers_ = &answers;
-    answered_host_ = raft::HostOf(message.value().from);
-  }
-  const Status taken = replica_->Receive(message.value(), now);
-  answers_ = nullptr;
-  if (!taken)
-    LogEvent(EventId::kCallFailed, {{"error", taken.error().Text()}});
+  const bool takes_answers =
+      body[kTakesAnswers].isBool() && body[kTakesAnswers].asBool();
+  std::vector<raft::Message> answers;
+  TakeMessage(message, takes_answers ? &answers : nullptr);
   Json result(::Json::objectValue);
-  if (!answers.empty())
-    result[kAnswers] = std::move(answers);
+  for (const raft::Message& answer : answers)
+    result[kAnswers].append(ToJson(answer));
   reply(std::move(result));
-  NoteLeadership(loop_.now());
+}
+
+void LedgerReplica::OnStepBytes(std::string_view body,
+                                const BytesReply& reply) {
+  const Result<raft::Message> message = raft::DecodeMessage(body);
+  if (!message) {
+    LogEvent(EventId::kMalformedMessage, {{"error", message.error().Text()}});
+    reply(outcome::failure(message.error()));
+    return;
+  }
+  if (!opened_) {
+    reply(Fail(ErrorCode::kUnavailable, "the data folder cannot be read"));
+    return;
+  }
+  std::vector<raft::Message> answers;
+  TakeMessage(message, &answers);
+  WireWriter out;
+  for (const raft::Message& answer : answers)
+    out.Text(raft::EncodeMessage(answer));
+  reply(out.Take());
 }
 
 void LedgerReplica::OnApply(std::uint64_t index, const std::string& bytes) {
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/result.h"
@@ -113,8 +114,11 @@
   [[nodiscard]] raft::ReplicaHooks MakeHooks();
   void SendStep(const std::string& host, const raft::Message& message);
   void OnStep(const Json& body, const RpcReply& reply);
-  /// \brief Handles a message that came in the answer to one of this replica.
-  void TakeAnswer(const Json& json);
+  void OnStepBytes(std::string_view body, const BytesReply& reply);
+  /// \brief Handles a message of another replica.
+  /// \param answers receives messages for its sender.
+  void TakeMessage(const Result<raft::Message>& message,
+                   std::vector<raft::Message>* answers);
   void OnApply(std::uint64_t index, const std::string& bytes);
   [[nodiscard]] Status Open(bool may_form);
   void Reopen();
@@ -134,8 +138,8 @@
   WatchHandle flush_;
   WatchHandle reopen_;
   bool flush_due_ = false;
-  Json* answers_ = nullptr;    ///< messages for the sender of a call
-  std::string answered_host_;  ///< of `answers_`
+  std::vector<raft::Message>* answers_ = nullptr;  ///< for a caller
+  std::string answered_host_;                      ///< of `answers_`
   jobs::Batch pending_;
   std::vector<Reply> replies_;         ///< of `pending_`
   std::vector<Reply> stored_replies_;  ///< of the open batch
