Carry the leader's exchanges with call agents as bytes

The messages have the same content, with workers, jobs and payloads in tables. An agent of an earlier version refuses them, and the leader makes its calls itself until it is replaced.

--- a/src/scheduler/worker_call_agent.cc
+++ b/src/scheduler/worker_call_agent.cc
@@ -34,10 +34,10 @@
   return Ok();
 }
 
-void WorkerCallAgent::OnExchange(const Json& body,
-                                 const RpcReply& reply,
+void WorkerCallAgent::OnExchange(std::string_view body,
+                                 const BytesReply& reply,
                                  TimePoint now) {
-  Result<CallExchange> exchange = CallExchangeFromJson(body);
+  Result<CallExchange> exchange = DecodeExchange(body);
   if (!exchange) {
     LogEvent(EventId::kMalformedMessage, {{"error", exchange.error().Text()}});
     reply(outcome::failure(exchange.error()));
@@ -140,9 +140,9 @@
     reply.answers.push_back(std::move(answers_.front()));
     answers_.pop_front();
   }
-  const RpcReply send = std::move(waiting_.front().reply);
+  const BytesReply send = std::move(waiting_.front().reply);
   waiting_.pop_front();
-  send(ToJson(reply));
+  send(EncodeReply(reply));
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/worker_call_agent.h
+++ b/src/scheduler/worker_call_agent.h
@@ -6,8 +6,8 @@
 #include <deque>
 #include <functional>
 #include <set>
+#include <string_view>
 
-#include "base/json.h"
 #include "base/time.h"
 #include "net/rpc_server.h"
 #include "scheduler/worker_call_codec.h"
@@ -15,7 +15,7 @@
 
 namespace boragewinch::scheduler {
 
-/// Name of the RPC method that carries CallExchange.
+/// Name of the method of bytes that carries CallExchange.
 inline constexpr char kCallExchangeMethod[] = "worker_calls.exchange";
 
 struct WorkerCallAgentOptions {
@@ -51,9 +51,11 @@
   WorkerCallAgent& operator=(const WorkerCallAgent&) = delete;
 
   /// \brief Takes the calls of a message and replies once answers have come or
-  /// the leader's wait is over. kFenced, kUnavailable, kInvalidField,
-  /// kMissingField or kTooLarge: none of its calls is made.
-  void OnExchange(const Json& body, const RpcReply& reply, TimePoint now);
+  /// the leader's wait is over. kFenced, kUnavailable, kInvalidField or
+  /// kTooLarge: none of its calls is made.
+  void OnExchange(std::string_view body,
+                  const BytesReply& reply,
+                  TimePoint now);
   /// \brief Replies with the answers that have come.
   void Flush();
   /// \brief Replies to exchanges whose wait is over. Has to be called at least
@@ -66,7 +68,7 @@
 
  private:
   struct Waiting {
-    RpcReply reply;
+    BytesReply reply;
     TimePoint until;
   };
 
--- a/src/scheduler/worker_call_codec.h
+++ b/src/scheduler/worker_call_codec.h
@@ -4,10 +4,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
-#include "base/json.h"
 #include "base/result.h"
 #include "jobs/ledger_batch.h"
 #include "scheduler/worker_calls.h"
@@ -56,14 +56,13 @@
 };
 
 /// The worker and the payload of a job are written once for all calls.
-[[nodiscard]] Json ToJson(const CallExchange& exchange);
-/// \returns the message, kMissingField, kInvalidField or kTooLarge.
-[[nodiscard]] Result<CallExchange> CallExchangeFromJson(const Json& json);
+[[nodiscard]] std::string EncodeExchange(const CallExchange& exchange);
+/// \returns the message, kInvalidField or kTooLarge.
+[[nodiscard]] Result<CallExchange> DecodeExchange(std::string_view bytes);
 
-[[nodiscard]] Json ToJson(const CallExchangeReply& reply);
-/// \returns the reply, kMissingField or kInvalidField.
-[[nodiscard]] Result<CallExchangeReply> CallExchangeReplyFromJson(
-    const Json& json);
+[[nodiscard]] std::string EncodeReply(const CallExchangeReply& reply);
+/// \returns the reply, kInvalidField or kTooLarge.
+[[nodiscard]] Result<CallExchangeReply> DecodeReply(std::string_view bytes);
 
 /// \returns the approximate size of the answer in a message, in bytes.
 [[nodiscard]] std::size_t SizeOf(const DelegatedAnswer& answer);
--- a/src/scheduler/worker_call_router.cc
+++ b/src/scheduler/worker_call_router.cc
@@ -286,8 +286,8 @@
     metrics_.Count("worker_calls", {"", host}, ids.size());
   metrics_.Count("worker_call_exchanges", {"", host});
   hooks_.exchange(
-      host, ToJson(exchange), options_.exchange_timeout,
-      [this, host, epoch = agent.epoch, ids](const Result<Json>& reply) {
+      host, EncodeExchange(exchange), options_.exchange_timeout,
+      [this, host, epoch = agent.epoch, ids](const Result<std::string>& reply) {
         OnReply(host, epoch, ids, reply, hooks_.now());
       });
 }
@@ -295,7 +295,7 @@
 void WorkerCallRouter::OnReply(const std::string& host,
                                std::uint64_t epoch,
                                const std::vector<std::uint64_t>& ids,
-                               const Result<Json>& reply,
+                               const Result<std::string>& reply,
                                TimePoint now) {
   const auto agent = agents_.find(host);
   if (agent == agents_.end() || agent->second.epoch != epoch) {
@@ -311,7 +311,7 @@
     } else {
       Leave(host, reply.error().Text(), now);
     }
-  } else if (auto parsed = CallExchangeReplyFromJson(reply.value()); !parsed) {
+  } else if (auto parsed = DecodeReply(reply.value()); !parsed) {
     LogEvent(EventId::kMalformedMessage,
              {{"host", host}, {"error", parsed.error().Text()}});
     Leave(host, parsed.error().Text(), now);
--- a/src/scheduler/worker_call_router.h
+++ b/src/scheduler/worker_call_router.h
@@ -75,11 +75,11 @@
 class WorkerCallRouter {
  public:
   struct Hooks {
-    /// Sends an exchange to a host; as RpcClient::Call.
+    /// Sends an exchange to a host; as RpcClient::CallBytes.
     std::function<void(const std::string& host,
-                       Json body,
+                       std::string body,
                        Millis timeout,
-                       std::function<void(Result<Json>)> done)>
+                       std::function<void(Result<std::string>)> done)>
         exchange;
     /// \returns the other hosts of the deployment.
     std::function<std::vector<std::string>()> hosts;
@@ -178,7 +178,7 @@
   void OnReply(const std::string& host,
                std::uint64_t epoch,
                const std::vector<std::uint64_t>& ids,
-               const Result<Json>& reply,
+               const Result<std::string>& reply,
                TimePoint now);
   void OnRefused(const std::string& host,
                  const std::vector<std::uint64_t>& ids,
--- a/tests/raft_message_test.cc
+++ b/tests/raft_message_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/data/test_case.hpp>
 
+#include <functional>
 #include <ostream>
 
 #include "base/json.h"
@@ -71,5 +72,78 @@
   BOOST_TEST(WriteJson(ToJson(copy.value())) == WriteJson(ToJson(message)));
 }
 
+[[nodiscard]] Message Append() {
+  Message message;
+  message.cluster = "c";
+  message.from = ReplicaId("a.1");
+  message.to = ReplicaId("b.1");
+  message.session = "s";
+  message.boots = 3;
+  message.term = 7;
+  message.index = 300;
+  message.log_term = 6;
+  message.last_index = 301;
+  message.commit = 299;
+  message.config_index = 2;
+  message.offset = 5;
+  message.total = 6;
+  message.chain = ~0ULL;
+  message.hash = 1;
+  message.sent_ms = 123;
+  message.granted = true;
+  message.transfer = true;
+  for (int byte = 0; byte < 256; ++byte)
+    message.data.push_back(static_cast<char>(byte));
+  message.entries = {{7, EntryKind::kCommand, message.data},
+                     {8, EntryKind::kNoop, ""}};
+  return message;
+}
+
+// Guards against the same in the compact form.
+BOOST_AUTO_TEST_CASE(MessageSurvivesCompactEncoding) {
+  const Message message = Append();
+  const auto copy = DecodeMessage(EncodeMessage(message));
+  BOOST_REQUIRE(copy);
+  BOOST_TEST((copy.value().entries == message.entries));
+  BOOST_TEST(WriteJson(ToJson(copy.value())) == WriteJson(ToJson(message)));
+}
+
+// Guards against bytes from outside that break the replica.
+BOOST_AUTO_TEST_CASE(MalformedBytesAreRefused) {
+  const auto code_of = [](const std::string& bytes) {
+    const auto read = DecodeMessage(bytes);
+    return read ? std::string("taken")
+                : std::string(kErrorCodes.Name(read.error().code));
+  };
+  const std::string bytes = EncodeMessage(Append());
+  for (std::size_t size = 0; size < bytes.size(); ++size)
+    BOOST_TEST(code_of(bytes.substr(0, size)) == "invalid_field");
+  BOOST_TEST(code_of(bytes + "x") == "invalid_field");
+  std::string other = bytes;
+  other[0] = 99;  // no such kind of message
+  BOOST_TEST(code_of(other) == "invalid_field");
+  const auto changed = [&](const std::function<void(Message*)>& change) {
+    Message message = Append();
+    change(&message);
+    return code_of(EncodeMessage(message));
+  };
+  BOOST_TEST(changed([](Message* m) { m->index = kMaxIndex + 1; }) ==
+             "invalid_field");
+  BOOST_TEST(changed([](Message* m) { m->offset = kMaxSnapshotBytes + 1; }) ==
+             "invalid_field");
+  BOOST_TEST(changed([](Message* m) { m->sent_ms = -1; }) == "invalid_field");
+  BOOST_TEST(changed([](Message* m) { m->from = ReplicaId(); }) ==
+             "invalid_field");
+  BOOST_TEST(changed([](Message* m) {
+               m->cluster.resize(kMaxIdBytes + 1);
+             }) == "too_large");
+  BOOST_TEST(changed([](Message* m) {
+               m->entries.push_back({1, EntryKind::kConfiguration, "{}"});
+             }) == "invalid_field");
+  BOOST_TEST(changed([](Message* m) {
+               m->data.resize(kMaxCommandBytes + 1);
+             }) == "too_large");
+}
+
 }  // namespace
 }  // namespace boragewinch::raft
