--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -5,14 +5,23 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/wire.h"
 
 namespace boragewinch::scheduler {
 
+/// What a scheduler host answers to a relayed request.
+struct RelayAnswer {
+  std::optional<HttpResponse> response;  ///< of a leader
+  Json view;  ///< without a response: what the host knows of the leader
+};
+
 namespace {
 
 constexpr Millis kViewTimeout{800};
 constexpr std::size_t kMaxBodyBytes = 8UL * 1024 * 1024;
 constexpr std::size_t kMaxHeaderBytes = 16UL * 1024;
+constexpr std::size_t kMaxHeaders = 1'000;
+constexpr char kRequestMethod[] = "relay.request";
 
 [[nodiscard]] Json MapToJson(const std::map<std::string, std::string>& map) {
   Json json(::Json::objectValue);
@@ -50,8 +59,95 @@
   return response;
 }
 
+using TextMap = std::map<std::string, std::string>;
+
+void WriteMap(const TextMap& map, WireWriter* out) {
+  out->Number(map.size());
+  for (const auto& [name, value] : map) {
+    out->Text(name);
+    out->Text(value);
+  }
+}
+
+void ReadMap(WireReader* in, TextMap* map) {
+  for (std::size_t left = in->Count(kMaxHeaders); left > 0 && !in->failed();
+       --left) {
+    std::string name(in->Text(kMaxHeaderBytes));
+    (*map)[std::move(name)] = in->Text(kMaxHeaderBytes);
+  }
+}
+
+[[nodiscard]] std::string EncodeAnswer(const HttpResponse& response) {
+  WireWriter out;
+  out.Flag(true);
+  out.Number(static_cast<std::uint64_t>(response.status));
+  out.Text(response.body);
+  out.Text(response.content_type);
+  WriteMap(response.headers, &out);
+  return out.Take();
+}
+
+[[nodiscard]] std::string EncodeAnswer(const Json& view) {
+  WireWriter out;
+  out.Flag(false);
+  out.Text(WriteJson(view));
+  return out.Take();
+}
+
+[[nodiscard]] Result<RelayAnswer> DecodeAnswer(std::string_view bytes) {
+  constexpr std::uint64_t kLastStatus = 599;
+  WireReader in(bytes);
+  RelayAnswer answer;
+  if (!in.Flag()) {
+    BW_TRY(answer.view, ParseJson(in.Text(kMaxBodyBytes)));
+    BW_CHECK(in.Finish());
+    return answer;
+  }
+  HttpResponse& response = answer.response.emplace();
+  response.status = static_cast<int>(in.Number(kLastStatus));
+  response.body = in.Text(kMaxBodyBytes);
+  response.content_type = in.Text(kMaxHeaderBytes);
+  ReadMap(&in, &response.headers);
+  BW_CHECK(in.Finish());
+  return answer;
+}
+
+[[nodiscard]] Result<RelayAnswer> AnswerFromJson(const Json& json) {
+  RelayAnswer answer;
+  if (!json.isObject() || !json.isMember("status")) {
+    answer.view = json;
+    return answer;
+  }
+  BW_TRY(answer.response, ResponseFromJson(json));
+  return answer;
+}
+
 }  // namespace
 
+std::string EncodeRequest(const RelayedRequest& request) {
+  WireWriter out;
+  out.Enum(request.surface);
+  out.Text(request.http.method);
+  out.Text(request.http.path);
+  out.Text(request.http.body);
+  WriteMap(request.http.headers, &out);
+  WriteMap(request.http.query, &out);
+  return out.Take();
+}
+
+Result<RelayedRequest> DecodeRequest(std::string_view bytes) {
+  WireReader in(bytes);
+  RelayedRequest request;
+  request.surface = in.Enum(kSurfaces);
+  request.http.method = in.Text(kMaxHeaderBytes);
+  request.http.path = in.Text(kMaxHeaderBytes);
+  request.http.body = in.Text(kMaxBodyBytes);
+  ReadMap(&in, &request.http.headers);
+  ReadMap(&in, &request.http.query);
+  BW_CHECK(in.Finish());
+  return request;
+}
+
 Json ToJson(const RelayedRequest& request) {
   Json json;
   json["surface"] = std::string(kSurfaces.Name(request.surface));
@@ -83,9 +179,9 @@
 
 // A refusal says that the leader stored nothing. It speaks for the last try
 // only: an earlier one without an answer may be stored now or later.
-[[nodiscard]] bool IsRefusedChange(const Json& request,
+[[nodiscard]] bool IsRefusedChange(const RelayedRequest& request,
                                    const HttpResponse& response) {
-  const std::string method = request["method"].asString();
+  const std::string& method = request.http.method;
   if (method == "GET" || method == "HEAD")
     return false;
   constexpr int kRefusals[] = {401, 403, 404, 429, 503};
@@ -96,7 +192,7 @@
 }  // namespace
 
 struct RelayClient::Pending {
-  Json body;
+  RelayedRequest request;
   TimePoint deadline;
   Respond done;
   bool maybe_seen = false;  ///< a try ended without an answer
@@ -122,7 +218,7 @@
                        TimePoint deadline,
                        const Respond& done) {
   auto pending = std::make_shared<Pending>();
-  pending->body = ToJson(request);
+  pending->request = request;
   pending->deadline = deadline - options_.answer_margin;
   pending->done = done;
   Try(pending);
@@ -141,7 +237,7 @@
     response.body = R"({"error":"unavailable","detail":"no leader answers"})";
     response.headers["Retry-After"] = "1";
     LogEvent(EventId::kRelayFailed,
-             {{"path", pending->body["path"].asString()},
+             {{"path", pending->request.http.path},
               {"leader", leader_},
               {"leader_age_ms", static_cast<long>((now - heard_).count())},
               {"status", response.status}});
@@ -150,38 +246,52 @@
   }
   const Millis timeout =
       std::min(options_.try_timeout, pending->deadline - now);
-  rpc_.Call(host + ":" + options_.port, "relay.request", pending->body,
+  const std::string address = host + ":" + options_.port;
+  if (rpc_.TakesBytes(address)) {
+    rpc_.CallBytes(address, kRequestMethod, EncodeRequest(pending->request),
+                   std::max(timeout, Millis(1)),
+                   [this, pending, host](const Result<std::string>& answer) {
+                     if (answer)
+                       OnAnswer(pending, host, DecodeAnswer(answer.value()));
+                     else
+                       OnAnswer(pending, host,
+                                outcome::failure(answer.error()));
+                   });
+    return;
+  }
+  rpc_.Call(address, kRequestMethod, ToJson(pending->request),
             std::max(timeout, Millis(1)),
             [this, pending, host](const Result<Json>& answer) {
-              OnAnswer(pending, host, answer);
+              if (answer)
+                OnAnswer(pending, host, AnswerFromJson(answer.value()));
+              else
+                OnAnswer(pending, host, outcome::failure(answer.error()));
             });
 }
 
 void RelayClient::OnAnswer(const std::shared_ptr<Pending>& pending,
                            const std::string& host,
-                           const Result<Json>& answer) {
-  if (answer && answer.value().isMember("status")) {
-    if (Result<HttpResponse> response = ResponseFromJson(answer.value())) {
-      heard_ = loop_.now();
-      leader_ = host;
-      if (pending->maybe_seen &&
-          IsRefusedChange(pending->body, response.value())) {
-        LogEvent(EventId::kRelayFailed,
-                 {{"path", pending->body["path"].asString()},
-                  {"leader", leader_},
-                  {"refusal", response.value().status},
-                  {"status", 504}});
-        response.value().status = 504;
-        response.value().body =
-            R"({"error":"unknown","detail":"an earlier try had no answer"})";
-      }
-      pending->done(std::move(response).value());
-      return;
+                           Result<RelayAnswer> answer) {
+  if (answer && answer.value().response) {
+    HttpResponse& response = *answer.value().response;
+    heard_ = loop_.now();
+    leader_ = host;
+    if (pending->maybe_seen && IsRefusedChange(pending->request, response)) {
+      LogEvent(EventId::kRelayFailed,
+               {{"path", pending->request.http.path},
+                {"leader", leader_},
+                {"refusal", response.status},
+                {"status", 504}});
+      response.status = 504;
+      response.body =
+          R"({"error":"unknown","detail":"an earlier try had no answer"})";
     }
+    pending->done(std::move(response));
+    return;
   }
   const std::string before = std::exchange(leader_, "");
   if (answer) {
-    Learn(host, answer.value());
+    Learn(host, answer.value().view);
   } else {
     // Even a try whose connection was not made counts: bytes that were held
     // up on their way may arrive later.
@@ -236,10 +346,37 @@
 
 RelayServer::RelayServer(RpcServer* server, Hooks hooks)
     : hooks_(std::move(hooks)) {
-  server->Bind("relay.request",
+  server->Bind(kRequestMethod,
                [this](const Json& body, const RpcReply& reply) {
-                 OnRequest(body, reply);
+                 if (!hooks_.leads()) {
+                   reply(View());
+                   return;
+                 }
+                 Serve(
+                     RelayedRequestFromJson(body),
+                     [reply](const HttpResponse& response) {
+                       reply(ToJson(response));
+                     },
+                     [reply](const Result<Json>& view) { reply(view); });
                });
+  server->BindBytes(
+      kRequestMethod, [this](std::string_view body, const BytesReply& reply) {
+        if (!hooks_.leads()) {
+          reply(EncodeAnswer(View()));
+          return;
+        }
+        Serve(
+            DecodeRequest(body),
+            [reply](const HttpResponse& response) {
+              reply(EncodeAnswer(response));
+            },
+            [reply](const Result<Json>& view) {
+              if (view)
+                reply(EncodeAnswer(view.value()));
+              else
+                reply(outcome::failure(view.error()));
+            });
+      });
   server->Bind("relay.view",
                [this](const Json&, const RpcReply& reply) { reply(View()); });
 }
@@ -254,24 +391,23 @@
   return view;
 }
 
-void RelayServer::OnRequest(const Json& body, const RpcReply& reply) {
-  if (!hooks_.leads()) {
-    reply(View());
-    return;
-  }
-  Result<RelayedRequest> request = RelayedRequestFromJson(body);
+void RelayServer::Serve(
+    const Result<RelayedRequest>& request,
+    const Respond& respond,
+    const std::function<void(const Result<Json>&)>& reply_view) {
   if (!request) {
     LogEvent(EventId::kMalformedMessage, {{"error", request.error().Text()}});
-    reply(outcome::failure(request.error()));
+    reply_view(outcome::failure(request.error()));
     return;
   }
-  hooks_.serve(request.value(), [this, reply](const HttpResponse& response) {
-    // Nothing was stored: the caller's host asks the next leader.
-    if (response.status == 503 && !hooks_.leads())
-      reply(View());
-    else
-      reply(ToJson(response));
-  });
+  hooks_.serve(request.value(),
+               [this, respond, reply_view](const HttpResponse& response) {
+                 // Nothing was stored: the caller's host asks the next leader.
+                 if (response.status == 503 && !hooks_.leads())
+                   reply_view(View());
+                 else
+                   respond(response);
+               });
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/relay.h
+++ b/src/scheduler/relay.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/enum_table.h"
@@ -31,6 +32,8 @@
   HttpRequest http;
 };
 
+struct RelayAnswer;
+
 using Respond = std::function<void(HttpResponse)>;
 using ServeRequest = std::function<void(const RelayedRequest&, const Respond&)>;
 
@@ -77,7 +80,7 @@
   void Try(const std::shared_ptr<Pending>& pending);
   void OnAnswer(const std::shared_ptr<Pending>& pending,
                 const std::string& host,
-                const Result<Json>& answer);
+                Result<RelayAnswer> answer);
   void Learn(const std::string& host, const Json& answer);
   [[nodiscard]] std::string NextHost();
 
@@ -104,12 +107,22 @@
   RelayServer(RpcServer* server, Hooks hooks);
 
  private:
-  void OnRequest(const Json& body, const RpcReply& reply);
+  /// \param respond gets the response of this leader.
+  /// \param reply_view gets what is known of another one, or an error.
+  void Serve(const Result<RelayedRequest>& request,
+             const Respond& respond,
+             const std::function<void(const Result<Json>&)>& reply_view);
   [[nodiscard]] Json View() const;
 
   Hooks hooks_;
 };
 
+/// \returns the compact form of a request.
+[[nodiscard]] std::string EncodeRequest(const RelayedRequest& request);
+/// \returns what EncodeRequest has written, kInvalidField or kTooLarge.
+[[nodiscard]] Result<RelayedRequest> DecodeRequest(std::string_view bytes);
+
+/// The form that hosts of earlier versions take.
 [[nodiscard]] Json ToJson(const RelayedRequest& request);
 [[nodiscard]] Result<RelayedRequest> RelayedRequestFromJson(const Json& json);
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -93,6 +93,45 @@
   BOOST_TEST(response.headers.at("Retry-After") == "7");
 }
 
+// Guards against a request or an answer that changes in its compact form, which
+// is used from the second request on.
+BOOST_FIXTURE_TEST_CASE(LaterAnswersArePassedOnToo, Fixture) {
+  const std::string address = "127.0.0.1" + server.address().substr(9);
+  BOOST_TEST(!rpc.TakesBytes(address));
+  BOOST_TEST(Ask().body == "hello");
+  BOOST_TEST(rpc.TakesBytes(address));
+  BOOST_TEST(Ask().body == "hello");
+  answer =
+      HttpResponse{429, "later", "application/json", {{"Retry-After", "7"}}};
+  const HttpResponse response = Ask();
+  BOOST_TEST(response.status == 429);
+  BOOST_TEST(response.body == "later");
+  BOOST_TEST(response.headers.at("Retry-After") == "7");
+  BOOST_TEST(served == 3);
+  leads = false;
+  BOOST_TEST(Ask().status == 503);
+  BOOST_TEST(served == 3);
+}
+
+// Guards against a stranger's bytes that are taken for a request.
+BOOST_AUTO_TEST_CASE(ADamagedRequestIsRefused) {
+  RelayedRequest request;
+  request.http.method = "POST";
+  request.http.path = "/q/1";
+  request.http.body = "hello";
+  request.http.headers = {{"host", "h"}};
+  request.http.query = {{"a", "b"}};
+  const std::string bytes = EncodeRequest(request);
+  const auto read = DecodeRequest(bytes);
+  BOOST_REQUIRE(read);
+  BOOST_TEST(read.value().http.body == "hello");
+  BOOST_TEST(read.value().http.headers.at("host") == "h");
+  BOOST_TEST(read.value().http.query.at("a") == "b");
+  for (std::size_t size = 0; size < bytes.size(); ++size)
+    BOOST_TEST(!DecodeRequest(bytes.substr(0, size)));
+  BOOST_TEST(!DecodeRequest(bytes + "x"));
+}
+
 // Guards against a caller that waits although no host leads; nothing was
 // stored, so "not run" is true.
 BOOST_FIXTURE_TEST_CASE(WithoutALeaderTheRequestIsRefused, Fixture) {
