Log reads of a job's state only if they are refused

Callers ask for the state of a job several times a second; a line for each took the leader processor time in bursts and says nothing that leads from a job to its cause. They are still counted (desk_state).

--- a/src/scheduler/job_desk.cc
+++ b/src/scheduler/job_desk.cc
@@ -63,25 +63,30 @@
   return own ? job : nullptr;
 }
 
-void JobDesk::Answer(const char* call,
+void JobDesk::Answer(Call call,
                      const Place& place,
                      const DeskAnswer& answer,
                      const Done& done) {
   const std::string queue =
       place.queue != nullptr ? place.queue->name.str() : "";
+  const std::string name(kCalls.Name(call));
+  metrics_.Count("desk_" + name, {place.customer.str(), queue});
+  const bool refused = answer.verdict != DeskVerdict::kDone;
   const std::string verdict(kDeskVerdicts.Name(answer.verdict));
-  LogEvent(EventId::kDeskAnswered,
-           {{"call", call},
-            {"job", place.rest},
-            {"queue", queue},
-            {"customer", place.customer.str()},
-            {"verdict", verdict},
-            {"state", std::string(jobs::kJobStates.Name(answer.state))},
-            {"rules", static_cast<long>(replica_.ledger().rules().version)},
-            {"term", replica_.term()}});
-  metrics_.Count(std::string("desk_") + call, {place.customer.str(), queue});
-  if (answer.verdict != DeskVerdict::kDone)
+  if (refused)
     metrics_.Count("desk_refused", {place.customer.str(), verdict});
+  // Callers ask for the state of a job several times a second.
+  if (refused || call != Call::kState) {
+    LogEvent(EventId::kDeskAnswered,
+             {{"call", name},
+              {"job", place.rest},
+              {"queue", queue},
+              {"customer", place.customer.str()},
+              {"verdict", verdict},
+              {"state", std::string(jobs::kJobStates.Name(answer.state))},
+              {"rules", static_cast<long>(replica_.ledger().rules().version)},
+              {"term", replica_.term()}});
+  }
   done(answer);
 }
 
@@ -97,7 +102,7 @@
     const bool known =
         replica_.ledger().FindJob(jobs::JobId(place.rest)) != nullptr;
     if (known) {
-      Answer("submit", place, answer, done);
+      Answer(Call::kSubmit, place, answer, done);
       return;
     }
     if (!spec || !IsJobId(place.rest)) {
@@ -112,7 +117,7 @@
     }
   }
   if (answer.verdict != DeskVerdict::kDone) {
-    Answer("submit", place, answer, done);
+    Answer(Call::kSubmit, place, answer, done);
     return;
   }
   jobs::Submission submission{jobs::JobId(place.rest), place.queue->name,
@@ -129,7 +134,7 @@
                                ? DeskVerdict::kNotReady
                                : DeskVerdict::kUnknown;
         }
-        Answer("submit", logged, answer, done);
+        Answer(Call::kSubmit, logged, answer, done);
       });
 }
 
@@ -150,7 +155,7 @@
       answer.verdict = DeskVerdict::kNoJob;
     }
   }
-  Answer("state", place, answer, done);
+  Answer(Call::kState, place, answer, done);
 }
 
 void JobDesk::Cancel(const CallerAddress& caller,
@@ -165,7 +170,7 @@
   if (place.verdict == DeskVerdict::kDone && job == nullptr)
     answer.verdict = DeskVerdict::kNoJob;
   if (job == nullptr || job->final()) {
-    Answer("cancel", place, answer, done);
+    Answer(Call::kCancel, place, answer, done);
     return;
   }
   const Place logged{place.verdict, nullptr, place.customer, place.rest};
@@ -174,7 +179,7 @@
       [this, logged, answer, done](const Status& stored) mutable {
         if (!stored)
           answer.verdict = DeskVerdict::kUnknown;
-        Answer("cancel", logged, answer, done);
+        Answer(Call::kCancel, logged, answer, done);
       });
 }
 
--- a/src/scheduler/job_desk.h
+++ b/src/scheduler/job_desk.h
@@ -83,7 +83,14 @@
 
   [[nodiscard]] Place Locate(const CallerAddress& caller, TimePoint now) const;
   [[nodiscard]] const jobs::Job* FindOwn(const Place& place) const;
-  void Answer(const char* call,
+  enum class Call { kSubmit, kState, kCancel };
+  static constexpr EnumTable<Call, 3> kCalls{{{
+      {Call::kSubmit, "submit"},
+      {Call::kState, "state"},
+      {Call::kCancel, "cancel"},
+  }}};
+
+  void Answer(Call call,
               const Place& place,
               const DeskAnswer& answer,
               const Done& done);
