Let drains wait for a stop that maintenance was allowed

Cause, as far as the code shows: the allowance is checked when a stop is decided. Stops for draining workers that are decided after it, through other agents, can reach their workers first, and then the allowed one takes a task too many away.

A draining worker's tasks of such a step are now stopped once the allowed stop has ended its run; a worker that does not answer holds nothing up. The test fails without the wait.

--- a/bench/scheduler_main.cc
+++ b/bench/scheduler_main.cc
@@ -397,7 +397,8 @@
   {
     const Timer timer(&parts_["stops"]);
     if (!scheduler::PlanStops(
-             ledger_, {}, [](const RunName&, const WorkerLife&) { return 0; })
+             ledger_, {}, [](const RunName&, const WorkerLife&) { return 0; },
+             [](const RunName&, const WorkerLife&) { return false; })
              .empty()) {
       std::abort();
     }
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -247,8 +247,12 @@
                               const jobs::WorkerLife& life) {
     return fleet_->PercentOf(run, life);
   };
-  for (const StopOrder& stop :
-       PlanStops(replica_->ledger(), hosts_->clearing(), percent)) {
+  const auto stopping = [this](const jobs::RunName& run,
+                               const jobs::WorkerLife& life) {
+    return fleet_->IsStopping(run, life);
+  };
+  for (const StopOrder& stop : PlanStops(
+           replica_->ledger(), hosts_->clearing(), percent, stopping)) {
     fleet_->Stop(stop.run, stop.worker, stop.reason);
   }
 }
--- a/src/scheduler/stop_planner.cc
+++ b/src/scheduler/stop_planner.cc
@@ -12,8 +12,10 @@
 /// Tasks of one step that are not at work, with those stopped by this plan.
 class AwayCounts {
  public:
-  AwayCounts(const jobs::JobLedger& ledger, const PercentOf& percent_of)
-      : ledger_(ledger), percent_of_(percent_of) {}
+  AwayCounts(const jobs::JobLedger& ledger,
+             const PercentOf& percent_of,
+             const IsStopping& is_stopping)
+      : ledger_(ledger), percent_of_(percent_of), is_stopping_(is_stopping) {}
 
   /// \returns whether one more task of the step may be taken from its work.
   [[nodiscard]] bool Allow(const jobs::RunName& run,
@@ -31,6 +33,29 @@
     return true;
   }
 
+  /// \returns whether a task of the step is being taken from a worker that does
+  /// not drain.
+  [[nodiscard]] bool IsBeingTaken(const jobs::RunName& run,
+                                  const jobs::StepSpec& spec) const {
+    if (spec.may_be_away == 0)
+      return false;
+    const jobs::TaskName& name = run.task;
+    const jobs::Job* job = ledger_.FindJob(name.job);
+    const auto& step = job->occurrences.at(name.occurrence).steps[name.step];
+    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+      for (const jobs::Run& other : step.tasks[i].runs) {
+        const jobs::Worker* worker = ledger_.FindWorker(other.worker);
+        if (worker != nullptr && !worker->note.draining &&
+            is_stopping_({{name.job, name.occurrence, name.step, i},
+                          other.number},
+                         other.worker)) {
+          return true;
+        }
+      }
+    }
+    return false;
+  }
+
  private:
   [[nodiscard]] std::int64_t Count(const jobs::TaskName& name) const {
     const jobs::Job* job = ledger_.FindJob(name.job);
@@ -53,6 +78,7 @@
 
   const jobs::JobLedger& ledger_;
   const PercentOf& percent_of_;
+  const IsStopping& is_stopping_;
   std::map<std::tuple<jobs::JobId, std::uint32_t, std::uint32_t>, std::int64_t>
       away_;
 };
@@ -61,9 +87,10 @@
 
 std::vector<StopOrder> PlanStops(const jobs::JobLedger& ledger,
                                  const std::set<jobs::WorkerLife>& clearing,
-                                 const PercentOf& percent_of) {
+                                 const PercentOf& percent_of,
+                                 const IsStopping& is_stopping) {
   std::vector<StopOrder> stops;
-  AwayCounts away(ledger, percent_of);
+  AwayCounts away(ledger, percent_of, is_stopping);
   jobs::WorkerSet candidates = ledger.stop_candidates();
   for (const jobs::WorkerLife& life : clearing) {
     if (const jobs::Worker* worker = ledger.FindWorker(life))
@@ -89,10 +116,12 @@
       const jobs::StepSpec& spec = job->spec->steps[run.task.step];
       if (!spec.long_running)
         continue;
-      if (worker.note.draining)
-        stops.push_back({run, life, "worker_drains"});
-      else if (clears && away.Allow(run, spec))
+      if (worker.note.draining) {
+        if (!away.IsBeingTaken(run, spec))
+          stops.push_back({run, life, "worker_drains"});
+      } else if (clears && away.Allow(run, spec)) {
         stops.push_back({run, life, "host_maintenance"});
+      }
     }
   }
   return stops;
--- a/src/scheduler/stop_planner.h
+++ b/src/scheduler/stop_planner.h
@@ -20,13 +20,20 @@
 using PercentOf =
     std::function<int(const jobs::RunName&, const jobs::WorkerLife&)>;
 
+/// \returns whether a stop of the run is under way to a worker that answers.
+using IsStopping =
+    std::function<bool(const jobs::RunName&, const jobs::WorkerLife&)>;
+
 /// \brief Decides which runs are stopped: those of jobs in a final state, extra
 /// copies of finished tasks, long-running tasks on workers that drain, and on
-/// workers in `clearing` as far as the steps' availability allows.
+/// workers in `clearing` as far as the steps' availability allows. Draining
+/// workers need no allowance, but wait for a stop that was allowed: it may
+/// arrive after theirs, and then takes one task too many away.
 [[nodiscard]] std::vector<StopOrder> PlanStops(
     const jobs::JobLedger& ledger,
     const std::set<jobs::WorkerLife>& clearing,
-    const PercentOf& percent_of);
+    const PercentOf& percent_of,
+    const IsStopping& is_stopping);
 
 }  // namespace boragewinch::scheduler
 
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -246,6 +246,15 @@
              : track->second.percent;
 }
 
+bool WorkerFleet::IsStopping(const jobs::RunName& run,
+                             const jobs::WorkerLife& life) const {
+  const WorkerLink* link = Find(life);
+  if (link == nullptr || !link->Reachable(loop_.now()))
+    return false;
+  const auto track = link->tracks().find(run);
+  return track != link->tracks().end() && track->second.stop_wanted;
+}
+
 void WorkerFleet::SendStart(const jobs::Worker& worker,
                             const jobs::RunName& run) {
   const jobs::WorkerLife life = worker.note.life;
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -60,6 +60,9 @@
   /// it has not been seen, is to be stopped or its worker is silent.
   [[nodiscard]] int PercentOf(const jobs::RunName& run,
                               const jobs::WorkerLife& life) const;
+  /// \returns whether a stop of the run is under way to a worker that answers.
+  [[nodiscard]] bool IsStopping(const jobs::RunName& run,
+                                const jobs::WorkerLife& life) const;
 
  private:
   struct Contact;
--- a/tests/ledger_index_test.cc
+++ b/tests/ledger_index_test.cc
@@ -294,7 +294,8 @@
   std::vector<std::pair<RunName, std::string>> stops;
   for (const scheduler::StopOrder& stop : scheduler::PlanStops(
            ledger, clearing,
-           [](const RunName&, const WorkerLife&) { return 100; })) {
+           [](const RunName&, const WorkerLife&) { return 100; },
+           [](const RunName&, const WorkerLife&) { return false; })) {
     stops.emplace_back(stop.run, stop.reason);
   }
   BOOST_TEST((stops == SweepStops(ledger, clearing)));
--- a/tests/stop_planner_test.cc
+++ b/tests/stop_planner_test.cc
@@ -32,6 +32,10 @@
   };
 }
 
+const IsStopping kNoStop = [](const jobs::RunName&, const jobs::WorkerLife&) {
+  return false;
+};
+
 const std::set<jobs::WorkerLife> kClearAll = {LedgerBuilder::Life("a"),
                                               LedgerBuilder::Life("b"),
                                               LedgerBuilder::Life("c")};
@@ -40,7 +44,7 @@
 BOOST_AUTO_TEST_CASE(ClearingStopsOneTaskWhereOneMayBeAway) {
   const LedgerBuilder builder = LastingJob();
   const auto stops = PlanStops(builder.ledger(), kClearAll,
-                               Percents({{"a", 100}, {"b", 100}, {"c", 100}}));
+                               Percents({{"a", 100}, {"b", 100}, {"c", 100}}), kNoStop);
   BOOST_TEST(stops.size() == 1U);
 }
 
@@ -49,7 +53,7 @@
 BOOST_AUTO_TEST_CASE(ATaskOfUnknownReadinessNeedsTheAllowanceToo) {
   const LedgerBuilder builder = LastingJob();
   const auto stops = PlanStops(builder.ledger(), kClearAll,
-                               Percents({{"a", 0}, {"b", 40}, {"c", 100}}));
+                               Percents({{"a", 0}, {"b", 40}, {"c", 100}}), kNoStop);
   BOOST_TEST(stops.empty());
 }
 
@@ -57,7 +61,7 @@
 BOOST_AUTO_TEST_CASE(DrainingWorkersAreClearedOfLongRunningTasks) {
   LedgerBuilder builder = LastingJob();
   builder.AddWorker("a", {16'000, 32'000, 0}, true);
-  const auto stops = PlanStops(builder.ledger(), {}, Percents({}));
+  const auto stops = PlanStops(builder.ledger(), {}, Percents({}), kNoStop);
   BOOST_REQUIRE(stops.size() == 1U);
   BOOST_TEST(stops[0].worker.id.str() == "a");
 }
@@ -70,17 +74,36 @@
     builder.AddWorker(draining, {16'000, 32'000, 0}, true);
     const auto stops =
         PlanStops(builder.ledger(), {LedgerBuilder::Life("b")},
-                  Percents({{"a", 100}, {"b", 100}, {"c", 100}}));
+                  Percents({{"a", 100}, {"b", 100}, {"c", 100}}), kNoStop);
     BOOST_REQUIRE(stops.size() == 1U);
     BOOST_TEST(stops[0].worker.id.str() == draining);
   }
 }
 
+// Guards against a stop for maintenance that arrives after the stops of a worker
+// that began to drain later.
+BOOST_AUTO_TEST_CASE(ADrainWaitsForAStopUnderWay) {
+  LedgerBuilder builder = LastingJob();
+  builder.AddWorker("a", {16'000, 32'000, 0}, true);
+  const auto stopping = [](const std::string& worker) -> IsStopping {
+    return [worker](const jobs::RunName&, const jobs::WorkerLife& life) {
+      return life.id.str() == worker;
+    };
+  };
+  const PercentOf percents = Percents({{"a", 100}, {"c", 100}});
+  BOOST_TEST(PlanStops(builder.ledger(), {LedgerBuilder::Life("b")}, percents,
+                       stopping("b"))
+                 .empty());
+  // The stops of draining workers do not wait for each other.
+  BOOST_TEST(
+      PlanStops(builder.ledger(), {}, percents, stopping("a")).size() == 1U);
+}
+
 // Guards against tasks of a cancelled job that run on.
 BOOST_AUTO_TEST_CASE(RunsOfCancelledJobsAreStopped) {
   LedgerBuilder builder = LastingJob();
   builder.Cancel("job");
-  BOOST_TEST(PlanStops(builder.ledger(), {}, Percents({})).size() == 3U);
+  BOOST_TEST(PlanStops(builder.ledger(), {}, Percents({}), kNoStop).size() == 3U);
 }
 
 }  // namespace
