Ask for time to spare before a job counts as one that can be in time

Cause: of the jobs that can still meet their objective the earliest objective goes first, and one counted as such until its remaining chain fitted exactly. In a burst each was begun at that moment, and then missed its objective by the notice of an end and the wait for room between its steps.

The remaining chain now has to fit one and a half times. The test fails before the change.

--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -12,9 +12,10 @@
 struct TaskPlannerOptions {
   /// Starts of one plan: they share one entry of the log.
   std::size_t max_starts = 96;
-  /// Estimates are rough: a job counts as too late to meet its objective when
-  /// so many times its remaining chain no longer fits.
-  double chain_margin = 1.0;
+  /// A job counts as too late to meet its objective when so many times its
+  /// remaining chain no longer fits. Estimates are rough, and each step waits
+  /// for the notice of the last end and for room.
+  double chain_margin = 1.5;
 };
 
 /// \brief What the planner asks about workers.
--- a/tests/task_planner_test.cc
+++ b/tests/task_planner_test.cc
@@ -130,6 +130,20 @@
   BOOST_TEST(counts.at("fresh") == 2);
 }
 
+// Guards against a burst in which every job is begun at the last moment at which
+// it could be done in time, and then all of them miss it by the wait for their
+// second step.
+BOOST_AUTO_TEST_CASE(AJobWithoutTimeToSpareYieldsToOneThatHasIt) {
+  LedgerBuilder builder;
+  builder.AddWorker("w", {2'000, 32'000, 0});
+  builder.At(1'000).Submit("old", {LedgerBuilder::Tasks(2)});
+  builder.At(1'700).Submit("fresh", {LedgerBuilder::Tasks(2)});
+  // At 2,000 the old job, due at 3,200, has 1,200 left for 1,000 of work.
+  const auto counts = CountByJob(PlanAll(builder, 2'000));
+  BOOST_TEST(counts.count("old") == 0U);
+  BOOST_TEST(counts.at("fresh") == 2);
+}
+
 // Guards against hosts that a few long-running tasks each keep from following
 // the demand: between the spikes a pool is nearly idle.
 BOOST_AUTO_TEST_CASE(LongRunningTasksShareFewHosts) {
