--- a/src/jobs/ledger_batch.cc
+++ b/src/jobs/ledger_batch.cc
@@ -21,8 +21,7 @@
  public:
   void Write(const RunName& run, const WorkerLife& worker, WireWriter* out) {
     jobs_.Write(run, out);
-    const auto [place, added] =
-        indexes_.try_emplace(worker, indexes_.size());
+    const auto [place, added] = indexes_.try_emplace(worker, indexes_.size());
     if (added) {
       workers_.Text(worker.id.str());
       workers_.Signed(worker.born);
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -67,25 +67,23 @@
   call.headers[kClusterSecretHeader] = secret_;
   call.body = WriteJson(envelope);
   call.timeout = timeout;
-  http_.Send(std::move(call),
-             [this, id, address,
-              done = std::move(done)](const Result<HttpResponse>& result) {
-               if (!result) {
-                 done(outcome::failure(result.error()));
-                 return;
-               }
-               Result<Json> envelope = ParseJson(result.value().body);
-               if (!envelope) {
-                 done(outcome::failure(envelope.error()));
-                 return;
-               }
-               if (const Json& json = envelope.value();
-                   json.isObject() && json[kTakesBytes].isBool()) {
-                 bytes_addresses_.insert(address);
-               }
-               done(ReadEnvelope(std::move(envelope).value(),
-                                 result.value().status, id));
-             });
+  http_.Send(std::move(call), [this, id, address, done = std::move(done)](
+                                  const Result<HttpResponse>& result) {
+    if (!result) {
+      done(outcome::failure(result.error()));
+      return;
+    }
+    Result<Json> envelope = ParseJson(result.value().body);
+    if (!envelope) {
+      done(outcome::failure(envelope.error()));
+      return;
+    }
+    if (const Json& json = envelope.value();
+        json.isObject() && json[kTakesBytes].isBool()) {
+      bytes_addresses_.insert(address);
+    }
+    done(ReadEnvelope(std::move(envelope).value(), result.value().status, id));
+  });
 }
 
 void RpcClient::CallBytes(const std::string& address,
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -94,8 +94,8 @@
   [[nodiscard]] bool leading() const noexcept {
     return opened_ && replica_->role() == raft::Role::kLeader;
   }
-  /// \returns whether this replica has heard from the leader within the election
-  /// timeout. Its ledger then lacks at most what was stored just now.
+  /// \returns whether this replica has heard from the leader within the
+  /// election timeout. Its ledger then lacks at most what was stored just now.
   [[nodiscard]] bool Follows(TimePoint now) const;
   /// \brief Hands leadership over and stores nothing from now on.
   void Retire();
--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -277,11 +277,10 @@
     heard_ = loop_.now();
     leader_ = host;
     if (pending->maybe_seen && IsRefusedChange(pending->request, response)) {
-      LogEvent(EventId::kRelayFailed,
-               {{"path", pending->request.http.path},
-                {"leader", leader_},
-                {"refusal", response.status},
-                {"status", 504}});
+      LogEvent(EventId::kRelayFailed, {{"path", pending->request.http.path},
+                                       {"leader", leader_},
+                                       {"refusal", response.status},
+                                       {"status", 504}});
       response.status = 504;
       response.body =
           R"({"error":"unknown","detail":"an earlier try had no answer"})";
@@ -346,37 +345,34 @@
 
 RelayServer::RelayServer(RpcServer* server, Hooks hooks)
     : hooks_(std::move(hooks)) {
-  server->Bind(kRequestMethod,
-               [this](const Json& body, const RpcReply& reply) {
-                 if (!hooks_.leads()) {
-                   reply(View());
-                   return;
-                 }
-                 Serve(
-                     RelayedRequestFromJson(body),
-                     [reply](const HttpResponse& response) {
-                       reply(ToJson(response));
-                     },
-                     [reply](const Result<Json>& view) { reply(view); });
-               });
-  server->BindBytes(
-      kRequestMethod, [this](std::string_view body, const BytesReply& reply) {
-        if (!hooks_.leads()) {
-          reply(EncodeAnswer(View()));
-          return;
-        }
-        Serve(
-            DecodeRequest(body),
-            [reply](const HttpResponse& response) {
-              reply(EncodeAnswer(response));
-            },
-            [reply](const Result<Json>& view) {
-              if (view)
-                reply(EncodeAnswer(view.value()));
-              else
-                reply(outcome::failure(view.error()));
-            });
-      });
+  server->Bind(kRequestMethod, [this](const Json& body, const RpcReply& reply) {
+    if (!hooks_.leads()) {
+      reply(View());
+      return;
+    }
+    Serve(
+        RelayedRequestFromJson(body),
+        [reply](const HttpResponse& response) { reply(ToJson(response)); },
+        [reply](const Result<Json>& view) { reply(view); });
+  });
+  server->BindBytes(kRequestMethod,
+                    [this](std::string_view body, const BytesReply& reply) {
+                      if (!hooks_.leads()) {
+                        reply(EncodeAnswer(View()));
+                        return;
+                      }
+                      Serve(
+                          DecodeRequest(body),
+                          [reply](const HttpResponse& response) {
+                            reply(EncodeAnswer(response));
+                          },
+                          [reply](const Result<Json>& view) {
+                            if (view)
+                              reply(EncodeAnswer(view.value()));
+                            else
+                              reply(outcome::failure(view.error()));
+                          });
+                    });
   server->Bind("relay.view",
                [this](const Json&, const RpcReply& reply) { reply(View()); });
 }
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -139,11 +139,10 @@
   agent_hooks.term = [this] { return replica_->term(); };
   call_agent_ = std::make_unique<WorkerCallAgent>(std::move(agent),
                                                   std::move(agent_hooks));
-  rpc_server_->BindBytes(
-      kCallExchangeMethod,
-      [this](std::string_view body, const BytesReply& reply) {
-        call_agent_->OnExchange(body, reply, loop_->now());
-      });
+  rpc_server_->BindBytes(kCallExchangeMethod, [this](std::string_view body,
+                                                     const BytesReply& reply) {
+    call_agent_->OnExchange(body, reply, loop_->now());
+  });
   WorkerCallRouter::Hooks router;
   router.exchange = [this](const std::string& host, std::string body,
                            Millis timeout, RpcClient::BytesDone done) {
@@ -251,8 +250,8 @@
                                const jobs::WorkerLife& life) {
     return fleet_->IsStopping(run, life);
   };
-  for (const StopOrder& stop : PlanStops(
-           replica_->ledger(), hosts_->clearing(), percent, stopping)) {
+  for (const StopOrder& stop :
+       PlanStops(replica_->ledger(), hosts_->clearing(), percent, stopping)) {
     fleet_->Stop(stop.run, stop.worker, stop.reason);
   }
 }
--- a/src/scheduler/stop_planner.cc
+++ b/src/scheduler/stop_planner.cc
@@ -46,9 +46,9 @@
       for (const jobs::Run& other : step.tasks[i].runs) {
         const jobs::Worker* worker = ledger_.FindWorker(other.worker);
         if (worker != nullptr && !worker->note.draining &&
-            is_stopping_({{name.job, name.occurrence, name.step, i},
-                          other.number},
-                         other.worker)) {
+            is_stopping_(
+                {{name.job, name.occurrence, name.step, i}, other.number},
+                other.worker)) {
           return true;
         }
       }
--- a/src/scheduler/worker_registry.h
+++ b/src/scheduler/worker_registry.h
@@ -27,7 +27,8 @@
                  const Done& done);
   /// \returns whether this replica has just what the worker says of itself, so
   /// that the leader has nothing to store. A follower may then confirm the
-  /// announcement; the leader learns from its calls whether the worker is there.
+  /// announcement; the leader learns from its calls whether the worker is
+  /// there.
   [[nodiscard]] bool IsKnown(const jobs::WorkerNote& note, TimePoint now) const;
   /// \brief Notes that a worker has left. Its runs are over only if it had
   /// announced that it drains: a late message may be of an earlier life.
--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -28,9 +28,9 @@
 // Guards against a data folder that cannot be read after an upgrade: earlier
 // versions wrote entries as JSON.
 BOOST_AUTO_TEST_CASE(EntriesOfEarlierVersionsAreRead) {
-  const Result<Batch> read = DecodeBatch(
-      R"({"now":77,"cancel":["k"],"start":[["j",0,1,2,7,"w",5]],)"
-      R"("end":[["j",0,0,1,2,"w",5,"lapsed",9,"saved"]]})");
+  const Result<Batch> read =
+      DecodeBatch(R"({"now":77,"cancel":["k"],"start":[["j",0,1,2,7,"w",5]],)"
+                  R"("end":[["j",0,0,1,2,"w",5,"lapsed",9,"saved"]]})");
   BOOST_REQUIRE(read);
   const Batch& batch = read.value();
   BOOST_TEST(batch.now == 77);
--- a/tests/leader_cost_test.cc
+++ b/tests/leader_cost_test.cc
@@ -20,8 +20,8 @@
     batch.starts.push_back({LedgerBuilder::Run(job, 1, i % 8),
                             LedgerBuilder::Life(worker, batch.now)});
     batch.ends.push_back({LedgerBuilder::Run(job, 0, i % 8),
-                          LedgerBuilder::Life(worker, batch.now),
-                          RunEnd::kDone, "", 1'000 + i});
+                          LedgerBuilder::Life(worker, batch.now), RunEnd::kDone,
+                          "", 1'000 + i});
   }
   BOOST_TEST(EncodeBatch(batch).size() <= kMaxBytes);
 }
--- a/tests/raft_message_test.cc
+++ b/tests/raft_message_test.cc
@@ -134,9 +134,8 @@
   BOOST_TEST(changed([](Message* m) { m->sent_ms = -1; }) == "invalid_field");
   BOOST_TEST(changed([](Message* m) { m->from = ReplicaId(); }) ==
              "invalid_field");
-  BOOST_TEST(changed([](Message* m) {
-               m->cluster.resize(kMaxIdBytes + 1);
-             }) == "too_large");
+  BOOST_TEST(changed([](Message* m) { m->cluster.resize(kMaxIdBytes + 1); }) ==
+             "too_large");
   BOOST_TEST(changed([](Message* m) {
                m->entries.push_back({1, EntryKind::kConfiguration, "{}"});
              }) == "invalid_field");
--- a/tests/stop_planner_test.cc
+++ b/tests/stop_planner_test.cc
@@ -43,8 +43,9 @@
 // Guards against planned work that takes a second task of a step away.
 BOOST_AUTO_TEST_CASE(ClearingStopsOneTaskWhereOneMayBeAway) {
   const LedgerBuilder builder = LastingJob();
-  const auto stops = PlanStops(builder.ledger(), kClearAll,
-                               Percents({{"a", 100}, {"b", 100}, {"c", 100}}), kNoStop);
+  const auto stops =
+      PlanStops(builder.ledger(), kClearAll,
+                Percents({{"a", 100}, {"b", 100}, {"c", 100}}), kNoStop);
   BOOST_TEST(stops.size() == 1U);
 }
 
@@ -52,8 +53,9 @@
 // its worker, while another task of the step is away.
 BOOST_AUTO_TEST_CASE(ATaskOfUnknownReadinessNeedsTheAllowanceToo) {
   const LedgerBuilder builder = LastingJob();
-  const auto stops = PlanStops(builder.ledger(), kClearAll,
-                               Percents({{"a", 0}, {"b", 40}, {"c", 100}}), kNoStop);
+  const auto stops =
+      PlanStops(builder.ledger(), kClearAll,
+                Percents({{"a", 0}, {"b", 40}, {"c", 100}}), kNoStop);
   BOOST_TEST(stops.empty());
 }
 
@@ -80,8 +82,8 @@
   }
 }
 
-// Guards against a stop for maintenance that arrives after the stops of a worker
-// that began to drain later.
+// Guards against a stop for maintenance that arrives after the stops of a
+// worker that began to drain later.
 BOOST_AUTO_TEST_CASE(ADrainWaitsForAStopUnderWay) {
   LedgerBuilder builder = LastingJob();
   builder.AddWorker("a", {16'000, 32'000, 0}, true);
@@ -95,15 +97,16 @@
                        stopping("b"))
                  .empty());
   // The stops of draining workers do not wait for each other.
-  BOOST_TEST(
-      PlanStops(builder.ledger(), {}, percents, stopping("a")).size() == 1U);
+  BOOST_TEST(PlanStops(builder.ledger(), {}, percents, stopping("a")).size() ==
+             1U);
 }
 
 // Guards against tasks of a cancelled job that run on.
 BOOST_AUTO_TEST_CASE(RunsOfCancelledJobsAreStopped) {
   LedgerBuilder builder = LastingJob();
   builder.Cancel("job");
-  BOOST_TEST(PlanStops(builder.ledger(), {}, Percents({}), kNoStop).size() == 3U);
+  BOOST_TEST(PlanStops(builder.ledger(), {}, Percents({}), kNoStop).size() ==
+             3U);
 }
 
 }  // namespace
--- a/tests/task_planner_test.cc
+++ b/tests/task_planner_test.cc
@@ -130,9 +130,9 @@
   BOOST_TEST(counts.at("fresh") == 2);
 }
 
-// Guards against a burst in which every job is begun at the last moment at which
-// it could be done in time, and then all of them miss it by the wait for their
-// second step.
+// Guards against a burst in which every job is begun at the last moment at
+// which it could be done in time, and then all of them miss it by the wait for
+// their second step.
 BOOST_AUTO_TEST_CASE(AJobWithoutTimeToSpareYieldsToOneThatHasIt) {
   LedgerBuilder builder;
   builder.AddWorker("w", {2'000, 32'000, 0});
--- a/tests/worker_call_agent_test.cc
+++ b/tests/worker_call_agent_test.cc
@@ -51,7 +51,9 @@
     exchange.calls = std::move(calls);
     agent.OnExchange(
         EncodeExchange(exchange),
-        [this](Result<std::string> reply) { replies.push_back(std::move(reply)); },
+        [this](Result<std::string> reply) {
+          replies.push_back(std::move(reply));
+        },
         At(now));
   }
   [[nodiscard]] CallExchangeReply Reply(std::size_t index) const {
@@ -198,7 +200,9 @@
 BOOST_FIXTURE_TEST_CASE(AMalformedMessageIsRefused, Fixture) {
   agent.OnExchange(
       "{}",
-      [this](Result<std::string> reply) { replies.push_back(std::move(reply)); },
+      [this](Result<std::string> reply) {
+        replies.push_back(std::move(reply));
+      },
       At(0));
   BOOST_TEST((replies.at(0).error().code == ErrorCode::kInvalidField));
 }
--- a/tests/worker_call_router_test.cc
+++ b/tests/worker_call_router_test.cc
@@ -36,7 +36,8 @@
   }
   WorkerCallRouter::Hooks MakeHooks() {
     WorkerCallRouter::Hooks hooks;
-    hooks.exchange = [this](const std::string& host, const std::string& body, Millis,
+    hooks.exchange = [this](const std::string& host, const std::string& body,
+                            Millis,
                             std::function<void(Result<std::string>)> done) {
       exchanges.push_back(
           {host, DecodeExchange(body).value(), std::move(done)});
