Count the time that requests waited for a gateway as passed

A gateway counts a caller's patience from the time at which it reads the request, and answers 150 ms before it is over. A gateway that had no processor time for longer than that, or that was suspended, gives each request that it finds waiting its whole time again, and answers those that get no leader too late. The pause of the event loop now counts against them. The call agent noticed such pauses already; both use StallWatch.

--- a/src/scheduler/gateway_service.cc
+++ b/src/scheduler/gateway_service.cc
@@ -13,6 +13,11 @@
 constexpr Millis kRefreshInterval{1'000};
 constexpr Millis kLeaderSilence{3'000};
 constexpr Millis kStopTick{50};
+/// An answer leaves 150 ms before its caller stops waiting, so longer pauses of
+/// the event loop count.
+constexpr Millis kStallTick{50};
+constexpr Millis kShortestStall{125};
+constexpr Millis kStallBacklog{100};
 /// Time for the last answers of a stopping host to be written.
 constexpr Millis kStopAnswerTime{100};
 constexpr std::size_t kMaxBodyBytes = 512UL * 1024;
@@ -22,7 +27,9 @@
 }  // namespace
 
 GatewayService::GatewayService(GatewayOptions options, CallerPatience patience)
-    : options_(std::move(options)), patience_(std::move(patience)) {}
+    : options_(std::move(options)),
+      patience_(std::move(patience)),
+      stall_(kShortestStall, kStallBacklog) {}
 
 GatewayService::~GatewayService() = default;
 
@@ -52,6 +59,8 @@
         });
     BW_CHECK(metrics_server_->Listen(options_.listen_metrics));
   }
+  stall_tick_ =
+      loop_->Every(kStallTick, [this](TimePoint now) { stall_.Tick(now); });
   relay_->Refresh();
   refresh_ =
       loop_->Every(kRefreshInterval, [this](TimePoint) { relay_->Refresh(); });
@@ -73,7 +82,7 @@
              {{"Retry-After", "1"}}});
     return;
   }
-  const Millis patience = patience_(request);
+  const Millis patience = patience_(request) - stall_.Waited(now);
   relay_->Send({Surface::kCallers, std::move(request)}, now + patience,
                [this, respond, now](HttpResponse response) {
                  metrics_.Observe("relay",
--- a/src/scheduler/gateway_service.h
+++ b/src/scheduler/gateway_service.h
@@ -11,6 +11,7 @@
 #include "net/http_server.h"
 #include "net/rpc_client.h"
 #include "scheduler/relay.h"
+#include "scheduler/stall_watch.h"
 
 namespace boragewinch::scheduler {
 
@@ -58,6 +59,8 @@
   std::unique_ptr<HttpServer> ready_;
   std::unique_ptr<HttpServer> metrics_server_;
   WatchHandle refresh_;
+  WatchHandle stall_tick_;
+  StallWatch stall_;
   WatchHandle stop_tick_;
   std::function<void()> stopped_;
   TimePoint stop_accepting_at_;
--- a/src/scheduler/worker_call_agent.cc
+++ b/src/scheduler/worker_call_agent.cc
@@ -20,15 +20,15 @@
 }  // namespace
 
 WorkerCallAgent::WorkerCallAgent(WorkerCallAgentOptions options, Hooks hooks)
-    : options_(std::move(options)), hooks_(std::move(hooks)) {}
+    : options_(std::move(options)),
+      hooks_(std::move(hooks)),
+      stall_(options_.stall, options_.stall_backlog) {}
 
 Status WorkerCallAgent::Check(const CallExchange& exchange,
                               TimePoint now) const {
   if (exchange.term < term_ || exchange.term < hooks_.term())
     return Fail(ErrorCode::kFenced, "a later leader is known");
-  const bool stalled =
-      (ticked_ != TimePoint() && now - ticked_ >= options_.stall) ||
-      now < stalled_until_;
+  const bool stalled = stall_.Waited(now) > Millis(0);
   if (stalled && !exchange.calls.empty())
     return Fail(ErrorCode::kUnavailable, "this host has stood still");
   return Ok();
@@ -120,9 +120,7 @@
 }
 
 void WorkerCallAgent::Tick(TimePoint now) {
-  if (ticked_ != TimePoint() && now - ticked_ >= options_.stall)
-    stalled_until_ = now + options_.stall_backlog;
-  ticked_ = now;
+  stall_.Tick(now);
   while (!waiting_.empty() && now >= waiting_.front().until)
     ReplyToOldest();
 }
--- a/src/scheduler/worker_call_agent.h
+++ b/src/scheduler/worker_call_agent.h
@@ -10,6 +10,7 @@
 
 #include "base/time.h"
 #include "net/rpc_server.h"
+#include "scheduler/stall_watch.h"
 #include "scheduler/worker_call_codec.h"
 #include "scheduler/worker_calls.h"
 
@@ -88,8 +89,7 @@
   std::deque<Waiting> waiting_;
   bool flush_due_ = false;
   bool leaving_ = false;
-  TimePoint ticked_;
-  TimePoint stalled_until_;
+  StallWatch stall_;
 };
 
 }  // namespace boragewinch::scheduler
--- /dev/null
+++ b/tests/stall_watch_test.cc
@@ -0,0 +1,31 @@
+#define BOOST_TEST_MODULE stall_watch
+#include <boost/test/unit_test.hpp>
+
+#include "scheduler/stall_watch.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+[[nodiscard]] TimePoint At(std::int64_t millis) {
+  return FromMillis(10'000 + millis);
+}
+
+// Guards against a request that waited in the socket of a busy or suspended
+// gateway and is given its whole time again, so that its caller gets no answer.
+BOOST_AUTO_TEST_CASE(APauseCountsForWhatIsReadAfterIt) {
+  StallWatch watch(Millis(100), Millis(50));
+  BOOST_TEST(watch.Waited(At(0)).count() == 0);
+  watch.Tick(At(0));
+  watch.Tick(At(50));
+  BOOST_TEST(watch.Waited(At(60)).count() == 0);
+  // Read before the late tick of the same turn, and after it.
+  BOOST_TEST(watch.Waited(At(450)).count() == 400);
+  watch.Tick(At(450));
+  BOOST_TEST(watch.Waited(At(460)).count() == 400);
+  BOOST_TEST(watch.Waited(At(500)).count() == 0);
+  watch.Tick(At(500));
+  BOOST_TEST(watch.Waited(At(510)).count() == 0);
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
