Serve requests in turns, and let a leader that stood still ask once more

Cause: during an election the gateways hold requests back and then send all of them; the leader served them in one turn of its event loop, in which it neither sends heartbeats nor reads the answers of its followers, and stepped down for their silence although the answers waited in its sockets.

A leader whose loop stood still asks its followers once more before it steps down; it may not act meanwhile (ConfirmedAt is as old as before).

--- a/src/raft/node.h
+++ b/src/raft/node.h
@@ -75,6 +75,10 @@
   /// \brief Handles a message that is addressed to this replica.
   void Step(const Message& message, TimePoint now);
   void Tick(TimePoint now);
+  /// \brief Tells a leader that its host stood still until now: answers that
+  /// wait to be read are older than they seem, so it asks once more before it
+  /// steps down. ConfirmedAt is not affected.
+  void NoteStall(TimePoint now);
 
   /// \returns the index of the new entry, or kNotLeader, kUnavailable during a
   /// leadership transfer, kTableFull or kTooLarge.
@@ -230,6 +234,7 @@
   std::map<ReplicaId, Progress> progress_;
   TimePoint leader_since_;
   TimePoint heartbeat_at_;
+  TimePoint stall_counts_until_;
   ReplicaId transfer_to_;
   TimePoint transfer_until_;
   bool handed_over_ = false;  ///< the target was asked in this term
--- a/src/raft/node_leader.cc
+++ b/src/raft/node_leader.cc
@@ -54,7 +54,7 @@
 }
 
 void Node::CheckLeadership(TimePoint now) {
-  if (role_ != Role::kLeader)
+  if (role_ != Role::kLeader || now < stall_counts_until_)
     return;
   const TimePoint contact =
       std::max(leader_since_, MajorityContact(now).value_or(leader_since_));
@@ -62,6 +62,13 @@
     BecomeFollower(term_, ReplicaId(), now);
 }
 
+void Node::NoteStall(TimePoint now) {
+  if (role_ != Role::kLeader || now < stall_counts_until_)
+    return;
+  stall_counts_until_ = now + options_.election_timeout / 2;
+  heartbeat_at_ = now;
+}
+
 std::optional<TimePoint> Node::ConfirmedAt(TimePoint now) const {
   if (role_ != Role::kLeader || handed_over_ || log_.TermAt(commit_) != term_)
     return std::nullopt;
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -99,6 +99,8 @@
   [[nodiscard]] Status Receive(const Message& message, TimePoint now);
 
   void Tick(TimePoint now);
+  /// \brief Tells the replica that its host stood still until now.
+  void NoteStall(TimePoint now) { node_->NoteStall(now); }
 
   /// \brief Appends a command to the log. It is committed when apply is called
   /// with the returned index in the same term; after a change of the term it
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -16,6 +16,10 @@
 /// of messages, and a task of the shortest kind runs 30 times as long.
 constexpr Millis kBatchInterval{15};
 constexpr Millis kStepTimeout{1'000};
+/// After a pause of the event loop for so long, followers' answers may wait in
+/// the sockets.
+constexpr Millis kShortestStall{200};
+constexpr Millis kStallBacklog{kTickInterval};
 /// Pause before a replica whose disk failed reads its folder again.
 constexpr Millis kReopenPause{1'000};
 /// Fields of the replicas' call: the sender reads messages for it from the
@@ -36,7 +40,8 @@
     : loop_(loop),
       rpc_(rpc),
       options_(std::move(options)),
-      hooks_(std::move(hooks)) {}
+      hooks_(std::move(hooks)),
+      stall_(kShortestStall, kStallBacklog) {}
 
 LedgerReplica::~LedgerReplica() = default;
 
@@ -154,7 +159,10 @@
   answers_ = answers;
   if (answers != nullptr)
     answered_host_ = raft::HostOf(message.value().from);
-  const Status taken = replica_->Receive(message.value(), loop_.now());
+  const TimePoint now = loop_.now();
+  if (stall_.Waited(now) > Millis(0))
+    replica_->NoteStall(now);
+  const Status taken = replica_->Receive(message.value(), now);
   answers_ = nullptr;
   if (!taken)
     LogEvent(EventId::kCallFailed, {{"error", taken.error().Text()}});
@@ -356,6 +364,9 @@
 void LedgerReplica::OnTick(TimePoint now) {
   if (!opened_)
     return;
+  stall_.Tick(now);
+  if (stall_.Waited(now) > Millis(0))
+    replica_->NoteStall(now);
   replica_->Tick(now);
   if (replica_->behind() && !catching_up_) {
     catching_up_ = true;
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -17,6 +17,7 @@
 #include "net/rpc_server.h"
 #include "raft/replica.h"
 #include "scheduler/disk_watch.h"
+#include "scheduler/stall_watch.h"
 #include "storage/file_system.h"
 
 namespace boragewinch::scheduler {
@@ -150,6 +151,7 @@
   TimePoint flushed_at_;
   std::optional<TimePoint> leader_heard_;
   DiskWatch disk_;
+  StallWatch stall_;
   bool acts_ = false;
   std::uint64_t acts_term_ = 0;
   bool retired_ = false;
--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -344,7 +344,7 @@
 }
 
 RelayServer::RelayServer(RpcServer* server, Hooks hooks)
-    : hooks_(std::move(hooks)) {
+    : hooks_(std::move(hooks)), turns_(RequestTurnsOptions(), hooks_.turns) {
   server->Bind(kRequestMethod, [this](const Json& body, const RpcReply& reply) {
     if (!hooks_.leads()) {
       reply(View());
@@ -388,7 +388,7 @@
 }
 
 void RelayServer::Serve(
-    const Result<RelayedRequest>& request,
+    Result<RelayedRequest> request,
     const Respond& respond,
     const std::function<void(const Result<Json>&)>& reply_view) {
   if (!request) {
@@ -396,14 +396,29 @@
     reply_view(outcome::failure(request.error()));
     return;
   }
-  hooks_.serve(request.value(),
-               [this, respond, reply_view](const HttpResponse& response) {
-                 // Nothing was stored: the caller's host asks the next leader.
-                 if (response.status == 503 && !hooks_.leads())
-                   reply_view(View());
-                 else
-                   respond(response);
-               });
+  const auto serve = [this, respond, reply_view,
+                      asked = std::move(request).value()] {
+    // Nothing was stored: the caller's host asks the next leader.
+    if (!hooks_.leads()) {
+      reply_view(View());
+      return;
+    }
+    hooks_.serve(asked,
+                 [this, respond, reply_view](const HttpResponse& response) {
+                   if (response.status == 503 && !hooks_.leads())
+                     reply_view(View());
+                   else
+                     respond(response);
+                 });
+  };
+  const auto refuse = [respond] {
+    HttpResponse response;
+    response.status = 503;
+    response.body = R"({"error":"unavailable","detail":"the leader is busy"})";
+    response.headers["Retry-After"] = "1";
+    respond(response);
+  };
+  turns_.Add({serve, refuse});
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/relay.h
+++ b/src/scheduler/relay.h
@@ -15,6 +15,7 @@
 #include "net/http_types.h"
 #include "net/rpc_client.h"
 #include "net/rpc_server.h"
+#include "scheduler/request_turns.h"
 
 namespace boragewinch::scheduler {
 
@@ -102,6 +103,7 @@
     std::function<std::string()> leader_host;
     std::function<std::vector<std::string>()> hosts;
     ServeRequest serve;
+    RequestTurns::Hooks turns;
   };
 
   RelayServer(RpcServer* server, Hooks hooks);
@@ -109,12 +111,13 @@
  private:
   /// \param respond gets the response of this leader.
   /// \param reply_view gets what is known of another one, or an error.
-  void Serve(const Result<RelayedRequest>& request,
+  void Serve(Result<RelayedRequest> request,
              const Respond& respond,
              const std::function<void(const Result<Json>&)>& reply_view);
   [[nodiscard]] Json View() const;
 
   Hooks hooks_;
+  RequestTurns turns_;
 };
 
 /// \returns the compact form of a request.
--- /dev/null
+++ b/src/scheduler/request_turns.cc
@@ -0,0 +1,50 @@
+#include "scheduler/request_turns.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace boragewinch::scheduler {
+
+RequestTurns::RequestTurns(RequestTurnsOptions options, Hooks hooks)
+    : options_(options), hooks_(std::move(hooks)) {}
+
+void RequestTurns::Add(Request request) {
+  EndTurnSoon();
+  if (queue_.empty() && served_ < options_.per_turn) {
+    ++served_;
+    request.serve();
+    return;
+  }
+  if (queue_.size() >= options_.max_waiting) {
+    LogEvent(EventId::kBoundReached, {{"bound", "waiting_requests"}});
+    request.refuse();
+    return;
+  }
+  queue_.push_back({hooks_.now(), std::move(request)});
+}
+
+void RequestTurns::EndTurnSoon() {
+  if (!std::exchange(end_due_, true))
+    hooks_.post([this] { NextTurn(); });
+}
+
+void RequestTurns::NextTurn() {
+  end_due_ = false;
+  served_ = 0;
+  const TimePoint now = hooks_.now();
+  while (!queue_.empty() && served_ < options_.per_turn) {
+    const Waiting next = std::move(queue_.front());
+    queue_.pop_front();
+    ++served_;
+    if (now - next.since > options_.longest_wait)
+      next.request.refuse();
+    else
+      next.request.serve();
+  }
+  // Those of this turn count until the next one.
+  if (served_ > 0)
+    EndTurnSoon();
+}
+
+}  // namespace boragewinch::scheduler
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -96,6 +96,28 @@
   BOOST_TEST((refused.error().code == ErrorCode::kNotLeader));
 }
 
+// Guards against a leader that had no processor time and steps down although
+// the answers that confirm it wait in its sockets, which leaves nobody to
+// serve.
+BOOST_AUTO_TEST_CASE(ALeaderThatStoodStillAsksBeforeItStepsDown) {
+  Formed cluster(3);
+  Replica& leader = *cluster.leader()->replica;
+  const std::uint64_t term = leader.term();
+  const TimePoint before = cluster.now;
+  const Millis timeout = cluster.options.node.election_timeout;
+  cluster.now += timeout + Millis(1);
+  leader.NoteStall(cluster.now);
+  leader.Tick(cluster.now);
+  // What it knows is too old to act on, and it still leads.
+  BOOST_TEST((leader.role() == Role::kLeader));
+  BOOST_TEST((*leader.ConfirmedAt(cluster.now) <= before));
+  // Without answers it steps down.
+  leader.NoteStall(cluster.now + timeout / 4);
+  leader.Tick(cluster.now + timeout / 2);
+  BOOST_TEST((leader.role() == Role::kFollower));
+  BOOST_TEST(leader.term() == term);
+}
+
 // Guards against a read that is confirmed without an answer of a majority
 // after the question, or never.
 BOOST_AUTO_TEST_CASE(ConfirmationNeedsAMajorityAfterTheQuestion) {
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -36,6 +36,10 @@
         leads = false;
       respond(answer ? *answer : HttpResponse{200, request.http.body});
     };
+    hooks.turns = {[this](std::function<void()> callback) {
+                     loop.Post(std::move(callback));
+                   },
+                   [this] { return loop.now(); }};
     relay_server = std::make_unique<RelayServer>(&rpc_server, hooks);
     BOOST_REQUIRE(server.Listen("127.0.0.1:0"));
   }
--- /dev/null
+++ b/tests/request_turns_test.cc
@@ -0,0 +1,88 @@
+#define BOOST_TEST_MODULE request_turns
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <utility>
+
+#include "scheduler/request_turns.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+struct Fixture {
+  static RequestTurnsOptions Options() {
+    RequestTurnsOptions options;
+    options.per_turn = 4;
+    options.max_waiting = 10;
+    options.longest_wait = Millis(600);
+    return options;
+  }
+  RequestTurns::Hooks MakeHooks() {
+    return {[this](std::function<void()> callback) {
+              posted.push_back(std::move(callback));
+            },
+            [this] { return now; }};
+  }
+  void Add(int count) {
+    for (int i = 0; i < count; ++i)
+      turns.Add({[this] { ++served; }, [this] { ++refused; }});
+  }
+  /// Runs what was posted before this turn of the event loop.
+  void Turn() {
+    for (const auto& callback : std::exchange(posted, {}))
+      callback();
+  }
+
+  std::deque<std::function<void()>> posted;
+  TimePoint now = FromMillis(1'000);
+  int served = 0;
+  int refused = 0;
+  RequestTurns turns{Options(), MakeHooks()};
+};
+
+// Guards against a leader that reads no message of its followers for as long as
+// it takes to serve all that gateways held back during an election, and that
+// steps down for that (issue 17, SHORT: twice in 8 s on scale-2).
+BOOST_FIXTURE_TEST_CASE(ABurstIsServedOverSeveralTurns, Fixture) {
+  Add(10);
+  BOOST_TEST(served == 4);
+  Turn();
+  BOOST_TEST(served == 8);
+  Turn();
+  BOOST_TEST(served == 10);
+  Turn();
+  BOOST_TEST(posted.empty());
+  Add(4);
+  BOOST_TEST(served == 14);
+  Add(1);
+  BOOST_TEST(served == 14);
+}
+
+// Guards against a request that overtakes those before it.
+BOOST_FIXTURE_TEST_CASE(LaterRequestsWaitBehindEarlierOnes, Fixture) {
+  Add(10);
+  Turn();
+  Add(1);
+  BOOST_TEST(served == 8);
+  BOOST_TEST(turns.waiting() == 3U);
+}
+
+// Guards against a request that waits until its gateway has given up its try
+// and has to say that it may have run.
+BOOST_FIXTURE_TEST_CASE(WhatWaitedTooLongIsRefused, Fixture) {
+  Add(8);
+  now += Millis(601);
+  Turn();
+  BOOST_TEST(served == 4);
+  BOOST_TEST(refused == 4);
+}
+
+// Guards against requests that pile up in the memory of the leader.
+BOOST_FIXTURE_TEST_CASE(BeyondTheBoundRequestsAreRefusedAtOnce, Fixture) {
+  Add(15);
+  BOOST_TEST(served == 4);
+  BOOST_TEST(refused == 1);
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
