Take a stranger's answer to a call of bytes for an error

By reading: an answer that is JSON and no object ended the process (jsoncpp throws). A call without parameters reaches libjsonrpccpp as it came.

--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -34,9 +34,10 @@
   if (response.status == 200)
     return std::move(response.body);
   const Result<Json> json = ParseJson(response.body);
-  const auto code = json && json.value()["error"].isString()
-                        ? kErrorCodes.Parse(json.value()["error"].asString())
-                        : std::nullopt;
+  const auto code =
+      json && json.value().isObject() && json.value()["error"].isString()
+          ? kErrorCodes.Parse(json.value()["error"].asString())
+          : std::nullopt;
   if (!code || response.status == 401) {
     return Fail(CodeOf(response.status),
                 "status " + std::to_string(response.status));
--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -88,15 +88,15 @@
     });
   }
 
+  void ServeBytes(const HttpRequest& request,
+                  const HttpResponder& respond) const;
+
   // Every method of this project answers, so notifications are not bound.
   void HandleNotificationCall(jsonrpc::Procedure&, const Json&) override {}
 
   std::string secret_hash;
   std::unique_ptr<jsonrpc::IProtocolHandler> protocol;
   Connector connector;
-  void ServeBytes(const HttpRequest& request,
-                  const HttpResponder& respond) const;
-
   std::map<std::string, RpcMethod> methods;
   std::map<std::string, BytesMethod, std::less<>> bytes_methods;
   std::shared_ptr<Call> current;
@@ -165,10 +165,10 @@
   auto call = std::make_shared<Call>(Call{respond, envelope["id"]});
   // libjsonrpccpp would parse the parameter a second time, so it gets an empty
   // one in its place.
-  if (Json& params = envelope["params"];
-      params.isObject() && params["body"].isObject()) {
-    call->body.swap(params["body"]);
-    params["body"] = Json(::Json::objectValue);
+  if (envelope["params"].isObject() && envelope["params"]["body"].isObject()) {
+    Json& body = envelope["params"]["body"];
+    call->body.swap(body);
+    body = Json(::Json::objectValue);
   }
   impl_->current = call;
   impl_->connector.OnRequest(WriteJson(envelope));
--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -396,8 +396,7 @@
     reply_view(outcome::failure(request.error()));
     return;
   }
-  const auto serve = [this, respond, reply_view,
-                      asked = std::move(request).value()] {
+  auto serve = [this, respond, reply_view, asked = std::move(request).value()] {
     // Nothing was stored: the caller's host asks the next leader.
     if (!hooks_.leads()) {
       reply_view(View());
@@ -418,7 +417,7 @@
     response.headers["Retry-After"] = "1";
     respond(response);
   };
-  turns_.Add({serve, refuse});
+  turns_.Add({std::move(serve), refuse});
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/stop_planner.h
+++ b/src/scheduler/stop_planner.h
@@ -27,7 +27,7 @@
 /// \brief Decides which runs are stopped: those of jobs in a final state, extra
 /// copies of finished tasks, long-running tasks on workers that drain, and on
 /// workers in `clearing` as far as the steps' availability allows. Draining
-/// workers need no allowance, but wait for a stop that was allowed: it may
+/// workers are not held to it, but wait for a stop that was allowed: it may
 /// arrive after theirs, and then takes one task too many away.
 [[nodiscard]] std::vector<StopOrder> PlanStops(
     const jobs::JobLedger& ledger,
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -263,6 +263,63 @@
   }
 }
 
+// Guards against bytes that change on their way, and against an error without
+// its type, which would pass for a call that may have been carried out.
+BOOST_FIXTURE_TEST_CASE(CallsOfBytesKeepTheirContentAndErrors, RpcFixture) {
+  rpc.BindBytes("echo", [](std::string_view body, const BytesReply& reply) {
+    reply(std::string(body));
+  });
+  rpc.BindBytes("refuse", [](std::string_view, const BytesReply& reply) {
+    reply(Fail(ErrorCode::kFenced, "owner is fenced"));
+  });
+  const auto call = [&](const std::string& method, const std::string& secret) {
+    RpcClient rpc_client(client, secret);
+    Result<std::string> answer = Fail(ErrorCode::kTimeout, "no answer");
+    rpc_client.CallBytes(server.address(), method, std::string("\0\xff{", 3),
+                         Millis(5'000), [&](Result<std::string> result) {
+                           answer = std::move(result);
+                           loop.Stop();
+                         });
+    loop.Run();
+    return answer;
+  };
+  const auto code_of = [](const Result<std::string>& answer) {
+    return answer ? std::string("taken")
+                  : std::string(kErrorCodes.Name(answer.error().code));
+  };
+  BOOST_TEST((call("echo", "secret").value() == std::string("\0\xff{", 3)));
+  BOOST_TEST(code_of(call("refuse", "secret")) == "fenced");
+  BOOST_TEST(code_of(call("missing", "secret")) == "not_found");
+  BOOST_TEST(code_of(call("echo", "wrong")) == "unauthorized");
+}
+
+// Guards against a client that ends on an answer of something else that listens
+// at the address.
+BOOST_FIXTURE_TEST_CASE(AStrangersAnswerIsAnError, Fixture) {
+  for (const char* body : {"", "[", "[]", "7", R"("x")", R"({"error":3})"}) {
+    HttpServer stranger(
+        loop, {}, [body](const HttpRequest&, const HttpResponder& respond) {
+          respond({500, body});
+        });
+    BOOST_REQUIRE(stranger.Listen("127.0.0.1:0"));
+    RpcClient rpc_client(client, "secret");
+    int errors = 0;
+    rpc_client.CallBytes(stranger.address(), "echo", "", Millis(5'000),
+                         [&](const Result<std::string>& answer) {
+                           errors += answer ? 0 : 1;
+                           loop.Stop();
+                         });
+    loop.Run();
+    rpc_client.Call(stranger.address(), "echo", Json(::Json::objectValue),
+                    Millis(5'000), [&](const Result<Json>& answer) {
+                      errors += answer ? 0 : 1;
+                      loop.Stop();
+                    });
+    loop.Run();
+    BOOST_TEST(errors == 2, body);
+  }
+}
+
 // Guards against a crash or a stuck connection on malformed calls.
 BOOST_FIXTURE_TEST_CASE(MalformedRpcIsAnswered, RpcFixture) {
   for (const char* body :
--- a/tests/replica_messages_test.cc
+++ b/tests/replica_messages_test.cc
@@ -160,10 +160,10 @@
   BOOST_TEST(everywhere);
 }
 
-// Guards against check-ins that all go to the leader: 200 a second of 300
-// workers took it a tenth of its processor share in a burst (issue 17, SHORT).
-// And against a follower that confirms a change which only the leader can
-// store.
+// Guards against heartbeats of workers that all go to the leader: 200 a second
+// of 300 workers took it a tenth of its processor share in a burst (issue 17,
+// SHORT). And against a follower that confirms a change which only the leader
+// can store.
 BOOST_AUTO_TEST_CASE(AFollowerConfirmsWhatAWorkerRepeats) {
   Fleet fleet;
   BOOST_REQUIRE(fleet.RunUntil([&] { return fleet.leader() != nullptr; }));
