--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -31,6 +31,8 @@
     std::vector<std::string> commands;  ///< state of the state machine
     std::vector<Error> errors;
     bool frozen = false;  ///< gets no messages and no ticks
+    /// ReplicaOptions::hosts of this host, if not those of the cluster.
+    std::vector<std::string> seeds;
   };
   struct Sent {
     std::string from_host;
@@ -63,6 +65,8 @@
   [[nodiscard]] Status Start(Host& host) {
     ReplicaOptions host_options = options;
     host_options.host = host.name;
+    if (!host.seeds.empty())
+      host_options.hosts = host.seeds;
     ReplicaHooks hooks;
     hooks.send = [this, &host](const std::string& to, const Message& message) {
       Post({host.name, to, message, now});
