Let gateways and followers contact all members, not only the seeds

A gateway that learnt the leader from its first query never read the list of members, and hosts that had been replaced stayed in the list for ever, each with its timeout; a scheduler that relays calls of operators and workers asked only the seeds while it knew no leader.

KnownHosts decides which host is contacted next: the members as last reported by a host that knows the leader, then the hosts of the settings. known_hosts_test has a case for replaced seeds, former members, reports of hosts that are cut off and malformed reports. Schedulers export boragewinch_leads and boragewinch_tolerable_losses.

--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -190,6 +190,20 @@
                    response.status) != std::end(kRejectionStatuses);
 }
 
+/// \returns the leader that a view of `host` names, unless it is `host` itself,
+/// which has no lease yet or not any more; otherwise an empty string.
+[[nodiscard]] std::string OtherLeader(const Json& view,
+                                      const std::string& host) {
+  if (!view.isObject() || !view["leader"].isString())
+    return "";
+  std::string leader = view["leader"].asString();
+  return leader == host ? "" : leader;
+}
+
+[[nodiscard]] bool Leads(const Json& view) {
+  return view.isObject() && view["leads"].isBool() && view["leads"].asBool();
+}
+
 }  // namespace
 
 struct RelayClient::Pending {
@@ -208,11 +222,7 @@
       hosts_(options_.hosts) {}
 
 std::string RelayClient::NextHost() {
-  if (!leader_.empty())
-    return leader_;
-  if (hosts_.empty())
-    return "";
-  return hosts_[next_++ % hosts_.size()];
+  return leader_.empty() ? hosts_.Next() : leader_;
 }
 
 void RelayClient::Send(const RelayedRequest& request,
@@ -231,7 +241,7 @@
   const std::string host = NextHost();
   const bool no_leader =
       now - last_leader_response_ > options_.leader_timeout &&
-      pending->attempts >= hosts_.size();
+      pending->attempts >= hosts_.hosts().size();
   ++pending->attempts;
   if (now >= deadline || host.empty() || no_leader) {
     HttpResponse response;
@@ -295,7 +305,9 @@
   }
   const std::string previous_leader = std::exchange(leader_, "");
   if (result) {
-    UpdateMembers(host, result.value().view);
+    const Json& view = result.value().view;
+    UpdateMembers(view);
+    leader_ = OtherLeader(view, host);
   } else {
     // Also set if the connection failed: bytes that were delayed in the network
     // may still arrive.
@@ -315,37 +327,33 @@
   });
 }
 
-void RelayClient::UpdateMembers(const std::string& host, const Json& result) {
-  if (!result.isObject())
+void RelayClient::UpdateMembers(const Json& view) {
+  if (!view.isObject())
     return;
-  const Json& hosts = result["hosts"];
-  for (const Json& item : hosts) {
-    if (item.isString() && std::find(hosts_.begin(), hosts_.end(),
-                                     item.asString()) == hosts_.end()) {
-      hosts_.push_back(item.asString());
-    }
+  std::vector<std::string> members;
+  for (const Json& item : view["hosts"]) {
+    if (item.isString())
+      members.push_back(item.asString());
   }
-  const std::string leader =
-      result["leader"].isString() ? result["leader"].asString() : "";
-  if (!leader.empty() && leader != host)
-    leader_ = leader;
+  hosts_.OnMembers(members, Leads(view) || !OtherLeader(view, "").empty());
 }
 
 void RelayClient::Refresh() {
-  const std::string host =
-      hosts_.empty() ? "" : hosts_[next_++ % hosts_.size()];
+  const std::string host = hosts_.Next();
   if (host.empty())
     return;
   rpc_.Call(host + ":" + options_.port, "relay.view", Json(::Json::objectValue),
             kViewTimeout, [this, host](const Result<Json>& result) {
               if (!result || !result.value().isObject())
                 return;
-              if (result.value()["leads"].asBool()) {
+              const Json& view = result.value();
+              UpdateMembers(view);
+              if (Leads(view)) {
                 last_leader_response_ = loop_.now();
                 leader_ = host;
+              } else if (leader_.empty()) {
+                leader_ = OtherLeader(view, host);
               }
-              if (leader_.empty())
-                UpdateMembers(host, result.value());
             });
 }
 
--- a/src/scheduler/relay.h
+++ b/src/scheduler/relay.h
@@ -15,6 +15,7 @@
 #include "net/http_types.h"
 #include "net/rpc_client.h"
 #include "net/rpc_server.h"
+#include "scheduler/known_hosts.h"
 #include "scheduler/request_queue.h"
 
 namespace boragewinch::scheduler {
@@ -75,6 +76,10 @@
   void StopRetriesAt(TimePoint at) { no_attempts_from_ = at; }
   /// \brief Sets the leader that is contacted first; empty: unknown.
   void SetLeader(const std::string& host) { leader_ = host; }
+  /// \brief Sets the members, as a replica knows them.
+  void SetMembers(const std::vector<std::string>& hosts) {
+    hosts_.OnMembers(hosts, true);
+  }
   /// \brief Queries a host for the members and the leader.
   void Refresh();
   /// \returns the time of the last response of a leader.
@@ -88,15 +93,14 @@
   void OnResult(const std::shared_ptr<Pending>& pending,
                 const std::string& host,
                 Result<RelayResult> result);
-  void UpdateMembers(const std::string& host, const Json& result);
+  void UpdateMembers(const Json& view);
   [[nodiscard]] std::string NextHost();
 
   EventLoop& loop_;
   RpcClient& rpc_;
   Options options_;
-  std::vector<std::string> hosts_;
+  KnownHosts hosts_;
   std::string leader_;
-  std::size_t next_ = 0;
   TimePoint last_leader_response_;
   TimePoint no_attempts_from_ = TimePoint::max();
 };
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -122,6 +122,10 @@
     metrics_server_ = std::make_unique<HttpServer>(
         *loop_, limits,
         [this](const HttpRequest&, const HttpResponder& respond) {
+          const auto losses = replica_->TolerableLosses(loop_->now());
+          metrics_.Gauge("leads", {}, losses ? 1.0 : 0.0);
+          metrics_.Gauge("tolerable_losses", {},
+                         static_cast<double>(losses.value_or(0)));
           respond({200, metrics_.PrometheusText(), kPrometheusContentType});
         });
     BW_CHECK(metrics_server_->Listen(options_.listen_metrics));
@@ -184,6 +188,7 @@
     control_relay_ =
         std::make_unique<RelayClient>(*loop_, *rpc_client_, std::move(relay));
   }
+  control_relay_->SetMembers(replica_->MemberHosts());
   control_relay_->SetLeader(replica_->LeaderHost());
   control_relay_->Send(request, now + kControlDeadline, respond);
 }
