Decide a repeated submission by the attempt that is being stored

Callers: a repeated attempt could get 429 (never runs) while the first one was being stored and ran, and a cancellation 410 (no such job) in the same window. A submission with the id of another customer's job, or of a job of another queue, was answered as accepted, and no job of that caller existed.

Cause: the job API looked only at what is stored, and admission looked only at the queue. A submission in a batch that is not stored yet counts now: it is not rejected for load, and its cancellation gets 503 with Retry-After. An id of somebody else's job is refused as malformed; a queue that a later configuration renamed does not count as another one.

--- a/src/scheduler/job_api.cc
+++ b/src/scheduler/job_api.cc
@@ -64,6 +64,28 @@
   return is_owner ? job : nullptr;
 }
 
+// The id of another customer's job, or of a job of another queue, names no job
+// that this caller could ask for. A queue that was replaced since the job was
+// accepted does not count as another one.
+bool JobApi::MayRepeat(const jobs::Job& job,
+                       const RequestTarget& target) const {
+  const bool other_customer =
+      !target.queue->open_to_all && job.customer != target.customer;
+  const bool other_queue =
+      job.queue != target.queue->name &&
+      replica_.ledger().config().FindQueue(job.queue) != nullptr;
+  return !other_customer && !other_queue;
+}
+
+bool JobApi::IsOverloaded(const QueueName& queue,
+                          const jobs::JobSpec& spec,
+                          TimePoint now) {
+  const jobs::JobLedger& ledger = replica_.ledger();
+  return ledger.active().size() >= kMaxActiveJobs ||
+         (SubjectToAdmissionControl(spec) &&
+          !admission_.Admits(queue, ledger.LoadOf(queue), now));
+}
+
 void JobApi::SendResponse(Call call,
                           const RequestTarget& target,
                           const JobApiResponse& response,
@@ -100,19 +122,19 @@
   response.status = target.status;
   response.retry_after = kNotReadyRetryAfter;
   if (target.status == JobApiStatus::kDone) {
-    const bool known =
-        replica_.ledger().FindJob(jobs::JobId(target.job_id)) != nullptr;
-    if (known) {
+    const jobs::JobId id(target.job_id);
+    if (const jobs::Job* job = replica_.ledger().FindJob(id); job != nullptr) {
+      if (!MayRepeat(*job, target))
+        response.status = JobApiStatus::kInvalid;
       SendResponse(Call::kSubmit, target, response, done);
       return;
     }
+    // An earlier attempt that is being stored decides: a rejection of this one
+    // would say that the job does not run.
     if (!spec || !IsJobId(target.job_id)) {
       response.status = JobApiStatus::kInvalid;
-    } else if (replica_.ledger().active().size() >= kMaxActiveJobs ||
-               (SubjectToAdmissionControl(spec.value()) &&
-                !admission_.Admits(target.queue->name,
-                                   replica_.ledger().LoadOf(target.queue->name),
-                                   now))) {
+    } else if (IsOverloaded(target.queue->name, spec.value(), now) &&
+               !replica_.IsSubmissionPending(id)) {
       response.status = JobApiStatus::kOverloaded;
       response.retry_after = kOverloadedRetryAfter;
     }
@@ -170,8 +192,12 @@
   response.retry_after = kNotReadyRetryAfter;
   const jobs::Job* job =
       target.status == JobApiStatus::kDone ? FindOwnedJob(target) : nullptr;
-  if (target.status == JobApiStatus::kDone && job == nullptr)
-    response.status = JobApiStatus::kNoJob;
+  if (target.status == JobApiStatus::kDone && job == nullptr) {
+    // A job that is being stored may run, so it can't be reported as unknown.
+    response.status = replica_.IsSubmissionPending(jobs::JobId(target.job_id))
+                          ? JobApiStatus::kNotReady
+                          : JobApiStatus::kNoJob;
+  }
   if (job == nullptr || job->final()) {
     SendResponse(Call::kCancel, target, response, done);
     return;
--- a/src/scheduler/job_api.h
+++ b/src/scheduler/job_api.h
@@ -84,6 +84,13 @@
                                       TimePoint now) const;
   [[nodiscard]] const jobs::Job* FindOwnedJob(
       const RequestTarget& target) const;
+  /// \returns whether a submission may be a further attempt to submit `job`.
+  [[nodiscard]] bool MayRepeat(const jobs::Job& job,
+                               const RequestTarget& target) const;
+  /// \returns whether a new job of the queue is to be rejected for now.
+  [[nodiscard]] bool IsOverloaded(const QueueName& queue,
+                                  const jobs::JobSpec& spec,
+                                  TimePoint now);
   enum class Call { kSubmit, kState, kCancel };
   static constexpr EnumTable<Call, 3> kCalls{{{
       {Call::kSubmit, "submit"},
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -1,5 +1,6 @@
 #include "scheduler/ledger_replica.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -280,6 +281,16 @@
   return leader.empty() ? "" : raft::HostOf(leader);
 }
 
+bool LedgerReplica::IsSubmissionPending(const jobs::JobId& id) const {
+  const auto contains = [&id](const jobs::Batch& batch) {
+    return std::any_of(batch.submissions.begin(), batch.submissions.end(),
+                       [&id](const jobs::Submission& submission) {
+                         return submission.id == id;
+                       });
+  };
+  return contains(pending_) || (open_batch_ && contains(open_batch_->batch));
+}
+
 std::set<jobs::WorkerIncarnation> LedgerReplica::WorkersInOpenBatch() const {
   std::set<jobs::WorkerIncarnation> workers;
   if (open_batch_) {
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -110,6 +110,8 @@
   [[nodiscard]] std::size_t open_changes() const noexcept {
     return pending_replies_.size() + open_batch_replies_.size();
   }
+  /// \returns whether the job was submitted here and is not stored yet.
+  [[nodiscard]] bool IsSubmissionPending(const jobs::JobId& id) const;
   /// \returns the workers of the starts in the batch in flight.
   [[nodiscard]] std::set<jobs::WorkerIncarnation> WorkersInOpenBatch() const;
   /// Hosts of all members.
