Conclude no lost runs from a list that may lack ends

A worker lists at most 500 ends at a time. With that many, a run that had ended could be in neither list, counted as lost and was started again. Found by reading; needs ends that stay unacknowledged for long. ARunMissingFromAFullListIsNotLost fails without the check.

--- a/src/scheduler/worker_calls.h
+++ b/src/scheduler/worker_calls.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEWINCH_SCHEDULER_WORKER_CALLS_H_
 #define BORAGEWINCH_SCHEDULER_WORKER_CALLS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -104,10 +105,18 @@
   Millis valid{0};
 };
 
+/// Limit of ends in one list. A list with that many may lack further ends.
+inline constexpr std::size_t kMaxListedEnds = 500;
+
 struct HoldResponse {
   CallResponse call;
   std::vector<RunningRow> running;
-  std::vector<EndedRow> ended;
+  std::vector<EndedRow> ended;  ///< at most kMaxListedEnds, oldest first
+
+  /// \returns whether a run that is not listed is neither running nor ended.
+  [[nodiscard]] bool complete() const noexcept {
+    return ended.size() < kMaxListedEnds;
+  }
 };
 
 /// \brief The calls to workers. `done` is called once: with the worker's
--- a/src/scheduler/worker_session.cc
+++ b/src/scheduler/worker_session.cc
@@ -275,6 +275,8 @@
     }
   }
   for (auto& [run, track] : tracks_) {
+    if (!response.complete())
+      break;
     if (listed.count(run) > 0 || worker.runs.count(run) == 0)
       continue;
     if (track.phase == RunPhase::kOutcomeUnknown && track.since < hold_sent_)
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE worker_session
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+
 #include "ledger_builder.h"
 #include "scheduler/worker_session.h"
 
@@ -205,6 +207,26 @@
   BOOST_TEST((unexpected_runs[0] == other));
 }
 
+// Guards against a second run of a task that has ended: a list holds at most
+// 500 ends, so the end of the run may be missing from it.
+BOOST_FIXTURE_TEST_CASE(ARunMissingFromAFullListIsNotLost, Fixture) {
+  HoldResponse response;
+  for (std::size_t i = 0; i < kMaxListedEnds; ++i) {
+    response.ended.push_back(
+        {static_cast<std::int64_t>(i + 1),
+         LedgerBuilder::Run("other", 0, static_cast<std::uint32_t>(i)),
+         RunEnd::kDone, ""});
+  }
+  const auto lost = [](const std::vector<jobs::EndRecord>& ends) {
+    return std::count_if(
+        ends.begin(), ends.end(),
+        [](const jobs::EndRecord& end) { return end.how == RunEnd::kLost; });
+  };
+  BOOST_TEST(lost(List(0, 5, response)) == 0);
+  response.ended.pop_back();
+  BOOST_TEST(lost(List(10, 15, response)) == 1);
+}
+
 // Guards against ends that are recorded again after they were stored.
 BOOST_FIXTURE_TEST_CASE(StoredEndsAreNotRecordedAgain, Fixture) {
   HoldResponse response;
