Stop unexpected runs only under a leader lease

A list that had waited in its socket while the leader was paused led to stops of runs that the ledger of the paused process did not have. A later leader may have started them; workers that it has not called yet accept the older token. AnUnexpectedRunIsStoppedOnlyUnderALease fails without the check. The start of a stored run was guarded already, which AStartIsSentOnlyUnderALease now shows.

--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -413,6 +413,10 @@
     LogEvent(EventId::kRunUnexpected, {{"run", run.task.Text()},
                                        {"number", std::to_string(run.number)},
                                        {"worker", incarnation.Text()}});
+    // The response may have waited through a pause of this process, in which
+    // another leader started the run.
+    if (!replica_.HasLeaderLease(now))
+      continue;
     calls_.stop(worker->record, {run, replica_.term(), options_.order_timeout},
                 [](const Result<CallResponse>&) {
                   // The next list shows whether the run still exists.
--- /dev/null
+++ b/tests/worker_fleet_test.cc
@@ -0,0 +1,155 @@
+#define BOOST_TEST_MODULE worker_fleet
+#include <boost/test/unit_test.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "kernel/event_loop.h"
+#include "memory_disk.h"
+#include "net/http_client.h"
+#include "net/rpc_client.h"
+#include "net/rpc_server.h"
+#include "scheduler/worker_fleet.h"
+
+namespace boragewinch::scheduler {
+namespace {
+
+const jobs::WorkerIncarnation kWorker{jobs::WorkerId("w"), 1};
+const jobs::RunName kRun{{jobs::JobId("00000000000000aa"), 0, 0, 0}, 1};
+
+/// The leader of a cluster of one, with one worker whose calls are recorded.
+struct Fixture {
+  Fixture() {
+    options.directory = "d";
+    options.host = "127.0.0.1";
+    options.hosts = {"127.0.0.1"};
+    options.port = "1";
+    options.may_form_cluster = true;
+    options.election_timeout = Millis(2'000);
+    options.file_system = disk.Hooks();
+    hooks.decide = [](jobs::Batch*, TimePoint) {};
+    hooks.on_stored = [this](const jobs::Batch& batch, TimePoint now) {
+      if (paused_before_send)
+        replica->Retire();
+      if (fleet)
+        fleet->OnStored(batch, now);
+    };
+    hooks.on_applied = [](const jobs::Batch&, TimePoint) {};
+    hooks.on_leadership = [this](bool leading, TimePoint) {
+      if (leading)
+        loop.Stop();
+    };
+    replica.emplace(loop, rpc, options, hooks);
+    BOOST_REQUIRE(replica->Start(&server));
+    loop.Run();
+    Store([](jobs::Batch* batch) {
+      jobs::WorkerRecord record;
+      record.incarnation = kWorker;
+      record.address = "w:80";
+      record.pool = PoolName("p");
+      record.capacity = {16'000, 32'000, 0};
+      batch->workers.push_back(record);
+    });
+    WorkerCalls calls;
+    calls.start = [this](const jobs::WorkerRecord&, const StartCall&,
+                         const WorkerCalls::Done<CallResponse>&) { ++starts; };
+    calls.stop = [this](const jobs::WorkerRecord&, const StopCall&,
+                        const WorkerCalls::Done<CallResponse>&) { ++stops; };
+    calls.hold = [this](const jobs::WorkerRecord&, const HoldCall&,
+                        WorkerCalls::Done<HoldResponse> done) {
+      hold = std::move(done);
+    };
+    fleet.emplace(
+        loop, *replica, calls,
+        [](const jobs::TaskName&, const jobs::WorkerId&) {
+          return std::string();
+        },
+        WorkerSessionOptions{}, metrics);
+    fleet->OnLeadership(true, loop.now());
+    fleet->Tick(loop.now());
+    BOOST_REQUIRE(hold);
+  }
+
+  void Store(const LedgerReplica::Change& change) {
+    replica->Submit(change, [this](const Status& stored) {
+      BOOST_TEST(stored.has_value());
+      loop.Stop();
+    });
+    loop.Run();
+    // The hook on_stored runs after the replies.
+    loop.Post([this] { loop.Stop(); });
+    loop.Run();
+  }
+
+  /// \brief Delivers the response to the hold call in flight.
+  void List(const std::vector<jobs::RunName>& running) {
+    HoldResponse response;
+    response.call.clock_ms = 500'000;
+    for (const jobs::RunName& run : running)
+      response.running.push_back({run, "", 10});
+    std::exchange(hold, nullptr)(response);
+  }
+
+  void StoreStart() {
+    Store([](jobs::Batch* batch) {
+      jobs::Submission submission;
+      submission.id = kRun.task.job;
+      submission.queue = QueueName("q");
+      jobs::StepSpec step;
+      step.tasks = 1;
+      step.request = {100, 1, 0};
+      step.estimate = Millis(100);
+      submission.spec.steps.push_back(step);
+      batch->submissions.push_back(submission);
+      batch->starts.push_back({kRun, kWorker});
+    });
+  }
+
+  EventLoop loop;
+  HttpClient client{loop, HttpClientLimits{}};
+  RpcClient rpc{client, "secret"};
+  RpcServer server{"secret"};
+  Metrics metrics;
+  MemoryDisk disk;
+  LedgerReplicaOptions options;
+  LedgerReplica::Hooks hooks;
+  std::optional<LedgerReplica> replica;
+  std::optional<WorkerFleet> fleet;
+  WorkerCalls::Done<HoldResponse> hold;
+  int starts = 0;
+  int stops = 0;
+  bool paused_before_send = false;  ///< the lease ends once a batch is stored
+};
+
+// Guards against an order that is sent after the lease has ended: the process
+// was paused between storing the start and sending it.
+BOOST_FIXTURE_TEST_CASE(AStartIsSentOnlyUnderALease, Fixture) {
+  List({});
+  paused_before_send = true;
+  StoreStart();
+  BOOST_TEST(starts == 0);
+}
+
+// Shows that the previous case fails only for want of the lease.
+BOOST_FIXTURE_TEST_CASE(AStoredStartIsSent, Fixture) {
+  List({});
+  StoreStart();
+  BOOST_TEST(starts == 1);
+}
+
+// Guards against a former leader that stops the run of the next one: the list
+// waited in its socket while the process was paused.
+BOOST_FIXTURE_TEST_CASE(AnUnexpectedRunIsStoppedOnlyUnderALease, Fixture) {
+  List({kRun});
+  BOOST_TEST(stops == 1);
+  BOOST_REQUIRE(hold);
+  replica->Retire();
+  List({kRun});
+  BOOST_TEST(stops == 1);
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
