--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -127,6 +127,22 @@
   }
 }
 
+// Guards against a wave whose duration overflows, and against one that is
+// accepted although it is malformed.
+BOOST_AUTO_TEST_CASE(MalformedWavesAreRefused) {
+  const auto body = [](const std::string& duration) {
+    return R"({"wave":1,"machines":["m"],"cap":1,"durationS":)" + duration +
+           "}";
+  };
+  const auto wave = DecodeWave(body("20.5"));
+  BOOST_REQUIRE(wave);
+  BOOST_TEST(wave.value().duration.count() == 20'500);
+  for (const char* duration : {"-1", "1e300", "9e15", "null", "\"20\"", "[]"})
+    BOOST_TEST(!DecodeWave(body(duration)).has_value(), duration);
+  for (const char* text : {"", "[]", R"({"wave":1})", R"({"durationS":1})"})
+    BOOST_TEST(!DecodeWave(text).has_value(), text);
+}
+
 // Guards against runs of one task that are mistaken for those of another.
 BOOST_AUTO_TEST_CASE(TaskNamesAreReadBack) {
   const jobs::TaskName task{jobs::JobId("5c0e7a21d94b36f8"), 2, 1, 17};
