Answer requests that are read while a server closes

A planned stop could abort the process (SIGABRT): the server answers its open requests and runs libmicrohttpd once more before it stops it. A request that waited in the socket of an open connection was handed to the handler then, whose service was half destroyed, and was suspended; with a suspended connection, MHD_stop_daemon ends the process. Workers send their heartbeats over open connections all the time.

Such a request gets 503 now and is not executed. Requests that the handler has get 504 instead of 503: a gateway may have passed them on, so "not executed" could be false. RequestsAtTheEndOfAServerGetAResponse aborted on ("MHD_stop_daemon() called while we have suspended connections").

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -160,6 +160,9 @@
             ErrorResponse(413, ErrorCode::kTooLarge,
                           "request body exceeds " +
                               std::to_string(limits.max_body_bytes) + " bytes");
+      } else if (closing) {
+        state->response = ErrorResponse(503, ErrorCode::kUnavailable,
+                                        "the server is shutting down");
       } else {
         handler(std::move(state->request), HttpResponder(state));
       }
@@ -229,6 +232,7 @@
   std::size_t open = 0;
   bool run_scheduled = false;
   bool stopping = false;
+  bool closing = false;  ///< the handler is not called any more
 };
 
 HttpServer::HttpServer(EventLoop& loop,
@@ -242,12 +246,15 @@
   if (impl_->daemon) {
     // A planned stop first waits for open_requests() to reach 0. Requests that
     // are still open get a response here, since libmicrohttpd aborts the
-    // process if it is stopped while a connection is suspended.
+    // process if it is stopped while a connection is suspended. Their handler
+    // may have passed them on, so the outcome is unknown; requests that are
+    // read from now on are certainly not executed.
+    impl_->closing = true;
     const auto unanswered = impl_->suspended;
     for (const auto& state : unanswered) {
       const HttpResponder respond(state);
-      respond(ErrorResponse(503, ErrorCode::kUnavailable,
-                            "the server is shutting down"));
+      respond(ErrorResponse(504, ErrorCode::kUnavailable,
+                            "the server was shut down before the response"));
     }
     MHD_run(impl_->daemon);
     MHD_stop_daemon(impl_->daemon);
--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -9,6 +9,9 @@
 #include <thread>
 
 #include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
 #include <vector>
 
 #include "net/http_client.h"
@@ -179,6 +182,83 @@
   BOOST_TEST(server.requests() == 2);
 }
 
+/// \returns a connection to `address` ("127.0.0.1:port").
+[[nodiscard]] int Connect(const std::string& address) {
+  sockaddr_in endpoint{};
+  endpoint.sin_family = AF_INET;
+  endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  endpoint.sin_port = htons(static_cast<std::uint16_t>(
+      std::stoi(address.substr(address.find(':') + 1))));
+  const int connection = socket(AF_INET, SOCK_STREAM, 0);
+  BOOST_REQUIRE(connect(connection, reinterpret_cast<sockaddr*>(&endpoint),
+                        sizeof(endpoint)) == 0);
+  return connection;
+}
+
+/// \returns the status line of the next response.
+[[nodiscard]] std::string StatusLine(int connection) {
+  std::string text;
+  char byte = 0;
+  while (text.find("\r\n") == std::string::npos &&
+         recv(connection, &byte, 1, 0) == 1) {
+    text += byte;
+  }
+  return text;
+}
+
+/// \returns what is received until the server closes the connection.
+[[nodiscard]] std::string ReadAll(int connection) {
+  std::string text;
+  char byte = 0;
+  while (recv(connection, &byte, 1, 0) == 1)
+    text += byte;
+  return text;
+}
+
+// Guards against a process that aborts at its planned stop: a request that
+// arrives while the server closes would wait for a response when libmicrohttpd
+// is stopped. It is not executed. The outcome of the one that the handler has
+// is unknown, so 503 (not executed) would be wrong for it.
+BOOST_FIXTURE_TEST_CASE(RequestsAtTheEndOfAServerGetAResponse, Fixture) {
+  constexpr std::string_view kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  const auto send_to = [&](int connection) {
+    BOOST_REQUIRE(send(connection, kRequest.data(), kRequest.size(),
+                       MSG_NOSIGNAL) == ssize_t{kRequest.size()});
+  };
+  std::vector<HttpResponder> kept;
+  int handled = 0;
+  std::optional<HttpServer> server;
+  server.emplace(loop, HttpServerLimits{},
+                 [&](const HttpRequest&, const HttpResponder& respond) {
+                   if (++handled == 1)
+                     respond({200, "first"});
+                   else
+                     kept.push_back(respond);
+                   loop.Stop();
+                 });
+  BOOST_REQUIRE(server->Listen("127.0.0.1:0"));
+  const int late = Connect(server->address());
+  send_to(late);
+  loop.Run();
+  const int early = Connect(server->address());
+  send_to(early);
+  loop.Run();
+  BOOST_REQUIRE(kept.size() == 1U);
+  // Waits in the socket of an accepted connection.
+  send_to(late);
+  server.reset();
+  BOOST_TEST(handled == 2);
+  BOOST_TEST(StatusLine(early).starts_with("HTTP/1.1 504"));
+  BOOST_TEST(StatusLine(late).starts_with("HTTP/1.1 200"));
+  // The second response, or none if the request was not read.
+  const std::string rest = ReadAll(late);
+  BOOST_TEST((rest.find("HTTP/1.1 503") != std::string::npos ||
+              rest.find("HTTP/1.1") == std::string::npos),
+             rest);
+  close(early);
+  close(late);
+}
+
 // Guards against two processes that share a port and each get some of the
 // connections.
 BOOST_FIXTURE_TEST_CASE(PortInUseIsRefused, Fixture) {
