Let restarted replicas respect the lease they confirmed

A restarted follower had forgotten the message and voted at once, so a candidate that the leader could not reach was elected while the leader's lease still ran.

A replica that belongs to a cluster with a leader's term behaves after its start as if a leader had just sent a message. The first start of a cluster is not delayed.

VoteSurvivesARestart sent its votes right after each start and expected them to be granted; it now lets the election timeout pass first. What it checks, one vote in a term over a restart, is unchanged.

--- a/src/raft/node.cc
+++ b/src/raft/node.cc
@@ -30,6 +30,10 @@
     term_ = log_.last_term();
     vote_ = ReplicaId();
   }
+  // Before its restart, this replica may have confirmed the lease of a leader
+  // that is still running. It votes for no other one until that has expired.
+  if (term_ > kFormTerm)
+    last_leader_contact_ = now;
   ResetElectionTimer(now);
 }
 
--- a/src/raft/node.h
+++ b/src/raft/node.h
@@ -224,6 +224,8 @@
   std::uint64_t persisted_ = 0;
   Role role_ = Role::kFollower;
   ReplicaId leader_;
+  /// Time of the last message of a leader, or of the start: a message that
+  /// arrived before it is forgotten.
   std::optional<TimePoint> last_leader_contact_;
   TimePoint election_at_;
   std::set<ReplicaId> votes_;
--- a/src/raft/replica_members.cc
+++ b/src/raft/replica_members.cc
@@ -9,14 +9,6 @@
 // Cluster formation, joins, and automatic membership changes by the leader.
 namespace boragewinch::raft {
 
-namespace {
-
-/// Term of the entry that forms a cluster; every first member stores the same
-/// entry.
-constexpr std::uint64_t kFormTerm = 1;
-
-}  // namespace
-
 void Replica::SendJoin(const ReplicaId& to, const std::string& host) {
   Message message;
   message.kind = MessageKind::kJoin;
--- a/src/raft/types.h
+++ b/src/raft/types.h
@@ -33,6 +33,10 @@
     {Role::kLeader, "leader"},
 }}};
 
+/// Term of the entry that forms a cluster; every first member stores the same
+/// entry. Leaders have later terms.
+inline constexpr std::uint64_t kFormTerm = 1;
+
 /// Limits on messages from other replicas.
 inline constexpr std::size_t kMaxReplicas = 15;
 inline constexpr std::size_t kMaxIdBytes = 96;
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -161,6 +161,19 @@
     return found;
   }
 
+  /// \returns how many replicas hold a leader lease, as the owners of replicas
+  /// use it. More than one can issue orders then.
+  [[nodiscard]] std::size_t LeaseHolders() const {
+    return static_cast<std::size_t>(
+        std::count_if(hosts.begin(), hosts.end(), [this](const auto& host) {
+          if (!host->replica)
+            return false;
+          const auto confirmed = host->replica->ConfirmedAt(now);
+          return confirmed &&
+                 now - *confirmed < HolderLease(options.node.election_timeout);
+        }));
+  }
+
   /// \returns whether all hosts are voters and have applied the leader's log.
   [[nodiscard]] bool Converged() {
     Host* first = leader();
--- a/tests/raft_random_test.cc
+++ b/tests/raft_random_test.cc
@@ -75,6 +75,8 @@
       if (Pick(10) == 0)
         Repair();
       CheckReads();
+      if (cluster_.LeaseHolders() > 1)
+        violations.push_back("two replicas hold a leader lease");
       for (const auto& host : cluster_.hosts) {
         const bool restart = hosts_to_restart_.erase(host->name) > 0;
         if (host->replica && (restart || host->disk.fail_after_changes == 0))
@@ -369,11 +371,11 @@
   std::vector<Read> reads_;
 };
 
-// Guards against lost or changed committed entries, two leaders in a term,
-// stale confirmed reads and a cluster that does not recover, under lost,
-// duplicated, late and reordered messages, network partitions, crashes with
-// torn files, full and failing disks, lost disks, frozen processes and
-// membership changes.
+// Guards against lost or changed committed entries, two leaders in a term, two
+// leader leases at once, stale confirmed reads and a cluster that does not
+// recover, under lost, duplicated, late and reordered messages, network
+// partitions, crashes with torn files, full and failing disks, lost disks,
+// frozen processes and membership changes.
 BOOST_AUTO_TEST_CASE(RandomFaultsViolateNoGuarantee) {
   log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getOff());
   const std::uint64_t runs = FromEnvironment("BORAGEWINCH_RANDOM_RUNS", 100);
--- a/tests/raft_test.cc
+++ b/tests/raft_test.cc
@@ -139,6 +139,40 @@
   BOOST_TEST((leader.ConfirmedAt(cluster.now) >= requested_at));
 }
 
+// Guards against two leaders that act at the same time: a follower that was
+// restarted has confirmed the lease of the leader, and votes for a replica that
+// the leader can't reach.
+BOOST_AUTO_TEST_CASE(ARestartedFollowerRespectsTheLease) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Formed cluster(3, seed);
+    Cluster::Host& leader = *cluster.leader();
+    std::vector<Cluster::Host*> followers;
+    for (const auto& host : cluster.hosts) {
+      if (host.get() != &leader)
+        followers.push_back(host.get());
+    }
+    const std::string cut = followers[1]->name;
+    cluster.network = [&](const Cluster::Sent& sent) {
+      const bool lost =
+          (sent.from_host == cut && sent.to_host == leader.name) ||
+          (sent.to_host == cut && sent.from_host == leader.name);
+      return lost ? std::vector<Millis>{} : std::vector<Millis>{Millis(1)};
+    };
+    cluster.RunUntil([] { return false; }, Millis(2'000));
+    BOOST_REQUIRE(cluster.LeaseHolders() == 1U);
+    cluster.Crash(*followers[0]);
+    BOOST_REQUIRE(cluster.Start(*followers[0]));
+    std::size_t holders = 0;
+    cluster.RunUntil(
+        [&] {
+          holders = std::max(holders, cluster.LeaseHolders());
+          return false;
+        },
+        Millis(3'000));
+    BOOST_TEST(holders == 1U, "seed " << seed);
+  }
+}
+
 // Guards against two votes in one term by a replica that was restarted.
 BOOST_AUTO_TEST_CASE(VoteSurvivesARestart) {
   Formed cluster(3);
@@ -160,6 +194,8 @@
   vote.log_term = 49;
   for (const ReplicaId& candidate : candidates) {
     vote.from = candidate;
+    // A replica does not vote within the election timeout after its start.
+    cluster.now += cluster.options.node.election_timeout;
     BOOST_REQUIRE(voter.replica->Receive(vote, cluster.now));
     BOOST_TEST(voter.replica->term() == 50);
     BOOST_TEST(voter.replica->node().vote() == candidates[0]);
