--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -280,6 +280,33 @@
   BOOST_TEST(builder.ledger().workers().empty());
 }
 
+// Guards against a worker that had left, or a key that was withdrawn, in use
+// again after a restart: late messages reach the restored ledger.
+BOOST_AUTO_TEST_CASE(WhatLeftStaysAwayAfterARestart) {
+  LedgerBuilder builder;
+  builder.AddWorker("w");
+  Batch first;
+  first.config = builder.ledger().config();
+  Batch departure;
+  departure.workers.push_back(
+      builder.ledger().FindWorker(LedgerBuilder::IncarnationOf("w"))->record);
+  const Batch heartbeat = departure;
+  departure.workers[0].departed = true;
+  builder.Apply(departure);
+  Batch second = first;
+  ++second.config->version;
+  second.config->customers.begin()->second.keys = {"next"};
+  builder.Apply(second);
+  Result<JobLedger> restored = JobLedger::Restore(builder.ledger().Snapshot());
+  BOOST_REQUIRE(restored);
+  JobLedger& ledger = restored.value();
+  ledger.Apply(heartbeat);
+  ledger.Apply(first);
+  BOOST_TEST((ledger.FindWorker(LedgerBuilder::IncarnationOf("w")) == nullptr));
+  BOOST_TEST((ledger.config().FindCustomer("key") == nullptr));
+  BOOST_TEST((ledger.config().FindCustomer("next") != nullptr));
+}
+
 // Guards against a delayed message that revokes a drain.
 BOOST_AUTO_TEST_CASE(ADrainIsNotRevoked) {
   Builder builder;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -139,6 +139,46 @@
   BOOST_TEST(!DecodeRequest(bytes + "x"));
 }
 
+// Guards against a view with fields of another type that ends the process:
+// jsoncpp reports a wrong type by an exception.
+BOOST_AUTO_TEST_CASE(AMalformedViewIsIgnored) {
+  for (const char* text :
+       {R"({"leads":"yes","leader":7,"hosts":"x"})",
+        R"({"leads":{},"leader":[],"hosts":{"a":1}})",
+        R"({"leads":null,"leader":null,"hosts":[1,null,{},["127.0.0.1"]]})",
+        R"([])", R"("x")", R"({})"}) {
+    const Result<Json> view = ParseJson(text);
+    BOOST_REQUIRE(view);
+    EventLoop loop;
+    HttpClient client{loop, HttpClientLimits{}};
+    RpcClient rpc{client, kSecret};
+    RpcServer rpc_server{kSecret};
+    for (const char* method : {"relay.view", "relay.request"}) {
+      rpc_server.Bind(method, [&](const Json&, const RpcReply& reply) {
+        reply(view.value());
+      });
+    }
+    HttpServer server{
+        loop, HttpServerLimits{},
+        [&](const HttpRequest& request, const HttpResponder& respond) {
+          rpc_server.Serve(request, respond);
+        }};
+    BOOST_REQUIRE(server.Listen("127.0.0.1:0"));
+    RelayClient::Options options;
+    options.hosts = {"127.0.0.1"};
+    options.port = server.address().substr(10);
+    RelayClient relay(loop, rpc, options);
+    relay.Refresh();
+    std::optional<int> status;
+    relay.Send({}, loop.now() + Millis(60'000), [&](HttpResponse response) {
+      status = response.status;
+      loop.Stop();
+    });
+    loop.Run();
+    BOOST_TEST(*status == 503, text);
+  }
+}
+
 // Guards against a caller that waits although no host is the leader. Nothing
 // was stored, so 503 (not executed) is correct.
 BOOST_FIXTURE_TEST_CASE(WithoutALeaderTheRequestIsRejected, Fixture) {
