--- a/tests/job_api_test.cc
+++ b/tests/job_api_test.cc
@@ -4,12 +4,8 @@
 #include <optional>
 #include <string>
 
-#include "kernel/event_loop.h"
-#include "memory_disk.h"
-#include "net/http_client.h"
-#include "net/rpc_client.h"
-#include "net/rpc_server.h"
 #include "scheduler/job_api.h"
+#include "single_replica.h"
 
 namespace boragewinch::scheduler {
 namespace {
@@ -46,46 +42,14 @@
   return config;
 }
 
-/// The leader of a cluster of one, on an in-memory disk.
-struct Fixture {
+struct Fixture : SingleReplica {
   Fixture() {
-    options.directory = "d";
-    options.host = "127.0.0.1";
-    options.hosts = {"127.0.0.1"};
-    options.port = "1";
-    options.may_form_cluster = true;
-    options.election_timeout = Millis(2'000);
-    options.file_system = disk.Hooks();
-    options.file_system.sync = [this, sync = options.file_system.sync](int f) {
-      if (on_sync)
-        std::exchange(on_sync, nullptr)();
-      return sync(f);
-    };
-    hooks.decide = [](jobs::Batch*, TimePoint) {};
-    hooks.on_stored = [this](const jobs::Batch&, TimePoint) {
-      if (on_stored)
-        std::exchange(on_stored, nullptr)();
-    };
-    hooks.on_applied = [](const jobs::Batch&, TimePoint) {};
-    hooks.on_leadership = [this](bool leading, TimePoint) {
-      if (leading)
-        loop.Stop();
-    };
-    replica.emplace(loop, rpc, options, hooks);
-    BOOST_REQUIRE(replica->Start(&server));
-    loop.Run();
-    Store([](jobs::Batch* batch) { batch->config = TwoQueues(); });
+    Lead();
+    BOOST_REQUIRE(
+        Store([](jobs::Batch* batch) { batch->config = TwoQueues(); }));
     api.emplace(*replica, metrics);
   }
 
-  void Store(const LedgerReplica::Change& change) {
-    replica->Submit(change, [this](const Status& stored) {
-      BOOST_TEST(stored.has_value());
-      loop.Stop();
-    });
-    loop.Run();
-  }
-
   [[nodiscard]] static CallerAddress Caller(const std::string& queue,
                                             const std::string& customer) {
     return {"host", "/" + queue + "/" + kJob, "key-" + customer};
@@ -100,23 +64,7 @@
                 });
   }
 
-  void RunFor(Millis time) {
-    const WatchHandle stop =
-        loop.After(time, [this](TimePoint) { loop.Stop(); });
-    loop.Run();
-  }
-
-  EventLoop loop;
-  HttpClient client{loop, HttpClientLimits{}};
-  RpcClient rpc{client, "secret"};
-  RpcServer server{"secret"};
   Metrics metrics;
-  MemoryDisk disk;
-  LedgerReplicaOptions options;
-  LedgerReplica::Hooks hooks;
-  std::function<void()> on_sync;    ///< called once, within the next sync
-  std::function<void()> on_stored;  ///< called once, after the next batch
-  std::optional<LedgerReplica> replica;
   std::optional<JobApi> api;
 };
 
@@ -128,7 +76,9 @@
   std::optional<JobApiStatus> repeated;
   std::optional<JobApiStatus> other;
   on_sync = [&] { Submit(&first); };
-  on_stored = [&] {
+  on_stored = [&](const jobs::Batch&, TimePoint) {
+    if (repeated || other)
+      return;
     BOOST_TEST(!first.has_value());
     Submit(&repeated);
     CallerAddress caller = Caller("a", "a");
@@ -137,13 +87,13 @@
         caller, OneTask(), loop.now(),
         [&](const JobApiResponse& response) { other = response.status; });
   };
-  Store([](jobs::Batch* batch) {
+  BOOST_REQUIRE(Store([](jobs::Batch* batch) {
     for (int i = 0; i < kFull; ++i) {
       batch->submissions.push_back({jobs::JobId("j" + std::to_string(i)),
                                     QueueName("a"), CustomerName("a"),
                                     OneTask()});
     }
-  });
+  }));
   RunFor(Millis(100));
   BOOST_REQUIRE(first.has_value());
   BOOST_REQUIRE(repeated.has_value());
@@ -190,11 +140,11 @@
   Submit(&status);
   BOOST_TEST((*status == JobApiStatus::kDone));
   // The queue's name changed in a later configuration.
-  Store([](jobs::Batch* batch) {
+  BOOST_REQUIRE(Store([](jobs::Batch* batch) {
     batch->config = TwoQueues();
     batch->config->version = 2;
     batch->config->queues[0].name = QueueName("renamed");
-  });
+  }));
   Submit(&status);
   BOOST_TEST((*status == JobApiStatus::kDone));
 }
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -1,18 +1,13 @@
 #define BOOST_TEST_MODULE worker_fleet
 #include <boost/test/unit_test.hpp>
 
-#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "kernel/event_loop.h"
-#include "memory_disk.h"
-#include "net/http_client.h"
-#include "net/rpc_client.h"
-#include "net/rpc_server.h"
 #include "scheduler/worker_fleet.h"
+#include "single_replica.h"
 
 namespace boragewinch::scheduler {
 namespace {
@@ -20,39 +15,24 @@
 const jobs::WorkerIncarnation kWorker{jobs::WorkerId("w"), 1};
 const jobs::RunName kRun{{jobs::JobId("00000000000000aa"), 0, 0, 0}, 1};
 
-/// The leader of a cluster of one, with one worker whose calls are recorded.
-struct Fixture {
+/// The leader, with one worker whose calls are recorded.
+struct Fixture : SingleReplica {
   Fixture() {
-    options.directory = "d";
-    options.host = "127.0.0.1";
-    options.hosts = {"127.0.0.1"};
-    options.port = "1";
-    options.may_form_cluster = true;
-    options.election_timeout = Millis(2'000);
-    options.file_system = disk.Hooks();
-    hooks.decide = [](jobs::Batch*, TimePoint) {};
-    hooks.on_stored = [this](const jobs::Batch& batch, TimePoint now) {
+    on_stored = [this](const jobs::Batch& batch, TimePoint now) {
       if (paused_before_send)
         replica->Retire();
       if (fleet)
         fleet->OnStored(batch, now);
     };
-    hooks.on_applied = [](const jobs::Batch&, TimePoint) {};
-    hooks.on_leadership = [this](bool leading, TimePoint) {
-      if (leading)
-        loop.Stop();
-    };
-    replica.emplace(loop, rpc, options, hooks);
-    BOOST_REQUIRE(replica->Start(&server));
-    loop.Run();
-    Store([](jobs::Batch* batch) {
+    Lead();
+    BOOST_REQUIRE(Store([](jobs::Batch* batch) {
       jobs::WorkerRecord record;
       record.incarnation = kWorker;
       record.address = "w:80";
       record.pool = PoolName("p");
       record.capacity = {16'000, 32'000, 0};
       batch->workers.push_back(record);
-    });
+    }));
     WorkerCalls calls;
     calls.start = [this](const jobs::WorkerRecord&, const StartCall&,
                          const WorkerCalls::Done<CallResponse>&) { ++starts; };
@@ -73,17 +53,6 @@
     BOOST_REQUIRE(hold);
   }
 
-  void Store(const LedgerReplica::Change& change) {
-    replica->Submit(change, [this](const Status& stored) {
-      BOOST_TEST(stored.has_value());
-      loop.Stop();
-    });
-    loop.Run();
-    // The hook on_stored runs after the replies.
-    loop.Post([this] { loop.Stop(); });
-    loop.Run();
-  }
-
   /// \brief Delivers the response to the hold call in flight.
   void List(const std::vector<jobs::RunName>& running) {
     HoldResponse response;
@@ -94,7 +63,7 @@
   }
 
   void StoreStart() {
-    Store([](jobs::Batch* batch) {
+    BOOST_REQUIRE(Store([](jobs::Batch* batch) {
       jobs::Submission submission;
       submission.id = kRun.task.job;
       submission.queue = QueueName("q");
@@ -105,18 +74,13 @@
       submission.spec.steps.push_back(step);
       batch->submissions.push_back(submission);
       batch->starts.push_back({kRun, kWorker});
-    });
+    }));
+    // The hook on_stored runs after the response.
+    loop.Post([this] { loop.Stop(); });
+    loop.Run();
   }
 
-  EventLoop loop;
-  HttpClient client{loop, HttpClientLimits{}};
-  RpcClient rpc{client, "secret"};
-  RpcServer server{"secret"};
   Metrics metrics;
-  MemoryDisk disk;
-  LedgerReplicaOptions options;
-  LedgerReplica::Hooks hooks;
-  std::optional<LedgerReplica> replica;
   std::optional<WorkerFleet> fleet;
   WorkerCalls::Done<HoldResponse> hold;
   int starts = 0;
