--- a/tests/raft_rejoin_test.cc
+++ b/tests/raft_rejoin_test.cc
@@ -110,12 +110,17 @@
     SeededCluster cluster(kVoters);
     cluster.MakeLeader(*cluster.hosts[leader]);
     Cluster::Host& host = *cluster.hosts[lost];
+    const Replica& first = *cluster.hosts[leader]->replica;
+    BOOST_TEST(first.TolerableLosses(cluster.now).value_or(0) == 2U);
     cluster.LoseDisk(host, kDowntime);
+    BOOST_TEST(first.TolerableLosses(cluster.now).value_or(0) == 1U);
+    BOOST_TEST(!host.replica->TolerableLosses(cluster.now));
     BOOST_TEST(
         cluster.RunUntil([&] { return cluster.IsVoter(host); }, kRejoinTime),
         "h" << lost << " did not rejoin");
     BOOST_TEST(
         cluster.RunUntil([&] { return cluster.IsWhole(); }, kRejoinTime));
+    BOOST_TEST(first.TolerableLosses(cluster.now).value_or(0) == 2U);
   }
 }
 
