--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -232,7 +232,7 @@
   std::size_t open = 0;
   bool run_scheduled = false;
   bool stopping = false;
-  bool closing = false;  ///< the handler is not called any more
+  bool closing = false;  ///< being destroyed; the handler is not called
 };
 
 HttpServer::HttpServer(EventLoop& loop,
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -246,8 +246,8 @@
   /// Hosts that have sent messages to an earlier replica of this host, with the
   /// time of the latest one. They are members, whatever the settings name.
   std::map<std::string, TimePoint> contacts_;
-  TimePoint report_losses_at_;
-  std::optional<std::size_t> reported_losses_;
+  TimePoint report_losses_at_;                  ///< not before this
+  std::optional<std::size_t> reported_losses_;  ///< nothing unless leading
 };
 
 }  // namespace boragewinch::raft
--- a/src/scheduler/job_api.h
+++ b/src/scheduler/job_api.h
@@ -23,7 +23,8 @@
 
 enum class JobApiStatus {
   kDone,          ///< success
-  kNotReady,      ///< no configuration or no leader lease; nothing was done
+  kNotReady,      ///< no configuration, no leader lease, or the job is still
+                  ///< being stored; nothing was done
   kUnknown,       ///< the outcome is unknown; the caller may repeat the call
   kNoQueue,       ///< no queue matches host and path
   kUnauthorized,  ///< the queue requires a key and the given one is unknown
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -161,10 +161,12 @@
   }
   if (!storage_open_)
     return;
-  // A request to join may have been forwarded, so its sender need not be the
-  // caller who reads the response.
-  if (message.value().kind == raft::MessageKind::kJoin)
+  // A request to join that names its receiver was forwarded: its sender is not
+  // the caller, who reads the response.
+  if (message.value().kind == raft::MessageKind::kJoin &&
+      !message.value().to.empty()) {
     response_messages = nullptr;
+  }
   response_messages_ = response_messages;
   if (response_messages != nullptr)
     response_host_ = raft::HostOf(message.value().from);
--- a/src/scheduler/worker_calls.h
+++ b/src/scheduler/worker_calls.h
@@ -105,7 +105,8 @@
   Millis valid{0};
 };
 
-/// Limit of ends in one list. A list with that many may lack further ends.
+/// Maximum number of ends in one list; the worker lists further ones once these
+/// are acknowledged.
 inline constexpr std::size_t kMaxListedEnds = 500;
 
 struct HoldResponse {
--- a/src/scheduler/worker_session.cc
+++ b/src/scheduler/worker_session.cc
@@ -274,9 +274,9 @@
       track->since = now;
     }
   }
+  if (!response.complete())
+    return ends;
   for (auto& [run, track] : tracks_) {
-    if (!response.complete())
-      break;
     if (listed.count(run) > 0 || worker.runs.count(run) == 0)
       continue;
     if (track.phase == RunPhase::kOutcomeUnknown && track.since < hold_sent_)
