Require the former replica's vote to be gone in raft_rejoin_test

The random runs took a cluster for whole while the contact of the emptied replica's former id was still fresh, so a run could go on before the vote was replaced.

--- a/tests/raft_rejoin_test.cc
+++ b/tests/raft_rejoin_test.cc
@@ -85,7 +85,7 @@
     BOOST_REQUIRE(Start(host));
   }
 
-  /// Restarts one leader after the other until `host` leads.
+  /// \brief Restarts one leader after the other until `host` leads.
   void MakeLeader(Host& host) {
     constexpr int kMaxElections = 200;
     for (int i = 0; i < kMaxElections && leader() != &host; ++i) {
@@ -234,6 +234,7 @@
     lost.seeds = {AnyHost().name};
     for (std::uint64_t more = Pick(kSeeds); more > 0; --more)
       lost.seeds.push_back(AnyHost().name);
+    const ReplicaId former = lost.replica->id();
     cluster_.Crash(lost);
     lost.disk.Wipe();
     // At most one further host is away at the same time.
@@ -252,8 +253,11 @@
     cut_host_.clear();
     if (!other.replica && !cluster_.Start(other))
       return other.name + " did not start";
-    return cluster_.RunUntil([this] { return cluster_.IsWhole(); },
-                             kCatchUpTime)
+    const auto recovered = [&] {
+      return cluster_.IsWhole() &&
+             !cluster_.leader()->replica->configuration().IsVoter(former);
+    };
+    return cluster_.RunUntil(recovered, kCatchUpTime)
                ? ""
                : lost.name + " is not back among the voters" + Describe();
   }
