Wait for all four losses in buffer_process_test

It waited for five hosts in service and took the moment after three of the four losses for the end.

The test now waits until four are lost and five in service, which only a lent host can bring about; the checks after it are unchanged.

--- a/tests/buffer_process_test.cc
+++ b/tests/buffer_process_test.cc
@@ -54,10 +54,12 @@
 // host, and against lent hosts that never return.
 BOOST_FIXTURE_TEST_CASE(LostRackIsFilledFromTheSparePool, Fixture) {
   BOOST_REQUIRE(AllActive());
-  // Four of eight hosts are lost; one more is needed for five.
+  // Four of eight hosts are lost; one more is needed for five. The losses are
+  // recorded one after the other, so five hosts are in service before the last.
   fleet.Kill("w1r2");
-  BOOST_TEST(
-      Eventually(Millis(30'000), [&] { return InService("main") == 5; }));
+  BOOST_TEST(Eventually(Millis(30'000), [&] {
+    return Count("state", "lost") == 4 && InService("main") == 5;
+  }));
   BOOST_TEST(Count("lent_from", "spare") == 1);
   BOOST_TEST(fleet.RunJob("e11") == "finished");
   fleet.Kill(fleet.Leader());
