Decide in one place whose job a request may name

A submission took the job of a queue that a later configuration had renamed for its own, while the state of the same job was "no such job": an accepted job was lost to its caller. Submission, state and cancellation use IsOwner now: the same queue, or a queue that no longer exists and the same customer.

--- a/src/scheduler/job_api.cc
+++ b/src/scheduler/job_api.cc
@@ -58,23 +58,17 @@
 
 const jobs::Job* JobApi::FindOwnedJob(const RequestTarget& target) const {
   const jobs::Job* job = replica_.ledger().FindJob(jobs::JobId(target.job_id));
-  const bool is_owner =
-      job != nullptr && job->queue == target.queue->name &&
-      (target.queue->open_to_all || job->customer == target.customer);
-  return is_owner ? job : nullptr;
+  return job != nullptr && IsOwner(target, *job) ? job : nullptr;
 }
 
-// The id of another customer's job, or of a job of another queue, names no job
-// that this caller could ask for. A queue that was replaced since the job was
-// accepted does not count as another one.
-bool JobApi::MayRepeat(const jobs::Job& job,
-                       const RequestTarget& target) const {
-  const bool other_customer =
-      !target.queue->open_to_all && job.customer != target.customer;
-  const bool other_queue =
-      job.queue != target.queue->name &&
-      replica_.ledger().config().FindQueue(job.queue) != nullptr;
-  return !other_customer && !other_queue;
+// A job outlives its queue: a later configuration may give the queue another
+// name, and the customer still asks for the job.
+bool JobApi::IsOwner(const RequestTarget& target, const jobs::Job& job) const {
+  const bool same_customer = job.customer == target.customer;
+  if (job.queue == target.queue->name)
+    return same_customer || target.queue->open_to_all;
+  return same_customer &&
+         replica_.ledger().config().FindQueue(job.queue) == nullptr;
 }
 
 bool JobApi::IsOverloaded(const QueueName& queue,
@@ -124,7 +118,7 @@
   if (target.status == JobApiStatus::kDone) {
     const jobs::JobId id(target.job_id);
     if (const jobs::Job* job = replica_.ledger().FindJob(id); job != nullptr) {
-      if (!MayRepeat(*job, target))
+      if (!IsOwner(target, *job))
         response.status = JobApiStatus::kInvalid;
       SendResponse(Call::kSubmit, target, response, done);
       return;
--- a/src/scheduler/job_api.h
+++ b/src/scheduler/job_api.h
@@ -85,9 +85,10 @@
                                       TimePoint now) const;
   [[nodiscard]] const jobs::Job* FindOwnedJob(
       const RequestTarget& target) const;
-  /// \returns whether a submission may be a further attempt to submit `job`.
-  [[nodiscard]] bool MayRepeat(const jobs::Job& job,
-                               const RequestTarget& target) const;
+  /// \returns whether the caller may ask for the job, cancel it and repeat its
+  /// submission.
+  [[nodiscard]] bool IsOwner(const RequestTarget& target,
+                             const jobs::Job& job) const;
   /// \returns whether a new job of the queue is to be rejected for now.
   [[nodiscard]] bool IsOverloaded(const QueueName& queue,
                                   const jobs::JobSpec& spec,
--- a/tests/job_api_test.cc
+++ b/tests/job_api_test.cc
@@ -127,7 +127,8 @@
 }
 
 // Guards against a caller that is told that its job was accepted although the
-// id belongs to a job of another customer or queue.
+// id belongs to a job of another customer or queue, and against an accepted job
+// that is unknown once its queue has another name.
 BOOST_FIXTURE_TEST_CASE(TheIdOfAnotherJobIsRejected, Fixture) {
   std::optional<JobApiStatus> status;
   Submit(&status);
@@ -147,6 +148,15 @@
   }));
   Submit(&status);
   BOOST_TEST((*status == JobApiStatus::kDone));
+  const auto state_of = [&](const std::string& customer) {
+    std::optional<JobApiStatus> state;
+    api->State(
+        Caller("a", customer), loop.now(),
+        [&](const JobApiResponse& response) { state = response.status; });
+    return *state;
+  };
+  BOOST_TEST((state_of("a") == JobApiStatus::kDone));
+  BOOST_TEST((state_of("b") == JobApiStatus::kNoJob));
 }
 
 }  // namespace
