Let a replica without a leader only add hosts to contact

A scheduler that relays calls replaced the known hosts with the members of its own configuration before each call, also while it was cut off and the configuration old; what other hosts had reported was lost. Without a known leader its members only add, as the reports of other hosts do. AViewWithoutALeaderOnlyAddsHosts fails without the rule (504 instead of 200). A failed query for the view is logged.

The metric tolerable_losses was 0, the worst value, at hosts that do not lead and do not know it; it is NaN there now.

--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -344,8 +344,13 @@
     return;
   rpc_.Call(host + ":" + options_.port, "relay.view", Json(::Json::objectValue),
             kViewTimeout, [this, host](const Result<Json>& result) {
-              if (!result || !result.value().isObject())
+              if (!result) {
+                LogEvent(EventId::kCallFailed,
+                         {{"call", "relay.view"},
+                          {"host", host},
+                          {"error", result.error().Text()}});
                 return;
+              }
               const Json& view = result.value();
               UpdateMembers(view);
               if (Leads(view)) {
--- a/src/scheduler/relay.h
+++ b/src/scheduler/relay.h
@@ -74,11 +74,14 @@
   /// \brief Starts no attempt for any request from `at` on. An attempt in
   /// flight then ends within Options::attempt_timeout.
   void StopRetriesAt(TimePoint at) { no_attempts_from_ = at; }
-  /// \brief Sets the leader that is contacted first; empty: unknown.
-  void SetLeader(const std::string& host) { leader_ = host; }
-  /// \brief Sets the members, as a replica knows them.
-  void SetMembers(const std::vector<std::string>& hosts) {
-    hosts_.OnMembers(hosts, true);
+  /// \brief Sets the members and the leader as a replica on this host knows
+  /// them. Without a leader the replica may be cut off and its members old, so
+  /// they only add to the known hosts.
+  /// \param leader is contacted first; empty: unknown.
+  void SetView(const std::vector<std::string>& members,
+               const std::string& leader) {
+    hosts_.OnMembers(members, !leader.empty());
+    leader_ = leader;
   }
   /// \brief Queries a host for the members and the leader.
   void Refresh();
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -1,6 +1,7 @@
 #include "scheduler/scheduler_service.h"
 
 #include <algorithm>
+#include <limits>
 #include <random>
 #include <utility>
 
@@ -124,8 +125,10 @@
         [this](const HttpRequest&, const HttpResponder& respond) {
           const auto losses = replica_->TolerableLosses(loop_->now());
           metrics_.Gauge("leads", {}, losses ? 1.0 : 0.0);
+          // Only the leader knows the number; 0 would be the worst one.
           metrics_.Gauge("tolerable_losses", {},
-                         static_cast<double>(losses.value_or(0)));
+                         losses ? static_cast<double>(*losses)
+                                : std::numeric_limits<double>::quiet_NaN());
           respond({200, metrics_.PrometheusText(), kPrometheusContentType});
         });
     BW_CHECK(metrics_server_->Listen(options_.listen_metrics));
@@ -188,8 +191,7 @@
     control_relay_ =
         std::make_unique<RelayClient>(*loop_, *rpc_client_, std::move(relay));
   }
-  control_relay_->SetMembers(replica_->MemberHosts());
-  control_relay_->SetLeader(replica_->LeaderHost());
+  control_relay_->SetView(replica_->MemberHosts(), replica_->LeaderHost());
   control_relay_->Send(request, now + kControlDeadline, respond);
 }
 
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -179,6 +179,25 @@
   }
 }
 
+// Guards against a replica that is cut off and hides the present members with
+// those of its old configuration.
+BOOST_FIXTURE_TEST_CASE(AViewWithoutALeaderOnlyAddsHosts, Fixture) {
+  RelayClient::Options options;
+  options.attempt_timeout = Millis(200);
+  options.port = server.address().substr(10);
+  RelayClient relay(loop, rpc, options);
+  relay.SetView({"127.0.0.1"}, "127.0.0.1");
+  // Nothing listens there.
+  relay.SetView({"127.0.0.3"}, "");
+  std::optional<int> status;
+  relay.Send({}, loop.now() + Millis(60'000), [&](HttpResponse response) {
+    status = response.status;
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_TEST(*status == 200);
+}
+
 // Guards against a caller that waits although no host is the leader. Nothing
 // was stored, so 503 (not executed) is correct.
 BOOST_FIXTURE_TEST_CASE(WithoutALeaderTheRequestIsRejected, Fixture) {
