Log whether an unexpected run is stopped; use timeout in four places

run_stray has the field "stopped": "no_lease" tells why a listed run got no stop. The condition in RecordContact names each case once. "time limit" of a planned stop becomes timeout in the help and in comments of the tests.

--- a/src/entry/boraged_entry_main.cc
+++ b/src/entry/boraged_entry_main.cc
@@ -51,7 +51,7 @@
       .AddressList("control", "control hosts, at least one")
       .Required("cluster-secret", "secret shared by all processes")
       .Required("operator-secret", "credential required from operators")
-      .Integer("stop-timeout-ms", "time limit of a planned stop", 60'000, 0,
+      .Integer("stop-timeout-ms", "timeout of a planned stop", 60'000, 0,
                3'600'000)
       .Integer("share-blend-ms",
                "time over which shares change to those of a new sheet", 60'000,
--- a/src/raft/replica_members.cc
+++ b/src/raft/replica_members.cc
@@ -78,9 +78,10 @@
   const bool to_earlier_replica =
       message.to != id_ && HostOf(message.to) == options_.host;
   const bool other_cluster =
-      !hard_.cluster.empty() && message.cluster != hard_.cluster;
-  if (!to_earlier_replica || other_cluster || message.cluster.empty() ||
-      hard_.member || host == options_.host) {
+      message.cluster.empty() ||
+      (!hard_.cluster.empty() && message.cluster != hard_.cluster);
+  if (hard_.member || !to_earlier_replica || other_cluster ||
+      host == options_.host) {
     return;
   }
   if (contacts_.size() >= kMaxReplicas && contacts_.count(host) == 0) {
--- a/src/scheduler/worker_calls.h
+++ b/src/scheduler/worker_calls.h
@@ -105,8 +105,8 @@
   Millis valid{0};
 };
 
-/// Maximum number of ends in one list; the worker lists further ones once these
-/// are acknowledged.
+/// Maximum number of ends in one list, by the protocol of the users' platform;
+/// the worker lists further ones once these are acknowledged.
 inline constexpr std::size_t kMaxListedEnds = 500;
 
 struct HoldResponse {
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -410,12 +410,15 @@
   std::vector<jobs::EndRecord> ends =
       session->OnHoldResponse(*worker, response.value(), now, &unexpected_runs);
   for (const jobs::RunName& run : unexpected_runs) {
-    LogEvent(EventId::kRunUnexpected, {{"run", run.task.Text()},
-                                       {"number", std::to_string(run.number)},
-                                       {"worker", incarnation.Text()}});
     // The response may have waited through a pause of this process, in which
     // another leader started the run.
-    if (!replica_.HasLeaderLease(now))
+    const bool stops = replica_.HasLeaderLease(now);
+    LogEvent(EventId::kRunUnexpected,
+             {{"run", run.task.Text()},
+              {"number", std::to_string(run.number)},
+              {"worker", incarnation.Text()},
+              {"stopped", stops ? "yes" : "no_lease"}});
+    if (!stops)
       continue;
     calls_.stop(worker->record, {run, replica_.term(), options_.order_timeout},
                 [](const Result<CallResponse>&) {
--- a/tests/process_fleet.h
+++ b/tests/process_fleet.h
@@ -52,7 +52,7 @@
   int limit = 500;  ///< of team t1; the limit of t2 is always 500
   int reboot_ms = 300;
   int snapshot_entries = 8192;   ///< log entries between snapshots
-  int stop_timeout_ms = 60'000;  ///< time limit of an entry host's planned stop
+  int stop_timeout_ms = 60'000;  ///< of an entry host's planned stop
   int drain_move_after_ms = 30'000;
   bool worker_checkpoints = true;
   bool worker_process_per_rack = false;
--- a/tests/upgrade_process_test.cc
+++ b/tests/upgrade_process_test.cc
@@ -139,7 +139,7 @@
   }
 };
 
-// Guards against a stop that reaches its time limit with open requests and does
+// Guards against a stop that reaches its timeout with open requests and does
 // not report the violation of the planned_stop invariant.
 BOOST_FIXTURE_TEST_CASE(StopAtItsTimeLimitReportsWhatIsOpen, OneEntry) {
   ProcessFleet fleet(Shape(500));
@@ -157,7 +157,7 @@
 }
 
 // Guards against a planned stop that, without a backup, ends before its
-// requests do, although its time limit is not reached.
+// requests do, although its timeout is not reached.
 BOOST_FIXTURE_TEST_CASE(StopWithoutBackupWaitsForItsRequests, OneEntry) {
   ProcessFleet fleet(Shape(60'000));
   const std::string ticket = StartJob(fleet, 2'000);
