--- a/tests/raft_rejoin_test.cc
+++ b/tests/raft_rejoin_test.cc
@@ -3,21 +3,14 @@
 
 #include <boost/test/data/test_case.hpp>
 
-#include <log4cxx/logger.h>
-
 #include "base/invariant.h"
-#include "raft_cluster.h"
+#include "formed_cluster.h"
 
 // Replicas that have lost their directories and know only hosts that don't
 // lead: the settings name the seeds, and any member may become the leader.
 namespace boragewinch::raft {
 namespace {
 
-struct QuietLog {
-  QuietLog() {
-    log4cxx::Logger::getRootLogger()->setLevel(log4cxx::Level::getOff());
-  }
-};
 BOOST_TEST_GLOBAL_FIXTURE(QuietLog);
 
 constexpr std::size_t kSeeds = 3;
