Test the progress of a run, endless host lists and wave numbers

The number of a wave is read by DecodeWaveNumber beside the other codecs, where MalformedWaveNumbersAreRefused covers it; a negative one is refused too.

KnownHosts takes its limit from that of the replicas. No other code.

--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -39,7 +39,8 @@
   /// little.
   std::uint64_t retain_entries = 1024;
   /// How often a replica without a cluster asks to join one. The leader checks
-  /// for a due membership change with each heartbeat.
+  /// for a due membership change with each heartbeat, and reports the tolerable
+  /// losses at most once in this time.
   Millis join_interval{500};
   /// Whether the leader adds, promotes, demotes and removes members
   /// automatically.
--- a/src/scheduler/known_hosts.h
+++ b/src/scheduler/known_hosts.h
@@ -5,14 +5,17 @@
 #include <string>
 #include <vector>
 
+#include "raft/types.h"
+
 namespace boragewinch::scheduler {
 
 /// \brief The scheduler hosts that a process may contact, in turn. The settings
 /// name only the initial ones, all of which may be replaced later.
 class KnownHosts {
  public:
-  /// Limit on hosts taken from one report; a cluster has at most 15 members.
-  static constexpr std::size_t kMaxMembers = 32;
+  /// Limit on reported hosts: the members of the present and of an earlier
+  /// configuration.
+  static constexpr std::size_t kMaxMembers = 2 * raft::kMaxReplicas;
 
   /// \param initial hosts of the settings; they stay known.
   explicit KnownHosts(std::vector<std::string> initial);
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -143,6 +143,16 @@
     BOOST_TEST(!DecodeWave(text).has_value(), text);
 }
 
+// Guards against a request for the state of a malformed wave that gets the
+// state of wave 0.
+BOOST_AUTO_TEST_CASE(MalformedWaveNumbersAreRefused) {
+  BOOST_TEST(DecodeWaveNumber("17").value() == 17);
+  for (const char* text :
+       {"", "abc", "1x", " 1", "-1", "1.5", "99999999999999999999"}) {
+    BOOST_TEST(!DecodeWaveNumber(text).has_value(), text);
+  }
+}
+
 // Guards against runs of one task that are mistaken for those of another.
 BOOST_AUTO_TEST_CASE(TaskNamesAreReadBack) {
   const jobs::TaskName task{jobs::JobId("5c0e7a21d94b36f8"), 2, 1, 17};
--- a/tests/worker_client_test.cc
+++ b/tests/worker_client_test.cc
@@ -3,6 +3,8 @@
 
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "kernel/event_loop.h"
 #include "net/http_client.h"
@@ -52,6 +54,44 @@
   scheduler::WorkerCalls calls = MakeWorkerCalls(client, "");
 };
 
+// Guards against progress beyond the range of its type, whose conversion is
+// undefined.
+BOOST_FIXTURE_TEST_CASE(TheProgressOfARunIsBounded, Fixture) {
+  for (const auto& [listed, percent] : std::vector<std::pair<const char*, int>>{
+           {"1e300", 100}, {"-1e300", 0}, {"41", 41}}) {
+    response.body =
+        R"({"clockMs":1,"finished":[],"running":[["a.0.0.1",2,"",)" +
+        std::string(listed) + "]]}";
+    std::optional<Result<scheduler::HoldResponse>> got;
+    scheduler::HoldCall call;
+    call.timeout = Millis(5'000);
+    calls.hold(worker, call, [&](Result<scheduler::HoldResponse> list) {
+      got = std::move(list);
+      loop.Stop();
+    });
+    loop.Run();
+    BOOST_REQUIRE(*got);
+    BOOST_REQUIRE(got->value().running.size() == 1U);
+    BOOST_TEST(got->value().running[0].percent == percent);
+  }
+}
+
+// Guards against a host list that never ends and is taken as whole, so that
+// the hosts that are missing from it count as removed.
+BOOST_FIXTURE_TEST_CASE(AnEndlessHostListIsAnError, Fixture) {
+  response.body = R"({"machines":[],"nextPageToken":"more"})";
+  const scheduler::HostCalls hosts =
+      MakeHostCalls(client, server.address(), "holder");
+  std::optional<Result<std::vector<scheduler::HostRow>>> got;
+  hosts.list([&](Result<std::vector<scheduler::HostRow>> list) {
+    got = std::move(list);
+    loop.Stop();
+  });
+  loop.Run();
+  BOOST_REQUIRE(!*got);
+  BOOST_TEST((got->error().code == ErrorCode::kTooLarge));
+}
+
 // Guards against a start request that the worker decodes differently.
 BOOST_FIXTURE_TEST_CASE(AStartIsEncodedAsTheProtocolDefines, Fixture) {
   const auto result = Start();
