--- a/review/stand_ins/deployment.cc
+++ b/review/stand_ins/deployment.cc
@@ -68,6 +68,12 @@
       record_(folder + "/record.txt"),
       begun_(loop_.now()) {
   std::signal(SIGPIPE, SIG_IGN);
+  for (const int number : {SIGTERM, SIGINT, SIGHUP}) {
+    signals_.push_back(loop_.OnSignal(number, [this] {
+      interrupted_ = true;
+      loop_.Stop();
+    }));
+  }
   directory_ =
       (std::filesystem::temp_directory_path() / "bw-review-XXXXXX").string();
   if (mkdtemp(directory_.data()) == nullptr)
@@ -153,7 +159,11 @@
   if (pid < 0)
     throw std::runtime_error("fork failed");
   if (pid == 0) {
+    // Also ends the program if this process is killed.
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    sigset_t none;
+    sigemptyset(&none);
+    sigprocmask(SIG_SETMASK, &none, nullptr);
     const int output =
         open(program.log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     dup2(output, STDOUT_FILENO);
@@ -164,6 +174,9 @@
     _exit(127);
   }
   program.pid = pid;
+  // run.sh ends what is left if this process is killed.
+  std::ofstream(std::filesystem::temp_directory_path() / "pids", std::ios::app)
+      << pid << std::endl;
   Record("started " + name + ": " + command);
 }
 
@@ -352,6 +365,8 @@
       loop_.Stop();
   });
   loop_.Run();
+  if (interrupted_)
+    throw std::runtime_error("ended by a signal");
   return held;
 }
 
--- a/review/stand_ins/deployment.h
+++ b/review/stand_ins/deployment.h
@@ -63,6 +63,8 @@
   /// \brief Sends a configuration until it is acknowledged.
   bool PutConfig(const Json& config, Millis limit);
 
+  /// \brief Throws if a signal has asked the case to end; the destructor then
+  /// ends all programs.
   bool RunUntil(Millis limit, const std::function<bool()>& holds);
   void RunFor(Millis time);
   /// \brief Writes a line to record.txt.
@@ -108,6 +110,8 @@
   std::vector<std::string> gateways_;
   std::size_t next_gateway_ = 0;
   std::size_t next_control_ = 0;
+  bool interrupted_ = false;  ///< a signal asked the case to end
+  std::vector<WatchHandle> signals_;
 };
 
 }  // namespace boragewinch::review
