Keep one transfer in flight to each follower, and never repeat one on its way

Cause: a follower got all entries at once, each message in a call of its own. Heartbeats overtook them, referred to entries on their way and were rejected, and each rejection had all entries sent again, ten times a second with entries of a megabyte. The link was full of repetitions, calls ran into their fixed timeout of 1 s and were discarded, and the small heartbeats kept the lease. Ruled out: disk and processor; the test has neither and shows the same.

--- a/src/control/control_service.cc
+++ b/src/control/control_service.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr Millis kTickInterval{10};
-constexpr Millis kRaftTimeout{1'000};
 constexpr Millis kForwardTimeout{5'000};
 // Confirming leadership takes one round trip to a majority; waiting calls fail
 // after this time.
@@ -120,7 +119,8 @@
   const auto peer = options_.peers.find(host);
   if (peer == options_.peers.end())
     return;
-  rpc_client_->Call(peer->second, "raft.step", ToJson(message), kRaftTimeout,
+  rpc_client_->Call(peer->second, "raft.step", ToJson(message),
+                    raft::StepTimeout(raft::DataBytes(message)),
                     [](const Result<Json>&) {});
 }
 
--- a/src/raft/message.cc
+++ b/src/raft/message.cc
@@ -210,6 +210,13 @@
   return message;
 }
 
+std::size_t DataBytes(const Message& message) {
+  std::size_t bytes = message.data.size();
+  for (const Entry& entry : message.entries)
+    bytes += entry.data.size();
+  return bytes;
+}
+
 Json ToJson(const Message& message) {
   Json json(::Json::objectValue);
   json["kind"] = std::string(kMessageKinds.Name(message.kind));
--- a/src/raft/message.h
+++ b/src/raft/message.h
@@ -72,6 +72,9 @@
   std::string data;          ///< kSnapshot: chunk
 };
 
+/// \returns the size of the message's entries and snapshot chunk.
+[[nodiscard]] std::size_t DataBytes(const Message& message);
+
 [[nodiscard]] Json ToJson(const Message& message);
 
 /// \brief Reads a message; all sizes and numbers are bounds-checked.
--- a/src/raft/node.cc
+++ b/src/raft/node.cc
@@ -21,7 +21,6 @@
       submitted_(log_.last_index()),
       persisted_(log_.last_index()),
       leader_since_(now),
-      heartbeat_at_(now),
       transfer_until_(now) {
   // A crash after a snapshot was stored and before its term was leaves a
   // smaller stored term. The replica has not voted in the later term then,
@@ -148,8 +147,10 @@
       return;
     }
   }
-  if (now >= heartbeat_at_)
-    Broadcast(true, now);
+  for (auto& [id, progress] : progress_) {
+    if (now >= progress.heartbeat_at)
+      SendHeartbeat(id, &progress, now);
+  }
 }
 
 }  // namespace boragewinch::raft
--- a/src/raft/node.h
+++ b/src/raft/node.h
@@ -26,10 +26,11 @@
   /// elections, and an election completes well within 2 s.
   Millis election_timeout{500};
   Millis heartbeat_interval{100};
+  /// Limits on the entries of one message. A follower is sent the next entries
+  /// once it has acknowledged these, so they also bound what is in flight to
+  /// it; a single entry may be larger than `max_batch_bytes`.
   std::size_t max_batch_entries = 256;
   std::size_t max_batch_bytes = 512UL * 1024;
-  /// Limit on entries sent to a follower and not yet acknowledged.
-  std::uint64_t max_inflight_entries = 1024;
   /// Limit on entries of the leader that are not yet committed.
   std::uint64_t max_uncommitted_entries = 4096;
   std::size_t snapshot_chunk_bytes = 512UL * 1024;
@@ -144,16 +145,30 @@
   [[nodiscard]] bool IsInContact(const ReplicaId& id, TimePoint now) const;
 
  private:
+  /// Entries or a snapshot chunk that a follower has not acknowledged yet.
+  struct Transfer {
+    std::uint64_t last = 0;  ///< last of the entries; 0 for a snapshot chunk
+    std::size_t bytes = 0;
+    TimePoint sent;
+    std::uint64_t boots = 0;  ///< latest `boots` seen of the follower by then
+  };
+
   /// Replication state of another member, kept by the leader.
   struct Progress {
     std::uint64_t next = 1;
     std::uint64_t match = 0;
     std::uint64_t match_boots = 0;  ///< `boots` of the peer that acknowledged
+    std::uint64_t boots = 0;        ///< latest in a reply
+    /// Commit index that the messages to the follower have announced.
+    std::uint64_t announced = 0;
     std::optional<TimePoint> last_contact;
-    bool probing = true;      ///< one message at a time until `next` is known
-    bool probe_sent = false;  ///< or the snapshot chunk at `offset`
-    SnapshotPtr snapshot;     ///< being sent, or null
-    std::string encoded;      ///< `snapshot`
+    TimePoint heartbeat_at;  ///< when the next message is due at the latest
+    bool probing = true;     ///< only empty messages until `next` is known
+    bool probe_sent = false;
+    std::optional<Transfer> transfer;
+    unsigned losses = 0;   ///< transfers lost since the last acknowledged one
+    SnapshotPtr snapshot;  ///< being sent, or null
+    std::string encoded;   ///< `snapshot`
     std::uint64_t encoded_hash = 0;
     std::uint64_t offset = 0;  ///< of the next chunk in `encoded`
   };
@@ -188,9 +203,16 @@
   void AppendAsLeader(EntryKind kind, std::string data, TimePoint now);
   void ReconcileProgress();
 
+  /// \brief Sends what is due to each member, and with `heartbeat` at least an
+  /// empty message.
   void Broadcast(bool heartbeat, TimePoint now);
-  /// \returns whether a message was sent.
-  bool SendAppend(const ReplicaId& to,
+  void SendHeartbeat(const ReplicaId& to, Progress* progress, TimePoint now);
+  /// \returns whether the follower's transfer counts as lost at `now`.
+  [[nodiscard]] bool IsOverdue(const Progress& progress, TimePoint now) const;
+  /// \brief Records a lost transfer: its content is sent again once the
+  /// follower replies.
+  static void DropTransfer(Progress* progress);
+  void SendAppend(const ReplicaId& to,
                   Progress* progress,
                   bool heartbeat,
                   TimePoint now);
@@ -238,7 +260,8 @@
   // Leader state.
   std::map<ReplicaId, Progress> progress_;
   TimePoint leader_since_;
-  TimePoint heartbeat_at_;
+  /// Commit index that followers are told without waiting for a heartbeat.
+  std::uint64_t announced_commit_ = 0;
   TimePoint stall_grace_until_;
   ReplicaId transfer_to_;
   TimePoint transfer_until_;
--- a/src/raft/node_leader.cc
+++ b/src/raft/node_leader.cc
@@ -6,11 +6,19 @@
 
 namespace boragewinch::raft {
 
+namespace {
+
+/// Limit on doublings of the time after which a transfer counts as lost.
+constexpr unsigned kMaxBackoffDoublings = 4;
+
+}  // namespace
+
 void Node::BecomeLeader(TimePoint now) {
   role_ = Role::kLeader;
   leader_ = self_;
   leader_since_ = now;
   timeout_now_sent_ = false;
+  announced_commit_ = 0;
   votes_.clear();
   progress_.clear();
   AppendAsLeader(EntryKind::kNoop, "", now);
@@ -67,7 +75,8 @@
   if (role_ != Role::kLeader || now < stall_grace_until_)
     return;
   stall_grace_until_ = now + options_.election_timeout / 2;
-  heartbeat_at_ = now;
+  for (auto& [id, progress] : progress_)
+    progress.heartbeat_at = now;
 }
 
 std::optional<TimePoint> Node::ConfirmedAt(TimePoint now) const {
@@ -178,67 +187,95 @@
 }
 
 void Node::Broadcast(bool heartbeat, TimePoint now) {
-  bool all = true;
   for (auto& [id, progress] : progress_) {
     if (heartbeat)
-      progress.probe_sent = false;
-    all = SendAppend(id, &progress, heartbeat, now) && all;
+      SendHeartbeat(id, &progress, now);
+    else
+      SendAppend(id, &progress, false, now);
   }
-  // Entries sent to every member serve as a heartbeat.
-  if (heartbeat || all)
-    heartbeat_at_ = now + options_.heartbeat_interval;
 }
 
-bool Node::SendAppend(const ReplicaId& to,
+void Node::SendHeartbeat(const ReplicaId& to,
+                         Progress* progress,
+                         TimePoint now) {
+  progress->probe_sent = false;
+  SendAppend(to, progress, true, now);
+}
+
+// A transfer counts as lost once it takes much longer than its size explains.
+// The time doubles with each loss: on a link that is slower than assumed or
+// full, sending again too early would only fill it further.
+bool Node::IsOverdue(const Progress& progress, TimePoint now) const {
+  const Millis expected = 2 * options_.heartbeat_interval +
+                          MaxTransferTime(progress.transfer->bytes);
+  return now - progress.transfer->sent >=
+         expected * (1U << std::min(progress.losses, kMaxBackoffDoublings));
+}
+
+void Node::DropTransfer(Progress* progress) {
+  progress->transfer.reset();
+  ++progress->losses;
+  if (progress->snapshot != nullptr)
+    return;
+  progress->next = progress->match + 1;
+  progress->probing = true;
+  progress->probe_sent = false;
+}
+
+void Node::SendAppend(const ReplicaId& to,
                       Progress* progress,
                       bool heartbeat,
                       TimePoint now) {
+  if (progress->transfer && IsOverdue(*progress, now))
+    DropTransfer(progress);
   if (progress->snapshot != nullptr || progress->next <= log_.base_index()) {
     // Chunks are sent only in response to replies, so a follower that is down
     // causes little traffic.
-    const bool due = heartbeat || progress->snapshot == nullptr;
-    if (due)
+    if (heartbeat || progress->snapshot == nullptr)
       SendSnapshot(to, progress, false, now);
-    return due;
+    return;
   }
-  bool first = true;
-  while (first || progress->next <= log_.last_index()) {
-    // An empty kAppend probes the follower's log: the follower rejects it if it
-    // lacks the entry before `next`.
-    const bool limited =
-        progress->probing ||
-        progress->next > progress->match + options_.max_inflight_entries;
-    const bool probe = progress->probing && !progress->probe_sent;
-    if (!heartbeat && !probe &&
-        (limited || progress->next > log_.last_index())) {
-      return !first;
-    }
-    Message& message = Send(MessageKind::kAppend, to);
-    message.index = progress->next - 1;
-    message.log_term = *log_.TermAt(message.index);
-    message.commit = commit_;
-    message.chain = log_.ChainAt(commit_).value_or(0);
-    message.sent_ms = ToMillis(now);
+  // Messages take different connections and overtake each other. While entries
+  // are in flight, only messages that do not depend on them are sent: the
+  // follower would reject others, although nothing was lost.
+  const bool idle = !progress->transfer && !progress->probing;
+  const bool has_entries = idle && progress->next <= log_.last_index();
+  const bool announces =
+      idle &&
+      progress->announced < std::min(announced_commit_, progress->match);
+  const bool probes = progress->probing && !progress->probe_sent;
+  if (!heartbeat && !has_entries && !announces && !probes)
+    return;
+  Message& message = Send(MessageKind::kAppend, to);
+  // An empty kAppend probes the follower's log: the follower rejects it if it
+  // lacks the entry before `next`.
+  message.index = progress->transfer
+                      ? std::max(progress->match, log_.base_index())
+                      : progress->next - 1;
+  message.log_term = *log_.TermAt(message.index);
+  message.commit = commit_;
+  message.chain = log_.ChainAt(commit_).value_or(0);
+  message.sent_ms = ToMillis(now);
+  progress->probe_sent = progress->probing;
+  if (has_entries) {
     std::size_t bytes = 0;
     std::uint64_t index = progress->next;
-    while (!limited && index <= log_.last_index() &&
-           message.entries.size() < options_.max_batch_entries) {
+    for (; index <= log_.last_index() &&
+           message.entries.size() < options_.max_batch_entries;
+         ++index) {
       const Entry& entry = log_.At(index);
       if (bytes > 0 && bytes + entry.data.size() > options_.max_batch_bytes)
         break;
       bytes += entry.data.size() + 1;
       message.entries.push_back(entry);
-      ++index;
-    }
-    if (progress->probing) {
-      progress->probe_sent = true;
-      return true;
     }
     progress->next = index;
-    heartbeat = false;
-    first = false;
+    progress->transfer = Transfer{index - 1, bytes, now, progress->boots};
   }
-  return true;
+  progress->announced =
+      std::max(progress->announced,
+               std::min(commit_, message.index + message.entries.size()));
+  progress->heartbeat_at = now + options_.heartbeat_interval;
 }
 
 void Node::SendSnapshot(const ReplicaId& to,
@@ -250,7 +287,7 @@
     progress->encoded = EncodeSnapshot(*snapshot_);
     progress->encoded_hash = Hash64(progress->encoded);
     progress->offset = 0;
-    progress->probe_sent = false;
+    progress->transfer.reset();
   }
   Message& message = Send(MessageKind::kSnapshot, to);
   message.index = progress->snapshot->index;
@@ -262,8 +299,9 @@
   if (with_data) {
     message.data = progress->encoded.substr(progress->offset,
                                             options_.snapshot_chunk_bytes);
-    progress->probe_sent = true;
+    progress->transfer = Transfer{0, message.data.size(), now, progress->boots};
   }
+  progress->heartbeat_at = now + options_.heartbeat_interval;
 }
 
 // Contact is dated to when the leader sent the message that is replied to.
@@ -277,6 +315,10 @@
     progress.last_contact =
         std::max(progress.last_contact.value_or(sent), sent);
   }
+  progress.boots = std::max(progress.boots, message.boots);
+  // The follower was restarted since and may not have received the transfer.
+  if (progress.transfer && progress.transfer->boots < progress.boots)
+    DropTransfer(&progress);
   return &progress;
 }
 
@@ -290,6 +332,7 @@
     // The follower was restarted and lacks entries that it had acknowledged.
     actions_.regressed.push_back(message.from);
     progress.match = 0;
+    progress.transfer.reset();
     progress.next = std::max(message.last_index, log_.base_index()) + 1;
     progress.probing = true;
     progress.probe_sent = false;
@@ -305,7 +348,14 @@
         progress.match >= progress.snapshot->index) {
       progress.snapshot.reset();
       progress.encoded.clear();
+      progress.transfer.reset();
     }
+    if (progress.transfer && progress.transfer->last > 0 &&
+        progress.match >= progress.transfer->last) {
+      progress.transfer.reset();
+    }
+    if (!progress.transfer)
+      progress.losses = 0;
     progress.next = std::max(progress.next, progress.match + 1);
     progress.probing = false;
     progress.probe_sent = false;
@@ -313,7 +363,7 @@
     if (role_ != Role::kLeader)
       return;
     MaybeTransfer(message.from);
-  } else if (message.index < progress.next - 1 &&
+  } else if (message.index < progress.next - 1 && !progress.transfer &&
              progress.snapshot == nullptr) {
     progress.next = std::max(progress.match, message.index) + 1;
     progress.probing = true;
@@ -336,9 +386,11 @@
       message.offset > progress.encoded.size()) {
     return;
   }
-  // A duplicate reply has no new offset and triggers no further chunk.
-  if (message.offset == progress.offset && progress.probe_sent)
+  // A duplicate or late reply has no new offset and triggers no further chunk.
+  if (progress.transfer && message.offset <= progress.offset)
     return;
+  if (message.offset > progress.offset)
+    progress.losses = 0;
   progress.offset = message.offset;
   SendSnapshot(message.from, &progress, true, now);
 }
@@ -363,8 +415,10 @@
     return;
   const bool changing = change_pending();
   commit_ = index;
-  if (options_.announce_commits || (changing && !change_pending()))
-    Broadcast(true, now);
+  if (options_.announce_commits || (changing && !change_pending())) {
+    announced_commit_ = commit_;
+    Broadcast(false, now);
+  }
   if (!change_pending() && !members.IsVoter(self_))
     BecomeFollower(term_, ReplicaId(), now);
 }
--- a/src/raft/types.h
+++ b/src/raft/types.h
@@ -8,6 +8,7 @@
 
 #include "base/enum_table.h"
 #include "base/strong_id.h"
+#include "base/time.h"
 
 namespace boragewinch::raft {
 
@@ -42,6 +43,23 @@
 inline constexpr std::size_t kMaxIdBytes = 96;
 inline constexpr std::size_t kMaxCommandBytes = 4UL * 1024 * 1024;
 inline constexpr std::size_t kMaxSnapshotBytes = 256UL * 1024 * 1024;
+/// Lowest rate at which entries are assumed to reach a follower: a host's link
+/// of 200 Mbit/s (25,000 bytes/ms) with 25 transfers at once.
+inline constexpr std::size_t kMinTransferBytesPerMs = 1'000;
+
+/// \returns the longest time that a message of this size is assumed to be on
+/// its way.
+[[nodiscard]] constexpr Millis MaxTransferTime(std::size_t bytes) {
+  return Millis(static_cast<std::int64_t>(bytes / kMinTransferBytesPerMs));
+}
+
+/// \returns the timeout of a call that carries a message of this size. It is
+/// longer than MaxTransferTime, since a call that times out discards what was
+/// sent of it.
+[[nodiscard]] constexpr Millis StepTimeout(std::size_t bytes) {
+  return Millis(1'000) + 4 * MaxTransferTime(bytes);
+}
+
 /// Terms and indexes stay below 2^53, so that JSON numbers hold them exactly.
 inline constexpr std::uint64_t kMaxIndex = (1ULL << 53) - 1;
 
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -17,7 +17,6 @@
 /// one round of messages. The shortest tasks run for 640 ms, more than 40 times
 /// as long.
 constexpr Millis kBatchInterval{15};
-constexpr Millis kStepTimeout{1'000};
 /// After an event-loop stall of this length, responses of followers may be
 /// waiting in the sockets.
 constexpr Millis kMinStall{200};
@@ -129,8 +128,10 @@
                              const raft::Message& message) {
   const std::string address = host + ":" + options_.port;
   if (rpc_.SupportsBinary(address)) {
-    rpc_.CallBinary(address, "raft.step", raft::EncodeMessage(message),
-                    kStepTimeout, [this](const Result<std::string>& response) {
+    std::string bytes = raft::EncodeMessage(message);
+    const Millis timeout = raft::StepTimeout(bytes.size());
+    rpc_.CallBinary(address, "raft.step", std::move(bytes), timeout,
+                    [this](const Result<std::string>& response) {
                       if (!response)
                         return;
                       WireReader in(response.value());
@@ -143,7 +144,8 @@
   }
   Json body = ToJson(message);
   body[kAcceptsMessagesField] = true;
-  rpc_.Call(address, "raft.step", body, kStepTimeout,
+  rpc_.Call(address, "raft.step", body,
+            raft::StepTimeout(raft::DataBytes(message)),
             [this](const Result<Json>& response) {
               if (!response || !response.value().isObject())
                 return;
--- a/tests/raft_random_test.cc
+++ b/tests/raft_random_test.cc
@@ -43,7 +43,6 @@
     options.join_interval = Millis(200);
     options.node.max_batch_entries = 4;
     options.node.max_batch_bytes = 64;
-    options.node.max_inflight_entries = 8;
     options.node.snapshot_chunk_bytes = 100;
     options.node.announce_commits = seed % 4 < 2;
     options.log.segment_bytes = 400;
