Accept only what every replica can read from the log

Cause: requests and stored entries were decoded with different limits, and the leader applied what it held in memory. Followers could not decode the committed entry and may not lead then.

Limits on texts are now defined once and checked where requests are decoded; stored entries are read whatever the length. Submit encodes and decodes each change alone and stores what it decoded; a change that can't be read or is too large for an entry gets a typed error and is not stored.

--- a/src/jobs/fleet_config.cc
+++ b/src/jobs/fleet_config.cc
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr std::size_t kMaxDocumentBytes = 4UL * 1024 * 1024;
-
 [[nodiscard]] Json ToJson(const QueueConfig& queue) {
   Json json;
   json["name"] = queue.name.str();
@@ -25,11 +23,11 @@
 
 [[nodiscard]] Result<QueueConfig> QueueFromJson(const Json& json) {
   QueueConfig queue;
-  BW_TRY(const std::string name, StringField(json, "name"));
+  BW_TRY(const std::string name, StoredText(json, "name"));
   queue.name = QueueName(name);
-  BW_TRY(queue.virtual_host, StringField(json, "host", 512));
-  BW_TRY(queue.path_prefix, StringField(json, "prefix", 2'048));
-  BW_TRY(const std::string pool, StringField(json, "pool"));
+  BW_TRY(queue.virtual_host, StoredText(json, "host"));
+  BW_TRY(queue.path_prefix, StoredText(json, "prefix"));
+  BW_TRY(const std::string pool, StoredText(json, "pool"));
   queue.pool = PoolName(pool);
   BW_TRY(queue.priority, IntField(json, "priority", 0, kMaxNumber));
   BW_TRY(queue.max_attempts, IntField(json, "attempts", 1, kMaxNumber));
@@ -46,7 +44,7 @@
 
 [[nodiscard]] Result<CustomerConfig> CustomerFromJson(const Json& json) {
   CustomerConfig customer;
-  BW_TRY(const std::string name, StringField(json, "name"));
+  BW_TRY(const std::string name, StoredText(json, "name"));
   customer.name = CustomerName(name);
   for (const Json& key : json["keys"]) {
     if (!key.isString())
@@ -154,14 +152,14 @@
 Result<FleetConfig> FleetConfigFromJson(const Json& json) {
   FleetConfig config;
   BW_TRY(config.version, IntField(json, "version", 0, kMaxNumber));
-  BW_TRY(config.document, StringField(json, "document", kMaxDocumentBytes));
+  BW_TRY(config.document, StoredText(json, "document"));
   for (const Json& item : json["queues"]) {
     BW_TRY(QueueConfig queue, QueueFromJson(item));
     config.queues.push_back(std::move(queue));
   }
   for (const Json& item : json["pools"]) {
     PoolConfig pool;
-    BW_TRY(const std::string name, StringField(item, "name"));
+    BW_TRY(const std::string name, StoredText(item, "name"));
     pool.name = PoolName(name);
     BW_TRY(pool.workers_enforce_capacity, BoolField(item, "check"));
     BW_TRY(pool.standby, BoolField(item, "standby"));
--- a/src/jobs/job_types.cc
+++ b/src/jobs/job_types.cc
@@ -70,11 +70,11 @@
   BW_TRY(step.speculative, BoolFieldOr(json, "copies", false));
   BW_TRY(step.long_running, BoolFieldOr(json, "lasts", false));
   BW_TRY(step.best_effort, BoolFieldOr(json, "fills", false));
-  BW_TRY(step.required_label, StringFieldOr(json, "label", ""));
-  BW_TRY(const std::string rack, StringFieldOr(json, "rack", ""));
+  BW_TRY(step.required_label, StoredTextOrEmpty(json, "label"));
+  BW_TRY(const std::string rack, StoredTextOrEmpty(json, "rack"));
   step.data_rack = RackName(rack);
   BW_TRY(step.max_per_worker, number("per_worker"));
-  BW_TRY(step.image, StringFieldOr(json, "image", "", 512));
+  BW_TRY(step.image, StoredTextOrEmpty(json, "image"));
   BW_TRY(const std::int64_t latency, number("latency"));
   step.latency_target = Millis(latency);
   BW_TRY(step.max_unavailable, number("away"));
@@ -101,6 +101,14 @@
 
 }  // namespace
 
+Result<std::string> StoredText(const Json& object, const char* name) {
+  return StringField(object, name, std::string::npos);
+}
+
+Result<std::string> StoredTextOrEmpty(const Json& object, const char* name) {
+  return StringFieldOr(object, name, "", std::string::npos);
+}
+
 Json ResourcesToJson(const Resources& amount) {
   Json row(::Json::arrayValue);
   row.append(::Json::Int64(amount.cpu_millis));
--- a/src/jobs/job_types.h
+++ b/src/jobs/job_types.h
@@ -22,6 +22,11 @@
 /// with other processes.
 using UnixMillis = std::int64_t;
 
+/// Limits on the texts of a request, which only its decoder checks: an entry
+/// that was stored must be readable by every replica, whatever its limits are.
+inline constexpr std::size_t kMaxNameBytes = 128;
+inline constexpr std::size_t kMaxTextBytes = 2'048;
+
 /// Limits on one job; a larger one is rejected.
 inline constexpr std::size_t kMaxPayloadBytes = 4'096;
 inline constexpr std::size_t kMaxSteps = 64;
@@ -74,6 +79,14 @@
 /// that every JSON reader represents exactly.
 inline constexpr std::int64_t kMaxNumber = (std::int64_t{1} << 53) - 1;
 
+/// \brief Reads a text of any length from a stored entry or snapshot.
+/// \returns kMissingField or kInvalidField.
+[[nodiscard]] Result<std::string> StoredText(const Json& object,
+                                             const char* name);
+/// \brief Like StoredText, with an empty text for an absent member.
+[[nodiscard]] Result<std::string> StoredTextOrEmpty(const Json& object,
+                                                    const char* name);
+
 /// \brief Encodes amounts without the bounds that model/resources.h sets for
 /// one host: a customer's limit covers the whole fleet.
 /// \returns [cpu_millis, memory_mb, accelerators].
--- a/src/jobs/ledger_batch.cc
+++ b/src/jobs/ledger_batch.cc
@@ -1,6 +1,7 @@
 #include "jobs/ledger_batch.h"
 
 #include <cstddef>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -108,11 +109,11 @@
 
 [[nodiscard]] Result<Submission> SubmissionFromJson(const Json& json) {
   Submission submission;
-  BW_TRY(const std::string id, StringField(json, "id"));
+  BW_TRY(const std::string id, StoredText(json, "id"));
   submission.id = JobId(id);
-  BW_TRY(const std::string queue, StringField(json, "queue"));
+  BW_TRY(const std::string queue, StoredText(json, "queue"));
   submission.queue = QueueName(queue);
-  BW_TRY(const std::string customer, StringField(json, "customer"));
+  BW_TRY(const std::string customer, StoredText(json, "customer"));
   submission.customer = CustomerName(customer);
   BW_TRY(submission.spec, JobSpecFromJson(json["job"]));
   return submission;
@@ -173,8 +174,28 @@
   return Ok();
 }
 
+template <typename T>
+void AppendAll(std::vector<T>* items, std::vector<T> more) {
+  items->insert(items->end(), std::make_move_iterator(more.begin()),
+                std::make_move_iterator(more.end()));
+}
+
 }  // namespace
 
+void Batch::Append(Batch other) {
+  if (other.config && (!config || config->version < other.config->version))
+    config = std::move(other.config);
+  AppendAll(&workers, std::move(other.workers));
+  AppendAll(&submissions, std::move(other.submissions));
+  AppendAll(&cancels, std::move(other.cancels));
+  AppendAll(&openings, std::move(other.openings));
+  AppendAll(&ends, std::move(other.ends));
+  AppendAll(&starts, std::move(other.starts));
+  AppendAll(&waves, std::move(other.waves));
+  AppendAll(&progress, std::move(other.progress));
+  AppendAll(&host_orders, std::move(other.host_orders));
+}
+
 Json ToJson(const WorkerRecord& record) {
   Json json;
   json["id"] = record.incarnation.id.str();
@@ -195,17 +216,17 @@
 
 Result<WorkerRecord> WorkerRecordFromJson(const Json& json) {
   WorkerRecord record;
-  BW_TRY(const std::string id, StringField(json, "id"));
+  BW_TRY(const std::string id, StoredText(json, "id"));
   record.incarnation.id = WorkerId(id);
   BW_TRY(record.incarnation.start_time, IntField(json, "born", 0, kMaxNumber));
-  BW_TRY(record.address, StringField(json, "address"));
-  BW_TRY(const std::string host, StringFieldOr(json, "host", ""));
+  BW_TRY(record.address, StoredText(json, "address"));
+  BW_TRY(const std::string host, StoredTextOrEmpty(json, "host"));
   record.host = HostName(host);
-  BW_TRY(const std::string pool, StringField(json, "pool"));
+  BW_TRY(const std::string pool, StoredText(json, "pool"));
   record.pool = PoolName(pool);
-  BW_TRY(const std::string zone, StringField(json, "zone"));
+  BW_TRY(const std::string zone, StoredText(json, "zone"));
   record.zone = ZoneName(zone);
-  BW_TRY(const std::string rack, StringField(json, "rack"));
+  BW_TRY(const std::string rack, StoredText(json, "rack"));
   record.rack = RackName(rack);
   for (const Json& label : json["labels"]) {
     if (!label.isString())
@@ -229,12 +250,12 @@
 
 Result<HostOrderRecord> HostOrderFromJson(const Json& json) {
   HostOrderRecord order;
-  BW_TRY(const std::string host, StringField(json, "host"));
+  BW_TRY(const std::string host, StoredText(json, "host"));
   order.host = HostName(host);
   BW_TRY(const std::int64_t term, IntField(json, "term", 0, kMaxNumber));
   order.term = static_cast<std::uint64_t>(term);
   BW_TRY(order.wave, IntField(json, "wave", 0, kMaxNumber));
-  BW_TRY(const std::string to, StringField(json, "to"));
+  BW_TRY(const std::string to, StoredText(json, "to"));
   order.to = PoolName(to);
   return order;
 }
--- a/src/jobs/ledger_batch.h
+++ b/src/jobs/ledger_batch.h
@@ -106,6 +106,10 @@
            starts.empty() && waves.empty() && progress.empty() &&
            host_orders.empty();
   }
+
+  /// \brief Adds the changes of `other`. Of two configurations the one with
+  /// the higher version remains; `now` is unchanged.
+  void Append(Batch other);
 };
 
 [[nodiscard]] std::string EncodeBatch(const Batch& batch);
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -104,15 +104,15 @@
 
 [[nodiscard]] Result<Job> JobFromJson(const Json& json) {
   Job job;
-  BW_TRY(const std::string id, StringField(json, "id"));
+  BW_TRY(const std::string id, StoredText(json, "id"));
   job.id = JobId(id);
-  BW_TRY(const std::string queue, StringField(json, "queue"));
+  BW_TRY(const std::string queue, StoredText(json, "queue"));
   job.queue = QueueName(queue);
-  BW_TRY(const std::string customer, StringField(json, "customer"));
+  BW_TRY(const std::string customer, StoredText(json, "customer"));
   job.customer = CustomerName(customer);
   BW_TRY(job.accepted, IntField(json, "accepted", 0, kMaxNumber));
   BW_TRY(job.finished, IntField(json, "finished", 0, kMaxNumber));
-  BW_TRY(const std::string state, StringField(json, "state"));
+  BW_TRY(const std::string state, StoredText(json, "state"));
   const auto parsed = kJobStates.Parse(state);
   if (!parsed)
     return Fail(ErrorCode::kStorageCorrupt,
--- a/src/scheduler/admin_api.cc
+++ b/src/scheduler/admin_api.cc
@@ -32,18 +32,15 @@
     done(Ok());
     return;
   }
-  replica_.Submit(
-      [config = config.value()](jobs::Batch* batch) {
-        if (!batch->config || batch->config->version < config.version)
-          batch->config = config;
-      },
-      [version, done](const Status& result) {
-        LogEvent(EventId::kCommandCommitted,
-                 {{"command", "put_rules"},
-                  {"version", static_cast<long>(version)},
-                  {"outcome", result ? "stored" : result.error().Text()}});
-        done(result);
-      });
+  jobs::Batch change;
+  change.config = config.value();
+  replica_.Submit(change, [version, done](const Status& result) {
+    LogEvent(EventId::kCommandCommitted,
+             {{"command", "put_rules"},
+              {"version", static_cast<long>(version)},
+              {"outcome", result ? "stored" : result.error().Text()}});
+    done(result);
+  });
 }
 
 Result<std::string> AdminApi::Read(TimePoint now) const {
@@ -72,11 +69,10 @@
     done(Ok());
     return;
   }
+  jobs::Batch change;
+  change.waves.push_back(order.value());
   replica_.Submit(
-      [order = order.value()](jobs::Batch* batch) {
-        batch->waves.push_back(order);
-      },
-      [number = order.value().number, done](const Status& result) {
+      change, [number = order.value().number, done](const Status& result) {
         LogEvent(EventId::kWaveProgress,
                  {{"wave", static_cast<long>(number)},
                   {"outcome", result ? "stored" : result.error().Text()}});
--- a/src/scheduler/host_manager.cc
+++ b/src/scheduler/host_manager.cc
@@ -197,31 +197,31 @@
 void HostManager::Order(const jobs::HostOrderRecord& record,
                         const std::function<void()>& send,
                         const std::function<void(const Error&)>& dropped) {
-  replica_.Submit(
-      [record](jobs::Batch* batch) { batch->host_orders.push_back(record); },
-      [this, record, send, dropped](const Status& stored) {
-        if (!stored) {
-          LogEvent(EventId::kCallFailed, {{"call", "host order"},
-                                          {"host", record.host.str()},
-                                          {"error", stored.error().Text()}});
-          dropped(stored.error());
-        } else if (replica_.HasLeaderLease(loop_.now()) &&
-                   replica_.term() == record.term) {
-          send();
-        } else {
-          dropped({ErrorCode::kNotLeader, "leadership was lost", std::nullopt});
-        }
-      });
+  jobs::Batch change;
+  change.host_orders.push_back(record);
+  replica_.Submit(change, [this, record, send, dropped](const Status& stored) {
+    if (!stored) {
+      LogEvent(EventId::kCallFailed, {{"call", "host order"},
+                                      {"host", record.host.str()},
+                                      {"error", stored.error().Text()}});
+      dropped(stored.error());
+    } else if (replica_.HasLeaderLease(loop_.now()) &&
+               replica_.term() == record.term) {
+      send();
+    } else {
+      dropped({ErrorCode::kNotLeader, "leadership was lost", std::nullopt});
+    }
+  });
 }
 
 void HostManager::RecordProgress(const jobs::WaveProgress& progress) {
-  replica_.Submit(
-      [progress](jobs::Batch* batch) { batch->progress.push_back(progress); },
-      [](const Status& stored) {
-        // The next leader repeats the maintenance order, which is idempotent.
-        if (!stored)
-          LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
-      });
+  jobs::Batch change;
+  change.progress.push_back(progress);
+  replica_.Submit(change, [](const Status& stored) {
+    // The next leader repeats the maintenance order, which is idempotent.
+    if (!stored)
+      LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
+  });
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/job_api.cc
+++ b/src/scheduler/job_api.cc
@@ -31,6 +31,18 @@
                                            });
 }
 
+/// \returns the status of a submission that was not stored for this reason.
+[[nodiscard]] JobApiStatus StatusOf(ErrorCode code) {
+  switch (code) {
+    case ErrorCode::kNotLeader:
+      return JobApiStatus::kNotReady;
+    case ErrorCode::kUnavailable:
+      return JobApiStatus::kUnknown;
+    default:
+      return JobApiStatus::kInvalid;
+  }
+}
+
 }  // namespace
 
 JobApi::RequestTarget JobApi::Resolve(const CallerAddress& caller,
@@ -137,24 +149,19 @@
     SendResponse(Call::kSubmit, target, response, done);
     return;
   }
-  jobs::Submission submission{jobs::JobId(target.job_id), target.queue->name,
-                              target.customer, spec.value()};
+  jobs::Batch change;
+  change.submissions.push_back({jobs::JobId(target.job_id), target.queue->name,
+                                target.customer, spec.value()});
   // Without the queue pointer: the configuration may change before the batch is
   // stored.
   const RequestTarget logged_target{target.status, nullptr, target.customer,
                                     target.job_id};
-  replica_.Submit(
-      [submission = std::move(submission)](jobs::Batch* batch) {
-        batch->submissions.push_back(submission);
-      },
-      [this, logged_target, response, done](const Status& stored) mutable {
-        if (!stored) {
-          response.status = stored.error().code == ErrorCode::kNotLeader
-                                ? JobApiStatus::kNotReady
-                                : JobApiStatus::kUnknown;
-        }
-        SendResponse(Call::kSubmit, logged_target, response, done);
-      });
+  replica_.Submit(change, [this, logged_target, response,
+                           done](const Status& stored) mutable {
+    if (!stored)
+      response.status = StatusOf(stored.error().code);
+    SendResponse(Call::kSubmit, logged_target, response, done);
+  });
 }
 
 void JobApi::State(const CallerAddress& caller,
@@ -198,13 +205,14 @@
   }
   const RequestTarget logged_target{target.status, nullptr, target.customer,
                                     target.job_id};
-  replica_.Submit(
-      [id = job->id](jobs::Batch* batch) { batch->cancels.push_back(id); },
-      [this, logged_target, response, done](const Status& stored) mutable {
-        if (!stored)
-          response.status = JobApiStatus::kUnknown;
-        SendResponse(Call::kCancel, logged_target, response, done);
-      });
+  jobs::Batch change;
+  change.cancels.push_back(job->id);
+  replica_.Submit(change, [this, logged_target, response,
+                           done](const Status& stored) mutable {
+    if (!stored)
+      response.status = JobApiStatus::kUnknown;
+    SendResponse(Call::kCancel, logged_target, response, done);
+  });
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -30,8 +30,10 @@
 constexpr char kMessagesField[] = "answers";
 /// Limit on one message in a response; larger than the limits on its parts.
 constexpr std::size_t kMaxResponseMessageBytes = 64UL * 1024 * 1024;
-/// Changes that may wait for the next batch; further ones are rejected.
+/// Changes that may wait for the next batch, and their size, which leaves room
+/// for the leader's decisions in the same entry; further ones are rejected.
 constexpr std::size_t kMaxWaitingChanges = 4'096;
+constexpr std::size_t kMaxWaitingBytes = raft::kMaxCommandBytes - 256UL * 1024;
 
 }  // namespace
 
@@ -316,18 +318,36 @@
   return hosts;
 }
 
-void LedgerReplica::Submit(const Change& change, Reply reply) {
+void LedgerReplica::Submit(const jobs::Batch& change, Reply reply) {
   if (!storage_open_ || !leading() || retired_) {
     reply(Fail(ErrorCode::kNotLeader, "another replica is the leader"));
     return;
   }
-  if (pending_replies_.size() >= kMaxWaitingChanges) {
+  // A committed entry that replicas can't decode would leave none of them able
+  // to lead. Each change is checked alone, so that it can't fail others.
+  const std::string bytes = jobs::EncodeBatch(change);
+  Result<jobs::Batch> readable = jobs::DecodeBatch(bytes);
+  if (readable && bytes.size() > kMaxWaitingBytes) {
+    readable = Fail(ErrorCode::kTooLarge,
+                    "the change has " + std::to_string(bytes.size()) +
+                        " bytes, at most " + std::to_string(kMaxWaitingBytes) +
+                        " can be stored");
+  }
+  if (!readable) {
+    LogEvent(EventId::kCommandRefused,
+             {{"command", "store"}, {"error", readable.error().Text()}});
+    reply(outcome::failure(readable.error()));
+    return;
+  }
+  if (pending_replies_.size() >= kMaxWaitingChanges ||
+      pending_bytes_ + bytes.size() > kMaxWaitingBytes) {
     LogEvent(EventId::kBoundReached, {{"bound", "waiting_changes"}});
     reply(Fail(ErrorCode::kNotLeader,
                "too many changes are waiting to be stored"));
     return;
   }
-  change(&pending_);
+  pending_bytes_ += bytes.size();
+  pending_.Append(std::move(readable).value());
   pending_replies_.push_back(std::move(reply));
   Wake();
 }
@@ -353,6 +373,7 @@
   last_flush_ = now;
   pending_.now = loop_.unix_millis();
   std::string bytes = jobs::EncodeBatch(pending_);
+  pending_bytes_ = 0;
   open_batch_ = OpenBatch{0, replica_->term(), std::exchange(pending_, {})};
   open_batch_replies_ = std::exchange(pending_replies_, {});
   proposing_ = true;
@@ -427,6 +448,7 @@
 
 void LedgerReplica::FailAll(ErrorCode code, const std::string& why) {
   pending_ = {};
+  pending_bytes_ = 0;
   const auto stored = std::exchange(open_batch_replies_, {});
   const auto waiting = std::exchange(pending_replies_, {});
   for (const Reply& reply : stored)
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -50,8 +50,6 @@
   /// Called once: with Ok after the change was applied, kNotLeader if it was
   /// certainly not stored, kUnavailable if the outcome is unknown.
   using Reply = std::function<void(Status)>;
-  /// Adds a change to the next batch.
-  using Change = std::function<void(jobs::Batch*)>;
 
   struct Hooks {
     /// Adds the leader's scheduling decisions to the next batch.
@@ -77,7 +75,9 @@
   [[nodiscard]] Status Start(RpcServer* server);
 
   /// \brief Adds `change` to the next batch.
-  void Submit(const Change& change, Reply reply);
+  /// \param reply gets kInvalidField or kTooLarge for a change that replicas
+  /// could not read from the log; nothing of it is stored.
+  void Submit(const jobs::Batch& change, Reply reply);
   /// \brief Schedules a batch because new decisions may be possible.
   void Wake();
 
@@ -156,6 +156,7 @@
   std::vector<raft::Message>* response_messages_ = nullptr;
   std::string response_host_;  ///< receiver of `response_messages_`
   jobs::Batch pending_;
+  std::size_t pending_bytes_ = 0;          ///< encoded changes in `pending_`
   std::vector<Reply> pending_replies_;     ///< of `pending_`
   std::vector<Reply> open_batch_replies_;  ///< of the batch in flight
   std::optional<OpenBatch> open_batch_;
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -452,16 +452,14 @@
               {"listed", end.end_sequence > 0 ? "yes" : "no"}});
     metrics_.Count("run_ends", {"", std::string(jobs::kRunEnds.Name(end.how))});
   }
-  replica_.Submit(
-      [ends = std::move(ends)](jobs::Batch* batch) {
-        batch->ends.insert(batch->ends.end(), ends.begin(), ends.end());
-      },
-      [](const Status& stored) {
-        // The next leader finds unstored ends again, from lists or by lease
-        // expiry.
-        if (!stored)
-          LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
-      });
+  jobs::Batch change;
+  change.ends = std::move(ends);
+  replica_.Submit(change, [](const Status& stored) {
+    // The next leader finds unstored ends again, from lists or by lease
+    // expiry.
+    if (!stored)
+      LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
+  });
 }
 
 void WorkerFleet::RecordDeparture(const jobs::WorkerIncarnation& incarnation,
@@ -473,12 +471,12 @@
   record.departed = true;
   LogEvent(EventId::kWorkerLost,
            {{"worker", record.incarnation.Text()}, {"reason", why}});
-  replica_.Submit(
-      [record](jobs::Batch* batch) { batch->workers.push_back(record); },
-      [](const Status& stored) {
-        if (!stored)
-          LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
-      });
+  jobs::Batch change;
+  change.workers.push_back(std::move(record));
+  replica_.Submit(change, [](const Status& stored) {
+    if (!stored)
+      LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
+  });
 }
 
 Millis WorkerFleet::SlowAfter(const jobs::RunName& run) const {
--- a/src/scheduler/worker_registry.cc
+++ b/src/scheduler/worker_registry.cc
@@ -73,21 +73,21 @@
 }
 
 void WorkerRegistry::Store(const jobs::WorkerRecord& record, const Done& done) {
-  replica_.Submit(
-      [record](jobs::Batch* batch) { batch->workers.push_back(record); },
-      [record, done](const Status& stored) {
-        if (stored) {
-          LogEvent(record.departed   ? EventId::kWorkerLost
-                   : record.draining ? EventId::kWorkerLeaving
-                                     : EventId::kWorkerJoined,
-                   {{"worker", record.incarnation.Text()},
-                    {"address", record.address},
-                    {"pool", record.pool.str()},
-                    {"reason", record.departed ? "left after draining"
-                                               : "reported by the worker"}});
-        }
-        done(stored);
-      });
+  jobs::Batch change;
+  change.workers.push_back(record);
+  replica_.Submit(change, [record, done](const Status& stored) {
+    if (stored) {
+      LogEvent(record.departed   ? EventId::kWorkerLost
+               : record.draining ? EventId::kWorkerLeaving
+                                 : EventId::kWorkerJoined,
+               {{"worker", record.incarnation.Text()},
+                {"address", record.address},
+                {"pool", record.pool.str()},
+                {"reason", record.departed ? "left after draining"
+                                           : "reported by the worker"}});
+    }
+    done(stored);
+  });
 }
 
 }  // namespace boragewinch::scheduler
--- a/tests/ledger_replica_test.cc
+++ b/tests/ledger_replica_test.cc
@@ -38,5 +38,29 @@
   BOOST_TEST(!replica->HasLeaderLease(loop.now()));
 }
 
+// Guards against a stored change that no replica can read from the log: none of
+// them could lead after a restart.
+BOOST_FIXTURE_TEST_CASE(AChangeThatReplicasCannotReadIsNotStored, Fixture) {
+  const auto store_job = [this](const jobs::JobSpec& spec) {
+    return Store([&](jobs::Batch* batch) {
+      batch->submissions.push_back({jobs::JobId("job"), {}, {}, spec});
+    });
+  };
+  const Status invalid = store_job(jobs::JobSpec());
+  BOOST_REQUIRE(!invalid);
+  BOOST_TEST((invalid.error().code == ErrorCode::kInvalidField));
+  const Status too_large = Store([](jobs::Batch* batch) {
+    batch->config.emplace();
+    batch->config->version = 1;
+    batch->config->document.assign(raft::kMaxCommandBytes, 'a');
+  });
+  BOOST_REQUIRE(!too_large);
+  BOOST_TEST((too_large.error().code == ErrorCode::kTooLarge));
+  BOOST_TEST(StoreCancel().has_value());
+  replica.reset();
+  Lead();
+  BOOST_TEST(replica->HasLeaderLease(loop.now()));
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
--- a/tests/replica_messages_test.cc
+++ b/tests/replica_messages_test.cc
@@ -128,15 +128,15 @@
   Host& leader = *fleet->leader();
   for (int i = 0; i < count; ++i) {
     bool stored = false;
-    leader.replica->Submit(
-        [i](jobs::Batch* batch) {
-          jobs::Submission submission;
-          submission.id = jobs::JobId("job" + std::to_string(i));
-          submission.spec.steps.resize(1);
-          submission.spec.steps[0].tasks = 1;
-          batch->submissions.push_back(submission);
-        },
-        [&stored](const Status& status) { stored = status.has_value(); });
+    jobs::Submission submission;
+    submission.id = jobs::JobId("job" + std::to_string(i));
+    submission.spec.steps.resize(1);
+    submission.spec.steps[0].tasks = 1;
+    jobs::Batch change;
+    change.submissions.push_back(submission);
+    leader.replica->Submit(change, [&stored](const Status& status) {
+      stored = status.has_value();
+    });
     BOOST_REQUIRE(fleet->RunUntil([&] { return stored; }));
   }
 }
@@ -179,9 +179,10 @@
   };
   BOOST_TEST(count_knowing_hosts(record) == 0);
   bool stored = false;
+  jobs::Batch change;
+  change.workers.push_back(record);
   fleet.leader()->replica->Submit(
-      [&](jobs::Batch* batch) { batch->workers.push_back(record); },
-      [&](const Status& status) { stored = status.has_value(); });
+      change, [&](const Status& status) { stored = status.has_value(); });
   BOOST_REQUIRE(fleet.RunUntil(
       [&] { return stored && count_knowing_hosts(record) == 2; }));
   jobs::WorkerRecord other = record;
--- a/tests/single_replica.h
+++ b/tests/single_replica.h
@@ -51,9 +51,11 @@
   }
 
   /// \brief Stores a change and waits for its response.
-  [[nodiscard]] Status Store(const LedgerReplica::Change& change) {
+  [[nodiscard]] Status Store(const std::function<void(jobs::Batch*)>& change) {
+    jobs::Batch batch;
+    change(&batch);
     std::optional<Status> stored;
-    replica->Submit(change, [&](const Status& status) {
+    replica->Submit(batch, [&](const Status& status) {
       stored = status;
       loop.Stop();
     });
