Keep reports on unknown pools aside, and refuse those that change a worker

Cause: every report that could be decoded was stored, and a new incarnation at an address replaces the earlier one. Nothing asked whether the report names a worker of the fleet.

The ledger is unchanged, so replicas of two versions apply entries alike.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -106,6 +106,8 @@
      "calls."},
     {EventId::kCallAgentChanged, kInfo, "call_agent_changed",
      "A scheduler host makes calls to workers again, or is about to stop."},
+    {EventId::kWorkerUnlisted, kWarn, "worker_unlisted",
+     "A worker reported a pool that no configuration has; it is not used."},
     {EventId::kDrainGranted, kInfo, "drain_granted",
      "A host may be drained within its pool's availability budget."},
     {EventId::kDrainDone, kInfo, "drain_done",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -60,6 +60,7 @@
   kWorkerHealthChanged = 5004,
   kCallAgentLeft = 5005,
   kCallAgentChanged = 5006,
+  kWorkerUnlisted = 5007,
   kDrainGranted = 6001,
   kDrainDone = 6002,
   kDrainRefused = 6003,
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -58,6 +58,8 @@
   };
   hooks.on_applied = [this](const jobs::Batch& batch, TimePoint now) {
     hosts_->OnApplied(batch, now);
+    if (batch.config && replica_->leading())
+      registry_->OnConfiguration(now);
   };
   hooks.on_leadership = [this](bool leading, TimePoint now) {
     OnLeadership(leading, now);
--- a/src/scheduler/worker_registry.cc
+++ b/src/scheduler/worker_registry.cc
@@ -10,6 +10,12 @@
 
 /// Number of sequence numbers above which those of unknown workers are dropped.
 constexpr std::size_t kMaxSequences = 20'000;
+/// Reports on unknown pools that are kept: more than the workers of a fleet
+/// that starts before its first configuration.
+constexpr std::size_t kMaxUnlisted = 10'000;
+/// Workers report every second or two, so an older report may be of a worker
+/// that is gone.
+constexpr Millis kMaxUnlistedAge{10'000};
 
 }  // namespace
 
@@ -21,6 +27,25 @@
     done(Fail(ErrorCode::kNotLeader, "this host is not the leader"));
     return;
   }
+  const jobs::Worker* known = replica_.ledger().FindWorker(record.incarnation);
+  if (known == nullptr && !HasPool(record)) {
+    KeepAside(record, now);
+    done(Ok());
+    return;
+  }
+  if (known != nullptr && (record.pool != known->record.pool ||
+                           record.address != known->record.address ||
+                           record.host != known->record.host)) {
+    const Error error{ErrorCode::kConflict,
+                      "worker " + record.incarnation.Text() +
+                          " is already known with another pool, host or "
+                          "address",
+                      std::nullopt};
+    LogEvent(EventId::kMalformedMessage,
+             {{"worker", record.incarnation.Text()}, {"error", error.Text()}});
+    done(outcome::failure(error));
+    return;
+  }
   const auto [last, added] =
       sequences_.try_emplace(record.incarnation, sequence);
   if (!added && sequence < last->second) {
@@ -40,6 +65,48 @@
   Store(record, done);
 }
 
+bool WorkerRegistry::HasPool(const jobs::WorkerRecord& record) const {
+  return replica_.ledger().config().pools.count(record.pool) > 0;
+}
+
+void WorkerRegistry::KeepAside(const jobs::WorkerRecord& record,
+                               TimePoint now) {
+  if (unlisted_.size() >= kMaxUnlisted) {
+    std::erase_if(unlisted_, [now](const auto& item) {
+      return now - item.second.received > kMaxUnlistedAge;
+    });
+  }
+  if (unlisted_.size() >= kMaxUnlisted &&
+      unlisted_.count(record.incarnation) == 0) {
+    LogEvent(EventId::kBoundReached, {{"bound", "unlisted_workers"}});
+    return;
+  }
+  const bool added =
+      unlisted_.insert_or_assign(record.incarnation, Unlisted{record, now})
+          .second;
+  if (added) {
+    LogEvent(EventId::kWorkerUnlisted, {{"worker", record.incarnation.Text()},
+                                        {"address", record.address},
+                                        {"pool", record.pool.str()}});
+  }
+}
+
+void WorkerRegistry::OnConfiguration(TimePoint now) {
+  std::erase_if(unlisted_, [&](const auto& item) {
+    const Unlisted& unlisted = item.second;
+    if (now - unlisted.received > kMaxUnlistedAge)
+      return true;
+    if (!HasPool(unlisted.record))
+      return false;
+    Store(unlisted.record, [](const Status& stored) {
+      // The worker reports again soon.
+      if (!stored)
+        LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
+    });
+    return true;
+  });
+}
+
 bool WorkerRegistry::IsKnown(const jobs::WorkerRecord& record,
                              TimePoint now) const {
   return replica_.Follows(now) && IsStored(record);
@@ -61,6 +128,8 @@
     done(Fail(ErrorCode::kNotLeader, "this host is not the leader"));
     return;
   }
+  std::erase_if(unlisted_,
+                [&](const auto& item) { return item.first.id == id; });
   const jobs::Worker* worker = replica_.ledger().FindCurrent(id);
   if (worker == nullptr) {
     done(Ok());
--- a/src/scheduler/worker_registry.h
+++ b/src/scheduler/worker_registry.h
@@ -19,6 +19,12 @@
   explicit WorkerRegistry(LedgerReplica& replica) : replica_(replica) {}
 
   /// \brief Stores what a worker reports about itself.
+  ///
+  /// A report on a pool that no configuration has names no worker: it may come
+  /// from another program, and must not replace a worker at the same address or
+  /// on the same host. It is acknowledged and kept aside until a configuration
+  /// has its pool. A report that changes the pool, host or address of a
+  /// running incarnation is refused with kConflict.
   /// \param sequence increases within one incarnation; a reordered older
   /// heartbeat has no effect.
   /// \param done gets success once the report is stored.
@@ -35,13 +41,24 @@
   /// reported draining before: a late message may come from an earlier
   /// incarnation.
   void OnLeave(const jobs::WorkerId& id, TimePoint now, const Done& done);
+  /// \brief Stores the recent reports on pools that the configuration has now.
+  void OnConfiguration(TimePoint now);
 
  private:
+  struct Unlisted {
+    jobs::WorkerRecord record;
+    TimePoint received;
+  };
+
+  [[nodiscard]] bool HasPool(const jobs::WorkerRecord& record) const;
+  void KeepAside(const jobs::WorkerRecord& record, TimePoint now);
   [[nodiscard]] bool IsStored(const jobs::WorkerRecord& record) const;
   void Store(const jobs::WorkerRecord& record, const Done& done);
 
   LedgerReplica& replica_;
   std::map<jobs::WorkerIncarnation, std::int64_t> sequences_;
+  /// Latest reports on pools that no configuration has.
+  std::map<jobs::WorkerIncarnation, Unlisted> unlisted_;
 };
 
 }  // namespace boragewinch::scheduler
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -125,6 +125,21 @@
         R"("labels":[4]})"}) {
     BOOST_TEST(!DecodeHeartbeat("i-1", body).has_value(), body);
   }
+  for (const char* field :
+       {"service", "address", "zone", "state", "capacity", "sequence"}) {
+    Json json = ParseJson(valid).value();
+    json.removeMember(field);
+    BOOST_TEST(!DecodeHeartbeat("i-1", WriteJson(json)), "no " << field);
+  }
+  // Also fields that are not used.
+  for (const char* field : {"service", "address", "zone", "version", "slots",
+                            "state", "coldRemainingMs", "sequence", "capacity",
+                            "labels", "born", "machineId"}) {
+    Json json = ParseJson(valid).value();
+    json[field] = std::string(field) == "capacity" ? Json("16")
+                                                   : Json(::Json::objectValue);
+    BOOST_TEST(!DecodeHeartbeat("i-1", WriteJson(json)), field);
+  }
 }
 
 // Guards against a wave whose duration overflows, and against one that is
--- a/tests/stored_messages_test.cc
+++ b/tests/stored_messages_test.cc
@@ -85,11 +85,12 @@
     heartbeat["address"] = Text(kMaxNameBytes);
     heartbeat["zone"] = Text(kMaxNameBytes);
     heartbeat["state"] = Pick(2) == 0 ? "ready" : "draining";
+    heartbeat["sequence"] = Number(kMaxNumber);
     MaybePut(&heartbeat, "machineId", Text(kMaxNameBytes));
     MaybePut(&heartbeat, "born", Number(kMaxNumber));
     for (std::uint64_t labels = Pick(4); labels > 0; --labels)
       heartbeat["labels"].append(Text(kMaxTextBytes));
-    MaybePut(&heartbeat["capacity"], "cpu", Number(kMaxNumber));
+    heartbeat["capacity"]["cpu"] = Number(kMaxNumber);
     return heartbeat;
   }
 
--- /dev/null
+++ b/tests/worker_registry_test.cc
@@ -0,0 +1,142 @@
+#define BOOST_TEST_MODULE worker_registry
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <string>
+
+#include "scheduler/worker_registry.h"
+#include "single_replica.h"
+
+// Reports that name no worker of the fleet: another program writes to the same
+// interface.
+namespace boragewinch::scheduler {
+namespace {
+
+struct Fixture : SingleReplica {
+  Fixture() {
+    hooks.on_applied = [this](const jobs::Batch& batch, TimePoint now) {
+      if (batch.config && registry)
+        registry->OnConfiguration(now);
+    };
+    Lead();
+    registry.emplace(*replica);
+  }
+
+  void Configure(std::int64_t version, const std::string& pool) {
+    BOOST_REQUIRE(Store([&](jobs::Batch* batch) {
+      batch->config.emplace();
+      batch->config->version = version;
+      batch->config->pools[PoolName(pool)].name = PoolName(pool);
+      jobs::QueueConfig queue;
+      queue.name = QueueName("queue");
+      queue.pool = PoolName(pool);
+      batch->config->queues.push_back(queue);
+    }));
+  }
+
+  [[nodiscard]] static jobs::WorkerRecord Worker(const std::string& id,
+                                                 const std::string& pool,
+                                                 jobs::UnixMillis start_time) {
+    jobs::WorkerRecord record;
+    record.incarnation = {jobs::WorkerId(id), start_time};
+    record.address = "10.0.0.1:80";
+    record.host = HostName("host");
+    record.pool = PoolName(pool);
+    record.capacity = {16'000, 32'000, 0};
+    return record;
+  }
+
+  [[nodiscard]] Status Report(const jobs::WorkerRecord& record,
+                              std::int64_t sequence = 1) {
+    std::optional<Status> reported;
+    registry->OnHeartbeat(record, sequence, loop.now(),
+                          [&](const Status& status) {
+                            reported = status;
+                            loop.Stop();
+                          });
+    if (!reported)
+      loop.Run();
+    return *reported;
+  }
+
+  [[nodiscard]] const jobs::Worker* Find(const jobs::WorkerRecord& record) {
+    return replica->ledger().FindWorker(record.incarnation);
+  }
+
+  const jobs::WorkerRecord worker = Worker("real", "pool", 100);
+  std::optional<WorkerRegistry> registry;
+};
+
+// Guards against a report on an unknown pool that replaces the worker at the
+// same address: the run on it was started once more elsewhere.
+BOOST_FIXTURE_TEST_CASE(AnUnknownPoolReplacesNoWorker, Fixture) {
+  Configure(1, "pool");
+  BOOST_REQUIRE(Report(worker));
+  const jobs::RunName run{{jobs::JobId("job"), 0, 0, 0}, 1};
+  BOOST_REQUIRE(Store([&](jobs::Batch* batch) {
+    jobs::Submission submission{jobs::JobId("job"), QueueName("queue"), {}, {}};
+    submission.spec.steps.resize(1);
+    batch->submissions.push_back(submission);
+    batch->starts.push_back({run, worker.incarnation});
+  }));
+  BOOST_TEST(Report(Worker("foreign", "other", 200)).has_value());
+  BOOST_TEST(Report(Worker("real", "other", 200)).has_value());
+  BOOST_REQUIRE(Find(worker) != nullptr);
+  BOOST_TEST(Find(worker)->runs.count(run) == 1U);
+  BOOST_TEST(replica->ledger().workers().size() == 1U);
+  // The worker is still heard.
+  jobs::WorkerRecord draining = worker;
+  draining.draining = true;
+  BOOST_REQUIRE(Report(draining, 2));
+  BOOST_TEST(Find(worker)->record.draining);
+}
+
+// Guards against a report that uses the name of a running worker and moves it
+// to another pool, host or address, and whose sequence number hides the
+// worker's own reports.
+BOOST_FIXTURE_TEST_CASE(ARunningWorkerKeepsItsPoolAndAddress, Fixture) {
+  Configure(1, "pool");
+  BOOST_REQUIRE(Report(worker));
+  jobs::WorkerRecord changed[] = {worker, worker, worker};
+  changed[0].pool = PoolName("other");
+  changed[1].address = "10.0.0.2:80";
+  changed[2].host = HostName("another");
+  for (const jobs::WorkerRecord& record : changed) {
+    const Status status = Report(record, 1'000);
+    BOOST_REQUIRE(!status);
+    BOOST_TEST((status.error().code == ErrorCode::kConflict));
+    BOOST_TEST((Find(worker)->record == worker));
+  }
+  jobs::WorkerRecord draining = worker;
+  draining.draining = true;
+  BOOST_REQUIRE(Report(draining, 2));
+  BOOST_TEST(Find(worker)->record.draining);
+}
+
+// Guards against workers that start before the first configuration and are
+// used only after their next report, and against a foreign report that a
+// worker has to wait for.
+BOOST_FIXTURE_TEST_CASE(WorkersOfANewPoolAreStoredWithTheConfiguration,
+                        Fixture) {
+  const jobs::WorkerRecord foreign = Worker("foreign", "other", 200);
+  BOOST_REQUIRE(Report(worker));
+  BOOST_REQUIRE(Report(foreign));
+  BOOST_TEST(replica->ledger().workers().empty());
+  Configure(1, "pool");
+  BOOST_REQUIRE(Store([](jobs::Batch*) {}));
+  BOOST_TEST(Find(worker) != nullptr);
+  BOOST_TEST(Find(foreign) == nullptr);
+}
+
+// Guards against a worker that left before its pool was configured and is used
+// afterwards.
+BOOST_FIXTURE_TEST_CASE(AWorkerThatHasLeftIsNotStoredLater, Fixture) {
+  BOOST_REQUIRE(Report(worker));
+  registry->OnLeave(worker.incarnation.id, loop.now(), [](const Status&) {});
+  Configure(1, "pool");
+  BOOST_REQUIRE(Store([](jobs::Batch*) {}));
+  BOOST_TEST(Find(worker) == nullptr);
+}
+
+}  // namespace
+}  // namespace boragewinch::scheduler
