Reserve workers only where capacity can become free, and not for good

Cause: each waiting large task reserved a worker, also where long-running tasks occupy what it needs, and without a limit in time. With short tasks instead of long-running ones the pool stayed blocked as well.

A worker is now reserved only if the task fits beside its long-running tasks, and the workers of a pool for at most 2 s of each 2.5 s, below the 3 s after which a job counts as LOST.

--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -26,6 +26,7 @@
   /// Tasks that may start on it now; queried when a task would fit.
   mutable std::optional<std::size_t> start_limit;
   std::int64_t long_running_runs = 0;  ///< long-running tasks on it
+  Resources long_running_starts;       ///< those that this plan starts
   bool occupied = false;               ///< it has runs or starts of this plan
   bool limit_exhausted = false;        ///< this plan has exhausted start_limit
   bool reserved = false;  ///< its free capacity is reserved for a waiting task
@@ -54,8 +55,13 @@
   PlanBuilder(const jobs::JobLedger& ledger,
               const TaskPlannerOptions& options,
               const PlannerHooks& hooks,
+              ReservationClock* reservations,
               jobs::UnixMillis now)
-      : ledger_(ledger), options_(options), hooks_(hooks), now_(now) {}
+      : ledger_(ledger),
+        options_(options),
+        hooks_(hooks),
+        reservations_(*reservations),
+        now_(now) {}
 
   [[nodiscard]] std::vector<jobs::StartRecord> Build() {
     for (const Candidate& candidate : OrderedCandidates()) {
@@ -125,7 +131,7 @@
       Resources free = worker->record.capacity;
       free -= worker->used;
       pool_workers->states.push_back({worker, free, std::nullopt,
-                                      worker->long_running_runs,
+                                      worker->long_running_runs, Resources(),
                                       !worker->runs.empty(), false, false});
     }
     UpdateMaxFree(pool_workers);
@@ -200,13 +206,16 @@
 
   // Reserves the worker with the most free capacity for a large task. In a
   // full pool each finished run frees less than the task needs, and small tasks
-  // would take the capacity at once.
+  // would take the capacity at once. Capacity that long-running tasks occupy
+  // does not become free, so a worker is reserved only if the task fits beside
+  // them.
   void ReserveCapacity(
       const Candidate& candidate,
       const jobs::TaskName& task,
       PoolWorkers* pool_workers,
       const std::map<jobs::WorkerIncarnation, std::int64_t>& per_worker) const {
     const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
+    const Resources required = jobs::JobLedger::CapacityOf(spec);
     const bool has_alternative = HasAlternativeWorker(candidate, task);
     WorkerState* best = nullptr;
     for (WorkerState& state : pool_workers->states) {
@@ -216,8 +225,7 @@
           state.limit_exhausted || StartLimitOf(state) > 0;
       if (!accepts_starts || state.reserved ||
           !MayPlaceOn(spec, state, per_worker) ||
-          !jobs::JobLedger::CapacityOf(spec).FitsInto(
-              state.worker->record.capacity) ||
+          !required.FitsInto(CapacityBesideLongRunningTasks(state)) ||
           (has_alternative &&
            hooks_.has_failed_on(task, state.worker->record.incarnation))) {
         continue;
@@ -225,8 +233,29 @@
       if (best == nullptr || state.free.cpu_millis > best->free.cpu_millis)
         best = &state;
     }
-    if (best != nullptr)
+    if (best != nullptr &&
+        reservations_.MayReserve(candidate.queue->pool, now_)) {
       best->reserved = true;
+    }
+  }
+
+  /// \returns the capacity of the worker without what long-running tasks use.
+  [[nodiscard]] Resources CapacityBesideLongRunningTasks(
+      const WorkerState& state) const {
+    Resources capacity = state.worker->record.capacity;
+    capacity -= state.long_running_starts;
+    if (state.worker->long_running_runs == 0)
+      return capacity;
+    for (const jobs::RunName& run : state.worker->runs) {
+      const jobs::Job* job = ledger_.FindJob(run.task.job);
+      // The run of a finished job is about to be stopped.
+      if (job == nullptr || job->final() || !job->spec)
+        continue;
+      const jobs::StepSpec& spec = job->spec->steps[run.task.step];
+      if (spec.long_running)
+        capacity -= jobs::JobLedger::CapacityOf(spec);
+    }
+    return capacity;
   }
 
   /// \returns whether the worker has the step's label and is below
@@ -423,7 +452,10 @@
                 const jobs::StepSpec& spec,
                 WorkerState* state) {
     state->free -= jobs::JobLedger::CapacityOf(spec);
-    state->long_running_runs += spec.long_running ? 1 : 0;
+    if (spec.long_running) {
+      ++state->long_running_runs;
+      state->long_running_starts += jobs::JobLedger::CapacityOf(spec);
+    }
     state->occupied = true;
     state->limit_exhausted = --StartLimitOf(*state) == 0;
     CustomerUsage(job.customer) += spec.request;
@@ -432,6 +464,7 @@
   const jobs::JobLedger& ledger_;
   const TaskPlannerOptions& options_;
   const PlannerHooks& hooks_;
+  ReservationClock& reservations_;
   jobs::UnixMillis now_;
   std::unordered_map<PoolName, PoolWorkers> pool_workers_;
   std::map<CustomerName, Resources> usage_;
@@ -478,10 +511,18 @@
          queue.latency_target.count();
 }
 
+bool ReservationClock::MayReserve(const PoolName& pool, jobs::UnixMillis now) {
+  const auto [it, added] = began_.try_emplace(pool, now);
+  jobs::UnixMillis& began = it->second;
+  if (now < began || now - began >= max_reservation_ + pause_)
+    began = now;
+  return now - began < max_reservation_;
+}
+
 std::vector<jobs::StartRecord> TaskPlanner::Plan(const jobs::JobLedger& ledger,
                                                  const PlannerHooks& hooks,
-                                                 jobs::UnixMillis now) const {
-  return PlanBuilder(ledger, options_, hooks, now).Build();
+                                                 jobs::UnixMillis now) {
+  return PlanBuilder(ledger, options_, hooks, &reservations_, now).Build();
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -2,6 +2,7 @@
 #define BORAGEWINCH_SCHEDULER_TASK_PLANNER_H_
 
 #include <functional>
+#include <map>
 #include <vector>
 
 #include "jobs/job_ledger.h"
@@ -16,6 +17,13 @@
   /// longer fits before its objective. Estimates are rough, and each step waits
   /// for the report of the last end and for free capacity.
   double critical_path_margin = 1.5;
+  /// Longest time for which the waiting tasks of a pool reserve workers. A job
+  /// for which there is capacity twice over has to start within 3 s (the users'
+  /// rule LOST), also if all of that capacity is reserved.
+  Millis max_reservation{2'000};
+  /// Time after a reservation in which all tasks may use the capacity: long
+  /// enough for several plans.
+  Millis reservation_pause{500};
 };
 
 /// \brief Queries of the planner about workers.
@@ -41,23 +49,43 @@
 [[nodiscard]] Millis RemainingCriticalPath(const jobs::Job& job,
                                            const jobs::Occurrence& occurrence);
 
+/// \brief Limits the time for which the workers of each pool are reserved.
+class ReservationClock {
+ public:
+  explicit ReservationClock(const TaskPlannerOptions& options)
+      : max_reservation_(options.max_reservation.count()),
+        pause_(options.reservation_pause.count()) {}
+
+  /// \brief Begins a reservation in the pool if none has begun and no pause is
+  /// due. A wall clock that went back begins a new one.
+  /// \returns whether workers of the pool may be reserved now.
+  [[nodiscard]] bool MayReserve(const PoolName& pool, jobs::UnixMillis now);
+
+ private:
+  std::int64_t max_reservation_;
+  std::int64_t pause_;
+  std::map<PoolName, jobs::UnixMillis> began_;
+};
+
 /// \brief Decides which waiting tasks start on which workers. Designed for
 /// bursts in which one queue demands several times its mean load, more than its
 /// pool's capacity: jobs that can still meet their objective go first, ordered
 /// by objective, and running tasks are not preempted.
 class TaskPlanner {
  public:
-  explicit TaskPlanner(TaskPlannerOptions options) : options_(options) {}
+  explicit TaskPlanner(TaskPlannerOptions options)
+      : options_(options), reservations_(options) {}
 
   /// \returns the starts to store now, subject to free capacity, labels,
   /// per-worker limits and customer limits.
   [[nodiscard]] std::vector<jobs::StartRecord> Plan(
       const jobs::JobLedger& ledger,
       const PlannerHooks& hooks,
-      jobs::UnixMillis now) const;
+      jobs::UnixMillis now);
 
  private:
   TaskPlannerOptions options_;
+  ReservationClock reservations_;
 };
 
 }  // namespace boragewinch::scheduler
--- a/tests/task_planner_test.cc
+++ b/tests/task_planner_test.cc
@@ -252,5 +252,56 @@
   BOOST_TEST(CountByJob(PlanAll(builder, 1'600)).count("aa-second") == 0U);
 }
 
+/// Four workers with 10,000 of 16,000 CPU units free each, and as many jobs of
+/// a long-running task of 12,000 that wait.
+struct LargeTasksWait {
+  explicit LargeTasksWait(bool long_running_runs) {
+    jobs::StepSpec running = LedgerBuilder::Tasks(kWorkers, 6'000);
+    running.long_running = long_running_runs;
+    builder.Submit("running", {running});
+    for (std::uint32_t i = 0; i < kWorkers; ++i) {
+      const std::string worker = "w" + std::to_string(i);
+      builder.AddWorker(worker).Start(LedgerBuilder::Run("running", 0, i),
+                                      worker);
+    }
+    jobs::StepSpec large = LedgerBuilder::Tasks(1, 12'000);
+    large.long_running = true;
+    for (std::uint32_t i = 0; i < kWorkers; ++i)
+      builder.Submit("large" + std::to_string(i), {large});
+    builder.Submit("small", {LedgerBuilder::Tasks(1)});
+  }
+
+  std::size_t StartsAt(jobs::UnixMillis now) {
+    return planner.Plan(builder.ledger(), AllMayStart(), now).size();
+  }
+
+  static constexpr std::uint32_t kWorkers = 4;
+  LedgerBuilder builder;
+  TaskPlanner planner{TaskPlannerOptions{}};
+};
+
+// Guards against workers that are reserved although the capacity that the
+// waiting task needs never becomes free: no other task ever started.
+BOOST_AUTO_TEST_CASE(CapacityOfLongRunningTasksIsNotWaitedFor) {
+  LargeTasksWait fixture(true);
+  BOOST_TEST(fixture.StartsAt(1'000) == 1U);
+}
+
+// Guards against a pool whose workers all stay reserved: a job for which there
+// is capacity has to start within 3 s. Afterwards the large tasks get another
+// chance, since small ones would take all capacity that becomes free.
+BOOST_AUTO_TEST_CASE(ReservationsEnd) {
+  constexpr jobs::UnixMillis kBegin = 1'000;
+  LargeTasksWait fixture(false);
+  BOOST_TEST(fixture.StartsAt(kBegin) == 0U);
+  BOOST_TEST(fixture.StartsAt(kBegin + 1'900) == 0U);
+  BOOST_TEST(fixture.StartsAt(kBegin + 2'100) == 1U);
+  BOOST_TEST(fixture.StartsAt(kBegin + 2'600) == 0U);
+  BOOST_TEST(fixture.StartsAt(kBegin + 4'700) == 1U);
+  // The wall clock went back by an hour.
+  BOOST_TEST(fixture.StartsAt(kBegin - 3'600'000) == 0U);
+  BOOST_TEST(fixture.StartsAt(kBegin - 3'600'000 + 2'100) == 1U);
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
