Lengthen the wait after each lost transfer until one arrives

The count of losses was reset by any reply, so the wait never doubled, and on a link slower than assumed entries were repeated without end. The new case of raft_flow_test failed (no commit within 60 s) and passes now.

--- a/src/raft/node.h
+++ b/src/raft/node.h
@@ -166,7 +166,7 @@
     bool probing = true;     ///< only empty messages until `next` is known
     bool probe_sent = false;
     std::optional<Transfer> transfer;
-    unsigned losses = 0;   ///< transfers lost since the last acknowledged one
+    unsigned losses = 0;   ///< transfers lost since one was acknowledged
     SnapshotPtr snapshot;  ///< being sent, or null
     std::string encoded;   ///< `snapshot`
     std::uint64_t encoded_hash = 0;
--- a/src/raft/node_leader.cc
+++ b/src/raft/node_leader.cc
@@ -349,13 +349,13 @@
       progress.snapshot.reset();
       progress.encoded.clear();
       progress.transfer.reset();
+      progress.losses = 0;
     }
     if (progress.transfer && progress.transfer->last > 0 &&
         progress.match >= progress.transfer->last) {
       progress.transfer.reset();
-    }
-    if (!progress.transfer)
       progress.losses = 0;
+    }
     progress.next = std::max(progress.next, progress.match + 1);
     progress.probing = false;
     progress.probe_sent = false;
--- a/tests/raft_flow_test.cc
+++ b/tests/raft_flow_test.cc
@@ -112,6 +112,18 @@
     BOOST_TEST(static_cast<double>(bytes) <= kMaxOverhead * kMaxCommandBytes);
 }
 
+// Guards against a leader that sends entries again and again on a link that is
+// slower than it assumes: with each loss it has to wait longer.
+BOOST_AUTO_TEST_CASE(ASlowerLinkThanAssumedOnlyDelays) {
+  constexpr std::size_t kSlowLinkBytesPerMs = kMinTransferBytesPerMs / 2;
+  constexpr std::size_t kBytes = 400'000;
+  LimitedCluster cluster(kSlowLinkBytesPerMs);
+  cluster.StartAll();
+  BOOST_TEST(cluster.Commit(std::string(kBytes, 'a'), Millis(60'000)));
+  BOOST_TEST(
+      cluster.RunUntil([&] { return cluster.Converged(); }, Millis(60'000)));
+}
+
 // Guards against a chunk of a snapshot that is sent again with each heartbeat
 // until it has arrived.
 BOOST_AUTO_TEST_CASE(SnapshotChunksAreSentOnce) {
