--- a/src/jobs/job_types.h
+++ b/src/jobs/job_types.h
@@ -26,6 +26,8 @@
 /// that was stored must be readable by every replica, whatever its limits are.
 inline constexpr std::size_t kMaxNameBytes = 128;
 inline constexpr std::size_t kMaxTextBytes = 2'048;
+/// The 500 ends that a worker lists at a time fit into one log entry.
+inline constexpr std::size_t kMaxCheckpointBytes = 4'096;
 
 /// Limits on one job; a larger one is rejected.
 inline constexpr std::size_t kMaxPayloadBytes = 4'096;
--- a/tests/worker_client_test.cc
+++ b/tests/worker_client_test.cc
@@ -76,6 +76,48 @@
   }
 }
 
+// Guards against a list whose numbers or checkpoints fit into messages but not
+// into a snapshot of the ledger or a log entry: no replica could read them.
+BOOST_FIXTURE_TEST_CASE(ListsHoldOnlyWhatCanBeStored, Fixture) {
+  const auto list = [this](const std::string& running,
+                           const std::string& ended) {
+    response.body = R"({"clockMs":1,"running":[)" + running +
+                    R"(],"finished":[)" + ended + "]}";
+    std::optional<Result<scheduler::HoldResponse>> got;
+    scheduler::HoldCall call;
+    call.timeout = Millis(5'000);
+    calls.hold(worker, call, [&](Result<scheduler::HoldResponse> result) {
+      got = std::move(result);
+      loop.Stop();
+    });
+    loop.Run();
+    return got->has_value();
+  };
+  const std::string longest(jobs::kMaxCheckpointBytes, 'c');
+  const auto running = [](const std::string& checkpoint) {
+    return R"(["a.0.0.1",2,")" + checkpoint + R"(",4])";
+  };
+  const auto ended = [](const std::string& number,
+                        const std::string& checkpoint) {
+    return "[" + number + R"(,"a.0.0.1",2,"done",")" + checkpoint + R"("])";
+  };
+  BOOST_TEST(list(running(longest), ended("9007199254740991", longest)));
+  BOOST_TEST(!list(running(longest + "c"), ""));
+  BOOST_TEST(!list("", ended("1", longest + "c")));
+  for (const char* number : {"0", "-1", "9007199254740992"})
+    BOOST_TEST(!list("", ended(number, "")), number);
+}
+
+// Guards against lease times that overflow.
+BOOST_FIXTURE_TEST_CASE(AClockOutOfRangeIsIgnored, Fixture) {
+  for (const char* clock : {"-1", "9223372036854775807", "\"1\""}) {
+    response.body = R"({"born":17,"clockMs":)" + std::string(clock) + "}";
+    const auto result = Start();
+    BOOST_REQUIRE(result);
+    BOOST_TEST(!result.value().clock_ms.has_value(), clock);
+  }
+}
+
 // Guards against a host list that never ends and is taken as whole, so that
 // the hosts that are missing from it count as removed.
 BOOST_FIXTURE_TEST_CASE(AnEndlessHostListIsAnError, Fixture) {
