Check jobs without encoding them a second time

Each submission was encoded and decoded to show that replicas can read it.

Jobs are now checked by CheckJobSpec, which is all that the log's decoder checks of them beyond types; rare changes are still encoded and decoded. ledger_replica_test, job_api_test, replica_messages_test and worker_registry_test pass.

--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -30,10 +30,35 @@
 constexpr char kMessagesField[] = "answers";
 /// Limit on one message in a response; larger than the limits on its parts.
 constexpr std::size_t kMaxResponseMessageBytes = 64UL * 1024 * 1024;
-/// Changes that may wait for the next batch, and their size, which leaves room
-/// for the leader's decisions in the same entry; further ones are rejected.
+/// Changes that may wait for the next batch; further ones are rejected.
 constexpr std::size_t kMaxWaitingChanges = 4'096;
-constexpr std::size_t kMaxWaitingBytes = raft::kMaxCommandBytes - 256UL * 1024;
+/// Largest change; leaves room for jobs and the leader's decisions in the same
+/// entry.
+constexpr std::size_t kMaxChangeBytes = raft::kMaxCommandBytes - 256UL * 1024;
+
+/// \returns whether the change needs a test of its encoding. Jobs and reports
+/// of runs are frequent, and nothing but CheckJobSpec makes them unreadable.
+[[nodiscard]] bool IsRare(const jobs::Batch& change) {
+  return change.config || !change.workers.empty() || !change.waves.empty() ||
+         !change.host_orders.empty();
+}
+
+/// \returns the change as replicas read it from the log; kInvalidField or
+/// kTooLarge if they can't.
+[[nodiscard]] Result<jobs::Batch> AsReplicasRead(const jobs::Batch& change) {
+  for (const jobs::Submission& submission : change.submissions)
+    BW_CHECK(jobs::CheckJobSpec(submission.spec));
+  if (!IsRare(change))
+    return change;
+  const std::string bytes = jobs::EncodeBatch(change);
+  if (bytes.size() > kMaxChangeBytes) {
+    return Fail(ErrorCode::kTooLarge,
+                "the change has " + std::to_string(bytes.size()) +
+                    " bytes, at most " + std::to_string(kMaxChangeBytes) +
+                    " can be stored");
+  }
+  return jobs::DecodeBatch(bytes);
+}
 
 }  // namespace
 
@@ -325,28 +350,19 @@
   }
   // A committed entry that replicas can't decode would leave none of them able
   // to lead. Each change is checked alone, so that it can't fail others.
-  const std::string bytes = jobs::EncodeBatch(change);
-  Result<jobs::Batch> readable = jobs::DecodeBatch(bytes);
-  if (readable && bytes.size() > kMaxWaitingBytes) {
-    readable = Fail(ErrorCode::kTooLarge,
-                    "the change has " + std::to_string(bytes.size()) +
-                        " bytes, at most " + std::to_string(kMaxWaitingBytes) +
-                        " can be stored");
-  }
+  Result<jobs::Batch> readable = AsReplicasRead(change);
   if (!readable) {
     LogEvent(EventId::kCommandRefused,
              {{"command", "store"}, {"error", readable.error().Text()}});
     reply(outcome::failure(readable.error()));
     return;
   }
-  if (pending_replies_.size() >= kMaxWaitingChanges ||
-      pending_bytes_ + bytes.size() > kMaxWaitingBytes) {
+  if (pending_replies_.size() >= kMaxWaitingChanges) {
     LogEvent(EventId::kBoundReached, {{"bound", "waiting_changes"}});
     reply(Fail(ErrorCode::kNotLeader,
                "too many changes are waiting to be stored"));
     return;
   }
-  pending_bytes_ += bytes.size();
   pending_.Append(std::move(readable).value());
   pending_replies_.push_back(std::move(reply));
   Wake();
@@ -373,7 +389,6 @@
   last_flush_ = now;
   pending_.now = loop_.unix_millis();
   std::string bytes = jobs::EncodeBatch(pending_);
-  pending_bytes_ = 0;
   open_batch_ = OpenBatch{0, replica_->term(), std::exchange(pending_, {})};
   open_batch_replies_ = std::exchange(pending_replies_, {});
   proposing_ = true;
@@ -448,7 +463,6 @@
 
 void LedgerReplica::FailAll(ErrorCode code, const std::string& why) {
   pending_ = {};
-  pending_bytes_ = 0;
   const auto stored = std::exchange(open_batch_replies_, {});
   const auto waiting = std::exchange(pending_replies_, {});
   for (const Reply& reply : stored)
--- a/src/scheduler/ledger_replica.h
+++ b/src/scheduler/ledger_replica.h
@@ -156,7 +156,6 @@
   std::vector<raft::Message>* response_messages_ = nullptr;
   std::string response_host_;  ///< receiver of `response_messages_`
   jobs::Batch pending_;
-  std::size_t pending_bytes_ = 0;          ///< encoded changes in `pending_`
   std::vector<Reply> pending_replies_;     ///< of `pending_`
   std::vector<Reply> open_batch_replies_;  ///< of the batch in flight
   std::optional<OpenBatch> open_batch_;
