--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -27,8 +27,10 @@
   mutable std::optional<std::size_t> start_limit;
   std::int64_t long_running_runs = 0;  ///< long-running tasks on it
   Resources long_running_starts;       ///< those that this plan starts
-  bool occupied = false;               ///< it has runs or starts of this plan
-  bool limit_exhausted = false;        ///< this plan has exhausted start_limit
+  /// Used by long-running runs; computed when a task needs a reservation.
+  std::optional<Resources> long_running_use;
+  bool occupied = false;         ///< it has runs or starts of this plan
+  bool limit_exhausted = false;  ///< this plan has exhausted start_limit
   bool reserved = false;  ///< its free capacity is reserved for a waiting task
 };
 
@@ -130,9 +132,9 @@
         continue;
       Resources free = worker->record.capacity;
       free -= worker->used;
-      pool_workers->states.push_back({worker, free, std::nullopt,
-                                      worker->long_running_runs, Resources(),
-                                      !worker->runs.empty(), false, false});
+      pool_workers->states.push_back(
+          {worker, free, std::nullopt, worker->long_running_runs, Resources(),
+           std::nullopt, !worker->runs.empty(), false, false});
     }
     UpdateMaxFree(pool_workers);
     return pool_workers;
@@ -223,15 +225,16 @@
       // whose limit this plan has exhausted may be.
       const bool accepts_starts =
           state.limit_exhausted || StartLimitOf(state) > 0;
-      if (!accepts_starts || state.reserved ||
+      const bool is_better =
+          best == nullptr || state.free.cpu_millis > best->free.cpu_millis;
+      if (!is_better || !accepts_starts || state.reserved ||
           !MayPlaceOn(spec, state, per_worker) ||
-          !required.FitsInto(CapacityBesideLongRunningTasks(state)) ||
+          !required.FitsInto(CapacityBesideLongRunningTasks(&state)) ||
           (has_alternative &&
            hooks_.has_failed_on(task, state.worker->record.incarnation))) {
         continue;
       }
-      if (best == nullptr || state.free.cpu_millis > best->free.cpu_millis)
-        best = &state;
+      best = &state;
     }
     if (best != nullptr &&
         reservations_.MayReserve(candidate.queue->pool, now_)) {
@@ -241,21 +244,29 @@
 
   /// \returns the capacity of the worker without what long-running tasks use.
   [[nodiscard]] Resources CapacityBesideLongRunningTasks(
-      const WorkerState& state) const {
-    Resources capacity = state.worker->record.capacity;
-    capacity -= state.long_running_starts;
-    if (state.worker->long_running_runs == 0)
-      return capacity;
-    for (const jobs::RunName& run : state.worker->runs) {
+      WorkerState* state) const {
+    if (!state->long_running_use)
+      state->long_running_use = LongRunningUseOf(*state->worker);
+    Resources capacity = state->worker->record.capacity;
+    capacity -= *state->long_running_use;
+    capacity -= state->long_running_starts;
+    return capacity;
+  }
+
+  [[nodiscard]] Resources LongRunningUseOf(const jobs::Worker& worker) const {
+    Resources use;
+    if (worker.long_running_runs == 0)
+      return use;
+    for (const jobs::RunName& run : worker.runs) {
       const jobs::Job* job = ledger_.FindJob(run.task.job);
       // The run of a finished job is about to be stopped.
       if (job == nullptr || job->final() || !job->spec)
         continue;
       const jobs::StepSpec& spec = job->spec->steps[run.task.step];
       if (spec.long_running)
-        capacity -= jobs::JobLedger::CapacityOf(spec);
+        use += jobs::JobLedger::CapacityOf(spec);
     }
-    return capacity;
+    return use;
   }
 
   /// \returns whether the worker has the step's label and is below
