Start a failed task where it failed if no other worker can take it

Cause: while a pool has an alternative, a task is not started where it has failed. An ordinary task took any worker in the ledger for one, also one that was lost without notice; a long-running one any that accepts starts; both looked at the capacity in all, not at what can become free.

One predicate now serves all kinds of tasks and reservations: a worker that responds, is not quarantined, draining, reserved or about to be moved, on which the task fits beside long-running tasks and other members of its gang. Waiting for one that is busy or away for a moment ends after 2 s, counted from when the task could have started where it failed; the rule allows 3 s.

ATaskWithoutAWorkerDoesNotBlockItsStep filled the other worker with a long-running task and expected the failed task to wait for it, which is the fault.

--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -208,6 +208,10 @@
                ? 0
                : fleet_->StartLimitOf(incarnation, now);
   };
+  hooks.accepts_soon = [&](const jobs::WorkerIncarnation& incarnation) {
+    return reserved.count(incarnation) == 0 &&
+           fleet_->AcceptsSoon(incarnation, now);
+  };
   hooks.is_advised = [&](const jobs::TaskName& task,
                          const jobs::WorkerIncarnation& incarnation) {
     return advice_->TicketFor(task, incarnation.id, now).has_value();
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -14,6 +14,9 @@
 
 /// Assumed duration of a task without an estimate.
 constexpr Millis kDefaultEstimate{1'000};
+/// Time after its last plan for which the wait of a task is remembered. Plans
+/// that have reached max_starts leave out the remaining tasks.
+constexpr jobs::UnixMillis kWaitMemoryMillis = 10'000;
 
 [[nodiscard]] Millis EstimateOf(const jobs::StepSpec& step) {
   return step.estimate.count() > 0 ? step.estimate : kDefaultEstimate;
@@ -58,11 +61,13 @@
               const TaskPlannerOptions& options,
               const PlannerHooks& hooks,
               ReservationClock* reservations,
+              AvoidanceClock* avoidances,
               jobs::UnixMillis now)
       : ledger_(ledger),
         options_(options),
         hooks_(hooks),
         reservations_(*reservations),
+        avoidances_(*avoidances),
         now_(now) {}
 
   [[nodiscard]] std::vector<jobs::StartRecord> Build() {
@@ -218,7 +223,8 @@
       const std::map<jobs::WorkerIncarnation, std::int64_t>& per_worker) const {
     const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
     const Resources required = jobs::JobLedger::CapacityOf(spec);
-    const bool has_alternative = HasAlternativeWorker(candidate, task);
+    const bool has_alternative =
+        HasAlternativeWorker(spec, task, pool_workers, per_worker);
     WorkerState* best = nullptr;
     for (WorkerState& state : pool_workers->states) {
       // A worker that accepted no starts before this plan is not reserved; one
@@ -283,33 +289,34 @@
     return count == per_worker.end() || count->second < spec.max_per_worker;
   }
 
-  /// \returns whether the pool has a suitable worker on which the task has not
-  /// failed. For a long-running task, whose attempts are not limited, only
-  /// workers count that accept starts now.
-  [[nodiscard]] bool HasAlternativeWorker(const Candidate& candidate,
-                                          const jobs::TaskName& task) const {
-    const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
+  /// \returns whether the pool has a worker on which the task has not failed
+  /// and may start soon. Short tasks make room for it; long-running tasks and
+  /// other members of its gang do not.
+  /// \param per_worker for a gang, the members that this plan starts.
+  [[nodiscard]] bool HasAlternativeWorker(
+      const jobs::StepSpec& spec,
+      const jobs::TaskName& task,
+      PoolWorkers* pool_workers,
+      const std::map<jobs::WorkerIncarnation, std::int64_t>& per_worker) const {
     const Resources required = jobs::JobLedger::CapacityOf(spec);
-    const auto suits = [&](const jobs::WorkerRecord& record) {
-      return required.FitsInto(record.capacity) &&
-             HasLabel(record, spec.required_label) &&
-             !hooks_.has_failed_on(task, record.incarnation);
-    };
-    if (spec.long_running) {
-      const auto pool_workers = pool_workers_.find(candidate.queue->pool);
-      return pool_workers != pool_workers_.end() &&
-             std::any_of(
-                 pool_workers->second.states.begin(),
-                 pool_workers->second.states.end(),
-                 [&](const WorkerState& state) {
-                   return (state.limit_exhausted || StartLimitOf(state) > 0) &&
-                          suits(state.worker->record);
-                 });
-    }
-    const jobs::WorkerSet& workers = ledger_.WorkersOf(candidate.queue->pool);
+    const bool limit_lasts = spec.long_running || spec.gang;
     return std::any_of(
-        workers.begin(), workers.end(), [&](const jobs::Worker* worker) {
-          return !worker->record.draining && suits(worker->record);
+        pool_workers->states.begin(), pool_workers->states.end(),
+        [&](WorkerState& state) {
+          const jobs::WorkerRecord& record = state.worker->record;
+          if (state.reserved || !HasLabel(record, spec.required_label) ||
+              (limit_lasts && !MayPlaceOn(spec, state, per_worker))) {
+            return false;
+          }
+          Resources capacity = CapacityBesideLongRunningTasks(&state);
+          if (const auto members = per_worker.find(record.incarnation);
+              spec.gang && members != per_worker.end()) {
+            for (std::int64_t i = 0; i < members->second; ++i)
+              capacity -= required;
+          }
+          return required.FitsInto(capacity) &&
+                 !hooks_.has_failed_on(task, record.incarnation) &&
+                 hooks_.accepts_soon(record.incarnation);
         });
   }
 
@@ -393,7 +400,8 @@
   /// or powered off and large tasks find capacity. A step with a data rack
   /// prefers that rack. Attempts of a long-running task are not limited, so it
   /// may return to a worker on which it failed if no other has free capacity
-  /// now; other tasks wait while the pool has another suitable worker.
+  /// now; other tasks wait for a limited time while another worker may become
+  /// free.
   /// \param avoided set if the task waits because it failed on all workers with
   /// free capacity.
   [[nodiscard]] WorkerState* ChooseWorker(
@@ -446,12 +454,30 @@
       UpdateMaxFree(pool_workers);
     if (best != nullptr || best_avoided == nullptr)
       return best;
-    if (spec.long_running || !HasAlternativeWorker(candidate, task))
+    if (spec.long_running ||
+        !HasAlternativeWorker(spec, task, pool_workers, per_worker) ||
+        !MayWait(candidate, task)) {
       return best_avoided;
+    }
     *avoided = true;
     return nullptr;
   }
 
+  // The members of a gang start together, so they wait together.
+  [[nodiscard]] bool MayWait(const Candidate& candidate,
+                             const jobs::TaskName& task) const {
+    const auto& tasks =
+        candidate.job->occurrences.at(task.occurrence).steps[task.step].tasks;
+    if (!candidate.job->spec->steps[task.step].gang)
+      return avoidances_.MayWait(task, tasks[task.index].last_run, now_);
+    jobs::TaskName first = task;
+    first.index = 0;
+    std::uint32_t last_run = 0;
+    for (const jobs::Task& member : tasks)
+      last_run = std::max(last_run, member.last_run);
+    return avoidances_.MayWait(first, last_run, now_);
+  }
+
   [[nodiscard]] static bool HasLabel(const jobs::WorkerRecord& record,
                                      const std::string& label) {
     return label.empty() ||
@@ -476,6 +502,7 @@
   const TaskPlannerOptions& options_;
   const PlannerHooks& hooks_;
   ReservationClock& reservations_;
+  AvoidanceClock& avoidances_;
   jobs::UnixMillis now_;
   std::unordered_map<PoolName, PoolWorkers> pool_workers_;
   std::map<CustomerName, Resources> usage_;
@@ -530,10 +557,28 @@
   return now - began < max_reservation_;
 }
 
+bool AvoidanceClock::MayWait(const jobs::TaskName& task,
+                             std::uint32_t last_run,
+                             jobs::UnixMillis now) {
+  Wait& wait = waits_.try_emplace(task, Wait{last_run, now, now}).first->second;
+  if (wait.last_run != last_run || now < wait.began)
+    wait = Wait{last_run, now, now};
+  wait.asked = now;
+  return now - wait.began < max_avoidance_;
+}
+
+void AvoidanceClock::Prune(jobs::UnixMillis now) {
+  std::erase_if(waits_, [now](const auto& item) {
+    return now - item.second.asked > kWaitMemoryMillis;
+  });
+}
+
 std::vector<jobs::StartRecord> TaskPlanner::Plan(const jobs::JobLedger& ledger,
                                                  const PlannerHooks& hooks,
                                                  jobs::UnixMillis now) {
-  return PlanBuilder(ledger, options_, hooks, &reservations_, now).Build();
+  avoidances_.Prune(now);
+  return PlanBuilder(ledger, options_, hooks, &reservations_, &avoidances_, now)
+      .Build();
 }
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -24,6 +24,10 @@
   /// Time after a reservation in which all tasks may use the capacity: long
   /// enough for several plans.
   Millis reservation_pause{500};
+  /// Longest time for which a task avoids workers on which it failed while
+  /// another one may become free. The rule LOST allows 3 s without a run; a
+  /// plan, its log entry and the call take the rest.
+  Millis max_avoidance{2'000};
 };
 
 /// \brief Queries of the planner about workers.
@@ -31,6 +35,9 @@
   /// \returns how many tasks may start on the worker now: 0 on an unresponsive
   /// worker, 1 on one with recent failures.
   std::function<std::size_t(const jobs::WorkerIncarnation&)> start_limit;
+  /// Whether the worker, once it has free capacity, is expected to accept a
+  /// start within max_avoidance.
+  std::function<bool(const jobs::WorkerIncarnation&)> accepts_soon;
   /// Whether a task of an advised queue may run on the worker now.
   std::function<bool(const jobs::TaskName&, const jobs::WorkerIncarnation&)>
       is_advised;
@@ -67,6 +74,34 @@
   std::map<PoolName, jobs::UnixMillis> began_;
 };
 
+/// \brief Limits the time for which a task avoids workers on which it failed.
+class AvoidanceClock {
+ public:
+  explicit AvoidanceClock(const TaskPlannerOptions& options)
+      : max_avoidance_(options.max_avoidance.count()) {}
+
+  /// \brief Begins to wait with the first call after each run.
+  /// \param task the waiting task, or the first member of a waiting gang.
+  /// \param last_run the number of its latest run.
+  /// \returns whether the task may still wait. A wall clock that went back
+  /// begins the time again.
+  [[nodiscard]] bool MayWait(const jobs::TaskName& task,
+                             std::uint32_t last_run,
+                             jobs::UnixMillis now);
+  /// \brief Forgets tasks that have not waited for some time.
+  void Prune(jobs::UnixMillis now);
+
+ private:
+  struct Wait {
+    std::uint32_t last_run = 0;
+    jobs::UnixMillis began = 0;
+    jobs::UnixMillis asked = 0;
+  };
+
+  std::int64_t max_avoidance_;
+  std::map<jobs::TaskName, Wait> waits_;
+};
+
 /// \brief Decides which waiting tasks start on which workers. Designed for
 /// bursts in which one queue demands several times its mean load, more than its
 /// pool's capacity: jobs that can still meet their objective go first, ordered
@@ -74,7 +109,7 @@
 class TaskPlanner {
  public:
   explicit TaskPlanner(TaskPlannerOptions options)
-      : options_(options), reservations_(options) {}
+      : options_(options), reservations_(options), avoidances_(options) {}
 
   /// \returns the starts to store now, subject to free capacity, labels,
   /// per-worker limits and customer limits.
@@ -86,6 +121,7 @@
  private:
   TaskPlannerOptions options_;
   ReservationClock reservations_;
+  AvoidanceClock avoidances_;
 };
 
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -217,6 +217,14 @@
              : 1;
 }
 
+bool WorkerFleet::AcceptsSoon(const jobs::WorkerIncarnation& incarnation,
+                              TimePoint now) const {
+  const auto tracked = workers_.find(incarnation);
+  return tracked != workers_.end() && IsPresent(incarnation, now) &&
+         health_.State(tracked->second.health_name, now) !=
+             HealthState::kQuarantined;
+}
+
 bool WorkerFleet::HasFailedOn(
     const jobs::TaskName& task,
     const jobs::WorkerIncarnation& incarnation) const {
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -46,6 +46,10 @@
   [[nodiscard]] std::size_t StartLimitOf(
       const jobs::WorkerIncarnation& incarnation,
       TimePoint now) const;
+  /// \returns whether the worker is expected to accept starts within a second
+  /// or two: it is present and not quarantined.
+  [[nodiscard]] bool AcceptsSoon(const jobs::WorkerIncarnation& incarnation,
+                                 TimePoint now) const;
   /// \returns whether the task has failed on the worker.
   [[nodiscard]] bool HasFailedOn(
       const jobs::TaskName& task,
--- a/tests/long_running_task_starvation_test.cc
+++ b/tests/long_running_task_starvation_test.cc
@@ -99,6 +99,9 @@
         [&](const jobs::WorkerIncarnation& incarnation) -> std::size_t {
       return quarantined.count(incarnation.id.str()) > 0 ? 0 : 1'000;
     };
+    hooks.accepts_soon = [&](const jobs::WorkerIncarnation& incarnation) {
+      return quarantined.count(incarnation.id.str()) == 0;
+    };
     hooks.is_advised = [](const jobs::TaskName&,
                           const jobs::WorkerIncarnation&) { return true; };
     hooks.has_failed_on = [&](const jobs::TaskName& task,
@@ -190,7 +193,7 @@
 // start on the worker where it has failed.
 BOOST_FIXTURE_TEST_CASE(ATaskWithoutAWorkerDoesNotBlockItsStep, Starvation) {
   AddHost("p1", "p");
-  builder.Submit("full", {LongRunningStep(1, 16'000)})
+  builder.Submit("full", {LedgerBuilder::Tasks(1, 16'000)})
       .Start(LedgerBuilder::Run("full", 0, 0), "w-p1")
       .Submit("waits", {LedgerBuilder::Tasks(3, 1'000)});
   failed_index = 0;
--- a/tests/task_planner_test.cc
+++ b/tests/task_planner_test.cc
@@ -16,6 +16,7 @@
   hooks.start_limit = [](const jobs::WorkerIncarnation&) -> std::size_t {
     return 1'000;
   };
+  hooks.accepts_soon = [](const jobs::WorkerIncarnation&) { return true; };
   hooks.is_advised = [](const jobs::TaskName&,
                         const jobs::WorkerIncarnation& incarnation) {
     return incarnation.id.str() == "advised";
