--- a/src/fakes/fake_platform_main.cc
+++ b/src/fakes/fake_platform_main.cc
@@ -57,5 +57,6 @@
 }  // namespace boragewinch
 
 int main(int argc, char** argv) {
+  boragewinch::HoldSignals();
   return boragewinch::Main(argc, argv);
 }
--- a/src/kernel/kernel.cc
+++ b/src/kernel/kernel.cc
@@ -15,8 +15,21 @@
 /// loses its buffered lines; warnings and errors are not buffered.
 constexpr Millis kMaxLogDelay{20};
 
+/// \param how SIG_BLOCK or SIG_UNBLOCK.
+void MaskSignals(int how) {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal_number : {SIGTERM, SIGINT, SIGHUP})
+    sigaddset(&signals, signal_number);
+  pthread_sigmask(how, &signals, nullptr);
+}
+
 }  // namespace
 
+void HoldSignals() {
+  MaskSignals(SIG_BLOCK);
+}
+
 Kernel::Kernel() = default;
 
 Kernel::~Kernel() {
@@ -54,6 +67,7 @@
       loop_.OnSignal(SIGINT, [this] { RequestStop(); });
   const WatchHandle reload =
       loop_.OnSignal(SIGHUP, [] { LogEvent(EventId::kReloadRequested, {}); });
+  MaskSignals(SIG_UNBLOCK);
   for (const auto& [name, service] : services_) {
     BW_CHECK(service->Start(*this));
     ++running_;
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -12,6 +12,11 @@
 
 namespace boragewinch {
 
+/// \brief Blocks SIGTERM, SIGINT and SIGHUP until Kernel::Run handles them. A
+/// program calls it first, as the default action of a signal that arrives while
+/// it reads its settings would terminate it.
+void HoldSignals();
+
 /// \brief Owns the services of a process, starts them in the order in which
 /// they were added and stops them in reverse order.
 class Kernel {
--- a/tests/child_process.cc
+++ b/tests/child_process.cc
@@ -46,7 +46,15 @@
   for (std::string& argument : arguments)
     pointers.push_back(argument.data());
   pointers.push_back(nullptr);
+  sigset_t held;
+  sigset_t mask;
+  sigemptyset(&held);
+  for (const int signal_number : {SIGTERM, SIGINT, SIGHUP})
+    sigaddset(&held, signal_number);
+  pthread_sigmask(SIG_BLOCK, &held, &mask);
   const pid_t pid = fork();
+  if (pid != 0)
+    pthread_sigmask(SIG_SETMASK, &mask, nullptr);
   if (pid < 0)
     throw FixtureError(ErrorCode::kUnavailable,
                        "can't start " + arguments.front());
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -20,6 +20,8 @@
   /// Kills the process and waits for its exit.
   ~ChildProcess();
 
+  /// \brief Starts a program with blocked SIGTERM, SIGINT and SIGHUP, which it
+  /// unblocks itself: their default action would end it while it is loaded.
   /// \param arguments the program, followed by its arguments.
   /// \param log file to which its output is appended.
   void Start(std::vector<std::string> arguments, const std::string& log);
--- a/tests/kernel_test.cc
+++ b/tests/kernel_test.cc
@@ -78,6 +78,20 @@
   BOOST_TEST(steps == expected, boost::test_tools::per_element());
 }
 
+// Guards against a process that is terminated by a SIGTERM or SIGHUP that
+// arrives before its kernel runs.
+BOOST_AUTO_TEST_CASE(SignalsBeforeTheKernelRunsWaitForIt) {
+  HoldSignals();
+  std::raise(SIGHUP);
+  std::raise(SIGTERM);
+  Steps steps;
+  Kernel kernel;
+  kernel.Add("a", std::make_unique<Recorder>("a", &steps));
+  BOOST_TEST(kernel.Run().has_value());
+  const Steps expected{"start a", "stop a"};
+  BOOST_TEST(steps == expected, boost::test_tools::per_element());
+}
+
 // Guards against services that start before, or stop after, those that they
 // depend on, and against a lookup that depends on the start order.
 BOOST_AUTO_TEST_CASE(StartsInOrderAndStopsInReverse) {
