--- a/src/raft/replica.cc
+++ b/src/raft/replica.cc
@@ -467,8 +467,19 @@
   return Ok();
 }
 
+bool Replica::SnapshotDue() const {
+  constexpr std::uint64_t kSpreadDivisor = 4;
+  const std::uint64_t entries = applied_ - snapshot_index_;
+  const std::uint64_t spread =
+      Hash64(id_.str()) % (options_.snapshot_entries / kSpreadDivisor + 1);
+  if (entries < options_.snapshot_entries + spread)
+    return false;
+  return entries >= 2 * options_.snapshot_entries || !hooks_.is_busy ||
+         !hooks_.is_busy();
+}
+
 Status Replica::MaybeSnapshot() {
-  if (applied_ - snapshot_index_ < options_.snapshot_entries)
+  if (!SnapshotDue())
     return Ok();
   const RaftLog& log = node_->log();
   auto snapshot = std::make_shared<const Snapshot>(
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -28,8 +28,11 @@
   std::vector<std::string> hosts;
   NodeOptions node;
   LogFileOptions log;
-  /// A snapshot is taken after this many applied entries, which bounds the
-  /// entries that a restart has to read and apply again.
+  /// A snapshot is taken after this many applied entries and up to a quarter
+  /// more, which depends on the replica's id: replicas that take one at the
+  /// same entry would all stall at once. A busy replica puts it off, up to
+  /// twice this number, which bounds the entries that a restart reads and
+  /// applies again.
   std::uint64_t snapshot_entries = 8192;
   /// Maximum number of committed entries applied in one batch. A restarted
   /// replica applies its log in batches, between which it handles messages and
@@ -66,6 +69,9 @@
   std::function<void(std::uint64_t index, const std::string& command)> apply;
   /// \returns the state after all commands applied so far.
   std::function<std::string()> take_snapshot;
+  /// \returns whether a due snapshot, which stalls the replica, should wait.
+  /// Empty: never.
+  std::function<bool()> is_busy;
   /// Replaces the state with one returned by take_snapshot.
   std::function<Status(const std::string& state)> restore;
   /// Called after commands up to `index` have been applied.
@@ -196,6 +202,7 @@
   [[nodiscard]] Status PersistLog(const Actions& actions);
   [[nodiscard]] Status Install(const Snapshot& snapshot);
   [[nodiscard]] Status ApplyCommitted(std::uint64_t at_most);
+  [[nodiscard]] bool SnapshotDue() const;
   [[nodiscard]] Status MaybeSnapshot();
   [[nodiscard]] Status RecordMembership(const Configuration& configuration);
   void Stop(const Error& error);
--- a/src/scheduler/ledger_replica.cc
+++ b/src/scheduler/ledger_replica.cc
@@ -119,6 +119,8 @@
     OnApply(index, bytes);
   };
   hooks.take_snapshot = [this] { return ledger_.Snapshot(); };
+  // In a burst, tasks and the replies to submissions would wait meanwhile.
+  hooks.is_busy = [this] { return leading() && !ledger_.startable().empty(); };
   hooks.restore = [this](const std::string& bytes) -> Status {
     BW_TRY(ledger_, jobs::JobLedger::Restore(bytes));
     return Ok();
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -31,6 +31,8 @@
     std::vector<std::string> commands;  ///< state of the state machine
     std::vector<Error> errors;
     bool frozen = false;  ///< gets no messages and no ticks
+    bool busy = false;    ///< puts snapshots off
+    int snapshots = 0;    ///< taken since the test began
     /// ReplicaOptions::hosts of this host, if not those of the cluster.
     std::vector<std::string> seeds;
   };
@@ -76,7 +78,9 @@
       host.commands.push_back(command);
       RecordApplied(index, command, host);
     };
+    hooks.is_busy = [&host] { return host.busy; };
     hooks.take_snapshot = [&host] {
+      ++host.snapshots;
       Json list(::Json::arrayValue);
       for (const std::string& command : host.commands)
         list.append(command);
