--- a/tests/fleet_random_test.cc
+++ b/tests/fleet_random_test.cc
@@ -2,7 +2,6 @@
 #include <boost/test/unit_test.hpp>
 
 #include <algorithm>
-#include <cstdlib>
 #include <iostream>
 #include <set>
 
@@ -14,6 +13,7 @@
 #include "fleet/fleet_state.h"
 #include "fleet/reclaim_planner.h"
 #include "model/worker_types.h"
+#include "random_seeds.h"
 
 namespace boragewinch {
 namespace {
@@ -25,12 +25,6 @@
 constexpr int kKeys = 40;
 constexpr int kEntries = 4;
 
-[[nodiscard]] std::uint64_t FromEnvironment(const char* name,
-                                            std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
 void FailOnViolation(Invariant invariant, std::string_view detail) {
   BOOST_FAIL("invariant " << kInvariants.Name(invariant) << ": " << detail);
 }
--- a/tests/raft_random_test.cc
+++ b/tests/raft_random_test.cc
@@ -1,13 +1,13 @@
 #define BOOST_TEST_MODULE raft_random
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <iostream>
 
 #include <log4cxx/logger.h>
 
 #include "base/invariant.h"
 #include "raft_cluster.h"
+#include "random_seeds.h"
 
 namespace boragewinch::raft {
 namespace {
@@ -15,11 +15,6 @@
 constexpr int kSteps = 2000;
 constexpr Millis kRecoveryLimit{120'000};
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
 struct Totals {
   std::uint64_t elections = 0;
   std::uint64_t commands = 0;
--- a/tests/start_liveness_random_test.cc
+++ b/tests/start_liveness_random_test.cc
@@ -1,7 +1,6 @@
 #define BOOST_TEST_MODULE start_liveness_random
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <iostream>
 #include <map>
 #include <random>
@@ -10,6 +9,7 @@
 #include <vector>
 
 #include "ledger_builder.h"
+#include "random_seeds.h"
 #include "scheduler/task_planner.h"
 
 namespace boragewinch::scheduler {
@@ -30,12 +30,6 @@
 constexpr UnixMillis kLease = 10'000;
 constexpr UnixMillis kResponseAge = 1'700;
 
-[[nodiscard]] std::uint64_t FromEnvironment(const char* name,
-                                            std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 enum class Condition { kSound, kFaulty, kAway, kLost };
 
 struct SimulatedWorker {
--- a/tests/stored_messages_test.cc
+++ b/tests/stored_messages_test.cc
@@ -1,7 +1,6 @@
 #define BOOST_TEST_MODULE stored_messages
 #include <boost/test/unit_test.hpp>
 
-#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -9,6 +8,7 @@
 
 #include "jobs/job_ledger.h"
 #include "platform/job_codec.h"
+#include "random_seeds.h"
 
 // What a request decoder accepts goes into the replicated log and into
 // snapshots. A replica that can't read it there can't lead any more.
@@ -20,11 +20,6 @@
 using jobs::kMaxNumber;
 using jobs::kMaxTextBytes;
 
-std::uint64_t FromEnvironment(const char* name, std::uint64_t fallback) {
-  const char* text = std::getenv(name);
-  return text ? std::strtoull(text, nullptr, 10) : fallback;
-}
-
 /// Random messages with texts and numbers at, just below and just above their
 /// limits. About half of them are valid.
 class Messages {
