Start a task on a quarantined worker if no other one can take it

The next job with that label was queued for over 3 s, though the worker is sound and idle: LOST.

Cause: the failures quarantine the worker for 4 s and more. With no other worker of its kind at work, nothing shows that the tasks and not the worker failed, and the planner starts nothing on a quarantined worker.

A task that no other worker can take soon now starts on a quarantined one after 2 s. The predicate is that of failed tasks, so a worker that is only busy is still waited for.

--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -212,6 +212,10 @@
     return reserved.count(incarnation) == 0 &&
            fleet_->AcceptsSoon(incarnation, now);
   };
+  hooks.is_quarantined = [&](const jobs::WorkerIncarnation& incarnation) {
+    return reserved.count(incarnation) == 0 &&
+           fleet_->IsQuarantined(incarnation, now);
+  };
   hooks.is_advised = [&](const jobs::TaskName& task,
                          const jobs::WorkerIncarnation& incarnation) {
     return advice_->TicketFor(task, incarnation.id, now).has_value();
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -403,7 +403,7 @@
   /// now; other tasks wait for a limited time while another worker may become
   /// free.
   /// \param avoided set if the task waits because it failed on all workers with
-  /// free capacity.
+  /// free capacity, or because all of them are quarantined.
   [[nodiscard]] WorkerState* ChooseWorker(
       const Candidate& candidate,
       const jobs::TaskName& task,
@@ -418,6 +418,8 @@
     Rank best_rank;
     WorkerState* best_avoided = nullptr;  // best one on which the task failed
     Rank best_avoided_rank;
+    WorkerState* best_quarantined = nullptr;
+    Rank best_quarantined_rank;
     if (!required.FitsInto(pool_workers->max_free))
       return nullptr;
     bool fits = false;
@@ -435,11 +437,24 @@
       const Rank rank(in_data_rack, long_running_neighbours, state.occupied,
                       -state.free.cpu_millis, -state.free.memory_mb);
       // The hooks are expensive, so they are called last.
-      if ((best != nullptr && rank <= best_rank) || StartLimitOf(state) == 0)
+      if (best != nullptr && rank <= best_rank)
+        continue;
+      const bool accepts_starts = StartLimitOf(state) > 0;
+      const bool may_be_last_resort =
+          !accepts_starts && !state.limit_exhausted && best == nullptr &&
+          (best_quarantined == nullptr || rank > best_quarantined_rank);
+      if (!accepts_starts && !may_be_last_resort)
         continue;
       if (candidate.queue->advised &&
           !hooks_.is_advised(task, record.incarnation))
         continue;
+      if (!accepts_starts) {
+        if (hooks_.is_quarantined(record.incarnation)) {
+          best_quarantined = &state;
+          best_quarantined_rank = rank;
+        }
+        continue;
+      }
       if (hooks_.has_failed_on(task, record.incarnation)) {
         if (best_avoided == nullptr || rank > best_avoided_rank) {
           best_avoided = &state;
@@ -452,8 +467,12 @@
     }
     if (!fits)
       UpdateMaxFree(pool_workers);
-    if (best != nullptr || best_avoided == nullptr)
+    if (best != nullptr)
       return best;
+    if (best_avoided == nullptr) {
+      return LastResort(candidate, task, pool_workers, per_worker,
+                        best_quarantined, avoided);
+    }
     if (spec.long_running ||
         !HasAlternativeWorker(spec, task, pool_workers, per_worker) ||
         !MayWait(candidate, task)) {
@@ -463,6 +482,28 @@
     return nullptr;
   }
 
+  /// \brief Uses a quarantined worker for a task that no other worker can take
+  /// soon: its failures may be those of other tasks.
+  [[nodiscard]] WorkerState* LastResort(
+      const Candidate& candidate,
+      const jobs::TaskName& task,
+      PoolWorkers* pool_workers,
+      const std::map<jobs::WorkerIncarnation, std::int64_t>& per_worker,
+      WorkerState* quarantined,
+      bool* avoided) const {
+    if (quarantined == nullptr ||
+        HasAlternativeWorker(candidate.job->spec->steps[task.step], task,
+                             pool_workers, per_worker)) {
+      return nullptr;
+    }
+    if (MayWait(candidate, task)) {
+      *avoided = true;
+      return nullptr;
+    }
+    quarantined->start_limit = 1;
+    return quarantined;
+  }
+
   // The members of a gang start together, so they wait together.
   [[nodiscard]] bool MayWait(const Candidate& candidate,
                              const jobs::TaskName& task) const {
--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -25,8 +25,9 @@
   /// enough for several plans.
   Millis reservation_pause{500};
   /// Longest time for which a task avoids workers on which it failed while
-  /// another one may become free. The rule LOST allows 3 s without a run; a
-  /// plan, its log entry and the call take the rest.
+  /// another one may become free, and quarantined ones in any case. The rule
+  /// LOST allows 3 s without a run; a plan, its log entry and the call take the
+  /// rest.
   Millis max_avoidance{2'000};
 };
 
@@ -38,6 +39,9 @@
   /// Whether the worker, once it has free capacity, is expected to accept a
   /// start within max_avoidance.
   std::function<bool(const jobs::WorkerIncarnation&)> accepts_soon;
+  /// Whether the worker responds, but start_limit is 0 because most of its
+  /// recent runs have failed.
+  std::function<bool(const jobs::WorkerIncarnation&)> is_quarantined;
   /// Whether a task of an advised queue may run on the worker now.
   std::function<bool(const jobs::TaskName&, const jobs::WorkerIncarnation&)>
       is_advised;
@@ -74,7 +78,8 @@
   std::map<PoolName, jobs::UnixMillis> began_;
 };
 
-/// \brief Limits the time for which a task avoids workers on which it failed.
+/// \brief Limits the time for which a task avoids workers on which it failed or
+/// which are quarantined.
 class AvoidanceClock {
  public:
   explicit AvoidanceClock(const TaskPlannerOptions& options)
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -225,6 +225,14 @@
              HealthState::kQuarantined;
 }
 
+bool WorkerFleet::IsQuarantined(const jobs::WorkerIncarnation& incarnation,
+                                TimePoint now) const {
+  const auto tracked = workers_.find(incarnation);
+  return tracked != workers_.end() && tracked->second.session.Reachable(now) &&
+         health_.State(tracked->second.health_name, now) ==
+             HealthState::kQuarantined;
+}
+
 bool WorkerFleet::HasFailedOn(
     const jobs::TaskName& task,
     const jobs::WorkerIncarnation& incarnation) const {
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -50,6 +50,9 @@
   /// or two: it is present and not quarantined.
   [[nodiscard]] bool AcceptsSoon(const jobs::WorkerIncarnation& incarnation,
                                  TimePoint now) const;
+  /// \returns whether the worker is reachable and quarantined.
+  [[nodiscard]] bool IsQuarantined(const jobs::WorkerIncarnation& incarnation,
+                                   TimePoint now) const;
   /// \returns whether the task has failed on the worker.
   [[nodiscard]] bool HasFailedOn(
       const jobs::TaskName& task,
--- a/tests/failed_task_alternative_test.cc
+++ b/tests/failed_task_alternative_test.cc
@@ -49,6 +49,7 @@
     hooks.accepts_soon = [this](const jobs::WorkerIncarnation& incarnation) {
       return lost.count(incarnation.id.str()) == 0;
     };
+    hooks.is_quarantined = [](const jobs::WorkerIncarnation&) { return false; };
     hooks.is_advised = [](const jobs::TaskName&,
                           const jobs::WorkerIncarnation&) { return true; };
     hooks.has_failed_on = [this](const jobs::TaskName& task,
--- a/tests/long_running_task_starvation_test.cc
+++ b/tests/long_running_task_starvation_test.cc
@@ -102,6 +102,9 @@
     hooks.accepts_soon = [&](const jobs::WorkerIncarnation& incarnation) {
       return quarantined.count(incarnation.id.str()) == 0;
     };
+    hooks.is_quarantined = [&](const jobs::WorkerIncarnation& incarnation) {
+      return quarantined.count(incarnation.id.str()) > 0;
+    };
     hooks.is_advised = [](const jobs::TaskName&,
                           const jobs::WorkerIncarnation&) { return true; };
     hooks.has_failed_on = [&](const jobs::TaskName& task,
--- a/tests/start_liveness_random_test.cc
+++ b/tests/start_liveness_random_test.cc
@@ -240,6 +240,7 @@
              worker.condition == Condition::kFaulty ||
              now_ - worker.since <= kResponseAge;
     };
+    hooks.is_quarantined = [](const jobs::WorkerIncarnation&) { return false; };
     hooks.is_advised = [](const jobs::TaskName&,
                           const jobs::WorkerIncarnation&) { return true; };
     hooks.has_failed_on = [this](const jobs::TaskName& task,
--- a/tests/task_planner_test.cc
+++ b/tests/task_planner_test.cc
@@ -17,6 +17,7 @@
     return 1'000;
   };
   hooks.accepts_soon = [](const jobs::WorkerIncarnation&) { return true; };
+  hooks.is_quarantined = [](const jobs::WorkerIncarnation&) { return false; };
   hooks.is_advised = [](const jobs::TaskName&,
                         const jobs::WorkerIncarnation& incarnation) {
     return incarnation.id.str() == "advised";
