Build again what comes from elsewhere, and name the revision of each program

Change: scripts/prepare-build.sh empties a build directory that was made in another folder, on another machine, with another compiler or other packages, or from sources that changed without a newer modification time.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -9,6 +9,7 @@
 build="${BUILD_DIR:-build}"
 if [ -z "${DEMO_NO_BUILD:-}" ]; then
   scripts/install-packages.sh
+  scripts/prepare-build.sh "$build"
   cmake -S . -B "$build" -G Ninja >/dev/null
   ninja -C "$build" -j "${JOBS:-8}"
 fi
--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -27,6 +27,8 @@
      "A message could not be parsed and was refused."},
     {EventId::kReloadRequested, kInfo, "reload_asked",
      "SIGHUP has no effect: settings are read only at the start."},
+    {EventId::kPeerBuildDiffers, kInfo, "peer_build_differs",
+     "Another scheduler host runs a program of other sources."},
     {EventId::kRoleChanged, kInfo, "role_changed",
      "A control replica changed its role."},
     {EventId::kLogTailTruncated, kWarn, "log_tail_cut",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -23,6 +23,7 @@
   kBoundReached = 1007,
   kMalformedMessage = 1008,
   kReloadRequested = 1009,
+  kPeerBuildDiffers = 1010,
   kRoleChanged = 2001,
   kLogTailTruncated = 2002,
   kStorageFailed = 2003,
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -10,6 +10,7 @@
 
 #include <boost/histogram.hpp>
 
+#include "base/build_info.h"
 #include "base/event_log.h"
 
 namespace boragewinch {
@@ -212,6 +213,10 @@
 
 std::string Metrics::PrometheusText() const {
   std::ostringstream out;
+  const BuildInfo& build = build_info();
+  out << "# TYPE boragewinch_build_info "
+         "gauge\nboragewinch_build_info{version=\""
+      << build.version << "\",revision=\"" << build.revision << "\"} 1\n";
   for (const auto& [name, series] : impl_->counters) {
     const std::string full = "boragewinch_" + name + "_total";
     out << "# TYPE " << full << " counter\n";
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -71,6 +71,7 @@
 
   /// \returns the Prometheus text format (version 0.0.4). Names become
   /// "boragewinch_<name>", with "_total" for counters and "_ms" for durations.
+  /// The gauge "boragewinch_build_info" is 1 and names the program's build.
   [[nodiscard]] std::string PrometheusText() const;
 
   /// \returns {"counters": [{name, team, class, value}], "gauges": [same],
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -9,6 +9,8 @@
 
 #include <popt.h>
 
+#include "base/build_info.h"
+
 namespace boragewinch {
 
 namespace {
@@ -233,7 +235,8 @@
 
 std::string SettingsBuilder::Help() const {
   std::ostringstream out;
-  out << program_ << " " << kVersion << ": " << summary_ << "\n\n";
+  out << program_ << " " << BuildText(build_info()) << ": " << summary_
+      << "\n\n";
   for (const SettingSpec& spec : specs_) {
     out << "  --" << spec.name;
     if (spec.kind != SettingKind::kFlag)
@@ -271,7 +274,7 @@
     return kExitOk;
   }
   if (settings.version_requested()) {
-    std::printf("%s\n", std::string(kVersion).c_str());
+    std::printf("%s\n", BuildText(build_info()).c_str());
     return kExitOk;
   }
   for (const Error& error : errors)
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -103,8 +103,6 @@
 inline constexpr int kExitUnavailable = 3;
 inline constexpr int kExitRefused = 4;
 
-inline constexpr std::string_view kVersion = "0.1.0";
-
 }  // namespace boragewinch
 
 #endif  // BORAGEWINCH_BASE_SETTINGS_H_
--- a/src/kernel/kernel.cc
+++ b/src/kernel/kernel.cc
@@ -3,9 +3,9 @@
 #include <csignal>
 #include <set>
 
+#include "base/build_info.h"
 #include "base/event_log.h"
 #include "base/invariant.h"
-#include "base/settings.h"
 
 namespace boragewinch {
 
@@ -72,7 +72,10 @@
     BW_CHECK(service->Start(*this));
     ++running_;
   }
-  LogEvent(EventId::kProcessStarted, {{"version", kVersion}});
+  const BuildInfo& build = build_info();
+  LogEvent(EventId::kProcessStarted, {{"version", build.version},
+                                      {"revision", build.revision},
+                                      {"commit", build.commit}});
   WatchHandle log_flush;
   BufferEventLog([this, &log_flush] {
     log_flush = loop_.After(kMaxLogDelay, [](TimePoint) { FlushEventLog(); });
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "base/build_info.h"
 #include "base/event_log.h"
 #include "scheduler/stop_planner.h"
 
@@ -26,6 +27,13 @@
 /// delay is small compared with the shortest tasks of 640 ms.
 constexpr Millis kResponseBatchDelay{10};
 constexpr Millis kLoadInterval{1'000};
+/// Each interval one other scheduler host is asked for its build. A call has
+/// about 500 bytes.
+constexpr Millis kBuildInterval{10'000};
+constexpr Millis kBuildTimeout{1'000};
+constexpr char kBuildMethod[] = "process.build";
+constexpr char kRevisionField[] = "revision";
+constexpr std::size_t kMaxRevisionBytes = 64;
 
 [[nodiscard]] Incarnation NewIncarnation() {
   std::random_device seed;
@@ -38,7 +46,8 @@
                                    SchedulerDependencies dependencies)
     : options_(std::move(options)),
       dependencies_(std::move(dependencies)),
-      planner_(options_.planner) {}
+      planner_(options_.planner),
+      peer_builds_(std::string(build_info().revision)) {}
 
 SchedulerService::~SchedulerService() = default;
 
@@ -135,6 +144,7 @@
         });
     BW_CHECK(metrics_server_->Listen(options_.listen_metrics));
   }
+  ExchangeBuilds();
   tick_ = loop_->Every(kTickInterval, [this](TimePoint now) { OnTick(now); });
   return Ok();
 }
@@ -332,6 +342,51 @@
             {"waiting_jobs", replica_->ledger().startable().size()}});
 }
 
+void SchedulerService::ExchangeBuilds() {
+  rpc_server_->Bind(kBuildMethod, [](const Json&, const RpcReply& reply) {
+    Json json(::Json::objectValue);
+    json[kRevisionField] = std::string(build_info().revision);
+    reply(json);
+  });
+  build_tick_ =
+      loop_->Every(kBuildInterval, [this](TimePoint) { RequestBuild(); });
+}
+
+void SchedulerService::RequestBuild() {
+  std::vector<std::string> hosts = replica_->MemberHosts();
+  std::erase(hosts, options_.ledger.host);
+  const std::string host = peer_builds_.Next(hosts);
+  if (host.empty())
+    return;
+  rpc_client_->Call(
+      host + ":" + options_.ledger.port, kBuildMethod,
+      Json(::Json::objectValue), kBuildTimeout,
+      [this, host](const Result<Json>& reply) {
+        if (!reply && reply.error().code != ErrorCode::kProtocol) {
+          LogEvent(EventId::kCallFailed, {{"call", kBuildMethod},
+                                          {"host", host},
+                                          {"error", reply.error().Text()}});
+          return;
+        }
+        // Earlier versions don't have the method.
+        const auto revision = reply ? StringField(reply.value(), kRevisionField,
+                                                  kMaxRevisionBytes)
+                                    : Result<std::string>(std::string());
+        if (!revision) {
+          LogEvent(EventId::kMalformedMessage,
+                   {{"reason", kBuildMethod}, {"host", host}});
+          return;
+        }
+        if (!peer_builds_.OnRevision(host, revision.value()))
+          return;
+        LogEvent(EventId::kPeerBuildDiffers,
+                 {{"peer", host},
+                  {"revision", build_info().revision},
+                  {"peer_revision",
+                   revision.value().empty() ? "unknown" : revision.value()}});
+      });
+}
+
 void SchedulerService::Stop(const std::function<void()>& done) {
   replica_->Retire();
   call_agent_->Retire();
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -18,6 +18,7 @@
 #include "scheduler/job_api.h"
 #include "scheduler/leader_load.h"
 #include "scheduler/ledger_replica.h"
+#include "scheduler/peer_builds.h"
 #include "scheduler/relay.h"
 #include "scheduler/task_planner.h"
 #include "scheduler/worker_call_agent.h"
@@ -79,6 +80,8 @@
   void OnLeadership(bool leading, TimePoint now);
   void OnTick(TimePoint now);
   void LogLoad(TimePoint now);
+  void ExchangeBuilds();
+  void RequestBuild();
   void StopRuns();
   void StartCallAgents();
   void RequestAdvice(TimePoint now);
@@ -104,12 +107,14 @@
   std::unique_ptr<AdviceCache> advice_;
   TaskPlanner planner_;
   LeaderLoad load_;
+  PeerBuilds peer_builds_;
   std::unique_ptr<RelayServer> relay_;
   std::unique_ptr<RelayClient> control_relay_;  ///< used on followers
   std::unique_ptr<HttpServer> internal_;
   std::unique_ptr<HttpServer> control_;
   std::unique_ptr<HttpServer> metrics_server_;
   WatchHandle tick_;
+  WatchHandle build_tick_;
   WatchHandle stop_timer_;
   std::uint64_t leadership_epoch_ = 0;
 };
--- a/tests/metrics_test.cc
+++ b/tests/metrics_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE metrics
 #include <boost/test/unit_test.hpp>
 
+#include "base/build_info.h"
 #include "base/metrics.h"
 
 namespace boragewinch {
@@ -51,11 +52,17 @@
   metrics.Gauge("queued", {}, 1.5);
   metrics.Observe("wait", {"a", "x"}, Millis(2));
   metrics.Observe("wait", {"a", "x"}, Millis(3));
+  const std::string build_info_line =
+      "boragewinch_build_info{version=\"0.1.0\",revision=\"" +
+      std::string(build_info().revision) + "\"} 1\n";
+  BOOST_TEST(build_info().revision.size() == 16U);
   const std::string text = metrics.PrometheusText();
   for (const char* line : {
            "# TYPE boragewinch_jobs_total counter\n",
            "boragewinch_jobs_total{team=\"a\\\"b\\\\c\\nd\"} 2\n",
            "boragewinch_queued 1.5\n",
+           "# TYPE boragewinch_build_info gauge\n",
+           build_info_line.c_str(),
            "# TYPE boragewinch_wait_ms histogram\n",
            "boragewinch_wait_ms_bucket{team=\"a\",class=\"x\",le=\"1\"} 0\n",
            "boragewinch_wait_ms_bucket{team=\"a\",class=\"x\",le=\"2\"} 1\n",
--- a/tests/platform_cluster.cc
+++ b/tests/platform_cluster.cc
@@ -35,14 +35,6 @@
   return network + std::to_string(number);
 }
 
-// The ports are fixed, so each cluster on this machine needs a network of its
-// own; a random one is rarely in use already.
-[[nodiscard]] std::string RandomNetwork() {
-  std::random_device random;
-  return "127." + std::to_string(16 + random() % 200) + "." +
-         std::to_string(1 + random() % 250) + ".";
-}
-
 }  // namespace
 
 PlatformCluster::PlatformCluster(ClusterOptions options)
@@ -62,7 +54,8 @@
                          "cannot create a temporary directory");
     keep_directory_ = std::getenv("PROCESS_FLEET_KEEP") != nullptr;
   }
-  const std::string network = RandomNetwork();
+  // The ports are fixed, so each cluster on this machine needs its own network.
+  const std::string network = ClaimNetwork();
   for (int i = 1; i <= options_.schedulers; ++i) {
     const std::string name = "s" + std::to_string(i);
     const std::string ip = IpAddress(network, i);
@@ -110,8 +103,11 @@
     Program& program = programs_[name];
     program.internal_address = process_ip + ":" + kInternalPort;
     std::filesystem::create_directories(data_directory(name));
+    const auto replaced = options_.scheduler_programs.find(name);
     program.arguments = {
-        std::string(BORAGEWINCH_BIN) + "/boraged-scheduler",
+        replaced == options_.scheduler_programs.end()
+            ? std::string(BORAGEWINCH_BIN) + "/boraged-scheduler"
+            : replaced->second,
         "--name=" + name,
         "--ip=" + IpAddress(network, i),
         "--internal-listen=" + program.internal_address,
--- a/tests/platform_cluster.h
+++ b/tests/platform_cluster.h
@@ -26,6 +26,9 @@
   std::map<std::string, int> pools{{"main", 5}, {"batch", 4}, {"spare", 3}};
   FakeCallersConfig callers;
   std::uint64_t seed = 1;
+  /// Programs of schedulers, by name, in place of the boraged-scheduler that
+  /// was built.
+  std::map<std::string, std::string> scheduler_programs;
   /// For logs and data; empty: a temporary one, which is removed unless the
   /// environment variable PROCESS_FLEET_KEEP is set.
   std::string directory;
