--- a/tests/child_process.cc
+++ b/tests/child_process.cc
@@ -8,29 +8,64 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdint>
+#include <optional>
 #include <random>
 
 #include "fixture_error.h"
 
 namespace boragewinch {
 
-// The ports are below the kernel's ephemeral range, so outgoing connections do
-// not take a port that was found free. The first one is random, since several
-// tests may run at once.
+namespace {
+
+/// A process that holds this address and port has claimed the network.
+constexpr int kClaimHost = 254;
+constexpr std::uint16_t kClaimPort = 7'999;
+/// Ports below the kernel's ephemeral range: outgoing connections do not take a
+/// port that was found free.
+constexpr std::uint32_t kFirstPort = 12'000;
+constexpr std::uint32_t kPorts = 20'000;
+constexpr int kMaxAttempts = 5'000;
+
+/// \returns a socket that is bound to `ip` and `port`, or nothing if they are
+/// in use. It does not listen.
+[[nodiscard]] std::optional<int> Bind(const std::string& ip,
+                                      std::uint16_t port) {
+  const int bound = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in endpoint{};
+  endpoint.sin_family = AF_INET;
+  inet_pton(AF_INET, ip.c_str(), &endpoint.sin_addr);
+  endpoint.sin_port = htons(port);
+  if (bind(bound, reinterpret_cast<sockaddr*>(&endpoint), sizeof(endpoint)) ==
+      0)
+    return bound;
+  close(bound);
+  return std::nullopt;
+}
+
+}  // namespace
+
+std::string ClaimNetwork() {
+  std::random_device random;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const std::string network = "127." + std::to_string(16 + random() % 200) +
+                                "." + std::to_string(1 + random() % 250) + ".";
+    // The socket stays open: closing it would end the claim.
+    if (Bind(network + std::to_string(kClaimHost), kClaimPort))
+      return network;
+  }
+  throw FixtureError(ErrorCode::kUnavailable, "no free loopback network");
+}
+
 std::string FreeAddress() {
-  static std::uint32_t next = std::random_device()();
-  for (int attempt = 0; attempt < 5'000; ++attempt) {
-    const auto port = static_cast<std::uint16_t>(12'000 + next++ % 20'000);
-    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in endpoint{};
-    endpoint.sin_family = AF_INET;
-    endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    endpoint.sin_port = htons(port);
-    const bool is_free = bind(probe, reinterpret_cast<sockaddr*>(&endpoint),
-                              sizeof(endpoint)) == 0;
-    close(probe);
-    if (is_free)
-      return "127.0.0.1:" + std::to_string(port);
+  static const std::string ip = ClaimNetwork() + "1";
+  static std::uint32_t next = 0;
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + next++ % kPorts);
+    if (const auto probe = Bind(ip, port)) {
+      close(*probe);
+      return ip + ":" + std::to_string(port);
+    }
   }
   throw FixtureError(ErrorCode::kUnavailable, "no free port");
 }
--- a/tests/child_process.h
+++ b/tests/child_process.h
@@ -8,7 +8,12 @@
 
 namespace boragewinch {
 
-/// \returns "127.0.0.1:port" with a free port.
+/// \brief Claims a network of 250 loopback addresses until this process exits,
+/// so that tests with fixed addresses or ports can run at once.
+/// \returns its first three numbers with a dot, for example "127.16.1.".
+[[nodiscard]] std::string ClaimNetwork();
+
+/// \returns "IP:port" with a free port in a network of this process.
 [[nodiscard]] std::string FreeAddress();
 
 /// \brief A child process.
--- a/tests/hostile_input_process_test.cc
+++ b/tests/hostile_input_process_test.cc
@@ -20,7 +20,7 @@
     const auto colon = address.rfind(':');
     sockaddr_in endpoint{};
     endpoint.sin_family = AF_INET;
-    endpoint.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    inet_pton(AF_INET, address.substr(0, colon).c_str(), &endpoint.sin_addr);
     endpoint.sin_port =
         htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
     socket_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
