Let open jobs follow their queue's host and prefix to another name

Cause: a job kept the name of its queue, which the planner, the demand of pools and the advice looked up in the present configuration. Callers know a queue by its virtual host and prefix.

The ledger finds the successor of each queue when a configuration is applied: by host and prefix, or by name if the prefix is new.

--- a/src/jobs/fleet_config.cc
+++ b/src/jobs/fleet_config.cc
@@ -6,42 +6,6 @@
 
 namespace {
 
-[[nodiscard]] Json ToJson(const QueueConfig& queue) {
-  Json json;
-  json["name"] = queue.name.str();
-  json["host"] = queue.virtual_host;
-  json["prefix"] = queue.path_prefix;
-  json["pool"] = queue.pool.str();
-  json["priority"] = ::Json::Int64(queue.priority);
-  json["attempts"] = ::Json::Int64(queue.max_attempts);
-  json["stretch"] = queue.stretch;
-  json["latency_ms"] = ::Json::Int64(queue.latency_target.count());
-  json["open"] = queue.open_to_all;
-  json["advised"] = queue.advised;
-  return json;
-}
-
-[[nodiscard]] Result<QueueConfig> QueueFromJson(const Json& json) {
-  QueueConfig queue;
-  BW_TRY(const std::string name, StoredText(json, "name"));
-  queue.name = QueueName(name);
-  BW_TRY(queue.virtual_host, StoredText(json, "host"));
-  BW_TRY(queue.path_prefix, StoredText(json, "prefix"));
-  BW_TRY(const std::string pool, StoredText(json, "pool"));
-  queue.pool = PoolName(pool);
-  BW_TRY(queue.priority, IntField(json, "priority", 0, kMaxNumber));
-  BW_TRY(queue.max_attempts, IntField(json, "attempts", 1, kMaxNumber));
-  if (!json["stretch"].isNumeric())
-    return Fail(ErrorCode::kInvalidField, "field stretch is not a number");
-  queue.stretch = json["stretch"].asDouble();
-  BW_TRY(const std::int64_t latency,
-         IntField(json, "latency_ms", 0, kMaxNumber));
-  queue.latency_target = Millis(latency);
-  BW_TRY(queue.open_to_all, BoolField(json, "open"));
-  BW_TRY(queue.advised, BoolField(json, "advised"));
-  return queue;
-}
-
 [[nodiscard]] Result<CustomerConfig> CustomerFromJson(const Json& json) {
   CustomerConfig customer;
   BW_TRY(const std::string name, StoredText(json, "name"));
@@ -120,6 +84,42 @@
   return Ok();
 }
 
+Json ToJson(const QueueConfig& queue) {
+  Json json;
+  json["name"] = queue.name.str();
+  json["host"] = queue.virtual_host;
+  json["prefix"] = queue.path_prefix;
+  json["pool"] = queue.pool.str();
+  json["priority"] = ::Json::Int64(queue.priority);
+  json["attempts"] = ::Json::Int64(queue.max_attempts);
+  json["stretch"] = queue.stretch;
+  json["latency_ms"] = ::Json::Int64(queue.latency_target.count());
+  json["open"] = queue.open_to_all;
+  json["advised"] = queue.advised;
+  return json;
+}
+
+Result<QueueConfig> QueueConfigFromJson(const Json& json) {
+  QueueConfig queue;
+  BW_TRY(const std::string name, StoredText(json, "name"));
+  queue.name = QueueName(name);
+  BW_TRY(queue.virtual_host, StoredText(json, "host"));
+  BW_TRY(queue.path_prefix, StoredText(json, "prefix"));
+  BW_TRY(const std::string pool, StoredText(json, "pool"));
+  queue.pool = PoolName(pool);
+  BW_TRY(queue.priority, IntField(json, "priority", 0, kMaxNumber));
+  BW_TRY(queue.max_attempts, IntField(json, "attempts", 1, kMaxNumber));
+  if (!json["stretch"].isNumeric())
+    return Fail(ErrorCode::kInvalidField, "field stretch is not a number");
+  queue.stretch = json["stretch"].asDouble();
+  BW_TRY(const std::int64_t latency,
+         IntField(json, "latency_ms", 0, kMaxNumber));
+  queue.latency_target = Millis(latency);
+  BW_TRY(queue.open_to_all, BoolField(json, "open"));
+  BW_TRY(queue.advised, BoolField(json, "advised"));
+  return queue;
+}
+
 Json ToJson(const FleetConfig& config) {
   Json json;
   json["version"] = ::Json::Int64(config.version);
@@ -154,7 +154,7 @@
   BW_TRY(config.version, IntField(json, "version", 0, kMaxNumber));
   BW_TRY(config.document, StoredText(json, "document"));
   for (const Json& item : json["queues"]) {
-    BW_TRY(QueueConfig queue, QueueFromJson(item));
+    BW_TRY(QueueConfig queue, QueueConfigFromJson(item));
     config.queues.push_back(std::move(queue));
   }
   for (const Json& item : json["pools"]) {
--- a/src/jobs/fleet_config.h
+++ b/src/jobs/fleet_config.h
@@ -73,6 +73,10 @@
 /// customers share.
 [[nodiscard]] Status ValidateFleetConfig(const FleetConfig& config);
 
+[[nodiscard]] Json ToJson(const QueueConfig& queue);
+/// \returns the object that ToJson wrote, or kInvalidField.
+[[nodiscard]] Result<QueueConfig> QueueConfigFromJson(const Json& json);
+
 [[nodiscard]] Json ToJson(const FleetConfig& config);
 /// \returns the object that ToJson wrote, or kInvalidField.
 [[nodiscard]] Result<FleetConfig> FleetConfigFromJson(const Json& json);
--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -73,6 +73,13 @@
   return found == usage_.end() ? Resources{} : found->second;
 }
 
+const QueueConfig* JobLedger::QueueOf(const Job& job) const {
+  if (const QueueConfig* queue = config_.FindQueue(job.queue))
+    return queue;
+  const auto retired = retired_queues_.find(job.queue);
+  return retired == retired_queues_.end() ? nullptr : &retired->second;
+}
+
 std::int64_t JobLedger::QueuedOf(const QueueName& queue) const {
   const auto found = queued_.find(queue);
   return found == queued_.end() ? 0 : found->second;
@@ -191,7 +198,7 @@
   ++applied_;
   changed_workers_.clear();
   if (batch.config && batch.config->version > config_.version)
-    config_ = *batch.config;
+    ApplyConfig(*batch.config);
   for (const WorkerRecord& record : batch.workers)
     ApplyWorker(record);
   for (const Submission& submission : batch.submissions)
@@ -243,6 +250,80 @@
   return incarnations;
 }
 
+// Callers know a queue by its virtual host and path prefix; a later
+// configuration may give it another name. Jobs of a queue that is gone were
+// accepted, so they still start on the pool that it had.
+void JobLedger::ApplyConfig(const FleetConfig& config) {
+  using Prefix = std::pair<std::string_view, std::string_view>;
+  const auto prefix_of = [](const QueueConfig& queue) {
+    return Prefix(queue.virtual_host, queue.path_prefix);
+  };
+  std::map<Prefix, const QueueConfig*> by_prefix;
+  std::map<QueueName, const QueueConfig*> by_name;
+  for (const QueueConfig& queue : config.queues) {
+    by_prefix[prefix_of(queue)] = &queue;
+    by_name[queue.name] = &queue;
+  }
+  std::set<Prefix> earlier;
+  for (const QueueConfig& queue : config_.queues)
+    earlier.insert(prefix_of(queue));
+
+  std::map<QueueName, QueueName> renamed;
+  std::vector<QueueConfig> gone;
+  const auto succeed = [&](const QueueConfig& queue) {
+    if (const auto found = by_prefix.find(prefix_of(queue));
+        found != by_prefix.end()) {
+      if (found->second->name != queue.name)
+        renamed[queue.name] = found->second->name;
+      return;
+    }
+    const auto named = by_name.find(queue.name);
+    // A new prefix under the old name, unless the name has passed to another
+    // queue.
+    if (named != by_name.end() && earlier.count(prefix_of(*named->second)) == 0)
+      return;
+    gone.push_back(queue);
+    if (named != by_name.end()) {
+      gone.back().name = QueueName(queue.name.str() + " of " +
+                                   queue.virtual_host + queue.path_prefix);
+      renamed[queue.name] = gone.back().name;
+    }
+  };
+  for (const QueueConfig& queue : config_.queues)
+    succeed(queue);
+  for (const auto& [name, queue] : std::exchange(retired_queues_, {}))
+    succeed(queue);
+  if (!renamed.empty())
+    RenameQueues(renamed);
+  if (!gone.empty()) {
+    std::set<QueueName> in_use;
+    for (const JobId& id : active_)
+      in_use.insert(jobs_.at(id).queue);
+    for (const QueueConfig& queue : gone) {
+      if (in_use.count(queue.name) > 0)
+        retired_queues_.emplace(queue.name, queue);
+    }
+  }
+  config_ = config;
+}
+
+void JobLedger::RenameQueues(const std::map<QueueName, QueueName>& names) {
+  const auto rename = [&names](const QueueName& name) {
+    const auto found = names.find(name);
+    return found == names.end() ? name : found->second;
+  };
+  for (auto& [id, job] : jobs_)
+    job.queue = rename(job.queue);
+  // Two queues may have swapped their names.
+  for (const auto& [name, count] : std::exchange(queued_, {}))
+    queued_[rename(name)] += count;
+  for (const auto& [name, load] : std::exchange(loads_, {})) {
+    QueueLoad& to = loads_[rename(name)];
+    to.open_tasks += load.open_tasks;
+    to.ended_tasks += load.ended_tasks;
+  }
+}
+
 void JobLedger::ApplyWorker(const WorkerRecord& record) {
   if (const auto gone = departed_.find(record.incarnation.id);
       gone != departed_.end() &&
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -161,6 +161,14 @@
   void Apply(const Batch& batch);
 
   [[nodiscard]] const FleetConfig& config() const noexcept { return config_; }
+  /// \returns the queue of an unfinished job: from the configuration, or from
+  /// the last one that had it. nullptr if no configuration had it.
+  [[nodiscard]] const QueueConfig* QueueOf(const Job& job) const;
+  /// Queues that the configuration no longer has, with unfinished jobs.
+  [[nodiscard]] const std::map<QueueName, QueueConfig>& retired_queues()
+      const noexcept {
+    return retired_queues_;
+  }
   [[nodiscard]] const std::unordered_map<JobId, Job>& jobs() const noexcept {
     return jobs_;
   }
@@ -222,6 +230,10 @@
   [[nodiscard]] static Result<JobLedger> Restore(const std::string& bytes);
 
  private:
+  void ApplyConfig(const FleetConfig& config);
+  /// \brief Moves jobs and counts to the queues' new names.
+  /// \param names new names by old ones.
+  void RenameQueues(const std::map<QueueName, QueueName>& names);
   void ApplyWorker(const WorkerRecord& record);
   void ApplySubmission(const Submission& submission, UnixMillis now);
   void ApplyCancel(const JobId& id, UnixMillis now);
@@ -262,6 +274,7 @@
   [[nodiscard]] Job* MutableJob(const JobId& id);
 
   FleetConfig config_;
+  std::map<QueueName, QueueConfig> retired_queues_;
   std::unordered_map<JobId, Job> jobs_;
   std::set<JobId> active_;
   std::map<WorkerIncarnation, Worker> workers_;
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -147,6 +147,8 @@
 std::string JobLedger::Snapshot() const {
   Json json;
   json["rules"] = ToJson(config_);
+  for (const auto& [name, queue] : retired_queues_)
+    json["retired_queues"].append(ToJson(queue));
   json["jobs"] = Json(::Json::arrayValue);
   for (const auto& [id, job] : jobs_)
     json["jobs"].append(ToJson(job));
@@ -187,6 +189,11 @@
                 "ledger snapshot is not a JSON object");
   JobLedger ledger;
   BW_TRY(ledger.config_, FleetConfigFromJson(json["rules"]));
+  for (const Json& item : json["retired_queues"]) {
+    BW_TRY(QueueConfig queue, QueueConfigFromJson(item));
+    const QueueName name = queue.name;
+    ledger.retired_queues_[name] = std::move(queue);
+  }
   for (const Json& item : json["workers"]) {
     Worker worker;
     BW_TRY(worker.record, WorkerRecordFromJson(item["note"]));
--- a/src/scheduler/advice_cache.cc
+++ b/src/scheduler/advice_cache.cc
@@ -23,12 +23,13 @@
     return !item.second.in_flight && ledger.FindTask(item.first) == nullptr;
   });
   const auto& queues = ledger.config().queues;
-  if (std::none_of(
+  if (ledger.retired_queues().empty() &&
+      std::none_of(
           queues.begin(), queues.end(),
           [](const jobs::QueueConfig& queue) { return queue.advised; }))
     return requests;
   for (const jobs::Job* job : ledger.startable()) {
-    const jobs::QueueConfig* queue = ledger.config().FindQueue(job->queue);
+    const jobs::QueueConfig* queue = ledger.QueueOf(*job);
     if (queue == nullptr || !queue->advised)
       continue;
     for (const auto& [number, occurrence] : job->occurrences) {
--- a/src/scheduler/pool_demand.cc
+++ b/src/scheduler/pool_demand.cc
@@ -226,7 +226,7 @@
   std::map<PoolName, LongRunningPlacer> placers;
   for (const jobs::JobId& id : ledger.active()) {
     const jobs::Job* job = ledger.FindJob(id);
-    const jobs::QueueConfig* queue = ledger.config().FindQueue(job->queue);
+    const jobs::QueueConfig* queue = ledger.QueueOf(*job);
     if (queue == nullptr)
       continue;
     const auto pool = pools.find(queue->pool);
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -83,7 +83,7 @@
   [[nodiscard]] std::vector<Candidate> OrderedCandidates() const {
     std::vector<Candidate> candidates;
     for (const jobs::Job* job : ledger_.startable()) {
-      const jobs::QueueConfig* queue = ledger_.config().FindQueue(job->queue);
+      const jobs::QueueConfig* queue = ledger_.QueueOf(*job);
       if (queue == nullptr)
         continue;
       for (const auto& [number, occurrence] : job->occurrences) {
