Keep checkpoints and failures of a gang for the gang

Cause of both: the ledger kept what ends report for each member, while a gang runs, saves and fails as one. A member whose run ended without a report kept an older checkpoint than the others and was started from it, so each run ended alone; and each of four failed ends of a run counted as an attempt.

An end stores its checkpoint for all members, unless a later run is in progress; a leader that finds different ones, from an earlier version, starts all members from one of them. A failed run counts once. The next run avoids a worker on which any member failed.

--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -522,17 +522,49 @@
   Task& task = step.tasks[name.index];
   const StepSpec& spec = job->spec->steps[name.step];
   task.last_run = std::max(task.last_run, end.run.number);
-  if (!end.checkpoint.empty())
-    task.checkpoint = end.checkpoint;
+  StoreCheckpoint(spec, end, &step);
   if (!job->final() && !spec.long_running && !task.done) {
     if (end.how == RunEnd::kDone)
       CompleteTask(job, name, now);
     else if (end.how == RunEnd::kFailed)
-      CountFailure(job, name, now);
+      CountFailure(job, end.run, now);
   }
   Compact(job);
 }
 
+void JobLedger::StoreCheckpoint(const StepSpec& spec,
+                                const EndRecord& end,
+                                Step* step) {
+  if (end.checkpoint.empty())
+    return;
+  if (!spec.gang) {
+    step->tasks[end.run.task.index].checkpoint = end.checkpoint;
+    return;
+  }
+  // A checkpoint of any member is valid for all of them, and all have to be
+  // started from the same one, also those whose run ended without a report. The
+  // late end of an earlier run must not change what a run in progress carries.
+  const bool later_run = std::any_of(
+      step->tasks.begin(), step->tasks.end(),
+      [&end](const Task& member) { return member.last_run > end.run.number; });
+  if (later_run)
+    return;
+  for (Task& member : step->tasks)
+    member.checkpoint = end.checkpoint;
+}
+
+// Earlier versions stored a checkpoint for each member; they may differ.
+void JobLedger::ShareCheckpoint(Step* step) {
+  const auto found = std::find_if(
+      step->tasks.begin(), step->tasks.end(),
+      [](const Task& member) { return !member.checkpoint.empty(); });
+  if (found == step->tasks.end())
+    return;
+  const std::string checkpoint = found->checkpoint;
+  for (Task& member : step->tasks)
+    member.checkpoint = checkpoint;
+}
+
 // All members of a gang end together, so one end completes all of them.
 void JobLedger::CompleteTask(Job* job, const TaskName& name, UnixMillis now) {
   Occurrence& occurrence = job->occurrences.at(name.occurrence);
@@ -574,9 +606,14 @@
     Finish(job, JobState::kCompleted, now);
 }
 
-void JobLedger::CountFailure(Job* job, const TaskName& name, UnixMillis now) {
+void JobLedger::CountFailure(Job* job, const RunName& run, UnixMillis now) {
+  const auto& [name, number] = run;
   Step& step = job->occurrences.at(name.occurrence).steps[name.step];
   const bool gang = job->spec->steps[name.step].gang;
+  if (gang && number <= step.last_failed_gang_run)
+    return;
+  if (gang)
+    step.last_failed_gang_run = number;
   const std::uint32_t failures =
       gang ? ++step.gang_failures : ++step.tasks[name.index].failures;
   if (failures >= job->max_attempts)
@@ -632,6 +669,8 @@
   const bool occupied = !task.runs.empty() && !spec.speculative;
   if (task.done || occupied || start.run.number <= task.last_run)
     return;
+  if (spec.gang && step.placed == 0)
+    ShareCheckpoint(&step);
   if (task.runs.empty())
     ++step.placed;
   task.last_run = start.run.number;
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -39,7 +39,10 @@
   std::vector<Task> tasks;
   std::int64_t done = 0;
   std::int64_t placed = 0;  ///< tasks that have a run
+  /// Failed runs of a gang. Several members may fail in one run, which counts
+  /// once; all members of a run have the same number.
   std::uint32_t gang_failures = 0;
+  std::uint32_t last_failed_gang_run = 0;
 
   [[nodiscard]] bool complete() const noexcept {
     return done == static_cast<std::int64_t>(tasks.size());
@@ -245,7 +248,12 @@
   /// \returns whether the run existed.
   bool RemoveRun(Job* job, const RunName& run, const WorkerIncarnation& worker);
   void CompleteTask(Job* job, const TaskName& name, UnixMillis now);
-  void CountFailure(Job* job, const TaskName& name, UnixMillis now);
+  void CountFailure(Job* job, const RunName& run, UnixMillis now);
+  static void StoreCheckpoint(const StepSpec& spec,
+                              const EndRecord& end,
+                              Step* step);
+  /// \brief Gives all members of a gang that is about to start one checkpoint.
+  static void ShareCheckpoint(Step* step);
   void Finish(Job* job, JobState state, UnixMillis now);
   void Compact(Job* job);
   void RemoveIncarnation(const WorkerIncarnation& incarnation);
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -50,6 +50,7 @@
       for (const Task& task : step.tasks)
         tasks.append(ToJson(task));
       item["steps"].append(std::move(tasks));
+      item["failed_gang_runs"].append(step.last_failed_gang_run);
     }
     json["occurrences"].append(std::move(item));
   }
@@ -134,6 +135,13 @@
       BW_TRY(Step step, StepFromJson(tasks));
       occurrence.steps.push_back(std::move(step));
     }
+    // Earlier versions did not write these.
+    const Json& failed_runs = item["failed_gang_runs"];
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const Json& run = failed_runs[static_cast<::Json::ArrayIndex>(s)];
+      if (run.isUInt())
+        occurrence.steps[s].last_failed_gang_run = run.asUInt();
+    }
     if (!job.spec || occurrence.steps.size() != job.spec->steps.size())
       return Fail(ErrorCode::kStorageCorrupt,
                   "wrong number of steps in job " + id);
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -233,10 +233,20 @@
              HealthState::kQuarantined;
 }
 
+// The members of a gang fail together: where one failed, the next run of the
+// others would fail as well.
+jobs::TaskName WorkerFleet::AttemptOf(const jobs::TaskName& task) const {
+  const jobs::Job* job = replica_.ledger().FindJob(task.job);
+  jobs::TaskName attempt = task;
+  if (job != nullptr && job->spec && job->spec->steps[task.step].gang)
+    attempt.index = 0;
+  return attempt;
+}
+
 bool WorkerFleet::HasFailedOn(
     const jobs::TaskName& task,
     const jobs::WorkerIncarnation& incarnation) const {
-  const auto found = failed_on_.find(task);
+  const auto found = failed_on_.find(AttemptOf(task));
   return found != failed_on_.end() && found->second.count(incarnation) > 0;
 }
 
@@ -517,7 +527,7 @@
     std::erase_if(failed_on_, [&](const auto& item) {
       return replica_.ledger().FindTask(item.first) == nullptr;
     });
-    failed_on_[end.run.task].insert(end.worker);
+    failed_on_[AttemptOf(end.run.task)].insert(end.worker);
     return;
   }
   const auto track = session.tracks().find(end.run);
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -83,6 +83,10 @@
   /// Workers by the time of their next check.
   using CheckSchedule = std::multimap<TimePoint, TrackedWorker*>;
 
+  /// \returns the key of failed_on_ for a task: the first member of its gang,
+  /// or the task itself.
+  [[nodiscard]] jobs::TaskName AttemptOf(const jobs::TaskName& task) const;
+
   /// \brief A session with the time of its next check.
   struct TrackedWorker {
     jobs::WorkerIncarnation incarnation;
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE worker_fleet
 #include <boost/test/unit_test.hpp>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -115,5 +116,45 @@
   BOOST_TEST(stops == 1);
 }
 
+// Guards against the next run of a gang on the worker on which another of its
+// members failed.
+BOOST_FIXTURE_TEST_CASE(AFailedMemberCountsForItsGang, Fixture) {
+  List({});
+  const auto member = [](std::uint32_t index) {
+    jobs::RunName run = kRun;
+    run.task.index = index;
+    return run;
+  };
+  BOOST_REQUIRE(Store([&](jobs::Batch* batch) {
+    jobs::Submission submission;
+    submission.id = kRun.task.job;
+    submission.queue = QueueName("q");
+    jobs::StepSpec step;
+    step.tasks = 2;
+    step.gang = true;
+    step.request = {100, 1, 0};
+    submission.spec.steps = {step, step};
+    submission.spec.steps[1].gang = false;
+    batch->submissions.push_back(submission);
+    batch->starts.push_back({member(0), kWorker});
+    batch->starts.push_back({member(1), kWorker});
+  }));
+  loop.Post([this] { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(!fleet->HasFailedOn(member(1).task, kWorker));
+  HoldResponse response;
+  response.call.clock_ms = 500'000;
+  response.running.push_back({member(1), "", 10});
+  response.ended.push_back({1, member(0), jobs::RunEnd::kFailed, ""});
+  BOOST_REQUIRE(hold);
+  std::exchange(hold, nullptr)(response);
+  BOOST_TEST(fleet->HasFailedOn(member(0).task, kWorker));
+  BOOST_TEST(fleet->HasFailedOn(member(1).task, kWorker));
+  // A task that is not in the gang is not affected.
+  jobs::TaskName other = kRun.task;
+  other.step = 1;
+  BOOST_TEST(!fleet->HasFailedOn(other, kWorker));
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
