Let a replica that missed its removal join again

A replica that was removed while it was out of reach asks for votes for ever; on a fleet its host is lost until an operator empties its directory.

Cause: nobody sends a replica that is no member the entry that removed it, and a refused vote says nothing about membership. Only a replica that knows of its removal asks to join.

A request for votes from a replica that a newer, committed configuration does not have now counts as a request to join. The check for old copies of a directory comes first.

AReplicaThatMissedItsRemovalJoinsAgain fails without the change.

--- a/src/raft/replica.cc
+++ b/src/raft/replica.cc
@@ -286,6 +286,7 @@
     return current;
   }
   node_->Step(message, now);
+  RejoinRemoved(message, now);
   Flush(now);
   return CheckUsable();
 }
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -211,6 +211,7 @@
 
   void HandleJoin(const Message& message, TimePoint now);
   void ForwardJoin(const Message& message);
+  void RejoinRemoved(const Message& message, TimePoint now);
   void RecordContact(const Message& message, TimePoint now);
   void RequestToJoin();
   [[nodiscard]] Status HandleForm(const Message& message, TimePoint now);
--- a/src/raft/replica_members.cc
+++ b/src/raft/replica_members.cc
@@ -70,6 +70,24 @@
   hooks_.send(HostOf(leader), forwarded);
 }
 
+// A replica that was removed while it was out of reach still takes itself for a
+// voter, and nobody sends it the entry that removed it. Its requests for votes
+// show that it runs, so they count as requests to join.
+void Replica::RejoinRemoved(const Message& message, TimePoint now) {
+  if (message.kind != MessageKind::kPreVote ||
+      configuration().IsMember(message.from) || node_->change_pending() ||
+      message.config_index >= node_->log().configuration_index()) {
+    return;
+  }
+  Message join;
+  join.kind = MessageKind::kJoin;
+  join.from = message.from;
+  join.cluster = message.cluster;
+  join.boots = message.boots;
+  join.session = message.session;
+  HandleJoin(join, now);
+}
+
 // A leader goes on sending messages to the replica that this host ran before it
 // lost its directory. So the host finds its cluster even if none of the hosts
 // in its settings is reachable.
--- a/tests/raft_replacement_test.cc
+++ b/tests/raft_replacement_test.cc
@@ -74,5 +74,37 @@
       Millis(3'000)));
 }
 
+// Guards against a replica that was removed while it was out of reach and then
+// asks for votes for ever: nobody tells it that it is no member any more.
+BOOST_FIXTURE_TEST_CASE(AReplicaThatMissedItsRemovalJoinsAgain, FourHosts) {
+  const std::size_t away = Follower();
+  Cluster::Host* host = cluster.hosts[away].get();
+  const ReplicaId id = host->replica->id();
+  cluster.Crash(*host);
+  const auto is_member = [&] {
+    Cluster::Host* leader = cluster.leader();
+    return leader && leader->replica->configuration().IsMember(id);
+  };
+  const bool removed = cluster.RunUntil(
+      [&] {
+        Cluster::Host* leader = cluster.leader();
+        if (leader && is_member())
+          (void)leader->replica->Change(MemberChange::kRemove, id, cluster.now);
+        return leader && !is_member() &&
+               !leader->replica->node().change_pending();
+      },
+      Millis(10'000));
+  BOOST_REQUIRE(removed);
+  BOOST_REQUIRE(cluster.Start(*host));
+  const bool joined = cluster.RunUntil(
+      [&] {
+        return is_member() && host->replica->commit_index() > 0 &&
+               host->replica->role() == Role::kFollower;
+      },
+      Millis(10'000));
+  BOOST_TEST(joined);
+  BOOST_TEST((host->replica->id() == id));
+}
+
 }  // namespace
 }  // namespace boragewinch::raft
