Rename and remove the queue in the random test of waiting jobs

Its jobs' queue now gets other names and is away for some time, by a generator of its own, so that the rest of each seed's run stays as it was. Bounds and checks are unchanged.

--- a/tests/start_liveness_random_test.cc
+++ b/tests/start_liveness_random_test.cc
@@ -3,6 +3,7 @@
 
 #include <iostream>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -51,18 +52,20 @@
   int starts = 0;
   int failures = 0;
   int losses = 0;
+  int configurations = 0;
 };
 
 /// A pool of workers that fail, leave and return for some time and are then
-/// sound or gone, with jobs of all kinds.
+/// sound or gone, with jobs of all kinds, whose queue is renamed and removed.
 class RandomRun {
  public:
   RandomRun(std::uint64_t seed, Totals* totals)
-      : random_(seed), totals_(*totals) {
+      : random_(seed), config_random_(~seed), totals_(*totals) {
     jobs::Batch batch;
     batch.config = builder_.ledger().config();
     ++batch.config->version;
     batch.config->queues[0].max_attempts = kMaxAttempts;
+    first_queue_ = batch.config->queues[0];
     builder_.Apply(batch);
     const std::uint64_t labelled = 1 + Pick(3);
     const std::uint64_t count = labelled + Pick(5);
@@ -76,6 +79,7 @@
       builder_.At(now_);
       if (now_ < kTroubleEnds)
         CauseTrouble();
+      ChangeQueue();
       EndTrouble();
       EndRuns();
       if (Pick(20) == 0)
@@ -112,6 +116,31 @@
     builder_.Apply(batch);
   }
 
+  /// \brief Gives the queue of all jobs another name, or removes it for a time.
+  void ChangeQueue() {
+    const std::uint64_t choice = config_random_() % 100;
+    if (choice < 2)
+      Configure(true);
+    else if (choice == 2)
+      Configure(false);
+  }
+
+  void Configure(bool has_queue) {
+    jobs::Batch batch;
+    batch.config = builder_.ledger().config();
+    ++batch.config->version;
+    batch.config->queues.clear();
+    queue_.reset();
+    if (has_queue) {
+      jobs::QueueConfig queue = first_queue_;
+      queue_ = QueueName("q" + std::to_string(batch.config->version));
+      queue.name = *queue_;
+      batch.config->queues.push_back(queue);
+    }
+    builder_.Apply(batch);
+    ++totals_.configurations;
+  }
+
   void CauseTrouble() {
     if (Pick(30) != 0)
       return;
@@ -220,7 +249,14 @@
         break;
     }
     ++totals_.jobs;
-    builder_.Submit(id, {step});
+    if (!queue_)
+      Configure(true);
+    jobs::Batch batch;
+    jobs::JobSpec spec;
+    spec.steps = {step};
+    batch.submissions.push_back(
+        {jobs::JobId(id), *queue_, CustomerName("c"), spec});
+    builder_.Apply(batch);
     // Most jobs never fail by a fault of their own; some fail a few times.
     own_failures_[id] = Pick(3) == 0 ? 1 + static_cast<int>(Pick(2)) : 0;
   }
@@ -342,7 +378,11 @@
   }
 
   std::mt19937_64 random_;
+  /// Of its own, so that changes of the queue leave the rest of a run as it is.
+  std::mt19937_64 config_random_;
   Totals& totals_;
+  jobs::QueueConfig first_queue_;
+  std::optional<QueueName> queue_ = QueueName("q");  ///< nothing if removed
   LedgerBuilder builder_;
   TaskPlanner planner_{TaskPlannerOptions{}};
   std::map<std::string, SimulatedWorker> workers_;
@@ -372,7 +412,8 @@
   std::cout << "seeds " << first << " to " << first + runs - 1 << ": " << failed
             << " failed; " << totals.jobs << " jobs, " << totals.starts
             << " starts, " << totals.failures << " failed runs, "
-            << totals.losses << " lost workers\n";
+            << totals.losses << " lost workers, " << totals.configurations
+            << " changes of the queue\n";
 }
 
 }  // namespace
