Keep the times of foreign objects in the test of build folders

With the objects' times kept, as in a copied folder, the linker refuses them there ("is incompatible with aarch64 output"); with scripts/prepare-build.sh it passes.

--- a/tests/build_folder_process_test.cc
+++ b/tests/build_folder_process_test.cc
@@ -207,15 +207,17 @@
   const CommandResult machine = checkout.Shell("uname -m");
   const std::string other =
       Contains(machine.output, "x86_64") ? "aarch64" : "x86_64";
-  // Replaces each object by one for the other kind of machine.
+  // Replaces each object by one for the other kind of machine, of the same
+  // time: ninja builds an object again that is newer than its record.
   const CommandResult replaced = checkout.Shell(
       "echo 'int unused;' >other.c && "
       "clang --target=" +
       other +
       "-linux-gnu -c other.c -o other.o && "
-      "for object in $(find target -name '*.o'); do cp other.o $object; done "
-      "&& "
-      "rm -f other.c other.o target/*.a && "
+      "for object in $(find target -name '*.o'); do "
+      "touch -r $object time && cp other.o $object && touch -r time $object; "
+      "done && "
+      "rm -f other.c other.o time target/*.a && "
       "touch target/build-origin && sed -i 's/^machine .*/machine " +
       other + "/; s/^compiler [^ ]*/compiler " + other +
       "-linux-gnu/' target/build-origin");
