--- a/review/stand_ins_2/cases.cc
+++ b/review/stand_ins_2/cases.cc
@@ -372,100 +372,12 @@
   return kBroken;
 }
 
-// Another writer sends check-ins that name no worker: a label list of
-// 3 MB of numbers, three times to each core machine. FAULT: on half of the
-// core, processes end by themselves three times with no disruption there
-// (memory over the limit counts).
-int ForeignCheckIn(Lab& lab) {
-  constexpr double kMemoryMb = 256;
-  constexpr int kEndsThatCount = 3;
-  constexpr std::size_t kNumbers = 1'500'000;
-  if (!lab.Begin(1, List({Lab::Route("jobs", "main")}),
-                 List({Lab::Service("main")})) ||
-      !AddWorkers(lab, 3)) {
-    return kCouldNotRun;
-  }
-  std::string body =
-      R"({"service":"main","address":"127.0.0.1:1","zone":"zone-a",)"
-      R"("state":"ready","sequence":1,"capacity":{"cpu":1},"labels":[0)";
-  for (std::size_t i = 1; i < kNumbers; ++i)
-    body += ",0";
-  body += "]}";
-  std::vector<int> ends(lab.schedulers.size(), 0);
-  std::vector<double> most(lab.schedulers.size(), 0);
-  std::vector<WatchHandle> restarts;
-  // The platform's limit on the memory of a process.
-  const WatchHandle limit = lab.loop.Every(Millis(10), [&](TimePoint) {
-    for (std::size_t i = 0; i < lab.schedulers.size(); ++i) {
-      const double memory = lab.schedulers[i]->MemoryMb();
-      most[i] = std::max(most[i], memory);
-      if (memory <= kMemoryMb)
-        continue;
-      ++ends[i];
-      lab.Note("core-" + std::to_string(i + 1) + " uses " +
-               std::to_string(static_cast<int>(memory)) + " MB of " +
-               std::to_string(static_cast<int>(kMemoryMb)) +
-               " MB: the platform kills it");
-      lab.schedulers[i]->Kill();
-      restarts.push_back(lab.loop.After(Millis(500), [&lab, i](TimePoint) {
-        lab.Note("core-" + std::to_string(i + 1) + " starts again");
-        (void)lab.schedulers[i]->Restart(lab.scheduler_words[i]);
-      }));
-    }
-  });
-  int next = 1;
-  int accepted = 0;
-  const WatchHandle traffic = lab.loop.Every(Millis(250), [&](TimePoint) {
-    lab.SendToGateway(0, "POST", "/jobs/" + Id(next++),
-                      Job(880, {Step(4, 880, 500)}), Millis(3'000),
-                      Millis(3'000),
-                      [&accepted](const Result<HttpResponse>& result) {
-                        if (result && result.value().status == 200)
-                          ++accepted;
-                      });
-  });
-  for (int round = 0; round < kEndsThatCount; ++round) {
-    for (std::size_t i = 0; i < lab.controls.size(); ++i) {
-      if (lab.trouble) {
-        HttpCall call;
-        call.method = "PUT";
-        call.url = "http://" + lab.controls[i] + "/-/instances/sampler";
-        call.body = body;
-        call.timeout = Millis(3'000);
-        lab.Note("another writer checks in at core-" + std::to_string(i + 1) +
-                 " with " + std::to_string(body.size()) + " bytes");
-        lab.Send(std::move(call), [&lab](const Result<HttpResponse>& result) {
-          lab.Note("it is answered: " +
-                   (result ? std::to_string(result.value().status)
-                           : std::string("no answer")));
-        });
-      }
-      lab.RunFor(Millis(6'000));
-    }
-  }
-  int machines = 0;
-  for (std::size_t i = 0; i < ends.size(); ++i) {
-    lab.Note("core-" + std::to_string(i + 1) + " ended " +
-             std::to_string(ends[i]) + " times; it used up to " +
-             std::to_string(static_cast<int>(most[i])) + " MB");
-    machines += ends[i] >= kEndsThatCount ? 1 : 0;
-  }
-  lab.Note("jobs handed in " + std::to_string(next - 1) + ", accepted " +
-           std::to_string(accepted));
-  const bool broken = 2 * machines >= static_cast<int>(ends.size());
-  if (broken)
-    lab.Note("FAULT: on " + std::to_string(machines) + " of " +
-             std::to_string(ends.size()) +
-             " core machines the process ended three times");
-  return broken ? kBroken : kHeld;
-}
-
 // New versions replace a route by one of another name at the same host and
 // prefix, while jobs come on it. LOST: for 3 s an accepted job has nothing
 // running while there is capacity.
 int ReplacedRoute(Lab& lab) {
-  constexpr int kVersions = 20;
-  constexpr Millis kPause{2'000};
+  constexpr int kVersions = 40;
+  constexpr Millis kPause{1'200};
   const Json services = List({Lab::Service("main")});
   const auto routes = [](int version) {
     Json route = Lab::Route("jobs", "main");
@@ -516,4 +428,134 @@
   return lost > 0 ? kBroken : kHeld;
 }
 
+// A large configuration is changed hundreds of times while little else happens.
+// FAULT: on half of the core, processes end by themselves three times with no
+// disruption there (memory over the limit counts). CONFIG: read back at the
+// end, the configuration doesn't come.
+int ConfigGrowth(Lab& lab) {
+  // rila-wash-grown: memory of a core machine, idle routes and big_config.
+  constexpr double kMemoryMb = 384;
+  constexpr int kRoutes = 240 + 1'440;
+  constexpr int kEndsThatCount = 3;
+  constexpr Millis kChanges{92'000};
+  // Two operators, each with a change every 0.24 s.
+  const Millis gap(lab.trouble ? 120 : 10'000);
+  const Json services = List({Lab::Service("main")});
+  if (!lab.Begin(1, List({Lab::Route("jobs", "main")}), services) ||
+      !AddWorkers(lab, 3)) {
+    return kCouldNotRun;
+  }
+  std::vector<int> ends(lab.schedulers.size(), 0);
+  std::vector<double> most(lab.schedulers.size(), 0);
+  std::vector<WatchHandle> restarts;
+  const WatchHandle limit = lab.loop.Every(Millis(10), [&](TimePoint) {
+    for (std::size_t i = 0; i < lab.schedulers.size(); ++i) {
+      const double memory = lab.schedulers[i]->MemoryMb();
+      most[i] = std::max(most[i], memory);
+      if (memory <= kMemoryMb)
+        continue;
+      ++ends[i];
+      lab.Note("core-" + std::to_string(i + 1) + " uses " +
+               std::to_string(static_cast<int>(memory)) + " MB of " +
+               std::to_string(static_cast<int>(kMemoryMb)) +
+               " MB: the platform kills it");
+      lab.schedulers[i]->Kill();
+      restarts.push_back(lab.loop.After(Millis(500), [&lab, i](TimePoint) {
+        (void)lab.schedulers[i]->Restart(lab.scheduler_words[i]);
+      }));
+    }
+  });
+  std::vector<Json> routes{Lab::Route("jobs", "main")};
+  for (int i = 1; i < kRoutes; ++i)
+    routes.push_back(Lab::Route("idle" + std::to_string(i), "main"));
+  Json config;
+  config["version"] = 0;
+  config["routes"] = List(std::move(routes));
+  config["services"] = services;
+  Json tenant;
+  tenant["name"] = "t1";
+  tenant["apiKeys"].append(kKey);
+  tenant["weight"] = 10;
+  config["tenants"].append(tenant);
+
+  // Each change is sent until it is acknowledged, to one node after the other.
+  int version = 1;
+  std::size_t bytes = 0;
+  std::size_t node = 0;
+  int acknowledged = 1;
+  TimePoint next_at = lab.loop.now();
+  TimePoint acknowledged_at = next_at;
+  bool open = false;
+  HttpCall call;
+  (void)lab.RunUntil(kChanges, [&] {
+    const TimePoint now = lab.loop.now();
+    if (open || now < next_at)
+      return false;
+    if (acknowledged == version) {
+      ++version;
+      config["version"] = version;
+      config["routes"][1]["timeoutMs"] = 1'000 + version;
+      call.method = "PUT";
+      call.body = boragewinch::WriteJson(config);
+      call.timeout = Millis(2'000);
+      bytes = call.body.size();
+    }
+    call.url =
+        "http://" + lab.controls[node++ % lab.controls.size()] + "/-/config";
+    open = true;
+    lab.Send(call, [&, now](const Result<HttpResponse>& result) {
+      open = false;
+      const TimePoint at = lab.loop.now();
+      if (result && result.value().status == 200) {
+        acknowledged = version;
+        acknowledged_at = at;
+        next_at = std::max(at, now + gap);
+        if (version % 50 == 0)
+          lab.Note("configuration " + std::to_string(version) + " of " +
+                   std::to_string(bytes) + " bytes is acknowledged");
+      } else {
+        next_at = at + Millis(200);
+      }
+    });
+    return false;
+  });
+  lab.Note("configurations acknowledged: " + std::to_string(acknowledged) +
+           ", the last one " +
+           std::to_string((lab.loop.now() - acknowledged_at).count()) +
+           " ms ago");
+  bool read = false;
+  open = false;
+  (void)lab.RunUntil(Millis(5'000), [&] {
+    if (!open && !read) {
+      open = true;
+      HttpCall get;
+      get.url =
+          "http://" + lab.controls[node++ % lab.controls.size()] + "/-/config";
+      get.timeout = Millis(1'000);
+      lab.Send(std::move(get), [&](const Result<HttpResponse>& result) {
+        open = false;
+        read = result && result.value().status == 200;
+      });
+    }
+    return read && !open;
+  });
+  // The last call refers to this function's variables.
+  (void)lab.RunUntil(Millis(1'500), [&] { return !open; });
+  lab.Note(read ? "the configuration is read back"
+                : "CONFIG: read back, the configuration doesn't come");
+  int machines = 0;
+  for (std::size_t i = 0; i < ends.size(); ++i) {
+    lab.Note("core-" + std::to_string(i + 1) + " ended " +
+             std::to_string(ends[i]) + " times; it used up to " +
+             std::to_string(static_cast<int>(most[i])) + " MB");
+    machines += ends[i] >= kEndsThatCount ? 1 : 0;
+  }
+  const bool broken = 2 * machines >= static_cast<int>(ends.size());
+  if (broken)
+    lab.Note("FAULT: on " + std::to_string(machines) + " of " +
+             std::to_string(ends.size()) +
+             " core machines the process ended three times or more");
+  return broken ? kBroken : kHeld;
+}
+
 }  // namespace review
--- a/review/stand_ins_2/lab.h
+++ b/review/stand_ins_2/lab.h
@@ -253,7 +253,7 @@
 [[nodiscard]] int LateLeave(Lab& lab);
 [[nodiscard]] int CancelledUnseen(Lab& lab);
 [[nodiscard]] int AdviceBeyond(Lab& lab);
-[[nodiscard]] int ForeignCheckIn(Lab& lab);
+[[nodiscard]] int ConfigGrowth(Lab& lab);
 [[nodiscard]] int ReplacedRoute(Lab& lab);
 
 }  // namespace review
--- a/review/stand_ins_2/main.cc
+++ b/review/stand_ins_2/main.cc
@@ -28,8 +28,8 @@
     code = review::CancelledUnseen(lab);
   else if (name == "advice-beyond")
     code = review::AdviceBeyond(lab);
-  else if (name == "foreign-check-in")
-    code = review::ForeignCheckIn(lab);
+  else if (name == "config-growth")
+    code = review::ConfigGrowth(lab);
   else if (name == "replaced-route")
     code = review::ReplacedRoute(lab);
   lab.Note("exit code " + std::to_string(code));
