--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,10 +1,16 @@
 #!/usr/bin/env bash
-# Plays the case "config-growth" and writes record.txt beside this file. Needs the build of
-# deploy/system.toml and review/build-2.sh. TROUBLE=0: without the disruption.
-# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# Plays the case "config-growth" and writes record.txt beside this file. Needs the
+# build of deploy/system.toml and review/build-2.sh. TROUBLE=0: without the
+# disruption. Exits with 1 if the rule was broken, 0 if it held, 2 if it could
+# not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/review-2 ] || exit 2
-REVIEW_BIN=target/bin timeout 118 target/review-2/review-2 config-growth "review/8/record.txt"
+TMPDIR=$(mktemp -d) || exit 2
+export TMPDIR
+trap 'rm -rf "$TMPDIR"' EXIT
+# The programs end with the runner that started them.
+REVIEW_BIN=target/bin timeout 118 target/review-2/review-2 config-growth \
+  "review/8/record.txt"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
--- a/review/stand_ins_2/cases.cc
+++ b/review/stand_ins_2/cases.cc
@@ -292,14 +292,9 @@
       steps.back()["dependsOn"].append(s - 1);
   }
   bool answered = false;
-  lab.Note("caller: POST /jobs/" + id + " at gateway 1, waits up to 3 s");
   lab.SendToGateway(0, "POST", "/jobs/" + id, Job(1'000, steps), Millis(3'000),
-                    Millis(1'000), [&](const Result<HttpResponse>& result) {
-                      answered = true;
-                      lab.Note("caller: POST -> " +
-                               (result ? std::to_string(result.value().status)
-                                       : std::string("leaves after 1 s")));
-                    });
+                    Millis(1'000),
+                    [&](const Result<HttpResponse>&) { answered = true; });
   (void)lab.RunUntil(Millis(1'500), [&] { return answered; });
   const int cancelled = lab.CallGateway(1, "DELETE", "/jobs/" + id, "");
   if (cancelled != 200 && cancelled != 410)
@@ -506,6 +501,10 @@
     lab.Send(call, [&, now](const Result<HttpResponse>& result) {
       open = false;
       const TimePoint at = lab.loop.now();
+      lab.Note("answer to PUT /-/config, version " + std::to_string(version) +
+               ": " +
+               (result ? std::to_string(result.value().status)
+                       : std::string("none in time")));
       if (result && result.value().status == 200) {
         acknowledged = version;
         acknowledged_at = at;
--- a/review/stand_ins_2/lab.cc
+++ b/review/stand_ins_2/lab.cc
@@ -613,7 +613,17 @@
   call.headers["Request-Deadline"] = std::to_string(limit.count());
   call.body = body;
   call.timeout = timeout;
-  Send(std::move(call), std::move(done));
+  const std::string what =
+      method + " " + path + " at gateway " + std::to_string(gateway + 1);
+  Note("caller sends " + what);
+  Send(std::move(call), [this, what, done = std::move(done)](
+                            const Result<HttpResponse>& result) {
+    Note("answer to " + what + ": " +
+         (result ? std::to_string(result.value().status) + " " +
+                       result.value().body.substr(0, 80)
+                 : std::string("none in time")));
+    done(result);
+  });
 }
 
 int Lab::CallGateway(int gateway,
@@ -634,10 +644,6 @@
   (void)RunUntil(Millis(4'000), [&] { return state->first; });
   if (response != nullptr)
     *response = *text;
-  Note("caller: " + method + " " + path + " at gateway " +
-       std::to_string(gateway + 1) + " -> " +
-       (state->second == 0 ? "no answer" : std::to_string(state->second)) +
-       " " + text->substr(0, 80));
   return state->second;
 }
 
