--- a/review/stand_ins_2/cases.cc
+++ b/review/stand_ins_2/cases.cc
@@ -549,12 +549,12 @@
              std::to_string(static_cast<int>(most[i])) + " MB");
     machines += ends[i] >= kEndsThatCount ? 1 : 0;
   }
-  const bool broken = 2 * machines >= static_cast<int>(ends.size());
-  if (broken)
+  const bool fault = 2 * machines >= static_cast<int>(ends.size());
+  if (fault)
     lab.Note("FAULT: on " + std::to_string(machines) + " of " +
              std::to_string(ends.size()) +
              " core machines the process ended three times or more");
-  return broken ? kBroken : kHeld;
+  return !read || fault ? kBroken : kHeld;
 }
 
 }  // namespace review
