--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -9,8 +9,12 @@
 export TMPDIR
 trap 'rm -rf "$TMPDIR"' EXIT
 # The programs end with the runner that started them.
+runner=
+trap '[ -n "$runner" ] && kill "$runner" && wait "$runner"; exit 2' TERM INT HUP
 REVIEW_BIN=target/bin timeout 118 target/review-2/review-2 late-leave \
-  "review/7/record.txt"
+  "review/7/record.txt" &
+runner=$!
+wait "$runner"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
