--- a/src/raft/node.h
+++ b/src/raft/node.h
@@ -70,7 +70,7 @@
   Node(ReplicaId self,
        const NodeOptions& options,
        RandomSource random,
-       const NodeState& state,
+       NodeState state,
        TimePoint now);
 
   /// \brief Handles a message that is addressed to this replica.
--- a/src/raft/raft_log.cc
+++ b/src/raft/raft_log.cc
@@ -1,18 +1,20 @@
 #include "raft/raft_log.h"
 
+#include <algorithm>
+
 #include "base/json.h"
 
 namespace boragewinch::raft {
 
 RaftLog::RaftLog(const Snapshot& snapshot,
                  std::uint64_t first,
-                 const std::vector<Entry>& entries) {
+                 std::vector<Entry> entries) {
   Reset(snapshot);
   // Entries covered by the snapshot are skipped: the hash chain can only be
   // continued from the snapshot on.
   for (std::size_t i = 0; i < entries.size(); ++i) {
     if (first + i > snapshot.index)
-      Append(entries[i]);
+      Append(std::move(entries[i]));
   }
 }
 
@@ -37,7 +39,21 @@
         configurations_.emplace_back(last_index() + 1, members.value());
     }
   }
-  items_.push_back({std::move(entry), chain});
+  const std::uint64_t bytes = BytesUpTo(last_index()) + entry.data.size();
+  items_.push_back({std::move(entry), chain, bytes});
+}
+
+std::uint64_t RaftLog::FirstWithin(std::uint64_t bytes,
+                                   std::uint64_t last) const {
+  const std::uint64_t end = BytesUpTo(last);
+  if (end - base_bytes_ <= bytes)
+    return base_;
+  const auto first =
+      std::lower_bound(items_.begin(), items_.end(), end - bytes,
+                       [](const Item& item, std::uint64_t least) {
+                         return item.bytes_up_to < least;
+                       });
+  return base_ + 1 + static_cast<std::uint64_t>(first - items_.begin());
 }
 
 void RaftLog::TruncateSuffix(std::uint64_t from) {
@@ -51,6 +67,7 @@
     return;
   base_term_ = At(index).term;
   base_chain_ = *ChainAt(index);
+  base_bytes_ = BytesUpTo(index);
   items_.erase(items_.begin(),
                items_.begin() + static_cast<std::ptrdiff_t>(index - base_));
   base_ = index;
@@ -63,6 +80,7 @@
   base_ = snapshot.index;
   base_term_ = snapshot.term;
   base_chain_ = snapshot.chain;
+  base_bytes_ = 0;
   configurations_.assign(1, {snapshot.index, snapshot.configuration});
 }
 
--- a/src/raft/raft_log.h
+++ b/src/raft/raft_log.h
@@ -22,7 +22,7 @@
   /// \param first index of entries[0], at most snapshot index + 1.
   RaftLog(const Snapshot& snapshot,
           std::uint64_t first,
-          const std::vector<Entry>& entries);
+          std::vector<Entry> entries);
 
   [[nodiscard]] std::uint64_t base_index() const noexcept { return base_; }
   [[nodiscard]] std::uint64_t last_index() const noexcept {
@@ -40,6 +40,16 @@
   [[nodiscard]] const Entry& At(std::uint64_t index) const {
     return items_.at(index - base_ - 1).entry;
   }
+  /// \returns the data bytes of the entries after `after` up to `last`, both in
+  /// memory or at the base.
+  [[nodiscard]] std::uint64_t BytesBetween(std::uint64_t after,
+                                           std::uint64_t last) const {
+    return BytesUpTo(last) - BytesUpTo(after);
+  }
+  /// \returns the lowest index after which the entries up to `last` have at
+  /// most `bytes` data bytes; at least base_index().
+  [[nodiscard]] std::uint64_t FirstWithin(std::uint64_t bytes,
+                                          std::uint64_t last) const;
 
   void Append(Entry entry);
   /// \brief Removes the entries from `from` on; `from` is above the base.
@@ -65,11 +75,18 @@
   struct Item {
     Entry entry;
     std::uint64_t chain = 0;
+    std::uint64_t bytes_up_to = 0;  ///< data bytes since Reset, inclusive
   };
 
+  [[nodiscard]] std::uint64_t BytesUpTo(std::uint64_t index) const {
+    return index == base_ ? base_bytes_
+                          : items_.at(index - base_ - 1).bytes_up_to;
+  }
+
   std::uint64_t base_ = 0;
   std::uint64_t base_term_ = 0;
   std::uint64_t base_chain_ = 0;
+  std::uint64_t base_bytes_ = 0;
   std::deque<Item> items_;
   std::vector<std::pair<std::uint64_t, Configuration>> configurations_;
 };
--- a/src/raft/replica.cc
+++ b/src/raft/replica.cc
@@ -80,13 +80,15 @@
   Snapshot snapshot;
   if (stored) {
     BW_TRY(snapshot, DecodeSnapshot(*stored));
+    snapshot_size_ = stored->size();
     BW_CHECK(hooks_.restore(snapshot.state));
   }
   applied_ = snapshot_index_ = snapshot.index;
   applied_chain_ = snapshot.chain;
-  BW_TRY(const NodeState state,
+  BW_TRY(NodeState state,
          ReadLog(std::make_shared<const Snapshot>(std::move(snapshot))));
-  node_ = std::make_unique<Node>(id_, options_.node, random_, state, now);
+  node_ = std::make_unique<Node>(id_, options_.node, random_, std::move(state),
+                                 now);
   return Ok();
 }
 
@@ -117,8 +119,9 @@
   state.term = hard_.term;
   state.vote = ReplicaId(hard_.vote);
   state.first_index = recovery.first_index;
-  for (const std::string& record : recovery.records) {
-    BW_TRY(Entry entry, DecodeEntry(record));
+  // Each record is freed once it is decoded, so that the log is in memory once.
+  for (std::string& record : recovery.records) {
+    BW_TRY(Entry entry, DecodeEntry(std::exchange(record, {})));
     state.entries.push_back(std::move(entry));
   }
   // A crash between installing a snapshot and removing the log leaves entries
@@ -424,7 +427,9 @@
     return Fail(ErrorCode::kConflict,
                 "received snapshot is older than the applied state");
   }
-  BW_CHECK(snapshot_file_.Write(EncodeSnapshot(snapshot)));
+  const std::string bytes = EncodeSnapshot(snapshot);
+  BW_CHECK(snapshot_file_.Write(bytes));
+  snapshot_size_ = bytes.size();
   BW_CHECK(hooks_.restore(snapshot.state));
   applied_ = snapshot_index_ = snapshot.index;
   applied_chain_ = snapshot.chain;
@@ -470,13 +475,20 @@
 
 bool Replica::SnapshotDue() const {
   constexpr std::uint64_t kSpreadDivisor = 4;
+  const std::uint64_t hash = Hash64(id_.str());
+  const auto due = [hash](std::uint64_t size, std::uint64_t interval) {
+    return size >= interval + hash % (interval / kSpreadDivisor + 1);
+  };
   const std::uint64_t entries = applied_ - snapshot_index_;
-  const std::uint64_t spread =
-      Hash64(id_.str()) % (options_.snapshot_entries / kSpreadDivisor + 1);
-  if (entries < options_.snapshot_entries + spread)
+  const std::uint64_t bytes =
+      node_->log().BytesBetween(snapshot_index_, applied_);
+  // A large state is not written again for a log that is small beside it.
+  const std::uint64_t bytes_between =
+      std::max(options_.snapshot_bytes, snapshot_size_);
+  if (!due(entries, options_.snapshot_entries) && !due(bytes, bytes_between))
     return false;
-  return entries >= 2 * options_.snapshot_entries || !hooks_.is_busy ||
-         !hooks_.is_busy();
+  return entries >= 2 * options_.snapshot_entries ||
+         bytes >= 2 * bytes_between || !hooks_.is_busy || !hooks_.is_busy();
 }
 
 Status Replica::MaybeSnapshot() {
@@ -493,8 +505,10 @@
   }
   BW_CHECK(snapshot_file_.Write(bytes));
   snapshot_index_ = applied_;
+  snapshot_size_ = bytes.size();
   const std::uint64_t drop_to =
-      applied_ - std::min(applied_, options_.retain_entries);
+      std::max(applied_ - std::min(applied_, options_.retain_entries),
+               log.FirstWithin(options_.retain_bytes, applied_));
   node_->Compact(std::move(snapshot), drop_to);
   BW_CHECK(log_.DropPrefix(drop_to + 1));
   LogEvent(EventId::kSnapshotWritten, {{"replica", id_.str()},
--- a/src/raft/replica.h
+++ b/src/raft/replica.h
@@ -34,13 +34,18 @@
   /// twice this number, which bounds the entries that a restart reads and
   /// applies again.
   std::uint64_t snapshot_entries = 8192;
+  /// A snapshot is also taken after applied entries of this many bytes, or of
+  /// as many as the last snapshot has, with the same spread and delay. Together
+  /// with `retain_bytes` it bounds the memory and disk space of the log.
+  std::uint64_t snapshot_bytes = 16UL * 1024 * 1024;
   /// Maximum number of committed entries applied in one batch. A restarted
   /// replica applies its log in batches, between which it handles messages and
   /// sends heartbeats.
   std::uint64_t max_apply_batch = 128;
   /// Entries before the snapshot index that are kept for followers that lag a
-  /// little.
+  /// little, and their bytes.
   std::uint64_t retain_entries = 1024;
+  std::uint64_t retain_bytes = 8UL * 1024 * 1024;
   /// How often a replica without a cluster asks to join one. The leader checks
   /// for a due membership change with each heartbeat, and reports the tolerable
   /// losses at most once in this time.
@@ -242,6 +247,7 @@
   std::uint64_t applied_ = 0;
   std::uint64_t applied_chain_ = 0;
   std::uint64_t snapshot_index_ = 0;
+  std::uint64_t snapshot_size_ = 0;  ///< bytes of the last snapshot
   bool flushing_ = false;
 
   Role reported_role_ = Role::kFollower;
--- a/src/raft/replica_members.cc
+++ b/src/raft/replica_members.cc
@@ -196,7 +196,8 @@
   state.term = kFormTerm;
   state.snapshot = std::make_shared<const Snapshot>();
   state.entries = {members};
-  node_ = std::make_unique<Node>(id_, options_.node, random_, state, now);
+  node_ = std::make_unique<Node>(id_, options_.node, random_, std::move(state),
+                                 now);
   return Ok();
 }
 
--- a/tests/raft_cluster.h
+++ b/tests/raft_cluster.h
@@ -44,6 +44,8 @@
   };
 
   ReplicaOptions options;
+  /// Whether a command replaces the state, as a configuration does.
+  bool commands_replace_state = false;
   TimePoint now{Millis(1'000'000)};
   std::vector<std::unique_ptr<Host>> hosts;
   /// Returns the delays of the copies of a message; none if it is lost.
@@ -75,6 +77,8 @@
     };
     hooks.apply = [this, &host](std::uint64_t index,
                                 const std::string& command) {
+      if (commands_replace_state)
+        host.commands.clear();
       host.commands.push_back(command);
       RecordApplied(index, command, host);
     };
