--- a/src/jobs/ledger_batch.h
+++ b/src/jobs/ledger_batch.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEWINCH_JOBS_LEDGER_BATCH_H_
 #define BORAGEWINCH_JOBS_LEDGER_BATCH_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -27,6 +28,12 @@
   bool draining = false;
   bool departed = false;  ///< this incarnation has ended
 
+  /// \returns whether the worker has the label; each one has the empty label.
+  [[nodiscard]] bool HasLabel(const std::string& label) const {
+    return label.empty() ||
+           std::find(labels.begin(), labels.end(), label) != labels.end();
+  }
+
   friend bool operator==(const WorkerRecord&, const WorkerRecord&) = default;
 };
 
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -80,7 +80,8 @@
   advice_ = std::make_unique<AdviceCache>(AdviceOptions{});
   fleet_ = std::make_unique<WorkerFleet>(
       *loop_, *replica_, call_router_->AsWorkerCalls(),
-      [this](const jobs::TaskName& task, const jobs::WorkerId& worker) {
+      [this](const jobs::TaskName& task,
+             const jobs::WorkerIncarnation& worker) {
         return advice_->TicketFor(task, worker, loop_->now()).value_or("");
       },
       options_.worker_sessions, metrics_);
@@ -228,7 +229,7 @@
   };
   hooks.is_advised = [&](const jobs::TaskName& task,
                          const jobs::WorkerIncarnation& incarnation) {
-    return advice_->TicketFor(task, incarnation.id, now).has_value();
+    return advice_->TicketFor(task, incarnation, now).has_value();
   };
   hooks.has_failed_on = [&](const jobs::TaskName& task,
                             const jobs::WorkerIncarnation& incarnation) {
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -224,7 +224,7 @@
     const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
     const Resources required = jobs::JobLedger::CapacityOf(spec);
     const bool has_alternative =
-        HasAlternativeWorker(spec, task, pool_workers, per_worker);
+        HasAlternativeWorker(candidate, task, pool_workers, per_worker);
     WorkerState* best = nullptr;
     for (WorkerState& state : pool_workers->states) {
       // A worker that accepted no starts before this plan is not reserved; one
@@ -236,6 +236,7 @@
       if (!is_better || !accepts_starts || state.reserved ||
           !MayPlaceOn(spec, state, per_worker) ||
           !required.FitsInto(CapacityBesideLongRunningTasks(&state)) ||
+          !IsAdvised(candidate, task, state.worker->record.incarnation) ||
           (has_alternative &&
            hooks_.has_failed_on(task, state.worker->record.incarnation))) {
         continue;
@@ -281,7 +282,7 @@
       const jobs::StepSpec& spec,
       const WorkerState& state,
       const std::map<jobs::WorkerIncarnation, std::int64_t>& per_worker) {
-    if (!HasLabel(state.worker->record, spec.required_label))
+    if (!state.worker->record.HasLabel(spec.required_label))
       return false;
     if (spec.max_per_worker == 0)
       return true;
@@ -289,22 +290,31 @@
     return count == per_worker.end() || count->second < spec.max_per_worker;
   }
 
+  /// \returns whether the advice service allows the task on the worker, if its
+  /// queue needs that.
+  [[nodiscard]] bool IsAdvised(const Candidate& candidate,
+                               const jobs::TaskName& task,
+                               const jobs::WorkerIncarnation& worker) const {
+    return !candidate.queue->advised || hooks_.is_advised(task, worker);
+  }
+
   /// \returns whether the pool has a worker on which the task has not failed
   /// and may start soon. Short tasks make room for it; long-running tasks and
   /// other members of its gang do not.
   /// \param per_worker for a gang, the members that this plan starts.
   [[nodiscard]] bool HasAlternativeWorker(
-      const jobs::StepSpec& spec,
+      const Candidate& candidate,
       const jobs::TaskName& task,
       PoolWorkers* pool_workers,
       const std::map<jobs::WorkerIncarnation, std::int64_t>& per_worker) const {
+    const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
     const Resources required = jobs::JobLedger::CapacityOf(spec);
     const bool limit_lasts = spec.long_running || spec.gang;
     return std::any_of(
         pool_workers->states.begin(), pool_workers->states.end(),
         [&](WorkerState& state) {
           const jobs::WorkerRecord& record = state.worker->record;
-          if (state.reserved || !HasLabel(record, spec.required_label) ||
+          if (state.reserved || !record.HasLabel(spec.required_label) ||
               (limit_lasts && !MayPlaceOn(spec, state, per_worker))) {
             return false;
           }
@@ -315,6 +325,7 @@
               capacity -= required;
           }
           return required.FitsInto(capacity) &&
+                 IsAdvised(candidate, task, record.incarnation) &&
                  !hooks_.has_failed_on(task, record.incarnation) &&
                  hooks_.accepts_soon(record.incarnation);
         });
@@ -445,8 +456,7 @@
           (best_quarantined == nullptr || rank > best_quarantined_rank);
       if (!accepts_starts && !may_be_last_resort)
         continue;
-      if (candidate.queue->advised &&
-          !hooks_.is_advised(task, record.incarnation))
+      if (!IsAdvised(candidate, task, record.incarnation))
         continue;
       if (!accepts_starts) {
         if (hooks_.is_quarantined(record.incarnation)) {
@@ -474,7 +484,7 @@
                         best_quarantined, avoided);
     }
     if (spec.long_running ||
-        !HasAlternativeWorker(spec, task, pool_workers, per_worker) ||
+        !HasAlternativeWorker(candidate, task, pool_workers, per_worker) ||
         !MayWait(candidate, task)) {
       return best_avoided;
     }
@@ -492,8 +502,7 @@
       WorkerState* quarantined,
       bool* avoided) const {
     if (quarantined == nullptr ||
-        HasAlternativeWorker(candidate.job->spec->steps[task.step], task,
-                             pool_workers, per_worker)) {
+        HasAlternativeWorker(candidate, task, pool_workers, per_worker)) {
       return nullptr;
     }
     if (MayWait(candidate, task)) {
@@ -519,13 +528,6 @@
     return avoidances_.MayWait(first, last_run, now_);
   }
 
-  [[nodiscard]] static bool HasLabel(const jobs::WorkerRecord& record,
-                                     const std::string& label) {
-    return label.empty() ||
-           std::find(record.labels.begin(), record.labels.end(), label) !=
-               record.labels.end();
-  }
-
   void Allocate(const jobs::Job& job,
                 const jobs::StepSpec& spec,
                 WorkerState* state) {
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -306,7 +306,7 @@
   call.run = run;
   call.payload = job->spec->payload;
   call.checkpoint = task->checkpoint;
-  call.ticket = ticket_of_(run.task, incarnation.id);
+  call.ticket = ticket_of_(run.task, incarnation);
   call.token = replica_.term();
   call.lease_until_ms = *lease;
   call.timeout = options_.order_timeout;
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -23,8 +23,8 @@
 class WorkerFleet {
  public:
   /// \returns the ticket for a start, empty if none is needed.
-  using TicketOf =
-      std::function<std::string(const jobs::TaskName&, const jobs::WorkerId&)>;
+  using TicketOf = std::function<std::string(const jobs::TaskName&,
+                                             const jobs::WorkerIncarnation&)>;
 
   WorkerFleet(EventLoop& loop,
               LedgerReplica& replica,
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -45,7 +45,7 @@
     };
     fleet.emplace(
         loop, *replica, calls,
-        [](const jobs::TaskName&, const jobs::WorkerId&) {
+        [](const jobs::TaskName&, const jobs::WorkerIncarnation&) {
           return std::string();
         },
         WorkerSessionOptions{}, metrics);
