--- a/src/jobs/fleet_config.cc
+++ b/src/jobs/fleet_config.cc
@@ -44,6 +44,17 @@
   return nullptr;
 }
 
+const QueueConfig* FleetConfig::FindQueueOfPrefix(
+    std::string_view virtual_host,
+    std::string_view path_prefix) const {
+  const auto found =
+      std::find_if(queues.begin(), queues.end(), [&](const QueueConfig& queue) {
+        return queue.virtual_host == virtual_host &&
+               queue.path_prefix == path_prefix;
+      });
+  return found == queues.end() ? nullptr : &*found;
+}
+
 const CustomerConfig* FleetConfig::FindCustomer(const std::string& key) const {
   for (const auto& [name, customer] : customers) {
     if (customer.keys.count(key) > 0)
--- a/src/jobs/fleet_config.h
+++ b/src/jobs/fleet_config.h
@@ -63,6 +63,10 @@
   [[nodiscard]] const QueueConfig* FindQueue(std::string_view virtual_host,
                                              std::string_view path) const;
   [[nodiscard]] const QueueConfig* FindQueue(const QueueName& name) const;
+  /// \returns the queue with exactly this prefix, or nullptr.
+  [[nodiscard]] const QueueConfig* FindQueueOfPrefix(
+      std::string_view virtual_host,
+      std::string_view path_prefix) const;
   /// \returns the customer that owns `key`, or nullptr.
   [[nodiscard]] const CustomerConfig* FindCustomer(
       const std::string& key) const;
--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -411,17 +411,26 @@
   RemoveIncarnation(incarnation);
 }
 
+// A configuration may have been stored since the submission was accepted. If it
+// removed the queue, the job is not stored: nothing would ever start it.
 void JobLedger::ApplySubmission(const Submission& submission, UnixMillis now) {
+  const bool by_name = submission.path_prefix.empty();
+  const QueueConfig* queue =
+      by_name ? config_.FindQueue(submission.queue)
+              : config_.FindQueueOfPrefix(submission.virtual_host,
+                                          submission.path_prefix);
+  if (queue == nullptr && !by_name)
+    return;
   const auto [it, added] = jobs_.try_emplace(submission.id);
   if (!added)
     return;
   Job& job = it->second;
   job.id = submission.id;
-  job.queue = submission.queue;
+  job.queue = queue != nullptr ? queue->name : submission.queue;
   job.customer = submission.customer;
   job.spec = std::make_shared<const JobSpec>(submission.spec);
   job.accepted = now;
-  if (const QueueConfig* queue = config_.FindQueue(submission.queue))
+  if (queue != nullptr)
     job.max_attempts = queue->max_attempts;
   active_.insert(job.id);
   ++queued_[job.queue];
--- a/src/jobs/ledger_batch.cc
+++ b/src/jobs/ledger_batch.cc
@@ -104,6 +104,8 @@
   json["queue"] = submission.queue.str();
   json["customer"] = submission.customer.str();
   json["job"] = ToJson(submission.spec);
+  json["host"] = submission.virtual_host;
+  json["prefix"] = submission.path_prefix;
   return json;
 }
 
@@ -116,6 +118,8 @@
   BW_TRY(const std::string customer, StoredText(json, "customer"));
   submission.customer = CustomerName(customer);
   BW_TRY(submission.spec, JobSpecFromJson(json["job"]));
+  BW_TRY(submission.virtual_host, StoredTextOrEmpty(json, "host"));
+  BW_TRY(submission.path_prefix, StoredTextOrEmpty(json, "prefix"));
   return submission;
 }
 
--- a/src/jobs/ledger_batch.h
+++ b/src/jobs/ledger_batch.h
@@ -40,9 +40,14 @@
 /// \brief A job that a caller submitted.
 struct Submission {
   JobId id;
-  QueueName queue;
+  QueueName queue;        ///< its name when the submission was accepted
   CustomerName customer;  ///< empty on a queue that is open to all
   JobSpec spec;
+  /// Identity of the queue, whose name a configuration that is stored before
+  /// the submission may change. An empty prefix: unknown, as in the entries of
+  /// earlier versions.
+  std::string virtual_host;
+  std::string path_prefix;
 };
 
 /// \brief The end of a run, reported by the worker or inferred by the leader.
--- a/src/scheduler/job_api.cc
+++ b/src/scheduler/job_api.cc
@@ -150,16 +150,22 @@
     return;
   }
   jobs::Batch change;
-  change.submissions.push_back({jobs::JobId(target.job_id), target.queue->name,
-                                target.customer, spec.value()});
+  change.submissions.push_back(
+      {jobs::JobId(target.job_id), target.queue->name, target.customer,
+       spec.value(), target.queue->virtual_host, target.queue->path_prefix});
   // Without the queue pointer: the configuration may change before the batch is
   // stored.
   const RequestTarget logged_target{target.status, nullptr, target.customer,
                                     target.job_id};
   replica_.Submit(change, [this, logged_target, response,
                            done](const Status& stored) mutable {
-    if (!stored)
+    if (!stored) {
       response.status = StatusOf(stored.error().code);
+    } else if (replica_.ledger().FindJob(jobs::JobId(logged_target.job_id)) ==
+               nullptr) {
+      // A configuration that was stored first has removed the queue.
+      response.status = JobApiStatus::kNoQueue;
+    }
     SendResponse(Call::kSubmit, logged_target, response, done);
   });
 }
--- a/tests/job_api_test.cc
+++ b/tests/job_api_test.cc
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "scheduler/job_api.h"
 #include "single_replica.h"
@@ -159,5 +160,74 @@
   BOOST_TEST((state_of("b") == JobApiStatus::kNoJob));
 }
 
+// A job that is accepted while a configuration is being stored.
+struct ConfigurationUnderWay : Fixture {
+  /// Submits a job while `config` is being stored: `within_batch` in the same
+  /// log entry, after it otherwise.
+  /// \returns the response.
+  [[nodiscard]] JobApiStatus SubmitBeside(jobs::FleetConfig config,
+                                          bool within_batch) {
+    std::optional<JobApiStatus> status;
+    config.version = replica->ledger().config().version + 1;
+    if (!within_batch)
+      on_sync = [&] { Submit(&status); };
+    jobs::Batch change;
+    change.config = std::move(config);
+    replica->Submit(change, [](const Status& stored) { BOOST_TEST(!!stored); });
+    if (within_batch)
+      Submit(&status);
+    RunFor(Millis(100));
+    BOOST_REQUIRE(status.has_value());
+    return *status;
+  }
+  [[nodiscard]] const jobs::Job* job() const {
+    return replica->ledger().FindJob(jobs::JobId(kJob));
+  }
+};
+
+// Guards against an accepted job that never starts, as a configuration gives
+// its queue another name while the job is being stored (review/6).
+BOOST_AUTO_TEST_CASE(AJobIsStoredUnderTheNewNameOfItsQueue) {
+  for (const bool within_batch : {false, true}) {
+    ConfigurationUnderWay fixture;
+    jobs::FleetConfig config = TwoQueues();
+    config.queues[0].name = QueueName("c");
+    config.queues[0].max_attempts = 3;
+    BOOST_TEST(
+        (fixture.SubmitBeside(config, within_batch) == JobApiStatus::kDone));
+    const jobs::Job* job = fixture.job();
+    BOOST_REQUIRE(job != nullptr);
+    BOOST_TEST((job->queue == QueueName("c")));
+    BOOST_TEST(job->max_attempts == 3);
+    const jobs::JobLedger& ledger = fixture.replica->ledger();
+    BOOST_TEST(ledger.QueueOf(*job) != nullptr);
+    BOOST_TEST(ledger.QueuedOf(QueueName("c")) == 1);
+  }
+}
+
+// Guards against an accepted job that never starts, as a configuration removes
+// its queue while the job is being stored.
+BOOST_AUTO_TEST_CASE(AJobWhoseQueueIsBeingRemovedIsRejected) {
+  for (const bool within_batch : {false, true}) {
+    ConfigurationUnderWay fixture;
+    jobs::FleetConfig config = TwoQueues();
+    config.queues.erase(config.queues.begin());
+    BOOST_TEST(
+        (fixture.SubmitBeside(config, within_batch) == JobApiStatus::kNoQueue));
+    BOOST_TEST(fixture.job() == nullptr);
+  }
+}
+
+// Guards against a job that passes to another queue, which takes over the name
+// of its own while the job is being stored.
+BOOST_FIXTURE_TEST_CASE(AJobStaysOnItsPrefixWhileNamesAreExchanged,
+                        ConfigurationUnderWay) {
+  jobs::FleetConfig config = TwoQueues();
+  std::swap(config.queues[0].name, config.queues[1].name);
+  BOOST_TEST((SubmitBeside(config, true) == JobApiStatus::kDone));
+  BOOST_REQUIRE(job() != nullptr);
+  BOOST_TEST(replica->ledger().QueueOf(*job())->path_prefix == "/a/");
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
