--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -110,6 +110,9 @@
      "A scheduler host makes calls to workers again, or is about to stop."},
     {EventId::kWorkerUnlisted, kWarn, "worker_unlisted",
      "A worker reported a pool that no configuration has; it is not used."},
+    {EventId::kWorkerLeaveUnclear, kInfo, "worker_leave_unclear",
+     "A worker is said to have left, which may be a late message from before "
+     "its restart; its runs are not given up."},
     {EventId::kDrainGranted, kInfo, "drain_granted",
      "A host may be drained within its pool's availability budget."},
     {EventId::kDrainDone, kInfo, "drain_done",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -62,6 +62,7 @@
   kCallAgentLeft = 5005,
   kCallAgentChanged = 5006,
   kWorkerUnlisted = 5007,
+  kWorkerLeaveUnclear = 5008,
   kDrainGranted = 6001,
   kDrainDone = 6002,
   kDrainRefused = 6003,
--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -46,6 +46,11 @@
   return incarnation.id == id ? &worker : nullptr;
 }
 
+bool JobLedger::HasPredecessor(const WorkerIncarnation& incarnation) const {
+  const auto found = departed_.find(incarnation.id);
+  return found != departed_.end() && found->second < incarnation.start_time;
+}
+
 const Task* JobLedger::FindTask(const TaskName& name) const {
   const Job* job = FindJob(name.job);
   if (job == nullptr)
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -207,6 +207,8 @@
       const WorkerIncarnation& incarnation) const;
   /// \returns the latest incarnation of a worker id that has not departed.
   [[nodiscard]] const Worker* FindCurrent(const WorkerId& id) const;
+  /// \returns whether an earlier incarnation of the same worker id was known.
+  [[nodiscard]] bool HasPredecessor(const WorkerIncarnation& incarnation) const;
   /// \returns the task, or nullptr if its job or occurrence is not open.
   [[nodiscard]] const Task* FindTask(const TaskName& name) const;
   /// \returns whether `run` may be running on `worker`.
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -71,6 +71,9 @@
   [[nodiscard]] AdminApi& admin() noexcept { return *admin_api_; }
   [[nodiscard]] WorkerRegistry& workers() noexcept { return *registry_; }
   [[nodiscard]] TimePoint now() const noexcept { return loop_->now(); }
+  [[nodiscard]] jobs::UnixMillis wall_time() const {
+    return loop_->unix_millis();
+  }
 
  private:
   void ServeControl(const RelayedRequest& request,
--- a/src/scheduler/worker_registry.cc
+++ b/src/scheduler/worker_registry.cc
@@ -16,6 +16,9 @@
 /// Workers report every second or two, so an older report may be of a worker
 /// that is gone.
 constexpr Millis kMaxUnlistedAge{10'000};
+/// Time after which no copy of a message arrives: TCP sends the data of a
+/// connection that its sender has closed for some 60 s at most.
+constexpr Millis kMaxMessageDelay{60'000};
 
 }  // namespace
 
@@ -122,6 +125,7 @@
 }
 
 void WorkerRegistry::OnLeave(const jobs::WorkerId& id,
+                             jobs::UnixMillis wall_time,
                              TimePoint now,
                              const Done& done) {
   if (!replica_.HasLeaderLease(now)) {
@@ -135,9 +139,20 @@
     done(Ok());
     return;
   }
+  const jobs::WorkerIncarnation& incarnation = worker->record.incarnation;
+  const bool may_be_late =
+      replica_.ledger().HasPredecessor(incarnation) &&
+      wall_time - incarnation.start_time < kMaxMessageDelay.count();
+  if (!worker->record.draining || may_be_late) {
+    LogEvent(EventId::kWorkerLeaveUnclear,
+             {{"worker", incarnation.Text()},
+              {"draining", worker->record.draining ? "yes" : "no"},
+              {"restarted", may_be_late ? "yes" : "no"}});
+    done(Ok());
+    return;
+  }
   jobs::WorkerRecord record = worker->record;
-  record.departed = record.draining;
-  record.draining = true;
+  record.departed = true;
   Store(record, done);
 }
 
--- a/src/scheduler/worker_registry.h
+++ b/src/scheduler/worker_registry.h
@@ -37,10 +37,15 @@
   /// the leader determines from its own calls whether the worker responds.
   [[nodiscard]] bool IsKnown(const jobs::WorkerRecord& record,
                              TimePoint now) const;
-  /// \brief Records that a worker leaves. Its runs are over only if it had
-  /// reported draining before: a late message may come from an earlier
-  /// incarnation.
-  void OnLeave(const jobs::WorkerId& id, TimePoint now, const Done& done);
+  /// \brief Handles the message that a worker has left. It names no
+  /// incarnation, and copies of it may arrive late, after the worker has
+  /// started again under its id. It counts only for an incarnation that has
+  /// reported draining, and not soon after a restart: the runs of any other one
+  /// end when the worker lists their ends or their leases expire.
+  void OnLeave(const jobs::WorkerId& id,
+               jobs::UnixMillis wall_time,
+               TimePoint now,
+               const Done& done);
   /// \brief Stores the recent reports on pools that the configuration has now.
   void OnConfiguration(TimePoint now);
 
--- a/tests/worker_registry_test.cc
+++ b/tests/worker_registry_test.cc
@@ -12,6 +12,9 @@
 namespace boragewinch::scheduler {
 namespace {
 
+/// Wall-clock time at which the first workers start.
+constexpr jobs::UnixMillis kStart = 1'000'000;
+
 struct Fixture : SingleReplica {
   Fixture() {
     hooks.on_applied = [this](const jobs::Batch& batch, TimePoint now) {
@@ -132,11 +135,99 @@
 // afterwards.
 BOOST_FIXTURE_TEST_CASE(AWorkerThatHasLeftIsNotStoredLater, Fixture) {
   BOOST_REQUIRE(Report(worker));
-  registry->OnLeave(worker.incarnation.id, loop.now(), [](const Status&) {});
+  registry->OnLeave(worker.incarnation.id, kStart, loop.now(),
+                    [](const Status&) {});
   Configure(1, "pool");
   BOOST_REQUIRE(Store([](jobs::Batch*) {}));
   BOOST_TEST(Find(worker) == nullptr);
 }
 
+/// A worker with one run that may leave or start again.
+struct LeavingWorker : Fixture {
+  LeavingWorker() {
+    Configure(1, "pool");
+    record = Worker("w", "pool", kStart);
+    BOOST_REQUIRE(Report(record));
+    BOOST_REQUIRE(Store([&](jobs::Batch* batch) {
+      jobs::Submission submission{
+          jobs::JobId("job"), QueueName("queue"), {}, {}};
+      submission.spec.steps.resize(1);
+      submission.spec.steps[0].tasks = 1;
+      batch->submissions.push_back(submission);
+    }));
+    StartRun();
+  }
+  void StartRun() {
+    ++run.number;
+    BOOST_REQUIRE(Store([&](jobs::Batch* batch) {
+      batch->starts.push_back({run, record.incarnation});
+    }));
+    BOOST_REQUIRE(HasRun());
+  }
+  void Drain() {
+    record.draining = true;
+    BOOST_REQUIRE(Report(record, ++sequence));
+  }
+  void Restart(jobs::UnixMillis start_time) {
+    record.incarnation.start_time = start_time;
+    record.draining = false;
+    BOOST_REQUIRE(Report(record, ++sequence));
+  }
+  void Leave(jobs::UnixMillis wall_time) {
+    std::optional<Status> left;
+    registry->OnLeave(record.incarnation.id, wall_time, loop.now(),
+                      [&](const Status& status) {
+                        left = status;
+                        loop.Stop();
+                      });
+    if (!left)
+      loop.Run();
+    BOOST_TEST(left->has_value());
+  }
+  [[nodiscard]] bool HasRun() const {
+    return replica->ledger().HasRun(run, record.incarnation);
+  }
+
+  jobs::WorkerRecord record;
+  jobs::RunName run{{jobs::JobId("job"), 0, 0, 0}, 0};
+  std::int64_t sequence = 1;
+};
+
+// Guards against runs that are given up late after a worker has left as
+// announced.
+BOOST_FIXTURE_TEST_CASE(ADrainedWorkerLeavesAtOnce, LeavingWorker) {
+  Drain();
+  Leave(kStart + 5'000);
+  BOOST_TEST(Find(record) == nullptr);
+}
+
+// Guards against a second run of a task whose worker has started again: late
+// copies of the message with which its earlier incarnation left made the new
+// one draining, then dropped its runs (review/7).
+BOOST_FIXTURE_TEST_CASE(ALateLeaveDoesNotEndTheNextIncarnation, LeavingWorker) {
+  Drain();
+  Leave(kStart + 3'000);
+  Restart(kStart + 4'000);
+  StartRun();
+  for (int copy = 0; copy < 3; ++copy)
+    Leave(kStart + 6'000 + copy);
+  BOOST_TEST(HasRun());
+  BOOST_TEST(!Find(record)->record.draining);
+}
+
+// The same while the new incarnation is draining itself.
+BOOST_FIXTURE_TEST_CASE(ALateLeaveDoesNotEndADrainingIncarnation,
+                        LeavingWorker) {
+  Restart(kStart + 4'000);
+  BOOST_TEST(HasRun());
+  Drain();
+  Leave(kStart + 6'000);
+  Leave(kStart + 63'999);
+  BOOST_TEST(HasRun());
+  // No message of the earlier incarnation can be under way any more.
+  Leave(kStart + 64'000);
+  BOOST_TEST(Find(record) == nullptr);
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
