--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -205,7 +205,7 @@
   if (batch.config && batch.config->version > config_.version)
     ApplyConfig(*batch.config);
   for (const WorkerRecord& record : batch.workers)
-    ApplyWorker(record);
+    ApplyWorker(record, batch.now);
   for (const Submission& submission : batch.submissions)
     ApplySubmission(submission, batch.now);
   for (const JobId& id : batch.cancels)
@@ -329,7 +329,7 @@
   }
 }
 
-void JobLedger::ApplyWorker(const WorkerRecord& record) {
+void JobLedger::ApplyWorker(const WorkerRecord& record, UnixMillis now) {
   if (const auto gone = departed_.find(record.incarnation.id);
       gone != departed_.end() &&
       record.incarnation.start_time <= gone->second) {
@@ -359,6 +359,8 @@
     else
       RemoveIncarnation(incarnation);
   }
+  if (added && HasPredecessor(record.incarnation))
+    worker.succeeded = now;
   // A worker cannot revoke a drain within one incarnation.
   const bool draining = worker.record.draining || record.draining;
   if (!added)
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -93,6 +93,10 @@
   /// Those of `runs` that were ordered from an earlier incarnation. A start
   /// request names only the worker id, so this incarnation may execute it.
   std::set<RunName> inherited;
+  /// When it joined after an earlier incarnation of its id; 0 if none was
+  /// known. Orders for that one name the same id, so this one may carry them
+  /// out.
+  UnixMillis succeeded = 0;
   std::int64_t long_running_runs = 0;  ///< runs of long-running tasks
   /// Runs of finished jobs and tasks, which are to be stopped.
   std::int64_t obsolete_runs = 0;
@@ -239,7 +243,7 @@
   /// \brief Moves jobs and counts to the queues' new names.
   /// \param names new names by old ones.
   void RenameQueues(const std::map<QueueName, QueueName>& names);
-  void ApplyWorker(const WorkerRecord& record);
+  void ApplyWorker(const WorkerRecord& record, UnixMillis now);
   void ApplySubmission(const Submission& submission, UnixMillis now);
   void ApplyCancel(const JobId& id, UnixMillis now);
   void ApplyOpening(const OpeningRecord& opening, UnixMillis now);
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -164,6 +164,8 @@
     Json item;
     item["note"] = ToJson(worker.record);
     item["ends"] = ::Json::Int64(worker.last_end_sequence);
+    if (worker.succeeded > 0)
+      item["succeeded"] = ::Json::Int64(worker.succeeded);
     json["workers"].append(std::move(item));
   }
   for (const auto& [id, start_time] : departed_) {
@@ -206,6 +208,9 @@
     Worker worker;
     BW_TRY(worker.record, WorkerRecordFromJson(item["note"]));
     BW_TRY(worker.last_end_sequence, IntField(item, "ends", 0, kMaxNumber));
+    if (item.isMember("succeeded")) {
+      BW_TRY(worker.succeeded, IntField(item, "succeeded", 0, kMaxNumber));
+    }
     ledger.RestoreWorker(std::move(worker));
   }
   for (const Json& row : json["departed"]) {
--- a/src/scheduler/host_orders.cc
+++ b/src/scheduler/host_orders.cc
@@ -1,26 +1,9 @@
 #include "scheduler/host_orders.h"
 
-#include <algorithm>
+#include "scheduler/replicated_time.h"
 
 namespace boragewinch::scheduler {
 
-namespace {
-
-/// Assumed bound on the difference between the clocks of two hosts; a clock
-/// step is some seconds.
-constexpr Millis kMaxClockSkew{10'000};
-
-/// \returns the latest time at which something decided at `decided` on the
-/// clock of another host can have happened.
-[[nodiscard]] TimePoint LatestPossibleTime(jobs::UnixMillis decided,
-                                           jobs::UnixMillis wall_time,
-                                           TimePoint now) {
-  const Millis age(wall_time - decided);
-  return now - std::max(Millis(0), age - kMaxClockSkew);
-}
-
-}  // namespace
-
 void HostOrders::OnApplied(const jobs::Batch& batch,
                            jobs::UnixMillis wall_time,
                            TimePoint now) {
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -93,13 +93,15 @@
     return;
   }
   if (tracked == workers_.end()) {
+    WorkerSession session(
+        options_, leading_since_,
+        SuccessionTime(*worker, added, loop_.unix_millis(), now));
     tracked =
         workers_
-            .try_emplace(incarnation,
-                         TrackedWorker{incarnation,
-                                       WorkerSession(options_, leading_since_),
-                                       HealthName(incarnation),
-                                       {}})
+            .try_emplace(incarnation, TrackedWorker{incarnation,
+                                                    std::move(session),
+                                                    HealthName(incarnation),
+                                                    {}})
             .first;
     tracked->second.check = checks_.emplace(now, &tracked->second);
   }
--- a/src/scheduler/worker_session.cc
+++ b/src/scheduler/worker_session.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "scheduler/replicated_time.h"
+
 namespace boragewinch::scheduler {
 
 namespace {
@@ -32,10 +34,32 @@
 
 }  // namespace
 
-WorkerSession::WorkerSession(WorkerSessionOptions options, TimePoint now)
+std::optional<TimePoint> SuccessionTime(const jobs::Worker& worker,
+                                        RunPhase added,
+                                        jobs::UnixMillis wall_time,
+                                        TimePoint now) {
+  if (worker.succeeded == 0)
+    return std::nullopt;
+  return added == RunPhase::kInherited
+             ? LatestPossibleTime(worker.succeeded, wall_time, now)
+             : now;
+}
+
+WorkerSession::WorkerSession(WorkerSessionOptions options,
+                             TimePoint leading_since,
+                             std::optional<TimePoint> succeeded)
     : options_(options),
-      earlier_leader_leases_until_(now + WithDrift(options.lease)),
-      hold_due_(now) {}
+      earlier_leader_leases_until_(leading_since + WithDrift(options.lease)),
+      takeover_leases_until_(leading_since),
+      hold_due_(leading_since) {
+  if (succeeded)
+    ExpectTakeover(*succeeded + options_.max_order_delay);
+}
+
+void WorkerSession::ExpectTakeover(TimePoint until) {
+  takeover_leases_until_ =
+      std::max(takeover_leases_until_, until + WithDrift(options_.max_lease));
+}
 
 RunTrack* WorkerSession::Find(const jobs::RunName& run) {
   const auto found = tracks_.find(run);
@@ -56,8 +80,7 @@
     track->second.since = now;
     if (worker.inherited.count(run) == 0)
       continue;
-    takeover_leases_until_ =
-        std::max(takeover_leases_until_, now + WithDrift(options_.max_lease));
+    ExpectTakeover(now);
     if (added == RunPhase::kInherited)
       continue;
     // Its start may still be in flight with this leader's token, which the
@@ -97,8 +120,7 @@
 void WorkerSession::OnOtherIncarnation(TimePoint now) {
   if (std::exchange(other_incarnation_, true))
     return;
-  takeover_leases_until_ =
-      std::max(takeover_leases_until_, now + WithDrift(options_.max_lease));
+  ExpectTakeover(now);
   clock_ms_.reset();
   call_failed_ = true;
 }
@@ -109,11 +131,12 @@
 
 // The worker's clock showed at least clock_ms_ at clock_at_.
 TimePoint WorkerSession::LeaseExpiry() const {
+  const TimePoint of_others =
+      std::max(earlier_leader_leases_until_, takeover_leases_until_);
   if (!clock_ms_)
-    return other_incarnation_ ? takeover_leases_until_
-                              : earlier_leader_leases_until_;
+    return of_others;
   const Millis left(std::max<std::int64_t>(0, granted_until_ms_ - *clock_ms_));
-  return std::max(earlier_leader_leases_until_, clock_at_ + WithDrift(left));
+  return std::max(of_others, clock_at_ + WithDrift(left));
 }
 
 void WorkerSession::OnStartSent(const jobs::RunName& run, TimePoint now) {
@@ -302,8 +325,6 @@
   if (worker.runs.empty() || now < LeaseExpiry())
     return ends;
   for (const jobs::RunName& run : worker.runs) {
-    if (worker.inherited.count(run) > 0 && now < takeover_leases_until_)
-      continue;
     const RunTrack* track = Find(run);
     ends.push_back({run, worker.record.incarnation, jobs::RunEnd::kLost,
                     track != nullptr ? track->checkpoint : "", 0});
--- a/src/scheduler/worker_session.h
+++ b/src/scheduler/worker_session.h
@@ -22,6 +22,9 @@
   /// Longest lease that workers accept, whatever an order says: the lease in an
   /// order for an earlier incarnation is a time on another clock.
   Millis max_lease{10'000};
+  /// Longest time for which an order is under way. Calls end after
+  /// hold_wait + hold_timeout.
+  Millis max_order_delay{2'000};
   /// No tasks are started on a worker that has not responded for this long. A
   /// hold call gets its response within hold_wait.
   Millis unresponsive_after{1'700};
@@ -78,19 +81,36 @@
   std::string checkpoint;  ///< newest one that the worker listed
 };
 
+/// \returns the latest possible time at which the worker joined after an
+/// earlier incarnation of its id; nothing if none was known. \param added
+/// kInherited when this leader takes leadership, kPlanned when the worker has
+/// just joined. \param wall_time present time on this host's wall clock.
+[[nodiscard]] std::optional<TimePoint> SuccessionTime(
+    const jobs::Worker& worker,
+    RunPhase added,
+    jobs::UnixMillis wall_time,
+    TimePoint now);
+
 /// \brief The leader's state for one incarnation of a worker: liveness, lease
 /// and runs. It does no I/O and reads no clock.
 ///
 /// A run is known to be over only when the worker lists its end, when a list
 /// lacks it although no start of it can still arrive, or when every lease that
-/// may have been granted has expired. A run that this leader may have ordered
+/// may have been granted has expired. A worker that has started again under its
+/// id also accepts the leases in orders for its earlier incarnation; they are
+/// times on another clock, so they may last for options.max_lease, and they
+/// apply to all of its runs. A run that this leader may have ordered
 /// from an earlier incarnation of the worker is stopped first, as its start may
 /// still be in flight.
 class WorkerSession {
  public:
-  /// \param now time at which this leader took leadership: leases that earlier
-  /// leaders granted expire within options.lease after it.
-  WorkerSession(WorkerSessionOptions options, TimePoint now);
+  /// \param leading_since time at which this leader took leadership: leases
+  /// that earlier leaders granted expire within options.lease after it. \param
+  /// succeeded latest possible time at which this incarnation joined after an
+  /// earlier one with the same id; nothing if none was known.
+  WorkerSession(WorkerSessionOptions options,
+                TimePoint leading_since,
+                std::optional<TimePoint> succeeded = std::nullopt);
 
   /// \brief Adds the runs that the ledger has for the worker and drops all
   /// others.
@@ -173,6 +193,9 @@
 
  private:
   [[nodiscard]] TimePoint LeaseExpiry() const;
+  /// \brief Records that a newer incarnation may accept leases in orders for an
+  /// older one that arrive until `until`.
+  void ExpectTakeover(TimePoint until);
   [[nodiscard]] RunTrack* Find(const jobs::RunName& run);
 
   WorkerSessionOptions options_;
--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -400,5 +400,31 @@
   BOOST_TEST(restored.active().size() == 2U);
 }
 
+// Guards against a leader that does not know that a worker has restarted under
+// its id, after a snapshot too, or that takes another worker at its address for
+// the same one.
+BOOST_AUTO_TEST_CASE(ARestartUnderTheSameIdIsRecorded) {
+  LedgerBuilder builder;
+  builder.AddWorker("w").AddWorker("other");
+  const auto join = [&builder](const std::string& id, UnixMillis start_time,
+                               UnixMillis at) {
+    Batch batch;
+    batch.workers.push_back(
+        builder.ledger().FindCurrent(WorkerId("w"))->record);
+    batch.workers[0].incarnation = LedgerBuilder::IncarnationOf(id, start_time);
+    builder.At(at).Apply(batch);
+  };
+  BOOST_TEST(builder.ledger().FindCurrent(WorkerId("w"))->succeeded == 0);
+  join("w", 2, 5'000);
+  join("w", 2, 6'000);  // a later report of the same incarnation
+  BOOST_TEST(builder.ledger().FindCurrent(WorkerId("w"))->succeeded == 5'000);
+  const auto restored = JobLedger::Restore(builder.ledger().Snapshot());
+  BOOST_REQUIRE(restored);
+  BOOST_TEST(restored.value().FindCurrent(WorkerId("w"))->succeeded == 5'000);
+  join("x", 3, 7'000);
+  BOOST_TEST(builder.ledger().FindCurrent(WorkerId("x"))->succeeded == 0);
+  BOOST_TEST(builder.ledger().FindCurrent(WorkerId("w")) == nullptr);
+}
+
 }  // namespace
 }  // namespace boragewinch::jobs
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -336,6 +336,85 @@
   }
 }
 
+/// A worker that has restarted under its id and accepted a run since.
+struct RestartedWorker : NewerIncarnation {
+  /// Lets the worker respond and accept a lease, then only be silent.
+  /// \returns the time at which its runs count as over.
+  [[nodiscard]] static std::int64_t ExpiryOf(WorkerSession session,
+                                             const jobs::Worker& worker) {
+    session.Sync(worker, RunPhase::kPlanned, At(0));
+    session.OnHoldSent(At(0));
+    HoldResponse response;
+    response.call.clock_ms = 100;
+    std::vector<jobs::RunName> unexpected_runs;
+    (void)session.OnHoldResponse(worker, response, At(0), &unexpected_runs);
+    session.OnGrant(*session.LeaseUntil());
+    session.OnStartSent(kNewRun, At(0));
+    (void)session.OnStartResponse(kNewRun, Verdict(CallVerdict::kDone), At(0));
+    std::int64_t expiry = 0;
+    while (session.ExpireLease(worker, At(expiry)).empty())
+      expiry += 10;
+    return expiry;
+  }
+
+  /// The restarted worker with only a run of its own.
+  [[nodiscard]] const jobs::Worker& restarted() {
+    builder.End(kRun, "w", RunEnd::kLost);
+    jobs::Batch batch;
+    batch.ends.push_back({kRun, incarnation, RunEnd::kLost, "", 0});
+    batch.starts.push_back({kNewRun, incarnation});
+    builder.Apply(batch);
+    BOOST_REQUIRE(newer_worker().runs.size() == 1U);
+    BOOST_REQUIRE(newer_worker().inherited.empty());
+    return newer_worker();
+  }
+
+  static inline const jobs::RunName kNewRun =
+      LedgerBuilder::Run("job", 0, 0, 2);
+  const WorkerSessionOptions options;
+};
+
+// Guards against two runs of one task: a worker that has restarted under its id
+// and is cut off goes on with what it runs for the maximum lease, as an order
+// for its earlier incarnation has reached it.
+BOOST_FIXTURE_TEST_CASE(RunsOfARestartedWorkerEndAfterTheMaximumLease,
+                        RestartedWorker) {
+  const std::int64_t expiry =
+      ExpiryOf({options, At(-60'000), At(0)}, restarted());
+  BOOST_TEST(expiry >= (options.max_order_delay + options.max_lease).count());
+  BOOST_TEST(expiry <=
+             (options.max_order_delay + options.max_lease * 5 / 4).count());
+}
+
+// Guards against work of lost workers that waits for the maximum lease although
+// no order for an earlier incarnation can reach them.
+BOOST_FIXTURE_TEST_CASE(OtherRunsEndWithTheLeaseThatWasGranted,
+                        RestartedWorker) {
+  const std::int64_t lease = options.lease.count();
+  const jobs::Worker& worker = restarted();
+  BOOST_TEST(ExpiryOf({options, At(-60'000)}, worker) <= lease * 5 / 4);
+  BOOST_TEST(ExpiryOf({options, At(-60'000), At(-20'000)}, worker) <=
+             lease * 5 / 4);
+}
+
+// Guards against a new leader that does not know of the restart, or that relies
+// on equal clocks.
+BOOST_FIXTURE_TEST_CASE(TheTimeOfARestartIsKnownToTheNextLeader,
+                        RestartedWorker) {
+  jobs::Worker worker = newer_worker();
+  const jobs::UnixMillis joined = worker.succeeded;
+  BOOST_REQUIRE(joined > 0);
+  const auto succeeded = [&](RunPhase added, std::int64_t wall_time) {
+    return SuccessionTime(worker, added, wall_time, At(0));
+  };
+  BOOST_TEST((succeeded(RunPhase::kPlanned, joined + 60'000) == At(0)));
+  BOOST_TEST((succeeded(RunPhase::kInherited, joined) == At(0)));
+  BOOST_TEST((succeeded(RunPhase::kInherited, joined - 5'000) == At(0)));
+  BOOST_TEST((succeeded(RunPhase::kInherited, joined + 60'000) == At(-50'000)));
+  worker.succeeded = 0;
+  BOOST_TEST(!succeeded(RunPhase::kInherited, joined).has_value());
+}
+
 // Guards against a new leader that stops, and so restarts, a run which the
 // newer incarnation may have started: its list decides.
 BOOST_FIXTURE_TEST_CASE(AnInheritedRunOfAnOlderIncarnationIsSettledByAList,
