--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -29,6 +29,8 @@
      "SIGHUP has no effect: settings are read only at the start."},
     {EventId::kPeerBuildDiffers, kInfo, "peer_build_differs",
      "Another scheduler host runs a program of other sources."},
+    {EventId::kLogLinesDropped, kWarn, "log_lines_dropped",
+     "The reader of the log was slow; lines of the lowest levels are missing."},
     {EventId::kRoleChanged, kInfo, "role_changed",
      "A control replica changed its role."},
     {EventId::kLogTailTruncated, kWarn, "log_tail_cut",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -24,6 +24,7 @@
   kMalformedMessage = 1008,
   kReloadRequested = 1009,
   kPeerBuildDiffers = 1010,
+  kLogLinesDropped = 1011,
   kRoleChanged = 2001,
   kLogTailTruncated = 2002,
   kStorageFailed = 2003,
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -1,16 +1,20 @@
 #include "base/event_log.h"
 
-#include <array>
-#include <cstdio>
+#include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
-#include <log4cxx/consoleappender.h>
+#include <log4cxx/helpers/transcoder.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <unistd.h>
+
 #include "base/json.h"
+#include "base/log_output.h"
 
 namespace boragewinch {
 
@@ -36,11 +40,54 @@
   return kLogger;
 }
 
-/// State of the buffering of lines to the standard output stream.
+/// Lines that wait for a slow reader; some 6,000 of them.
+constexpr std::size_t kMaxBacklogBytes = 1024UL * 1024;
+
+[[nodiscard]] EventLevel LevelOf(const log4cxx::LevelPtr& level) {
+  if (level->isGreaterOrEqual(log4cxx::Level::getError()))
+    return EventLevel::kError;
+  if (level->isGreaterOrEqual(log4cxx::Level::getWarn()))
+    return EventLevel::kWarn;
+  return level->isGreaterOrEqual(log4cxx::Level::getInfo())
+             ? EventLevel::kInfo
+             : EventLevel::kDebug;
+}
+
+/// Formats lines and adds them to the backlog.
+class BacklogAppender : public log4cxx::AppenderSkeleton {
+ public:
+  BacklogAppender(log4cxx::LayoutPtr format, int descriptor)
+      : format_(std::move(format)), output_(descriptor) {}
+
+  void close() override { backlog_.Flush(); }
+  [[nodiscard]] bool requiresLayout() const override { return false; }
+
+  [[nodiscard]] LogBacklog& backlog() noexcept { return backlog_; }
+
+ protected:
+  void append(const log4cxx::spi::LoggingEventPtr& event,
+              log4cxx::helpers::Pool& pool) override {
+    log4cxx::LogString formatted;
+    format_->format(formatted, event, pool);
+    std::string line;
+    log4cxx::helpers::Transcoder::encodeUTF8(formatted, line);
+    backlog_.Add(LevelOf(event->getLevel()), std::move(line));
+  }
+
+ private:
+  log4cxx::LayoutPtr format_;
+  LogOutput output_;
+  LogBacklog backlog_{
+      [this](std::string_view bytes) { return output_.Write(bytes); },
+      kMaxBacklogBytes};
+};
+
+/// State of the buffering of lines.
 struct Buffering {
-  log4cxx::ConsoleAppenderPtr appender;  ///< null for standard error
+  std::shared_ptr<BacklogAppender> appender;  ///< null before the configuration
+  bool may_buffer = false;  ///< the log goes to standard output
   std::function<void()> schedule;
-  bool pending = false;  ///< lines are buffered
+  bool pending = false;  ///< a flush is scheduled
 };
 
 [[nodiscard]] Buffering& BufferingState() {
@@ -67,15 +114,9 @@
                               std::string(process) + " %m%n";
   const log4cxx::LayoutPtr layout(new log4cxx::PatternLayout(pattern));
   const bool to_output = stream == EventStream::kStandardOutput;
-  const log4cxx::ConsoleAppenderPtr appender(new log4cxx::ConsoleAppender(
-      layout, to_output ? log4cxx::ConsoleAppender::getSystemOut()
-                        : log4cxx::ConsoleAppender::getSystemErr()));
-  if (to_output) {
-    // A full buffer is flushed, so its size limits the buffered lines.
-    static std::array<char, 64UL * 1024> buffer;
-    std::setvbuf(stdout, buffer.data(), _IOFBF, buffer.size());
-  }
-  BufferingState() = {to_output ? appender : nullptr, nullptr, false};
+  const auto appender = std::make_shared<BacklogAppender>(
+      layout, to_output ? STDOUT_FILENO : STDERR_FILENO);
+  BufferingState() = {appender, to_output, nullptr, false};
   log4cxx::BasicConfigurator::resetConfiguration();
   log4cxx::BasicConfigurator::configure(appender);
   Logger()->setLevel(ToLevel(level));
@@ -92,27 +133,44 @@
     line += " " + std::string(field.name) + "=" + Quote(field.value);
   Logger()->forcedLog(level, line, log4cxx::spi::LocationInfo("", "", "", 0));
   Buffering& buffering = BufferingState();
-  if (!buffering.schedule)
-    return;
-  const bool first = !std::exchange(buffering.pending, true);
-  if (info.level == EventLevel::kWarn || info.level == EventLevel::kError)
+  if (!buffering.schedule || info.level == EventLevel::kWarn ||
+      info.level == EventLevel::kError) {
     FlushEventLog();
-  else if (first)
+  } else if (!std::exchange(buffering.pending, true)) {
     buffering.schedule();
+  }
 }
 
 void BufferEventLog(std::function<void()> schedule) {
+  Buffering& buffering = BufferingState();
+  buffering.schedule = nullptr;
   FlushEventLog();
+  if (buffering.may_buffer)
+    buffering.schedule = std::move(schedule);
+}
+
+void FlushEventLog() {
   Buffering& buffering = BufferingState();
   if (buffering.appender == nullptr)
     return;
-  buffering.appender->setImmediateFlush(!schedule);
-  buffering.schedule = std::move(schedule);
+  LogBacklog& backlog = buffering.appender->backlog();
+  backlog.Flush();
+  buffering.pending = false;
+  // This line is a warning, so it is written at once.
+  if (const auto dropped = backlog.TakeDropped()) {
+    LogEvent(EventId::kLogLinesDropped, {{"lines", dropped->lines},
+                                         {"first", dropped->first},
+                                         {"last", dropped->last}});
+  }
+  if (!backlog.empty() && buffering.schedule) {
+    buffering.pending = true;
+    buffering.schedule();
+  }
 }
 
-void FlushEventLog() {
-  if (std::exchange(BufferingState().pending, false))
-    std::fflush(stdout);
+std::uint64_t DroppedLogLines() {
+  const auto& appender = BufferingState().appender;
+  return appender == nullptr ? 0 : appender->backlog().total_dropped();
 }
 
 }  // namespace boragewinch
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEWINCH_BASE_EVENT_LOG_H_
 #define BORAGEWINCH_BASE_EVENT_LOG_H_
 
+#include <cstdint>
 #include <functional>
 #include <initializer_list>
 #include <string>
@@ -45,14 +46,19 @@
 /// \brief Starts to buffer lines, so that many of them share one system call.
 /// Warnings and errors are written immediately, after the lines before them.
 /// Has no effect on a log to the standard error stream.
-/// \param schedule called when a line enters the empty buffer; must arrange for
-/// a call of FlushEventLog soon. If empty, the buffer is flushed and buffering
-/// ends.
+/// \param schedule called when a line enters the empty buffer, and while the
+/// reader of the log is slow; must arrange for a call of FlushEventLog soon. If
+/// empty, the buffer is flushed and buffering ends.
 void BufferEventLog(std::function<void()> schedule);
 
-/// \brief Writes the buffered lines.
+/// \brief Writes the buffered lines as far as the reader of the log accepts
+/// them. The others wait, up to a limit beyond which lines of the lowest levels
+/// are dropped. No call of this interface waits for the reader.
 void FlushEventLog();
 
+/// \returns how many lines were dropped since the log was configured.
+[[nodiscard]] std::uint64_t DroppedLogLines();
+
 }  // namespace boragewinch
 
 #endif  // BORAGEWINCH_BASE_EVENT_LOG_H_
--- a/src/entry/operator_api.cc
+++ b/src/entry/operator_api.cc
@@ -224,6 +224,8 @@
                         : static_cast<double>(running->second));
   }
   const EntryCounters& counters = core_->counters();
+  metrics_->Gauge("log_lines_dropped", {},
+                  static_cast<double>(DroppedLogLines()));
   metrics_->Gauge("accepted", {}, static_cast<double>(counters.accepted));
   metrics_->Gauge("refused", {}, static_cast<double>(counters.refused));
   metrics_->Gauge("starts", {}, static_cast<double>(counters.starts));
--- a/src/scheduler/gateway_service.cc
+++ b/src/scheduler/gateway_service.cc
@@ -56,6 +56,8 @@
     metrics_server_ = std::make_unique<HttpServer>(
         *loop_, limits,
         [this](const HttpRequest&, const HttpResponder& respond) {
+          metrics_.Gauge("log_lines_dropped", {},
+                         static_cast<double>(DroppedLogLines()));
           respond({200, metrics_.PrometheusText(), kPrometheusContentType});
         });
     BW_CHECK(metrics_server_->Listen(options_.listen_metrics));
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -141,6 +141,8 @@
           metrics_.Gauge("tolerable_losses", {},
                          losses ? static_cast<double>(*losses)
                                 : std::numeric_limits<double>::quiet_NaN());
+          metrics_.Gauge("log_lines_dropped", {},
+                         static_cast<double>(DroppedLogLines()));
           respond({200, metrics_.PrometheusText(), kPrometheusContentType});
         });
     BW_CHECK(metrics_server_->Listen(options_.listen_metrics));
