--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -1,5 +1,6 @@
 #include "base/json.h"
 
+#include <algorithm>
 #include <memory>
 #include <sstream>
 #include <utility>
@@ -20,9 +21,26 @@
               "field \"" + std::string(name) + "\" is required");
 }
 
+/// \returns an upper bound of the number of values in a document. Characters in
+/// strings count as well, as only a parser can tell them from others.
+[[nodiscard]] std::size_t MaxValuesOf(std::string_view text) {
+  return 1 + static_cast<std::size_t>(std::count_if(
+                 text.begin(), text.end(),
+                 [](char c) { return c == ',' || c == '[' || c == '{'; }));
+}
+
 }  // namespace
 
 Result<Json> ParseJson(std::string_view text) {
+  if (text.size() > kMaxJsonValues && MaxValuesOf(text) > kMaxJsonValues) {
+    return Fail(ErrorCode::kTooLarge, "the document has more than " +
+                                          std::to_string(kMaxJsonValues) +
+                                          " values");
+  }
+  return ParseTrustedJson(text);
+}
+
+Result<Json> ParseTrustedJson(std::string_view text) {
   static const ::Json::CharReaderBuilder kBuilder = [] {
     ::Json::CharReaderBuilder builder;
     ::Json::CharReaderBuilder::strictMode(&builder.settings_);
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -16,11 +16,20 @@
 /// Nesting limit for untrusted JSON.
 inline constexpr int kMaxJsonDepth = 32;
 
-/// \brief Parses one JSON document.
-/// \returns the document, or kInvalidJson with the parser's message and
-/// position.
+/// Limit on the values of an untrusted document. Each one takes about 110 bytes
+/// of memory and as little as two bytes of text. The largest message is a
+/// configuration, with some 15 values for each of up to 1,700 queues.
+inline constexpr std::size_t kMaxJsonValues = 80'000;
+
+/// \brief Parses one JSON document from outside.
+/// \returns the document, kTooLarge if it may have more than kMaxJsonValues, or
+/// kInvalidJson with the parser's message and position.
 [[nodiscard]] Result<Json> ParseJson(std::string_view text);
 
+/// \brief Parses a document that a process of this system has written, of any
+/// size.
+[[nodiscard]] Result<Json> ParseTrustedJson(std::string_view text);
+
 /// \returns `value` on one line, without trailing newline.
 [[nodiscard]] std::string WriteJson(const Json& value);
 
--- a/src/ctl/fleet_client.cc
+++ b/src/ctl/fleet_client.cc
@@ -39,7 +39,7 @@
   }
   const HttpResponse& response = http_result.value();
   const bool succeeded = response.status >= 200 && response.status < 300;
-  auto json = ParseJson(response.body);
+  auto json = ParseTrustedJson(response.body);
   if (json && json.value().isObject())
     result.body = std::move(json).value();
   if (succeeded && !result.body.isNull())
--- a/src/fleet/command.cc
+++ b/src/fleet/command.cc
@@ -382,7 +382,7 @@
                 "a command has at most " + std::to_string(kMaxCommandBytes) +
                     " bytes, found " + std::to_string(bytes.size()));
   }
-  BW_TRY(const auto json, ParseJson(bytes));
+  BW_TRY(const auto json, ParseTrustedJson(bytes));
   return CommandFromJson(json);
 }
 
--- a/src/fleet/fleet_state.cc
+++ b/src/fleet/fleet_state.cc
@@ -203,7 +203,7 @@
 }
 
 Result<FleetState> FleetState::Restore(std::string_view snapshot) {
-  BW_TRY(const auto json, ParseJson(snapshot));
+  BW_TRY(const auto json, ParseTrustedJson(snapshot));
   FleetState state;
   BW_TRY(const auto format,
          IntField(json, "format", kSnapshotFormat, kSnapshotFormat));
--- a/src/jobs/ledger_batch.cc
+++ b/src/jobs/ledger_batch.cc
@@ -331,7 +331,7 @@
 
 /// Reads an entry in the JSON format of earlier versions.
 [[nodiscard]] Result<Batch> DecodeJsonBatch(std::string_view bytes) {
-  BW_TRY(const Json json, ParseJson(bytes));
+  BW_TRY(const Json json, ParseTrustedJson(bytes));
   Batch batch;
   BW_CHECK(ReadOtherMembers(json, &batch));
   BW_TRY(batch.now, IntField(json, "now", 0, kMaxNumber));
@@ -373,7 +373,7 @@
   batch.now = in.Signed();
   if (const std::string_view others = in.Text(kMaxDocumentBytes);
       !others.empty()) {
-    BW_TRY(const Json json, ParseJson(others));
+    BW_TRY(const Json json, ParseTrustedJson(others));
     BW_CHECK(ReadOtherMembers(json, &batch));
   }
   RunReader runs(&in);
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -193,7 +193,7 @@
 }
 
 Result<JobLedger> JobLedger::Restore(const std::string& bytes) {
-  BW_TRY(const Json json, ParseJson(bytes));
+  BW_TRY(const Json json, ParseTrustedJson(bytes));
   if (!json.isObject())
     return Fail(ErrorCode::kStorageCorrupt,
                 "ledger snapshot is not a JSON object");
--- a/src/net/rpc_client.cc
+++ b/src/net/rpc_client.cc
@@ -33,7 +33,7 @@
 [[nodiscard]] Result<std::string> ReadBinaryResponse(HttpResponse response) {
   if (response.status == 200)
     return std::move(response.body);
-  const Result<Json> json = ParseJson(response.body);
+  const Result<Json> json = ParseTrustedJson(response.body);
   const auto code =
       json && json.value().isObject() && json.value()["error"].isString()
           ? kErrorCodes.Parse(json.value()["error"].asString())
@@ -74,7 +74,7 @@
       done(outcome::failure(result.error()));
       return;
     }
-    Result<Json> envelope = ParseJson(result.value().body);
+    Result<Json> envelope = ParseTrustedJson(result.value().body);
     if (!envelope) {
       done(outcome::failure(envelope.error()));
       return;
--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -156,7 +156,7 @@
   }
   // libjsonrpccpp accepts batches and would answer their calls synchronously,
   // so only single calls are accepted. ParseJson also limits the nesting depth.
-  Result<Json> parsed = ParseJson(request.body);
+  Result<Json> parsed = ParseTrustedJson(request.body);
   if (!parsed || !parsed.value().isObject()) {
     LogEvent(EventId::kMalformedMessage, {{"reason", "not_a_call"}});
     respond({400, R"({"error":"invalid_json"})"});
--- a/src/raft/message.cc
+++ b/src/raft/message.cc
@@ -60,7 +60,7 @@
 
 [[nodiscard]] Status CheckEntry(const Entry& entry) {
   if (entry.kind == EntryKind::kConfiguration) {
-    BW_TRY(const Json members, ParseJson(entry.data));
+    BW_TRY(const Json members, ParseTrustedJson(entry.data));
     BW_CHECK(ConfigurationFromJson(members));
   }
   return Ok();
--- a/src/raft/raft_log.cc
+++ b/src/raft/raft_log.cc
@@ -34,7 +34,7 @@
   const std::uint64_t chain = ChainHash(*ChainAt(last_index()), entry);
   if (entry.kind == EntryKind::kConfiguration) {
     // Entries were validated when they were received or read.
-    if (const auto json = ParseJson(entry.data)) {
+    if (const auto json = ParseTrustedJson(entry.data)) {
       if (auto members = ConfigurationFromJson(json.value()))
         configurations_.emplace_back(last_index() + 1, members.value());
     }
--- a/src/raft/replica_members.cc
+++ b/src/raft/replica_members.cc
@@ -165,7 +165,7 @@
     return Fail(ErrorCode::kProtocol,
                 "form message has no valid configuration entry");
   }
-  BW_TRY(const Json json, ParseJson(message.entries[0].data));
+  BW_TRY(const Json json, ParseTrustedJson(message.entries[0].data));
   BW_TRY(const Configuration members, ConfigurationFromJson(json));
   if (!members.IsVoter(id_)) {
     return Fail(ErrorCode::kConflict,
--- a/src/raft/snapshot.cc
+++ b/src/raft/snapshot.cc
@@ -24,7 +24,7 @@
   if (!size || !members || *index > kMaxIndex || *term > kMaxIndex)
     return Fail(ErrorCode::kStorageCorrupt,
                 "snapshot is truncated or holds invalid numbers");
-  const auto json = ParseJson(*members);
+  const auto json = ParseTrustedJson(*members);
   const auto configuration = json ? ConfigurationFromJson(json.value())
                                   : Result<Configuration>(json.error());
   if (!configuration) {
--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -99,7 +99,7 @@
   WireReader in(bytes);
   RelayResult result;
   if (!in.Flag()) {
-    BW_TRY(result.view, ParseJson(in.Text(kMaxBodyBytes)));
+    BW_TRY(result.view, ParseTrustedJson(in.Text(kMaxBodyBytes)));
     BW_CHECK(in.Finish());
     return result;
   }
--- a/src/storage/identity_file.cc
+++ b/src/storage/identity_file.cc
@@ -46,7 +46,7 @@
   if (!content)
     return std::optional<HardState>();
   const auto parse = [&]() -> Result<HardState> {
-    BW_TRY(const Json json, ParseJson(*content));
+    BW_TRY(const Json json, ParseTrustedJson(*content));
     return HardStateFromJson(json);
   };
   auto state = parse();
