--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -210,6 +210,8 @@
     ApplySubmission(submission, batch.now);
   for (const JobId& id : batch.cancels)
     ApplyCancel(id, batch.now);
+  for (const UnseenCancel& cancel : batch.unseen_cancels)
+    ApplyUnseenCancel(cancel, batch.now);
   for (const OpeningRecord& opening : batch.openings)
     ApplyOpening(opening, batch.now);
   for (const EndRecord& end : batch.ends)
@@ -444,6 +446,12 @@
   if (job.spec->repeats == 0)
     OpenOccurrence(&job, 0, now);
   IndexJob(&job);
+  // A late copy of the submission: the caller was told that the job is unknown,
+  // so nothing of it may run.
+  if (unseen_cancels_.erase({job.id, submission.virtual_host,
+                             submission.path_prefix, job.customer}) > 0) {
+    Finish(&job, JobState::kCanceled, now);
+  }
 }
 
 void JobLedger::ApplyCancel(const JobId& id, UnixMillis now) {
@@ -451,6 +459,19 @@
     Finish(job, JobState::kCanceled, now);
 }
 
+void JobLedger::ApplyUnseenCancel(const UnseenCancel& cancel, UnixMillis now) {
+  std::erase_if(unseen_cancels_, [now](const auto& item) {
+    return now - item.second > kUnseenCancelMemory.count();
+  });
+  if (Job* job = MutableJob(cancel.id); job != nullptr) {
+    // The submission was stored first.
+    if (job->customer == cancel.customer && !job->final())
+      Finish(job, JobState::kCanceled, now);
+  } else if (unseen_cancels_.size() < kMaxUnseenCancels) {
+    unseen_cancels_[cancel] = now;
+  }
+}
+
 void JobLedger::ApplyOpening(const OpeningRecord& opening, UnixMillis now) {
   Job* job = MutableJob(opening.job);
   if (job == nullptr || job->final() ||
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -146,6 +146,13 @@
   UnixMillis decided = 0;
 };
 
+/// Time for which the cancellation of an unknown job is remembered: longer than
+/// a copy of its submission can be under way. TCP sends the data of a
+/// connection that its sender has closed for some 60 s at most.
+inline constexpr Millis kUnseenCancelMemory{90'000};
+/// Limit on the remembered ones, at some 200 bytes each.
+inline constexpr std::size_t kMaxUnseenCancels = 10'000;
+
 /// \brief The replicated state machine of jobs, workers, configuration and
 /// waves. Apply is deterministic: equal sequences of batches give equal
 /// ledgers.
@@ -213,6 +220,10 @@
   [[nodiscard]] const Worker* FindCurrent(const WorkerId& id) const;
   /// \returns whether an earlier incarnation of the same worker id was known.
   [[nodiscard]] bool HasPredecessor(const WorkerIncarnation& incarnation) const;
+  /// \returns whether the job was cancelled before it was submitted.
+  [[nodiscard]] bool IsCancelledUnseen(const UnseenCancel& cancel) const {
+    return unseen_cancels_.count(cancel) > 0;
+  }
   /// \returns the task, or nullptr if its job or occurrence is not open.
   [[nodiscard]] const Task* FindTask(const TaskName& name) const;
   /// \returns whether `run` may be running on `worker`.
@@ -246,6 +257,7 @@
   void ApplyWorker(const WorkerRecord& record, UnixMillis now);
   void ApplySubmission(const Submission& submission, UnixMillis now);
   void ApplyCancel(const JobId& id, UnixMillis now);
+  void ApplyUnseenCancel(const UnseenCancel& cancel, UnixMillis now);
   void ApplyOpening(const OpeningRecord& opening, UnixMillis now);
   void ApplyEnd(const EndRecord& end, UnixMillis now);
   void ApplyStart(const StartRecord& start, UnixMillis now);
@@ -295,6 +307,8 @@
   /// Start time of the last departed incarnation of each worker id; late
   /// messages from it or earlier ones are ignored.
   std::map<WorkerId, UnixMillis> departed_;
+  /// Cancellations of jobs that were not known, with their times.
+  std::map<UnseenCancel, UnixMillis> unseen_cancels_;
   std::map<CustomerName, Resources> usage_;
   std::map<QueueName, std::int64_t> queued_;
   std::map<QueueName, QueueLoad> loads_;
--- a/src/jobs/ledger_batch.cc
+++ b/src/jobs/ledger_batch.cc
@@ -145,6 +145,26 @@
   return OpeningRecord{JobId(row[0].asString()), row[1].asUInt()};
 }
 
+[[nodiscard]] Json ToJson(const UnseenCancel& cancel) {
+  Json json;
+  json["id"] = cancel.id.str();
+  json["host"] = cancel.virtual_host;
+  json["prefix"] = cancel.path_prefix;
+  json["customer"] = cancel.customer.str();
+  return json;
+}
+
+[[nodiscard]] Result<UnseenCancel> UnseenCancelFromJson(const Json& json) {
+  UnseenCancel cancel;
+  BW_TRY(const std::string id, StoredText(json, "id"));
+  cancel.id = JobId(id);
+  BW_TRY(cancel.virtual_host, StoredText(json, "host"));
+  BW_TRY(cancel.path_prefix, StoredText(json, "prefix"));
+  BW_TRY(const std::string customer, StoredText(json, "customer"));
+  cancel.customer = CustomerName(customer);
+  return cancel;
+}
+
 [[nodiscard]] Json ToJson(const WaveProgress& progress) {
   Json row(::Json::arrayValue);
   row.append(::Json::Int64(progress.wave));
@@ -192,6 +212,7 @@
   AppendAll(&workers, std::move(other.workers));
   AppendAll(&submissions, std::move(other.submissions));
   AppendAll(&cancels, std::move(other.cancels));
+  AppendAll(&unseen_cancels, std::move(other.unseen_cancels));
   AppendAll(&openings, std::move(other.openings));
   AppendAll(&ends, std::move(other.ends));
   AppendAll(&starts, std::move(other.starts));
@@ -302,6 +323,7 @@
   PutAll(&json, "submit", batch.submissions);
   for (const JobId& id : batch.cancels)
     json["cancel"].append(id.str());
+  PutAll(&json, "cancel_unseen", batch.unseen_cancels);
   PutAll(&json, "open", batch.openings);
   PutAll(&json, "waves", batch.waves);
   PutAll(&json, "progress", batch.progress);
@@ -323,6 +345,8 @@
                   "id of a cancelled job is not a string");
     batch->cancels.emplace_back(id.asString());
   }
+  BW_CHECK(ReadAll(json, "cancel_unseen", UnseenCancelFromJson,
+                   &batch->unseen_cancels));
   BW_CHECK(ReadAll(json, "open", OpeningFromJson, &batch->openings));
   BW_CHECK(ReadAll(json, "waves", WaveOrderFromJson, &batch->waves));
   BW_CHECK(ReadAll(json, "progress", ProgressFromJson, &batch->progress));
--- a/src/jobs/ledger_batch.h
+++ b/src/jobs/ledger_batch.h
@@ -50,6 +50,17 @@
   std::string path_prefix;
 };
 
+/// \brief The cancellation of a job that was not known when it arrived. The
+/// queue and the customer are part of it, as others may use the same id.
+struct UnseenCancel {
+  JobId id;
+  std::string virtual_host;
+  std::string path_prefix;
+  CustomerName customer;
+
+  friend auto operator<=>(const UnseenCancel&, const UnseenCancel&) = default;
+};
+
 /// \brief The end of a run, reported by the worker or inferred by the leader.
 struct EndRecord {
   RunName run;
@@ -105,6 +116,7 @@
   std::vector<WorkerRecord> workers;
   std::vector<Submission> submissions;
   std::vector<JobId> cancels;
+  std::vector<UnseenCancel> unseen_cancels;
   std::vector<OpeningRecord> openings;
   std::vector<EndRecord> ends;
   std::vector<StartRecord> starts;
@@ -114,9 +126,9 @@
 
   [[nodiscard]] bool empty() const noexcept {
     return !config && workers.empty() && submissions.empty() &&
-           cancels.empty() && openings.empty() && ends.empty() &&
-           starts.empty() && waves.empty() && progress.empty() &&
-           host_orders.empty();
+           cancels.empty() && unseen_cancels.empty() && openings.empty() &&
+           ends.empty() && starts.empty() && waves.empty() &&
+           progress.empty() && host_orders.empty();
   }
 
   /// \brief Adds the changes of `other`. Of two configurations the one with
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -174,6 +174,15 @@
     row.append(::Json::Int64(start_time));
     json["departed"].append(std::move(row));
   }
+  for (const auto& [cancel, at] : unseen_cancels_) {
+    Json row(::Json::arrayValue);
+    row.append(cancel.id.str());
+    row.append(cancel.virtual_host);
+    row.append(cancel.path_prefix);
+    row.append(cancel.customer.str());
+    row.append(::Json::Int64(at));
+    json["cancelled_unseen"].append(std::move(row));
+  }
   for (const auto& [number, wave] : waves_) {
     Json item;
     item["order"] = ToJson(wave.order);
@@ -225,6 +234,21 @@
     BW_TRY(Job job, JobFromJson(item));
     ledger.RestoreJob(std::move(job));
   }
+  for (const Json& row : json["cancelled_unseen"]) {
+    constexpr ::Json::ArrayIndex kTexts = 4;
+    bool valid =
+        row.isArray() && row.size() == kTexts + 1 && row[kTexts].isInt64();
+    for (::Json::ArrayIndex i = 0; valid && i < kTexts; ++i)
+      valid = row[i].isString();
+    if (!valid) {
+      return Fail(ErrorCode::kStorageCorrupt,
+                  "malformed cancellation in a ledger snapshot");
+    }
+    ledger
+        .unseen_cancels_[{JobId(row[0].asString()), row[1].asString(),
+                          row[2].asString(), CustomerName(row[3].asString())}] =
+        row[kTexts].asInt64();
+  }
   for (const Json& item : json["waves"]) {
     Wave wave;
     BW_TRY(wave.order, WaveOrderFromJson(item["order"]));
--- a/src/scheduler/job_api.cc
+++ b/src/scheduler/job_api.cc
@@ -201,9 +201,15 @@
       target.status == JobApiStatus::kDone ? FindOwnedJob(target) : nullptr;
   if (target.status == JobApiStatus::kDone && job == nullptr) {
     // A job that is being stored may run, so it can't be reported as unknown.
-    response.status = replica_.IsSubmissionPending(jobs::JobId(target.job_id))
-                          ? JobApiStatus::kNotReady
-                          : JobApiStatus::kNoJob;
+    if (replica_.IsSubmissionPending(jobs::JobId(target.job_id))) {
+      response.status = JobApiStatus::kNotReady;
+    } else if (IsJobId(target.job_id) && replica_.ledger().FindJob(jobs::JobId(
+                                             target.job_id)) == nullptr) {
+      CancelUnseen(target, done);
+      return;
+    } else {
+      response.status = JobApiStatus::kNoJob;
+    }
   }
   if (job == nullptr || job->final()) {
     SendResponse(Call::kCancel, target, response, done);
@@ -221,4 +227,40 @@
   });
 }
 
+// A copy of the submission may arrive later, for example from a gateway that
+// was frozen. The caller is told that the job is unknown only once it is
+// certain that such a copy does not start it.
+void JobApi::CancelUnseen(const RequestTarget& target, const Done& done) {
+  const jobs::UnseenCancel cancel{jobs::JobId(target.job_id),
+                                  target.queue->virtual_host,
+                                  target.queue->path_prefix, target.customer};
+  JobApiResponse response;
+  response.status = JobApiStatus::kNoJob;
+  response.retry_after = kNotReadyRetryAfter;
+  if (replica_.ledger().IsCancelledUnseen(cancel)) {
+    SendResponse(Call::kCancel, target, response, done);
+    return;
+  }
+  const RequestTarget logged_target{target.status, nullptr, target.customer,
+                                    target.job_id};
+  jobs::Batch change;
+  change.unseen_cancels.push_back(cancel);
+  replica_.Submit(change, [this, cancel, logged_target, response,
+                           done](const Status& stored) mutable {
+    const jobs::JobLedger& ledger = replica_.ledger();
+    if (!stored) {
+      response.status = StatusOf(stored.error().code);
+    } else if (const jobs::Job* job = ledger.FindJob(cancel.id);
+               job != nullptr) {
+      // Its submission was stored first.
+      response.status = job->customer == cancel.customer ? JobApiStatus::kDone
+                                                         : JobApiStatus::kNoJob;
+    } else if (!ledger.IsCancelledUnseen(cancel)) {
+      LogEvent(EventId::kBoundReached, {{"bound", "cancelled_unseen"}});
+      response.status = JobApiStatus::kNotReady;
+    }
+    SendResponse(Call::kCancel, logged_target, response, done);
+  });
+}
+
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/job_api.h
+++ b/src/scheduler/job_api.h
@@ -71,6 +71,9 @@
   /// \brief Returns the state of a job or, for the path of a queue, the number
   /// of its queued jobs.
   void State(const CallerAddress& caller, TimePoint now, const Done& done);
+  /// \brief Cancels a job. A job that is not known is remembered for a while,
+  /// so that a late copy of its submission does not start it: kNoJob says that
+  /// nothing of it runs.
   void Cancel(const CallerAddress& caller, TimePoint now, const Done& done);
 
  private:
@@ -93,6 +96,8 @@
   [[nodiscard]] bool IsOverloaded(const QueueName& queue,
                                   const jobs::JobSpec& spec,
                                   TimePoint now);
+  /// \brief Cancels a job that is not known.
+  void CancelUnseen(const RequestTarget& target, const Done& done);
   enum class Call { kSubmit, kState, kCancel };
   static constexpr EnumTable<Call, 3> kCalls{{{
       {Call::kSubmit, "submit"},
--- a/tests/job_api_test.cc
+++ b/tests/job_api_test.cc
@@ -115,8 +115,6 @@
         Caller("a", "a"), loop.now(),
         [&](const JobApiResponse& response) { cancelled = response.status; });
   };
-  cancel();
-  BOOST_TEST((*cancelled == JobApiStatus::kNoJob));
   Submit(&submitted);
   cancel();
   BOOST_TEST((*cancelled == JobApiStatus::kNotReady));
@@ -160,6 +158,82 @@
   BOOST_TEST((state_of("b") == JobApiStatus::kNoJob));
 }
 
+/// A caller that cancels a job which the ledger doesn't have.
+struct UnseenJob : Fixture {
+  [[nodiscard]] JobApiStatus Cancel(const std::string& customer = "a",
+                                    const std::string& id = kJob) {
+    std::optional<JobApiStatus> status;
+    CallerAddress caller = Caller("a", customer);
+    caller.path = "/a/" + id;
+    api->Cancel(caller, loop.now(), [&](const JobApiResponse& response) {
+      status = response.status;
+    });
+    RunFor(Millis(60));
+    BOOST_REQUIRE(status.has_value());
+    return *status;
+  }
+  [[nodiscard]] JobApiStatus SubmitNow(const std::string& customer = "a") {
+    std::optional<JobApiStatus> status;
+    Submit(&status, "a", customer);
+    RunFor(Millis(60));
+    BOOST_REQUIRE(status.has_value());
+    return *status;
+  }
+  [[nodiscard]] JobApiResponse State() {
+    JobApiResponse state;
+    api->State(Caller("a", "a"), loop.now(),
+               [&](const JobApiResponse& response) { state = response; });
+    return state;
+  }
+};
+
+// Guards against a job that runs although its caller cancelled it and was told
+// that it is unknown: a copy of its submission arrives later, from a gateway
+// that was frozen.
+BOOST_FIXTURE_TEST_CASE(ALateSubmissionOfACancelledJobDoesNotRun, UnseenJob) {
+  BOOST_TEST((Cancel() == JobApiStatus::kNoJob));
+  // Nobody has submitted it, so it isn't shown.
+  BOOST_TEST((State().status == JobApiStatus::kNoJob));
+  BOOST_TEST((Cancel() == JobApiStatus::kNoJob));
+  BOOST_TEST((SubmitNow() == JobApiStatus::kDone));
+  BOOST_TEST((State().state == jobs::JobState::kCanceled));
+  BOOST_TEST(replica->ledger().startable().empty());
+  BOOST_TEST(replica->ledger().active().empty());
+  BOOST_TEST(replica->ledger().QueuedOf(QueueName("a")) == 0);
+  BOOST_TEST(replica->ledger().LoadOf(QueueName("a")).open_tasks == 0);
+  BOOST_TEST((Cancel() == JobApiStatus::kDone));
+}
+
+// Guards against a customer that cancels the jobs of others before they arrive.
+BOOST_FIXTURE_TEST_CASE(TheJobOfAnotherCustomerStillRuns, UnseenJob) {
+  BOOST_TEST((Cancel("b") == JobApiStatus::kNoJob));
+  BOOST_TEST((SubmitNow("a") == JobApiStatus::kDone));
+  BOOST_TEST((State().state == jobs::JobState::kQueued));
+  BOOST_TEST(replica->ledger().startable().size() == 1U);
+}
+
+// Guards against a submission and a cancellation in one log entry that leave
+// the job running.
+BOOST_FIXTURE_TEST_CASE(ASubmissionBesideTheCancellationDoesNotRun, UnseenJob) {
+  std::optional<JobApiStatus> cancelled;
+  std::optional<JobApiStatus> submitted;
+  api->Cancel(
+      Caller("a", "a"), loop.now(),
+      [&](const JobApiResponse& response) { cancelled = response.status; });
+  Submit(&submitted);
+  RunFor(Millis(60));
+  BOOST_TEST((*submitted == JobApiStatus::kDone));
+  BOOST_TEST((*cancelled == JobApiStatus::kDone));
+  BOOST_TEST((State().state == jobs::JobState::kCanceled));
+}
+
+// Guards against memory and log entries for ids that no job can have.
+BOOST_FIXTURE_TEST_CASE(AnImpossibleIdIsNotRemembered, UnseenJob) {
+  const std::string bytes = replica->ledger().Snapshot();
+  BOOST_TEST((Cancel("a", "no-job-id") == JobApiStatus::kNoJob));
+  BOOST_TEST(replica->ledger().Snapshot() == bytes);
+}
+
 // A job that is accepted while a configuration is being stored.
 struct ConfigurationUnderWay : Fixture {
   /// Submits a job while `config` is being stored: `within_batch` in the same
--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -426,5 +426,35 @@
   BOOST_TEST(builder.ledger().FindCurrent(WorkerId("w")) == nullptr);
 }
 
+// Guards against cancellations of unknown jobs that are lost with a restart, or
+// that are kept for ever.
+BOOST_AUTO_TEST_CASE(CancellationsOfUnknownJobsAreKeptForAWhile) {
+  LedgerBuilder builder;
+  const auto cancel_of = [](const std::string& id) {
+    return UnseenCancel{JobId(id), "example", "/q/", CustomerName("c")};
+  };
+  const auto cancel = [&](const std::string& id, UnixMillis at) {
+    Batch batch;
+    batch.unseen_cancels.push_back(cancel_of(id));
+    const auto decoded = DecodeBatch(EncodeBatch(batch));
+    BOOST_REQUIRE(decoded);
+    builder.At(at).Apply(decoded.value());
+  };
+  cancel("first", 1'000);
+  const auto restored = JobLedger::Restore(builder.ledger().Snapshot());
+  BOOST_REQUIRE(restored);
+  BOOST_TEST(restored.value().IsCancelledUnseen(cancel_of("first")));
+  BOOST_TEST(!restored.value().IsCancelledUnseen(cancel_of("other")));
+  cancel("second", 1'000 + kUnseenCancelMemory.count());
+  BOOST_TEST(builder.ledger().IsCancelledUnseen(cancel_of("first")));
+  cancel("third", 1'001 + kUnseenCancelMemory.count());
+  BOOST_TEST(!builder.ledger().IsCancelledUnseen(cancel_of("first")));
+  BOOST_TEST(builder.ledger().IsCancelledUnseen(cancel_of("second")));
+  for (std::size_t i = 0; i < kMaxUnseenCancels; ++i)
+    cancel(std::to_string(i), 2'000 + kUnseenCancelMemory.count());
+  BOOST_TEST(!builder.ledger().IsCancelledUnseen(
+      cancel_of(std::to_string(kMaxUnseenCancels - 1))));
+}
+
 }  // namespace
 }  // namespace boragewinch::jobs
