--- a/src/scheduler/stop_planner.cc
+++ b/src/scheduler/stop_planner.cc
@@ -1,6 +1,8 @@
 #include "scheduler/stop_planner.h"
 
+#include <algorithm>
 #include <map>
+#include <optional>
 #include <tuple>
 
 namespace boragewinch::scheduler {
@@ -9,6 +11,38 @@
 
 constexpr int kReadyPercent = 100;
 
+/// \returns whether the task has a run that serves users and is to go on.
+[[nodiscard]] bool IsAvailable(const jobs::JobLedger& ledger,
+                               const jobs::TaskName& name,
+                               const jobs::Task& task,
+                               const PercentOf& percent_of) {
+  return std::any_of(
+      task.runs.begin(), task.runs.end(), [&](const jobs::Run& run) {
+        // The long-running tasks of a draining worker are about to be stopped.
+        const jobs::Worker* worker = ledger.FindWorker(run.worker);
+        return worker != nullptr && !worker->record.draining &&
+               percent_of({name, run.number}, run.worker) >= kReadyPercent;
+      });
+}
+
+/// \returns how many tasks of the step of `name` are unavailable.
+/// \param except the index of a task that is left out.
+[[nodiscard]] std::int64_t CountUnavailable(
+    const jobs::JobLedger& ledger,
+    const jobs::TaskName& name,
+    const PercentOf& percent_of,
+    std::optional<std::uint32_t> except = std::nullopt) {
+  const jobs::Job* job = ledger.FindJob(name.job);
+  const auto& step = job->occurrences.at(name.occurrence).steps[name.step];
+  std::int64_t unavailable = 0;
+  for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
+    const jobs::TaskName other{name.job, name.occurrence, name.step, i};
+    if (i != except && !IsAvailable(ledger, other, step.tasks[i], percent_of))
+      ++unavailable;
+  }
+  return unavailable;
+}
+
 /// Counts unavailable tasks per step, including those that this plan stops.
 class UnavailableTasks {
  public:
@@ -26,7 +60,7 @@
         std::tuple(run.task.job, run.task.occurrence, run.task.step);
     const auto [count, added] = unavailable_.try_emplace(key, 0);
     if (added)
-      count->second = CountUnavailable(run.task);
+      count->second = CountUnavailable(ledger_, run.task, percent_of_);
     if (count->second >= spec.max_unavailable)
       return false;
     ++count->second;
@@ -57,27 +91,6 @@
   }
 
  private:
-  [[nodiscard]] std::int64_t CountUnavailable(
-      const jobs::TaskName& name) const {
-    const jobs::Job* job = ledger_.FindJob(name.job);
-    const auto& step = job->occurrences.at(name.occurrence).steps[name.step];
-    std::int64_t unavailable = 0;
-    for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
-      bool available = false;
-      for (const jobs::Run& run : step.tasks[i].runs) {
-        const jobs::RunName other{{name.job, name.occurrence, name.step, i},
-                                  run.number};
-        // The long-running tasks of a draining worker are about to be stopped.
-        const jobs::Worker* worker = ledger_.FindWorker(run.worker);
-        available =
-            available || (worker != nullptr && !worker->record.draining &&
-                          percent_of_(other, run.worker) >= kReadyPercent);
-      }
-      unavailable += available ? 0 : 1;
-    }
-    return unavailable;
-  }
-
   const jobs::JobLedger& ledger_;
   const PercentOf& percent_of_;
   const IsStopping& is_stopping_;
@@ -87,6 +100,21 @@
 
 }  // namespace
 
+bool MayInterrupt(const jobs::JobLedger& ledger,
+                  const jobs::RunName& run,
+                  const jobs::Worker& worker,
+                  const PercentOf& percent_of) {
+  const jobs::Job* job = ledger.FindJob(run.task.job);
+  const jobs::Task* task = ledger.FindTask(run.task);
+  if (job == nullptr || job->final() || task == nullptr || task->done ||
+      worker.record.draining) {
+    return true;
+  }
+  const std::int64_t most = job->spec->steps[run.task.step].max_unavailable;
+  return most == 0 ||
+         CountUnavailable(ledger, run.task, percent_of, run.task.index) < most;
+}
+
 std::vector<StopOrder> PlanStops(
     const jobs::JobLedger& ledger,
     const std::set<jobs::WorkerIncarnation>& cordoned,
--- a/src/scheduler/stop_planner.h
+++ b/src/scheduler/stop_planner.h
@@ -24,6 +24,15 @@
 using IsStopping =
     std::function<bool(const jobs::RunName&, const jobs::WorkerIncarnation&)>;
 
+/// \returns whether a stop of the run that is sent now may end it, if it is at
+/// work meanwhile: with it, no more than StepSpec::max_unavailable tasks of its
+/// step are unavailable. True for runs that are not needed, and on draining
+/// workers.
+[[nodiscard]] bool MayInterrupt(const jobs::JobLedger& ledger,
+                                const jobs::RunName& run,
+                                const jobs::Worker& worker,
+                                const PercentOf& percent_of);
+
 /// \brief Decides which runs to stop: those of finished jobs, extra copies of
 /// finished tasks and long-running tasks on draining or cordoned workers.
 ///
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "scheduler/stop_planner.h"
 
 namespace boragewinch::scheduler {
 
@@ -177,7 +178,7 @@
   if (worker == nullptr)
     return;
   for (const jobs::RunName& run : session.StopsDue(now))
-    SendStop(*worker, run);
+    StopOrRepeatStart(*worker, session, run);
   for (const jobs::RunName& run : session.StartsDue(now))
     SendStart(*worker, run);
   if (session.HoldDue(now))
@@ -381,6 +382,23 @@
               });
 }
 
+// A start without a response is usually followed by a stop, so that the task
+// can start elsewhere. The start may have been carried out late and the task be
+// at work when the stop arrives. Where that would make too many tasks of its
+// step unavailable, the start is repeated instead: it is idempotent.
+void WorkerFleet::StopOrRepeatStart(const jobs::Worker& worker,
+                                    const WorkerSession& session,
+                                    const jobs::RunName& run) {
+  const auto percent_of = [this](const jobs::RunName& other,
+                                 const jobs::WorkerIncarnation& incarnation) {
+    return PercentOf(other, incarnation);
+  };
+  if (MayInterrupt(replica_.ledger(), run, worker, percent_of))
+    SendStop(worker, run);
+  else if (session.MayRepeatStart(run))
+    SendStart(worker, run);
+}
+
 void WorkerFleet::SendHold(const jobs::Worker& worker,
                            WorkerSession* session,
                            TimePoint now) {
--- a/src/scheduler/worker_session.cc
+++ b/src/scheduler/worker_session.cc
@@ -418,6 +418,13 @@
   return due;
 }
 
+bool WorkerSession::MayRepeatStart(const jobs::RunName& run) const {
+  const auto track = tracks_.find(run);
+  return track != tracks_.end() && !other_incarnation_ &&
+         track->second.phase == RunPhase::kOutcomeUnknown &&
+         !track->second.stop_requested;
+}
+
 bool WorkerSession::Reachable(TimePoint now) const {
   if (call_failed_ || !HasRespondedRecently(now))
     return false;
--- a/src/scheduler/worker_session.h
+++ b/src/scheduler/worker_session.h
@@ -173,6 +173,9 @@
   /// \returns runs whose start or stop is to be sent.
   [[nodiscard]] std::vector<jobs::RunName> StartsDue(TimePoint now) const;
   [[nodiscard]] std::vector<jobs::RunName> StopsDue(TimePoint now) const;
+  /// \returns whether the start of a run that StopsDue has returned may be sent
+  /// again instead: nobody has asked for its stop.
+  [[nodiscard]] bool MayRepeatStart(const jobs::RunName& run) const;
   /// \returns whether further tasks may be started on the worker.
   [[nodiscard]] bool Reachable(TimePoint now) const;
   /// \returns whether the worker has responded within
--- a/tests/stop_planner_test.cc
+++ b/tests/stop_planner_test.cc
@@ -111,5 +111,48 @@
              3U);
 }
 
+// Guards against a stop of a run whose state is not known, which ends a task
+// that has been put to work by a late start while another one is unavailable.
+BOOST_AUTO_TEST_CASE(AnUnknownRunIsNotStoppedBeyondTheBudget) {
+  LedgerBuilder builder = LongRunningJob();
+  const jobs::RunName run = LedgerBuilder::Run("job", 0, 0);
+  const auto may_interrupt = [&](const std::map<std::string, int>& percents) {
+    const jobs::Worker* worker =
+        builder.ledger().FindWorker(LedgerBuilder::IncarnationOf("a"));
+    BOOST_REQUIRE(worker != nullptr);
+    return MayInterrupt(builder.ledger(), run, *worker, Percents(percents));
+  };
+  BOOST_TEST(may_interrupt({{"a", 0}, {"b", 100}, {"c", 100}}));
+  BOOST_TEST(may_interrupt({{"a", 100}, {"b", 100}, {"c", 100}}));
+  BOOST_TEST(!may_interrupt({{"a", 0}, {"b", 40}, {"c", 100}}));
+  builder.End(LedgerBuilder::Run("job", 0, 1), "b", jobs::RunEnd::kFailed);
+  BOOST_TEST(!may_interrupt({{"a", 0}, {"b", 100}, {"c", 100}}));
+  // Nothing is left to be kept available.
+  builder.Cancel("job");
+  BOOST_TEST(may_interrupt({}));
+}
+
+// Guards against a budget that keeps tasks on a draining worker, and against
+// one where the step has none.
+BOOST_AUTO_TEST_CASE(OtherRunsAreAlwaysStopped) {
+  LedgerBuilder builder;
+  builder.AddWorker("w", {16'000, 32'000, 0}, true)
+      .AddWorker("v")
+      .Submit("job", {LedgerBuilder::Tasks(2)});
+  jobs::StepSpec step = LedgerBuilder::Tasks(2);
+  step.long_running = true;
+  step.max_unavailable = 1;
+  builder.Submit("service", {step})
+      .Start(LedgerBuilder::Run("service", 0, 0), "w")
+      .Start(LedgerBuilder::Run("job", 0, 0), "v");
+  const jobs::JobLedger& ledger = builder.ledger();
+  BOOST_TEST(MayInterrupt(ledger, LedgerBuilder::Run("service", 0, 0),
+                          *ledger.FindWorker(LedgerBuilder::IncarnationOf("w")),
+                          Percents({})));
+  BOOST_TEST(MayInterrupt(ledger, LedgerBuilder::Run("job", 0, 0),
+                          *ledger.FindWorker(LedgerBuilder::IncarnationOf("v")),
+                          Percents({})));
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -36,7 +36,10 @@
     }));
     WorkerCalls calls;
     calls.start = [this](const jobs::WorkerRecord&, const StartCall&,
-                         const WorkerCalls::Done<CallResponse>&) { ++starts; };
+                         WorkerCalls::Done<CallResponse> done) {
+      ++starts;
+      start = std::move(done);
+    };
     calls.stop = [this](const jobs::WorkerRecord&, const StopCall&,
                         const WorkerCalls::Done<CallResponse>&) { ++stops; };
     calls.hold = [this](const jobs::WorkerRecord&, const HoldCall&,
@@ -84,6 +87,7 @@
   Metrics metrics;
   std::optional<WorkerFleet> fleet;
   WorkerCalls::Done<HoldResponse> hold;
+  WorkerCalls::Done<CallResponse> start;
   int starts = 0;
   int stops = 0;
   bool paused_before_send = false;  ///< the lease ends once a batch is stored
@@ -156,5 +160,54 @@
   BOOST_TEST(!fleet->HasFailedOn(other, kWorker));
 }
 
+/// A long-running job of two tasks: the start of one gets no response, the
+/// other has no run.
+struct UnansweredStart : Fixture {
+  /// Stores the job and leaves its start without a response until a stop or a
+  /// further start is due.
+  void Run(std::int64_t max_unavailable) {
+    List({});
+    BOOST_REQUIRE(Store([&](jobs::Batch* batch) {
+      jobs::Submission submission;
+      submission.id = kRun.task.job;
+      submission.queue = QueueName("q");
+      jobs::StepSpec step;
+      step.tasks = 2;
+      step.request = {100, 1, 0};
+      step.long_running = true;
+      step.max_unavailable = max_unavailable;
+      submission.spec.steps.push_back(step);
+      batch->submissions.push_back(submission);
+      batch->starts.push_back({kRun, kWorker});
+    }));
+    while (starts < 3 && stops == 0) {
+      RunFor(Millis(20));
+      if (start)
+        std::exchange(start, nullptr)(Fail(ErrorCode::kTimeout, "no response"));
+      if (hold)
+        List({});
+      fleet->Tick(loop.now());
+    }
+  }
+};
+
+// Guards against the stop of a task that a late start has put to work while as
+// many tasks of its step are unavailable as may be (the rule AVAIL).
+BOOST_FIXTURE_TEST_CASE(AnUnansweredStartIsRepeatedWhereAStopIsNotAllowed,
+                        UnansweredStart) {
+  Run(1);
+  BOOST_TEST(starts == 3);
+  BOOST_TEST(stops == 0);
+}
+
+// Guards against a task that waits for the expiry of a lease although it could
+// start elsewhere.
+BOOST_FIXTURE_TEST_CASE(AnUnansweredStartIsStoppedWhereThatIsAllowed,
+                        UnansweredStart) {
+  Run(2);
+  BOOST_TEST(starts == 2);
+  BOOST_TEST(stops == 1);
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
