--- a/src/scheduler/worker_session.cc
+++ b/src/scheduler/worker_session.cc
@@ -139,10 +139,19 @@
   return std::max(of_others, clock_at_ + WithDrift(left));
 }
 
+TimePoint WorkerSession::LeaseExpiryOf(const RunTrack* track) const {
+  if (track == nullptr || !track->unanswered_start)
+    return LeaseExpiry();
+  return std::max(LeaseExpiry(), *track->unanswered_start +
+                                     options_.max_order_delay +
+                                     WithDrift(options_.max_lease));
+}
+
 void WorkerSession::OnStartSent(const jobs::RunName& run, TimePoint now) {
   if (RunTrack* track = Find(run); track != nullptr) {
     track->phase = RunPhase::kOrdered;
     track->since = now;
+    track->start_sent = now;
     ++track->starts_sent;
     track->unlisted = false;
   }
@@ -157,6 +166,7 @@
     return std::nullopt;
   if (!response) {
     OnCallFailed(now);
+    track->unanswered_start = track->start_sent;
     // Also if the connection failed: bytes of an earlier attempt of the same
     // call may still arrive.
     if (track->phase == RunPhase::kOrdered) {
@@ -326,6 +336,8 @@
     return ends;
   for (const jobs::RunName& run : worker.runs) {
     const RunTrack* track = Find(run);
+    if (now < LeaseExpiryOf(track))
+      continue;
     ends.push_back({run, worker.record.incarnation, jobs::RunEnd::kLost,
                     track != nullptr ? track->checkpoint : "", 0});
   }
--- a/src/scheduler/worker_session.h
+++ b/src/scheduler/worker_session.h
@@ -73,6 +73,10 @@
   RunPhase phase = RunPhase::kInherited;
   TimePoint since;
   int starts_sent = 0;
+  TimePoint start_sent;  ///< the latest start
+  /// Latest start without a response. It may still be carried out, also by a
+  /// later incarnation of the worker.
+  std::optional<TimePoint> unanswered_start;
   bool stop_requested = false;
   /// A list that was requested after the last start lacks the run.
   bool unlisted = false;
@@ -99,9 +103,10 @@
 /// may have been granted has expired. A worker that has started again under its
 /// id also accepts the leases in orders for its earlier incarnation; they are
 /// times on another clock, so they may last for options.max_lease, and they
-/// apply to all of its runs. A run that this leader may have ordered
-/// from an earlier incarnation of the worker is stopped first, as its start may
-/// still be in flight.
+/// apply to all of its runs. A start without a response may have reached such
+/// an incarnation that has not reported yet. A run that this leader may have
+/// ordered from an earlier incarnation of the worker is stopped first, as its
+/// start may still be in flight.
 class WorkerSession {
  public:
   /// \param leading_since time at which this leader took leadership: leases
@@ -196,6 +201,9 @@
 
  private:
   [[nodiscard]] TimePoint LeaseExpiry() const;
+  /// \returns when every lease that may cover the run has expired.
+  /// \param track of the run; nullptr if there is none.
+  [[nodiscard]] TimePoint LeaseExpiryOf(const RunTrack* track) const;
   /// \brief Records that a newer incarnation may accept leases in orders for an
   /// older one that arrive until `until`.
   void ExpectTakeover(TimePoint until);
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -397,6 +397,33 @@
              lease * 5 / 4);
 }
 
+// Guards against two runs of one task: the start gets no response, as the
+// worker has restarted, and is carried out by the new incarnation, which is cut
+// off before it reports.
+BOOST_FIXTURE_TEST_CASE(AnUnansweredStartMayReachALaterIncarnation, Fixture) {
+  const WorkerSessionOptions options;
+  const jobs::RunName answered = LedgerBuilder::Run("other", 0, 0);
+  builder.Submit("other", {LedgerBuilder::Tasks(1)}).Start(answered, "w");
+  session = WorkerSession{options, At(-60'000)};
+  session.Sync(worker(), RunPhase::kPlanned, At(0));
+  (void)List(0, 5, {});
+  session.OnGrant(*session.LeaseUntil());
+  session.OnStartSent(answered, At(5));
+  BOOST_TEST(
+      !session.OnStartResponse(answered, Verdict(CallVerdict::kDone), At(10)));
+  session.OnStartSent(kRun, At(10));
+  BOOST_TEST(
+      !session.OnStartResponse(kRun, Fail(ErrorCode::kTimeout, ""), At(410)));
+  const auto ends = session.ExpireLease(worker(), At(6'000));
+  BOOST_REQUIRE(ends.size() == 1U);
+  BOOST_TEST((ends[0].run == answered));
+  builder.End(answered, "w", RunEnd::kLost);
+  const std::int64_t longest =
+      10 + (options.max_order_delay + options.max_lease).count();
+  BOOST_TEST(session.ExpireLease(worker(), At(longest)).empty());
+  BOOST_TEST(session.ExpireLease(worker(), At(longest * 5 / 4)).size() == 1U);
+}
+
 // Guards against a new leader that does not know of the restart, or that relies
 // on equal clocks.
 BOOST_FIXTURE_TEST_CASE(TheTimeOfARestartIsKnownToTheNextLeader,
