--- a/src/base/json.h
+++ b/src/base/json.h
@@ -17,9 +17,10 @@
 inline constexpr int kMaxJsonDepth = 32;
 
 /// Limit on the values of an untrusted document. Each one takes about 110 bytes
-/// of memory and as little as two bytes of text. The largest message is a
+/// of memory and as little as two bytes of text; together they take some three
+/// times as much as the largest body, which has 4 MiB. The largest message is a
 /// configuration, with some 15 values for each of up to 1,700 queues.
-inline constexpr std::size_t kMaxJsonValues = 80'000;
+inline constexpr std::size_t kMaxJsonValues = 120'000;
 
 /// \brief Parses one JSON document from outside.
 /// \returns the document, kTooLarge if it may have more than kMaxJsonValues, or
