--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -393,10 +393,12 @@
                                  const jobs::WorkerIncarnation& incarnation) {
     return PercentOf(other, incarnation);
   };
-  if (MayInterrupt(replica_.ledger(), run, worker, percent_of))
-    SendStop(worker, run);
-  else if (session.MayRepeatStart(run))
+  if (session.MayRepeatStart(run) &&
+      !MayInterrupt(replica_.ledger(), run, worker, percent_of)) {
     SendStart(worker, run);
+  } else {
+    SendStop(worker, run);
+  }
 }
 
 void WorkerFleet::SendHold(const jobs::Worker& worker,
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -121,9 +121,8 @@
   void CheckSoon(const jobs::WorkerIncarnation& incarnation);
   void SendStart(const jobs::Worker& worker, const jobs::RunName& run);
   void SendStop(const jobs::Worker& worker, const jobs::RunName& run);
-  /// \brief Sends the stop of a run, or its start once more if the stop could
-  /// make too many tasks unavailable. If neither is possible, the run ends when
-  /// the worker lists it or its leases expire.
+  /// \brief Sends the stop of a run, or its start once more if nobody has asked
+  /// for the stop and it could make too many tasks unavailable.
   void StopOrRepeatStart(const jobs::Worker& worker,
                          const WorkerSession& session,
                          const jobs::RunName& run);
--- a/src/scheduler/worker_session.h
+++ b/src/scheduler/worker_session.h
@@ -86,9 +86,10 @@
 };
 
 /// \returns the latest possible time at which the worker joined after an
-/// earlier incarnation of its id; nothing if none was known. \param added
-/// kInherited when this leader takes leadership, kPlanned when the worker has
-/// just joined. \param wall_time present time on this host's wall clock.
+/// earlier incarnation of its id; nothing if none was known.
+/// \param added kInherited when this leader takes leadership, kPlanned when the
+/// worker has just joined.
+/// \param wall_time present time on this host's wall clock.
 [[nodiscard]] std::optional<TimePoint> SuccessionTime(
     const jobs::Worker& worker,
     RunPhase added,
@@ -110,9 +111,9 @@
 class WorkerSession {
  public:
   /// \param leading_since time at which this leader took leadership: leases
-  /// that earlier leaders granted expire within options.lease after it. \param
-  /// succeeded latest possible time at which this incarnation joined after an
-  /// earlier one with the same id; nothing if none was known.
+  /// that earlier leaders granted expire within options.lease after it.
+  /// \param succeeded latest possible time at which this incarnation joined
+  /// after an earlier one with the same id; nothing if none was known.
   WorkerSession(WorkerSessionOptions options,
                 TimePoint leading_since,
                 std::optional<TimePoint> succeeded = std::nullopt);
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -209,5 +209,34 @@
   BOOST_TEST(stops == 1);
 }
 
+// Guards against tasks that wait for each other for good: the runs of a worker
+// that has restarted are stopped before their tasks start again, also while as
+// many tasks of the step are unavailable as may be.
+BOOST_FIXTURE_TEST_CASE(RunsOfAnEarlierIncarnationAreStopped, UnansweredStart) {
+  List({});
+  BOOST_REQUIRE(Store([&](jobs::Batch* batch) {
+    jobs::Submission submission;
+    submission.id = kRun.task.job;
+    submission.queue = QueueName("q");
+    jobs::StepSpec step;
+    step.tasks = 2;
+    step.request = {100, 1, 0};
+    step.long_running = true;
+    step.max_unavailable = 1;
+    submission.spec.steps.push_back(step);
+    batch->submissions.push_back(submission);
+    batch->starts.push_back({kRun, kWorker});
+  }));
+  BOOST_REQUIRE(Store([&](jobs::Batch* batch) {
+    jobs::WorkerRecord record =
+        replica->ledger().FindCurrent(kWorker.id)->record;
+    ++record.incarnation.start_time;
+    batch->workers.push_back(record);
+  }));
+  RunFor(Millis(20));
+  fleet->Tick(loop.now());
+  BOOST_TEST(stops == 1);
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
