Log ends that a worker has forgotten, and what was known of a run that ended unseen

The incident of the acknowledged ends has several explanations that the logs could not tell apart. run_ends_missing (BW7008, with a counter) names gaps in the numbers of a worker's ends, whatever caused them; run_ended shows the number of the end and the phase of the run.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -158,6 +158,8 @@
     {EventId::kRunSlow, kInfo, "run_slow",
      "A run takes far longer than runs of its queue do; it counts against its "
      "worker."},
+    {EventId::kRunEndsMissing, kWarn, "run_ends_missing",
+     "A worker has forgotten ends of runs that are not stored in the ledger."},
     {EventId::kInvariantViolated, kError, "invariant_violated",
      "An internal check failed; the action was refused. Report this."},
 };
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -82,6 +82,7 @@
   kRunStopDecided = 7005,
   kRunStopOrdered = 7006,
   kRunSlow = 7007,
+  kRunEndsMissing = 7008,
   kInvariantViolated = 9001,
 };
 
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -452,6 +452,16 @@
       RecordDeparture(incarnation, "another worker responds at its address");
     return;
   }
+  for (const EndRange& missing :
+       session->FindMissingEnds(*worker, response.value())) {
+    LogEvent(EventId::kRunEndsMissing, {{"worker", incarnation.Text()},
+                                        {"stored", worker->last_end_sequence},
+                                        {"first", missing.first},
+                                        {"last", missing.last}});
+    metrics_.Count(
+        "run_ends_missing", {"", worker->record.pool.str()},
+        static_cast<std::uint64_t>(missing.last - missing.first) + 1);
+  }
   std::vector<jobs::RunName> unexpected_runs;
   const bool first = !session->has_responded();
   const bool was_unresponsive = !session->HasRespondedRecently(now);
@@ -492,12 +502,22 @@
   if (ends.empty())
     return;
   for (const jobs::EndRecord& end : ends) {
+    const WorkerSession* session = FindSession(end.worker);
+    std::string phase;
+    if (session != nullptr) {
+      if (const auto track = session->tracks().find(end.run);
+          track != session->tracks().end()) {
+        phase = kRunPhases.Name(track->second.phase);
+      }
+    }
     LogEvent(EventId::kRunEnded,
              {{"run", end.run.task.Text()},
               {"number", std::to_string(end.run.number)},
               {"worker", end.worker.Text()},
               {"how", std::string(jobs::kRunEnds.Name(end.how))},
-              {"listed", end.end_sequence > 0 ? "yes" : "no"}});
+              {"listed", end.end_sequence > 0 ? "yes" : "no"},
+              {"end", end.end_sequence},
+              {"phase", phase}});
     metrics_.Count("run_ends", {"", std::string(jobs::kRunEnds.Name(end.how))});
   }
   jobs::Batch change;
--- a/src/scheduler/worker_session.cc
+++ b/src/scheduler/worker_session.cc
@@ -328,6 +328,20 @@
   return ends;
 }
 
+std::vector<EndRange> WorkerSession::FindMissingEnds(
+    const jobs::Worker& worker,
+    const HoldResponse& response) {
+  std::vector<EndRange> missing;
+  std::int64_t& last = last_listed_end_;
+  last = std::max(last, worker.last_end_sequence);
+  for (const EndedRow& row : response.ended) {
+    if (row.end_sequence > last + 1)
+      missing.push_back({last + 1, row.end_sequence - 1});
+    last = std::max(last, row.end_sequence);
+  }
+  return missing;
+}
+
 std::vector<jobs::EndRecord> WorkerSession::ExpireLease(
     const jobs::Worker& worker,
     TimePoint now) {
--- a/src/scheduler/worker_session.h
+++ b/src/scheduler/worker_session.h
@@ -68,6 +68,12 @@
     {RunPhase::kStopped, "stopped"},
 }}};
 
+/// \brief Numbers of consecutive ends.
+struct EndRange {
+  std::int64_t first = 0;
+  std::int64_t last = 0;
+};
+
 /// \brief The leader's state of one run.
 struct RunTrack {
   RunPhase phase = RunPhase::kInherited;
@@ -162,6 +168,11 @@
       TimePoint now,
       std::vector<jobs::RunName>* unexpected_runs);
   void OnHoldFailed(TimePoint now);
+  /// \returns the ends that the worker has forgotten although they are neither
+  /// stored nor in an earlier list; each is returned once.
+  [[nodiscard]] std::vector<EndRange> FindMissingEnds(
+      const jobs::Worker& worker,
+      const HoldResponse& response);
 
   /// \returns the ends of all runs once every lease has expired.
   [[nodiscard]] std::vector<jobs::EndRecord> ExpireLease(
@@ -224,6 +235,7 @@
   bool hold_open_ = false;
   TimePoint hold_sent_;
   TimePoint hold_due_;
+  std::int64_t last_listed_end_ = 0;
   bool call_failed_ = false;  ///< a call has failed since the last response
 };
 
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -237,6 +237,32 @@
   BOOST_TEST(List(7, 9, response).empty());
 }
 
+// Guards against ends that are lost without a trace, and against one that is
+// reported with each list.
+BOOST_FIXTURE_TEST_CASE(EndsThatAWorkerHasForgottenAreFoundOnce, Fixture) {
+  const auto list = [](std::vector<std::int64_t> numbers) {
+    HoldResponse response;
+    for (const std::int64_t number : numbers)
+      response.ended.push_back({number, kRun, RunEnd::kDone, ""});
+    return response;
+  };
+  BOOST_TEST(session.FindMissingEnds(worker(), list({1, 2})).empty());
+  const auto missing = session.FindMissingEnds(worker(), list({2, 5, 6, 8}));
+  BOOST_REQUIRE(missing.size() == 2U);
+  BOOST_TEST((missing[0].first == 3 && missing[0].last == 4));
+  BOOST_TEST((missing[1].first == 7 && missing[1].last == 7));
+  BOOST_TEST(session.FindMissingEnds(worker(), list({5, 6, 8})).empty());
+}
+
+// Guards against a new leader that takes ends which an earlier one has stored
+// for lost ones.
+BOOST_FIXTURE_TEST_CASE(StoredEndsAreNotMissing, Fixture) {
+  builder.End(kRun, "w", RunEnd::kDone, 5);
+  HoldResponse response;
+  response.ended.push_back({6, kRun, RunEnd::kDone, ""});
+  BOOST_TEST(session.FindMissingEnds(worker(), response).empty());
+}
+
 // Guards against starts on a worker that no longer responds.
 BOOST_FIXTURE_TEST_CASE(AnUnresponsiveWorkerGetsNoNewWork, Fixture) {
   BOOST_TEST(!session.Reachable(At(0)));
