Fakes of restarted workers carry out late calls for their earlier incarnation

Until now a fake took its delayed calls with it when it crashed, so neither the soak nor a test could bring one to the next incarnation.

--- a/tests/platform_fakes_test.cc
+++ b/tests/platform_fakes_test.cc
@@ -301,5 +301,72 @@
   BOOST_TEST(lists["finished"][0][3].asString() == "lapsed");
 }
 
+/// A worker whose calls are delayed, and the next incarnation of it.
+struct RestartFixture : BackendFixture {
+  RestartFixture() {
+    BOOST_REQUIRE(control.Listen("127.0.0.1:0"));
+    config.id = "i-1";
+    config.controls = {control.address()};
+    config.order_delay = Millis(300);
+    worker = std::make_unique<FakeBackend>(loop, client, checker, config);
+    BOOST_REQUIRE(worker->Start());
+  }
+  /// Sends a start that is delayed, and restarts the worker meanwhile.
+  void RestartWithALateStart() {
+    worker->SetResponseMode(ResponseMode::kDelayed);
+    HttpCall call;
+    call.method = "POST";
+    call.url = "http://" + worker->address() + "/-/run-start";
+    call.headers["Expect-Instance"] = "i-1";
+    call.body = WriteJson(Order(1, 7, 60'000));
+    client.Send(std::move(call), [](const Result<HttpResponse>&) {});
+    std::vector<FakeBackend::DelayedCall> calls;
+    while (calls.empty()) {
+      RunFor(Millis(10));
+      calls = worker->TakeDelayedCalls();
+    }
+    worker = std::make_unique<FakeBackend>(loop, client, checker, config);
+    heartbeats = 0;
+    BOOST_REQUIRE(worker->Start());
+    worker->Adopt(std::move(calls));
+    while (heartbeats == 0)
+      RunFor(Millis(10));
+    RunFor(Millis(20));
+  }
+  void RunFor(Millis time) {
+    const WatchHandle stop =
+        loop.After(time, [this](TimePoint) { loop.Stop(); });
+    loop.Run();
+  }
+
+  int heartbeats = 0;
+  HttpServer control{loop, HttpServerLimits{},
+                     [this](const HttpRequest&, const HttpResponder& respond) {
+                       ++heartbeats;
+                       respond({200, "{}"});
+                     }};
+  FakeBackendConfig config;
+};
+
+// Guards against fakes whose restarted workers never carry out an order for
+// their earlier incarnation, as those of the platform do.
+BOOST_FIXTURE_TEST_CASE(ALateCallReachesTheNextIncarnation, RestartFixture) {
+  RestartWithALateStart();
+  Json hold;
+  hold["fencingToken"] = 7;
+  BOOST_TEST(Call("/-/hold", hold).status == 200);
+  RunFor(config.order_delay);
+  BOOST_TEST(worker->running() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALateCallWithALowerTokenIsIgnored, RestartFixture) {
+  RestartWithALateStart();
+  Json hold;
+  hold["fencingToken"] = 8;
+  BOOST_TEST(Call("/-/hold", hold).status == 200);
+  RunFor(config.order_delay);
+  BOOST_TEST(worker->running() == 0U);
+}
+
 }  // namespace
 }  // namespace boragewinch::platform
