A life of a worker refuses orders for its earlier lives

Cause: a hold acknowledges ends by a number that starts anew with each life of the worker, and names only the worker's id. Carried out by the next life, late or before that has reported, it makes it forget ends that nobody has read.

Change: the ledger numbers the incarnations of workers as they join, and the token of an order is the term and, below it, that number. A life that has had one order of its own refuses all others; nothing starts on it before it has listed its runs under its own token, and that list settles what it inherited, so the stop that came first is gone. Acknowledgements go out only straight after a list that needs them. First holds to a restarted worker are repeated sooner. A new leader takes each start that it finds for one without a response. A list that has another run of a task as running keeps the task from being started. The checkpoint that an earlier life listed is kept.

--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -361,8 +361,11 @@
     else
       RemoveIncarnation(incarnation);
   }
-  if (added && HasPredecessor(record.incarnation))
-    worker.succeeded = now;
+  if (added) {
+    worker.join_number = ++joins_;
+    if (HasPredecessor(record.incarnation))
+      worker.succeeded = now;
+  }
   // A worker cannot revoke a drain within one incarnation.
   const bool draining = worker.record.draining || record.draining;
   if (!added)
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -87,6 +87,9 @@
 /// \brief One incarnation of a worker and the runs that may be running on it.
 struct Worker {
   WorkerRecord record;
+  /// Numbers the incarnations of all workers in the order in which they joined;
+  /// 0 if it joined before they were numbered.
+  std::int64_t join_number = 0;
   std::int64_t last_end_sequence = 0;  ///< highest one stored
   Resources used;  ///< by its runs; see JobLedger::CapacityOf
   std::set<RunName> runs;
@@ -304,6 +307,7 @@
   std::unordered_map<JobId, Job> jobs_;
   std::set<JobId> active_;
   std::map<WorkerIncarnation, Worker> workers_;
+  std::int64_t joins_ = 0;  ///< the latest Worker::join_number
   /// Start time of the last departed incarnation of each worker id; late
   /// messages from it or earlier ones are ignored.
   std::map<WorkerId, UnixMillis> departed_;
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -164,10 +164,13 @@
     Json item;
     item["note"] = ToJson(worker.record);
     item["ends"] = ::Json::Int64(worker.last_end_sequence);
+    if (worker.join_number > 0)
+      item["join"] = ::Json::Int64(worker.join_number);
     if (worker.succeeded > 0)
       item["succeeded"] = ::Json::Int64(worker.succeeded);
     json["workers"].append(std::move(item));
   }
+  json["joins"] = ::Json::Int64(joins_);
   for (const auto& [id, start_time] : departed_) {
     Json row(::Json::arrayValue);
     row.append(id.str());
@@ -217,11 +220,17 @@
     Worker worker;
     BW_TRY(worker.record, WorkerRecordFromJson(item["note"]));
     BW_TRY(worker.last_end_sequence, IntField(item, "ends", 0, kMaxNumber));
+    if (item.isMember("join")) {
+      BW_TRY(worker.join_number, IntField(item, "join", 0, kMaxNumber));
+    }
     if (item.isMember("succeeded")) {
       BW_TRY(worker.succeeded, IntField(item, "succeeded", 0, kMaxNumber));
     }
     ledger.RestoreWorker(std::move(worker));
   }
+  if (json.isMember("joins")) {
+    BW_TRY(ledger.joins_, IntField(json, "joins", 0, kMaxNumber));
+  }
   for (const Json& row : json["departed"]) {
     if (!row.isArray() || row.size() != 2 || !row[0].isString() ||
         !row[1].isInt64()) {
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "scheduler/fencing_token.h"
+#include "scheduler/replicated_time.h"
 #include "scheduler/stop_planner.h"
 
 namespace boragewinch::scheduler {
@@ -93,7 +95,8 @@
       Forget(tracked);
     return;
   }
-  if (tracked == workers_.end()) {
+  const bool is_new = tracked == workers_.end();
+  if (is_new) {
     WorkerSession session(
         options_, leading_since_,
         SuccessionTime(*worker, added, loop_.unix_millis(), now));
@@ -106,19 +109,55 @@
             .first;
     tracked->second.check = checks_.emplace(now, &tracked->second);
   }
-  tracked->second.session.Sync(*worker, added, now);
+  WorkerSession& session = tracked->second.session;
+  session.Sync(*worker, added, now);
+  if (is_new && added == RunPhase::kInherited) {
+    ExpectEarlierStarts(*worker, &session, now);
+  } else if (is_new) {
+    if (const WorkerSession* earlier = FindEarlier(incarnation))
+      session.Inherit(*earlier);
+  }
   CheckWhenDue(incarnation, now);
 }
 
+const WorkerSession* WorkerFleet::FindEarlier(
+    const jobs::WorkerIncarnation& incarnation) const {
+  const auto found = workers_.find(incarnation);
+  if (found == workers_.end() || found == workers_.begin())
+    return nullptr;
+  const auto earlier = std::prev(found);
+  return earlier->first.id == incarnation.id ? &earlier->second.session
+                                             : nullptr;
+}
+
+void WorkerFleet::ExpectEarlierStarts(const jobs::Worker& worker,
+                                      WorkerSession* session,
+                                      TimePoint now) {
+  const jobs::WorkerIncarnation& incarnation = worker.record.incarnation;
+  for (const jobs::RunName& name : worker.runs) {
+    const jobs::Task* task = replica_.ledger().FindTask(name.task);
+    if (task == nullptr)
+      continue;
+    for (const jobs::Run& run : task->runs) {
+      if (run.number != name.number || run.worker != incarnation)
+        continue;
+      session->OnEarlierStart(
+          name, LatestPossibleTime(run.decided, loop_.unix_millis(), now) +
+                    options_.order_timeout + options_.start_retry_delay);
+    }
+  }
+}
+
 void WorkerFleet::SyncSessions(RunPhase added, TimePoint now) {
   const jobs::JobLedger& ledger = replica_.ledger();
+  // Sessions of new incarnations take over from those that are forgotten.
+  for (const auto& [incarnation, worker] : ledger.workers())
+    SyncSession(incarnation, added, now);
   for (auto it = workers_.begin(); it != workers_.end();) {
     const auto tracked = it++;
     if (ledger.FindWorker(tracked->first) == nullptr)
       Forget(tracked);
   }
-  for (const auto& [incarnation, worker] : ledger.workers())
-    SyncSession(incarnation, added, now);
   synced_ = ledger.applied();
 }
 
@@ -129,8 +168,14 @@
     SyncSessions(RunPhase::kPlanned, now);
     return;
   }
-  for (const jobs::WorkerIncarnation& incarnation : ledger.changed_workers())
-    SyncSession(incarnation, RunPhase::kPlanned, now);
+  // Sessions of new incarnations take over from those that are forgotten.
+  for (const bool known : {true, false}) {
+    for (const jobs::WorkerIncarnation& incarnation :
+         ledger.changed_workers()) {
+      if ((ledger.FindWorker(incarnation) != nullptr) == known)
+        SyncSession(incarnation, RunPhase::kPlanned, now);
+    }
+  }
   synced_ = ledger.applied();
 }
 
@@ -294,6 +339,10 @@
   return track != session->tracks().end() && track->second.stop_requested;
 }
 
+std::uint64_t WorkerFleet::TokenFor(const jobs::Worker& worker) const {
+  return FencingToken(replica_.term(), worker.join_number);
+}
+
 void WorkerFleet::SendStart(const jobs::Worker& worker,
                             const jobs::RunName& run) {
   const jobs::WorkerIncarnation incarnation = worker.record.incarnation;
@@ -310,7 +359,7 @@
   call.payload = job->spec->payload;
   call.checkpoint = task->checkpoint;
   call.ticket = ticket_of_(run.task, incarnation);
-  call.token = replica_.term();
+  call.token = TokenFor(worker);
   call.lease_until_ms = *lease;
   call.timeout = options_.order_timeout;
   session->OnGrant(*lease);
@@ -320,7 +369,7 @@
   LogEvent(EventId::kRunOrdered, {{"run", run.task.Text()},
                                   {"number", std::to_string(run.number)},
                                   {"worker", incarnation.Text()},
-                                  {"term", call.token}});
+                                  {"token", call.token}});
   calls_.start(worker.record, call,
                [this, incarnation, run, epoch = leadership_epoch_](
                    const Result<CallResponse>& response) {
@@ -369,7 +418,7 @@
   LogEvent(EventId::kRunStopOrdered, {{"run", run.task.Text()},
                                       {"number", std::to_string(run.number)},
                                       {"worker", incarnation.Text()}});
-  calls_.stop(worker.record, {run, replica_.term(), options_.order_timeout},
+  calls_.stop(worker.record, {run, TokenFor(worker), options_.order_timeout},
               [this, incarnation, run, epoch = leadership_epoch_](
                   const Result<CallResponse>& response) {
                 if (epoch != leadership_epoch_)
@@ -404,17 +453,8 @@
 void WorkerFleet::SendHold(const jobs::Worker& worker,
                            WorkerSession* session,
                            TimePoint now) {
-  HoldCall call;
-  call.token = replica_.term();
-  call.last_end_sequence = worker.last_end_sequence;
-  call.timeout = options_.hold_timeout;
-  call.lease_until_ms = session->LeaseUntil();
-  if (call.lease_until_ms) {
-    session->OnGrant(*call.lease_until_ms);
-    if (!session->HasUnsettledRuns(worker))
-      call.wait = options_.hold_wait;
-  }
-  session->OnHoldSent(now);
+  HoldCall call = session->PrepareHold(worker, now);
+  call.token = TokenFor(worker);
   calls_.hold(
       worker.record, call,
       [this, incarnation = worker.record.incarnation,
@@ -478,7 +518,8 @@
               {"stopped", stops ? "yes" : "no_lease"}});
     if (!stops)
       continue;
-    calls_.stop(worker->record, {run, replica_.term(), options_.order_timeout},
+    calls_.stop(worker->record,
+                {run, TokenFor(*worker), options_.order_timeout},
                 [](const Result<CallResponse>&) {
                   // The next list shows whether the run still exists.
                 });
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -108,6 +108,14 @@
   void SyncSession(const jobs::WorkerIncarnation& incarnation,
                    RunPhase added,
                    TimePoint now);
+  /// \returns the session of the earlier incarnation that `incarnation` has
+  /// replaced, nullptr if there is none.
+  [[nodiscard]] const WorkerSession* FindEarlier(
+      const jobs::WorkerIncarnation& incarnation) const;
+  /// \brief Records that starts of an earlier leader may have got no response.
+  void ExpectEarlierStarts(const jobs::Worker& worker,
+                           WorkerSession* session,
+                           TimePoint now);
   void Forget(
       std::map<jobs::WorkerIncarnation, TrackedWorker>::iterator tracked);
   /// \brief Sends what is due to one worker and schedules its next check.
@@ -119,6 +127,7 @@
   void CheckWhenDue(const jobs::WorkerIncarnation& incarnation, TimePoint now);
   /// \brief Schedules a check with the next tick, to look for slow runs.
   void CheckSoon(const jobs::WorkerIncarnation& incarnation);
+  [[nodiscard]] std::uint64_t TokenFor(const jobs::Worker& worker) const;
   void SendStart(const jobs::Worker& worker, const jobs::RunName& run);
   void SendStop(const jobs::Worker& worker, const jobs::RunName& run);
   /// \brief Sends the stop of a run, or its start once more if nobody has asked
--- a/src/scheduler/worker_session.cc
+++ b/src/scheduler/worker_session.cc
@@ -51,9 +51,17 @@
     : options_(options),
       earlier_leader_leases_until_(leading_since + WithDrift(options.lease)),
       takeover_leases_until_(leading_since),
+      succeeded_(succeeded),
+      fencing_timeout_(options.first_hold_timeout),
       hold_due_(leading_since) {
-  if (succeeded)
-    ExpectTakeover(*succeeded + options_.max_order_delay);
+  if (const auto last = LastEarlierOrder())
+    ExpectTakeover(*last);
+}
+
+std::optional<TimePoint> WorkerSession::LastEarlierOrder() const {
+  if (!succeeded_)
+    return std::nullopt;
+  return *succeeded_ + options_.max_late_order;
 }
 
 void WorkerSession::ExpectTakeover(TimePoint until) {
@@ -61,6 +69,19 @@
       std::max(takeover_leases_until_, until + WithDrift(options_.max_lease));
 }
 
+void WorkerSession::OnFenced(TimePoint now) {
+  if (std::exchange(fenced_, true))
+    return;
+  if (const auto last = LastEarlierOrder())
+    takeover_leases_until_ =
+        std::min(now, *last) + WithDrift(options_.max_lease);
+}
+
+bool WorkerSession::MayReceiveEarlierOrders(TimePoint now) const {
+  const auto last = LastEarlierOrder();
+  return !fenced_ && last && now < *last;
+}
+
 RunTrack* WorkerSession::Find(const jobs::RunName& run) {
   const auto found = tracks_.find(run);
   return found == tracks_.end() ? nullptr : &found->second;
@@ -78,18 +99,29 @@
       continue;
     track->second.phase = added;
     track->second.since = now;
-    if (worker.inherited.count(run) == 0)
-      continue;
-    ExpectTakeover(now);
-    if (added == RunPhase::kInherited)
+    if (worker.inherited.count(run) > 0) {
+      track->second.phase = RunPhase::kInherited;
+      if (!fenced_)
+        ExpectTakeover(now);
+    }
+  }
+}
+
+void WorkerSession::Inherit(const WorkerSession& earlier) {
+  for (auto& [run, track] : tracks_) {
+    const auto found = earlier.tracks_.find(run);
+    if (track.phase != RunPhase::kInherited || found == earlier.tracks_.end())
       continue;
-    // Its start may still be in flight with this leader's token, which the
-    // worker accepts.
-    track->second.phase = RunPhase::kOutcomeUnknown;
-    track->second.since = now - options_.start_retry_delay;
-    track->second.starts_sent = kMaxStarts;
-    track->second.stop_requested = true;
-    track->second.unlisted = true;
+    track.checkpoint = found->second.checkpoint;
+    track.unanswered_start = found->second.unanswered_start;
+  }
+}
+
+void WorkerSession::OnEarlierStart(const jobs::RunName& run,
+                                   TimePoint ordered) {
+  if (RunTrack* track = Find(run);
+      track != nullptr && track->phase == RunPhase::kInherited) {
+    track->unanswered_start = ordered;
   }
 }
 
@@ -106,7 +138,8 @@
 bool WorkerSession::OnClock(std::int64_t clock_ms, TimePoint now) {
   if (clock_ms_ && clock_ms + kMaxClockReorderMs < *clock_ms_)
     OnOtherIncarnation(now);
-  if (other_incarnation_)
+  // Without a list, the response may be that of another incarnation.
+  if (other_incarnation_ || !fenced_)
     return false;
   call_failed_ = false;
   // Responses may arrive out of order.
@@ -123,6 +156,7 @@
   ExpectTakeover(now);
   clock_ms_.reset();
   call_failed_ = true;
+  may_acknowledge_ = false;
 }
 
 void WorkerSession::OnCallFailed(TimePoint) {
@@ -254,6 +288,25 @@
     OnCallFailed(now);
 }
 
+HoldCall WorkerSession::PrepareHold(const jobs::Worker& worker, TimePoint now) {
+  HoldCall call;
+  if (std::exchange(may_acknowledge_, false))
+    call.last_end_sequence = worker.last_end_sequence;
+  call.timeout = options_.hold_timeout;
+  if (MayReceiveEarlierOrders(now)) {
+    call.timeout = std::min(fencing_timeout_, options_.hold_timeout);
+    fencing_timeout_ *= 2;
+  }
+  call.lease_until_ms = LeaseUntil();
+  if (call.lease_until_ms) {
+    OnGrant(*call.lease_until_ms);
+    if (!HasUnsettledRuns())
+      call.wait = options_.hold_wait;
+  }
+  OnHoldSent(now);
+  return call;
+}
+
 void WorkerSession::OnHoldSent(TimePoint now) {
   hold_open_ = true;
   hold_sent_ = now;
@@ -261,7 +314,9 @@
 
 void WorkerSession::OnHoldFailed(TimePoint now) {
   hold_open_ = false;
-  hold_due_ = now + options_.retry_delay;
+  hold_due_ = MayReceiveEarlierOrders(now)
+                  ? std::max(now, hold_sent_ + options_.first_hold_timeout)
+                  : now + options_.retry_delay;
   OnCallFailed(now);
 }
 
@@ -271,15 +326,18 @@
     TimePoint now,
     std::vector<jobs::RunName>* unexpected_runs) {
   hold_open_ = false;
-  hold_due_ = response.ended.empty() && !HasUnsettledRuns(worker)
+  hold_due_ = response.ended.empty() && !HasUnsettledRuns()
                   ? now
                   : now + options_.hold_batch_delay;
+  may_acknowledge_ = !response.ended.empty();
   // A hold response identifies its incarnation, so it is from this one.
   other_incarnation_ = false;
+  OnFenced(now);
   if (response.call.clock_ms)
     (void)OnClock(*response.call.clock_ms, now);
   std::vector<jobs::EndRecord> ends;
   std::set<jobs::RunName> listed;
+  std::set<jobs::TaskName> running_tasks;
   for (const EndedRow& row : response.ended) {
     listed.insert(row.run);
     if (row.end_sequence > worker.last_end_sequence) {
@@ -289,6 +347,7 @@
   }
   for (const RunningRow& row : response.running) {
     listed.insert(row.run);
+    running_tasks.insert(row.run.task);
     RunTrack* track = Find(row.run);
     if (track == nullptr) {
       if (worker.runs.count(row.run) == 0)
@@ -314,13 +373,14 @@
       continue;
     if (track.phase == RunPhase::kOutcomeUnknown && track.since < hold_sent_)
       track.unlisted = true;
-    // The worker has seen this leader's token, so an order of an earlier leader
-    // can no longer start the run.
+    // The worker has received this session's token, so no order of an earlier
+    // leader or for an earlier incarnation can start the run any more.
     const bool settled = track.phase == RunPhase::kInherited ||
                          ((track.phase == RunPhase::kConfirmed ||
                            track.phase == RunPhase::kStopped) &&
                           track.since < hold_sent_);
-    if (settled) {
+    // Another run of the task, started by an earlier order, has to end first.
+    if (settled && running_tasks.count(run.task) == 0) {
       ends.push_back({run, worker.record.incarnation, jobs::RunEnd::kLost,
                       track.checkpoint, 0});
     }
@@ -386,11 +446,11 @@
   return next;
 }
 
-bool WorkerSession::HasUnsettledRuns(const jobs::Worker& worker) const {
-  return !worker.inherited.empty() ||
-         std::any_of(tracks_.begin(), tracks_.end(), [](const auto& item) {
-           return item.second.phase == RunPhase::kOutcomeUnknown;
-         });
+bool WorkerSession::HasUnsettledRuns() const {
+  return std::any_of(tracks_.begin(), tracks_.end(), [](const auto& item) {
+    return item.second.phase == RunPhase::kInherited ||
+           item.second.phase == RunPhase::kOutcomeUnknown;
+  });
 }
 
 bool WorkerSession::HoldDue(TimePoint now) const {
--- a/src/scheduler/worker_session.h
+++ b/src/scheduler/worker_session.h
@@ -25,6 +25,9 @@
   /// Longest time for which an order is under way. Calls end after
   /// hold_wait + hold_timeout.
   Millis max_order_delay{2'000};
+  /// Time after a restart from which the worker carries out no order for an
+  /// earlier incarnation. The users' workers carry out orders up to 12 s late.
+  Millis max_late_order{15'000};
   /// No tasks are started on a worker that has not responded for this long. A
   /// hold call gets its response within hold_wait.
   Millis unresponsive_after{1'700};
@@ -42,6 +45,10 @@
   Millis order_timeout{400};
   /// Response timeout of a hold call beyond its wait.
   Millis hold_timeout{900};
+  /// Response timeout of the first hold call of a worker that has restarted; it
+  /// doubles with each further one, up to hold_timeout. Until the worker has
+  /// carried one out, it carries out orders for its earlier incarnation.
+  Millis first_hold_timeout{100};
   /// Delay before a start without a response is sent again.
   Millis start_retry_delay{100};
 };
@@ -49,7 +56,9 @@
 /// \brief What the leader knows about a run that the ledger assigns to a
 /// worker.
 enum class RunPhase {
-  kInherited,       ///< ordered by an earlier leader, not yet listed
+  /// Ordered by an earlier leader or from an earlier incarnation of the worker,
+  /// not yet listed.
+  kInherited,
   kPlanned,         ///< stored by this leader, start not sent yet
   kOrdered,         ///< the start is in flight
   kOutcomeUnknown,  ///< a start or stop may have been carried out
@@ -107,13 +116,16 @@
 ///
 /// A run is known to be over only when the worker lists its end, when a list
 /// lacks it although no start of it can still arrive, or when every lease that
-/// may have been granted has expired. A worker that has started again under its
-/// id also accepts the leases in orders for its earlier incarnation; they are
-/// times on another clock, so they may last for options.max_lease, and they
-/// apply to all of its runs. A start without a response may have reached such
-/// an incarnation that has not reported yet. A run that this leader may have
-/// ordered from an earlier incarnation of the worker is stopped first, as its
-/// start may still be in flight.
+/// may have been granted has expired.
+///
+/// A worker that has started again under its id carries out orders for its
+/// earlier incarnations until it has received one with its own fencing token
+/// (see FencingToken). So nothing starts on it before it has responded to a
+/// hold. That response settles all inherited runs, as no earlier start can
+/// arrive any more. Leases that came with earlier orders are times on another
+/// clock, so they may last for options.max_lease from then on, and they apply
+/// to all of its runs. A start without a response may have reached such an
+/// incarnation that has not reported yet.
 class WorkerSession {
  public:
   /// \param leading_since time at which this leader took leadership: leases
@@ -130,11 +142,23 @@
   /// leadership, kPlanned later.
   void Sync(const jobs::Worker& worker, RunPhase added, TimePoint now);
 
+  /// \brief Takes over what is known of inherited runs from the session of the
+  /// earlier incarnation.
+  void Inherit(const WorkerSession& earlier);
+  /// \brief Records that an earlier leader may have ordered an inherited run
+  /// without a response.
+  /// \param ordered latest possible time of that order.
+  void OnEarlierStart(const jobs::RunName& run, TimePoint ordered);
+
   /// \returns the end of the lease for an order sent now, on the worker's
   /// clock; nothing while that is unknown.
   [[nodiscard]] std::optional<std::int64_t> LeaseUntil() const;
   /// \brief Records that an order with that lease is being sent.
   void OnGrant(std::int64_t lease_until_ms);
+  /// \returns the hold to be sent now, without its token, and records it as
+  /// sent. It acknowledges ends only straight after a list of this incarnation:
+  /// carried out late by the next one, it would acknowledge ends of that.
+  [[nodiscard]] HoldCall PrepareHold(const jobs::Worker& worker, TimePoint now);
   /// \brief Records the worker's clock in a response. \returns whether the
   /// clock can be that of this incarnation.
   bool OnClock(std::int64_t clock_ms, TimePoint now);
@@ -186,7 +210,7 @@
   [[nodiscard]] bool HoldDue(TimePoint now) const;
   /// \returns whether lists are needed to determine the state of runs; they are
   /// then requested without waiting for ends.
-  [[nodiscard]] bool HasUnsettledRuns(const jobs::Worker& worker) const;
+  [[nodiscard]] bool HasUnsettledRuns() const;
   /// \returns runs whose start or stop is to be sent.
   [[nodiscard]] std::vector<jobs::RunName> StartsDue(TimePoint now) const;
   [[nodiscard]] std::vector<jobs::RunName> StopsDue(TimePoint now) const;
@@ -219,6 +243,14 @@
   /// \brief Records that a newer incarnation may accept leases in orders for an
   /// older one that arrive until `until`.
   void ExpectTakeover(TimePoint until);
+  /// \returns the latest time at which this incarnation may carry out an order
+  /// for an earlier one, unless it has received its own token before.
+  [[nodiscard]] std::optional<TimePoint> LastEarlierOrder() const;
+  /// \brief Records that no order for an earlier incarnation can arrive after
+  /// `now`.
+  void OnFenced(TimePoint now);
+  /// \returns whether an order for an earlier incarnation may still arrive.
+  [[nodiscard]] bool MayReceiveEarlierOrders(TimePoint now) const;
   [[nodiscard]] RunTrack* Find(const jobs::RunName& run);
 
   WorkerSessionOptions options_;
@@ -231,8 +263,16 @@
   /// End of leases that a newer incarnation may have accepted with orders for
   /// an older one.
   TimePoint takeover_leases_until_;
+  /// Latest time at which this incarnation joined after an earlier one.
+  std::optional<TimePoint> succeeded_;
+  /// A list of this incarnation has arrived: it has received an order with its
+  /// own token.
+  bool fenced_ = false;
   bool other_incarnation_ = false;  ///< another incarnation has responded
+  bool may_acknowledge_ = false;    ///< the last response listed ends
   bool hold_open_ = false;
+  /// Of the next hold that is to fence the worker.
+  Millis fencing_timeout_;
   TimePoint hold_sent_;
   TimePoint hold_due_;
   std::int64_t last_listed_end_ = 0;
--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -426,6 +426,38 @@
   BOOST_TEST(builder.ledger().FindCurrent(WorkerId("w")) == nullptr);
 }
 
+// Guards against equal fencing tokens of two incarnations of a worker: their
+// numbers grow, also across a snapshot and after the worker was forgotten.
+BOOST_AUTO_TEST_CASE(EachIncarnationGetsAHigherNumber) {
+  LedgerBuilder builder;
+  builder.AddWorker("w").AddWorker("other");
+  const auto join = [](JobLedger* ledger, UnixMillis start_time) {
+    Batch batch;
+    batch.workers.resize(1);
+    batch.workers[0].incarnation =
+        LedgerBuilder::IncarnationOf("w", start_time);
+    batch.workers[0].address = "w:80";
+    batch.workers[0].pool = PoolName("p");
+    ledger->Apply(batch);
+    return ledger->FindCurrent(WorkerId("w"))->join_number;
+  };
+  auto restored = JobLedger::Restore(builder.ledger().Snapshot());
+  BOOST_REQUIRE(restored);
+  JobLedger& ledger = restored.value();
+  BOOST_TEST(ledger.FindCurrent(WorkerId("w"))->join_number == 1);
+  BOOST_TEST(ledger.FindCurrent(WorkerId("other"))->join_number == 2);
+  BOOST_TEST(join(&ledger, 1) == 1);  // a later report of the same incarnation
+  BOOST_TEST(join(&ledger, 2) == 3);
+  Batch leaves;
+  leaves.workers = {ledger.FindCurrent(WorkerId("w"))->record};
+  leaves.workers[0].departed = true;
+  ledger.Apply(leaves);
+  BOOST_REQUIRE(ledger.FindCurrent(WorkerId("w")) == nullptr);
+  auto again = JobLedger::Restore(ledger.Snapshot());
+  BOOST_REQUIRE(again);
+  BOOST_TEST(join(&again.value(), 3) == 4);
+}
+
 // Guards against cancellations of unknown jobs that are lost with a restart, or
 // that are kept for ever.
 BOOST_AUTO_TEST_CASE(CancellationsOfUnknownJobsAreKeptForAWhile) {
--- a/tests/simulated_worker.h
+++ b/tests/simulated_worker.h
@@ -22,7 +22,7 @@
   struct Hooks {
     std::function<void(const jobs::RunName&, TimePoint)> on_started;
     std::function<void(const jobs::RunName&, jobs::RunEnd, TimePoint)> on_ended;
-    /// An end was acknowledged, before the lease of its runs has expired.
+    /// An end was acknowledged, and no lease has expired since it.
     std::function<void(const jobs::RunName&, jobs::RunEnd, TimePoint)>
         on_acknowledged;
   };
@@ -108,7 +108,8 @@
            life_.ends.front().end_sequence <= call.last_end_sequence) {
       const EndedRow end = life_.ends.front();
       life_.ends.pop_front();
-      hooks_.on_acknowledged(end.run, end.how, now);
+      if (end.end_sequence > life_.last_end_before_expiry)
+        hooks_.on_acknowledged(end.run, end.how, now);
     }
     response.call.clock_ms = Clock(now);
     if (expected != incarnation_)
@@ -140,6 +141,7 @@
       const auto& [task, run] = *life_.runs.begin();
       End({task, run.number}, jobs::RunEnd::kLeaseExpired, *life_.lease_until);
     }
+    life_.last_end_before_expiry = life_.last_end;
     life_.lease_until.reset();
   }
 
@@ -157,6 +159,7 @@
     std::map<jobs::TaskName, std::uint32_t> floors;
     std::deque<EndedRow> ends;
     std::int64_t last_end = 0;
+    std::int64_t last_end_before_expiry = 0;
   };
   static constexpr Millis kMaxLease{10'000};
 
