Forget finished jobs and departed workers after ten minutes

Finished jobs are known for ten minutes, callers ask for two, and 100,000 at most; departures for ten minutes, late messages arrive within one. What is forgotten follows from the state and the time in the batch, so all replicas agree. A finished job with runs stays until they have been stopped.

ledger_age_test fails without it in all four cases.

--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -48,7 +48,8 @@
 
 bool JobLedger::HasPredecessor(const WorkerIncarnation& incarnation) const {
   const auto found = departed_.find(incarnation.id);
-  return found != departed_.end() && found->second < incarnation.start_time;
+  return found != departed_.end() &&
+         found->second.start_time < incarnation.start_time;
 }
 
 const Task* JobLedger::FindTask(const TaskName& name) const {
@@ -202,6 +203,7 @@
 void JobLedger::Apply(const Batch& batch) {
   ++applied_;
   changed_workers_.clear();
+  ForgetOld(batch.now);
   if (batch.config && batch.config->version > config_.version)
     ApplyConfig(*batch.config);
   for (const WorkerRecord& record : batch.workers)
@@ -312,6 +314,7 @@
     }
   }
   config_ = config;
+  ForgetUnused();
 }
 
 void JobLedger::RenameQueues(const std::map<QueueName, QueueName>& names) {
@@ -334,11 +337,11 @@
 void JobLedger::ApplyWorker(const WorkerRecord& record, UnixMillis now) {
   if (const auto gone = departed_.find(record.incarnation.id);
       gone != departed_.end() &&
-      record.incarnation.start_time <= gone->second) {
+      record.incarnation.start_time <= gone->second.start_time) {
     return;
   }
   if (record.departed) {
-    RemoveIncarnation(record.incarnation);
+    RemoveIncarnation(record.incarnation, now);
     return;
   }
   // A new incarnation with the same id, address or host replaces the earlier
@@ -357,9 +360,9 @@
   Worker& worker = it->second;
   for (const WorkerIncarnation& incarnation : replaced) {
     if (incarnation.id == record.incarnation.id)
-      InheritRuns(incarnation, record.incarnation);
+      InheritRuns(incarnation, record.incarnation, now);
     else
-      RemoveIncarnation(incarnation);
+      RemoveIncarnation(incarnation, now);
   }
   if (added) {
     worker.join_number = ++joins_;
@@ -377,9 +380,57 @@
   changed_workers_.push_back(record.incarnation);
 }
 
-void JobLedger::RemoveIncarnation(const WorkerIncarnation& incarnation) {
-  UnixMillis& start_time = departed_[incarnation.id];
-  start_time = std::max(start_time, incarnation.start_time);
+void JobLedger::RecordDeparture(const WorkerIncarnation& incarnation,
+                                UnixMillis now) {
+  Departure& departure = departed_[incarnation.id];
+  departures_.erase({departure.at, incarnation.id});
+  departure.start_time = std::max(departure.start_time, incarnation.start_time);
+  departure.at = now;
+  departures_.emplace(now, incarnation.id);
+}
+
+void JobLedger::ForgetOld(UnixMillis now) {
+  while (!departures_.empty() &&
+         now - departures_.begin()->first > kDepartureMemory.count()) {
+    departed_.erase(departures_.begin()->second);
+    departures_.erase(departures_.begin());
+  }
+  for (auto it = finished_jobs_.begin(); it != finished_jobs_.end();) {
+    const auto& [finished, id] = *it;
+    if (now - finished <= kFinishedJobMemory.count() &&
+        finished_jobs_.size() <= kMaxFinishedJobs) {
+      break;
+    }
+    // Runs of a finished job are stopped soon; they are found by their job.
+    if (jobs_.at(id).runs > 0) {
+      ++it;
+      continue;
+    }
+    jobs_.erase(id);
+    it = finished_jobs_.erase(it);
+  }
+}
+
+void JobLedger::ForgetUnused() {
+  const auto is_gone = [this](const QueueName& queue) {
+    return config_.FindQueue(queue) == nullptr &&
+           retired_queues_.count(queue) == 0;
+  };
+  std::erase_if(queued_, [&](const auto& item) {
+    return item.second == 0 && is_gone(item.first);
+  });
+  std::erase_if(loads_, [&](const auto& item) {
+    return item.second.open_tasks == 0 && is_gone(item.first);
+  });
+  std::erase_if(usage_, [this](const auto& item) {
+    return item.second == Resources{} &&
+           config_.customers.count(item.first) == 0;
+  });
+}
+
+void JobLedger::RemoveIncarnation(const WorkerIncarnation& incarnation,
+                                  UnixMillis now) {
+  RecordDeparture(incarnation, now);
   const auto found = workers_.find(incarnation);
   if (found == workers_.end())
     return;
@@ -397,7 +448,8 @@
 }
 
 void JobLedger::InheritRuns(const WorkerIncarnation& incarnation,
-                            const WorkerIncarnation& later) {
+                            const WorkerIncarnation& later,
+                            UnixMillis now) {
   const auto from = workers_.find(incarnation);
   Worker& to = workers_.at(later);
   for (const RunName& name : from->second.runs) {
@@ -420,7 +472,7 @@
   to.long_running_runs += std::exchange(from->second.long_running_runs, 0);
   to.obsolete_runs += std::exchange(from->second.obsolete_runs, 0);
   from->second.runs.clear();
-  RemoveIncarnation(incarnation);
+  RemoveIncarnation(incarnation, now);
 }
 
 // A configuration may have been stored since the submission was accepted. If it
@@ -667,6 +719,7 @@
   CountObsoleteRuns(*job);
   job->state = state;
   job->finished = now;
+  finished_jobs_.emplace(now, job->id);
   active_.erase(job->id);
   IndexJob(job);
   Compact(job);
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -153,6 +153,15 @@
 /// a copy of its submission can be under way. TCP sends the data of a
 /// connection that its sender has closed for some 60 s at most.
 inline constexpr Millis kUnseenCancelMemory{90'000};
+/// Time for which a finished job is known. Callers of the users' platform ask
+/// for its state for 120 s; copies of its submission arrive seconds late.
+inline constexpr Millis kFinishedJobMemory{600'000};
+/// Maximum finished jobs; more are forgotten earlier, the oldest first. One
+/// takes some 400 bytes of memory, so all of them a sixth of a 256 MB host.
+inline constexpr std::size_t kMaxFinishedJobs = 100'000;
+/// Time for which the departure of a worker is known. Late messages arrive
+/// within a minute: TCP sends the data of a closed connection for 60 s.
+inline constexpr Millis kDepartureMemory{600'000};
 /// Limit on the remembered ones, at some 200 bytes each.
 inline constexpr std::size_t kMaxUnseenCancels = 10'000;
 
@@ -277,11 +286,17 @@
   static void ShareCheckpoint(Step* step);
   void Finish(Job* job, JobState state, UnixMillis now);
   void Compact(Job* job);
-  void RemoveIncarnation(const WorkerIncarnation& incarnation);
+  void RemoveIncarnation(const WorkerIncarnation& incarnation, UnixMillis now);
+  void RecordDeparture(const WorkerIncarnation& incarnation, UnixMillis now);
+  /// \brief Forgets finished jobs and departures that are too old or too many.
+  void ForgetOld(UnixMillis now);
+  /// \brief Forgets the counts of queues and customers that are gone.
+  void ForgetUnused();
   /// \brief Removes an incarnation whose worker has restarted; `later` inherits
   /// its runs.
   void InheritRuns(const WorkerIncarnation& incarnation,
-                   const WorkerIncarnation& later);
+                   const WorkerIncarnation& later,
+                   UnixMillis now);
   void RestoreJob(Job job);
   /// \returns the unfinished tasks of open occurrences, without long-running
   /// ones.
@@ -308,9 +323,16 @@
   std::set<JobId> active_;
   std::map<WorkerIncarnation, Worker> workers_;
   std::int64_t joins_ = 0;  ///< the latest Worker::join_number
-  /// Start time of the last departed incarnation of each worker id; late
-  /// messages from it or earlier ones are ignored.
-  std::map<WorkerId, UnixMillis> departed_;
+  /// Finished jobs by the time at which they finished.
+  std::set<std::pair<UnixMillis, JobId>> finished_jobs_;
+  /// The last departed incarnation of each worker id; late messages from it or
+  /// earlier ones are ignored.
+  struct Departure {
+    UnixMillis start_time = 0;  ///< of the incarnation
+    UnixMillis at = 0;
+  };
+  std::map<WorkerId, Departure> departed_;
+  std::set<std::pair<UnixMillis, WorkerId>> departures_;  ///< by time
   /// Cancellations of jobs that were not known, with their times.
   std::map<UnseenCancel, UnixMillis> unseen_cancels_;
   std::map<CustomerName, Resources> usage_;
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -171,11 +171,12 @@
     json["workers"].append(std::move(item));
   }
   json["joins"] = ::Json::Int64(joins_);
-  for (const auto& [id, start_time] : departed_) {
+  for (const auto& [id, departure] : departed_) {
     Json row(::Json::arrayValue);
     row.append(id.str());
-    row.append(::Json::Int64(start_time));
+    row.append(::Json::Int64(departure.start_time));
     json["departed"].append(std::move(row));
+    json["departed_at"].append(::Json::Int64(departure.at));
   }
   for (const auto& [cancel, at] : unseen_cancels_) {
     Json row(::Json::arrayValue);
@@ -231,13 +232,22 @@
   if (json.isMember("joins")) {
     BW_TRY(ledger.joins_, IntField(json, "joins", 0, kMaxNumber));
   }
-  for (const Json& row : json["departed"]) {
+  // Snapshots of earlier versions have no times; a worker that started long ago
+  // is then forgotten.
+  const Json& departed_at = json["departed_at"];
+  for (::Json::ArrayIndex i = 0; i < json["departed"].size(); ++i) {
+    const Json& row = json["departed"][i];
     if (!row.isArray() || row.size() != 2 || !row[0].isString() ||
         !row[1].isInt64()) {
       return Fail(ErrorCode::kStorageCorrupt,
                   "malformed departed worker in a ledger snapshot");
     }
-    ledger.departed_[WorkerId(row[0].asString())] = row[1].asInt64();
+    const WorkerId id(row[0].asString());
+    const Json& at = departed_at.isArray() ? departed_at[i] : Json();
+    Departure& departure = ledger.departed_[id];
+    departure.start_time = row[1].asInt64();
+    departure.at = at.isInt64() ? at.asInt64() : departure.start_time;
+    ledger.departures_.emplace(departure.at, id);
   }
   for (const Json& item : json["jobs"]) {
     BW_TRY(Job job, JobFromJson(item));
@@ -312,7 +322,9 @@
       }
     }
   }
-  if (!job.final()) {
+  if (job.final()) {
+    finished_jobs_.emplace(job.finished, job.id);
+  } else {
     active_.insert(job.id);
     loads_[job.queue].open_tasks += OpenTasksOf(job);
   }
