--- a/tests/simulated_worker.h
+++ b/tests/simulated_worker.h
@@ -36,6 +36,11 @@
 
   /// \brief Ends all runs without a trace. Orders are lost until Restart.
   void Crash() { up_ = false; }
+  /// \brief Starts a worker under another id in its place.
+  void Replace(const jobs::WorkerIncarnation& incarnation, TimePoint now) {
+    incarnation_.id = incarnation.id;
+    Restart(incarnation.start_time, now);
+  }
   /// \brief Starts a new life under the same id.
   void Restart(jobs::UnixMillis start_time, TimePoint now) {
     incarnation_.start_time = start_time;
--- a/tests/worker_lives_random_test.cc
+++ b/tests/worker_lives_random_test.cc
@@ -30,11 +30,14 @@
 constexpr int kWorkers = 3;
 constexpr std::size_t kMaxRuns = 4;
 constexpr Millis kRoundTrip{4};
+constexpr Millis kDrainTime{2'000};
 
 struct Totals {
   int starts = 0;
   int late_starts = 0;
   int crashes = 0;
+  int replacements = 0;
+  int departures = 0;
   int leaders = 0;
   int ends = 0;
   int missing = 0;
@@ -95,6 +98,8 @@
     TimePoint cut_until;
     /// The present life has carried out an order that was sent to it.
     bool has_own_order = false;
+    int ids = 1;
+    int lives = 1;
   };
   struct TaskRecord {
     std::set<int> running_on;
@@ -157,7 +162,9 @@
 
   void CauseFault() {
     if (Pick(150) == 0)
-      Crash(static_cast<int>(Pick(kWorkers)));
+      Crash(static_cast<int>(Pick(kWorkers)), Pick(4) == 0);
+    if (Pick(1'000) == 0)
+      Drain(static_cast<int>(Pick(kWorkers)));
     if (Pick(400) == 0) {
       Node& node = *nodes_[Pick(kWorkers)];
       node.cut_until = now_ + PickMillis(500, 6'000);
@@ -168,7 +175,37 @@
     }
   }
 
-  void Crash(int index) {
+  /// \brief The worker reports that it is draining, and leaves later.
+  void Drain(int index) {
+    Node& node = *nodes_[static_cast<std::size_t>(index)];
+    if (!node.worker.up() || now_ < node.cut_until ||
+        builder_.ledger().FindWorker(node.worker.incarnation()) == nullptr) {
+      return;
+    }
+    ++totals_.departures;
+    Join(index, true);
+    After(kDrainTime, [this, index, life = node.lives] {
+      Node& leaving = *nodes_[static_cast<std::size_t>(index)];
+      if (leaving.lives != life || !leaving.worker.up())
+        return;
+      RecordDeparture(leaving.worker.incarnation());
+      Crash(index, true);
+    });
+  }
+
+  void RecordDeparture(const jobs::WorkerIncarnation& incarnation) {
+    const jobs::Worker* worker = builder_.ledger().FindWorker(incarnation);
+    if (worker == nullptr)
+      return;
+    jobs::Batch batch;
+    batch.workers = {worker->record};
+    batch.workers[0].departed = true;
+    Store(batch);
+  }
+
+  /// \param replaced whether a worker with another id comes in its place, as
+  /// after a move of the host or where its address passes to another one.
+  void Crash(int index, bool replaced) {
     Node& node = *nodes_[static_cast<std::size_t>(index)];
     if (!node.worker.up())
       return;
@@ -176,8 +213,16 @@
     node.worker.Crash();
     for (auto& [task, record] : tasks_)
       record.running_on.erase(index);
-    After(PickMillis(100, 600), [this, index, &node] {
-      node.worker.Restart(ToMillis(now_), now_);
+    totals_.replacements += replaced ? 1 : 0;
+    After(PickMillis(100, 600), [this, index, replaced, &node] {
+      if (replaced) {
+        const std::string id =
+            "w" + std::to_string(index) + "." + std::to_string(++node.ids);
+        node.worker.Replace({jobs::WorkerId(id), ToMillis(now_)}, now_);
+      } else {
+        node.worker.Restart(ToMillis(now_), now_);
+      }
+      ++node.lives;
       node.has_own_order = false;
       ReportSoon(index);
     });
@@ -205,11 +250,15 @@
     Sync(RunPhase::kInherited);
   }
 
-  void Join(int index) {
+  void Join(int index, bool draining = false) {
+    const Node& node = *nodes_[static_cast<std::size_t>(index)];
+    const std::string host = "h" + std::to_string(index);
     jobs::WorkerRecord record;
-    record.incarnation =
-        nodes_[static_cast<std::size_t>(index)]->worker.incarnation();
-    record.address = record.incarnation.id.str() + ":80";
+    record.incarnation = node.worker.incarnation();
+    // The address changes with some restarts, the host with none.
+    record.address = host + ":" + std::to_string(node.lives / 2);
+    record.host = HostName(host);
+    record.draining = draining;
     record.pool = PoolName("p");
     record.capacity = {16'000, 32'000, 0};
     jobs::Batch batch;
@@ -257,6 +306,12 @@
   [[nodiscard]] int IndexOf(const jobs::WorkerIncarnation& incarnation) const {
     return std::stoi(incarnation.id.str().substr(1));
   }
+  [[nodiscard]] static CallVerdict& VerdictOf(CallResponse& response) {
+    return response.verdict;
+  }
+  [[nodiscard]] static CallVerdict& VerdictOf(HoldResponse& response) {
+    return response.call.verdict;
+  }
   [[nodiscard]] std::uint64_t TokenFor(const jobs::Worker& worker) const {
     return FencingToken(term_, worker.join_number);
   }
@@ -282,6 +337,11 @@
     };
     const auto perform = [this, index, to, execute, ordered = now_](bool late) {
       Node& node = *nodes_[static_cast<std::size_t>(index)];
+      if (to.id != node.worker.incarnation().id) {
+        Response refusal;
+        VerdictOf(refusal) = CallVerdict::kOtherWorker;
+        return refusal;
+      }
       is_late_ = late;
       ordered_ = ordered;
       node.has_own_order =
@@ -333,6 +393,11 @@
         },
         [this, run, to](WorkerSession& current, const jobs::Worker&,
                         const CallResponse* response) {
+          if (response != nullptr &&
+              response->verdict == CallVerdict::kOtherWorker) {
+            RecordDeparture(to);
+            return;
+          }
           const auto how =
               current.OnStartResponse(run, ResultOf(response), now_);
           if (how)
@@ -378,6 +443,11 @@
               const HoldResponse* response) {
     if (response == nullptr || response->call.verdict != CallVerdict::kDone) {
       session->OnHoldFailed(now_);
+      if (response != nullptr &&
+          response->call.verdict == CallVerdict::kOtherWorker) {
+        RecordDeparture(worker.record.incarnation);
+        return;
+      }
       if (response != nullptr &&
           response->call.verdict == CallVerdict::kOtherIncarnation) {
         session->OnOtherIncarnation(now_);
@@ -488,8 +558,10 @@
   }
   std::cout << runs << " runs: " << totals.starts << " starts, "
             << totals.late_starts << " of them late, " << totals.crashes
-            << " crashes, " << totals.leaders << " changes of the leader, "
-            << totals.ends << " ends, " << totals.missing << " missing\n";
+            << " crashes, " << totals.replacements << " replacements, "
+            << totals.departures << " departures, " << totals.leaders
+            << " changes of the leader, " << totals.ends << " ends, "
+            << totals.missing << " missing\n";
   BOOST_TEST(totals.late_starts > 0);
   BOOST_TEST(totals.crashes > 0);
 }
