Forget the health of departed workers and durations of queues that are gone

A new incarnation starts without a record, so the old one served nothing. TheHealthOfAnEarlierIncarnationIsForgotten fails without the change.

--- a/src/policy/worker_health.h
+++ b/src/policy/worker_health.h
@@ -71,6 +71,8 @@
   [[nodiscard]] std::vector<HostName> Quarantined(TimePoint now) const;
 
   void Forget(const HostName& host);
+  /// \returns the number of workers with a record.
+  [[nodiscard]] std::size_t size() const noexcept { return workers_.size(); }
 
  private:
   struct Counts {
--- a/src/scheduler/fencing_token.h
+++ b/src/scheduler/fencing_token.h
@@ -7,8 +7,8 @@
 namespace boragewinch::scheduler {
 
 /// Bits of a token for the join number of a worker: 268 million joins, of which
-/// docs/CAPACITY.md expects 1,800 a day. The tokens of 33 million terms fit into
-/// the 53 bits that every JSON parser keeps.
+/// docs/CAPACITY.md expects 1,800 a day. The tokens of 33 million terms fit
+/// into the 53 bits that every JSON parser keeps.
 inline constexpr int kJoinNumberBits = 28;
 
 /// \returns the fencing token of orders to one incarnation of a worker. It
--- a/src/scheduler/run_durations.cc
+++ b/src/scheduler/run_durations.cc
@@ -33,6 +33,12 @@
   average.log_ratio += (std::log(ratio) - average.log_ratio) / average.runs;
 }
 
+void RunDurations::Retain(
+    const std::function<bool(const QueueName&)>& is_known) {
+  std::erase_if(averages_,
+                [&](const auto& item) { return !is_known(item.first); });
+}
+
 Millis RunDurations::SlowAfter(const QueueName& queue, Millis estimate) const {
   if (estimate.count() <= 0)
     return Millis::max();
--- a/src/scheduler/run_durations.h
+++ b/src/scheduler/run_durations.h
@@ -1,6 +1,7 @@
 #ifndef BORAGEWINCH_SCHEDULER_RUN_DURATIONS_H_
 #define BORAGEWINCH_SCHEDULER_RUN_DURATIONS_H_
 
+#include <functional>
 #include <map>
 
 #include "base/strong_id.h"
@@ -17,6 +18,9 @@
   /// \brief Records a successful run.
   void OnDone(const QueueName& queue, Millis estimate, Millis duration);
 
+  /// \brief Forgets the queues for which `is_known` returns false.
+  void Retain(const std::function<bool(const QueueName&)>& is_known);
+
   /// \returns the duration after which a run counts as slow.
   /// \param estimate of one task; 0: unknown, no run counts as slow.
   [[nodiscard]] Millis SlowAfter(const QueueName& queue, Millis estimate) const;
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -74,6 +74,7 @@
   ++leadership_epoch_;
   workers_.clear();
   checks_.clear();
+  health_ = WorkerHealth::Make(HealthConfig()).value();
   leading_since_ = now;
   if (leading)
     SyncSessions(RunPhase::kInherited, now);
@@ -81,6 +82,7 @@
 
 void WorkerFleet::Forget(
     std::map<jobs::WorkerIncarnation, TrackedWorker>::iterator tracked) {
+  health_.Forget(tracked->second.health_name);
   checks_.erase(tracked->second.check);
   workers_.erase(tracked);
 }
@@ -184,6 +186,12 @@
     return;
   SyncChanged(now);
   const jobs::JobLedger& ledger = replica_.ledger();
+  if (batch.config) {
+    durations_.Retain([&ledger](const QueueName& queue) {
+      return ledger.config().FindQueue(queue) != nullptr ||
+             ledger.retired_queues().count(queue) > 0;
+    });
+  }
   for (const jobs::StartRecord& start : batch.starts) {
     const jobs::Worker* worker = ledger.FindWorker(start.worker);
     if (worker != nullptr && worker->runs.count(start.run) > 0)
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -73,6 +73,10 @@
   /// it was not listed, is to be stopped or its worker does not respond.
   [[nodiscard]] int PercentOf(const jobs::RunName& run,
                               const jobs::WorkerIncarnation& incarnation) const;
+  /// \returns the number of workers whose health is recorded.
+  [[nodiscard]] std::size_t health_records() const noexcept {
+    return health_.size();
+  }
   /// \returns whether the run is to be stopped and its worker responds.
   [[nodiscard]] bool IsStopping(
       const jobs::RunName& run,
--- a/tests/run_durations_test.cc
+++ b/tests/run_durations_test.cc
@@ -22,6 +22,19 @@
   BOOST_TEST(durations.SlowAfter(kQueue, Millis(1'000)).count() <= 3'200);
 }
 
+// Guards against a record for each name that a queue has ever had.
+BOOST_AUTO_TEST_CASE(QueuesThatAreGoneAreForgotten) {
+  const QueueName gone("gone");
+  RunDurations durations;
+  for (const QueueName& queue : {kQueue, gone}) {
+    for (int i = 0; i < 50; ++i)
+      durations.OnDone(queue, Millis(1'000), Millis(2'000));
+  }
+  durations.Retain([](const QueueName& queue) { return queue == kQueue; });
+  BOOST_TEST(durations.SlowAfter(kQueue, Millis(1'000)).count() >= 8'400);
+  BOOST_TEST(durations.SlowAfter(gone, Millis(1'000)).count() == 4'500);
+}
+
 // Guards against counting all runs of a queue without estimates as slow.
 BOOST_AUTO_TEST_CASE(WithoutAnEstimateNoRunIsSlow) {
   RunDurations durations;
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -209,6 +209,26 @@
   BOOST_TEST(stops == 1);
 }
 
+// Guards against a record for each incarnation that there ever was.
+BOOST_FIXTURE_TEST_CASE(TheHealthOfAnEarlierIncarnationIsForgotten, Fixture) {
+  List({});
+  StoreStart();
+  HoldResponse response;
+  response.call.clock_ms = 500'000;
+  response.ended.push_back({1, kRun, jobs::RunEnd::kFailed, ""});
+  BOOST_REQUIRE(hold);
+  std::exchange(hold, nullptr)(response);
+  BOOST_TEST(fleet->health_records() == 1U);
+  BOOST_REQUIRE(Store([this](jobs::Batch* batch) {
+    jobs::WorkerRecord record =
+        replica->ledger().FindCurrent(kWorker.id)->record;
+    ++record.incarnation.start_time;
+    batch->workers.push_back(record);
+  }));
+  RunFor(Millis(20));
+  BOOST_TEST(fleet->health_records() == 0U);
+}
+
 // Guards against tasks that wait for each other for good: the runs of a worker
 // that has restarted end with its first list, so that their tasks can start
 // again, also while as many tasks of the step are unavailable as may be.
