Only an unexpected run keeps a task waiting, and first holds keep their pace

A copy of a speculative step that had ended unseen would have waited for the other copy on the same worker: the wait is now for runs that the ledger does not have. Where a restarted worker refuses connections, a hold followed each refusal after 100 ms at the earliest; it now comes when the refused one would have timed out.

--- a/src/scheduler/worker_session.cc
+++ b/src/scheduler/worker_session.cc
@@ -314,8 +314,10 @@
 
 void WorkerSession::OnHoldFailed(TimePoint now) {
   hold_open_ = false;
+  // Half of fencing_timeout_ is the timeout of the hold that has failed.
   hold_due_ = MayReceiveEarlierOrders(now)
-                  ? std::max(now, hold_sent_ + options_.first_hold_timeout)
+                  ? std::max(now, hold_sent_ + std::min(fencing_timeout_ / 2,
+                                                        options_.hold_timeout))
                   : now + options_.retry_delay;
   OnCallFailed(now);
 }
@@ -337,7 +339,7 @@
     (void)OnClock(*response.call.clock_ms, now);
   std::vector<jobs::EndRecord> ends;
   std::set<jobs::RunName> listed;
-  std::set<jobs::TaskName> running_tasks;
+  std::set<jobs::TaskName> unexpected_tasks;
   for (const EndedRow& row : response.ended) {
     listed.insert(row.run);
     if (row.end_sequence > worker.last_end_sequence) {
@@ -347,11 +349,12 @@
   }
   for (const RunningRow& row : response.running) {
     listed.insert(row.run);
-    running_tasks.insert(row.run.task);
     RunTrack* track = Find(row.run);
     if (track == nullptr) {
-      if (worker.runs.count(row.run) == 0)
+      if (worker.runs.count(row.run) == 0) {
         unexpected_runs->push_back(row.run);
+        unexpected_tasks.insert(row.run.task);
+      }
       continue;
     }
     track->percent = row.percent;
@@ -380,7 +383,7 @@
                            track.phase == RunPhase::kStopped) &&
                           track.since < hold_sent_);
     // Another run of the task, started by an earlier order, has to end first.
-    if (settled && running_tasks.count(run.task) == 0) {
+    if (settled && unexpected_tasks.count(run.task) == 0) {
       ends.push_back({run, worker.record.incarnation, jobs::RunEnd::kLost,
                       track.checkpoint, 0});
     }
--- a/tests/worker_session_test.cc
+++ b/tests/worker_session_test.cc
@@ -362,6 +362,50 @@
   BOOST_TEST(!newer_session.HasUnsettledRuns());
 }
 
+// Guards against a second run beside one that a late order has started: the
+// newer incarnation lists an earlier run of the task, which has to end first.
+BOOST_FIXTURE_TEST_CASE(ATaskWaitsForAnEarlierRunOnTheNewerIncarnation,
+                        NewerIncarnation) {
+  const jobs::RunName second = LedgerBuilder::Run("job", 0, 0, 2);
+  jobs::Batch batch;
+  batch.ends.push_back({kRun, incarnation, RunEnd::kLost, "", 0});
+  batch.starts.push_back({second, incarnation});
+  builder.Apply(batch);
+  newer_session.Sync(newer_worker(), RunPhase::kInherited, At(0));
+  const auto list = [&](HoldResponse response, std::int64_t now) {
+    newer_session.OnHoldSent(At(now));
+    response.call.clock_ms = now;
+    return newer_session.OnHoldResponse(newer_worker(), response, At(now),
+                                        &unexpected_runs);
+  };
+  BOOST_TEST(list(Running(kRun), 5).empty());
+  BOOST_TEST((unexpected_runs == std::vector<jobs::RunName>{kRun}));
+  BOOST_TEST(newer_session.HasUnsettledRuns());
+  BOOST_TEST(list({}, 10).size() == 1U);
+}
+
+// Guards against holds that follow each other without a pause where the worker
+// refuses connections, and against a restarted one that is asked too rarely.
+BOOST_FIXTURE_TEST_CASE(TheFirstHoldsOfARestartedWorkerAreRepeatedSoon,
+                        NewerIncarnation) {
+  const WorkerSessionOptions options;
+  newer_session = WorkerSession{options, At(-60'000), At(0)};
+  newer_session.Sync(newer_worker(), RunPhase::kPlanned, At(0));
+  std::int64_t now = 0;
+  for (const std::int64_t timeout : {100, 200, 400, 800, 900, 900}) {
+    BOOST_REQUIRE(newer_session.HoldDue(At(now)));
+    BOOST_TEST(
+        newer_session.PrepareHold(newer_worker(), At(now)).timeout.count() ==
+        timeout);
+    newer_session.OnHoldFailed(At(now + 1));
+    BOOST_TEST(!newer_session.HoldDue(At(now + timeout - 1)));
+    now += timeout;
+  }
+  const std::int64_t late = options.max_late_order.count();
+  BOOST_TEST(newer_session.PrepareHold(newer_worker(), At(late)).timeout ==
+             options.hold_timeout);
+}
+
 // Guards against an acknowledgement that a later incarnation of the worker
 // carries out: it is sent only straight after a list that needs it.
 BOOST_FIXTURE_TEST_CASE(EndsAreAcknowledgedOnlyAfterAList, Fixture) {
