--- a/tests/platform_cluster.cc
+++ b/tests/platform_cluster.cc
@@ -245,7 +245,8 @@
   for (const std::string& name :
        {std::string("main"), std::string("batch"), extra}) {
     Json route;
-    route["name"] = "r-" + name;
+    // Each version gives the routes other names; callers know their prefixes.
+    route["name"] = "r-" + name + "-" + std::to_string(version);
     route["host"] = kVirtualHost;
     route["pathPrefix"] = "/" + name + "/";
     route["kind"] = "non_idempotent";
