A maintenance order without a response counts as down while it may be carried out

If the platform then refused a second order, another host of the wave was ordered, and the first order, carried out up to 12 s late, took down one host too many (LIMIT).

The order now counts for 15 s, is repeated before another host is ordered, and loses its weight only when the platform says that the maintenance has begun. Both new tests fail with the old rule. The bound is shared with the worker sessions.

--- a/src/scheduler/host_manager.cc
+++ b/src/scheduler/host_manager.cc
@@ -61,7 +61,7 @@
   for (const auto& [host, order] : ledger.host_orders()) {
     const TimePoint at = orders_.IssuedAt(order, loop_.unix_millis(), now);
     if (order.record.wave > 0)
-      waves_->Inherit(host, at);
+      waves_->Inherit(host, order.record.wave, at);
     else
       pools_->Inherit(ledger, host, order.record.to, at, now);
   }
@@ -167,7 +167,7 @@
     if (starting.count(order.worker) == 0 &&
         orders_.MayOrder(replica_.ledger(), order.host, replica_.term(),
                          loop_.unix_millis(), now)) {
-      waves_->OnOrderSent(order.host, now);
+      waves_->OnOrderSent(order.host, order.wave, now);
       Maintain(order);
     }
   }
--- a/src/scheduler/maintenance_scheduler.cc
+++ b/src/scheduler/maintenance_scheduler.cc
@@ -1,8 +1,11 @@
 #include "scheduler/maintenance_scheduler.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
+#include "scheduler/late_orders.h"
+
 namespace boragewinch::scheduler {
 
 namespace {
@@ -20,13 +23,20 @@
 
 }  // namespace
 
-void MaintenanceScheduler::Inherit(const HostName& host, TimePoint at) {
-  ordered_[host] = {at, false, false};
+void MaintenanceScheduler::Inherit(const HostName& host,
+                                   std::int64_t wave,
+                                   TimePoint at) {
+  ordered_[host] = {wave, at, false, false, at + kMaxLateOrder};
   hosts_.RefreshBy(at + min_maintenance_);
 }
 
-void MaintenanceScheduler::OnOrderSent(const HostName& host, TimePoint now) {
-  ordered_[host] = {now, true, false};
+void MaintenanceScheduler::OnOrderSent(const HostName& host,
+                                       std::int64_t wave,
+                                       TimePoint now) {
+  // An earlier order to the host may still be without a response.
+  Ordered& order = ordered_[host];
+  order = {wave, now, true, false,
+           order.wave == wave ? order.late_until : TimePoint()};
 }
 
 std::optional<jobs::WaveProgress> MaintenanceScheduler::OnResponse(
@@ -43,9 +53,9 @@
     return jobs::WaveProgress{wave, host};
   }
   refused_until_[host] = now + kRetryDelay;
-  // Without a response the host may be down: it counts as down until a list
-  // shows it up.
-  if (verdict)
+  if (!verdict)
+    order.late_until = now + kMaxLateOrder;
+  else if (now >= order.late_until)
     ordered_.erase(host);
   return std::nullopt;
 }
@@ -65,6 +75,15 @@
   return row != nullptr && row->state == HostState::kMaintenance;
 }
 
+bool MaintenanceScheduler::MayStillGoDown(const HostName& host,
+                                          const jobs::Wave& wave,
+                                          TimePoint now) const {
+  const auto ordered = ordered_.find(host);
+  return ordered != ordered_.end() && wave.begun.count(host) == 0 &&
+         ordered->second.wave == wave.order.number && !ordered->second.begun &&
+         now < ordered->second.late_until;
+}
+
 WaveActions MaintenanceScheduler::Decide(const jobs::JobLedger& ledger,
                                          TimePoint now) {
   WaveActions actions;
@@ -86,12 +105,15 @@
   struct Candidate {
     HostName host;
     const jobs::Worker* worker = nullptr;
+    bool ordered = false;  ///< counts as down already
     std::size_t runs = 0;
   };
   std::int64_t down = 0;
   std::vector<Candidate> candidates;
   for (const HostName& host : wave.order.hosts) {
-    if (IsDown(host, now)) {
+    const bool is_down = IsDown(host, now);
+    const bool ordered = MayStillGoDown(host, wave, now);
+    if (is_down || ordered) {
       ++down;
       // An order, also one without a response, may end the listed worker at any
       // time until the host's next worker is listed.
@@ -100,9 +122,8 @@
           row == nullptr ? nullptr : ledger.FindCurrent(row->worker);
       if (worker != nullptr)
         cordoned_.insert(worker->record.incarnation);
-      continue;
     }
-    if (wave.begun.count(host) > 0)
+    if (is_down || wave.begun.count(host) > 0)
       continue;
     const HostRow* row = hosts_.Find(host);
     if (row == nullptr) {
@@ -124,16 +145,19 @@
       continue;
     }
     candidates.push_back(
-        {host, worker, worker == nullptr ? 0 : worker->runs.size()});
+        {host, worker, ordered, worker == nullptr ? 0 : worker->runs.size()});
   }
-  // Idle hosts come first: no task has to end or be stopped for them.
-  std::stable_sort(
-      candidates.begin(), candidates.end(),
-      [](const Candidate& a, const Candidate& b) { return a.runs < b.runs; });
+  // An order without a response is repeated, which is idempotent. Then idle
+  // hosts come first: no task has to end or be stopped for them.
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [](const Candidate& a, const Candidate& b) {
+                     return std::tuple(!a.ordered, a.runs) <
+                            std::tuple(!b.ordered, b.runs);
+                   });
   for (const Candidate& item : candidates) {
-    if (down >= wave.order.at_once)
+    if (!item.ordered && down >= wave.order.at_once)
       return;
-    ++down;
+    down += item.ordered ? 0 : 1;
     if (item.worker != nullptr)
       cordoned_.insert(item.worker->record.incarnation);
     if (item.runs == 0)
--- a/src/scheduler/maintenance_scheduler.h
+++ b/src/scheduler/maintenance_scheduler.h
@@ -39,8 +39,8 @@
                                    TimePoint now);
 
   /// \brief Adds an order that an earlier leader issued at `at`.
-  void Inherit(const HostName& host, TimePoint at);
-  void OnOrderSent(const HostName& host, TimePoint now);
+  void Inherit(const HostName& host, std::int64_t wave, TimePoint at);
+  void OnOrderSent(const HostName& host, std::int64_t wave, TimePoint now);
   /// \returns the progress to store if the platform has begun the maintenance.
   [[nodiscard]] std::optional<jobs::WaveProgress> OnResponse(
       const HostName& host,
@@ -57,9 +57,12 @@
 
  private:
   struct Ordered {
+    std::int64_t wave = 0;
     TimePoint at;
     bool in_flight = false;  ///< the call is in flight
     bool begun = false;      ///< the platform has accepted the order
+    /// Until then an order without a response may be carried out.
+    TimePoint late_until;
   };
 
   void DecideWave(const jobs::JobLedger& ledger,
@@ -67,6 +70,11 @@
                   TimePoint now,
                   WaveActions* actions);
   [[nodiscard]] bool IsDown(const HostName& host, TimePoint now) const;
+  /// \returns whether an order of the wave without a response may still end the
+  /// host's worker.
+  [[nodiscard]] bool MayStillGoDown(const HostName& host,
+                                    const jobs::Wave& wave,
+                                    TimePoint now) const;
 
   Millis min_maintenance_;
   HostInventory& hosts_;
--- a/src/scheduler/worker_session.h
+++ b/src/scheduler/worker_session.h
@@ -10,6 +10,7 @@
 #include "base/enum_table.h"
 #include "base/time.h"
 #include "jobs/job_ledger.h"
+#include "scheduler/late_orders.h"
 #include "scheduler/worker_calls.h"
 
 namespace boragewinch::scheduler {
@@ -26,8 +27,8 @@
   /// hold_wait + hold_timeout.
   Millis max_order_delay{2'000};
   /// Time after a restart from which the worker carries out no order for an
-  /// earlier incarnation. The users' workers carry out orders up to 12 s late.
-  Millis max_late_order{15'000};
+  /// earlier incarnation.
+  Millis max_late_order = kMaxLateOrder;
   /// No tasks are started on a worker that has not responded for this long. A
   /// hold call gets its response within hold_wait.
   Millis unresponsive_after{1'700};
--- a/tests/host_decisions_test.cc
+++ b/tests/host_decisions_test.cc
@@ -310,7 +310,7 @@
   const auto actions = Decide(10);
   BOOST_REQUIRE(actions.maintain.size() == 2U);
   for (const auto& order : actions.maintain) {
-    maintenance.OnOrderSent(order.host, At(10));
+    maintenance.OnOrderSent(order.host, 1, At(10));
     const auto progress =
         maintenance.OnResponse(order.host, 1, HostVerdict::kDone, At(20));
     BOOST_REQUIRE(progress.has_value());
@@ -332,7 +332,7 @@
   StartWave({HostName("p0"), HostName("p1")}, 1);
   const auto actions = Decide(10);
   BOOST_REQUIRE(actions.maintain.size() == 1U);
-  maintenance.OnOrderSent(actions.maintain[0].host, At(10));
+  maintenance.OnOrderSent(actions.maintain[0].host, 1, At(10));
   BOOST_TEST(!maintenance.OnResponse(actions.maintain[0].host, 1,
                                      Fail(ErrorCode::kTimeout, ""), At(3'010)));
   BOOST_TEST(Decide(3'100).maintain.empty());
@@ -343,7 +343,7 @@
 BOOST_FIXTURE_TEST_CASE(AnInheritedOrderCountsAsDown, Wave) {
   RefreshList(0);
   StartWave({HostName("p0"), HostName("p1")}, 1);
-  maintenance.Inherit(HostName("p0"), At(0));
+  maintenance.Inherit(HostName("p0"), 1, At(0));
   BOOST_TEST(Decide(10).maintain.empty());
   RefreshList(2'100);
   BOOST_TEST(Decide(2'110).maintain.size() == 1U);
@@ -359,7 +359,7 @@
   BOOST_REQUIRE(actions.maintain.size() == 1U);
   const HostName host = actions.maintain[0].host;
   const jobs::WorkerIncarnation incarnation = actions.maintain[0].worker;
-  maintenance.OnOrderSent(host, At(10));
+  maintenance.OnOrderSent(host, 1, At(10));
   const auto progress =
       maintenance.OnResponse(host, 1, HostVerdict::kDone, At(20));
   BOOST_REQUIRE(progress.has_value());
@@ -429,7 +429,7 @@
   RefreshList(0);
   StartWave({HostName("p0")}, 1);
   BOOST_REQUIRE(Decide(10).maintain.size() == 1U);
-  maintenance.OnOrderSent(HostName("p0"), At(10));
+  maintenance.OnOrderSent(HostName("p0"), 1, At(10));
   BOOST_TEST(!maintenance.OnResponse(HostName("p0"), 1,
                                      Fail(ErrorCode::kTimeout, ""), At(3'010)));
   BOOST_TEST(Decide(3'100).maintain.empty());
@@ -437,5 +437,61 @@
       maintenance.cordoned().count(LedgerBuilder::IncarnationOf("w-p0")) == 1U);
 }
 
+// Guards against one host too many that is down: an order without a response is
+// carried out late, after the platform has refused to take it again and another
+// host of the wave was ordered.
+BOOST_FIXTURE_TEST_CASE(AnOrderThatMayBeCarriedOutLateCountsAsDown, Wave) {
+  const HostName host("p0");
+  RefreshList(0);
+  StartWave({host, HostName("p1")}, 1);
+  BOOST_REQUIRE(Decide(10).maintain.size() == 1U);
+  maintenance.OnOrderSent(host, 1, At(10));
+  BOOST_TEST(!maintenance.OnResponse(host, 1, Fail(ErrorCode::kTimeout, ""),
+                                     At(3'010)));
+  RefreshList(5'100);
+  const auto repeated = Decide(5'200);
+  BOOST_REQUIRE(repeated.maintain.size() == 1U);
+  BOOST_TEST(repeated.maintain[0].host.str() == "p0");
+  maintenance.OnOrderSent(host, 1, At(5'200));
+  BOOST_TEST(
+      !maintenance.OnResponse(host, 1, HostVerdict::kTooMany, At(5'210)));
+  RefreshList(7'300);
+  BOOST_TEST(Decide(5'300).maintain.empty());
+  for (std::int64_t millis = 7'400; millis < 18'000; millis += 500) {
+    for (const auto& order : Decide(millis).maintain)
+      BOOST_TEST(order.host.str() == "p0");
+    BOOST_TEST(maintenance.cordoned().count(
+                   LedgerBuilder::IncarnationOf("w-p1")) == 0U);
+  }
+  // Once it has begun, a late copy has no effect.
+  maintenance.OnOrderSent(host, 1, At(18'000));
+  const auto progress =
+      maintenance.OnResponse(host, 1, HostVerdict::kDone, At(18'010));
+  BOOST_REQUIRE(progress.has_value());
+  jobs::Batch batch;
+  batch.progress.push_back(*progress);
+  builder.Apply(batch);
+  RefreshList(20'100);
+  const auto next = Decide(20'200);
+  BOOST_REQUIRE(next.maintain.size() == 1U);
+  BOOST_TEST(next.maintain[0].host.str() == "p1");
+}
+
+// Guards against a wave that waits for an order that was never carried out.
+BOOST_FIXTURE_TEST_CASE(AnOrderIsNoLongerCarriedOutAfterAWhile, Wave) {
+  RefreshList(0);
+  StartWave({HostName("p0"), HostName("p1")}, 1);
+  maintenance.Inherit(HostName("p0"), 1, At(0));
+  // The host's worker has work, so the order is not repeated.
+  builder.Submit("job", {LedgerBuilder::Tasks(1)});
+  builder.Start(LedgerBuilder::Run("job", 0, 0), "w-p0");
+  RefreshList(14'900);
+  BOOST_TEST(Decide(14'950).maintain.empty());
+  RefreshList(15'100);
+  const auto actions = Decide(15'200);
+  BOOST_REQUIRE(actions.maintain.size() == 1U);
+  BOOST_TEST(actions.maintain[0].host.str() == "p1");
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
