--- a/src/overload/admission.cc
+++ b/src/overload/admission.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "overload/start_order.h"
+
 namespace boragewinch::overload {
 
 namespace {
@@ -14,11 +16,6 @@
 /// each other every 20 to 60 ms, and hosts are on their way at the start of a
 /// burst.
 constexpr Millis kMinSpan{400};
-/// Wait of the others from which a customer over its share is rejected.
-constexpr Millis kOverShareWait{250};
-/// A result that comes later than this multiple of the allowed time is of no
-/// use to its caller.
-constexpr int kUsefulFactor = 3;
 /// Callers come back when the backlog is expected to be done, within limits:
 /// the forecast is rough, and a burst lasts some seconds.
 constexpr Millis kMinRetryAfter{1'000};
@@ -92,16 +89,15 @@
   const Millis wait_as_late = TimeFor(all, *rate);
   decision.retry_after =
       std::clamp(wait_as_late, kMinRetryAfter, kMaxRetryAfter);
-  if (decision.wait > kOverShareWait &&
-      over_share_.count(arrival.customer) > 0) {
+  if (decision.wait + until_end <= arrival.allowed)
+    return decision;
+  decision.wait = wait_as_late;
+  if (over_share_.count(arrival.customer) > 0)
     decision.verdict = AdmissionVerdict::kOverShare;
-  } else if (decision.wait + until_end > arrival.allowed) {
-    decision.wait = wait_as_late;
-    decision.verdict =
-        wait_as_late + until_end > kUsefulFactor * arrival.allowed
-            ? AdmissionVerdict::kTooLate
-            : AdmissionVerdict::kAcceptLate;
-  }
+  else if (wait_as_late + until_end > kUsefulFactor * arrival.allowed)
+    decision.verdict = AdmissionVerdict::kTooLate;
+  else
+    decision.verdict = AdmissionVerdict::kAcceptLate;
   return decision;
 }
 
--- a/src/overload/admission.h
+++ b/src/overload/admission.h
@@ -42,7 +42,8 @@
 enum class AdmissionVerdict {
   kAccept,      ///< it can meet its objective
   kAcceptLate,  ///< it will be late, but in time to be of use
-  kOverShare,   ///< rejected: its customer would make the others late
+  kOverShare,   ///< rejected: it would be late, and its customer demands far
+                ///< more than its share
   kTooLate,     ///< rejected: it would end when it is of no use any more
 };
 
--- a/src/overload/start_order.cc
+++ b/src/overload/start_order.cc
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Part of its expected duration in which a job may end: durations vary by a
+/// factor of e^0.5 around the corrected estimates.
+constexpr double kOptimism = 0.7;
 /// Multiple of its fair share from which a customer yields to the others. Jobs
 /// are large compared with the share of a small customer, so a lower one would
 /// reorder the jobs of customers within their share.
@@ -20,32 +23,32 @@
 
 }  // namespace
 
-Urgency UrgencyOf(jobs::UnixMillis objective,
-                  Millis path,
+Urgency UrgencyOf(const JobTimes& times,
                   double margin,
                   bool over_share,
                   jobs::UnixMillis now) {
-  const auto needed =
-      static_cast<jobs::UnixMillis>(margin * static_cast<double>(path.count()));
-  if (now + needed > objective)
-    return Urgency::kLate;
-  return over_share ? Urgency::kOverShare : Urgency::kOnTime;
+  const auto needed = static_cast<jobs::UnixMillis>(
+      margin * static_cast<double>(times.path.count()));
+  if (now + needed <= times.objective)
+    return over_share ? Urgency::kOverShare : Urgency::kOnTime;
+  const auto at_best = static_cast<jobs::UnixMillis>(
+      kOptimism * static_cast<double>(times.path.count()));
+  if (now + at_best <= times.objective)
+    return Urgency::kDoubtful;
+  return now + times.path.count() <= times.useful_until() ? Urgency::kLate
+                                                          : Urgency::kTooLate;
 }
 
 bool StartsBefore(const WaitingJob& a, const WaitingJob& b) {
   const auto key = [](const WaitingJob& job) {
     return std::tuple(!job.has_long_running, job.priority, job.urgency,
-                      job.urgency != Urgency::kLate && !job.begun);
+                      !IsLate(job.urgency) && !job.begun,
+                      job.urgency == Urgency::kLate ? job.times.useful_until()
+                                                    : job.times.objective);
   };
   const auto key_a = key(a);
   const auto key_b = key(b);
-  if (key_a != key_b)
-    return key_a < key_b;
-  if (a.objective != b.objective) {
-    return a.urgency == Urgency::kLate ? a.objective > b.objective
-                                       : a.objective < b.objective;
-  }
-  return *a.id < *b.id;
+  return key_a != key_b ? key_a < key_b : *a.id < *b.id;
 }
 
 std::set<CustomerName> CustomersOverShare(
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -63,11 +63,14 @@
 
 [[nodiscard]] bool StartsEarlierByObjective(const overload::WaitingJob& a,
                                             const overload::WaitingJob& b) {
-  // Long-running tasks first: they serve users only while running.
-  const bool a_last = !a.has_long_running;
-  const bool b_last = !b.has_long_running;
-  return std::tie(a_last, a.priority, a.urgency, a.objective, *a.id) <
-         std::tie(b_last, b.priority, b.urgency, b.objective, *b.id);
+  const auto key = [](const overload::WaitingJob& job) {
+    // Long-running tasks first: they serve users only while running.
+    return std::tuple(!job.has_long_running, job.priority,
+                      overload::IsLate(job.urgency), job.times.objective);
+  };
+  const auto key_a = key(a);
+  const auto key_b = key(b);
+  return key_a != key_b ? key_a < key_b : *a.id < *b.id;
 }
 
 const ExpectedDuration kEstimatesOnly;
@@ -138,13 +141,13 @@
             job->spec->repeats > 0 ? job->spec->due(number) : job->accepted;
         waiting.id = &job->id;
         waiting.priority = queue->priority;
-        waiting.objective = ObjectiveOf(*job, *queue, from, expected);
-        waiting.urgency = overload::UrgencyOf(
-            waiting.objective,
-            RemainingCriticalPath(*job, occurrence, expected),
-            least_loss ? options_.expected_path_margin
-                       : options_.critical_path_margin,
-            over_share_.count(job->customer) > 0, now_);
+        waiting.times = {from, ObjectiveOf(*job, *queue, from, expected),
+                         RemainingCriticalPath(*job, occurrence, expected)};
+        waiting.urgency =
+            overload::UrgencyOf(waiting.times,
+                                least_loss ? options_.expected_path_margin
+                                           : options_.critical_path_margin,
+                                over_share_.count(job->customer) > 0, now_);
         candidates.push_back(candidate);
       }
     }
@@ -210,9 +213,8 @@
             starts == started.end() ? 0 : starts->second;
         const std::int64_t left = occurrence.steps[s].waiting() - now_started;
         backlog.starts += now_started;
-        (candidate.waiting.urgency == overload::Urgency::kLate
-             ? waiting.late
-             : waiting.on_time) += left;
+        (overload::IsLate(candidate.waiting.urgency) ? waiting.late
+                                                     : waiting.on_time) += left;
         if (left > 0 && job.StepReady(occurrence, s) &&
             WithinCustomerLimit(job, spec)) {
           AddDemand(candidate.queue->pool, spec, left, &waiting_for_capacity);
--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -37,7 +37,7 @@
   double critical_path_margin = 1.5;
   /// The same for StartOrder::kLeastLoss. A job that is late by little still
   /// comes soon, so the margin need not cover rough estimates.
-  double expected_path_margin = 1.1;
+  double expected_path_margin = 1.0;
   /// Longest time for which the waiting tasks of a pool reserve workers. A job
   /// for which there is capacity twice over has to start within 3 s (the users'
   /// rule LOST), also if all of that capacity is reserved.
--- a/tests/overload_replay.h
+++ b/tests/overload_replay.h
@@ -47,6 +47,9 @@
   std::int64_t worker_cpu_millis = 16'000;
   std::size_t starts_per_plan = 24;
   int customers = 20;
+  /// Requests of the last customer, in multiples of all others together, in the
+  /// burst.
+  double hot_customer = 0;
   int zones = 3;
   std::uint64_t seed = 1;
 };
@@ -83,18 +86,10 @@
   static constexpr jobs::UnixMillis kReportMs = 50;
   static constexpr int kAttempts = 5;
 
-  /// \returns nothing to accept the job, else the time after which to retry.
-  using Admit = std::function<std::optional<Millis>(const jobs::JobLedger&,
-                                                    const jobs::QueueConfig&,
-                                                    const jobs::JobSpec&,
-                                                    const jobs::JobId&,
-                                                    jobs::UnixMillis now)>;
-
-  OverloadReplay(ReplayOptions options, TaskPlannerOptions planner, Admit admit)
+  OverloadReplay(ReplayOptions options, TaskPlannerOptions planner)
       : options_(std::move(options)),
         planner_options_(planner),
         planner_(WithStarts(planner, options_.starts_per_plan)),
-        admit_(std::move(admit)),
         random_(options_.seed) {}
 
   [[nodiscard]] ReplayResult Run() {
@@ -126,6 +121,7 @@
     return Count();
   }
 
+  bool reject = false;  ///< by overload::Admission
   /// Passed to the planner.
   ExpectedDuration expected;
   std::function<void(const QueueName&, Millis estimate, Millis duration)>
@@ -195,6 +191,10 @@
       jobs::CustomerConfig customer;
       customer.name = CustomerName("c" + std::to_string(c));
       customer.keys = {"key" + std::to_string(c)};
+      // The weight is the usual part of the requests; see MakeRequest.
+      const double all = options_.customers;
+      customer.weight =
+          std::lround(1'000 * (std::sqrt((c + 1) / all) - std::sqrt(c / all)));
       config.customers[customer.name] = customer;
     }
     jobs::Batch batch;
@@ -227,8 +227,8 @@
     request.sent = now_;
     request.zone = static_cast<int>(Uniform() * options_.zones);
     // A few customers are large.
-    request.customer =
-        static_cast<int>(std::pow(Uniform(), 2) * options_.customers);
+    const int usual = options_.customers - (options_.hot_customer > 0 ? 1 : 0);
+    request.customer = static_cast<int>(std::pow(Uniform(), 2) * usual);
     const int steps = std::max(
         1,
         static_cast<int>(std::lround(Draw(shape.steps, 0.4, shape.max_steps))));
@@ -274,14 +274,26 @@
       const double rate =
           shape.jobs_per_second * (burst ? options_.burst_factor : 0.05);
       std::poisson_distribution<int> count(rate * kStepMs / 1'000);
-      for (int left = count(random_); left > 0; --left) {
-        requests_.push_back(MakeRequest(shape));
-        by_id_[requests_.back().id] = requests_.size() - 1;
-        Submit(requests_.size() - 1, batch);
+      for (int left = count(random_); left > 0; --left)
+        Add(MakeRequest(shape), batch);
+      if (!burst || options_.hot_customer == 0)
+        continue;
+      std::poisson_distribution<int> hot(rate * options_.hot_customer *
+                                         kStepMs / 1'000);
+      for (int left = hot(random_); left > 0; --left) {
+        Request request = MakeRequest(shape);
+        request.customer = options_.customers - 1;
+        Add(std::move(request), batch);
       }
     }
   }
 
+  void Add(Request request, jobs::Batch* batch) {
+    requests_.push_back(std::move(request));
+    by_id_[requests_.back().id] = requests_.size() - 1;
+    Submit(requests_.size() - 1, batch);
+  }
+
   void Retry(jobs::Batch* batch) {
     while (!retries_.empty() && retries_.top().first <= now_) {
       const std::size_t index = retries_.top().second;
@@ -295,23 +307,25 @@
     ++request.attempts;
     const jobs::QueueConfig* queue =
         ledger_.config().FindQueue(QueueName(request.shape->queue));
-    if (const auto retry =
-            admit_(ledger_, *queue, request.spec, request.id, now_)) {
+    const overload::Arrival arrival = ArrivalOf(request, *queue);
+    overload::AdmissionDecision decision;
+    if (reject)
+      decision = admission_.Decide(arrival, SteadyNow());
+    if (decision.rejected()) {
       ++request.rejections;
-      if (now_ - request.sent > request.objective / 10 && request.attempts == 1)
-        request.early = false;
-      if (request.attempts < kAttempts)
-        retries_.push(
-            {now_ + std::max<std::int64_t>(
-                        1'000, (retry->count() + 999) / 1'000 * 1'000),
-             index});
+      if (request.attempts == 1)
+        request.early = true;
+      if (request.attempts < kAttempts) {
+        const auto seconds = (decision.retry_after.count() + 999) / 1'000;
+        retries_.push({now_ + seconds * 1'000, index});
+      }
       return;
     }
+    admission_.OnAccepted(arrival, decision.verdict);
     request.accepted = true;
-    batch->submissions.push_back(
-        {request.id, queue->name,
-         CustomerName("c" + std::to_string(request.customer)), request.spec,
-         queue->virtual_host, queue->path_prefix});
+    batch->submissions.push_back({request.id, queue->name, CustomerOf(request),
+                                  request.spec, queue->virtual_host,
+                                  queue->path_prefix});
   }
 
   void Learn(const jobs::RunName& run) const {
@@ -323,6 +337,29 @@
     }
   }
 
+  [[nodiscard]] TimePoint SteadyNow() const { return FromMillis(now_); }
+
+  [[nodiscard]] overload::Arrival ArrivalOf(
+      const Request& request,
+      const jobs::QueueConfig& queue) const {
+    overload::Arrival arrival;
+    arrival.pool = queue.pool;
+    arrival.customer = CustomerOf(request);
+    arrival.priority = queue.priority;
+    for (const jobs::StepSpec& step : request.spec.steps)
+      arrival.tasks += step.tasks;
+    arrival.path = CriticalPathOf(request.spec, queue.name, expected);
+    arrival.allowed =
+        queue.latency_target +
+        Millis(static_cast<std::int64_t>(
+            queue.stretch * static_cast<double>(arrival.path.count())));
+    return arrival;
+  }
+
+  [[nodiscard]] static CustomerName CustomerOf(const Request& request) {
+    return CustomerName("c" + std::to_string(request.customer));
+  }
+
   void PlanStarts() {
     PlannerHooks hooks;
     hooks.start_limit = [](const jobs::WorkerIncarnation&) -> std::size_t {
@@ -338,6 +375,7 @@
     jobs::Batch batch;
     batch.now = now_;
     batch.starts = planner_.Plan(ledger_, hooks, now_);
+    admission_.OnPlan(planner_.backlogs(), planner_.over_share(), SteadyNow());
     for (const jobs::StartRecord& start : batch.starts) {
       const Request& request = requests_[by_id_.at(start.run.task.job)];
       const jobs::UnixMillis took =
@@ -391,7 +429,7 @@
   ReplayOptions options_;
   TaskPlannerOptions planner_options_;
   TaskPlanner planner_;
-  Admit admit_;
+  overload::Admission admission_;
   std::mt19937_64 random_;
   jobs::JobLedger ledger_;
   jobs::UnixMillis now_ = kStart;
--- a/tests/relay_test.cc
+++ b/tests/relay_test.cc
@@ -256,5 +256,113 @@
   BOOST_TEST(SendRequest().status == 503);
 }
 
+/// A leader and a follower at one port of two addresses, and a client that has
+/// had a response of the leader.
+struct LeaderAndFollower : Fixture {
+  LeaderAndFollower() {
+    RelayServer::Hooks at_leader;
+    at_leader.leads = [] { return true; };
+    at_leader.leader_host = [] { return std::string("127.0.0.1"); };
+    at_leader.hosts = [] {
+      return std::vector<std::string>{"127.0.0.1", "127.0.0.2"};
+    };
+    at_leader.serve = [](const RelayedRequest&, const Respond& respond) {
+      respond({200, "leader"});
+    };
+    at_leader.ledger_index = [this] { return leader_index; };
+    at_leader.queue = {[this](std::function<void()> callback) {
+                         loop.Post(std::move(callback));
+                       },
+                       [this] { return loop.now(); }};
+    RelayServer::Hooks at_follower = at_leader;
+    at_follower.leads = [] { return false; };
+    at_follower.ledger_index = [this] { return follower_index; };
+    at_follower.serve_at_follower =
+        [](const RelayedRequest&) -> std::optional<HttpResponse> {
+      return HttpResponse{200, "follower"};
+    };
+    leader.emplace(&leader_rpc, at_leader);
+    follower.emplace(&follower_rpc, at_follower);
+    BOOST_REQUIRE(leader_server.Listen("127.0.0.1:0"));
+    const std::string port_of_both = leader_server.address().substr(10);
+    BOOST_REQUIRE(follower_server.Listen("127.0.0.2:" + port_of_both));
+    RelayClient::Options options;
+    options.hosts = {"127.0.0.1", "127.0.0.2"};
+    options.port = port_of_both;
+    options.max_read_age = Millis(300);
+    relay.emplace(loop, rpc, options);
+    BOOST_TEST(Read(Responders::kLeader) == "leader");
+  }
+
+  /// \returns who responded.
+  std::string Read(Responders responders) {
+    RelayedRequest request;
+    request.http.method = "GET";
+    // A caller must not be able to lower the index.
+    request.http.headers["x-boragewinch-min-ledger-index"] = "1";
+    std::string body;
+    relay->Send(
+        request, loop.now() + Millis(60'000),
+        [&](const HttpResponse& response) {
+          body = response.body;
+          BOOST_TEST(response.headers.empty());
+          loop.Stop();
+        },
+        responders);
+    loop.Run();
+    return body;
+  }
+
+  std::uint64_t leader_index = 10;
+  std::uint64_t follower_index = 10;
+  RpcServer leader_rpc{kSecret};
+  RpcServer follower_rpc{kSecret};
+  HttpServer leader_server{
+      loop, HttpServerLimits{},
+      [this](const HttpRequest& request, const HttpResponder& respond) {
+        leader_rpc.Serve(request, respond);
+      }};
+  HttpServer follower_server{
+      loop, HttpServerLimits{},
+      [this](const HttpRequest& request, const HttpResponder& respond) {
+        follower_rpc.Serve(request, respond);
+      }};
+  std::optional<RelayServer> leader;
+  std::optional<RelayServer> follower;
+  std::optional<RelayClient> relay;
+};
+
+// Guards against a leader that is loaded with reads that others can answer, and
+// against changes that reach a follower.
+BOOST_FIXTURE_TEST_CASE(AFollowerRespondsToReads, LeaderAndFollower) {
+  BOOST_TEST(Read(Responders::kFollowers) == "follower");
+  BOOST_TEST(Read(Responders::kLeader) == "leader");
+}
+
+// Guards against a read that is older than an earlier response to the client:
+// a caller would see a finished job as running, or a removed key as valid.
+BOOST_FIXTURE_TEST_CASE(ReadsDoNotGoBack, LeaderAndFollower) {
+  leader_index = 12;
+  BOOST_TEST(Read(Responders::kLeader) == "leader");
+  BOOST_TEST(Read(Responders::kFollowers) == "leader");
+  follower_index = 12;
+  BOOST_TEST(Read(Responders::kFollowers) == "follower");
+  follower_index = 14;
+  BOOST_TEST(Read(Responders::kFollowers) == "follower");
+  // Another follower, that lags behind this one.
+  follower_index = 13;
+  BOOST_TEST(Read(Responders::kFollowers) == "leader");
+}
+
+// Guards against a read at a follower that is cut off from the leader: the
+// client must have heard from the leader lately.
+BOOST_FIXTURE_TEST_CASE(OldReadsComeFromTheLeader, LeaderAndFollower) {
+  WatchHandle stop =
+      loop.After(Millis(400), [this](TimePoint) { loop.Stop(); });
+  loop.Run();
+  BOOST_TEST(Read(Responders::kFollowers) == "leader");
+  BOOST_TEST(Read(Responders::kFollowers) == "follower");
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
