--- a/src/overload/admission.cc
+++ b/src/overload/admission.cc
@@ -9,13 +9,14 @@
 
 namespace {
 
-/// Window over which the rate of starts is measured; a burst lasts some
-/// seconds.
-constexpr Millis kWindow{1'000};
-/// Time for which a pool is saturated before anything is rejected: plans follow
-/// each other every 20 to 60 ms, and hosts are on their way at the start of a
-/// burst.
-constexpr Millis kMinSpan{400};
+/// Window over which the rate of starts is measured, and time for which a pool
+/// is saturated before anything is rejected: a moved host is available after
+/// some 2 s, and a new leader starts slowly.
+constexpr Millis kWindow{2'000};
+/// The forecast is rough: hosts may follow the load, and many tasks end earlier
+/// than estimated. A job is certainly too late if it would be so at this
+/// multiple of the measured rate.
+constexpr double kCertainty = 2;
 /// Callers come back when the backlog is expected to be done, within limits:
 /// the forecast is rough, and a burst lasts some seconds.
 constexpr Millis kMinRetryAfter{1'000};
@@ -46,7 +47,8 @@
       continue;
     }
     pool.samples.push_back({now, backlog.starts});
-    while (now - pool.samples.front().at > kWindow)
+    // The first sample is at least a window old.
+    while (pool.samples.size() > 1 && now - pool.samples[1].at >= kWindow)
       pool.samples.pop_front();
     pool.backlog = std::move(backlog);
   }
@@ -56,7 +58,7 @@
   if (pool.samples.empty())
     return std::nullopt;
   const Millis span = now - pool.samples.front().at;
-  if (span < kMinSpan)
+  if (span < kWindow)
     return std::nullopt;
   // The starts of the first sample were made before the span.
   std::int64_t starts = 0;
@@ -94,7 +96,8 @@
   decision.wait = wait_as_late;
   if (over_share_.count(arrival.customer) > 0)
     decision.verdict = AdmissionVerdict::kOverShare;
-  else if (wait_as_late + until_end > kUsefulFactor * arrival.allowed)
+  else if (TimeFor(all + arrival.tasks, kCertainty * *rate) + arrival.path >
+           kUsefulFactor * arrival.allowed)
     decision.verdict = AdmissionVerdict::kTooLate;
   else
     decision.verdict = AdmissionVerdict::kAcceptLate;
