--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -127,10 +127,17 @@
   const log4cxx::LevelPtr level = ToLevel(info.level);
   if (!Logger()->isEnabledFor(level))
     return;
-  std::string line = "BW" + std::to_string(static_cast<int>(id)) + " " +
-                     std::string(info.name);
-  for (const EventField& field : fields)
-    line += " " + std::string(field.name) + "=" + Quote(field.value);
+  // GCC 12 reports a false -Wrestrict for a literal + a temporary string.
+  std::string line("BW");
+  line += std::to_string(static_cast<int>(id));
+  line += ' ';
+  line += info.name;
+  for (const EventField& field : fields) {
+    line += ' ';
+    line += field.name;
+    line += '=';
+    line += Quote(field.value);
+  }
   Logger()->forcedLog(level, line, log4cxx::spi::LocationInfo("", "", "", 0));
   Buffering& buffering = BufferingState();
   if (!buffering.schedule || info.level == EventLevel::kWarn ||
