Settle runs however often their stops are repeated

The first accepted stop, start or listing of a run is the time from which a list counts; repeated orders keep it. An accepted stop gets a list without a wait, the response to an obsolete start doesn't override a stop, and a start is repeated in place of a stop at most 8 times.

--- a/src/scheduler/worker_session.cc
+++ b/src/scheduler/worker_session.cc
@@ -20,9 +20,14 @@
 /// start.
 constexpr int kMaxStarts = 2;
 
-/// Time after which a stop is repeated; workers take less than 1 s for a stop
-/// on any deployment.
-constexpr Millis kStopRepeatDelay{2'000};
+/// Workers take less than this for a stop on any deployment.
+constexpr Millis kMaxStopTime{1'000};
+/// Time after which an accepted stop is repeated.
+constexpr Millis kStopRepeatDelay = 2 * kMaxStopTime;
+/// A start that is repeated instead of a stop is sent this many times: if none
+/// gets a response, only a stop can settle the run. With lists between them,
+/// that takes some 5 s.
+constexpr int kMaxRepeatedStarts = 8;
 
 /// Responses arrive within 2 s or not at all, so one whose clock is further
 /// behind an earlier response is not from the same incarnation.
@@ -34,6 +39,17 @@
 
 }  // namespace
 
+Millis RespondingSettlingBound(const WorkerSessionOptions& options) {
+  return options.hold_wait + options.hold_timeout + options.retry_delay +
+         2 * (options.order_timeout + options.start_retry_delay) +
+         options.hold_wait + kMaxStopTime;
+}
+
+Millis SettlingBound(const WorkerSessionOptions& options) {
+  return RespondingSettlingBound(options) + options.max_late_order +
+         WithDrift(options.max_lease);
+}
+
 std::optional<TimePoint> SuccessionTime(const jobs::Worker& worker,
                                         RunPhase added,
                                         jobs::UnixMillis wall_time,
@@ -99,8 +115,10 @@
       continue;
     track->second.phase = added;
     track->second.since = now;
+    track->second.inherited = added == RunPhase::kInherited;
     if (worker.inherited.count(run) > 0) {
       track->second.phase = RunPhase::kInherited;
+      track->second.inherited = true;
       if (!fenced_)
         ExpectTakeover(now);
     }
@@ -187,6 +205,7 @@
     track->since = now;
     track->start_sent = now;
     ++track->starts_sent;
+    track->inherited = false;
     track->unlisted = false;
   }
 }
@@ -213,13 +232,20 @@
     OnOtherIncarnation(now);
   if (response.value().clock_ms)
     (void)OnClock(*response.value().clock_ms, now);
+  // The response to a stop, not to the start, decides once a stop was sent.
+  const bool stop_sent =
+      track->phase == RunPhase::kStopping || track->phase == RunPhase::kStopped;
   if (other_incarnation_) {
-    track->phase = RunPhase::kOutcomeUnknown;
-    track->since = now;
+    if (!stop_sent) {
+      track->phase = RunPhase::kOutcomeUnknown;
+      track->since = now;
+    }
     return std::nullopt;
   }
   switch (response.value().verdict) {
     case CallVerdict::kDone:
+      if (!track->accepted)
+        track->accepted = now;
       if (track->phase == RunPhase::kOrdered) {
         track->phase = RunPhase::kConfirmed;
         track->since = now;
@@ -230,8 +256,10 @@
     case CallVerdict::kOtherWorker:
       // An earlier copy of the order may have started the run; the worker's
       // next list shows whether it did.
-      track->phase = RunPhase::kConfirmed;
-      track->since = now;
+      if (!stop_sent) {
+        track->phase = RunPhase::kConfirmed;
+        track->since = now;
+      }
       return std::nullopt;
     case CallVerdict::kFenced:
     case CallVerdict::kLate:
@@ -245,7 +273,8 @@
     return std::nullopt;
   // An earlier copy may still be in flight: only a stop rules out a run.
   if (track->starts_sent > 1) {
-    track->phase = RunPhase::kOutcomeUnknown;
+    if (!stop_sent)
+      track->phase = RunPhase::kOutcomeUnknown;
     track->stop_requested = true;
     return std::nullopt;
   }
@@ -273,9 +302,8 @@
                                    const Result<CallResponse>& response,
                                    TimePoint now) {
   RunTrack* track = Find(run);
-  if (track == nullptr || track->phase != RunPhase::kStopping)
+  if (track == nullptr)
     return;
-  track->since = now;
   if (response && response.value().verdict == CallVerdict::kOtherIncarnation)
     OnOtherIncarnation(now);
   if (response && response.value().clock_ms)
@@ -283,9 +311,20 @@
   const bool accepted =
       response && (response.value().verdict == CallVerdict::kDone ||
                    response.value().verdict == CallVerdict::kStale);
-  track->phase = accepted ? RunPhase::kStopped : RunPhase::kOutcomeUnknown;
   if (!response)
     OnCallFailed(now);
+  if (accepted && !track->stop_accepted) {
+    track->stop_accepted = now;
+    track->awaits_list = true;
+    if (!track->accepted)
+      track->accepted = now;
+  }
+  if (track->phase != RunPhase::kStopping)
+    return;
+  track->since = now;
+  // A repetition without a response leaves the earlier acceptance valid.
+  track->phase =
+      track->stop_accepted ? RunPhase::kStopped : RunPhase::kOutcomeUnknown;
 }
 
 HoldCall WorkerSession::PrepareHold(const jobs::Worker& worker, TimePoint now) {
@@ -352,14 +391,20 @@
     RunTrack* track = Find(row.run);
     if (track == nullptr) {
       if (worker.runs.count(row.run) == 0) {
-        unexpected_runs->push_back(row.run);
         unexpected_tasks.insert(row.run.task);
+        const auto [stop, is_new] = unexpected_stops_.try_emplace(row.run, now);
+        if (is_new || now - stop->second >= options_.order_timeout) {
+          stop->second = now;
+          unexpected_runs->push_back(row.run);
+        }
       }
       continue;
     }
     track->percent = row.percent;
     if (!row.checkpoint.empty())
       track->checkpoint = row.checkpoint;
+    if (!track->accepted)
+      track->accepted = now;
     // The list confirms the run, whatever the response to its start; a late
     // copy of the start has no effect.
     if (track->phase == RunPhase::kInherited ||
@@ -371,6 +416,7 @@
   }
   if (!response.complete())
     return ends;
+  OnCompleteList(listed);
   for (auto& [run, track] : tracks_) {
     if (listed.count(run) > 0 || worker.runs.count(run) == 0)
       continue;
@@ -378,10 +424,10 @@
       track.unlisted = true;
     // The worker has received this session's token, so no order of an earlier
     // leader or for an earlier incarnation can start the run any more.
-    const bool settled = track.phase == RunPhase::kInherited ||
-                         ((track.phase == RunPhase::kConfirmed ||
-                           track.phase == RunPhase::kStopped) &&
-                          track.since < hold_sent_);
+    const bool settled =
+        track.inherited ||
+        (track.phase == RunPhase::kConfirmed && track.since < hold_sent_) ||
+        (track.accepted && *track.accepted < hold_sent_);
     // Another run of the task, started by an earlier order, has to end first.
     if (settled && unexpected_tasks.count(run.task) == 0) {
       ends.push_back({run, worker.record.incarnation, jobs::RunEnd::kLost,
@@ -391,6 +437,16 @@
   return ends;
 }
 
+void WorkerSession::OnCompleteList(const std::set<jobs::RunName>& listed) {
+  std::erase_if(unexpected_stops_, [&](const auto& item) {
+    return listed.count(item.first) == 0;
+  });
+  for (auto& [run, track] : tracks_) {
+    if (track.stop_accepted && *track.stop_accepted < hold_sent_)
+      track.awaits_list = false;
+  }
+}
+
 std::vector<EndRange> WorkerSession::FindMissingEnds(
     const jobs::Worker& worker,
     const HoldResponse& response) {
@@ -452,10 +508,32 @@
 bool WorkerSession::HasUnsettledRuns() const {
   return std::any_of(tracks_.begin(), tracks_.end(), [](const auto& item) {
     return item.second.phase == RunPhase::kInherited ||
-           item.second.phase == RunPhase::kOutcomeUnknown;
+           item.second.phase == RunPhase::kOutcomeUnknown ||
+           item.second.awaits_list;
   });
 }
 
+bool WorkerSession::IsUnsettled(const RunTrack& track) {
+  return track.phase != RunPhase::kConfirmed || track.stop_requested;
+}
+
+ProofGap WorkerSession::GapOf(const jobs::RunName& run,
+                              const RunTrack& track,
+                              TimePoint now) const {
+  if (std::any_of(
+          unexpected_stops_.begin(), unexpected_stops_.end(),
+          [&](const auto& item) { return item.first.task == run.task; })) {
+    return ProofGap::kOtherRun;
+  }
+  if (!HasRespondedRecently(now))
+    return ProofGap::kLease;
+  const bool needs_stop =
+      !track.inherited && !track.accepted &&
+      (track.stop_requested || track.phase == RunPhase::kOutcomeUnknown ||
+       track.phase == RunPhase::kStopping);
+  return needs_stop ? ProofGap::kStop : ProofGap::kList;
+}
+
 bool WorkerSession::HoldDue(TimePoint now) const {
   return !hold_open_ && now >= hold_due_;
 }
@@ -511,7 +589,8 @@
   const auto track = tracks_.find(run);
   return track != tracks_.end() && !other_incarnation_ &&
          track->second.phase == RunPhase::kOutcomeUnknown &&
-         !track->second.stop_requested;
+         !track->second.stop_requested &&
+         track->second.starts_sent < kMaxRepeatedStarts;
 }
 
 bool WorkerSession::Reachable(TimePoint now) const {
--- a/src/scheduler/worker_session.h
+++ b/src/scheduler/worker_session.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -94,6 +95,19 @@
   /// later incarnation of the worker.
   std::optional<TimePoint> unanswered_start;
   bool stop_requested = false;
+  /// Inherited, and this session has not started it: any list under its token
+  /// that lacks the run proves that it is over.
+  bool inherited = false;
+  /// When the worker was first known to have accepted the start or a stop. It
+  /// rejects later copies of the start once the run is over, so a list that was
+  /// requested after this and lacks the run proves that it is over. Repeated
+  /// orders don't change it.
+  std::optional<TimePoint> accepted;
+  /// When the worker first accepted a stop.
+  std::optional<TimePoint> stop_accepted;
+  /// No complete list that was requested after the stop was accepted has
+  /// arrived.
+  bool awaits_list = false;
   /// A list that was requested after the last start lacks the run.
   bool unlisted = false;
   int percent = 0;
@@ -112,6 +126,32 @@
     jobs::UnixMillis wall_time,
     TimePoint now);
 
+/// \brief What the proof that a run is over or goes on still lacks.
+enum class ProofGap {
+  kList,      ///< a list that was requested late enough
+  kStop,      ///< the worker has accepted neither the start nor a stop
+  kLease,     ///< the worker does not respond; a lease may not have expired
+  kOtherRun,  ///< the worker lists another run of the task as running
+};
+
+inline constexpr EnumTable<ProofGap, 4> kProofGaps{{{
+    {ProofGap::kList, "list"},
+    {ProofGap::kStop, "stop"},
+    {ProofGap::kLease, "lease"},
+    {ProofGap::kOtherRun, "other_run"},
+}}};
+
+/// \returns the time within which a run is settled after the last call about it
+/// that got no response, if the worker responds: an open list that fails, the
+/// repetition of a start and of a stop, the list that is open when the stop is
+/// accepted, and the stop itself.
+[[nodiscard]] Millis RespondingSettlingBound(
+    const WorkerSessionOptions& options);
+/// \returns the time within which each run is settled, whether its worker
+/// responds or not: the above, and the longest time for which a lease may
+/// count.
+[[nodiscard]] Millis SettlingBound(const WorkerSessionOptions& options);
+
 /// \brief The leader's state for one incarnation of a worker: liveness, lease
 /// and runs. It does no I/O and reads no clock.
 ///
@@ -185,7 +225,8 @@
 
   void OnHoldSent(TimePoint now);
   /// \brief Compares a list of the worker with the ledger.
-  /// \param unexpected_runs receives listed runs that are not in worker.runs.
+  /// \param unexpected_runs receives listed runs that are not in worker.runs
+  /// and whose stop is to be sent or repeated now.
   /// \returns the ends that follow from the comparison.
   [[nodiscard]] std::vector<jobs::EndRecord> OnHoldResponse(
       const jobs::Worker& worker,
@@ -212,11 +253,18 @@
   /// \returns whether lists are needed to determine the state of runs; they are
   /// then requested without waiting for ends.
   [[nodiscard]] bool HasUnsettledRuns() const;
+  /// \returns whether it is not known that the run goes on: its start is
+  /// unconfirmed, or it is to be stopped.
+  [[nodiscard]] static bool IsUnsettled(const RunTrack& track);
+  /// \returns what is lacking to settle the run.
+  [[nodiscard]] ProofGap GapOf(const jobs::RunName& run,
+                               const RunTrack& track,
+                               TimePoint now) const;
   /// \returns runs whose start or stop is to be sent.
   [[nodiscard]] std::vector<jobs::RunName> StartsDue(TimePoint now) const;
   [[nodiscard]] std::vector<jobs::RunName> StopsDue(TimePoint now) const;
   /// \returns whether the start of a run that StopsDue has returned may be sent
-  /// again instead: nobody has asked for its stop.
+  /// again instead: nobody has asked for its stop, and few starts were sent.
   [[nodiscard]] bool MayRepeatStart(const jobs::RunName& run) const;
   /// \returns whether further tasks may be started on the worker.
   [[nodiscard]] bool Reachable(TimePoint now) const;
@@ -255,7 +303,12 @@
   [[nodiscard]] RunTrack* Find(const jobs::RunName& run);
 
   WorkerSessionOptions options_;
+  /// \brief Ends the wait of stopped runs for a list.
+  void OnCompleteList(const std::set<jobs::RunName>& listed);
+
   std::map<jobs::RunName, RunTrack> tracks_;
+  /// Listed runs that the ledger does not have, with the time of the last stop.
+  std::map<jobs::RunName, TimePoint> unexpected_stops_;
   std::optional<std::int64_t> clock_ms_;  ///< in the newest response
   TimePoint clock_at_;                    ///< when that response arrived
   /// Latest lease end sent, on the worker's clock.
