Assert, log and export the time until runs are settled

Invariant run_settled (event 9001, once per run), event 7030 run_unsettled with what the proof lacks, at most once in 5 s per run, gauges unsettled_runs and oldest_unsettled_run_seconds. The part of WorkerFleet that judges workers is a file of its own.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -160,6 +160,10 @@
      "worker."},
     {EventId::kRunEndsMissing, kWarn, "run_ends_missing",
      "A worker has forgotten ends of runs that are not stored in the ledger."},
+    {EventId::kRunUnsettled, kWarn, "run_unsettled",
+     "It is not known for too long whether a run goes on; `lacks` says what "
+     "its "
+     "proof still needs."},
     {EventId::kInvariantViolated, kError, "invariant_violated",
      "An internal check failed; the action was refused. Report this."},
 };
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -83,6 +83,7 @@
   kRunStopOrdered = 7006,
   kRunSlow = 7007,
   kRunEndsMissing = 7008,
+  kRunUnsettled = 7030,
   kInvariantViolated = 9001,
 };
 
--- a/src/base/invariant.h
+++ b/src/base/invariant.h
@@ -10,7 +10,8 @@
 
 namespace boragewinch {
 
-/// \brief The invariants of docs/design.md section 1.1 (I1 to I10), in order.
+/// \brief The invariants of docs/design.md section 1.1 (I1 to I10), in order,
+/// then the bound of docs/platform.md on the time until a run is settled.
 enum class Invariant {
   kAvailabilityBudget,
   kOnePoolPerHost,
@@ -22,9 +23,10 @@
   kLeavingWorker,
   kPlannedStop,
   kConfiguration,
+  kRunSettled,
 };
 
-inline constexpr EnumTable<Invariant, 10> kInvariants{{{
+inline constexpr EnumTable<Invariant, 11> kInvariants{{{
     {Invariant::kAvailabilityBudget, "availability_budget"},
     {Invariant::kOnePoolPerHost, "one_pool_per_host"},
     {Invariant::kKeyedWork, "keyed_work"},
@@ -35,6 +37,7 @@
     {Invariant::kLeavingWorker, "leaving_worker"},
     {Invariant::kPlannedStop, "planned_stop"},
     {Invariant::kConfiguration, "configuration"},
+    {Invariant::kRunSettled, "run_settled"},
 }}};
 
 /// \brief Checks and violations of an invariant since the process started.
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -137,6 +137,13 @@
         [this](const HttpRequest&, const HttpResponder& respond) {
           const auto losses = replica_->TolerableLosses(loop_->now());
           metrics_.Gauge("leads", {}, losses ? 1.0 : 0.0);
+          const SettlingMonitor& settling = fleet_->settling();
+          metrics_.Gauge("unsettled_runs", {},
+                         static_cast<double>(settling.unsettled_runs()));
+          metrics_.Gauge(
+              "oldest_unsettled_run_seconds", {},
+              static_cast<double>(settling.OldestAge(loop_->now()).count()) /
+                  1'000);
           // Only the leader knows the number; 0 would be the worst one.
           metrics_.Gauge("tolerable_losses", {},
                          losses ? static_cast<double>(*losses)
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "base/invariant.h"
 #include "scheduler/fencing_token.h"
 #include "scheduler/replicated_time.h"
 #include "scheduler/stop_planner.h"
@@ -31,10 +32,6 @@
   return config;
 }
 
-[[nodiscard]] HostName HealthName(const jobs::WorkerIncarnation& incarnation) {
-  return HostName(incarnation.Text());
-}
-
 }  // namespace
 
 WorkerFleet::WorkerFleet(EventLoop& loop,
@@ -49,7 +46,12 @@
       ticket_of_(std::move(ticket_of)),
       options_(options),
       metrics_(metrics),
-      health_(WorkerHealth::Make(HealthConfig()).value()) {}
+      health_(WorkerHealth::Make(HealthConfig()).value()),
+      settling_(SettlingBound(options)) {}
+
+HostName WorkerFleet::HealthNameOf(const jobs::WorkerIncarnation& incarnation) {
+  return HostName(incarnation.Text());
+}
 
 WorkerFleet::TrackedWorker* WorkerFleet::FindTracked(
     const jobs::WorkerIncarnation& incarnation) {
@@ -74,6 +76,7 @@
   ++leadership_epoch_;
   workers_.clear();
   checks_.clear();
+  settling_.Clear();
   health_ = WorkerHealth::Make(HealthConfig()).value();
   leading_since_ = now;
   if (leading)
@@ -83,6 +86,7 @@
 void WorkerFleet::Forget(
     std::map<jobs::WorkerIncarnation, TrackedWorker>::iterator tracked) {
   health_.Forget(tracked->second.health_name);
+  settling_.Forget(tracked->first);
   checks_.erase(tracked->second.check);
   workers_.erase(tracked);
 }
@@ -106,7 +110,7 @@
         workers_
             .try_emplace(incarnation, TrackedWorker{incarnation,
                                                     std::move(session),
-                                                    HealthName(incarnation),
+                                                    HealthNameOf(incarnation),
                                                     {}})
             .first;
     tracked->second.check = checks_.emplace(now, &tracked->second);
@@ -239,12 +243,31 @@
   const TimePoint slow_at = FindSlowRuns(*worker, &session, now);
   for (jobs::EndRecord& end : session.ExpireLease(*worker, now))
     ends->push_back(std::move(end));
+  ReportOverdueRuns(*tracked, now);
   const TimePoint next =
       std::min({session.NextDue(now), slow_at, now + kCheckInterval});
   // Orders that are due now but could not be sent wait for the next tick.
   RescheduleCheck(tracked, std::max(next, now + Millis(1)));
 }
 
+void WorkerFleet::ReportOverdueRuns(const TrackedWorker& tracked,
+                                    TimePoint now) {
+  for (const OverdueRun& overdue :
+       settling_.Observe(tracked.incarnation, tracked.session, now)) {
+    const std::string run = overdue.run.task.Text();
+    if (overdue.first)
+      CheckInvariant(Invariant::kRunSettled, false, run);
+    LogEvent(EventId::kRunUnsettled,
+             {{"run", run},
+              {"number", std::to_string(overdue.run.number)},
+              {"worker", tracked.incarnation.Text()},
+              {"phase", std::string(kRunPhases.Name(overdue.phase))},
+              {"lacks", std::string(kProofGaps.Name(overdue.gap))},
+              {"age_ms", static_cast<long>(overdue.age.count())},
+              {"bound_ms", static_cast<long>(settling_.bound().count())}});
+  }
+}
+
 void WorkerFleet::Tick(TimePoint now) {
   if (!leading_ || !replica_.HasLeaderLease(now))
     return;
@@ -373,7 +396,7 @@
   session->OnGrant(*lease);
   const TimePoint now = loop_.now();
   session->OnStartSent(run, now);
-  health_.OnStartIssued(HealthName(incarnation), now);
+  health_.OnStartIssued(HealthNameOf(incarnation), now);
   LogEvent(EventId::kRunOrdered, {{"run", run.task.Text()},
                                   {"number", std::to_string(run.number)},
                                   {"worker", incarnation.Text()},
@@ -596,96 +619,4 @@
   });
 }
 
-Millis WorkerFleet::SlowAfter(const jobs::RunName& run) const {
-  const jobs::Job* job = replica_.ledger().FindJob(run.task.job);
-  if (job == nullptr || !job->spec)
-    return Millis::max();
-  const jobs::StepSpec& step = job->spec->steps[run.task.step];
-  // Members of a gang wait for each other, and data on another rack slows a
-  // task down: the worker is not the cause of either.
-  if (step.long_running || step.gang || step.best_effort ||
-      !step.data_rack.empty())
-    return Millis::max();
-  return durations_.SlowAfter(job->queue, step.estimate);
-}
-
-void WorkerFleet::EvaluateEnd(const jobs::Worker& worker,
-                              const WorkerSession& session,
-                              const jobs::EndRecord& end,
-                              TimePoint now) {
-  if (end.how == jobs::RunEnd::kFailed) {
-    RecordHealth(worker, false, now);
-    std::erase_if(failed_on_, [&](const auto& item) {
-      return replica_.ledger().FindTask(item.first) == nullptr;
-    });
-    failed_on_[AttemptOf(end.run.task)].insert(end.worker);
-    return;
-  }
-  const auto track = session.tracks().find(end.run);
-  // A run that was marked slow has been counted already.
-  if (end.how != jobs::RunEnd::kDone || track == session.tracks().end() ||
-      track->second.slow || track->second.starts_sent == 0) {
-    return;
-  }
-  const Millis took = now - track->second.since;
-  RecordHealth(worker, took <= SlowAfter(end.run), now);
-  const jobs::Job* job = replica_.ledger().FindJob(end.run.task.job);
-  if (job != nullptr && job->spec)
-    durations_.OnDone(job->queue, job->spec->steps[end.run.task.step].estimate,
-                      took);
-}
-
-TimePoint WorkerFleet::FindSlowRuns(const jobs::Worker& worker,
-                                    WorkerSession* session,
-                                    TimePoint now) {
-  const jobs::WorkerIncarnation incarnation = worker.record.incarnation;
-  std::vector<jobs::RunName> slow;
-  TimePoint next = TimePoint::max();
-  for (const auto& [run, track] : session->tracks()) {
-    // Without a recent response, the end of the run may not be known yet.
-    if (track.phase != RunPhase::kConfirmed || track.starts_sent == 0 ||
-        track.stop_requested || !session->HasRespondedRecently(now)) {
-      continue;
-    }
-    const Millis slow_after = track.slow ? Millis::min() : SlowAfter(run);
-    if (now - track.since > slow_after)
-      slow.push_back(run);
-    else if (slow_after != Millis::max())
-      next = std::min(next, track.since + slow_after + Millis(1));
-  }
-  for (const jobs::RunName& run : slow) {
-    if (session->MarkSlow(run)) {
-      LogEvent(EventId::kRunSlow, {{"run", run.task.Text()},
-                                   {"number", std::to_string(run.number)},
-                                   {"worker", incarnation.Text()}});
-      metrics_.Count("runs_slow", {"", worker.record.pool.str()});
-      RecordHealth(worker, false, now);
-    }
-    if (health_.State(HealthName(incarnation), now) ==
-        HealthState::kQuarantined)
-      Stop(run, incarnation, "worker_slow");
-  }
-  return next;
-}
-
-void WorkerFleet::RecordHealth(const jobs::Worker& worker,
-                               bool ok,
-                               TimePoint now) {
-  const HostName name = HealthName(worker.record.incarnation);
-  const HealthState before = health_.State(name, now);
-  // At most half of a pool may be quarantined: a fault of the jobs themselves
-  // affects all workers.
-  const auto pool_size = static_cast<std::int64_t>(
-      replica_.ledger().WorkersOf(worker.record.pool).size());
-  health_.SetBudget(worker.record.pool, pool_size / 2);
-  const HealthState after = health_.OnStart(name, worker.record.pool, ok, now);
-  if (!ok)
-    CheckSoon(worker.record.incarnation);
-  if (after != before) {
-    LogEvent(EventId::kWorkerHealthChanged,
-             {{"worker", worker.record.incarnation.Text()},
-              {"state", std::string(kHealthStates.Name(after))}});
-  }
-}
-
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -13,6 +13,7 @@
 #include "policy/worker_health.h"
 #include "scheduler/ledger_replica.h"
 #include "scheduler/run_durations.h"
+#include "scheduler/settling_monitor.h"
 #include "scheduler/worker_calls.h"
 #include "scheduler/worker_session.h"
 
@@ -77,6 +78,10 @@
   [[nodiscard]] std::size_t health_records() const noexcept {
     return health_.size();
   }
+  /// \returns the runs that are not known to go on or to be over.
+  [[nodiscard]] const SettlingMonitor& settling() const noexcept {
+    return settling_;
+  }
   /// \returns whether the run is to be stopped and its worker responds.
   [[nodiscard]] bool IsStopping(
       const jobs::RunName& run,
@@ -99,6 +104,8 @@
     CheckSchedule::iterator check;
   };
 
+  [[nodiscard]] static HostName HealthNameOf(
+      const jobs::WorkerIncarnation& incarnation);
   [[nodiscard]] TrackedWorker* FindTracked(
       const jobs::WorkerIncarnation& incarnation);
   [[nodiscard]] WorkerSession* FindSession(
@@ -126,6 +133,8 @@
   void CheckWorker(TrackedWorker* tracked,
                    TimePoint now,
                    std::vector<jobs::EndRecord>* ends);
+  /// \brief Logs the runs of the worker that are not settled within the bound.
+  void ReportOverdueRuns(const TrackedWorker& tracked, TimePoint now);
   void RescheduleCheck(TrackedWorker* tracked, TimePoint at);
   /// \brief Reschedules the worker's check if its session needs it earlier.
   void CheckWhenDue(const jobs::WorkerIncarnation& incarnation, TimePoint now);
@@ -171,6 +180,7 @@
   WorkerSessionOptions options_;
   Metrics& metrics_;
   WorkerHealth health_;
+  SettlingMonitor settling_;
   RunDurations durations_;
   /// Workers on which open tasks have failed; the next attempt uses another.
   std::map<jobs::TaskName, std::set<jobs::WorkerIncarnation>> failed_on_;
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "base/invariant.h"
 #include "scheduler/worker_fleet.h"
 #include "single_replica.h"
 
@@ -263,5 +265,29 @@
   BOOST_TEST(replica->ledger().FindTask(kRun.task)->runs.empty());
 }
 
+// Guards against a run that stays unsettled without a violation in the log, and
+// against a violation with each check.
+BOOST_FIXTURE_TEST_CASE(ARunPastTheBoundViolatesTheInvariantOnce, Fixture) {
+  List({});
+  StoreStart();
+  int violations = 0;
+  const InvariantHandler before =
+      SetInvariantHandler([&](Invariant invariant, std::string_view) {
+        violations += invariant == Invariant::kRunSettled ? 1 : 0;
+      });
+  // Ends that follow from expired leases are not stored: the loop does not run.
+  const TimePoint start = loop.now();
+  const Millis bound = SettlingBound(WorkerSessionOptions{});
+  Millis at{0};
+  for (; at < bound - Millis(500); at += Millis(500))
+    fleet->Tick(start + at);
+  BOOST_TEST(violations == 0);
+  BOOST_TEST(fleet->settling().unsettled_runs() == 1U);
+  for (; at < bound + Millis(12'000); at += Millis(500))
+    fleet->Tick(start + at);
+  (void)SetInvariantHandler(before);
+  BOOST_TEST(violations == 1);
+}
+
 }  // namespace
 }  // namespace boragewinch::scheduler
