--- a/src/ctl/table.cc
+++ b/src/ctl/table.cc
@@ -131,9 +131,12 @@
     const Json& value = document[name];
     text += Printable(name) + ":";
     if (IsTable(value)) {
-      text += "\n" + FormatTable(Rows(value));
+      text += '\n';
+      text += FormatTable(Rows(value));
     } else {
-      text += " " + CellText(value) + "\n";
+      text += ' ';
+      text += CellText(value);
+      text += '\n';
     }
   }
   return text;
--- a/src/scheduler/advice_cache.cc
+++ b/src/scheduler/advice_cache.cc
@@ -39,9 +39,11 @@
       for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
         if (occurrence.steps[s].waiting() > 0 &&
             job->StepReady(occurrence, s)) {
-          steps.push_back({{job->id, number, s, 0},
-                           &job->spec->steps[s],
-                           &ledger.WorkersOf(queue->pool)});
+          // With a temporary, GCC 12 reports a false -Wmaybe-uninitialized.
+          WaitingStep& step = steps.emplace_back();
+          step.name = {job->id, number, s, 0};
+          step.spec = &job->spec->steps[s];
+          step.workers = &ledger.WorkersOf(queue->pool);
         }
       }
     }
--- a/src/scheduler/worker_call_router.cc
+++ b/src/scheduler/worker_call_router.cc
@@ -257,7 +257,11 @@
     const auto call = calls_.find(id);
     if (call == calls_.end())
       continue;
-    bytes += SizeOf({id, {}, call->second.order});
+    // With a temporary, GCC 12 reports a false -Wmaybe-uninitialized.
+    DelegatedCall delegated;
+    delegated.id = id;
+    delegated.order = call->second.order;
+    bytes += SizeOf(delegated);
     if (!ids.empty() && (ids.size() == kMaxCallsPerExchange ||
                          bytes > options_.max_exchange_bytes)) {
       SendExchange(host, ids, now);
