--- a/tests/run_settling_test.cc
+++ b/tests/run_settling_test.cc
@@ -93,6 +93,44 @@
   BOOST_TEST(List(3'406, 3'410, {}).size() == 1U);
 }
 
+// Guards against a stop whose response is ignored because a late response to
+// the start has arrived before it.
+BOOST_FIXTURE_TEST_CASE(ALateResponseToTheStartLeavesTheStop, Fixture) {
+  session.OnStartSent(kRun, At(10));
+  BOOST_TEST(session.RequestStop(kRun));
+  session.OnStopSent(kRun, At(20));
+  (void)session.OnStartResponse(
+      kRun, CallResponse{CallVerdict::kStale, 500'030}, At(30));
+  session.OnStopResponse(kRun, CallResponse{CallVerdict::kDone, 500'040},
+                         At(40));
+  BOOST_TEST((session.tracks().at(kRun).phase == RunPhase::kStopped));
+  BOOST_TEST(session.StopsDue(At(50)).empty());
+}
+
+// Guards against a run that is not settled although the worker had accepted it
+// and lists it no more, because a stop got no response.
+BOOST_FIXTURE_TEST_CASE(ALostStopLeavesTheProofOfAnAcceptedStart, Fixture) {
+  session.OnStartSent(kRun, At(10));
+  (void)session.OnStartResponse(kRun, CallResponse{CallVerdict::kDone, 500'015},
+                                At(15));
+  BOOST_TEST(session.RequestStop(kRun));
+  session.OnStopSent(kRun, At(20));
+  BOOST_TEST(List(21, 25, {}).size() == 1U);
+  session.OnStopResponse(kRun, Fail(ErrorCode::kTimeout, ""), At(420));
+  BOOST_TEST(List(421, 425, {}).size() == 1U);
+}
+
+// Guards against an inherited run that is not settled by a list under the token
+// of this leader because a stop was sent.
+BOOST_FIXTURE_TEST_CASE(ALostStopLeavesTheProofOfAnInheritedRun, Fixture) {
+  session = WorkerSession{WorkerSessionOptions{}, At(0)};
+  session.Sync(worker(), RunPhase::kInherited, At(10));
+  BOOST_TEST(session.RequestStop(kRun));
+  session.OnStopSent(kRun, At(20));
+  session.OnStopResponse(kRun, Fail(ErrorCode::kTimeout, ""), At(420));
+  BOOST_TEST(List(421, 425, {}).size() == 1U);
+}
+
 // Guards against two runs of one task: a list that was requested before the
 // worker accepted the stop may have overtaken a late start.
 BOOST_FIXTURE_TEST_CASE(AListFromBeforeTheStopProvesNothing, Fixture) {
