Evacuation of availability zones: ledger, operators' calls, planner, stops, balancer

Starts that were decided before an evacuation was applied are withheld in the ledger. Long-running tasks leave a zone within their availability limit and only while their pool has room for them in other zones.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -142,6 +142,9 @@
     {EventId::kLeaderLoad, kInfo, "leader_load",
      "The work of the leading scheduler in the last second, and its busy "
      "time."},
+    {EventId::kZoneEvacuation, kInfo, "zone_evacuation",
+     "An order to evacuate a zone or to return it to use was stored or failed, "
+     "or a new leader found the zone evacuated."},
     {EventId::kRunOrdered, kInfo, "run_ordered",
      "A start that is stored in the ledger is sent to its worker."},
     {EventId::kRunNotTaken, kInfo, "run_not_taken",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -75,6 +75,7 @@
   kTaskNotMoved = 6009,
   kPoolSized = 6010,
   kLeaderLoad = 6011,
+  kZoneEvacuation = 6012,
   kRunOrdered = 7001,
   kRunNotTaken = 7002,
   kRunEnded = 7003,
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -149,6 +149,19 @@
   UnixMillis decided = 0;
 };
 
+/// \brief What operators have ordered for an availability zone.
+struct ZoneState {
+  bool evacuated = true;  ///< false: returned to use
+  UnixMillis changed = 0;
+};
+
+/// Limit on the stored zones, at some 300 bytes each: far more than a
+/// deployment has. The returned ones are forgotten first.
+inline constexpr std::size_t kMaxZones = 256;
+/// Time for which a returned zone is known, so that its warm workers are
+/// preferred. Workers are cold for some minutes at most.
+inline constexpr Millis kReturnedZoneMemory{600'000};
+
 /// Time for which the cancellation of an unknown job is remembered: longer than
 /// a copy of its submission can be under way. TCP sends the data of a
 /// connection that its sender has closed for some 60 s at most.
@@ -254,6 +267,19 @@
     return host_orders_;
   }
 
+  /// Evacuated zones and zones that were returned to use lately.
+  [[nodiscard]] const std::map<ZoneName, ZoneState>& zones() const noexcept {
+    return zones_;
+  }
+  /// \returns whether nothing may start on the workers of the zone.
+  [[nodiscard]] bool IsEvacuated(const ZoneName& zone) const;
+  /// \returns whether the zone was returned to use lately; see
+  /// kReturnedZoneMemory.
+  [[nodiscard]] bool IsReturned(const ZoneName& zone) const;
+  /// \returns whether an evacuation of the zone would be stored: it is stored
+  /// already or there are fewer than kMaxZones evacuated zones.
+  [[nodiscard]] bool CanEvacuate(const ZoneName& zone) const;
+
   /// \returns the worker capacity that a run of `step` takes.
   [[nodiscard]] static Resources CapacityOf(const StepSpec& step);
 
@@ -273,6 +299,11 @@
   void ApplyOpening(const OpeningRecord& opening, UnixMillis now);
   void ApplyEnd(const EndRecord& end, UnixMillis now);
   void ApplyStart(const StartRecord& start, UnixMillis now);
+  void ApplyZoneChange(const ZoneChange& change, UnixMillis now);
+  /// \brief Applies the starts on workers that are not in an evacuated zone: a
+  /// start may have been decided before the evacuation was stored. A gang with
+  /// such a member does not start at all.
+  void ApplyStarts(const std::vector<StartRecord>& starts, UnixMillis now);
   void OpenOccurrence(Job* job, std::uint32_t occurrence, UnixMillis now);
   /// \brief Removes a run from its task, its worker and the usage counts.
   /// \returns whether the run existed.
@@ -340,6 +371,7 @@
   std::map<QueueName, QueueLoad> loads_;
   std::map<std::int64_t, Wave> waves_;
   std::map<HostName, HostOrder> host_orders_;
+  std::map<ZoneName, ZoneState> zones_;
 
   JobSet startable_;
   JobSet repeating_;
--- a/src/jobs/ledger_batch.cc
+++ b/src/jobs/ledger_batch.cc
@@ -180,6 +180,21 @@
   return WaveProgress{row[0].asInt64(), HostName(row[1].asString())};
 }
 
+[[nodiscard]] Json ToJson(const ZoneChange& change) {
+  Json row(::Json::arrayValue);
+  row.append(change.zone.str());
+  row.append(change.evacuated);
+  return row;
+}
+
+[[nodiscard]] Result<ZoneChange> ZoneChangeFromJson(const Json& row) {
+  if (!row.isArray() || row.size() != 2 || !row[0].isString() ||
+      !row[1].isBool()) {
+    return Fail(ErrorCode::kInvalidField, "malformed row of a zone");
+  }
+  return ZoneChange{ZoneName(row[0].asString()), row[1].asBool()};
+}
+
 template <typename T>
 void PutAll(Json* json, const char* name, const std::vector<T>& items) {
   for (const T& item : items)
@@ -219,6 +234,7 @@
   AppendAll(&waves, std::move(other.waves));
   AppendAll(&progress, std::move(other.progress));
   AppendAll(&host_orders, std::move(other.host_orders));
+  AppendAll(&zone_changes, std::move(other.zone_changes));
 }
 
 Json ToJson(const WorkerRecord& record) {
@@ -328,6 +344,7 @@
   PutAll(&json, "waves", batch.waves);
   PutAll(&json, "progress", batch.progress);
   PutAll(&json, "host_orders", batch.host_orders);
+  PutAll(&json, "zones", batch.zone_changes);
   return json;
 }
 
@@ -350,7 +367,9 @@
   BW_CHECK(ReadAll(json, "open", OpeningFromJson, &batch->openings));
   BW_CHECK(ReadAll(json, "waves", WaveOrderFromJson, &batch->waves));
   BW_CHECK(ReadAll(json, "progress", ProgressFromJson, &batch->progress));
-  return ReadAll(json, "host_orders", HostOrderFromJson, &batch->host_orders);
+  BW_CHECK(
+      ReadAll(json, "host_orders", HostOrderFromJson, &batch->host_orders));
+  return ReadAll(json, "zones", ZoneChangeFromJson, &batch->zone_changes);
 }
 
 /// Reads an entry in the JSON format of earlier versions.
--- a/src/jobs/ledger_batch.h
+++ b/src/jobs/ledger_batch.h
@@ -108,6 +108,15 @@
   PoolName to;             ///< for a move; empty for maintenance
 };
 
+/// \brief An operator's order to evacuate an availability zone or to return it
+/// to use.
+struct ZoneChange {
+  ZoneName zone;
+  bool evacuated = true;
+
+  friend bool operator==(const ZoneChange&, const ZoneChange&) = default;
+};
+
 /// \brief One entry of the replicated log: changes that are applied together.
 /// JobLedger::Apply defines their order.
 struct Batch {
@@ -123,12 +132,13 @@
   std::vector<WaveOrder> waves;
   std::vector<WaveProgress> progress;
   std::vector<HostOrderRecord> host_orders;
+  std::vector<ZoneChange> zone_changes;
 
   [[nodiscard]] bool empty() const noexcept {
     return !config && workers.empty() && submissions.empty() &&
            cancels.empty() && unseen_cancels.empty() && openings.empty() &&
            ends.empty() && starts.empty() && waves.empty() &&
-           progress.empty() && host_orders.empty();
+           progress.empty() && host_orders.empty() && zone_changes.empty();
   }
 
   /// \brief Adds the changes of `other`. Of two configurations the one with
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -202,6 +202,13 @@
     item["decided"] = ::Json::Int64(order.decided);
     json["host_orders"].append(std::move(item));
   }
+  for (const auto& [zone, state] : zones_) {
+    Json item;
+    item["zone"] = zone.str();
+    item["evacuated"] = state.evacuated;
+    item["changed"] = ::Json::Int64(state.changed);
+    json["zones"].append(std::move(item));
+  }
   return WriteJson(json);
 }
 
@@ -284,6 +291,13 @@
     const HostName host = order.record.host;
     ledger.host_orders_[host] = std::move(order);
   }
+  for (const Json& item : json["zones"]) {
+    BW_TRY(const std::string zone, StoredText(item, "zone"));
+    ZoneState state;
+    BW_TRY(state.evacuated, BoolField(item, "evacuated"));
+    BW_TRY(state.changed, IntField(item, "changed", 0, kMaxNumber));
+    ledger.zones_[ZoneName(zone)] = state;
+  }
   return ledger;
 }
 
--- /dev/null
+++ b/src/jobs/ledger_workers.cc
@@ -0,0 +1,177 @@
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "jobs/job_ledger.h"
+
+namespace boragewinch::jobs {
+
+const WorkerSet& JobLedger::WorkersOf(const PoolName& pool) const {
+  static const WorkerSet kNone;
+  const auto found = pool_workers_.find(pool);
+  return found == pool_workers_.end() ? kNone : found->second;
+}
+
+void JobLedger::IndexWorker(const Worker& worker) {
+  const WorkerRecord& record = worker.record;
+  pool_workers_[record.pool].insert(&worker);
+  incarnations_by_address_.emplace(record.address, record.incarnation);
+  if (!record.host.empty())
+    incarnations_by_host_.emplace(record.host, record.incarnation);
+}
+
+void JobLedger::UnindexWorker(const Worker& worker) {
+  const WorkerRecord& record = worker.record;
+  const auto erase = [&](auto* index, const auto& key) {
+    const auto [begin, end] = index->equal_range(key);
+    const auto it = std::find_if(begin, end, [&](const auto& item) {
+      return item.second == record.incarnation;
+    });
+    if (it != end)
+      index->erase(it);
+  };
+  erase(&incarnations_by_address_, record.address);
+  erase(&incarnations_by_host_, record.host);
+  const auto pool = pool_workers_.find(record.pool);
+  if (pool == pool_workers_.end())
+    return;
+  pool->second.erase(&worker);
+  if (pool->second.empty())
+    pool_workers_.erase(pool);
+}
+
+void JobLedger::UpdateStopCandidate(const Worker& worker) {
+  if (worker.record.draining || worker.obsolete_runs > 0)
+    stop_candidates_.insert(&worker);
+  else
+    stop_candidates_.erase(&worker);
+}
+
+std::vector<WorkerIncarnation> JobLedger::ConflictingIncarnations(
+    const WorkerRecord& record) const {
+  std::vector<WorkerIncarnation> incarnations;
+  const auto add = [&](const WorkerIncarnation& incarnation) {
+    if (incarnation != record.incarnation)
+      incarnations.push_back(incarnation);
+  };
+  for (auto it = workers_.lower_bound(WorkerIncarnation{
+           record.incarnation.id, std::numeric_limits<UnixMillis>::min()});
+       it != workers_.end() && it->first.id == record.incarnation.id; ++it) {
+    add(it->first);
+  }
+  const auto [address, address_end] =
+      incarnations_by_address_.equal_range(record.address);
+  for (auto it = address; it != address_end; ++it)
+    add(it->second);
+  const auto [host, host_end] = incarnations_by_host_.equal_range(record.host);
+  for (auto it = host; it != host_end; ++it)
+    add(it->second);
+  std::sort(incarnations.begin(), incarnations.end());
+  incarnations.erase(std::unique(incarnations.begin(), incarnations.end()),
+                     incarnations.end());
+  return incarnations;
+}
+
+void JobLedger::ApplyWorker(const WorkerRecord& record, UnixMillis now) {
+  if (const auto gone = departed_.find(record.incarnation.id);
+      gone != departed_.end() &&
+      record.incarnation.start_time <= gone->second.start_time) {
+    return;
+  }
+  if (record.departed) {
+    RemoveIncarnation(record.incarnation, now);
+    return;
+  }
+  // A new incarnation with the same id, address or host replaces the earlier
+  // one. It inherits the runs only with the same id: a start request names the
+  // id, so one for the earlier incarnation may still reach the new one.
+  const std::vector<WorkerIncarnation> replaced =
+      ConflictingIncarnations(record);
+  if (std::any_of(replaced.begin(), replaced.end(),
+                  [&](const WorkerIncarnation& incarnation) {
+                    return incarnation.start_time >
+                           record.incarnation.start_time;
+                  })) {
+    return;
+  }
+  const auto [it, added] = workers_.try_emplace(record.incarnation);
+  Worker& worker = it->second;
+  for (const WorkerIncarnation& incarnation : replaced) {
+    if (incarnation.id == record.incarnation.id)
+      InheritRuns(incarnation, record.incarnation, now);
+    else
+      RemoveIncarnation(incarnation, now);
+  }
+  if (added) {
+    worker.join_number = ++joins_;
+    if (HasPredecessor(record.incarnation))
+      worker.succeeded = now;
+  }
+  // A worker cannot revoke a drain within one incarnation.
+  const bool draining = worker.record.draining || record.draining;
+  if (!added)
+    UnindexWorker(worker);
+  worker.record = record;
+  worker.record.draining = draining;
+  IndexWorker(worker);
+  UpdateStopCandidate(worker);
+  changed_workers_.push_back(record.incarnation);
+}
+
+void JobLedger::RecordDeparture(const WorkerIncarnation& incarnation,
+                                UnixMillis now) {
+  Departure& departure = departed_[incarnation.id];
+  departures_.erase({departure.at, incarnation.id});
+  departure.start_time = std::max(departure.start_time, incarnation.start_time);
+  departure.at = now;
+  departures_.emplace(now, incarnation.id);
+}
+
+void JobLedger::RemoveIncarnation(const WorkerIncarnation& incarnation,
+                                  UnixMillis now) {
+  RecordDeparture(incarnation, now);
+  const auto found = workers_.find(incarnation);
+  if (found == workers_.end())
+    return;
+  const std::set<RunName> runs = found->second.runs;
+  for (const RunName& run : runs) {
+    if (Job* job = MutableJob(run.task.job); job != nullptr) {
+      RemoveRun(job, run, incarnation);
+      Compact(job);
+    }
+  }
+  UnindexWorker(found->second);
+  stop_candidates_.erase(&found->second);
+  workers_.erase(found);
+  changed_workers_.push_back(incarnation);
+}
+
+void JobLedger::InheritRuns(const WorkerIncarnation& incarnation,
+                            const WorkerIncarnation& later,
+                            UnixMillis now) {
+  const auto from = workers_.find(incarnation);
+  Worker& to = workers_.at(later);
+  for (const RunName& name : from->second.runs) {
+    Job* job = MutableJob(name.task.job);
+    if (job == nullptr)
+      continue;
+    Task& task = job->occurrences.at(name.task.occurrence)
+                     .steps[name.task.step]
+                     .tasks[name.task.index];
+    for (Run& run : task.runs) {
+      if (run.number == name.number && run.worker == incarnation) {
+        run.worker = later;
+        run.inherited = true;
+      }
+    }
+    to.used += CapacityOf(job->spec->steps[name.task.step]);
+    to.runs.insert(name);
+    to.inherited.insert(name);
+  }
+  to.long_running_runs += std::exchange(from->second.long_running_runs, 0);
+  to.obsolete_runs += std::exchange(from->second.obsolete_runs, 0);
+  from->second.runs.clear();
+  RemoveIncarnation(incarnation, now);
+}
+
+}  // namespace boragewinch::jobs
--- a/src/scheduler/admin_api.cc
+++ b/src/scheduler/admin_api.cc
@@ -89,4 +89,54 @@
   return wave->second.complete();
 }
 
+void AdminApi::SetEvacuated(const Result<ZoneName>& zone,
+                            bool evacuated,
+                            TimePoint now,
+                            const Done& done) {
+  if (!zone) {
+    LogEvent(EventId::kCommandRefused,
+             {{"command", "evacuate"}, {"error", zone.error().Text()}});
+    done(outcome::failure(zone.error()));
+    return;
+  }
+  if (!replica_.HasLeaderLease(now)) {
+    done(Fail(ErrorCode::kNotLeader, "this host is not the leader"));
+    return;
+  }
+  const auto too_many = [] {
+    LogEvent(EventId::kBoundReached, {{"bound", "evacuated_zones"}});
+    return Fail(ErrorCode::kTableFull, "too many zones are evacuated");
+  };
+  if (evacuated && !replica_.ledger().CanEvacuate(zone.value())) {
+    done(too_many());
+    return;
+  }
+  jobs::Batch change;
+  change.zone_changes.push_back({zone.value(), evacuated});
+  replica_.Submit(change, [this, too_many, done, evacuated,
+                           name = zone.value()](const Status& result) {
+    LogEvent(EventId::kZoneEvacuation,
+             {{"zone", name.str()},
+              {"state", evacuated ? "evacuated" : "in_use"},
+              {"outcome", result ? "stored" : result.error().Text()}});
+    // Another order that was stored before it may have reached the limit.
+    if (result && evacuated && !replica_.ledger().CanEvacuate(name))
+      done(too_many());
+    else
+      done(result);
+  });
+}
+
+Result<std::map<ZoneName, jobs::UnixMillis>> AdminApi::EvacuatedZones(
+    TimePoint now) const {
+  if (!replica_.HasLeaderLease(now))
+    return Fail(ErrorCode::kNotLeader, "this host is not the leader");
+  std::map<ZoneName, jobs::UnixMillis> zones;
+  for (const auto& [zone, state] : replica_.ledger().zones()) {
+    if (state.evacuated)
+      zones[zone] = state.changed;
+  }
+  return zones;
+}
+
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/admin_api.h
+++ b/src/scheduler/admin_api.h
@@ -2,13 +2,15 @@
 #define BORAGEWINCH_SCHEDULER_ADMIN_API_H_
 
 #include <functional>
+#include <map>
 #include <string>
 
 #include "scheduler/ledger_replica.h"
 
 namespace boragewinch::scheduler {
 
-/// \brief The operators' API for the configuration and maintenance waves.
+/// \brief The operators' API for the configuration, maintenance waves and the
+/// evacuation of availability zones.
 class AdminApi {
  public:
   using Done = std::function<void(Status)>;
@@ -36,6 +38,22 @@
   [[nodiscard]] Result<bool> WaveComplete(std::int64_t number,
                                           TimePoint now) const;
 
+  /// \brief Stores that a zone is evacuated, or that it is returned to use.
+  ///
+  /// Each order is stored again, also one that changes nothing: an opposite
+  /// order may be about to be stored, and the last one has to count.
+  /// \returns through `done`: the error of an invalid name, kTableFull if too
+  /// many zones are evacuated, kNotLeader if it was not stored, kUnavailable if
+  /// the outcome is unknown.
+  void SetEvacuated(const Result<ZoneName>& zone,
+                    bool evacuated,
+                    TimePoint now,
+                    const Done& done);
+  /// \returns the evacuated zones with the time of each evacuation, or
+  /// kNotLeader.
+  [[nodiscard]] Result<std::map<ZoneName, jobs::UnixMillis>> EvacuatedZones(
+      TimePoint now) const;
+
  private:
   LedgerReplica& replica_;
 };
--- a/src/scheduler/host_calls.h
+++ b/src/scheduler/host_calls.h
@@ -27,6 +27,7 @@
   PoolName pool;
   HostState state = HostState::kUp;
   jobs::WorkerId worker;  ///< current worker, empty if there is none
+  ZoneName zone{};        ///< empty if unknown
 };
 
 enum class HostVerdict {
--- a/src/scheduler/host_manager.cc
+++ b/src/scheduler/host_manager.cc
@@ -152,6 +152,13 @@
   Order(
       {move.host, replica_.term(), 0, move.to},
       [this, move, on_response] {
+        // The evacuation of the host's zone may have been stored with the
+        // order.
+        const HostRow* row = hosts_.Find(move.host);
+        if (row != nullptr && replica_.ledger().IsEvacuated(row->zone)) {
+          on_response(HostVerdict::kBusy);
+          return;
+        }
         calls_.move(move.host, move.to, replica_.term(), on_response);
       },
       [on_response](const Error&) { on_response(HostVerdict::kBusy); });
--- a/src/scheduler/pool_balancer.cc
+++ b/src/scheduler/pool_balancer.cc
@@ -18,6 +18,7 @@
 
 /// State of one decision.
 struct PoolBalancer::Decision {
+  const jobs::JobLedger& ledger;
   const MayOrder& may_order;
   TimePoint now;
   std::vector<HostMove> moves;
@@ -189,7 +190,7 @@
 }
 
 void PoolBalancer::ComputeSizings(const Pools& pools,
-                                  std::size_t hosts,
+                                  std::ptrdiff_t hosts,
                                   TimePoint now) {
   sizings_.clear();
   for (const auto& [host, pending] : pending_)
@@ -221,7 +222,7 @@
     const auto pool = pools.find(row.pool);
     if (pool != pools.end() && pool->second.standby &&
         row.state == HostState::kUp && row.worker.empty() &&
-        CanMove(host, decision)) {
+        !decision.ledger.IsEvacuated(row.zone) && CanMove(host, decision)) {
       standby_hosts.push_back(host);
     }
   }
@@ -362,10 +363,15 @@
         return cordoned_.count(incarnation) == 0 && usable(incarnation);
       },
       reserved, wall_time);
-  Decision decision{may_order, now, {}};
+  Decision decision{ledger, may_order, now, {}};
   const std::vector<HostName> standby_hosts =
       StandbyHosts(pools, hosts, decision);
-  ComputeSizings(pools, hosts.rows().size(), now);
+  ComputeSizings(pools,
+                 std::count_if(hosts.rows().begin(), hosts.rows().end(),
+                               [&](const auto& item) {
+                                 return !ledger.IsEvacuated(item.second.zone);
+                               }),
+                 now);
   std::vector<const jobs::Worker*> surplus = SurplusHosts(pools, decision);
   FillPools(standby_hosts, &surplus, pools, &decision);
   const auto standby =
--- a/src/scheduler/pool_balancer.h
+++ b/src/scheduler/pool_balancer.h
@@ -68,6 +68,9 @@
 /// alternate between pools: one pool needs several times its mean for some
 /// seconds while the others are nearly idle. Only hosts without runs move.
 ///
+/// Hosts of evacuated zones are not moved and count neither as capacity nor for
+/// the mean number of hosts per pool.
+///
 /// The pool whose last burst is longest ago is expected to be next and keeps
 /// the largest reserve; a pool that has just had a burst keeps the smallest.
 class PoolBalancer {
@@ -130,7 +133,8 @@
   };
   struct Decision;
 
-  void ComputeSizings(const Pools& pools, std::size_t hosts, TimePoint now);
+  /// \param hosts the number of hosts outside the evacuated zones.
+  void ComputeSizings(const Pools& pools, std::ptrdiff_t hosts, TimePoint now);
   [[nodiscard]] std::map<PoolName, std::int64_t> Reserves(const Pools& pools,
                                                           double mean) const;
   /// \brief Detects the start and end of a pool's burst and applies the surge
--- a/src/scheduler/pool_demand.cc
+++ b/src/scheduler/pool_demand.cc
@@ -30,7 +30,7 @@
       size.Add(worker->record.capacity, 1);
       pool.host = pool.host.Max(size);
       const jobs::WorkerIncarnation& incarnation = worker->record.incarnation;
-      if (!usable(incarnation))
+      if (!usable(incarnation) || ledger.IsEvacuated(worker->record.zone))
         continue;
       ++pool.hosts;
       if (worker->runs.empty() && reserved.count(incarnation) == 0 &&
@@ -58,18 +58,20 @@
       largest_.accelerators =
           std::max(largest_.accelerators, record.capacity.accelerators);
       if (record.draining || reserved.count(record.incarnation) > 0 ||
-          !usable(record.incarnation))
+          ledger.IsEvacuated(record.zone) || !usable(record.incarnation)) {
         continue;
+      }
       Resources free = record.capacity;
       free -= worker->used;
       free_.emplace_back(record.incarnation, free);
     }
   }
 
-  /// \returns the number of additional hosts for the tasks of the step that fit
-  /// on no worker.
+  /// \param tasks the waiting tasks of the step and those in evacuated zones.
+  /// \returns the number of additional hosts for those that fit on no worker.
   [[nodiscard]] std::int64_t HostsFor(const jobs::StepSpec& spec,
-                                      const jobs::Step& step) {
+                                      const jobs::Step& step,
+                                      std::int64_t tasks) {
     const Resources need = jobs::JobLedger::CapacityOf(spec);
     const std::int64_t limit = spec.max_per_worker > 0
                                    ? spec.max_per_worker
@@ -79,7 +81,7 @@
       for (const jobs::Run& run : task.runs)
         ++present[run.worker];
     }
-    std::int64_t left = step.waiting();
+    std::int64_t left = tasks;
     for (auto& [incarnation, free] : free_) {
       std::int64_t& count = present[incarnation];
       for (; left > 0 && count < limit && need.FitsInto(free); --left) {
@@ -104,16 +106,40 @@
   Resources largest_;
 };
 
-/// Calls `visit` for each step of long-running tasks that could start now.
+/// \returns the number of the step's tasks that run in evacuated zones.
+[[nodiscard]] std::int64_t CountInEvacuatedZones(const jobs::JobLedger& ledger,
+                                                 const jobs::Step& step) {
+  if (ledger.zones().empty() || step.placed == 0)
+    return 0;
+  return std::count_if(
+      step.tasks.begin(), step.tasks.end(), [&](const jobs::Task& task) {
+        return !task.done &&
+               std::any_of(task.runs.begin(), task.runs.end(),
+                           [&](const jobs::Run& run) {
+                             const jobs::Worker* worker =
+                                 ledger.FindWorker(run.worker);
+                             return worker != nullptr &&
+                                    ledger.IsEvacuated(worker->record.zone);
+                           });
+      });
+}
+
+/// Calls `visit` for each step with long-running tasks that could start now or
+/// are to leave an evacuated zone, with their number.
 template <typename Visit>
-void VisitWaitingLongRunning(const jobs::Job& job, const Visit& visit) {
+void VisitWaitingLongRunning(const jobs::JobLedger& ledger,
+                             const jobs::Job& job,
+                             const Visit& visit) {
   for (const auto& [number, occurrence] : job.occurrences) {
     for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
       const jobs::StepSpec& spec = job.spec->steps[s];
-      if (spec.long_running && occurrence.steps[s].waiting() > 0 &&
-          job.StepReady(occurrence, s)) {
-        visit(spec, occurrence.steps[s]);
-      }
+      if (!spec.long_running || !job.StepReady(occurrence, s))
+        continue;
+      const jobs::Step& step = occurrence.steps[s];
+      const std::int64_t tasks =
+          step.waiting() + CountInEvacuatedZones(ledger, step);
+      if (tasks > 0)
+        visit(spec, step, tasks);
     }
   }
 }
@@ -233,15 +259,18 @@
     if (pool == pools.end())
       continue;
     JobDemand(options, *job, *queue, wall_time).AddTo(&pool->second);
-    VisitWaitingLongRunning(*job, [&](const jobs::StepSpec& spec,
-                                      const jobs::Step& step) {
-      const auto placer =
-          placers
-              .try_emplace(queue->pool, ledger, queue->pool, usable, reserved)
-              .first;
-      pool->second.long_running_hosts += placer->second.HostsFor(spec, step);
-      pool->second.long_running_waiting = true;
-    });
+    VisitWaitingLongRunning(
+        ledger, *job,
+        [&](const jobs::StepSpec& spec, const jobs::Step& step,
+            std::int64_t tasks) {
+          const auto placer = placers
+                                  .try_emplace(queue->pool, ledger, queue->pool,
+                                               usable, reserved)
+                                  .first;
+          pool->second.long_running_hosts +=
+              placer->second.HostsFor(spec, step, tasks);
+          pool->second.long_running_waiting = true;
+        });
   }
   return pools;
 }
--- a/src/scheduler/pool_demand.h
+++ b/src/scheduler/pool_demand.h
@@ -30,19 +30,21 @@
 
 /// \brief Capacity of a pool and the demand of its queues.
 struct PoolDemand {
-  bool standby = false;               ///< its hosts run no workers
-  std::int64_t hosts = 0;             ///< hosts with a usable worker
-  Load host;                          ///< size of the largest worker
-  Load long_running_load;             ///< of long-running tasks, started or not
-  bool long_running_waiting = false;  ///< a long-running task could start now
-  /// Hosts for the long-running tasks that no worker of the pool has free
+  bool standby = false;  ///< its hosts run no workers
+  /// Hosts with a usable worker that is not in an evacuated zone.
+  std::int64_t hosts = 0;
+  Load host;               ///< size of the largest worker
+  Load long_running_load;  ///< of long-running tasks, started or not
+  /// A long-running task could start now or is to leave an evacuated zone.
+  bool long_running_waiting = false;
+  /// Hosts for those long-running tasks that no worker of the pool has free
   /// capacity for.
   std::int64_t long_running_hosts = 0;
   Load arriving;  ///< needed at the arrival rate of the window
   Load ready;     ///< needed to start waiting tasks within the backlog target
   Load blocked;   ///< needed later by steps that wait for other steps
   std::int64_t spread = 0;  ///< hosts needed to respect limits per worker
-  /// Workers without runs, whose hosts may be moved.
+  /// Workers without runs, whose hosts may be moved; none in evacuated zones.
   std::vector<const jobs::Worker*> idle_workers;
 };
 
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <random>
 #include <utility>
 
 #include "base/build_info.h"
 #include "base/event_log.h"
+#include "evacuation/zone_exit.h"
 #include "scheduler/stop_planner.h"
 
 namespace boragewinch::scheduler {
@@ -141,6 +143,7 @@
           metrics_.Gauge("tolerable_losses", {},
                          losses ? static_cast<double>(*losses)
                                 : std::numeric_limits<double>::quiet_NaN());
+          UpdateZoneMetrics();
           metrics_.Gauge("log_lines_dropped", {},
                          static_cast<double>(DroppedLogLines()));
           respond({200, metrics_.PrometheusText(), kPrometheusContentType});
@@ -237,6 +240,9 @@
                             const jobs::WorkerIncarnation& incarnation) {
     return fleet_->HasFailedOn(task, incarnation);
   };
+  hooks.is_cold = [&](const jobs::WorkerIncarnation& incarnation) {
+    return registry_->IsCold(incarnation, now);
+  };
   batch->starts = planner_.Plan(replica_->ledger(), hooks, wall_time);
 }
 
@@ -254,7 +260,10 @@
   const auto advice_requests = advice_->Decide(
       replica_->ledger(),
       [&](const jobs::WorkerIncarnation& incarnation) {
-        return fleet_->StartLimitOf(incarnation, now) > 0;
+        const jobs::Worker* worker = replica_->ledger().FindWorker(incarnation);
+        return worker != nullptr &&
+               !replica_->ledger().IsEvacuated(worker->record.zone) &&
+               fleet_->StartLimitOf(incarnation, now) > 0;
       },
       now);
   for (const AdviceCache::Request& advice_request : advice_requests) {
@@ -291,12 +300,46 @@
                                const jobs::WorkerIncarnation& incarnation) {
     return fleet_->IsStopping(run, incarnation);
   };
-  for (const StopOrder& stop :
-       PlanStops(replica_->ledger(), hosts_->cordoned(), percent, stopping)) {
+  const std::set<jobs::WorkerIncarnation> reserved = hosts_->Reserved();
+  const evacuation::ZoneExits exits = evacuation::PlanZoneExits(
+      replica_->ledger(),
+      [&](const jobs::WorkerIncarnation& incarnation) {
+        return reserved.count(incarnation) == 0 &&
+               fleet_->StartLimitOf(incarnation, loop_->now()) > 0;
+      },
+      stopping);
+  for (const StopOrder& stop : PlanStops(replica_->ledger(), hosts_->cordoned(),
+                                         percent, stopping, exits)) {
     fleet_->Stop(stop.run, stop.worker, stop.reason);
   }
 }
 
+void SchedulerService::LogEvacuatedZones() const {
+  for (const auto& [zone, state] : replica_->ledger().zones()) {
+    if (state.evacuated)
+      LogEvent(EventId::kZoneEvacuation, {{"zone", zone.str()},
+                                          {"state", "evacuated"},
+                                          {"outcome", "inherited"}});
+  }
+}
+
+void SchedulerService::UpdateZoneMetrics() {
+  const jobs::JobLedger& ledger = replica_->ledger();
+  std::map<ZoneName, std::size_t> long_running;
+  for (const auto& [incarnation, runs] :
+       evacuation::LongRunningInEvacuatedZones(ledger)) {
+    long_running[ledger.FindWorker(incarnation)->record.zone] += runs.size();
+  }
+  for (const auto& [zone, state] : ledger.zones())
+    reported_zones_.insert(zone);
+  for (const ZoneName& zone : reported_zones_) {
+    const MetricLabels labels{"", zone.str()};
+    metrics_.Gauge("zone_evacuated", labels, ledger.IsEvacuated(zone) ? 1 : 0);
+    metrics_.Gauge("zone_long_running_runs", labels,
+                   static_cast<double>(long_running[zone]));
+  }
+}
+
 void SchedulerService::OnLeadership(bool leading, TimePoint now) {
   LogEvent(EventId::kLeadershipChanged,
            {{"acts", leading ? "yes" : "no"}, {"term", replica_->term()}});
@@ -311,8 +354,10 @@
     call_router_->Begin(replica_->term(), now);
   else
     call_router_->End();
-  if (leading)
+  if (leading) {
+    LogEvacuatedZones();
     replica_->Wake();
+  }
 }
 
 void SchedulerService::OnTick(TimePoint now) {
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "base/metrics.h"
@@ -86,6 +87,9 @@
   void ExchangeBuilds();
   void RequestBuild();
   void StopRuns();
+  /// \brief Logs the zones that the ledger of a new leader has as evacuated.
+  void LogEvacuatedZones() const;
+  void UpdateZoneMetrics();
   void StartCallAgents();
   void RequestAdvice(TimePoint now);
   void OpenDueOccurrences(jobs::Batch* batch, jobs::UnixMillis now) const;
@@ -110,6 +114,7 @@
   std::unique_ptr<AdviceCache> advice_;
   TaskPlanner planner_;
   LeaderLoad load_;
+  std::set<ZoneName> reported_zones_;  ///< zones that have a gauge
   PeerBuilds peer_builds_;
   std::unique_ptr<RelayServer> relay_;
   std::unique_ptr<RelayClient> control_relay_;  ///< used on followers
--- a/src/scheduler/stop_planner.cc
+++ b/src/scheduler/stop_planner.cc
@@ -119,7 +119,8 @@
     const jobs::JobLedger& ledger,
     const std::set<jobs::WorkerIncarnation>& cordoned,
     const PercentOf& percent_of,
-    const IsStopping& is_stopping) {
+    const IsStopping& is_stopping,
+    const evacuation::ZoneExits& zone_exits) {
   std::vector<StopOrder> stops;
   UnavailableTasks unavailable(ledger, percent_of, is_stopping);
   jobs::WorkerSet candidates = ledger.stop_candidates();
@@ -127,10 +128,15 @@
     if (const jobs::Worker* worker = ledger.FindWorker(incarnation))
       candidates.insert(worker);
   }
+  for (const auto& [incarnation, runs] : zone_exits) {
+    if (const jobs::Worker* worker = ledger.FindWorker(incarnation))
+      candidates.insert(worker);
+  }
   for (const jobs::Worker* candidate : candidates) {
     const jobs::Worker& worker = *candidate;
     const jobs::WorkerIncarnation& incarnation = worker.record.incarnation;
     const bool is_cordoned = cordoned.count(incarnation) > 0;
+    const auto exits = zone_exits.find(incarnation);
     for (const jobs::RunName& run : worker.runs) {
       const jobs::Job* job = ledger.FindJob(run.task.job);
       const jobs::Task* task = ledger.FindTask(run.task);
@@ -147,11 +153,15 @@
       const jobs::StepSpec& spec = job->spec->steps[run.task.step];
       if (!spec.long_running)
         continue;
+      const bool leaves_zone =
+          exits != zone_exits.end() && exits->second.count(run) > 0;
       if (worker.record.draining) {
         if (!unavailable.HasStopInFlight(run, spec))
           stops.push_back({run, incarnation, "worker_drains"});
-      } else if (is_cordoned && unavailable.TryInterrupt(run, spec)) {
-        stops.push_back({run, incarnation, "host_maintenance"});
+      } else if ((is_cordoned || leaves_zone) &&
+                 unavailable.TryInterrupt(run, spec)) {
+        stops.push_back({run, incarnation,
+                         is_cordoned ? "host_maintenance" : "zone_evacuated"});
       }
     }
   }
--- a/src/scheduler/stop_planner.h
+++ b/src/scheduler/stop_planner.h
@@ -5,6 +5,7 @@
 #include <set>
 #include <vector>
 
+#include "evacuation/zone_exit.h"
 #include "jobs/job_ledger.h"
 
 namespace boragewinch::scheduler {
@@ -34,16 +35,19 @@
                                 const PercentOf& percent_of);
 
 /// \brief Decides which runs to stop: those of finished jobs, extra copies of
-/// finished tasks and long-running tasks on draining or cordoned workers.
+/// finished tasks, long-running tasks on draining or cordoned workers, and
+/// those that may leave an evacuated zone.
 ///
-/// Stops on cordoned workers respect StepSpec::max_unavailable. Stops on
-/// draining workers do not, but they wait while a stop on another worker is in
-/// flight: that one could arrive later and make one task too many unavailable.
+/// Stops on cordoned workers and in evacuated zones respect
+/// StepSpec::max_unavailable. Stops on draining workers do not, but they wait
+/// while a stop on another worker is in flight: that one could arrive later and
+/// make one task too many unavailable.
 [[nodiscard]] std::vector<StopOrder> PlanStops(
     const jobs::JobLedger& ledger,
     const std::set<jobs::WorkerIncarnation>& cordoned,
     const PercentOf& percent_of,
-    const IsStopping& is_stopping);
+    const IsStopping& is_stopping,
+    const evacuation::ZoneExits& zone_exits = {});
 
 }  // namespace boragewinch::scheduler
 
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -35,9 +35,10 @@
   bool occupied = false;         ///< it has runs or starts of this plan
   bool limit_exhausted = false;  ///< this plan has exhausted start_limit
   bool reserved = false;  ///< its free capacity is reserved for a waiting task
+  bool warm = true;       ///< see PlannerHooks::is_cold
 };
 
-/// The workers of a pool that are not draining.
+/// The workers of a pool that are neither draining nor in an evacuated zone.
 struct PoolWorkers {
   std::vector<WorkerState> states;
   /// Upper bound of the workers' free capacity; a task that exceeds it need not
@@ -133,13 +134,15 @@
     const jobs::WorkerSet& workers = ledger_.WorkersOf(pool);
     pool_workers->states.reserve(workers.size());
     for (const jobs::Worker* worker : workers) {
-      if (worker->record.draining)
+      if (worker->record.draining || ledger_.IsEvacuated(worker->record.zone)) {
         continue;
+      }
       Resources free = worker->record.capacity;
       free -= worker->used;
       pool_workers->states.push_back(
           {worker, free, std::nullopt, worker->long_running_runs, Resources(),
-           std::nullopt, !worker->runs.empty(), false, false});
+           std::nullopt, !worker->runs.empty(), false, false,
+           !hooks_.is_cold || !hooks_.is_cold(worker->record.incarnation)});
     }
     UpdateMaxFree(pool_workers);
     return pool_workers;
@@ -408,7 +411,8 @@
   ///
   /// Bin packing: workers are filled one after another, for long-running tasks
   /// those that already run such tasks first, so that idle hosts can be moved
-  /// or powered off and large tasks find capacity. A step with a data rack
+  /// or powered off and large tasks find capacity. Warm workers come before
+  /// cold ones. A step with a data rack
   /// prefers that rack. Attempts of a long-running task are not limited, so it
   /// may return to a worker on which it failed if no other has free capacity
   /// now; other tasks wait for a limited time while another worker may become
@@ -424,7 +428,7 @@
     const jobs::StepSpec& spec = candidate.job->spec->steps[task.step];
     const Resources required = jobs::JobLedger::CapacityOf(spec);
     using Rank =
-        std::tuple<bool, std::int64_t, bool, std::int64_t, std::int64_t>;
+        std::tuple<bool, bool, std::int64_t, bool, std::int64_t, std::int64_t>;
     WorkerState* best = nullptr;
     Rank best_rank;
     WorkerState* best_avoided = nullptr;  // best one on which the task failed
@@ -445,8 +449,9 @@
           spec.data_rack.empty() || spec.data_rack == record.rack;
       const std::int64_t long_running_neighbours =
           spec.long_running && !spec.best_effort ? state.long_running_runs : 0;
-      const Rank rank(in_data_rack, long_running_neighbours, state.occupied,
-                      -state.free.cpu_millis, -state.free.memory_mb);
+      const Rank rank(state.warm, in_data_rack, long_running_neighbours,
+                      state.occupied, -state.free.cpu_millis,
+                      -state.free.memory_mb);
       // The hooks are expensive, so they are called last.
       if (best != nullptr && rank <= best_rank)
         continue;
--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -48,6 +48,9 @@
   /// Whether the task has failed on the worker.
   std::function<bool(const jobs::TaskName&, const jobs::WorkerIncarnation&)>
       has_failed_on;
+  /// Whether the worker is in a zone that was returned to use and is still
+  /// slow; warm workers get tasks first. Empty: no worker is cold.
+  std::function<bool(const jobs::WorkerIncarnation&)> is_cold;
 };
 
 /// \returns the time by which the job should complete: `from` plus `stretch`
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -233,7 +233,7 @@
   for (const jobs::RunName& run : session.StopsDue(now))
     StopOrRepeatStart(*worker, session, run);
   for (const jobs::RunName& run : session.StartsDue(now))
-    SendStart(*worker, run);
+    StartIfInUse(*worker, run);
   if (session.HoldDue(now))
     SendHold(*worker, &session, now);
   const TimePoint slow_at = FindSlowRuns(*worker, &session, now);
@@ -439,23 +439,36 @@
               });
 }
 
+bool WorkerFleet::MayInterruptNow(const jobs::Worker& worker,
+                                  const jobs::RunName& run) const {
+  const auto percent_of = [this](const jobs::RunName& other,
+                                 const jobs::WorkerIncarnation& incarnation) {
+    return PercentOf(other, incarnation);
+  };
+  return MayInterrupt(replica_.ledger(), run, worker, percent_of);
+}
+
+void WorkerFleet::StartIfInUse(const jobs::Worker& worker,
+                               const jobs::RunName& run) {
+  if (!replica_.ledger().IsEvacuated(worker.record.zone))
+    SendStart(worker, run);
+  else if (MayInterruptNow(worker, run))
+    Stop(run, worker.record.incarnation, "zone_evacuated");
+}
+
 // A start without a response is usually followed by a stop, so that the task
 // can start elsewhere. The start may have been carried out late and the task be
 // at work when the stop arrives. Where that would make too many tasks of its
-// step unavailable, the start is repeated instead: it is idempotent.
+// step unavailable, the start is repeated instead: it is idempotent. In an
+// evacuated zone neither is sent until another task is available or a list
+// shows what became of the run.
 void WorkerFleet::StopOrRepeatStart(const jobs::Worker& worker,
                                     const WorkerSession& session,
                                     const jobs::RunName& run) {
-  const auto percent_of = [this](const jobs::RunName& other,
-                                 const jobs::WorkerIncarnation& incarnation) {
-    return PercentOf(other, incarnation);
-  };
-  if (session.MayRepeatStart(run) &&
-      !MayInterrupt(replica_.ledger(), run, worker, percent_of)) {
-    SendStart(worker, run);
-  } else {
+  if (!session.MayRepeatStart(run) || MayInterruptNow(worker, run))
     SendStop(worker, run);
-  }
+  else if (!replica_.ledger().IsEvacuated(worker.record.zone))
+    SendStart(worker, run);
 }
 
 void WorkerFleet::SendHold(const jobs::Worker& worker,
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -134,6 +134,13 @@
   [[nodiscard]] std::uint64_t TokenFor(const jobs::Worker& worker) const;
   void SendStart(const jobs::Worker& worker, const jobs::RunName& run);
   void SendStop(const jobs::Worker& worker, const jobs::RunName& run);
+  /// \returns whether a stop of the run keeps the availability limit of its
+  /// step; see scheduler::MayInterrupt.
+  [[nodiscard]] bool MayInterruptNow(const jobs::Worker& worker,
+                                     const jobs::RunName& run) const;
+  /// \brief Sends the start of a run that is due. In an evacuated zone the run
+  /// is stopped instead: nothing may start there any more.
+  void StartIfInUse(const jobs::Worker& worker, const jobs::RunName& run);
   /// \brief Sends the stop of a run, or its start once more if nobody has asked
   /// for the stop and it could make too many tasks unavailable.
   void StopOrRepeatStart(const jobs::Worker& worker,
--- a/src/scheduler/worker_registry.cc
+++ b/src/scheduler/worker_registry.cc
@@ -1,5 +1,6 @@
 #include "scheduler/worker_registry.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/event_log.h"
@@ -8,7 +9,8 @@
 
 namespace {
 
-/// Number of sequence numbers above which those of unknown workers are dropped.
+/// Number of sequence numbers above which those of unknown workers are dropped,
+/// and limit on the cold workers.
 constexpr std::size_t kMaxSequences = 20'000;
 /// Reports on unknown pools that are kept: more than the workers of a fleet
 /// that starts before its first configuration.
@@ -111,8 +113,34 @@
 }
 
 bool WorkerRegistry::IsKnown(const jobs::WorkerRecord& record,
-                             TimePoint now) const {
-  return replica_.Follows(now) && IsStored(record);
+                             TimePoint now,
+                             Millis cold) const {
+  return replica_.Follows(now) && IsStored(record) &&
+         (cold <= Millis(0) || !replica_.ledger().IsReturned(record.zone));
+}
+
+void WorkerRegistry::RecordCold(const jobs::WorkerIncarnation& incarnation,
+                                Millis cold,
+                                TimePoint now) {
+  if (cold <= Millis(0)) {
+    cold_until_.erase(incarnation);
+    return;
+  }
+  if (cold_until_.size() >= kMaxSequences) {
+    std::erase_if(cold_until_,
+                  [now](const auto& item) { return now >= item.second; });
+  }
+  if (cold_until_.size() < kMaxSequences)
+    cold_until_[incarnation] = now + std::min(cold, jobs::kReturnedZoneMemory);
+}
+
+bool WorkerRegistry::IsCold(const jobs::WorkerIncarnation& incarnation,
+                            TimePoint now) const {
+  const auto found = cold_until_.find(incarnation);
+  if (found == cold_until_.end() || now >= found->second)
+    return false;
+  const jobs::Worker* worker = replica_.ledger().FindWorker(incarnation);
+  return worker != nullptr && replica_.ledger().IsReturned(worker->record.zone);
 }
 
 bool WorkerRegistry::IsStored(const jobs::WorkerRecord& record) const {
--- a/src/scheduler/worker_registry.h
+++ b/src/scheduler/worker_registry.h
@@ -35,8 +35,21 @@
   /// \returns whether this replica has stored exactly this report, so that the
   /// leader has nothing to store. A follower may then confirm the heartbeat;
   /// the leader determines from its own calls whether the worker responds.
+  /// \param cold for how long the worker expects to be slow. The report of a
+  /// cold worker in a zone that was returned to use is left to the leader,
+  /// which prefers warm workers.
   [[nodiscard]] bool IsKnown(const jobs::WorkerRecord& record,
-                             TimePoint now) const;
+                             TimePoint now,
+                             Millis cold = Millis(0)) const;
+  /// \brief Records for how long a worker expects to be slow; 0: it is warm.
+  /// Soft state of the leader: workers report it again every second or two.
+  void RecordCold(const jobs::WorkerIncarnation& incarnation,
+                  Millis cold,
+                  TimePoint now);
+  /// \returns whether the worker is cold and its zone was returned to use
+  /// lately. Elsewhere cold workers are used like all others.
+  [[nodiscard]] bool IsCold(const jobs::WorkerIncarnation& incarnation,
+                            TimePoint now) const;
   /// \brief Handles the message that a worker has left. It names no
   /// incarnation, and copies of it may arrive late, after the worker has
   /// started again under its id. It counts only for an incarnation that has
@@ -62,6 +75,7 @@
 
   LedgerReplica& replica_;
   std::map<jobs::WorkerIncarnation, std::int64_t> sequences_;
+  std::map<jobs::WorkerIncarnation, TimePoint> cold_until_;
   /// Latest reports on pools that no configuration has.
   std::map<jobs::WorkerIncarnation, Unlisted> unlisted_;
 };
--- a/tests/platform_cluster.cc
+++ b/tests/platform_cluster.cc
@@ -302,6 +302,62 @@
                });
 }
 
+void PlatformCluster::OrderZone(const std::string& zone,
+                                bool evacuated,
+                                const std::string& control) {
+  if (!evacuated)
+    checker_.OnWithdrawalSent(zone);
+  SendZoneOrder(++zone_orders_, zone, evacuated,
+                control.empty() ? RandomControl()
+                                : relay(control + "-control").address());
+}
+
+void PlatformCluster::SendZoneOrder(int order,
+                                    const std::string& zone,
+                                    bool evacuated,
+                                    const std::string& control) {
+  HttpCall call;
+  call.method = evacuated ? "POST" : "DELETE";
+  call.url = "http://" + control + "/-/evacuations/" + zone;
+  call.timeout = kConfigTimeout;
+  zone_retries_[order] = nullptr;
+  client_.Send(std::move(call), [this, order, zone, evacuated](
+                                    const Result<HttpResponse>& result) {
+    const int status = result ? result.value().status : 0;
+    if (status >= 200 && status < 300) {
+      if (evacuated)
+        checker_.OnEvacuated(zone, loop_.now());
+      zone_retries_.erase(order);
+      return;
+    }
+    if (status >= 400 && status < 500)
+      checker_.OnEvacuationRefused(zone, status, loop_.now());
+    zone_retries_[order] = loop_.After(kConfigRetryDelay, [=, this](TimePoint) {
+      SendZoneOrder(order, zone, evacuated, RandomControl());
+    });
+  });
+}
+
+void PlatformCluster::ReadZones(
+    const std::function<void(Result<std::set<std::string>>)>& done) {
+  HttpCall call;
+  call.url = "http://" + RandomControl() + "/-/evacuations";
+  call.timeout = kConfigTimeout;
+  client_.Send(std::move(call), [done](const Result<HttpResponse>& result) {
+    if (!result || result.value().status != 200) {
+      done(Fail(ErrorCode::kUnavailable, "no list of evacuated zones"));
+      return;
+    }
+    std::set<std::string> zones;
+    const Result<Json> json = ParseJson(result.value().body);
+    if (json) {
+      for (const Json& row : json.value()["zones"])
+        zones.insert(row["zone"].asString());
+    }
+    done(std::move(zones));
+  });
+}
+
 void PlatformCluster::ReadConfig() {
   HttpCall call;
   call.url = "http://" + RandomControl() + "/-/config";
--- a/tests/platform_cluster.h
+++ b/tests/platform_cluster.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,20 @@
   /// \brief Sends a new version of the configuration until it is acknowledged.
   /// \returns the version.
   std::int64_t ChangeConfig();
+  /// \brief Sends the order to evacuate a zone, or to return it to use, until
+  /// it is acknowledged. \param control the scheduler to send it to first;
+  /// empty: any.
+  void OrderZone(const std::string& zone,
+                 bool evacuated,
+                 const std::string& control = "");
+  /// \returns whether every order for a zone has been acknowledged.
+  [[nodiscard]] bool zone_orders_acknowledged() const {
+    return zone_retries_.empty();
+  }
+  /// \brief Asks any scheduler for the evacuated zones.
+  /// \param done gets their names, or an error without a 200.
+  void ReadZones(
+      const std::function<void(Result<std::set<std::string>>)>& done);
 
   [[nodiscard]] EventLoop& loop() { return loop_; }
   [[nodiscard]] GuaranteeChecker& checker() { return checker_; }
@@ -102,6 +117,10 @@
   void DefineSchedulers(const std::string& network);
   void DefineGateways(const std::string& network);
   [[nodiscard]] std::string Configuration(std::int64_t version) const;
+  void SendZoneOrder(int order,
+                     const std::string& zone,
+                     bool evacuated,
+                     const std::string& control);
   void SendConfig(std::int64_t version, const std::string& document);
   void ReadConfig();
   void PollLeaders();
@@ -128,6 +147,8 @@
   WatchHandle config_reader_;
   WatchHandle leader_poll_;
   std::map<std::int64_t, WatchHandle> config_retries_;
+  int zone_orders_ = 0;
+  std::map<int, WatchHandle> zone_retries_;  ///< by order
 };
 
 }  // namespace boragewinch::platform
