A start without a response is given up in an evacuated zone

It is not repeated there. Where a stop would break the availability limit, the run is stopped once its start can't arrive any more: two tasks of a step would otherwise wait for each other for good.

--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -6,6 +6,7 @@
 
 #include "base/event_log.h"
 #include "scheduler/fencing_token.h"
+#include "scheduler/late_orders.h"
 #include "scheduler/replicated_time.h"
 #include "scheduler/stop_planner.h"
 
@@ -233,7 +234,7 @@
   for (const jobs::RunName& run : session.StopsDue(now))
     StopOrRepeatStart(*worker, session, run);
   for (const jobs::RunName& run : session.StartsDue(now))
-    StartIfInUse(*worker, run);
+    StartIfInUse(*worker, session, run);
   if (session.HoldDue(now))
     SendHold(*worker, &session, now);
   const TimePoint slow_at = FindSlowRuns(*worker, &session, now);
@@ -448,11 +449,22 @@
   return MayInterrupt(replica_.ledger(), run, worker, percent_of);
 }
 
+bool WorkerFleet::MayGiveUpStart(const jobs::Worker& worker,
+                                 const WorkerSession& session,
+                                 const jobs::RunName& run) const {
+  const auto track = session.tracks().find(run);
+  return track == session.tracks().end() ||
+         track->second.phase == RunPhase::kPlanned ||
+         loop_.now() - track->second.since >= kMaxLateOrder ||
+         MayInterruptNow(worker, run);
+}
+
 void WorkerFleet::StartIfInUse(const jobs::Worker& worker,
+                               const WorkerSession& session,
                                const jobs::RunName& run) {
   if (!replica_.ledger().IsEvacuated(worker.record.zone))
     SendStart(worker, run);
-  else if (MayInterruptNow(worker, run))
+  else if (MayGiveUpStart(worker, session, run))
     Stop(run, worker.record.incarnation, "zone_evacuated");
 }
 
@@ -460,15 +472,19 @@
 // can start elsewhere. The start may have been carried out late and the task be
 // at work when the stop arrives. Where that would make too many tasks of its
 // step unavailable, the start is repeated instead: it is idempotent. In an
-// evacuated zone neither is sent until another task is available or a list
-// shows what became of the run.
+// evacuated zone neither is sent until another task is available, a list shows
+// the run, or the start can't arrive any more.
 void WorkerFleet::StopOrRepeatStart(const jobs::Worker& worker,
                                     const WorkerSession& session,
                                     const jobs::RunName& run) {
-  if (!session.MayRepeatStart(run) || MayInterruptNow(worker, run))
+  const bool evacuated = replica_.ledger().IsEvacuated(worker.record.zone);
+  if (!session.MayRepeatStart(run) ||
+      (evacuated ? MayGiveUpStart(worker, session, run)
+                 : MayInterruptNow(worker, run))) {
     SendStop(worker, run);
-  else if (!replica_.ledger().IsEvacuated(worker.record.zone))
+  } else if (!evacuated) {
     SendStart(worker, run);
+  }
 }
 
 void WorkerFleet::SendHold(const jobs::Worker& worker,
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -138,9 +138,17 @@
   /// step; see scheduler::MayInterrupt.
   [[nodiscard]] bool MayInterruptNow(const jobs::Worker& worker,
                                      const jobs::RunName& run) const;
+  /// \returns whether a run that is not to start any more, since its zone is
+  /// evacuated, may be stopped now: its start was not sent, can't arrive any
+  /// more, or the stop keeps the availability limit.
+  [[nodiscard]] bool MayGiveUpStart(const jobs::Worker& worker,
+                                    const WorkerSession& session,
+                                    const jobs::RunName& run) const;
   /// \brief Sends the start of a run that is due. In an evacuated zone the run
   /// is stopped instead: nothing may start there any more.
-  void StartIfInUse(const jobs::Worker& worker, const jobs::RunName& run);
+  void StartIfInUse(const jobs::Worker& worker,
+                    const WorkerSession& session,
+                    const jobs::RunName& run);
   /// \brief Sends the stop of a run, or its start once more if nobody has asked
   /// for the stop and it could make too many tasks unavailable.
   void StopOrRepeatStart(const jobs::Worker& worker,
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "scheduler/late_orders.h"
 #include "scheduler/worker_fleet.h"
 #include "single_replica.h"
 
@@ -31,6 +32,7 @@
       record.incarnation = kWorker;
       record.address = "w:80";
       record.pool = PoolName("p");
+      record.zone = ZoneName("z");
       record.capacity = {16'000, 32'000, 0};
       batch->workers.push_back(record);
     }));
@@ -165,7 +167,8 @@
 struct UnansweredStart : Fixture {
   /// Stores the job and leaves its start without a response until a stop or a
   /// further start is due.
-  void Run(std::int64_t max_unavailable) {
+  /// \param evacuated whether the worker's zone is evacuated after the start.
+  void Run(std::int64_t max_unavailable, bool evacuated = false) {
     List({});
     BOOST_REQUIRE(Store([&](jobs::Batch* batch) {
       jobs::Submission submission;
@@ -180,6 +183,11 @@
       batch->submissions.push_back(submission);
       batch->starts.push_back({kRun, kWorker});
     }));
+    if (evacuated) {
+      BOOST_REQUIRE(Store([](jobs::Batch* batch) {
+        batch->zone_changes.push_back({ZoneName("z"), true});
+      }));
+    }
     while (starts < 3 && stops == 0) {
       RunFor(Millis(20));
       if (start)
@@ -209,6 +217,26 @@
   BOOST_TEST(stops == 1);
 }
 
+// Guards against a start that is repeated in an evacuated zone, and against a
+// run there that is never settled since the stop would break the availability
+// limit: a second task of the step may be in the same state.
+BOOST_FIXTURE_TEST_CASE(AnUnansweredStartIsGivenUpInAnEvacuatedZone,
+                        UnansweredStart) {
+  const TimePoint begun = loop.now();
+  Run(1, true);
+  BOOST_TEST(starts == 1);
+  BOOST_TEST(stops == 1);
+  BOOST_TEST((loop.now() - begun >= kMaxLateOrder));
+}
+
+// Guards against a wait for nothing where the stop is allowed.
+BOOST_FIXTURE_TEST_CASE(AnUnansweredStartIsStoppedInAnEvacuatedZone,
+                        UnansweredStart) {
+  Run(2, true);
+  BOOST_TEST(starts == 1);
+  BOOST_TEST(stops == 1);
+}
+
 // Guards against a record for each incarnation that there ever was.
 BOOST_FIXTURE_TEST_CASE(TheHealthOfAnEarlierIncarnationIsForgotten, Fixture) {
   List({});
