--- a/src/scheduler/task_planner.h
+++ b/src/scheduler/task_planner.h
@@ -75,6 +75,9 @@
       has_failed_on;
   /// For StartOrder::kLeastLoss; empty: the estimates are used.
   ExpectedDuration expected_duration;
+  /// Whether the worker is in a zone that was returned to use and is still
+  /// slow; warm workers get tasks first. Empty: no worker is cold.
+  std::function<bool(const jobs::WorkerIncarnation&)> is_cold;
 };
 
 /// \returns the time by which the job should complete: `from` plus `stretch`
