--- a/src/overload/admission.cc
+++ b/src/overload/admission.cc
@@ -94,11 +94,12 @@
   if (decision.wait + until_end <= arrival.allowed)
     return decision;
   decision.wait = wait_as_late;
-  if (over_share_.count(arrival.customer) > 0)
-    decision.verdict = AdmissionVerdict::kOverShare;
-  else if (TimeFor(all + arrival.tasks, kCertainty * *rate) + arrival.path >
-           kUsefulFactor * arrival.allowed)
+  const Millis useful = kUsefulFactor * arrival.allowed;
+  const bool over_share = over_share_.count(arrival.customer) > 0;
+  if (TimeFor(all + arrival.tasks, kCertainty * *rate) + arrival.path > useful)
     decision.verdict = AdmissionVerdict::kTooLate;
+  else if (over_share && wait_as_late + until_end > useful)
+    decision.verdict = AdmissionVerdict::kOverShare;
   else
     decision.verdict = AdmissionVerdict::kAcceptLate;
   return decision;
--- a/src/overload/admission.h
+++ b/src/overload/admission.h
@@ -42,9 +42,9 @@
 enum class AdmissionVerdict {
   kAccept,      ///< it can meet its objective
   kAcceptLate,  ///< it will be late, but in time to be of use
-  kOverShare,   ///< rejected: it would be late, and its customer demands far
-                ///< more than its share
-  kTooLate,     ///< rejected: it would end when it is of no use any more
+  kOverShare,   ///< rejected: it would probably be of no use any more, and its
+                ///< customer demands far more than its share
+  kTooLate,     ///< rejected: it would certainly be of no use any more
 };
 
 inline constexpr EnumTable<AdmissionVerdict, 4> kAdmissionVerdicts{{{
