--- a/src/overload/admission.cc
+++ b/src/overload/admission.cc
@@ -78,6 +78,7 @@
   const auto rate = StartRate(pool->second, now);
   if (!rate)
     return decision;
+  decision.measured = true;
   std::int64_t on_time = 0;
   std::int64_t all = 0;
   for (const auto& [priority, waiting] : pool->second.backlog.by_priority) {
--- a/src/overload/admission.h
+++ b/src/overload/admission.h
@@ -57,6 +57,9 @@
 /// \brief The decision on one arrival, with the figures behind it.
 struct AdmissionDecision {
   AdmissionVerdict verdict = AdmissionVerdict::kAccept;
+  /// Whether the pool is saturated and its rate of starts is known; otherwise
+  /// every job is accepted.
+  bool measured = false;
   Millis wait{0};         ///< expected time until its first start
   Millis retry_after{0};  ///< if rejected
 
--- a/src/scheduler/job_api.cc
+++ b/src/scheduler/job_api.cc
@@ -115,21 +115,29 @@
     return kOverloadedRetryAfter;
   if (!SubjectToAdmissionControl(spec))
     return std::nullopt;
+  const QueueName& queue = target.queue->name;
+  const bool within_backlog =
+      admission_.Admits(queue, ledger.LoadOf(queue), now);
   if (rule_ == AdmissionRule::kBacklog) {
-    const QueueName& queue = target.queue->name;
-    return admission_.Admits(queue, ledger.LoadOf(queue), now)
-               ? std::nullopt
-               : std::optional(kOverloadedRetryAfter);
+    return within_backlog ? std::nullopt : std::optional(kOverloadedRetryAfter);
   }
   const overload::Arrival arrival = ArrivalOf(target, spec);
   const overload::AdmissionDecision decision = least_loss_.Decide(arrival, now);
+  // Beyond the limit of the backlog, jobs that meet their objective are spared.
+  const bool on_time = decision.measured &&
+                       decision.verdict == overload::AdmissionVerdict::kAccept;
+  const bool over_backlog = !within_backlog && !on_time;
   const std::string verdict(
-      overload::kAdmissionVerdicts.Name(decision.verdict));
+      over_backlog && !decision.rejected()
+          ? "backlog"
+          : overload::kAdmissionVerdicts.Name(decision.verdict));
   metrics_.Count("admission", {target.customer.str(), verdict});
-  if (!decision.rejected()) {
+  if (!decision.rejected() && !over_backlog) {
     least_loss_.OnAccepted(arrival, decision.verdict);
     return std::nullopt;
   }
+  const Millis retry_after =
+      decision.measured ? decision.retry_after : kOverloadedRetryAfter;
   LogEvent(EventId::kJobRejected,
            {{"job", target.job_id},
             {"queue", target.queue->name.str()},
@@ -137,8 +145,8 @@
             {"reason", verdict},
             {"wait_ms", static_cast<long>(decision.wait.count())},
             {"allowed_ms", static_cast<long>(arrival.allowed.count())},
-            {"retry_ms", static_cast<long>(decision.retry_after.count())}});
-  return decision.retry_after;
+            {"retry_ms", static_cast<long>(retry_after.count())}});
+  return retry_after;
 }
 
 void JobApi::SendResponse(Call call,
