--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -163,6 +163,11 @@
      "worker."},
     {EventId::kRunEndsMissing, kWarn, "run_ends_missing",
      "A worker has forgotten ends of runs that are not stored in the ledger."},
+    {EventId::kCopyStarted, kInfo, "copy_started",
+     "A second run of a speculative task starts beside a slow one."},
+    {EventId::kCopyEnded, kInfo, "copy_ended",
+     "Both runs of a speculative task have ended; `first` is the one that "
+     "counts."},
     {EventId::kInvariantViolated, kError, "invariant_violated",
      "An internal check failed; the action was refused. Report this."},
 };
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -84,6 +84,8 @@
   kRunStopOrdered = 7006,
   kRunSlow = 7007,
   kRunEndsMissing = 7008,
+  kCopyStarted = 7009,
+  kCopyEnded = 7010,
   kInvariantViolated = 9001,
 };
 
--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -168,6 +168,25 @@
     else
       startable_.erase(job);
   }
+  const auto has_speculating = [&](const Occurrence& occurrence) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      if (occurrence.steps[s].placed > 0 && MayBeCopied(job->spec->steps[s]))
+        return true;
+    }
+    return false;
+  };
+  const bool speculating =
+      !job->final() &&
+      std::any_of(
+          job->occurrences.begin(), job->occurrences.end(),
+          [&](const auto& item) { return has_speculating(item.second); });
+  if (speculating != job->speculating) {
+    job->speculating = speculating;
+    if (speculating)
+      speculating_.insert(job);
+    else
+      speculating_.erase(job);
+  }
   const bool repeats = !job->final() && job->spec->repeats > 0 &&
                        job->next_occurrence < job->spec->occurrences();
   if (repeats)
@@ -176,6 +195,13 @@
     repeating_.erase(job);
 }
 
+void JobLedger::IndexCopies(const TaskName& name, const Task& task) {
+  if (SurplusRunsOf(task) > 0)
+    copied_tasks_.insert(name);
+  else if (!copied_tasks_.empty())
+    copied_tasks_.erase(name);
+}
+
 void JobLedger::AddObsoleteRuns(const WorkerIncarnation& incarnation,
                                 std::int64_t change) {
   const auto worker = workers_.find(incarnation);
@@ -572,6 +598,7 @@
   --job->runs;
   if (task.runs.empty() && !task.done)
     --step.placed;
+  IndexCopies(run.task, task);
   const StepSpec& spec = job->spec->steps[run.task.step];
   usage_[job->customer] -= spec.request;
   if (const auto found = workers_.find(worker); found != workers_.end()) {
@@ -686,6 +713,7 @@
     }
   } else {
     complete(&step.tasks[name.index]);
+    IndexCopies(name, step.tasks[name.index]);
   }
   IndexJob(job);
   const bool occurrence_done =
@@ -748,6 +776,15 @@
   }
 }
 
+// A worker runs a task once at a time: a second start would replace the number
+// of its run.
+bool JobLedger::AcceptsRun(const StepSpec& spec,
+                           const Task& task,
+                           const WorkerIncarnation& worker) {
+  return task.runs.empty() || (MayBeCopied(spec) && task.runs.size() == 1 &&
+                               task.runs.front().worker.id != worker.id);
+}
+
 void JobLedger::ApplyStart(const StartRecord& start, UnixMillis now) {
   Job* job = MutableJob(start.run.task.job);
   const auto worker = workers_.find(start.worker);
@@ -759,15 +796,17 @@
   Step& step = job->occurrences.at(name.occurrence).steps[name.step];
   Task& task = step.tasks[name.index];
   const StepSpec& spec = job->spec->steps[name.step];
-  const bool occupied = !task.runs.empty() && !spec.speculative;
-  if (task.done || occupied || start.run.number <= task.last_run)
+  if (task.done || start.run.number <= task.last_run ||
+      !AcceptsRun(spec, task, start.worker)) {
     return;
+  }
   if (spec.gang && step.placed == 0)
     ShareCheckpoint(&step);
   if (task.runs.empty())
     ++step.placed;
   task.last_run = start.run.number;
   task.runs.push_back({start.run.number, start.worker, now});
+  IndexCopies(name, task);
   ++job->runs;
   usage_[job->customer] += spec.request;
   worker->second.used += CapacityOf(spec);
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -30,7 +30,9 @@
   std::uint32_t last_run = 0;  ///< highest run number ever used
   std::uint32_t failures = 0;
   bool done = false;
-  std::vector<Run> runs;  ///< several only with speculative copies
+  /// A second one only as a speculative copy. Of a finished task those that are
+  /// still to be stopped.
+  std::vector<Run> runs;
   std::string checkpoint;
 };
 
@@ -74,6 +76,8 @@
   std::int64_t runs = 0;  ///< runs of its tasks that may be running
   /// A task of a ready step is waiting; always false for a finished job.
   bool startable = false;
+  /// A task that may get a copy is running; always false for a finished job.
+  bool speculating = false;
 
   [[nodiscard]] bool final() const noexcept {
     return state == JobState::kCompleted || state == JobState::kFailed ||
@@ -209,6 +213,15 @@
   }
   /// Active jobs with a waiting task of a ready step.
   [[nodiscard]] const JobSet& startable() const noexcept { return startable_; }
+  /// Active jobs with a running task of a step that may have copies.
+  [[nodiscard]] const JobSet& speculating() const noexcept {
+    return speculating_;
+  }
+  /// Tasks with a run beside the one that they need: unfinished ones with two
+  /// runs, and finished ones with a run that has not ended yet.
+  [[nodiscard]] const std::set<TaskName>& copied_tasks() const noexcept {
+    return copied_tasks_;
+  }
   /// Active jobs with further occurrences that open at their due time.
   [[nodiscard]] const JobSet& repeating() const noexcept { return repeating_; }
   /// \returns the workers of a pool, including draining ones.
@@ -254,6 +267,14 @@
     return host_orders_;
   }
 
+  /// \returns whether tasks of `step` may have two runs at a time.
+  [[nodiscard]] static bool MayBeCopied(const StepSpec& step) {
+    return step.speculative && !step.gang && !step.long_running;
+  }
+  /// \returns the number of runs of the task beyond the one that it needs.
+  [[nodiscard]] static std::size_t SurplusRunsOf(const Task& task) {
+    return task.runs.size() - (task.done || task.runs.empty() ? 0 : 1);
+  }
   /// \returns the worker capacity that a run of `step` takes.
   [[nodiscard]] static Resources CapacityOf(const StepSpec& step);
 
@@ -273,6 +294,10 @@
   void ApplyOpening(const OpeningRecord& opening, UnixMillis now);
   void ApplyEnd(const EndRecord& end, UnixMillis now);
   void ApplyStart(const StartRecord& start, UnixMillis now);
+  /// \returns whether a run on the worker may be added to those of the task.
+  [[nodiscard]] static bool AcceptsRun(const StepSpec& spec,
+                                       const Task& task,
+                                       const WorkerIncarnation& worker);
   void OpenOccurrence(Job* job, std::uint32_t occurrence, UnixMillis now);
   /// \brief Removes a run from its task, its worker and the usage counts.
   /// \returns whether the run existed.
@@ -310,6 +335,7 @@
   void UpdateStopCandidate(const Worker& worker);
   /// \brief Updates the indexes for the job.
   void IndexJob(Job* job);
+  void IndexCopies(const TaskName& name, const Task& task);
   void AddObsoleteRuns(const WorkerIncarnation& incarnation,
                        std::int64_t change);
   /// \brief Counts the runs of unfinished tasks as obsolete, before the job
@@ -342,6 +368,8 @@
   std::map<HostName, HostOrder> host_orders_;
 
   JobSet startable_;
+  JobSet speculating_;
+  std::set<TaskName> copied_tasks_;
   JobSet repeating_;
   std::unordered_map<PoolName, WorkerSet> pool_workers_;
   WorkerSet stop_candidates_;
--- a/src/jobs/ledger_snapshot.cc
+++ b/src/jobs/ledger_snapshot.cc
@@ -304,6 +304,7 @@
       const StepSpec& spec = job.spec->steps[s];
       const auto& tasks = occurrence.steps[s].tasks;
       for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        IndexCopies({job.id, number, s, i}, tasks[i]);
         for (const Run& run : tasks[i].runs) {
           ++job.runs;
           usage_[job.customer] += spec.request;
--- a/src/overload/duration_model.h
+++ b/src/overload/duration_model.h
@@ -27,6 +27,11 @@
   /// \param estimate 0: unknown.
   [[nodiscard]] Millis Expected(const QueueName& queue, Millis estimate) const;
 
+  /// \returns the standard deviation of the logarithm of the duration about
+  /// that of Expected; the largest usual one as long as too few tasks of the
+  /// queue have ended.
+  [[nodiscard]] double Spread(const QueueName& queue) const;
+
   /// \brief Forgets the queues for which `is_known` returns false.
   void Retain(const std::function<bool(const QueueName&)>& is_known);
 
@@ -38,6 +43,13 @@
     double duration = 0;
     double variance = 0;    ///< of the estimate
     double covariance = 0;  ///< of estimate and duration
+    double deviation = 0;   ///< mean absolute one from the regression
+
+    [[nodiscard]] double Slope() const;
+    /// \returns the logarithm of the duration for that of an estimate.
+    [[nodiscard]] double Predict(double log_estimate) const {
+      return duration + Slope() * (log_estimate - estimate);
+    }
   };
   std::map<QueueName, Moments> moments_;
 };
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -47,6 +47,7 @@
     : options_(std::move(options)),
       dependencies_(std::move(dependencies)),
       planner_(options_.planner),
+      copy_planner_(options_.copies),
       peer_builds_(std::string(build_info().revision)) {}
 
 SchedulerService::~SchedulerService() = default;
@@ -248,6 +249,30 @@
   };
   batch->starts = planner_.Plan(replica_->ledger(), hooks, wall_time);
   job_api_->OnPlan(planner_, now);
+  const auto copies = PlanCopies(hooks, batch->starts, now);
+  batch->starts.insert(batch->starts.end(), copies.begin(), copies.end());
+}
+
+std::vector<jobs::StartRecord> SchedulerService::PlanCopies(
+    const PlannerHooks& hooks,
+    const std::vector<jobs::StartRecord>& starts,
+    TimePoint now) {
+  CopyHooks copy_hooks;
+  copy_hooks.elapsed = [&](const jobs::RunName& run,
+                           const jobs::WorkerIncarnation& worker) {
+    return fleet_->ElapsedOf(run, worker, now);
+  };
+  copy_hooks.expected_duration = hooks.expected_duration;
+  copy_hooks.spread = [&](const QueueName& queue) {
+    return fleet_->DurationSpread(queue);
+  };
+  copy_hooks.is_suspect = [&](const jobs::WorkerIncarnation& worker) {
+    return fleet_->IsSuspect(worker, now);
+  };
+  const std::size_t max_starts = options_.planner.max_starts;
+  return copy_planner_.Plan(replica_->ledger(), hooks, copy_hooks, starts,
+                            max_starts - std::min(max_starts, starts.size()),
+                            now);
 }
 
 void SchedulerService::OpenDueOccurrences(jobs::Batch* batch,
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -13,6 +13,7 @@
 #include "net/rpc_server.h"
 #include "scheduler/admin_api.h"
 #include "scheduler/advice_cache.h"
+#include "scheduler/copy_planner.h"
 #include "scheduler/host_calls.h"
 #include "scheduler/host_manager.h"
 #include "scheduler/job_api.h"
@@ -40,6 +41,7 @@
   WorkerSessionOptions worker_sessions;
   WorkerCallRouterOptions call_router;
   TaskPlannerOptions planner;
+  CopyPlannerOptions copies;
   AdmissionRule admission = AdmissionRule::kBacklog;
   HostManagerOptions hosts;
 };
@@ -84,6 +86,11 @@
   void ServeControl(const RelayedRequest& request,
                     const HttpResponder& respond);
   void Decide(jobs::Batch* batch, TimePoint now);
+  /// \returns the copies to start beside `starts`.
+  [[nodiscard]] std::vector<jobs::StartRecord> PlanCopies(
+      const PlannerHooks& hooks,
+      const std::vector<jobs::StartRecord>& starts,
+      TimePoint now);
   void OnStored(const jobs::Batch& batch, TimePoint now);
   void OnLeadership(bool leading, TimePoint now);
   void OnTick(TimePoint now);
@@ -114,6 +121,7 @@
   WatchHandle call_flush_;
   std::unique_ptr<AdviceCache> advice_;
   TaskPlanner planner_;
+  CopyPlanner copy_planner_;
   LeaderLoad load_;
   PeerBuilds peer_builds_;
   std::unique_ptr<RelayServer> relay_;
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -74,6 +74,7 @@
   ++leadership_epoch_;
   workers_.clear();
   checks_.clear();
+  copies_ = {};
   health_ = WorkerHealth::Make(HealthConfig()).value();
   leading_since_ = now;
   if (leading)
@@ -184,8 +185,10 @@
 void WorkerFleet::OnStored(const jobs::Batch& batch, TimePoint now) {
   if (!leading_ || !replica_.HasLeaderLease(now))
     return;
+  RecordCopyEnds(batch, now);
   SyncChanged(now);
   const jobs::JobLedger& ledger = replica_.ledger();
+  RecordCopies(batch, now);
   if (batch.config) {
     const auto is_known = [&ledger](const QueueName& queue) {
       return ledger.config().FindQueue(queue) != nullptr ||
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -4,12 +4,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "base/metrics.h"
 #include "base/time.h"
+#include "overload/copy_records.h"
 #include "overload/duration_model.h"
 #include "policy/worker_health.h"
 #include "scheduler/ledger_replica.h"
@@ -79,6 +81,22 @@
                                         Millis estimate) const {
     return expected_durations_.Expected(queue, estimate);
   }
+  /// \returns the spread of the durations about the expected one; see
+  /// overload::DurationModel::Spread.
+  [[nodiscard]] double DurationSpread(const QueueName& queue) const {
+    return expected_durations_.Spread(queue);
+  }
+  /// \returns the time since the start of a run was sent, or since it was
+  /// confirmed if an earlier leader sent it; nothing before that and once the
+  /// run is to be stopped.
+  [[nodiscard]] std::optional<Millis> ElapsedOf(
+      const jobs::RunName& run,
+      const jobs::WorkerIncarnation& incarnation,
+      TimePoint now) const;
+  /// \returns whether the worker fails or delays its tasks, or does not
+  /// respond.
+  [[nodiscard]] bool IsSuspect(const jobs::WorkerIncarnation& incarnation,
+                               TimePoint now) const;
   /// \returns the number of workers whose health is recorded.
   [[nodiscard]] std::size_t health_records() const noexcept {
     return health_.size();
@@ -154,6 +172,11 @@
                const jobs::RunName& run,
                const Result<CallResponse>& response);
   void RecordEnds(std::vector<jobs::EndRecord> ends, TimePoint now);
+  /// \brief Records the copies among the starts of a stored batch.
+  void RecordCopies(const jobs::Batch& batch, TimePoint now);
+  /// \brief Records which of two runs counted. Called before the sessions drop
+  /// the runs that the batch has ended.
+  void RecordCopyEnds(const jobs::Batch& batch, TimePoint now);
   void RecordHealth(const jobs::Worker& worker, bool ok, TimePoint now);
   /// \brief Updates health and run durations from an end: failed and slow runs
   /// count against the worker.
@@ -179,6 +202,7 @@
   WorkerHealth health_;
   RunDurations durations_;
   overload::DurationModel expected_durations_;
+  overload::CopyRecords copies_;
   /// Workers on which open tasks have failed; the next attempt uses another.
   std::map<jobs::TaskName, std::set<jobs::WorkerIncarnation>> failed_on_;
   bool leading_ = false;
--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -488,5 +488,160 @@
       cancel_of(std::to_string(kMaxUnseenCancels - 1))));
 }
 
+/// A ledger with a job of a speculative task that runs on "a" and "b".
+[[nodiscard]] Builder TwoRuns() {
+  StepSpec step = Builder::Tasks(1);
+  step.speculative = true;
+  Builder builder;
+  builder.AddWorker("a").AddWorker("b").AddWorker("c").Submit("job", {step});
+  builder.Start(Builder::Run("job", 0, 0), "a")
+      .Start(Builder::Run("job", 0, 0, 2), "b");
+  return builder;
+}
+
+[[nodiscard]] const Task& OnlyTask(const Builder& builder) {
+  return builder.job("job").occurrences.at(0).steps[0].tasks[0];
+}
+
+// Guards against a third run, a second one on the same worker, and copies of
+// steps that must have none.
+BOOST_AUTO_TEST_CASE(OnlySpeculativeTasksHaveASecondRun) {
+  Builder builder = TwoRuns();
+  builder.Start(Builder::Run("job", 0, 0, 3), "c");
+  BOOST_TEST(OnlyTask(builder).runs.size() == 2U);
+  // A number that was used, after the end of that run.
+  builder.End(Builder::Run("job", 0, 0, 2), "b", RunEnd::kLost)
+      .Start(Builder::Run("job", 0, 0, 2), "b")
+      .Start(Builder::Run("job", 0, 0, 3), "a");
+  BOOST_TEST(OnlyTask(builder).runs.size() == 1U);
+  for (const auto flag : {&StepSpec::gang, &StepSpec::long_running}) {
+    StepSpec step = Builder::Tasks(1);
+    step.speculative = true;
+    step.*flag = true;
+    Builder other;
+    other.AddWorker("a").AddWorker("b").Submit("job", {step});
+    other.Start(Builder::Run("job", 0, 0), "a")
+        .Start(Builder::Run("job", 0, 0, 2), "b");
+    BOOST_TEST(OnlyTask(other).runs.size() == 1U);
+  }
+}
+
+// Guards against capacity and usage that count only one of two runs, or count
+// the second one after its end.
+BOOST_AUTO_TEST_CASE(BothRunsCountAgainstTheLimits) {
+  Builder builder = TwoRuns();
+  const auto used_on = [&](const char* worker) {
+    return builder.ledger()
+        .FindWorker(Builder::IncarnationOf(worker))
+        ->used.cpu_millis;
+  };
+  const CustomerName customer("c");
+  BOOST_TEST(builder.ledger().UsageOf(customer).cpu_millis == 2'000);
+  BOOST_TEST(used_on("a") == 1'000);
+  BOOST_TEST(used_on("b") == 1'000);
+  const Step& step = builder.job("job").occurrences.at(0).steps[0];
+  BOOST_TEST(step.placed == 1);
+  BOOST_TEST(step.waiting() == 0);
+  builder.End(Builder::Run("job", 0, 0, 2), "b", RunEnd::kDone, 1);
+  BOOST_TEST(builder.ledger().UsageOf(customer).cpu_millis == 1'000);
+  builder.End(Builder::Run("job", 0, 0), "a", RunEnd::kStopped, 1);
+  BOOST_TEST(builder.ledger().UsageOf(customer).cpu_millis == 0);
+  BOOST_TEST(used_on("a") == 0);
+  BOOST_TEST(builder.ledger().copied_tasks().empty());
+}
+
+// Guards against late ends of the other run that change the result, whichever
+// run ends first.
+BOOST_AUTO_TEST_CASE(TheFirstStoredEndOfTwoRunsCounts) {
+  for (const RunEnd late : {RunEnd::kDone, RunEnd::kFailed, RunEnd::kLost}) {
+    for (const bool copy_first : {true, false}) {
+      Builder builder = TwoRuns();
+      const RunName first = Builder::Run("job", 0, 0, copy_first ? 2 : 1);
+      const RunName second = Builder::Run("job", 0, 0, copy_first ? 1 : 2);
+      builder.End(first, copy_first ? "b" : "a", RunEnd::kDone, 1);
+      BOOST_TEST((builder.job("job").state == JobState::kCompleted));
+      BOOST_TEST(builder.ledger().stop_candidates().size() == 1U);
+      BOOST_TEST(builder.ledger().LoadOf(QueueName("q")).ended_tasks == 1);
+      builder.End(second, copy_first ? "a" : "b", late,
+                  late == RunEnd::kLost ? 0 : 1);
+      BOOST_TEST((builder.job("job").state == JobState::kCompleted));
+      BOOST_TEST(builder.job("job").runs == 0);
+      BOOST_TEST(builder.ledger().LoadOf(QueueName("q")).ended_tasks == 1);
+      BOOST_TEST(builder.ledger().LoadOf(QueueName("q")).open_tasks == 0);
+      BOOST_TEST(builder.ledger().stop_candidates().empty());
+    }
+  }
+}
+
+// Guards against both ends in one batch, which an agent may report together.
+BOOST_AUTO_TEST_CASE(BothRunsEndInOneBatch) {
+  Builder builder = TwoRuns();
+  Batch batch;
+  batch.ends.push_back({Builder::Run("job", 0, 0), Builder::IncarnationOf("a"),
+                        RunEnd::kDone, "", 1});
+  batch.ends.push_back({Builder::Run("job", 0, 0, 2),
+                        Builder::IncarnationOf("b"), RunEnd::kDone, "", 1});
+  builder.Apply(batch);
+  BOOST_TEST((builder.job("job").state == JobState::kCompleted));
+  BOOST_TEST(builder.job("job").completed_occurrences == 1);
+  BOOST_TEST(builder.ledger().UsageOf(CustomerName("c")).cpu_millis == 0);
+}
+
+// Guards against a third run beside a failed one's other run, and against
+// failures of copies that do not count as attempts.
+BOOST_AUTO_TEST_CASE(FailuresOfBothRunsCount) {
+  Builder builder = TwoRuns();
+  builder.End(Builder::Run("job", 0, 0), "a", RunEnd::kFailed, 1);
+  BOOST_TEST(OnlyTask(builder).failures == 1U);
+  BOOST_TEST(builder.ledger().startable().empty());
+  BOOST_TEST((builder.job("job").state == JobState::kRunning));
+  builder.End(Builder::Run("job", 0, 0, 2), "b", RunEnd::kFailed, 1);
+  BOOST_TEST((builder.job("job").state == JobState::kFailed));
+}
+
+// Guards against a task that waits or is lost although its other run goes on,
+// or that never starts again after both are lost.
+BOOST_AUTO_TEST_CASE(TheOtherRunGoesOnWhenAWorkerIsLost) {
+  Builder builder = TwoRuns();
+  Batch departure;
+  departure.workers.push_back(
+      builder.ledger().FindWorker(Builder::IncarnationOf("a"))->record);
+  departure.workers.back().departed = true;
+  builder.Apply(departure);
+  BOOST_TEST(OnlyTask(builder).runs.size() == 1U);
+  BOOST_TEST(builder.ledger().startable().empty());
+  Builder lost = TwoRuns();
+  lost.Apply(departure).End(Builder::Run("job", 0, 0, 2), "b", RunEnd::kLost);
+  BOOST_TEST(lost.ledger().startable().size() == 1U);
+  BOOST_TEST(OnlyTask(lost).failures == 0U);
+  lost.Start(Builder::Run("job", 0, 0, 3), "c")
+      .End(Builder::Run("job", 0, 0, 3), "c", RunEnd::kDone, 1);
+  BOOST_TEST((lost.job("job").state == JobState::kCompleted));
+  builder.End(Builder::Run("job", 0, 0, 2), "b", RunEnd::kDone, 1);
+  BOOST_TEST((builder.job("job").state == JobState::kCompleted));
+}
+
+// Guards against a new leader that reads a snapshot without one of the runs.
+BOOST_AUTO_TEST_CASE(ASnapshotKeepsBothRuns) {
+  Builder builder = TwoRuns();
+  for (const bool done : {false, true}) {
+    if (done)
+      builder.End(Builder::Run("job", 0, 0), "a", RunEnd::kDone, 1);
+    const auto restored = JobLedger::Restore(builder.ledger().Snapshot());
+    BOOST_REQUIRE(restored);
+    const JobLedger& ledger = restored.value();
+    const Task* task = ledger.FindTask({JobId("job"), 0, 0, 0});
+    BOOST_REQUIRE(task != nullptr);
+    BOOST_TEST(task->runs.size() == (done ? 1U : 2U));
+    BOOST_TEST(task->last_run == 2U);
+    BOOST_TEST((ledger.copied_tasks() == builder.ledger().copied_tasks()));
+    BOOST_TEST(ledger.speculating().size() == (done ? 0U : 1U));
+    BOOST_TEST(ledger.UsageOf(CustomerName("c")).cpu_millis ==
+               (done ? 1'000 : 2'000));
+    BOOST_TEST(ledger.stop_candidates().size() == (done ? 1U : 0U));
+    BOOST_TEST(ledger.Snapshot() == builder.ledger().Snapshot());
+  }
+}
+
 }  // namespace
 }  // namespace boragewinch::jobs
--- a/tests/ledger_index_test.cc
+++ b/tests/ledger_index_test.cc
@@ -167,9 +167,23 @@
   return false;
 }
 
+[[nodiscard]] bool IsSpeculating(const Job& job) {
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+      const StepSpec& spec = job.spec->steps[s];
+      if (occurrence.steps[s].placed > 0 && spec.speculative && !spec.gang &&
+          !spec.long_running) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 void CheckJobIndexes(const JobLedger& ledger) {
   std::vector<JobId> startable;
   std::vector<JobId> repeating;
+  std::vector<JobId> speculating;
   for (const JobId& id : ledger.active()) {
     const Job& job = *ledger.FindJob(id);
     if (IsStartable(job))
@@ -178,7 +192,22 @@
         job.next_occurrence < job.spec->occurrences()) {
       repeating.push_back(id);
     }
+    if (IsSpeculating(job))
+      speculating.push_back(id);
   }
+  std::set<TaskName> copied;
+  for (const auto& [id, job] : ledger.jobs()) {
+    for (const auto& [number, occurrence] : job.occurrences) {
+      for (std::uint32_t s = 0; s < occurrence.steps.size(); ++s) {
+        const auto& tasks = occurrence.steps[s].tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+          if (tasks[i].runs.size() > (tasks[i].done ? 0U : 1U))
+            copied.insert({id, number, s, i});
+        }
+      }
+    }
+  }
+  BOOST_TEST((ledger.copied_tasks() == copied));
   const auto ids = [](const JobSet& jobs) {
     std::vector<JobId> names;
     for (const Job* job : jobs)
@@ -189,6 +218,8 @@
              boost::test_tools::per_element());
   BOOST_TEST(ids(ledger.repeating()) == repeating,
              boost::test_tools::per_element());
+  BOOST_TEST(ids(ledger.speculating()) == speculating,
+             boost::test_tools::per_element());
 }
 
 void CheckWorkerIndexes(const JobLedger& ledger) {
--- a/tests/platform_fakes_test.cc
+++ b/tests/platform_fakes_test.cc
@@ -73,6 +73,68 @@
   ExpectViolation("TWICE");
 }
 
+/// The job's first step is speculative.
+struct SpeculativeFixture : CheckerFixture {
+  SpeculativeFixture() {
+    FakeJob job;
+    job.payload = "p";
+    FakeStep step;
+    step.speculative = true;
+    job.steps.push_back(step);
+    checker.AddJob(kId, job);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(ACopyOfASpeculativeTaskIsAllowed, SpeculativeFixture) {
+  StartRun(kFirst, "w1");
+  StartRun(kFirst, "w2");
+  EndRun(kFirst, "w2", "done");
+  AcknowledgeEnd(kFirst, "done");
+  EndRun(kFirst, "w1", "stopped");
+  BOOST_TEST(checker.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(AThirdRunIsFound, SpeculativeFixture) {
+  StartRun(kFirst, "w1");
+  StartRun(kFirst, "w2");
+  StartRun(kFirst, "w3");
+  ExpectViolation("TWICE");
+}
+
+BOOST_FIXTURE_TEST_CASE(ACopyOnTheSameWorkerIsFound, SpeculativeFixture) {
+  StartRun(kFirst, "w1");
+  StartRun(kFirst, "w1");
+  ExpectViolation("TWICE");
+}
+
+// The start of the copy was stored before the end of the other run.
+BOOST_FIXTURE_TEST_CASE(ACopyMayStartJustAfterTheEnd, SpeculativeFixture) {
+  StartRun(kFirst, "w1");
+  EndRun(kFirst, "w1", "done");
+  const TimePoint ended = now;
+  StartRun(kFirst, "w2");
+  checker.OnEndAcknowledged(kFirst, "done", ended, false, now);
+  BOOST_TEST(checker.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ACopyLongAfterTheEndIsFound, SpeculativeFixture) {
+  StartRun(kFirst, "w1");
+  EndRun(kFirst, "w1", "done");
+  AcknowledgeEnd(kFirst, "done");
+  now += Millis(20'000);
+  StartRun(kFirst, "w2");
+  ExpectViolation("TWICE");
+}
+
+BOOST_FIXTURE_TEST_CASE(ACopyThatOutlivesItsJobIsFound, SpeculativeFixture) {
+  StartRun(kFirst, "w1");
+  StartRun(kFirst, "w2");
+  EndRun(kFirst, "w2", "done");
+  ReportState("completed");
+  checker.CheckEnd(now);
+  ExpectViolation("UNASKED");
+}
+
 BOOST_FIXTURE_TEST_CASE(ARunOfACrashedWorkerDoesNotOverlap, CheckerFixture) {
   StartRun(kFirst, "w1");
   checker.OnIncarnationEnded("w1");
