--- a/soak/platform_soak_main.cc
+++ b/soak/platform_soak_main.cc
@@ -60,6 +60,11 @@
                    {"spare", hosts / 4}};
   options.callers.jobs_per_second =
       static_cast<double>(settings.integer("jobs-per-second"));
+  if (settings.flag("speculative")) {
+    constexpr int kSpeculativePercent = 30;
+    options.speculation = true;
+    options.callers.speculative_percent = kSpeculativePercent;
+  }
   PlatformCluster cluster(std::move(options));
   const Millis time = Millis(1'000) * settings.integer("seconds");
   const bool without_faults = settings.flag("calm");
@@ -135,6 +140,9 @@
             "directory for logs and data, kept at the end; empty: a temporary "
             "one, removed at the end")
       .Flag("calm", "injects no faults; prints the schedulers' CPU time")
+      .Flag("speculative",
+            "30% of the steps are speculative, some of their tasks are slow, "
+            "and the schedulers start copies")
       .Flag("schedule", "prints the schedule and exits");
   std::vector<Error> errors;
   const Settings settings = builder.Parse(argc, argv, &errors);
--- a/tests/platform_cluster.cc
+++ b/tests/platform_cluster.cc
@@ -118,6 +118,8 @@
         std::string("--cluster-secret=") + kSecret,
         "--host-platform=" + hosts_->address(),
     };
+    if (options_.speculation)
+      program.arguments.emplace_back("--speculation=on");
   }
 }
 
--- a/tests/platform_cluster.h
+++ b/tests/platform_cluster.h
@@ -26,6 +26,7 @@
   std::map<std::string, int> pools{{"main", 5}, {"batch", 4}, {"spare", 3}};
   FakeCallersConfig callers;
   std::uint64_t seed = 1;
+  bool speculation = false;  ///< `--speculation` of the schedulers
   /// Programs of schedulers, by name, in place of the boraged-scheduler that
   /// was built.
   std::map<std::string, std::string> scheduler_programs;
