--- a/src/overload/copy_records.h
+++ b/src/overload/copy_records.h
@@ -30,8 +30,7 @@
   std::uint64_t wasted_core_millis = 0;
 };
 
-/// \brief Records the copies in flight, for metrics and log events only. A new
-/// leader does not know those of its predecessor.
+/// \brief Records the copies in flight, for metrics and log events only.
 ///
 /// Load: at most some 5% of 1,500 runs are copies.
 class CopyRecords {
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -1,7 +1,6 @@
 #include "scheduler/worker_fleet.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 #include "base/event_log.h"
@@ -77,8 +76,10 @@
   copies_ = {};
   health_ = WorkerHealth::Make(HealthConfig()).value();
   leading_since_ = now;
-  if (leading)
+  if (leading) {
     SyncSessions(RunPhase::kInherited, now);
+    RecordEarlierCopies();
+  }
 }
 
 void WorkerFleet::Forget(
@@ -262,63 +263,6 @@
   RecordEnds(std::move(ends), now);
 }
 
-std::size_t WorkerFleet::StartLimitOf(
-    const jobs::WorkerIncarnation& incarnation,
-    TimePoint now) const {
-  const auto tracked = workers_.find(incarnation);
-  if (tracked == workers_.end() || !tracked->second.session.Reachable(now))
-    return 0;
-  const HostName& name = tracked->second.health_name;
-  if (!health_.Allows(name, now))
-    return 0;
-  // A worker that fails its tasks at once always has free capacity: without a
-  // limit it would get all tasks of a burst.
-  return health_.State(name, now) == HealthState::kNormal
-             ? std::numeric_limits<std::size_t>::max()
-             : 1;
-}
-
-bool WorkerFleet::AcceptsSoon(const jobs::WorkerIncarnation& incarnation,
-                              TimePoint now) const {
-  const auto tracked = workers_.find(incarnation);
-  return tracked != workers_.end() && IsPresent(incarnation, now) &&
-         health_.State(tracked->second.health_name, now) !=
-             HealthState::kQuarantined;
-}
-
-bool WorkerFleet::IsQuarantined(const jobs::WorkerIncarnation& incarnation,
-                                TimePoint now) const {
-  const auto tracked = workers_.find(incarnation);
-  return tracked != workers_.end() && tracked->second.session.Reachable(now) &&
-         health_.State(tracked->second.health_name, now) ==
-             HealthState::kQuarantined;
-}
-
-// The members of a gang fail together: where one failed, the next run of the
-// others would fail as well.
-jobs::TaskName WorkerFleet::AttemptOf(const jobs::TaskName& task) const {
-  const jobs::Job* job = replica_.ledger().FindJob(task.job);
-  jobs::TaskName attempt = task;
-  if (job != nullptr && job->spec && job->spec->steps[task.step].gang)
-    attempt.index = 0;
-  return attempt;
-}
-
-bool WorkerFleet::HasFailedOn(
-    const jobs::TaskName& task,
-    const jobs::WorkerIncarnation& incarnation) const {
-  const auto found = failed_on_.find(AttemptOf(task));
-  return found != failed_on_.end() && found->second.count(incarnation) > 0;
-}
-
-bool WorkerFleet::IsPresent(const jobs::WorkerIncarnation& incarnation,
-                            TimePoint now) const {
-  const WorkerSession* session = FindSession(incarnation);
-  return session != nullptr &&
-         (now - leading_since_ <= options_.unresponsive_after ||
-          session->HasRespondedRecently(now));
-}
-
 void WorkerFleet::Stop(const jobs::RunName& run,
                        const jobs::WorkerIncarnation& incarnation,
                        const char* reason) {
@@ -332,26 +276,6 @@
                                       {"reason", reason}});
 }
 
-int WorkerFleet::PercentOf(const jobs::RunName& run,
-                           const jobs::WorkerIncarnation& incarnation) const {
-  const WorkerSession* session = FindSession(incarnation);
-  if (session == nullptr || !session->Reachable(loop_.now()))
-    return 0;
-  const auto track = session->tracks().find(run);
-  return track == session->tracks().end() || track->second.stop_requested
-             ? 0
-             : track->second.percent;
-}
-
-bool WorkerFleet::IsStopping(const jobs::RunName& run,
-                             const jobs::WorkerIncarnation& incarnation) const {
-  const WorkerSession* session = FindSession(incarnation);
-  if (session == nullptr || !session->Reachable(loop_.now()))
-    return false;
-  const auto track = session->tracks().find(run);
-  return track != session->tracks().end() && track->second.stop_requested;
-}
-
 std::uint64_t WorkerFleet::TokenFor(const jobs::Worker& worker) const {
   return FencingToken(replica_.term(), worker.join_number);
 }
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -172,6 +172,8 @@
                const jobs::RunName& run,
                const Result<CallResponse>& response);
   void RecordEnds(std::vector<jobs::EndRecord> ends, TimePoint now);
+  /// \brief Records the copies of the previous leader, from the ledger.
+  void RecordEarlierCopies();
   /// \brief Records the copies among the starts of a stored batch.
   void RecordCopies(const jobs::Batch& batch, TimePoint now);
   /// \brief Records which of two runs counted. Called before the sessions drop
--- a/src/scheduler/worker_fleet_copies.cc
+++ b/src/scheduler/worker_fleet_copies.cc
@@ -1,44 +1,20 @@
 // The part of WorkerFleet that observes speculative copies.
 
-#include <algorithm>
-
 #include "base/event_log.h"
 #include "scheduler/worker_fleet.h"
 
 namespace boragewinch::scheduler {
 
-std::optional<Millis> WorkerFleet::ElapsedOf(
-    const jobs::RunName& run,
-    const jobs::WorkerIncarnation& incarnation,
-    TimePoint now) const {
-  const WorkerSession* session = FindSession(incarnation);
-  if (session == nullptr)
-    return std::nullopt;
-  const auto found = session->tracks().find(run);
-  if (found == session->tracks().end() || found->second.stop_requested)
-    return std::nullopt;
-  const RunTrack& track = found->second;
-  switch (track.phase) {
-    case RunPhase::kOrdered:
-    case RunPhase::kOutcomeUnknown:
-    case RunPhase::kConfirmed:
-      return now - (track.starts_sent > 0 ? track.start_sent : track.since);
-    case RunPhase::kInherited:
-    case RunPhase::kPlanned:
-    case RunPhase::kStopping:
-    case RunPhase::kStopped:
-      break;
+void WorkerFleet::RecordEarlierCopies() {
+  const jobs::JobLedger& ledger = replica_.ledger();
+  for (const jobs::TaskName& name : ledger.copied_tasks()) {
+    const jobs::Task* task = ledger.FindTask(name);
+    if (task == nullptr || task->done || task->runs.size() < 2)
+      continue;
+    const jobs::Job& job = *ledger.FindJob(name.job);
+    copies_.OnCopy({name, task->runs.back().number}, task->runs.front().number,
+                   job.spec->steps[name.step].request.cpu_millis);
   }
-  return std::nullopt;
-}
-
-bool WorkerFleet::IsSuspect(const jobs::WorkerIncarnation& incarnation,
-                            TimePoint now) const {
-  const auto tracked = workers_.find(incarnation);
-  return tracked == workers_.end() ||
-         !tracked->second.session.HasRespondedRecently(now) ||
-         health_.State(tracked->second.health_name, now) !=
-             HealthState::kNormal;
 }
 
 void WorkerFleet::RecordCopies(const jobs::Batch& batch, TimePoint now) {
