--- a/src/scheduler/copy_planner.cc
+++ b/src/scheduler/copy_planner.cc
@@ -17,12 +17,9 @@
   const jobs::Worker* worker = nullptr;
   Resources free;
   std::size_t starts = 0;
-};
-
-/// A step with tasks that this plan leaves waiting.
-struct WaitingStep {
-  const jobs::Job* job = nullptr;
-  const jobs::StepSpec* spec = nullptr;
+  /// Queried when a copy would fit.
+  std::optional<std::size_t> start_limit = std::nullopt;
+  std::optional<bool> wanted = std::nullopt;
 };
 
 /// Places the copies of one plan.
@@ -37,6 +34,7 @@
       Count(start);
     for (const jobs::TaskName& name : ledger.copied_tasks())
       CountSurplus(name);
+    CollectWaiting();
   }
 
   /// \returns the start of a copy of the task; nothing if there is no place.
@@ -55,9 +53,9 @@
     const jobs::Worker* original_worker = ledger_.FindWorker(original);
     const auto in_step = CountPerWorker(name, spec);
     using Rank = std::tuple<bool, bool, std::int64_t>;
-    const Room* best = nullptr;
+    Room* best = nullptr;
     Rank best_rank;
-    for (const Room& room : rooms) {
+    for (Room& room : rooms) {
       const jobs::WorkerRecord& record = room.worker->record;
       if (record.incarnation.id == original.id ||
           !running.request.FitsInto(room.free) ||
@@ -73,10 +71,9 @@
                       -room.free.cpu_millis);
       // The remaining queries are more expensive.
       if ((best != nullptr && rank <= best_rank) ||
-          hooks_.start_limit(record.incarnation) <
-              room.starts + kMinStartLimit ||
+          StartLimitOf(&room) < room.starts + kMinStartLimit ||
           !IsAdvised(job, name, record.incarnation) ||
-          IsWanted(running.pool, room)) {
+          IsWanted(running.pool, &room)) {
         continue;
       }
       best = &room;
@@ -141,7 +138,9 @@
       const jobs::WorkerRecord& record = worker->record;
       if (record.draining)
         continue;
-      Room room{worker, record.capacity, 0};
+      Room room;
+      room.worker = worker;
+      room.free = record.capacity;
       room.free -= worker->used;
       if (const auto started = started_on_.find(record.incarnation);
           started != started_on_.end()) {
@@ -154,17 +153,15 @@
     return it->second;
   }
 
-  /// \returns what the pool's ready steps have waiting after the ordinary
-  /// starts. Steps of customers at their limit are left out.
-  [[nodiscard]] const std::vector<WaitingStep>& WaitingIn(
-      const PoolName& pool) {
-    if (!waiting_)
-      CollectWaiting();
-    return (*waiting_)[pool];
+  [[nodiscard]] std::size_t StartLimitOf(Room* room) const {
+    if (!room->start_limit)
+      room->start_limit = hooks_.start_limit(room->worker->record.incarnation);
+    return *room->start_limit;
   }
 
+  /// Collects what the ready steps of each pool have waiting after the ordinary
+  /// starts. Steps of customers at their limit are left out.
   void CollectWaiting() {
-    waiting_.emplace();
     for (const jobs::Job* job : ledger_.startable()) {
       const jobs::QueueConfig* queue = ledger_.QueueOf(*job);
       if (queue == nullptr)
@@ -178,7 +175,7 @@
               (started == started_of_.end() ? 0 : started->second.tasks);
           if (left > 0 && job->StepReady(occurrence, s) &&
               WithinCustomerLimit(*job, spec)) {
-            (*waiting_)[queue->pool].push_back({job, &spec});
+            waiting_[queue->pool].push_back(&spec);
           }
         }
       }
@@ -187,10 +184,18 @@
 
   /// \returns whether a waiting task could run on the worker now or once short
   /// tasks there have ended.
-  [[nodiscard]] bool IsWanted(const PoolName& pool, const Room& room) {
-    const auto& waiting = WaitingIn(pool);
-    if (waiting.empty())
+  [[nodiscard]] bool IsWanted(const PoolName& pool, Room* room) const {
+    const auto waiting = waiting_.find(pool);
+    if (waiting == waiting_.end())
       return false;
+    if (!room->wanted)
+      room->wanted = CouldRun(waiting->second, *room);
+    return *room->wanted;
+  }
+
+  /// \returns whether a task of one of the steps could run on the worker.
+  [[nodiscard]] bool CouldRun(const std::vector<const jobs::StepSpec*>& steps,
+                              const Room& room) const {
     const jobs::WorkerRecord& record = room.worker->record;
     Resources capacity = record.capacity;
     for (const jobs::RunName& run : room.worker->runs) {
@@ -202,9 +207,9 @@
         capacity -= jobs::JobLedger::CapacityOf(spec);
     }
     return std::any_of(
-        waiting.begin(), waiting.end(), [&](const WaitingStep& step) {
-          return record.HasLabel(step.spec->required_label) &&
-                 jobs::JobLedger::CapacityOf(*step.spec).FitsInto(capacity);
+        steps.begin(), steps.end(), [&](const jobs::StepSpec* step) {
+          return record.HasLabel(step->required_label) &&
+                 jobs::JobLedger::CapacityOf(*step).FitsInto(capacity);
         });
   }
 
@@ -279,7 +284,7 @@
       started_of_;
   std::map<CustomerName, Resources> usage_;  ///< of the starts of this plan
   std::map<PoolName, std::vector<Room>> rooms_;
-  std::optional<std::map<PoolName, std::vector<WaitingStep>>> waiting_;
+  std::map<PoolName, std::vector<const jobs::StepSpec*>> waiting_;
 };
 
 /// \returns the running tasks that may have a copy.
