--- a/tests/copy_planner_test.cc
+++ b/tests/copy_planner_test.cc
@@ -204,6 +204,8 @@
   const jobs::StartRecord start{LedgerBuilder::Run("other", 0, 0),
                                 LedgerBuilder::IncarnationOf("b")};
   BOOST_TEST(fixture.Plan({start}).empty());
+  fixture.builder.Start(start.run, "b");
+  BOOST_TEST(fixture.Plan().empty());
 }
 
 // Guards against copies beyond the limit of their customer.
