--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -108,57 +108,6 @@
   return open;
 }
 
-void JobLedger::IndexJob(Job* job) {
-  const auto has_waiting = [&](const Occurrence& occurrence) {
-    for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-      if (occurrence.steps[s].waiting() > 0 && job->StepReady(occurrence, s))
-        return true;
-    }
-    return false;
-  };
-  const bool startable =
-      !job->final() &&
-      std::any_of(job->occurrences.begin(), job->occurrences.end(),
-                  [&](const auto& item) { return has_waiting(item.second); });
-  if (startable != job->startable) {
-    job->startable = startable;
-    if (startable)
-      startable_.insert(job);
-    else
-      startable_.erase(job);
-  }
-  const bool repeats = !job->final() && job->spec->repeats > 0 &&
-                       job->next_occurrence < job->spec->occurrences();
-  if (repeats)
-    repeating_.insert(job);
-  else if (!repeating_.empty())
-    repeating_.erase(job);
-}
-
-void JobLedger::AddObsoleteRuns(const WorkerIncarnation& incarnation,
-                                std::int64_t change) {
-  const auto worker = workers_.find(incarnation);
-  if (worker == workers_.end())
-    return;
-  worker->second.obsolete_runs += change;
-  UpdateStopCandidate(worker->second);
-}
-
-void JobLedger::CountObsoleteRuns(const Job& job) {
-  if (job.runs == 0)
-    return;
-  for (const auto& [number, occurrence] : job.occurrences) {
-    for (const Step& step : occurrence.steps) {
-      for (const Task& task : step.tasks) {
-        for (const Run& run : task.runs) {
-          if (!task.done)
-            AddObsoleteRuns(run.worker, 1);
-        }
-      }
-    }
-  }
-}
-
 void JobLedger::Apply(const Batch& batch) {
   ++applied_;
   changed_workers_.clear();
@@ -405,6 +354,7 @@
   --job->runs;
   if (task.runs.empty() && !task.done)
     --step.placed;
+  IndexCopies(run.task, task);
   const StepSpec& spec = job->spec->steps[run.task.step];
   usage_[job->customer] -= spec.request;
   if (const auto found = workers_.find(worker); found != workers_.end()) {
@@ -519,6 +469,7 @@
     }
   } else {
     complete(&step.tasks[name.index]);
+    IndexCopies(name, step.tasks[name.index]);
   }
   IndexJob(job);
   const bool occurrence_done =
@@ -581,6 +532,15 @@
   }
 }
 
+// A worker runs a task once at a time: a second start would replace the number
+// of its run.
+bool JobLedger::AcceptsRun(const StepSpec& spec,
+                           const Task& task,
+                           const WorkerIncarnation& worker) {
+  return task.runs.empty() || (MayBeCopied(spec) && task.runs.size() == 1 &&
+                               task.runs.front().worker.id != worker.id);
+}
+
 void JobLedger::ApplyStart(const StartRecord& start, UnixMillis now) {
   Job* job = MutableJob(start.run.task.job);
   const auto worker = workers_.find(start.worker);
@@ -592,15 +552,17 @@
   Step& step = job->occurrences.at(name.occurrence).steps[name.step];
   Task& task = step.tasks[name.index];
   const StepSpec& spec = job->spec->steps[name.step];
-  const bool occupied = !task.runs.empty() && !spec.speculative;
-  if (task.done || occupied || start.run.number <= task.last_run)
+  if (task.done || start.run.number <= task.last_run ||
+      !AcceptsRun(spec, task, start.worker)) {
     return;
+  }
   if (spec.gang && step.placed == 0)
     ShareCheckpoint(&step);
   if (task.runs.empty())
     ++step.placed;
   task.last_run = start.run.number;
   task.runs.push_back({start.run.number, start.worker, now});
+  IndexCopies(name, task);
   ++job->runs;
   usage_[job->customer] += spec.request;
   worker->second.used += CapacityOf(spec);
--- a/src/jobs/ledger_workers.cc
+++ b/src/jobs/ledger_workers.cc
@@ -12,66 +12,6 @@
   return found == pool_workers_.end() ? kNone : found->second;
 }
 
-void JobLedger::IndexWorker(const Worker& worker) {
-  const WorkerRecord& record = worker.record;
-  pool_workers_[record.pool].insert(&worker);
-  incarnations_by_address_.emplace(record.address, record.incarnation);
-  if (!record.host.empty())
-    incarnations_by_host_.emplace(record.host, record.incarnation);
-}
-
-void JobLedger::UnindexWorker(const Worker& worker) {
-  const WorkerRecord& record = worker.record;
-  const auto erase = [&](auto* index, const auto& key) {
-    const auto [begin, end] = index->equal_range(key);
-    const auto it = std::find_if(begin, end, [&](const auto& item) {
-      return item.second == record.incarnation;
-    });
-    if (it != end)
-      index->erase(it);
-  };
-  erase(&incarnations_by_address_, record.address);
-  erase(&incarnations_by_host_, record.host);
-  const auto pool = pool_workers_.find(record.pool);
-  if (pool == pool_workers_.end())
-    return;
-  pool->second.erase(&worker);
-  if (pool->second.empty())
-    pool_workers_.erase(pool);
-}
-
-void JobLedger::UpdateStopCandidate(const Worker& worker) {
-  if (worker.record.draining || worker.obsolete_runs > 0)
-    stop_candidates_.insert(&worker);
-  else
-    stop_candidates_.erase(&worker);
-}
-
-std::vector<WorkerIncarnation> JobLedger::ConflictingIncarnations(
-    const WorkerRecord& record) const {
-  std::vector<WorkerIncarnation> incarnations;
-  const auto add = [&](const WorkerIncarnation& incarnation) {
-    if (incarnation != record.incarnation)
-      incarnations.push_back(incarnation);
-  };
-  for (auto it = workers_.lower_bound(WorkerIncarnation{
-           record.incarnation.id, std::numeric_limits<UnixMillis>::min()});
-       it != workers_.end() && it->first.id == record.incarnation.id; ++it) {
-    add(it->first);
-  }
-  const auto [address, address_end] =
-      incarnations_by_address_.equal_range(record.address);
-  for (auto it = address; it != address_end; ++it)
-    add(it->second);
-  const auto [host, host_end] = incarnations_by_host_.equal_range(record.host);
-  for (auto it = host; it != host_end; ++it)
-    add(it->second);
-  std::sort(incarnations.begin(), incarnations.end());
-  incarnations.erase(std::unique(incarnations.begin(), incarnations.end()),
-                     incarnations.end());
-  return incarnations;
-}
-
 void JobLedger::ApplyWorker(const WorkerRecord& record, UnixMillis now) {
   if (const auto gone = departed_.find(record.incarnation.id);
       gone != departed_.end() &&
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -14,6 +14,7 @@
 #include "net/rpc_server.h"
 #include "scheduler/admin_api.h"
 #include "scheduler/advice_cache.h"
+#include "scheduler/copy_planner.h"
 #include "scheduler/host_calls.h"
 #include "scheduler/host_manager.h"
 #include "scheduler/job_api.h"
@@ -41,6 +42,7 @@
   WorkerSessionOptions worker_sessions;
   WorkerCallRouterOptions call_router;
   TaskPlannerOptions planner;
+  CopyPlannerOptions copies;
   AdmissionRule admission = AdmissionRule::kBacklog;
   HostManagerOptions hosts;
 };
@@ -85,6 +87,11 @@
   void ServeControl(const RelayedRequest& request,
                     const HttpResponder& respond);
   void Decide(jobs::Batch* batch, TimePoint now);
+  /// \returns the copies to start beside `starts`.
+  [[nodiscard]] std::vector<jobs::StartRecord> PlanCopies(
+      const PlannerHooks& hooks,
+      const std::vector<jobs::StartRecord>& starts,
+      TimePoint now);
   void OnStored(const jobs::Batch& batch, TimePoint now);
   void OnLeadership(bool leading, TimePoint now);
   void OnTick(TimePoint now);
@@ -118,6 +125,7 @@
   WatchHandle call_flush_;
   std::unique_ptr<AdviceCache> advice_;
   TaskPlanner planner_;
+  CopyPlanner copy_planner_;
   LeaderLoad load_;
   std::set<ZoneName> reported_zones_;  ///< zones that have a gauge
   PeerBuilds peer_builds_;
