--- a/src/scheduler/copy_planner.cc
+++ b/src/scheduler/copy_planner.cc
@@ -128,15 +128,15 @@
     }
   }
 
-  /// \returns the workers of the pool that are not draining, with their free
-  /// capacity.
+  /// \returns the workers of the pool that are neither draining nor in an
+  /// evacuated zone, with their free capacity.
   [[nodiscard]] std::vector<Room>& RoomsOf(const PoolName& pool) {
     const auto [it, added] = rooms_.try_emplace(pool);
     if (!added)
       return it->second;
     for (const jobs::Worker* worker : ledger_.WorkersOf(pool)) {
       const jobs::WorkerRecord& record = worker->record;
-      if (record.draining)
+      if (record.draining || ledger_.IsEvacuated(record.zone))
         continue;
       Room room;
       room.worker = worker;
