--- a/tests/body_budget_process_test.cc
+++ b/tests/body_budget_process_test.cc
@@ -2,6 +2,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <unistd.h>
@@ -55,7 +57,9 @@
 /// A client's connection.
 class RawConnection {
  public:
-  explicit RawConnection(const std::string& address)
+  /// \param reads false: the receive buffer has the least size, so that the
+  /// server keeps what it sends.
+  explicit RawConnection(const std::string& address, bool reads = true)
       : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
     const auto colon = address.rfind(':');
     sockaddr_in endpoint{};
@@ -67,6 +71,14 @@
     constexpr timeval kSendTimeout{1, 0};
     setsockopt(socket_, SOL_SOCKET, SO_SNDTIMEO, &kSendTimeout,
                sizeof(kSendTimeout));
+    if (!reads) {
+      constexpr int kLeastSegment = 536;
+      constexpr int kLeastBuffer = 2'048;
+      setsockopt(socket_, IPPROTO_TCP, TCP_MAXSEG, &kLeastSegment,
+                 sizeof(kLeastSegment));
+      setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &kLeastBuffer,
+                 sizeof(kLeastBuffer));
+    }
     open_ = connect(socket_, reinterpret_cast<sockaddr*>(&endpoint),
                     sizeof(endpoint)) == 0;
   }
@@ -286,6 +298,25 @@
     });
   }
 
+  /// \brief Sends a request until it gets status 200.
+  /// \returns the body of the response; empty if there is none.
+  [[nodiscard]] std::string Call(const HttpCall& call) {
+    HttpClient client(cluster.loop(), HttpClientLimits{});
+    std::optional<std::string> body;
+    bool waiting = false;
+    (void)cluster.RunUntil(kWaitLimit, [&] {
+      if (body || std::exchange(waiting, true))
+        return body.has_value();
+      client.Send(call, [&](const Result<HttpResponse>& result) {
+        waiting = false;
+        if (result && result.value().status == 200)
+          body = result.value().body;
+      });
+      return false;
+    });
+    return body.value_or("");
+  }
+
   void Check(const Port& port) {
     ChildProcess& process = cluster.process(port.process);
     AwaitStableMemory(process.pid());
@@ -394,6 +425,31 @@
   }
 }
 
+// Guards against responses that are kept for clients that do not read them.
+BOOST_FIXTURE_TEST_CASE(UnreadResponsesStayInMemory, Fixture) {
+  constexpr std::size_t kDocumentBytes = 1'500'000;
+  constexpr int kClients = 60;
+  const Port port = WorkersAndOperators();
+  HttpCall call;
+  call.url = "http://" + port.address + "/-/config";
+  Result<Json> document = ParseJson(Call(call));
+  BOOST_REQUIRE(document);
+  Json& config = document.value();
+  config["version"] = ::Json::Int64(config["version"].asInt64() + 100);
+  call.method = "PUT";
+  call.body = WriteJson(config) + std::string(kDocumentBytes, ' ');
+  BOOST_REQUIRE(!Call(call).empty());
+  Connections connections;
+  Run([&] {
+    for (int i = 0; i < kClients; ++i) {
+      auto& connection = connections.emplace_back(
+          std::make_unique<RawConnection>(port.address, false));
+      connection->Send("GET /-/config HTTP/1.1\r\nHost: a\r\n\r\n");
+    }
+  });
+  Check(port);
+}
+
 // Guards against a budget that refuses single requests within the published
 // limits: a heartbeat of a worker may have up to 4 MiB.
 BOOST_FIXTURE_TEST_CASE(SingleLargeRequestsAreServed, Fixture) {
