One memory budget for all bodies of a process

HttpServer reserves connections, headers, bodies, what handling a body needs and unread responses from a BodyBudget that all ports of a process share. When it is full, the connection without progress for the longest time is closed. A body over the limit gets 413 from its declared length, and calls between processes are refused by their headers before the body is read.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -2,13 +2,19 @@
 
 #include <arpa/inet.h>
 #include <microhttpd.h>
+#include <poll.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <limits>
 #include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "base/event_log.h"
 #include "base/json.h"
@@ -21,6 +27,35 @@
 // 414 or 431.
 constexpr std::size_t kConnectionMemoryBytes = 32 * 1024;
 
+// A header that is kept costs a tree node and two strings beside its bytes.
+constexpr std::size_t kHeaderOverheadBytes = 160;
+
+// A request that is being handled holds its body, the message that forwards or
+// stores it, and the copy that the HTTP client or the log sends.
+constexpr std::size_t kCopiesOfBody = 3;
+
+// A sender of fewer bytes at a time makes no progress that delays its eviction,
+// otherwise a byte now and then would keep a body for ever.
+constexpr std::size_t kProgressBytes = 1024;
+
+// Interval at which connections are closed whose clients have gone.
+constexpr Millis kEndedInterval{1'000};
+
+// Responses up to this size are sent even if the budget is full: the request
+// has been carried out, and its memory is larger than that.
+constexpr std::size_t kSmallResponseBytes = 16UL * 1024;
+
+// The full response, for connections on which libmicrohttpd can't send one in
+// the middle of a body.
+constexpr char kTooLargeResponse[] =
+    "HTTP/1.1 413 Content Too Large\r\nContent-Type: application/json\r\n"
+    "Content-Length: 21\r\nConnection: close\r\n\r\n"
+    "{\"error\":\"too_large\"}";
+constexpr char kNoMemoryResponse[] =
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
+    "Content-Length: 23\r\nRetry-After: 1\r\nConnection: close\r\n\r\n"
+    "{\"error\":\"unavailable\"}";
+
 [[nodiscard]] HttpResponse ErrorResponse(int status,
                                          ErrorCode code,
                                          const std::string& detail) {
@@ -51,13 +86,72 @@
   return MHD_YES;
 }
 
+[[nodiscard]] HttpResponse NoMemoryResponse() {
+  HttpResponse response = ErrorResponse(503, ErrorCode::kUnavailable,
+                                        "the memory for requests is used up");
+  response.headers["Retry-After"] = "1";
+  return response;
+}
+
+[[nodiscard]] std::size_t HeaderBytes(const HttpRequest& request) {
+  std::size_t bytes = request.path.size();
+  for (const auto* map : {&request.headers, &request.query}) {
+    for (const auto& [name, value] : *map)
+      bytes += name.size() + value.size() + kHeaderOverheadBytes;
+  }
+  return bytes;
+}
+
+/// \returns the value of Content-Length, which libmicrohttpd has checked;
+/// nothing for chunked bodies.
+[[nodiscard]] std::optional<std::size_t> DeclaredLength(
+    const HttpRequest& request) {
+  const auto header = request.headers.find("content-length");
+  if (header == request.headers.end() ||
+      request.headers.count("transfer-encoding") > 0) {
+    return std::nullopt;
+  }
+  std::size_t length = 0;
+  const char* end = header->second.data() + header->second.size();
+  const auto [rest, error] =
+      std::from_chars(header->second.data(), end, length);
+  if (error == std::errc::result_out_of_range)
+    return std::numeric_limits<std::size_t>::max();
+  return error == std::errc() && rest == end ? std::optional(length)
+                                             : std::nullopt;
+}
+
+[[nodiscard]] std::string ClientAddress(MHD_Connection* connection) {
+  const MHD_ConnectionInfo* info =
+      MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  if (info == nullptr || info->client_addr == nullptr ||
+      info->client_addr->sa_family != AF_INET) {
+    return "";
+  }
+  const auto* endpoint =
+      reinterpret_cast<const sockaddr_in*>(info->client_addr);
+  char text[INET_ADDRSTRLEN] = "";
+  inet_ntop(AF_INET, &endpoint->sin_addr, text, sizeof(text));
+  return text;
+}
+
+/// A client's connection, from its acceptance to its end.
+struct Connection {
+  int socket = -1;
+  BodyBudget::Id id = 0;
+  bool evicted = false;
+  HttpResponder::State* request = nullptr;  ///< the current one
+};
+
 }  // namespace
 
 struct HttpResponder::State {
   MHD_Connection* connection = nullptr;
   std::optional<HttpResponse> response;
   HttpRequest request;
-  bool too_large = false;
+  std::optional<std::size_t> declared;  ///< Content-Length
+  std::size_t header_bytes = 0;
+  std::size_t progress = 0;  ///< bytes since the last noted progress
   bool dispatched = false;
   bool suspended = false;
   bool closed = false;
@@ -83,10 +177,97 @@
 
   Impl(EventLoop& event_loop,
        HttpServerLimits server_limits,
-       Handler on_request)
+       Handler on_request,
+       BodyBudget* body_budget,
+       HttpAdmit on_headers)
       : loop(event_loop),
         limits(server_limits),
-        handler(std::move(on_request)) {}
+        handler(std::move(on_request)),
+        budget(body_budget),
+        admit(std::move(on_headers)) {}
+
+  static Connection& Of(MHD_Connection* connection) {
+    return *static_cast<Connection*>(
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+            ->socket_context);
+  }
+
+  static void OnConnection(void* self,
+                           MHD_Connection* connection,
+                           void** context,
+                           MHD_ConnectionNotificationCode code) {
+    auto* impl = static_cast<Impl*>(self);
+    if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+      auto* closed = static_cast<Connection*>(*context);
+      if (impl->budget)
+        impl->budget->Close(closed->id);
+      impl->connections.erase(closed);
+      delete closed;
+      *context = nullptr;
+      return;
+    }
+    auto* opened = new Connection;
+    *context = opened;
+    impl->connections.insert(opened);
+    opened->socket =
+        MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+            ->connect_fd;
+    if (!impl->budget)
+      return;
+    opened->id = impl->budget->Open(ClientAddress(connection),
+                                    [impl, opened] { impl->Evict(*opened); });
+    if (!impl->budget->Resize(opened->id, kConnectionMemoryBytes)) {
+      impl->budget->CountRefusal();
+      impl->Evict(*opened);
+    }
+  }
+
+  // libmicrohttpd closes the connection when it finds the socket shut down.
+  void Evict(Connection& connection) {
+    connection.evicted = true;
+    if (connection.request != nullptr && !connection.request->response) {
+      connection.request->request = HttpRequest();
+      SendNow(connection, kNoMemoryResponse);
+    }
+    shutdown(connection.socket, SHUT_RDWR);
+    ScheduleRun();
+  }
+
+  // libmicrohttpd misses the end of a stream that arrives together with the
+  // last bytes (epoll reports both at once), and would keep the connection
+  // until it is idle for too long.
+  void CloseEnded() {
+    std::vector<pollfd> polled;
+    for (const Connection* connection : connections) {
+      // A client may end its stream after a whole request and still read.
+      if (connection->request == nullptr || !connection->request->dispatched)
+        polled.push_back({connection->socket, POLLRDHUP, 0});
+    }
+    if (poll(polled.data(), polled.size(), 0) <= 0)
+      return;
+    for (const pollfd& ended : polled) {
+      int unread = 0;
+      if (ended.revents != 0 && ioctl(ended.fd, FIONREAD, &unread) == 0 &&
+          unread == 0) {
+        shutdown(ended.fd, SHUT_RDWR);
+      }
+    }
+    ScheduleRun();
+  }
+
+  // Sends a response as far as the socket accepts it.
+  static void SendNow(const Connection& connection, std::string_view response) {
+    (void)send(connection.socket, response.data(), response.size(),
+               MSG_NOSIGNAL | MSG_DONTWAIT);
+  }
+
+  [[nodiscard]] bool Resize(const Connection& connection,
+                            const RequestState& state,
+                            std::size_t bytes) const {
+    return !budget ||
+           budget->Resize(connection.id,
+                          kConnectionMemoryBytes + state.header_bytes + bytes);
+  }
 
   static MHD_Result Access(void* self,
                            MHD_Connection* connection,
@@ -97,73 +278,158 @@
                            size_t* size,
                            void** context) {
     auto* impl = static_cast<Impl*>(self);
+    Connection& client = Of(connection);
+    if (client.evicted)
+      return MHD_NO;
     if (*context == nullptr)
-      return impl->Begin(connection, url, method, context);
+      return impl->Begin(connection, client, url, method, context);
     auto& state = *static_cast<std::shared_ptr<RequestState>*>(*context);
     if (*size > 0) {
-      impl->Receive(*state, data, *size);
+      const bool received = impl->Receive(client, *state, data, *size);
       *size = 0;
-      return MHD_YES;
+      return received ? MHD_YES : MHD_NO;
     }
-    return impl->Respond(connection, state);
+    return impl->Respond(connection, client, state);
   }
 
   static void Completed(void* self,
-                        MHD_Connection*,
+                        MHD_Connection* connection,
                         void** context,
                         MHD_RequestTerminationCode) {
     if (*context == nullptr)
       return;
+    auto* impl = static_cast<Impl*>(self);
     auto* state = static_cast<std::shared_ptr<RequestState>*>(*context);
     (*state)->closed = true;
-    --static_cast<Impl*>(self)->open;
+    --impl->open;
     delete state;
     *context = nullptr;
+    Connection& client = Of(connection);
+    client.request = nullptr;
+    if (impl->budget) {
+      impl->budget->ForceResize(client.id, kConnectionMemoryBytes);
+      impl->budget->SetPinned(client.id, false);
+      impl->budget->Touch(client.id);
+    }
   }
 
   MHD_Result Begin(MHD_Connection* connection,
+                   Connection& client,
                    const char* url,
                    const char* method,
                    void** context) {
-    auto state = std::make_shared<RequestState>();
-    state->connection = connection;
-    state->request.method = method;
-    state->request.path = url;
-    state->on_resumed = [this, key = std::weak_ptr(state)] {
+    auto owned = std::make_shared<RequestState>();
+    RequestState& state = *owned;
+    state.connection = connection;
+    state.request.method = method;
+    state.request.path = url;
+    state.on_resumed = [this, key = std::weak_ptr(owned)] {
       suspended.erase(key.lock());
       ScheduleRun();
     };
     MHD_get_connection_values(connection, MHD_HEADER_KIND, &CollectHeader,
-                              &state->request.headers);
+                              &state.request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &CollectQuery,
-                              &state->request.query);
+                              &state.request.query);
+    state.declared = DeclaredLength(state.request);
+    state.header_bytes = HeaderBytes(state.request);
     // Freed by Completed, which libmicrohttpd calls for every request.
-    *context = new std::shared_ptr<RequestState>(std::move(state));
+    *context = new std::shared_ptr<RequestState>(std::move(owned));
+    client.request = &state;
     ++open;
-    return MHD_YES;
+    state.response = RefusalOf(client, state);
+    if (!state.response)
+      return MHD_YES;
+    state.dispatched = true;
+    return Send(connection, client, state, true);
+  }
+
+  /// \returns the response to a request that is refused by its headers.
+  [[nodiscard]] std::optional<HttpResponse> RefusalOf(
+      const Connection& client,
+      const RequestState& state) const {
+    if (admit) {
+      HttpAdmission admission = admit(state.request);
+      if (admission.refusal)
+        return std::move(admission.refusal);
+      if (budget)
+        budget->SetSender(client.id, admission.sender);
+    }
+    if (state.declared && *state.declared > limits.max_body_bytes)
+      return TooLargeResponse();
+    if (budget)
+      budget->Touch(client.id);
+    if (!Resize(client, state, 0)) {
+      budget->CountRefusal();
+      return NoMemoryResponse();
+    }
+    return std::nullopt;
   }
 
-  void Receive(RequestState& state, const char* data, std::size_t size) const {
-    if (state.request.body.size() + size > limits.max_body_bytes)
-      state.too_large = true;
-    if (!state.too_large)
-      state.request.body.append(data, size);
+  [[nodiscard]] HttpResponse TooLargeResponse() const {
+    LogEvent(EventId::kBoundReached, {{"bound", "body_bytes"}});
+    return ErrorResponse(413, ErrorCode::kTooLarge,
+                         "request body exceeds " +
+                             std::to_string(limits.max_body_bytes) + " bytes");
+  }
+
+  /// \returns false if the connection is to be closed.
+  [[nodiscard]] bool Receive(const Connection& client,
+                             RequestState& state,
+                             const char* data,
+                             std::size_t size) const {
+    if (state.response)
+      return true;  // refused by its headers; libmicrohttpd drops the body
+    std::string& body = state.request.body;
+    const std::size_t needed = body.size() + size;
+    if (needed > limits.max_body_bytes) {
+      LogEvent(EventId::kBoundReached, {{"bound", "body_bytes"}});
+      body = std::string();
+      SendNow(client, kTooLargeResponse);
+      return false;
+    }
+    if (needed > body.capacity()) {
+      const std::size_t capacity = std::max(
+          needed, std::min(2 * body.capacity(),
+                           state.declared.value_or(limits.max_body_bytes)));
+      if (!Resize(client, state, capacity)) {
+        budget->CountRefusal();
+        body = std::string();
+        SendNow(client, kNoMemoryResponse);
+        return false;
+      }
+      // std::string::reserve would at least double the capacity.
+      std::string larger;
+      larger.reserve(capacity);
+      larger.append(body);
+      body = std::move(larger);
+    }
+    body.append(data, size);
+    state.progress += size;
+    if (budget && state.progress >= kProgressBytes) {
+      state.progress = 0;
+      budget->Touch(client.id);
+    }
+    return true;
   }
 
   MHD_Result Respond(MHD_Connection* connection,
+                     Connection& client,
                      const std::shared_ptr<RequestState>& state) {
     if (!state->dispatched) {
       state->dispatched = true;
-      if (state->too_large) {
-        LogEvent(EventId::kBoundReached, {{"bound", "body_bytes"}});
-        state->response =
-            ErrorResponse(413, ErrorCode::kTooLarge,
-                          "request body exceeds " +
-                              std::to_string(limits.max_body_bytes) + " bytes");
-      } else if (closing) {
+      const std::size_t bytes =
+          kCopiesOfBody * state->request.body.capacity() + state->header_bytes;
+      if (closing) {
         state->response = ErrorResponse(503, ErrorCode::kUnavailable,
                                         "the server is shutting down");
+      } else if (!Resize(client, *state, bytes)) {
+        budget->CountRefusal();
+        state->request = HttpRequest();
+        state->response = NoMemoryResponse();
       } else {
+        if (budget)
+          budget->SetPinned(client.id, true);
         handler(std::move(state->request), HttpResponder(state));
       }
     }
@@ -173,19 +439,40 @@
       MHD_suspend_connection(connection);
       return MHD_YES;
     }
-    return Send(connection, *state->response);
+    return Send(connection, client, *state, stopping);
   }
 
   MHD_Result Send(MHD_Connection* connection,
-                  const HttpResponse& response) const {
+                  const Connection& client,
+                  RequestState& state,
+                  bool close) const {
+    state.request = HttpRequest();
+    state.header_bytes = 0;
+    if (!Resize(client, state, state.response->body.size())) {
+      budget->CountRefusal();
+      // The request has been carried out, so its outcome must not be given as
+      // a refusal.
+      if (state.response->body.size() > kSmallResponseBytes) {
+        state.response = ErrorResponse(504, ErrorCode::kUnavailable,
+                                       "no memory for the response");
+      }
+      budget->ForceResize(client.id,
+                          kConnectionMemoryBytes + state.response->body.size());
+    }
+    if (budget) {
+      budget->SetPinned(client.id, false);
+      budget->Touch(client.id);
+    }
+    const HttpResponse& response = *state.response;
+    // The response lives until Completed is called.
     MHD_Response* mhd_response = MHD_create_response_from_buffer(
         response.body.size(), const_cast<char*>(response.body.data()),
-        MHD_RESPMEM_MUST_COPY);
+        MHD_RESPMEM_PERSISTENT);
     MHD_add_response_header(mhd_response, MHD_HTTP_HEADER_CONTENT_TYPE,
                             response.content_type.c_str());
     for (const auto& [name, value] : response.headers)
       MHD_add_response_header(mhd_response, name.c_str(), value.c_str());
-    if (stopping)
+    if (close)
       MHD_add_response_header(mhd_response, MHD_HTTP_HEADER_CONNECTION,
                               "close");
     const MHD_Result result = MHD_queue_response(
@@ -223,10 +510,14 @@
   EventLoop& loop;
   HttpServerLimits limits;
   Handler handler;
+  BodyBudget* budget;
+  HttpAdmit admit;
   MHD_Daemon* daemon = nullptr;
   std::string address;
   WatchHandle readable;
   WatchHandle timer;
+  WatchHandle ended_timer;
+  std::set<Connection*> connections;
   std::shared_ptr<int> lifetime = std::make_shared<int>(0);
   std::set<std::shared_ptr<RequestState>> suspended;
   std::size_t open = 0;
@@ -237,12 +528,19 @@
 
 HttpServer::HttpServer(EventLoop& loop,
                        HttpServerLimits limits,
-                       Handler handler)
-    : impl_(std::make_unique<Impl>(loop, limits, std::move(handler))) {}
+                       Handler handler,
+                       BodyBudget* budget,
+                       HttpAdmit admit)
+    : impl_(std::make_unique<Impl>(loop,
+                                   limits,
+                                   std::move(handler),
+                                   budget,
+                                   std::move(admit))) {}
 
 HttpServer::~HttpServer() {
   impl_->readable.reset();
   impl_->timer.reset();
+  impl_->ended_timer.reset();
   if (impl_->daemon) {
     // A planned stop first waits for open_requests() to reach 0. Requests that
     // are still open get a response here, since libmicrohttpd aborts the
@@ -277,6 +575,7 @@
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, nullptr, nullptr,
       &Impl::Access, impl_.get(), MHD_OPTION_SOCK_ADDR, &endpoint,
       MHD_OPTION_NOTIFY_COMPLETED, &Impl::Completed, impl_.get(),
+      MHD_OPTION_NOTIFY_CONNECTION, &Impl::OnConnection, impl_.get(),
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, kConnectionMemoryBytes,
       MHD_OPTION_CONNECTION_LIMIT, impl_->limits.max_connections,
       MHD_OPTION_PER_IP_CONNECTION_LIMIT,
@@ -292,6 +591,11 @@
   impl_->readable =
       impl_->loop.OnReady(epoll->epoll_fd, {.readable = true},
                           [impl = impl_.get()](Readiness) { impl->Run(); });
+  if (impl_->budget) {
+    impl_->ended_timer = impl_->loop.Every(
+        kEndedInterval,
+        [impl = impl_.get()](TimePoint) { impl->CloseEnded(); });
+  }
   LogEvent(EventId::kPortOpen, {{"address", impl_->address}});
   return Ok();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -5,10 +5,12 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/result.h"
 #include "kernel/event_loop.h"
+#include "net/body_budget.h"
 #include "net/http_types.h"
 
 namespace boragewinch {
@@ -21,6 +23,17 @@
   unsigned idle_seconds = 30;  ///< inactive connections are closed
 };
 
+/// \brief How a server treats a request whose headers it has read.
+struct HttpAdmission {
+  BodySender sender = BodySender::kPublic;
+  /// If set, it is sent at once and the connection is closed before the body is
+  /// read.
+  std::optional<HttpResponse> refusal;
+};
+
+/// \brief Decides on a request by its headers; it has no body yet.
+using HttpAdmit = std::function<HttpAdmission(const HttpRequest&)>;
+
 /// \brief Sends the response to one request, at any later time. Calls after the
 /// first one, or after the client has disconnected, have no effect.
 class HttpResponder {
@@ -39,7 +52,14 @@
  public:
   using Handler = std::function<void(HttpRequest, HttpResponder)>;
 
-  HttpServer(EventLoop& loop, HttpServerLimits limits, Handler handler);
+  /// \param budget of the process, which must outlive the server; nullptr:
+  /// memory is limited by the number of connections only.
+  /// \param admit if empty, every request is of BodySender::kPublic.
+  HttpServer(EventLoop& loop,
+             HttpServerLimits limits,
+             Handler handler,
+             BodyBudget* budget = nullptr,
+             HttpAdmit admit = {});
   HttpServer(const HttpServer&) = delete;
   HttpServer& operator=(const HttpServer&) = delete;
   ~HttpServer();
--- a/src/net/rpc_server.cc
+++ b/src/net/rpc_server.cc
@@ -141,13 +141,21 @@
   impl_->binary_methods[name] = std::move(method);
 }
 
+std::optional<HttpResponse> RpcServer::RefusalOf(
+    const HttpRequest& request) const {
+  const auto secret = request.headers.find(kClusterSecretHeader);
+  if (secret != request.headers.end() &&
+      SecretMatches(secret->second, impl_->secret_hash)) {
+    return std::nullopt;
+  }
+  LogEvent(EventId::kMalformedMessage, {{"reason", "cluster_secret"}});
+  return HttpResponse{401, R"({"error":"unauthorized"})"};
+}
+
 void RpcServer::Serve(const HttpRequest& request,
                       const HttpResponder& respond) {
-  const auto secret = request.headers.find(kClusterSecretHeader);
-  if (secret == request.headers.end() ||
-      !SecretMatches(secret->second, impl_->secret_hash)) {
-    LogEvent(EventId::kMalformedMessage, {{"reason", "cluster_secret"}});
-    respond({401, R"({"error":"unauthorized"})"});
+  if (auto refusal = RefusalOf(request)) {
+    respond(*std::move(refusal));
     return;
   }
   if (std::string_view(request.path).starts_with(kBinaryPath)) {
--- a/src/net/rpc_server.h
+++ b/src/net/rpc_server.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -49,6 +50,11 @@
   /// Bind, for callers of earlier versions.
   void BindBinary(const std::string& name, BinaryMethod method);
 
+  /// \returns the response to a request without the secret, from its headers;
+  /// nothing if it has the secret.
+  [[nodiscard]] std::optional<HttpResponse> RefusalOf(
+      const HttpRequest& request) const;
+
   /// \brief Handles one HTTP request that contains a call.
   void Serve(const HttpRequest& request, const HttpResponder& respond);
 
--- a/src/scheduler/gateway_service.cc
+++ b/src/scheduler/gateway_service.cc
@@ -39,18 +39,24 @@
   client_ = std::make_unique<HttpClient>(*loop_, HttpClientLimits{});
   rpc_ = std::make_unique<RpcClient>(*client_, options_.cluster_secret);
   relay_ = std::make_unique<RelayClient>(*loop_, *rpc_, options_.relay);
+  budget_ = std::make_unique<BodyBudget>(
+      BodyBudgetLimitsFor(options_.memory_mb, BodyBudgetUse::kGateway));
+  budget_monitor_ = std::make_unique<BodyBudgetMonitor>(*loop_, *budget_);
   HttpServerLimits limits;
   limits.max_body_bytes = kMaxBodyBytes;
   caller_server_ = std::make_unique<HttpServer>(
       *loop_, limits,
       [this](HttpRequest request, const HttpResponder& respond) {
         Serve(std::move(request), respond);
-      });
+      },
+      budget_.get());
   BW_CHECK(caller_server_->Listen(options_.listen_callers));
   readiness_server_ = std::make_unique<HttpServer>(
-      *loop_, limits, [this](const HttpRequest&, const HttpResponder& respond) {
+      *loop_, limits,
+      [this](const HttpRequest&, const HttpResponder& respond) {
         respond({Ready(loop_->now()) ? 200 : 503, "{}"});
-      });
+      },
+      budget_.get());
   BW_CHECK(readiness_server_->Listen(options_.listen_ready));
   if (!options_.listen_metrics.empty()) {
     metrics_server_ = std::make_unique<HttpServer>(
@@ -58,8 +64,10 @@
         [this](const HttpRequest&, const HttpResponder& respond) {
           metrics_.Gauge("log_lines_dropped", {},
                          static_cast<double>(DroppedLogLines()));
+          budget_monitor_->Export(metrics_);
           respond({200, metrics_.PrometheusText(), kPrometheusContentType});
-        });
+        },
+        budget_.get());
     BW_CHECK(metrics_server_->Listen(options_.listen_metrics));
   }
   stall_tick_ = loop_->Every(kStallTickInterval,
--- a/src/scheduler/gateway_service.h
+++ b/src/scheduler/gateway_service.h
@@ -1,12 +1,15 @@
 #ifndef BORAGEWINCH_SCHEDULER_GATEWAY_SERVICE_H_
 #define BORAGEWINCH_SCHEDULER_GATEWAY_SERVICE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "base/metrics.h"
 #include "kernel/kernel.h"
+#include "net/body_budget.h"
+#include "net/body_budget_monitor.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/rpc_client.h"
@@ -22,6 +25,7 @@
   std::string listen_metrics;  ///< empty: none
   std::string cluster_secret;
   RelayClient::Options relay;
+  std::int64_t memory_mb = 0;  ///< of the host; 0: unknown
   /// Time for which a stopping host reports not ready but still accepts
   /// connections. The load balancer probes once a second and removes the host
   /// after the second failure.
@@ -56,6 +60,8 @@
   std::unique_ptr<HttpClient> client_;
   std::unique_ptr<RpcClient> rpc_;
   std::unique_ptr<RelayClient> relay_;
+  std::unique_ptr<BodyBudget> budget_;  ///< used by the servers
+  std::unique_ptr<BodyBudgetMonitor> budget_monitor_;
   std::unique_ptr<HttpServer> caller_server_;
   std::unique_ptr<HttpServer> readiness_server_;
   std::unique_ptr<HttpServer> metrics_server_;
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <random>
+#include <string_view>
 #include <utility>
 
 #include "base/build_info.h"
@@ -31,6 +32,8 @@
 /// about 500 bytes.
 constexpr Millis kBuildInterval{10'000};
 constexpr Millis kBuildTimeout{1'000};
+/// Path of the messages that replicate the ledger.
+constexpr std::string_view kReplicationPath = "/bytes/raft.step";
 constexpr char kBuildMethod[] = "process.build";
 constexpr char kRevisionField[] = "revision";
 constexpr std::size_t kMaxRevisionBytes = 64;
@@ -116,12 +119,24 @@
   relay_ = std::make_unique<RelayServer>(rpc_server_.get(), std::move(relay));
   BW_CHECK(replica_->Start(rpc_server_.get()));
 
+  budget_ = std::make_unique<BodyBudget>(
+      BodyBudgetLimitsFor(options_.memory_mb, BodyBudgetUse::kScheduler));
+  budget_monitor_ = std::make_unique<BodyBudgetMonitor>(*loop_, *budget_);
   HttpServerLimits limits;
   limits.max_body_bytes = 2 * kMaxBodyBytes;
   internal_ = std::make_unique<HttpServer>(
       *loop_, limits,
       [this](const HttpRequest& request, const HttpResponder& respond) {
         rpc_server_->Serve(request, respond);
+      },
+      budget_.get(),
+      [this](const HttpRequest& request) {
+        HttpAdmission admission;
+        admission.refusal = rpc_server_->RefusalOf(request);
+        admission.sender = request.path == kReplicationPath
+                               ? BodySender::kReplication
+                               : BodySender::kPeer;
+        return admission;
       });
   BW_CHECK(internal_->Listen(options_.listen_internal));
   limits.max_body_bytes = kMaxBodyBytes;
@@ -129,7 +144,8 @@
       *loop_, limits,
       [this](HttpRequest request, const HttpResponder& respond) {
         ServeControl({Surface::kControl, std::move(request)}, respond);
-      });
+      },
+      budget_.get());
   BW_CHECK(control_->Listen(options_.listen_control));
   if (!options_.listen_metrics.empty()) {
     metrics_server_ = std::make_unique<HttpServer>(
@@ -143,8 +159,10 @@
                                 : std::numeric_limits<double>::quiet_NaN());
           metrics_.Gauge("log_lines_dropped", {},
                          static_cast<double>(DroppedLogLines()));
+          budget_monitor_->Export(metrics_);
           respond({200, metrics_.PrometheusText(), kPrometheusContentType});
-        });
+        },
+        budget_.get());
     BW_CHECK(metrics_server_->Listen(options_.listen_metrics));
   }
   ExchangeBuilds();
--- a/src/scheduler/scheduler_service.h
+++ b/src/scheduler/scheduler_service.h
@@ -1,12 +1,15 @@
 #ifndef BORAGEWINCH_SCHEDULER_SCHEDULER_SERVICE_H_
 #define BORAGEWINCH_SCHEDULER_SCHEDULER_SERVICE_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "base/metrics.h"
 #include "kernel/kernel.h"
+#include "net/body_budget.h"
+#include "net/body_budget_monitor.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net/rpc_client.h"
@@ -41,6 +44,7 @@
   WorkerCallRouterOptions call_router;
   TaskPlannerOptions planner;
   HostManagerOptions hosts;
+  std::int64_t memory_mb = 0;  ///< of the host; 0: unknown
 };
 
 /// \brief Dependencies of the scheduler on the platform.
@@ -113,6 +117,8 @@
   PeerBuilds peer_builds_;
   std::unique_ptr<RelayServer> relay_;
   std::unique_ptr<RelayClient> control_relay_;  ///< used on followers
+  std::unique_ptr<BodyBudget> budget_;          ///< used by the servers
+  std::unique_ptr<BodyBudgetMonitor> budget_monitor_;
   std::unique_ptr<HttpServer> internal_;
   std::unique_ptr<HttpServer> control_;
   std::unique_ptr<HttpServer> metrics_server_;
