--- a/src/net/body_budget.cc
+++ b/src/net/body_budget.cc
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr std::size_t kMebibyte = 1024UL * 1024;
-/// Memory of the smallest host of the earlier deployments that replicates.
-constexpr std::size_t kDefaultMemoryMb = 256;
+/// Memory of the smallest hosts of the deployments.
+constexpr std::size_t kDefaultGatewayMemoryMb = 160;
+constexpr std::size_t kDefaultSchedulerMemoryMb = 256;
 /// An idle process has 16 MiB resident; the rest is for its own tables.
 constexpr std::size_t kProcessMemoryMb = 24;
 /// The other half covers what is not counted by connection: the parsed form of
@@ -32,8 +33,11 @@
 
 BodyBudgetLimits BodyBudgetLimitsFor(std::int64_t memory_mb,
                                      BodyBudgetUse use) {
-  const std::size_t memory =
-      memory_mb > 0 ? static_cast<std::size_t>(memory_mb) : kDefaultMemoryMb;
+  std::size_t memory = use == BodyBudgetUse::kGateway
+                           ? kDefaultGatewayMemoryMb
+                           : kDefaultSchedulerMemoryMb;
+  if (memory_mb > 0)
+    memory = static_cast<std::size_t>(memory_mb);
   BodyBudgetLimits limits;
   const std::size_t usable =
       memory > kProcessMemoryMb ? memory - kProcessMemoryMb : 0;
