--- a/tests/net_test.cc
+++ b/tests/net_test.cc
@@ -6,6 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <atomic>
+#include <cerrno>
 #include <thread>
 
 #include <memory>
@@ -284,6 +285,97 @@
   BOOST_TEST(response.value().status == 413);
 }
 
+struct BudgetFixture : Fixture {
+  // Two connections of 32 KiB and a body of 40,000 bytes fit.
+  BodyBudget budget{BodyBudgetLimits{120'000, 0, 120'000, 120'000}};
+  int handled = 0;
+  HttpServer server{
+      loop, HttpServerLimits{},
+      [this](const HttpRequest& request, const HttpResponder& respond) {
+        ++handled;
+        respond({200, request.body});
+      },
+      &budget,
+      [](const HttpRequest& request) {
+        HttpAdmission admission;
+        if (request.path == "/secret")
+          admission.refusal = HttpResponse{401, "{}"};
+        return admission;
+      }};
+
+  BudgetFixture() { BOOST_REQUIRE(server.Listen("127.0.0.1:0")); }
+
+  /// \brief Sends `bytes`, which the socket must accept at once.
+  static void Send(int connection, const std::string& bytes) {
+    BOOST_REQUIRE(send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                  static_cast<ssize_t>(bytes.size()));
+  }
+  /// \returns what arrives until the server closes the connection.
+  std::string ReadUntilClosed(int connection) {
+    std::string text;
+    const WatchHandle reader = loop.Every(Millis(5), [&](TimePoint) {
+      char buffer[4'096];
+      const ssize_t got =
+          recv(connection, buffer, sizeof(buffer), MSG_DONTWAIT);
+      if (got > 0)
+        text.append(buffer, static_cast<std::size_t>(got));
+      else if (got == 0 || errno != EAGAIN)
+        loop.Stop();
+    });
+    loop.Run();
+    return text;
+  }
+  /// \brief Runs the loop until the budget holds at least `bytes`.
+  void AwaitHeld(std::size_t bytes) {
+    const WatchHandle step = loop.Every(Millis(5), [&](TimePoint) {
+      if (budget.held() >= bytes)
+        loop.Stop();
+    });
+    loop.Run();
+    BOOST_REQUIRE(budget.held() >= bytes);
+  }
+};
+
+// Guards against a server that reads a body which it can only refuse, for its
+// length or for missing credentials.
+BOOST_FIXTURE_TEST_CASE(BodiesAreRefusedByTheirHeaders, BudgetFixture) {
+  const int large = Connect(server.address());
+  Send(large, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000000\r\n\r\nx");
+  BOOST_TEST(ReadUntilClosed(large).starts_with("HTTP/1.1 413"));
+  const int secret = Connect(server.address());
+  Send(secret,
+       "POST /secret HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nx");
+  BOOST_TEST(ReadUntilClosed(secret).starts_with("HTTP/1.1 401"));
+  BOOST_TEST(handled == 0);
+  close(large);
+  close(secret);
+}
+
+// Guards against a full budget that refuses a sender which completes its body
+// for the sake of one that has stopped, and against bytes that stay counted.
+BOOST_FIXTURE_TEST_CASE(ACompleteBodyDisplacesAStoppedOne, BudgetFixture) {
+  constexpr std::size_t kBody = 20'000;
+  const int stopped = Connect(server.address());
+  Send(stopped, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 20001\r\n\r\n" +
+                    std::string(kBody, 'x'));
+  AwaitHeld(kBody);
+  const auto response = Call({"POST",
+                              "http://" + server.address() + "/",
+                              {},
+                              std::string(kBody, 'x')});
+  BOOST_REQUIRE(response);
+  BOOST_TEST(response.value().status == 200);
+  const std::string refusal = ReadUntilClosed(stopped);
+  BOOST_TEST(refusal.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(refusal.find("Retry-After: 1") != std::string::npos);
+  BOOST_TEST(handled == 1);
+  BOOST_TEST(budget.refusals() == 1U);
+  // One idle connection is left.
+  BOOST_TEST(budget.connections() == 1U);
+  BOOST_TEST(budget.held() == 32U * 1024);
+  close(stopped);
+}
+
 struct RpcFixture : Fixture {
   RpcServer rpc{"secret"};
   HttpServer server{loop,
