--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -1,7 +1,6 @@
 #include "scheduler/task_planner.h"
 
 #include <algorithm>
-#include <array>
 #include <map>
 #include <optional>
 #include <set>
@@ -15,22 +14,6 @@
 
 namespace {
 
-/// Assumed duration of a task without an estimate.
-constexpr Millis kDefaultEstimate{1'000};
-/// Time after its last plan for which the wait of a task is remembered. Plans
-/// that have reached max_starts leave out the remaining tasks.
-constexpr jobs::UnixMillis kWaitMemoryMillis = 10'000;
-
-[[nodiscard]] Millis EstimateOf(const jobs::StepSpec& step) {
-  return step.estimate.count() > 0 ? step.estimate : kDefaultEstimate;
-}
-
-[[nodiscard]] Millis DurationOf(const jobs::StepSpec& step,
-                                const QueueName& queue,
-                                const ExpectedDuration& expected) {
-  return expected ? expected(queue, EstimateOf(step)) : EstimateOf(step);
-}
-
 /// State of a worker during a plan.
 struct WorkerState {
   const jobs::Worker* worker = nullptr;
@@ -694,79 +677,6 @@
 
 }  // namespace
 
-namespace {
-
-/// \returns the critical path over the steps for which `included` is true.
-template <typename Counts>
-[[nodiscard]] Millis CriticalPath(const jobs::JobSpec& spec,
-                                  const QueueName& queue,
-                                  const ExpectedDuration& expected,
-                                  const Counts& included) {
-  std::array<Millis, jobs::kMaxSteps> ends;
-  Millis longest{0};
-  for (std::size_t s = 0; s < spec.steps.size(); ++s) {
-    Millis begin{0};
-    for (const std::uint32_t earlier : spec.steps[s].depends_on)
-      begin = std::max(begin, ends[earlier]);
-    ends.at(s) =
-        begin +
-        (included(s) ? DurationOf(spec.steps[s], queue, expected) : Millis(0));
-    longest = std::max(longest, ends.at(s));
-  }
-  return longest;
-}
-
-}  // namespace
-
-Millis RemainingCriticalPath(const jobs::Job& job,
-                             const jobs::Occurrence& occurrence,
-                             const ExpectedDuration& expected) {
-  return CriticalPath(*job.spec, job.queue, expected, [&](std::size_t s) {
-    return !occurrence.steps[s].complete();
-  });
-}
-
-Millis CriticalPathOf(const jobs::JobSpec& spec,
-                      const QueueName& queue,
-                      const ExpectedDuration& expected) {
-  return CriticalPath(spec, queue, expected, [](std::size_t) { return true; });
-}
-
-jobs::UnixMillis ObjectiveOf(const jobs::Job& job,
-                             const jobs::QueueConfig& queue,
-                             jobs::UnixMillis from,
-                             const ExpectedDuration& expected) {
-  const Millis longest = CriticalPathOf(*job.spec, job.queue, expected);
-  return from +
-         static_cast<jobs::UnixMillis>(queue.stretch *
-                                       static_cast<double>(longest.count())) +
-         queue.latency_target.count();
-}
-
-bool ReservationClock::MayReserve(const PoolName& pool, jobs::UnixMillis now) {
-  const auto [it, added] = began_.try_emplace(pool, now);
-  jobs::UnixMillis& began = it->second;
-  if (now < began || now - began >= max_reservation_ + pause_)
-    began = now;
-  return now - began < max_reservation_;
-}
-
-bool AvoidanceClock::MayWait(const jobs::TaskName& task,
-                             std::uint32_t last_run,
-                             jobs::UnixMillis now) {
-  Wait& wait = waits_.try_emplace(task, Wait{last_run, now, now}).first->second;
-  if (wait.last_run != last_run || now < wait.began)
-    wait = Wait{last_run, now, now};
-  wait.asked = now;
-  return now - wait.began < max_avoidance_;
-}
-
-void AvoidanceClock::Prune(jobs::UnixMillis now) {
-  std::erase_if(waits_, [now](const auto& item) {
-    return now - item.second.asked > kWaitMemoryMillis;
-  });
-}
-
 std::vector<jobs::StartRecord> TaskPlanner::Plan(const jobs::JobLedger& ledger,
                                                  const PlannerHooks& hooks,
                                                  jobs::UnixMillis now) {
