--- a/tests/copy_planner_test.cc
+++ b/tests/copy_planner_test.cc
@@ -240,6 +240,24 @@
   BOOST_TEST(draining.Plan().empty());
 }
 
+// Guards against copies in a zone that an operator has taken out of use.
+BOOST_AUTO_TEST_CASE(EvacuatedZonesGetNoCopies) {
+  Fixture fixture;
+  fixture.Run(Speculative());
+  jobs::Batch batch;
+  batch.workers.push_back(fixture.builder.ledger()
+                              .FindWorker(LedgerBuilder::IncarnationOf("b"))
+                              ->record);
+  batch.workers[0].zone = ZoneName("z");
+  batch.zone_changes.push_back({ZoneName("z"), true});
+  fixture.builder.Apply(batch);
+  BOOST_TEST(fixture.Plan().empty());
+  jobs::Batch returned;
+  returned.zone_changes.push_back({ZoneName("z"), false});
+  fixture.builder.Apply(returned);
+  BOOST_TEST(fixture.Plan().size() == 1U);
+}
+
 // Guards against copies without a ticket.
 BOOST_AUTO_TEST_CASE(QueuesWithAdviceGetCopiesOnlyWhereAllowed) {
   Fixture fixture;
