--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -45,16 +45,11 @@
 // has been carried out, and its memory is larger than that.
 constexpr std::size_t kSmallResponseBytes = 16UL * 1024;
 
-// The full response, for connections on which libmicrohttpd can't send one in
-// the middle of a body.
-constexpr char kTooLargeResponse[] =
-    "HTTP/1.1 413 Content Too Large\r\nContent-Type: application/json\r\n"
-    "Content-Length: 21\r\nConnection: close\r\n\r\n"
-    "{\"error\":\"too_large\"}";
-constexpr char kNoMemoryResponse[] =
-    "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\n"
-    "Content-Length: 23\r\nRetry-After: 1\r\nConnection: close\r\n\r\n"
-    "{\"error\":\"unavailable\"}";
+// A refused client may send this much of its body before the connection is
+// closed. If it were closed at once, the reset that follows unread bytes could
+// overtake the response.
+constexpr std::size_t kMaxDroppedBytes = 16UL * 1024 * 1024;
+constexpr int kMaxDroppedIntervals = 2;
 
 [[nodiscard]] HttpResponse ErrorResponse(int status,
                                          ErrorCode code,
@@ -135,6 +130,19 @@
   return text;
 }
 
+/// \returns a response that is written to the socket itself: libmicrohttpd
+/// can't send one in the middle of a body.
+[[nodiscard]] std::string Serialize(const HttpResponse& response) {
+  std::string text =
+      "HTTP/1.1 " + std::to_string(response.status) + " " +
+      MHD_get_reason_phrase_for(static_cast<unsigned>(response.status)) +
+      "\r\nContent-Type: " + response.content_type +
+      "\r\nContent-Length: " + std::to_string(response.body.size());
+  for (const auto& [name, value] : response.headers)
+    text += "\r\n" + name + ": " + value;
+  return text + "\r\nConnection: close\r\n\r\n" + response.body;
+}
+
 /// A client's connection, from its acceptance to its end.
 struct Connection {
   int socket = -1;
@@ -152,6 +160,10 @@
   std::optional<std::size_t> declared;  ///< Content-Length
   std::size_t header_bytes = 0;
   std::size_t progress = 0;  ///< bytes since the last noted progress
+  bool has_body = false;
+  bool refused = false;  ///< the response is sent; the body is dropped
+  std::size_t dropped = 0;
+  int dropped_intervals = 0;
   bool dispatched = false;
   bool suspended = false;
   bool closed = false;
@@ -225,9 +237,10 @@
   // libmicrohttpd closes the connection when it finds the socket shut down.
   void Evict(Connection& connection) {
     connection.evicted = true;
-    if (connection.request != nullptr && !connection.request->response) {
-      connection.request->request = HttpRequest();
-      SendNow(connection, kNoMemoryResponse);
+    if (RequestState* state = connection.request;
+        state != nullptr && !state->response && !state->refused) {
+      Drop(*state);
+      SendNow(connection, NoMemoryResponse());
     }
     shutdown(connection.socket, SHUT_RDWR);
     ScheduleRun();
@@ -236,9 +249,15 @@
   // libmicrohttpd misses the end of a stream that arrives together with the
   // last bytes (epoll reports both at once), and would keep the connection
   // until it is idle for too long.
+  // Refused connections are closed as well if their clients go on sending.
   void CloseEnded() {
     std::vector<pollfd> polled;
     for (const Connection* connection : connections) {
+      if (RequestState* state = connection->request;
+          state != nullptr && state->refused &&
+          ++state->dropped_intervals > kMaxDroppedIntervals) {
+        shutdown(connection->socket, SHUT_RDWR);
+      }
       // A client may end its stream after a whole request and still read.
       if (connection->request == nullptr || !connection->request->dispatched)
         polled.push_back({connection->socket, POLLRDHUP, 0});
@@ -255,12 +274,34 @@
     ScheduleRun();
   }
 
+  // Frees the request. An assignment of an empty one would keep the memory of
+  // its body.
+  static void Drop(RequestState& state) {
+    const HttpRequest dropped = std::move(state.request);
+  }
+
   // Sends a response as far as the socket accepts it.
-  static void SendNow(const Connection& connection, std::string_view response) {
-    (void)send(connection.socket, response.data(), response.size(),
+  static void SendNow(const Connection& connection,
+                      const HttpResponse& response) {
+    const std::string text = Serialize(response);
+    (void)send(connection.socket, text.data(), text.size(),
                MSG_NOSIGNAL | MSG_DONTWAIT);
   }
 
+  // Responds to a request whose body is not complete and drops what still
+  // arrives of it.
+  void Refuse(const Connection& connection,
+              RequestState& state,
+              const HttpResponse& response) const {
+    state.refused = true;
+    Drop(state);
+    state.header_bytes = 0;
+    if (budget)
+      budget->ForceResize(connection.id, kConnectionMemoryBytes);
+    SendNow(connection, response);
+    shutdown(connection.socket, SHUT_WR);
+  }
+
   [[nodiscard]] bool Resize(const Connection& connection,
                             const RequestState& state,
                             std::size_t bytes) const {
@@ -333,13 +374,20 @@
                               &state.request.query);
     state.declared = DeclaredLength(state.request);
     state.header_bytes = HeaderBytes(state.request);
+    state.has_body = state.declared.value_or(0) > 0 ||
+                     state.request.headers.count("transfer-encoding") > 0;
     // Freed by Completed, which libmicrohttpd calls for every request.
     *context = new std::shared_ptr<RequestState>(std::move(owned));
     client.request = &state;
     ++open;
-    state.response = RefusalOf(client, state);
-    if (!state.response)
+    std::optional<HttpResponse> refusal = RefusalOf(client, state);
+    if (!refusal)
       return MHD_YES;
+    if (state.has_body) {
+      Refuse(client, state, *refusal);
+      return MHD_YES;
+    }
+    state.response = std::move(refusal);
     state.dispatched = true;
     return Send(connection, client, state, true);
   }
@@ -378,15 +426,15 @@
                              RequestState& state,
                              const char* data,
                              std::size_t size) const {
-    if (state.response)
-      return true;  // refused by its headers; libmicrohttpd drops the body
+    if (state.refused) {
+      state.dropped += size;
+      return state.dropped <= kMaxDroppedBytes;
+    }
     std::string& body = state.request.body;
     const std::size_t needed = body.size() + size;
     if (needed > limits.max_body_bytes) {
-      LogEvent(EventId::kBoundReached, {{"bound", "body_bytes"}});
-      body = std::string();
-      SendNow(client, kTooLargeResponse);
-      return false;
+      Refuse(client, state, TooLargeResponse());
+      return true;
     }
     if (needed > body.capacity()) {
       const std::size_t capacity = std::max(
@@ -394,9 +442,8 @@
                            state.declared.value_or(limits.max_body_bytes)));
       if (!Resize(client, state, capacity)) {
         budget->CountRefusal();
-        body = std::string();
-        SendNow(client, kNoMemoryResponse);
-        return false;
+        Refuse(client, state, NoMemoryResponse());
+        return true;
       }
       // std::string::reserve would at least double the capacity.
       std::string larger;
@@ -416,6 +463,8 @@
   MHD_Result Respond(MHD_Connection* connection,
                      Connection& client,
                      const std::shared_ptr<RequestState>& state) {
+    if (state->refused)
+      return MHD_NO;  // the body is complete; closes the connection
     if (!state->dispatched) {
       state->dispatched = true;
       const std::size_t bytes =
@@ -425,7 +474,7 @@
                                         "the server is shutting down");
       } else if (!Resize(client, *state, bytes)) {
         budget->CountRefusal();
-        state->request = HttpRequest();
+        Drop(*state);
         state->response = NoMemoryResponse();
       } else {
         if (budget)
@@ -446,7 +495,7 @@
                   const Connection& client,
                   RequestState& state,
                   bool close) const {
-    state.request = HttpRequest();
+    Drop(state);
     state.header_bytes = 0;
     if (!Resize(client, state, state.response->body.size())) {
       budget->CountRefusal();
