--- a/tests/platform_cluster.cc
+++ b/tests/platform_cluster.cc
@@ -117,6 +117,8 @@
         std::string("--internal-port=") + kInternalPort,
         std::string("--cluster-secret=") + kSecret,
         "--host-platform=" + hosts_->address(),
+        "--start-order=least-loss",
+        "--admission=least-loss",
     };
     if (options_.speculation)
       program.arguments.emplace_back("--speculation=on");
@@ -141,6 +143,7 @@
         "--seeds=" + seeds_,
         std::string("--internal-port=") + kInternalPort,
         std::string("--cluster-secret=") + kSecret,
+        "--reads=followers",
     };
     gateways_.push_back(name);
   }
