--- a/src/overload/start_order.cc
+++ b/src/overload/start_order.cc
@@ -35,8 +35,8 @@
       kOptimism * static_cast<double>(times.path.count()));
   if (now + at_best <= times.objective)
     return Urgency::kDoubtful;
-  return now + times.path.count() <= times.useful_until() ? Urgency::kLate
-                                                          : Urgency::kTooLate;
+  // Nothing is given up that a rough estimate only makes seem useless.
+  return now < times.useful_until() ? Urgency::kLate : Urgency::kTooLate;
 }
 
 bool StartsBefore(const WaitingJob& a, const WaitingJob& b) {
--- a/src/scheduler/relay.cc
+++ b/src/scheduler/relay.cc
@@ -246,8 +246,12 @@
 
 std::string RelayClient::NextFollower() {
   for (std::size_t left = hosts_.hosts().size(); left > 0; --left) {
-    if (std::string host = hosts_.Next(); host != leader_)
+    std::string host = hosts_.Next();
+    const auto suspended = suspended_until_.find(host);
+    if (host != leader_ && (suspended == suspended_until_.end() ||
+                            loop_.now() >= suspended->second)) {
       return host;
+    }
   }
   return "";
 }
@@ -331,6 +335,7 @@
 
 // A read has no effect, so that the attempt counts as none.
 void RelayClient::OnFollowerResult(const std::shared_ptr<Pending>& pending,
+                                   const std::string& host,
                                    Result<RelayResult> result) {
   pending->at_follower = false;
   pending->request.http.headers.erase(kMinLedgerIndexHeader);
@@ -340,11 +345,14 @@
     ledger_index_ =
         std::max(ledger_index_, IndexIn(response.headers, kLedgerIndexHeader));
     response.headers.erase(kLedgerIndexHeader);
+    suspended_until_.erase(host);
     pending->done(std::move(response));
     return;
   }
   if (result)
     UpdateMembers(result.value().view);
+  else
+    suspended_until_[host] = loop_.now() + options_.follower_rest;
   Attempt(pending);
 }
 
@@ -352,7 +360,7 @@
                            const std::string& host,
                            Result<RelayResult> result) {
   if (pending->at_follower) {
-    OnFollowerResult(pending, std::move(result));
+    OnFollowerResult(pending, host, std::move(result));
     return;
   }
   if (result && result.value().response) {
--- a/src/scheduler/relay.h
+++ b/src/scheduler/relay.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -70,6 +71,8 @@
     Millis attempt_timeout{900};
     /// Timeout of the attempt at a follower, which responds from memory.
     Millis follower_timeout{250};
+    /// Time for which a follower that did not respond is not asked.
+    Millis follower_rest{3'000};
     /// Age of what a follower may respond. The users' platform allows a request
     /// to be handled by the earlier configuration for 2 s.
     Millis max_read_age{1'000};
@@ -126,6 +129,7 @@
                  Millis timeout,
                  const std::shared_ptr<Pending>& pending);
   void OnFollowerResult(const std::shared_ptr<Pending>& pending,
+                        const std::string& host,
                         Result<RelayResult> result);
   [[nodiscard]] std::string NextHost();
   /// \returns the next host that is not known to be the leader; empty if there
@@ -138,6 +142,8 @@
   KnownHosts hosts_;
   std::string leader_;
   TimePoint last_leader_response_;
+  /// Followers that did not respond to a read, until they are asked again.
+  std::map<std::string, TimePoint> suspended_until_;
   /// Highest index of the ledger in a response.
   std::uint64_t ledger_index_ = 0;
   /// The leader's ledger had an index of at most `ledger_index_` then.
--- a/src/scheduler/task_planner.cc
+++ b/src/scheduler/task_planner.cc
@@ -57,8 +57,6 @@
   return key_a != key_b ? key_a < key_b : *a.id < *b.id;
 }
 
-const ExpectedDuration kEstimatesOnly;
-
 /// Computes one plan.
 class PlanBuilder {
  public:
@@ -99,6 +97,8 @@
     const bool least_loss = options_.order == StartOrder::kLeastLoss;
     if (least_loss)
       over_share_ = overload::CustomersOverShare(CustomerDemand());
+    const ExpectedDuration expected =
+        least_loss ? hooks_.expected_duration : nullptr;
     std::vector<Candidate> candidates;
     for (const jobs::Job* job : ledger_.startable()) {
       const jobs::QueueConfig* queue = ledger_.QueueOf(*job);
@@ -119,8 +119,6 @@
         }
         if (!has_waiting_tasks)
           continue;
-        const ExpectedDuration& expected =
-            least_loss ? hooks_.expected_duration : kEstimatesOnly;
         const jobs::UnixMillis from =
             job->spec->repeats > 0 ? job->spec->due(number) : job->accepted;
         waiting.id = &job->id;
@@ -231,11 +229,12 @@
       (*demand)[pool].cpu_millis += tasks * required.cpu_millis;
   }
 
-  /// \returns the free capacity of the workers that accept starts.
+  /// \returns the free capacity of the workers, without those that are known to
+  /// accept no starts. Asking all of them would take too long.
   [[nodiscard]] Resources FreeCapacityOf(const PoolName& pool) {
     Resources free;
     for (const WorkerState& state : PoolWorkersOf(pool)->states) {
-      if (state.limit_exhausted || StartLimitOf(state) > 0)
+      if (state.limit_exhausted || state.start_limit.value_or(1) > 0)
         free += state.free;
     }
     return free;
