--- a/review/stand_ins_3/scenario_main.cc
+++ b/review/stand_ins_3/scenario_main.cc
@@ -3,6 +3,7 @@
 // usage: scenario NAME CONTROLS FRONTS MACHINES-ADDRESS TROUBLE
 // exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run
 
+#include <algorithm>
 #include <cstdlib>
 #include <cstring>
 #include <iostream>
@@ -111,7 +112,7 @@
       options.id = "i-0000000" + std::to_string(i);
       options.machine = "m-0000" + std::to_string(i);
       options.service = "pool-a";
-      options.zone = "zone-" + std::string(1, static_cast<char>('a' + i - 1));
+      options.zone = "zone-" + std::to_string(i % 3);
       options.rack = "r1-" + std::to_string(i);
       options.controls = controls;
       workers.push_back(std::make_unique<Worker>(options, runs));
@@ -158,6 +159,16 @@
     });
   }
 
+  /// \returns the number of jobs that have not begun, as the queue's
+  /// `pending` says; -1 without an answer.
+  int Pending() {
+    const Response response =
+        Call(fronts[1], ConsumerRequest("GET", "", ""), Millis(3'000));
+    if (!IsSuccess(response))
+      return -1;
+    return ParseOrNull(response.body)["pending"].asInt();
+  }
+
   std::string StateOf(const std::string& job) {
     const Response response =
         Call(fronts[0], ConsumerRequest("GET", job, ""), Millis(3'000));
@@ -209,13 +220,16 @@
   return text;
 }
 
-/// Starts the job on one of two workers. \returns the worker, or nullptr.
-Worker* StartJob(Platform* platform, const std::string& job, int duration_ms) {
+/// Starts the job on one of the workers. \returns the worker, or nullptr.
+Worker* StartJob(Platform* platform,
+                 const std::string& job,
+                 int duration_ms,
+                 int workers = 2) {
   if (!platform->PutConfig()) {
     Record("no node acknowledged the configuration");
     return nullptr;
   }
-  platform->AddWorkers(2);
+  platform->AddWorkers(workers);
   if (!platform->WorkersReady()) {
     Record("the workers were not called");
     return nullptr;
@@ -327,6 +341,66 @@
   return kHeld;
 }
 
+/// One of seven workers crashes silently and for good. Jobs that come at once
+/// are ordered on it. The rule is broken if the queue's `pending` is under half
+/// of the jobs that were accepted over 5 s before and have not begun.
+int PlayPending(Platform* platform, bool trouble) {
+  constexpr int kJobs = 12;
+  constexpr int kWorkers = 7;
+  constexpr long kVisibleMs = 3'000;
+  constexpr long kBoundMs = kVisibleMs + 2'000;
+  Worker* worker = StartJob(platform, NewJobId(), 60'000, kWorkers);
+  if (worker == nullptr)
+    return kCouldNotRun;
+  std::this_thread::sleep_for(Millis(1'500));
+  if (trouble) {
+    Record("the worker " + worker->options().id + " crashes silently");
+    worker->CrashDark();
+  }
+  std::this_thread::sleep_for(Millis(500));
+  struct Handed {
+    std::string job;
+    long accepted = -1;
+  };
+  std::vector<Handed> jobs(kJobs);
+  std::vector<std::thread> consumers;
+  for (Handed& handed : jobs) {
+    handed.job = NewJobId();
+    consumers.emplace_back([platform, &handed] {
+      if (platform->Submit(handed.job, 500))
+        handed.accepted = SinceStart();
+    });
+  }
+  for (std::thread& consumer : consumers)
+    consumer.join();
+  bool broken = false;
+  const auto until = Clock::now() + Millis(12'000);
+  while (Clock::now() < until) {
+    std::this_thread::sleep_for(Millis(500));
+    const int pending = platform->Pending();
+    const auto runs = platform->runs.runs();
+    int waiting = 0;
+    for (const Handed& handed : jobs) {
+      const bool begun =
+          std::any_of(runs.begin(), runs.end(), [&](const Run& run) {
+            return run.task.compare(0, handed.job.size(), handed.job) == 0;
+          });
+      if (handed.accepted >= 0 && !begun &&
+          SinceStart() - handed.accepted > kBoundMs) {
+        ++waiting;
+      }
+    }
+    const bool wrong = pending >= 0 && 2 * pending < waiting;
+    Record("GET " + std::string(kPrefix) + " -> pending " +
+           std::to_string(pending) + "; accepted over 5 s ago and not begun: " +
+           std::to_string(waiting) + (wrong ? " BROKEN (MIXED)" : ""));
+    broken = broken || wrong;
+  }
+  if (!broken)
+    Record("held: pending was never under half of the jobs not begun");
+  return broken ? kBroken : kHeld;
+}
+
 int Main(int argc, char** argv) {
   if (argc != 6) {
     std::cerr << "usage: scenario NAME CONTROLS FRONTS MACHINES-ADDRESS "
@@ -345,6 +419,8 @@
     return PlayLeave(&platform, trouble);
   if (name == "foreign-check-in")
     return PlayForeign(&platform, trouble);
+  if (name == "pending")
+    return PlayPending(&platform, trouble);
   std::cerr << "unknown case " << name << "\n";
   return kCouldNotRun;
 }
--- a/review/stand_ins_3/worker.cc
+++ b/review/stand_ins_3/worker.cc
@@ -106,6 +106,8 @@
 }
 
 Response Worker::Serve(const Request& request) {
+  while (dark_)
+    std::this_thread::sleep_for(kCheckInInterval);
   std::unique_lock lock(mutex_);
   if (gone_)
     return {};
@@ -201,8 +203,12 @@
     ended_changed_.wait_for(*lock, Millis(wait),
                             [this] { return gone_ || !ended_.empty(); });
   }
-  if (gone_)
+  if (gone_) {
+    lock->unlock();
+    while (dark_)
+      std::this_thread::sleep_for(kCheckInInterval);
     return {};
+  }
   Json::Value answer;
   answer["running"] = Json::arrayValue;
   answer["finished"] = Json::arrayValue;
@@ -369,6 +375,11 @@
   Crash();
 }
 
+void Worker::CrashDark() {
+  dark_ = true;
+  Crash();
+}
+
 void Worker::Crash() {
   {
     const std::lock_guard lock(mutex_);
@@ -380,7 +391,8 @@
     Record(options_.id + " has ended");
   }
   ended_changed_.notify_all();
-  server_->Close();
+  if (!dark_)
+    server_->Close();
 }
 
 }  // namespace review
--- a/review/stand_ins_3/worker.h
+++ b/review/stand_ins_3/worker.h
@@ -79,6 +79,9 @@
   void Leave();
   /// Ends at once, as after a crash.
   void Crash();
+  /// Ends at once and for good; its address accepts connections and never
+  /// answers, as that of a machine without power.
+  void CrashDark();
 
  private:
   struct Current {
@@ -129,6 +132,7 @@
   std::atomic<bool> drain_acknowledged_{false};
   std::atomic<std::size_t> holds_{0};
   std::atomic<bool> gone_{false};
+  std::atomic<bool> dark_{false};
   std::unique_ptr<Server> server_;
   std::thread ticker_;
   std::thread reporter_;
