--- a/review/stand_ins_3/scenario_main.cc
+++ b/review/stand_ins_3/scenario_main.cc
@@ -141,13 +141,15 @@
             body};
   }
 
-  /// Hands in a job with one task of `duration_ms`.
-  bool Submit(const std::string& job, int duration_ms) {
+  /// Hands in a job with one task of `duration_ms`, or with `lasting` tasks.
+  bool Submit(const std::string& job, int duration_ms, int lasting = 0) {
     Json::Value step;
-    step["count"] = 1;
+    step["count"] = std::max(1, lasting);
     step["cpu"] = 1'000;
     step["memMb"] = 256;
-    step["estimatedMs"] = duration_ms;
+    step["estimatedMs"] = lasting > 0 ? 900 : duration_ms;
+    if (lasting > 0)
+      step["longRunning"] = true;
     Json::Value body;
     body["spec"] = std::to_string(duration_ms) + " ms of work";
     body["steps"].append(step);
@@ -187,6 +189,14 @@
     return nullptr;
   }
 
+  /// \returns the number of tasks on the workers other than `except`.
+  std::size_t RunningElsewhere(const Worker* except) {
+    std::size_t running = 0;
+    for (const auto& worker : workers)
+      running += worker.get() == except ? 0 : worker->running();
+    return running;
+  }
+
   /// The machines' list of the infrastructure.
   Response ServeMachines(const Request& request) {
     if (request.method != "GET")
@@ -224,7 +234,8 @@
 Worker* StartJob(Platform* platform,
                  const std::string& job,
                  int duration_ms,
-                 int workers = 2) {
+                 int workers = 2,
+                 int lasting = 0) {
   if (!platform->PutConfig()) {
     Record("no node acknowledged the configuration");
     return nullptr;
@@ -234,9 +245,9 @@
     Record("the workers were not called");
     return nullptr;
   }
-  if (!platform->Submit(job, duration_ms) || !WaitFor(Millis(10'000), [&] {
-        return !platform->runs.runs().empty();
-      })) {
+  if (!platform->Submit(job, duration_ms, lasting) ||
+      !WaitFor(Millis(10'000),
+               [&] { return !platform->runs.runs().empty(); })) {
     Record("the job did not start");
     return nullptr;
   }
@@ -401,6 +412,55 @@
   return broken ? kBroken : kHeld;
 }
 
+/// One of seven workers crashes silently and for good. A job with tasks that
+/// last is handed in 0.5 s later. The rule is broken if one of its tasks does
+/// not run 10 s after the crash: the last 7 s of these are calm.
+int PlayLasting(Platform* platform, bool trouble) {
+  constexpr int kTasks = 4;
+  constexpr int kWorkers = 7;
+  constexpr int kForever = 600'000;
+  constexpr long kContactMs = 3'000;
+  constexpr long kCalmMs = 7'000;
+  Worker* worker = StartJob(platform, NewJobId(), kForever, kWorkers, 1);
+  if (worker == nullptr)
+    return kCouldNotRun;
+  std::this_thread::sleep_for(Millis(1'500));
+  const long crash = SinceStart();
+  if (trouble) {
+    Record("the worker " + worker->options().id + " crashes silently");
+    worker->CrashDark();
+  }
+  std::this_thread::sleep_for(Millis(500));
+  const std::string job = NewJobId();
+  if (!platform->Submit(job, kForever, kTasks))
+    return kCouldNotRun;
+  const auto started = [&] {
+    const auto runs = platform->runs.runs();
+    return std::count_if(runs.begin(), runs.end(), [&](const Run& run) {
+      return run.number > 0 && run.until < 0 &&
+             run.task.compare(0, job.size(), job) == 0;
+    });
+  };
+  while (SinceStart() < crash + kContactMs + kCalmMs)
+    std::this_thread::sleep_for(Millis(20));
+  const auto running = started();
+  Record(std::to_string(running) + " of " + std::to_string(kTasks) +
+         " tasks that last run 10 s after the crash; " +
+         std::to_string(kWorkers - 1) + " other workers of 16 cores run " +
+         std::to_string(platform->RunningElsewhere(worker)) + " task(s)");
+  if (running == kTasks) {
+    Record("held: all tasks that last run");
+    return kHeld;
+  }
+  (void)WaitFor(Millis(15'000), [&] { return started() == kTasks; });
+  Record("BROKEN (LOST): " + std::to_string(kTasks - running) +
+         " tasks that last did not run for the 7 calm seconds from 3 s after "
+         "the crash on; " +
+         std::to_string(started()) + " run " +
+         std::to_string(SinceStart() - crash) + " ms after the crash");
+  return kBroken;
+}
+
 int Main(int argc, char** argv) {
   if (argc != 6) {
     std::cerr << "usage: scenario NAME CONTROLS FRONTS MACHINES-ADDRESS "
@@ -421,6 +481,8 @@
     return PlayForeign(&platform, trouble);
   if (name == "pending")
     return PlayPending(&platform, trouble);
+  if (name == "lasting")
+    return PlayLasting(&platform, trouble);
   std::cerr << "unknown case " << name << "\n";
   return kCouldNotRun;
 }
