--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -5,4 +5,4 @@
 . "$case_folder/../stand_ins_3/cluster.sh"
 for i in 0 1 2; do start_scheduler "$i" true; done
 for i in 0 1; do start_gateway "$i"; done
-play lasting
+play pending
--- a/review/stand_ins_3/scenario_main.cc
+++ b/review/stand_ins_3/scenario_main.cc
@@ -306,7 +306,7 @@
   std::unique_ptr<Server> agent;
   if (trouble) {
     agent = std::make_unique<Server>(
-        worker->options().ip, [](const Request& request) -> Response {
+        worker->options().listen, [](const Request& request) -> Response {
           Record("the other writer's address gets " + request.method + " " +
                  request.path);
           return {404, "{}", nullptr};
@@ -461,6 +461,95 @@
   return kBroken;
 }
 
+/// A worker leaves the two copies of a start without a response, accepts the
+/// stop of that run, crashes and starts again under its id. Then it carries out
+/// the starts, late. The rule is broken if two runs of the task are at work at
+/// the same time.
+int PlayLateStart(Platform* platform, bool trouble) {
+  constexpr int kWorkers = 7;
+  constexpr int kTaskMs = 9'000;
+  constexpr long kMinDelayMs = 2'050;
+  constexpr Millis kRestartTime{300};
+  if (!platform->PutConfig())
+    return kCouldNotRun;
+  platform->AddWorkers(kWorkers);
+  if (!platform->WorkersReady())
+    return kCouldNotRun;
+  if (trouble) {
+    // Whichever worker gets the task leaves its starts without a response.
+    for (const auto& worker : platform->workers)
+      worker->DelayStarts(2);
+  }
+  const std::string job = NewJobId();
+  if (!platform->Submit(job, kTaskMs))
+    return kCouldNotRun;
+  std::this_thread::sleep_for(Millis(250));
+  Worker* late = nullptr;
+  std::vector<Worker::DelayedStart> delayed;
+  for (const auto& worker : platform->workers) {
+    if (worker->delayed_starts_left() < 2)
+      late = worker.get();
+    else
+      worker->DelayStarts(0);
+  }
+  if (trouble && late == nullptr) {
+    Record("no worker got the start");
+    return kCouldNotRun;
+  }
+  // Makes another worker the preferred one.
+  if (!platform->Submit(NewJobId(), 60'000))
+    return kCouldNotRun;
+  const auto runs_of_job = [&] {
+    std::vector<Run> runs;
+    for (const Run& run : platform->runs.runs()) {
+      if (run.task.compare(0, job.size(), job) == 0)
+        runs.push_back(run);
+    }
+    return runs;
+  };
+  if (!WaitFor(Millis(30'000), [&] { return !runs_of_job().empty(); })) {
+    Record("the task did not start");
+    return kCouldNotRun;
+  }
+  if (trouble) {
+    delayed = late->TakeDelayedStarts();
+    late->DelayStarts(0);
+    WorkerOptions options = late->options();
+    options.listen = late->address();
+    options.first_check_in = Millis(1'000);
+    Record(options.id + " crashes and starts again under its id");
+    late->Crash();
+    std::this_thread::sleep_for(kRestartTime);
+    platform->workers.push_back(
+        std::make_unique<Worker>(options, platform->runs));
+    Worker* next = platform->workers.back().get();
+    for (const Worker::DelayedStart& start : delayed) {
+      while (SinceStart() < start.sent + kMinDelayMs)
+        std::this_thread::sleep_for(Millis(5));
+      next->CarryOut(start.request);
+    }
+  }
+  std::this_thread::sleep_for(Millis(kTaskMs + 3'000));
+  platform->StateOf(job);
+  const auto runs = runs_of_job();
+  for (std::size_t i = 1; i < runs.size(); ++i) {
+    for (std::size_t j = 0; j < i; ++j) {
+      if (runs[j].until >= 0 && runs[j].until <= runs[i].from)
+        continue;
+      Record("BROKEN (TWICE): " + runs[i].task + " run " +
+             std::to_string(runs[i].number) + " started on " + runs[i].worker +
+             " at " + std::to_string(runs[i].from) + " ms while run " +
+             std::to_string(runs[j].number) + " ran on " + runs[j].worker +
+             " from " + std::to_string(runs[j].from) + " ms to " +
+             std::to_string(runs[j].until) + " ms (" + runs[j].how + ")");
+      return kBroken;
+    }
+  }
+  Record("held: no two runs at the same time, " + std::to_string(runs.size()) +
+         " run(s)");
+  return kHeld;
+}
+
 int Main(int argc, char** argv) {
   if (argc != 6) {
     std::cerr << "usage: scenario NAME CONTROLS FRONTS MACHINES-ADDRESS "
@@ -483,6 +572,8 @@
     return PlayPending(&platform, trouble);
   if (name == "lasting")
     return PlayLasting(&platform, trouble);
+  if (name == "late-start")
+    return PlayLateStart(&platform, trouble);
   std::cerr << "unknown case " << name << "\n";
   return kCouldNotRun;
 }
--- a/review/stand_ins_3/worker.cc
+++ b/review/stand_ins_3/worker.cc
@@ -67,7 +67,8 @@
                 std::chrono::system_clock::now().time_since_epoch())
                 .count()) {
   server_ = std::make_unique<Server>(
-      options_.ip, [this](const Request& request) { return Serve(request); });
+      options_.listen,
+      [this](const Request& request) { return Receive(request); });
   ticker_ = std::thread([this] { Tick(); });
   reporter_ = std::thread([this] { CheckIn(); });
 }
@@ -105,6 +106,36 @@
   return Answer(409, body);
 }
 
+Response Worker::Receive(const Request& request) {
+  if (!Delay(request))
+    return Serve(request);
+  while (!gone_)
+    std::this_thread::sleep_for(kTick);
+  return {};
+}
+
+bool Worker::Delay(const Request& request) {
+  const std::lock_guard lock(mutex_);
+  if (request.path != "/-/run-start" || delayed_starts_ <= 0)
+    return false;
+  --delayed_starts_;
+  delayed_.push_back({request, SinceStart()});
+  const Json::Value body = ParseOrNull(request.body);
+  Record("start of " + body["task"].asString() + " run " +
+         std::to_string(body["runId"].asUInt()) + " at " + options_.id +
+         ": no response, to be carried out late");
+  return true;
+}
+
+std::vector<Worker::DelayedStart> Worker::TakeDelayedStarts() {
+  const std::lock_guard lock(mutex_);
+  return std::exchange(delayed_, {});
+}
+
+void Worker::CarryOut(const Request& request) {
+  (void)Serve(request);
+}
+
 Response Worker::Serve(const Request& request) {
   while (dark_)
     std::this_thread::sleep_for(kCheckInInterval);
@@ -342,7 +373,7 @@
 }
 
 void Worker::CheckIn() {
-  auto due = Clock::now();
+  auto due = started_ + options_.first_check_in;
   bool reported_drain = false;
   while (!gone_) {
     const bool drain_now = draining_ && !reported_drain;
--- a/review/stand_ins_3/worker.h
+++ b/review/stand_ins_3/worker.h
@@ -48,7 +48,9 @@
   std::string service;
   std::string zone;
   std::string rack;
-  std::string ip = "127.0.0.1";
+  /// "IP", or "IP:PORT" to start again at the address of an earlier life.
+  std::string listen = "127.0.0.1";
+  Millis first_check_in{0};
   std::vector<std::string> controls;
   std::int64_t cpu = 16000;
   std::int64_t memory_mb = 32768;
@@ -77,6 +79,16 @@
   void Drain();
   /// Sends its DELETE, until it is acknowledged, and ends.
   void Leave();
+  /// The next `count` starts get no response and are carried out late.
+  void DelayStarts(int count) { delayed_starts_ = count; }
+  [[nodiscard]] int delayed_starts_left() const { return delayed_starts_; }
+  struct DelayedStart {
+    Request request;
+    long sent = 0;  ///< see SinceStart
+  };
+  [[nodiscard]] std::vector<DelayedStart> TakeDelayedStarts();
+  /// Carries out a call that was sent earlier; nobody gets its response.
+  void CarryOut(const Request& request);
   /// Ends at once, as after a crash.
   void Crash();
   /// Ends at once and for good; its address accepts connections and never
@@ -99,6 +111,9 @@
     bool listed = false;
   };
 
+  Response Receive(const Request& request);
+  /// \returns whether the call is kept to be carried out late.
+  bool Delay(const Request& request);
   Response Serve(const Request& request);
   Response Start(const Json::Value& body);
   Response Stop(const Json::Value& body);
@@ -133,6 +148,8 @@
   std::atomic<std::size_t> holds_{0};
   std::atomic<bool> gone_{false};
   std::atomic<bool> dark_{false};
+  std::atomic<int> delayed_starts_{0};
+  std::vector<DelayedStart> delayed_;
   std::unique_ptr<Server> server_;
   std::thread ticker_;
   std::thread reporter_;
