--- a/review/stand_ins_3/scenario_main.cc
+++ b/review/stand_ins_3/scenario_main.cc
@@ -254,11 +254,12 @@
   return platform->WorkerOf(platform->runs.runs()[0].worker);
 }
 
-/// A worker drains, completes its task, lists the end and leaves. The rule is
-/// broken if the task starts again.
+/// One of seven workers drains, completes its task, lists the end and leaves.
+/// The rule is broken if the task starts again.
 int PlayLeave(Platform* platform, bool trouble) {
+  constexpr int kWorkers = 7;
   const std::string job = NewJobId();
-  Worker* worker = StartJob(platform, job, 4'000);
+  Worker* worker = StartJob(platform, job, 4'000, kWorkers);
   if (worker == nullptr)
     return kCouldNotRun;
   if (trouble) {
@@ -583,6 +584,11 @@
 
 int main(int argc, char** argv) {
   int status = 2;
+  std::thread([] {
+    std::this_thread::sleep_for(std::chrono::seconds(100));
+    review::Record("the case takes too long");
+    std::_Exit(2);
+  }).detach();
   try {
     status = review::Main(argc, argv);
   } catch (const std::exception& failure) {
