--- /dev/null
+++ b/review/stand_ins_3/scenario_main.cc
@@ -0,0 +1,365 @@
+// Plays the operator, a consumer, the machines' list and the workers of one
+// case.
+// usage: scenario NAME CONTROLS FRONTS MACHINES-ADDRESS TROUBLE
+// exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run
+
+#include <cstdlib>
+#include <cstring>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "record.h"
+#include "worker.h"
+
+namespace review {
+namespace {
+
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kCouldNotRun = 2;
+constexpr char kHost[] = "jobs.example";
+constexpr char kPrefix[] = "/work/";
+constexpr char kKey[] = "key-of-tenant-1";
+
+std::vector<std::string> Split(const std::string& text) {
+  std::vector<std::string> parts;
+  std::istringstream in(text);
+  for (std::string part; std::getline(in, part, ',');)
+    parts.push_back(part);
+  return parts;
+}
+
+bool IsSuccess(const Response& response) {
+  return response.status >= 200 && response.status < 300;
+}
+
+/// Waits until `condition` holds; \returns whether it did in time.
+template <typename Condition>
+bool WaitFor(Millis timeout, const Condition& condition) {
+  const auto deadline = Clock::now() + timeout;
+  while (!condition()) {
+    if (Clock::now() >= deadline)
+      return false;
+    std::this_thread::sleep_for(Millis(2));
+  }
+  return true;
+}
+
+struct Platform {
+  std::vector<std::string> controls;
+  std::vector<std::string> fronts;
+  std::size_t next = 0;
+  RunLog runs;
+  std::vector<std::unique_ptr<Worker>> workers;
+
+  bool PutConfig() {
+    Json::Value route;
+    route["name"] = "r-work";
+    route["host"] = kHost;
+    route["pathPrefix"] = kPrefix;
+    route["kind"] = "non_idempotent";
+    route["timeoutMs"] = 3'000;
+    route["targetLatencyMs"] = 600;
+    route["priority"] = 0;
+    route["service"] = "pool-a";
+    route["maxAttempts"] = 4;
+    route["stretch"] = 1.6;
+    route["public"] = false;
+    Json::Value service;
+    service["name"] = "pool-a";
+    service["healthPath"] = "/health";
+    service["maxConnections"] = 64;
+    service["protocol"] = "h1";
+    service["tls"] = false;
+    service["enforcesCapacity"] = true;
+    service["standby"] = false;
+    Json::Value tenant;
+    tenant["name"] = "tenant-1";
+    tenant["apiKeys"].append(kKey);
+    tenant["priority"] = 1;
+    tenant["weight"] = 10;
+    tenant["cap"]["cpu"] = 0;
+    tenant["cap"]["memMb"] = 0;
+    tenant["cap"]["gpu"] = 0;
+    Json::Value config;
+    config["version"] = 7;
+    config["routes"].append(route);
+    config["services"].append(service);
+    config["tenants"].append(tenant);
+    config["limits"]["maxHeaderBytes"] = 16'384;
+    config["limits"]["maxBodyBytes"] = 262'144;
+    config["limits"]["headerTimeoutMs"] = 3'000;
+    config["limits"]["idleTimeoutMs"] = 15'000;
+    return WaitFor(Millis(30'000), [&] {
+      const std::string& control = controls[next % controls.size()];
+      const Response response =
+          Call(control, {"PUT", "/-/config", {}, Write(config)}, Millis(1'000));
+      if (IsSuccess(response)) {
+        Record("configuration 7 acknowledged by " + control);
+        return true;
+      }
+      ++next;
+      std::this_thread::sleep_for(Millis(100));
+      return false;
+    });
+  }
+
+  void AddWorkers(int count) {
+    for (int i = 1; i <= count; ++i) {
+      WorkerOptions options;
+      options.id = "i-0000000" + std::to_string(i);
+      options.machine = "m-0000" + std::to_string(i);
+      options.service = "pool-a";
+      options.zone = "zone-" + std::string(1, static_cast<char>('a' + i - 1));
+      options.rack = "r1-" + std::to_string(i);
+      options.controls = controls;
+      workers.push_back(std::make_unique<Worker>(options, runs));
+    }
+  }
+
+  /// Waits until every worker has been registered and called some times.
+  bool WorkersReady() {
+    return WaitFor(Millis(15'000), [&] {
+      for (const auto& worker : workers) {
+        if (!worker->acknowledged() || worker->holds() < 3)
+          return false;
+      }
+      return true;
+    });
+  }
+
+  [[nodiscard]] Request ConsumerRequest(const std::string& method,
+                                        const std::string& job,
+                                        const std::string& body) const {
+    return {method,
+            kPrefix + job,
+            {{"host", kHost},
+             {"authorization", std::string("Bearer ") + kKey},
+             {"request-deadline", "3000"}},
+            body};
+  }
+
+  /// Hands in a job with one task of `duration_ms`.
+  bool Submit(const std::string& job, int duration_ms) {
+    Json::Value step;
+    step["count"] = 1;
+    step["cpu"] = 1'000;
+    step["memMb"] = 256;
+    step["estimatedMs"] = duration_ms;
+    Json::Value body;
+    body["spec"] = std::to_string(duration_ms) + " ms of work";
+    body["steps"].append(step);
+    return WaitFor(Millis(15'000), [&] {
+      const Response response = Call(
+          fronts[0], ConsumerRequest("POST", job, Write(body)), Millis(3'000));
+      Record("POST " + job + " -> " + std::to_string(response.status));
+      return IsSuccess(response);
+    });
+  }
+
+  std::string StateOf(const std::string& job) {
+    const Response response =
+        Call(fronts[0], ConsumerRequest("GET", job, ""), Millis(3'000));
+    std::string state = "status " + std::to_string(response.status);
+    if (IsSuccess(response))
+      state = ParseOrNull(response.body)["state"].asString();
+    Record("GET " + job + " -> " + state);
+    return state;
+  }
+
+  Worker* WorkerOf(const std::string& id) {
+    for (const auto& worker : workers) {
+      if (worker->options().id == id)
+        return worker.get();
+    }
+    return nullptr;
+  }
+
+  /// The machines' list of the infrastructure.
+  Response ServeMachines(const Request& request) {
+    if (request.method != "GET")
+      return {409, R"({"reason":"busy"})", nullptr};
+    Json::Value body;
+    body["machines"] = Json::arrayValue;
+    for (const auto& worker : workers) {
+      const WorkerOptions& options = worker->options();
+      Json::Value row;
+      row["machineId"] = options.machine;
+      row["pool"] = options.service;
+      row["state"] = "up";
+      row["zone"] = options.zone;
+      row["labels"].append("a");
+      row["labels"].append(options.rack);
+      row["capacity"]["cpu"] = Json::Int64(options.cpu);
+      row["capacity"]["memMb"] = Json::Int64(options.memory_mb);
+      row["capacity"]["gpu"] = 0;
+      row["id"] = options.id;
+      body["machines"].append(row);
+    }
+    body["nextPageToken"] = "";
+    return {200, Write(body), nullptr};
+  }
+};
+
+std::string NewJobId() {
+  std::random_device random;
+  char text[17];
+  std::snprintf(text, sizeof(text), "%08x%08x", random(), random());
+  return text;
+}
+
+/// Starts the job on one of two workers. \returns the worker, or nullptr.
+Worker* StartJob(Platform* platform, const std::string& job, int duration_ms) {
+  if (!platform->PutConfig()) {
+    Record("no node acknowledged the configuration");
+    return nullptr;
+  }
+  platform->AddWorkers(2);
+  if (!platform->WorkersReady()) {
+    Record("the workers were not called");
+    return nullptr;
+  }
+  if (!platform->Submit(job, duration_ms) || !WaitFor(Millis(10'000), [&] {
+        return !platform->runs.runs().empty();
+      })) {
+    Record("the job did not start");
+    return nullptr;
+  }
+  return platform->WorkerOf(platform->runs.runs()[0].worker);
+}
+
+/// A worker drains, completes its task, lists the end and leaves. The rule is
+/// broken if the task starts again.
+int PlayLeave(Platform* platform, bool trouble) {
+  const std::string job = NewJobId();
+  Worker* worker = StartJob(platform, job, 4'000);
+  if (worker == nullptr)
+    return kCouldNotRun;
+  if (trouble) {
+    worker->Drain();
+    if (!WaitFor(Millis(3'000), [&] { return worker->drain_acknowledged(); })) {
+      Record("no node acknowledged that the worker drains");
+      return kCouldNotRun;
+    }
+  }
+  if (!WaitFor(Millis(10'000),
+               [&] { return platform->runs.runs()[0].listed_at >= 0; }) ||
+      platform->runs.runs()[0].how != "done") {
+    Record("the task's end was not listed");
+    return kCouldNotRun;
+  }
+  if (trouble)
+    worker->Leave();
+  std::this_thread::sleep_for(Millis(7'000));
+  platform->StateOf(job);
+  const auto runs = platform->runs.runs();
+  if (runs.size() == 1) {
+    Record("held: the task started once");
+    return kHeld;
+  }
+  for (std::size_t i = 1; i < runs.size(); ++i) {
+    Record("BROKEN (TWICE): " + runs[i].task + " run " +
+           std::to_string(runs[i].number) + " started on " + runs[i].worker +
+           " " + std::to_string(runs[i].from - runs[0].until) +
+           " ms after run " + std::to_string(runs[0].number) + " ended done, " +
+           std::to_string(runs[i].from - runs[0].listed_at) +
+           " ms after that end was listed");
+  }
+  return kBroken;
+}
+
+/// Another writer on the worker's machine sends one check-in in which fields
+/// are missing. The rule is broken if a second run of the task starts while the
+/// first one is at work.
+int PlayForeign(Platform* platform, bool trouble) {
+  const std::string job = NewJobId();
+  Worker* worker = StartJob(platform, job, 9'000);
+  if (worker == nullptr)
+    return kCouldNotRun;
+  std::this_thread::sleep_for(Millis(2'000));
+  std::unique_ptr<Server> agent;
+  if (trouble) {
+    agent = std::make_unique<Server>(
+        worker->options().ip, [](const Request& request) -> Response {
+          Record("the other writer's address gets " + request.method + " " +
+                 request.path);
+          return {404, "{}", nullptr};
+        });
+    Json::Value body;
+    body["service"] = worker->options().service;
+    body["address"] = agent->address();
+    body["zone"] = worker->options().zone;
+    body["state"] = "ready";
+    body["capacity"]["cpu"] = Json::Int64(worker->options().cpu);
+    body["capacity"]["memMb"] = Json::Int64(worker->options().memory_mb);
+    body["machineId"] = worker->options().machine;
+    body["sequence"] = 1;
+    body["born"] = Json::Int64(worker->born() + 1'000);
+    const Request request{"PUT", "/-/instances/agent-1", {}, Write(body)};
+    Record("check-in of another writer: " + request.path + " " + request.body);
+    for (const std::string& control : platform->controls) {
+      const Response response = Call(control, request, Millis(1'000));
+      Record("check-in of another writer at " + control + " -> " +
+             std::to_string(response.status));
+      if (response.status != 0 && response.status < 500)
+        break;
+    }
+  }
+  std::this_thread::sleep_for(Millis(9'000));
+  platform->StateOf(job);
+  const auto runs = platform->runs.runs();
+  for (std::size_t i = 1; i < runs.size(); ++i) {
+    for (std::size_t j = 0; j < i; ++j) {
+      if (runs[j].until >= 0 && runs[j].until <= runs[i].from)
+        continue;
+      Record("BROKEN (TWICE): " + runs[i].task + " run " +
+             std::to_string(runs[i].number) + " started on " + runs[i].worker +
+             " while run " + std::to_string(runs[j].number) + " ran on " +
+             runs[j].worker + " from " + std::to_string(runs[j].from) +
+             " ms to " + std::to_string(runs[j].until) + " ms (" + runs[j].how +
+             ")");
+      return kBroken;
+    }
+  }
+  Record("held: no two runs at the same time, " + std::to_string(runs.size()) +
+         " run(s)");
+  return kHeld;
+}
+
+int Main(int argc, char** argv) {
+  if (argc != 6) {
+    std::cerr << "usage: scenario NAME CONTROLS FRONTS MACHINES-ADDRESS "
+                 "TROUBLE\n";
+    return kCouldNotRun;
+  }
+  const std::string name = argv[1];
+  const bool trouble = std::strcmp(argv[5], "0") != 0;
+  Platform platform;
+  platform.controls = Split(argv[2]);
+  platform.fronts = Split(argv[3]);
+  const Server machines(argv[4], [&](const Request& request) {
+    return platform.ServeMachines(request);
+  });
+  if (name == "leave")
+    return PlayLeave(&platform, trouble);
+  if (name == "foreign-check-in")
+    return PlayForeign(&platform, trouble);
+  std::cerr << "unknown case " << name << "\n";
+  return kCouldNotRun;
+}
+
+}  // namespace
+}  // namespace review
+
+int main(int argc, char** argv) {
+  int status = 2;
+  try {
+    status = review::Main(argc, argv);
+  } catch (const std::exception& failure) {
+    review::Record(std::string("failed: ") + failure.what());
+  }
+  std::fflush(stdout);
+  // Threads of connections may still run.
+  std::_Exit(status);
+}
