A report replaces another worker only if that one no longer responds

The worker's runs were dropped and started elsewhere 15 ms later, and it got no work any more.

Cause: missing fields got their defaults, and any record with the host or address of a known worker and a later start time replaced it. Reports with the id or address of a worker, and reports that were kept aside until a configuration had their pool, took the same path.

If it responds, the report has no effect (event 5009). A worker that was really replaced cannot respond: its process has ended or another one answers at its address. The decision is made before the log, so replicas of two versions apply entries alike.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -118,6 +118,8 @@
     {EventId::kWorkerLeaveUnclear, kInfo, "worker_leave_unclear",
      "A worker is said to have left, which may be a late message from before "
      "its restart; its runs are not given up."},
+    {EventId::kWorkerReportDisputed, kWarn, "worker_report_disputed",
+     "A report would replace a worker that still responds; it has no effect."},
     {EventId::kDrainGranted, kInfo, "drain_granted",
      "A host may be drained within its pool's availability budget."},
     {EventId::kDrainDone, kInfo, "drain_done",
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -65,6 +65,7 @@
   kCallAgentChanged = 5006,
   kWorkerUnlisted = 5007,
   kWorkerLeaveUnclear = 5008,
+  kWorkerReportDisputed = 5009,
   kDrainGranted = 6001,
   kDrainDone = 6002,
   kDrainRefused = 6003,
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -256,6 +256,11 @@
       const WorkerIncarnation& incarnation) const;
   /// \returns the latest incarnation of a worker id that has not departed.
   [[nodiscard]] const Worker* FindCurrent(const WorkerId& id) const;
+  /// \returns the incarnations that the record would replace: those with its
+  /// id, address or host. None if one of them started later, as the record has
+  /// no effect then.
+  [[nodiscard]] std::vector<WorkerIncarnation> ReplacedBy(
+      const WorkerRecord& record) const;
   /// \returns whether an earlier incarnation of the same worker id was known.
   [[nodiscard]] bool HasPredecessor(const WorkerIncarnation& incarnation) const;
   /// \returns whether the job was cancelled before it was submitted.
--- a/src/jobs/ledger_workers.cc
+++ b/src/jobs/ledger_workers.cc
@@ -6,6 +6,19 @@
 
 namespace boragewinch::jobs {
 
+namespace {
+
+/// \returns whether one of `others` started later than `incarnation`.
+[[nodiscard]] bool HasLaterStart(const std::vector<WorkerIncarnation>& others,
+                                 const WorkerIncarnation& incarnation) {
+  return std::any_of(others.begin(), others.end(),
+                     [&](const WorkerIncarnation& other) {
+                       return other.start_time > incarnation.start_time;
+                     });
+}
+
+}  // namespace
+
 const WorkerSet& JobLedger::WorkersOf(const PoolName& pool) const {
   static const WorkerSet kNone;
   const auto found = pool_workers_.find(pool);
@@ -27,13 +40,8 @@
   // id, so one for the earlier incarnation may still reach the new one.
   const std::vector<WorkerIncarnation> replaced =
       ConflictingIncarnations(record);
-  if (std::any_of(replaced.begin(), replaced.end(),
-                  [&](const WorkerIncarnation& incarnation) {
-                    return incarnation.start_time >
-                           record.incarnation.start_time;
-                  })) {
+  if (HasLaterStart(replaced, record.incarnation))
     return;
-  }
   const auto [it, added] = workers_.try_emplace(record.incarnation);
   Worker& worker = it->second;
   for (const WorkerIncarnation& incarnation : replaced) {
@@ -58,6 +66,14 @@
   changed_workers_.push_back(record.incarnation);
 }
 
+std::vector<WorkerIncarnation> JobLedger::ReplacedBy(
+    const WorkerRecord& record) const {
+  std::vector<WorkerIncarnation> replaced = ConflictingIncarnations(record);
+  if (HasLaterStart(replaced, record.incarnation))
+    replaced.clear();
+  return replaced;
+}
+
 void JobLedger::RecordDeparture(const WorkerIncarnation& incarnation,
                                 UnixMillis now) {
   Departure& departure = departed_[incarnation.id];
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -106,7 +106,12 @@
         return fleet_->ExpectedDuration(queue, estimate);
       });
   admin_api_ = std::make_unique<AdminApi>(*replica_);
-  registry_ = std::make_unique<WorkerRegistry>(*replica_);
+  WorkerRegistry::Hooks registry;
+  registry.probe = [this](const jobs::WorkerIncarnation& incarnation,
+                          std::function<void(const Result<bool>&)> done) {
+    fleet_->RequestList(incarnation, std::move(done));
+  };
+  registry_ = std::make_unique<WorkerRegistry>(*replica_, std::move(registry));
 
   RelayServer::Hooks relay;
   relay.leads = [this] { return replica_->HasLeaderLease(loop_->now()); };
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -72,6 +72,8 @@
 void WorkerFleet::OnLeadership(bool leading, TimePoint now) {
   leading_ = leading;
   ++leadership_epoch_;
+  for (const ListWait& wait : std::exchange(list_waits_, {}))
+    wait.done(Fail(ErrorCode::kNotLeader, "leadership has changed"));
   workers_.clear();
   checks_.clear();
   settling_.Clear();
@@ -283,6 +285,7 @@
   for (TrackedWorker* tracked : due)
     CheckWorker(tracked, now, &ends);
   RecordEnds(std::move(ends), now);
+  FinishListWaits(now);
 }
 
 void WorkerFleet::Stop(const jobs::RunName& run,
@@ -419,6 +422,7 @@
     };
     session->OnHoldFailed(now);
     CheckWhenDue(incarnation, now);
+    FinishListWaits(now);
     // The newer incarnation takes over the runs with its first heartbeat.
     if (has_verdict(CallVerdict::kOtherIncarnation))
       session->OnOtherIncarnation(now);
@@ -468,6 +472,7 @@
     EvaluateEnd(*worker, *session, end, now);
   if (!ends.empty())
     RecordEnds(std::move(ends), now);
+  FinishListWaits(now);
   if (first)
     replica_.Wake();
   if (session->HoldDue(now) && replica_.HasLeaderLease(now))
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -69,6 +69,13 @@
   void Stop(const jobs::RunName& run,
             const jobs::WorkerIncarnation& incarnation,
             const char* reason);
+  /// \brief Asks an incarnation for a list of its runs beside the regular
+  /// holds, and stores the ends in it. It grants no lease.
+  /// \param done gets whether this incarnation has responded, or kNotLeader.
+  /// No earlier list of an incarnation that has not is under way any more, up
+  /// to options.order_timeout. Called once, possibly at once.
+  void RequestList(const jobs::WorkerIncarnation& incarnation,
+                   std::function<void(const Result<bool>& responds)> done);
   /// \brief Records that an incarnation of a worker has ended, and its runs
   /// with it.
   void RecordDeparture(const jobs::WorkerIncarnation& incarnation,
@@ -196,6 +203,13 @@
                const jobs::RunName& run,
                const Result<CallResponse>& response);
   void RecordEnds(std::vector<jobs::EndRecord> ends, TimePoint now);
+  /// \returns the ends in a list that are not stored.
+  [[nodiscard]] static std::vector<jobs::EndRecord> NewEndsOf(
+      const jobs::Worker& worker,
+      const HoldResponse& list);
+  /// \brief Ends the waits of RequestList for lists that have arrived or that
+  /// are overdue.
+  void FinishListWaits(TimePoint now);
   /// \brief Records the copies of the previous leader, from the ledger.
   void RecordEarlierCopies();
   /// \brief Records the copies among the starts of a stored batch.
@@ -239,6 +253,14 @@
   std::uint64_t leadership_epoch_ = 0;
   std::map<jobs::WorkerIncarnation, TrackedWorker> workers_;
   CheckSchedule checks_;
+  /// A caller of RequestList that waits for the open hold of an incarnation
+  /// that does not respond.
+  struct ListWait {
+    jobs::WorkerIncarnation incarnation;
+    TimePoint deadline;
+    std::function<void(const Result<bool>&)> done;
+  };
+  std::vector<ListWait> list_waits_;
   std::uint64_t synced_ = 0;  ///< ledger batches that the sessions include
 };
 
--- a/src/scheduler/worker_registry.cc
+++ b/src/scheduler/worker_registry.cc
@@ -63,11 +63,43 @@
       return replica_.ledger().FindWorker(item.first) == nullptr;
     });
   }
-  if (IsStored(record)) {
+  if (IsStored(record))
     done(Ok());
+  else if (known != nullptr)
+    Store(record, done);
+  else
+    StoreUnlessDisputed(record, replica_.ledger().ReplacedBy(record), done);
+}
+
+// The runs of a replaced incarnation are dropped or pass to the new one, so the
+// report of another program with the id, address or host of a worker at work
+// would start its tasks once more. A worker that was really replaced no longer
+// responds: its id, its start time or its address has passed to the new one.
+void WorkerRegistry::StoreUnlessDisputed(
+    const jobs::WorkerRecord& record,
+    std::vector<jobs::WorkerIncarnation> replaced,
+    const Done& done) {
+  if (replaced.empty()) {
+    Store(record, done);
     return;
   }
-  Store(record, done);
+  const jobs::WorkerIncarnation earlier = replaced.back();
+  replaced.pop_back();
+  hooks_.probe(earlier, [this, record, replaced = std::move(replaced), done,
+                         earlier](const Result<bool>& responds) {
+    if (!responds) {
+      done(outcome::failure(responds.error()));
+    } else if (responds.value()) {
+      LogEvent(EventId::kWorkerReportDisputed,
+               {{"worker", record.incarnation.Text()},
+                {"address", record.address},
+                {"host", record.host.str()},
+                {"known", earlier.Text()}});
+      done(Ok());
+    } else {
+      StoreUnlessDisputed(record, replaced, done);
+    }
+  });
 }
 
 bool WorkerRegistry::HasPool(const jobs::WorkerRecord& record) const {
@@ -97,17 +129,20 @@
 }
 
 void WorkerRegistry::OnConfiguration(TimePoint now) {
+  const Done log_failure = [](const Status& stored) {
+    // The worker reports again soon.
+    if (!stored)
+      LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
+  };
   std::erase_if(unlisted_, [&](const auto& item) {
     const Unlisted& unlisted = item.second;
     if (now - unlisted.received > kMaxUnlistedAge)
       return true;
     if (!HasPool(unlisted.record))
       return false;
-    Store(unlisted.record, [](const Status& stored) {
-      // The worker reports again soon.
-      if (!stored)
-        LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
-    });
+    StoreUnlessDisputed(unlisted.record,
+                        replica_.ledger().ReplacedBy(unlisted.record),
+                        log_failure);
     return true;
   });
 }
--- a/src/scheduler/worker_registry.h
+++ b/src/scheduler/worker_registry.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <utility>
+#include <vector>
 
 #include "base/result.h"
 #include "scheduler/ledger_replica.h"
@@ -16,7 +18,16 @@
  public:
   using Done = std::function<void(Status)>;
 
-  explicit WorkerRegistry(LedgerReplica& replica) : replica_(replica) {}
+  struct Hooks {
+    /// Asks whether an incarnation still responds; see
+    /// WorkerFleet::RequestList.
+    std::function<void(const jobs::WorkerIncarnation&,
+                       std::function<void(const Result<bool>& responds)>)>
+        probe;
+  };
+
+  WorkerRegistry(LedgerReplica& replica, Hooks hooks)
+      : replica_(replica), hooks_(std::move(hooks)) {}
 
   /// \brief Stores what a worker reports about itself.
   ///
@@ -24,7 +35,9 @@
   /// from another program, and must not replace a worker at the same address or
   /// on the same host. It is acknowledged and kept aside until a configuration
   /// has its pool. A report that changes the pool, host or address of a
-  /// running incarnation is refused with kConflict.
+  /// running incarnation is refused with kConflict. One that would replace
+  /// another incarnation, as it has its id, address or host, is acknowledged
+  /// and has no effect while that one responds.
   /// \param sequence increases within one incarnation; a reordered older
   /// heartbeat has no effect.
   /// \param done gets success once the report is stored.
@@ -71,9 +84,15 @@
   [[nodiscard]] bool HasPool(const jobs::WorkerRecord& record) const;
   void KeepAside(const jobs::WorkerRecord& record, TimePoint now);
   [[nodiscard]] bool IsStored(const jobs::WorkerRecord& record) const;
+  /// \brief Stores a new incarnation once it is known that none of `replaced`
+  /// responds.
+  void StoreUnlessDisputed(const jobs::WorkerRecord& record,
+                           std::vector<jobs::WorkerIncarnation> replaced,
+                           const Done& done);
   void Store(const jobs::WorkerRecord& record, const Done& done);
 
   LedgerReplica& replica_;
+  Hooks hooks_;
   std::map<jobs::WorkerIncarnation, std::int64_t> sequences_;
   std::map<jobs::WorkerIncarnation, TimePoint> cold_until_;
   /// Latest reports on pools that no configuration has.
--- a/src/scheduler/worker_session.h
+++ b/src/scheduler/worker_session.h
@@ -250,6 +250,8 @@
   /// due already.
   [[nodiscard]] TimePoint NextDue(TimePoint now) const;
   [[nodiscard]] bool HoldDue(TimePoint now) const;
+  /// \returns whether the response to a hold is awaited.
+  [[nodiscard]] bool hold_open() const noexcept { return hold_open_; }
   /// \returns whether lists are needed to determine the state of runs; they are
   /// then requested without waiting for ends.
   [[nodiscard]] bool HasUnsettledRuns() const;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -109,7 +109,7 @@
 BOOST_AUTO_TEST_CASE(MalformedHeartbeatsAreRefused) {
   const std::string valid =
       R"({"service":"s","address":"10.0.0.9:80","zone":"z","state":"ready",)"
-      R"("born":17,"capacity":{"cpu":16000,"memMb":32768,"gpu":0},)"
+      R"("version":"v1","slots":8,"coldRemainingMs":0,"born":17,"capacity":{"cpu":16000,"memMb":32768,"gpu":0},)"
       R"("labels":["a","r1-3"],"machineId":"m-1","sequence":4})";
   const auto heartbeat = DecodeHeartbeat("i-1", valid);
   BOOST_REQUIRE(heartbeat);
@@ -126,7 +126,8 @@
     BOOST_TEST(!DecodeHeartbeat("i-1", body).has_value(), body);
   }
   for (const char* field :
-       {"service", "address", "zone", "state", "capacity", "sequence"}) {
+       {"service", "address", "zone", "version", "slots", "state",
+        "coldRemainingMs", "capacity", "labels", "sequence"}) {
     Json json = ParseJson(valid).value();
     json.removeMember(field);
     BOOST_TEST(!DecodeHeartbeat("i-1", WriteJson(json)), "no " << field);
--- a/tests/replica_messages_test.cc
+++ b/tests/replica_messages_test.cc
@@ -173,7 +173,7 @@
   const auto count_knowing_hosts = [&](const jobs::WorkerRecord& worker) {
     return std::count_if(fleet.hosts.begin(), fleet.hosts.end(),
                          [&](const auto& host) {
-                           return WorkerRegistry(*host->replica)
+                           return WorkerRegistry(*host->replica, {})
                                .IsKnown(worker, fleet.loop.now());
                          });
   };
@@ -203,7 +203,7 @@
   }();
   const TimePoint later = fleet.loop.now() + Millis(2'000);
   for (Host* host : followers)
-    BOOST_TEST(!WorkerRegistry(*host->replica).IsKnown(record, later));
+    BOOST_TEST(!WorkerRegistry(*host->replica, {}).IsKnown(record, later));
 }
 
 // Guards against messages that are lost during an upgrade: a replica of an
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -164,6 +164,80 @@
   BOOST_TEST(!fleet->HasFailedOn(other, kWorker));
 }
 
+/// Lists that are requested beside the regular holds.
+struct RequestedList : Fixture {
+  RequestedList() {
+    List({});
+    StoreStart();
+    // The regular hold that is open meanwhile.
+    BOOST_REQUIRE(hold);
+    regular = std::exchange(hold, nullptr);
+    fleet->RequestList(kWorker, [this](const Result<bool>& result) {
+      BOOST_REQUIRE(result);
+      responds = result.value();
+    });
+  }
+  void Respond(const Result<HoldResponse>& response) {
+    BOOST_REQUIRE(hold);
+    std::exchange(hold, nullptr)(response);
+  }
+  void RespondWith(CallVerdict verdict) {
+    HoldResponse response;
+    response.call.verdict = verdict;
+    Respond(response);
+  }
+  /// \brief Responds to the regular hold with the end of the run.
+  void ListEnd() {
+    HoldResponse response;
+    response.call.clock_ms = 500'000;
+    response.ended.push_back({1, kRun, jobs::RunEnd::kDone, ""});
+    std::exchange(regular, nullptr)(response);
+  }
+
+  WorkerCalls::Done<HoldResponse> regular;
+  std::optional<bool> responds;
+};
+
+// Guards against a worker at work that counts as gone, and against ends in such
+// a list that are lost.
+BOOST_FIXTURE_TEST_CASE(AWorkerThatListsItsRunsResponds, RequestedList) {
+  HoldResponse response;
+  response.ended.push_back({1, kRun, jobs::RunEnd::kDone, ""});
+  Respond(response);
+  BOOST_TEST((responds == true));
+  RunFor(Millis(50));
+  BOOST_TEST((replica->ledger().FindJob(kRun.task.job)->state ==
+              jobs::JobState::kCompleted));
+}
+
+// Guards against a worker that counts as present since another incarnation of
+// it responds at its address.
+BOOST_FIXTURE_TEST_CASE(AnotherIncarnationIsNoResponse, RequestedList) {
+  std::exchange(regular,
+                nullptr)(Fail(ErrorCode::kTransport, "connection closed"));
+  RespondWith(CallVerdict::kOtherIncarnation);
+  BOOST_TEST((responds == false));
+}
+
+// Guards against the loss of an end that was listed before the worker ended:
+// its list is still under way.
+BOOST_FIXTURE_TEST_CASE(AnEarlierListIsAwaited, RequestedList) {
+  RespondWith(CallVerdict::kOtherWorker);
+  BOOST_TEST(!responds);
+  ListEnd();
+  BOOST_TEST((responds == false));
+}
+
+// Guards against a wait for a list that does not come.
+BOOST_FIXTURE_TEST_CASE(AnEarlierListIsAwaitedForALimitedTime, RequestedList) {
+  Respond(Fail(ErrorCode::kTransport, "connection refused"));
+  while (!responds) {
+    RunFor(Millis(20));
+    fleet->Tick(loop.now());
+  }
+  BOOST_TEST((responds == false));
+}
+
 /// A long-running job of two tasks: the start of one gets no response, the
 /// other has no run.
 struct UnansweredStart : Fixture {
--- a/tests/worker_registry_test.cc
+++ b/tests/worker_registry_test.cc
@@ -1,7 +1,9 @@
 #define BOOST_TEST_MODULE worker_registry
 #include <boost/test/unit_test.hpp>
 
+#include <functional>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "scheduler/worker_registry.h"
@@ -22,7 +24,13 @@
         registry->OnConfiguration(now);
     };
     Lead();
-    registry.emplace(*replica);
+    WorkerRegistry::Hooks registry_hooks;
+    registry_hooks.probe =
+        [this](const jobs::WorkerIncarnation& incarnation,
+               const std::function<void(const Result<bool>&)>& done) {
+          done(responding.count(incarnation) > 0);
+        };
+    registry.emplace(*replica, registry_hooks);
   }
 
   void Configure(std::int64_t version, const std::string& pool) {
@@ -67,6 +75,7 @@
   }
 
   const jobs::WorkerRecord worker = Worker("real", "pool", 100);
+  std::set<jobs::WorkerIncarnation> responding;  ///< workers that respond
   std::optional<WorkerRegistry> registry;
 };
 
@@ -142,6 +151,80 @@
   BOOST_TEST(Find(worker) == nullptr);
 }
 
+/// \returns a report of an unrelated worker.
+[[nodiscard]] jobs::WorkerRecord Unrelated() {
+  jobs::WorkerRecord record = Fixture::Worker("foreign", "pool", 200);
+  record.address = "10.0.0.2:80";
+  record.host = HostName("another");
+  return record;
+}
+
+// Guards against a report of another program with the id, host or address of a
+// worker at work and a later start time: it took the place of that worker,
+// whose task was started once more elsewhere (review/11).
+BOOST_FIXTURE_TEST_CASE(AWorkerThatRespondsIsNotReplaced, Fixture) {
+  Configure(1, "pool");
+  BOOST_REQUIRE(Report(worker));
+  const jobs::RunName run{{jobs::JobId("job"), 0, 0, 0}, 1};
+  BOOST_REQUIRE(Store([&](jobs::Batch* batch) {
+    jobs::Submission submission{jobs::JobId("job"), QueueName("queue"), {}, {}};
+    submission.spec.steps.resize(1);
+    batch->submissions.push_back(submission);
+    batch->starts.push_back({run, worker.incarnation});
+  }));
+  jobs::WorkerRecord reports[] = {Unrelated(), Unrelated(), Unrelated()};
+  reports[0].incarnation.id = worker.incarnation.id;
+  reports[1].host = worker.host;
+  reports[2].address = worker.address;
+  for (const jobs::WorkerRecord& report : reports) {
+    responding = {worker.incarnation};
+    BOOST_TEST(Report(report).has_value());
+    BOOST_TEST(Find(report) == nullptr);
+    BOOST_REQUIRE(Find(worker) != nullptr);
+    BOOST_TEST(Find(worker)->runs.count(run) == 1U);
+  }
+  // Its own reports still count.
+  jobs::WorkerRecord draining = worker;
+  draining.draining = true;
+  BOOST_REQUIRE(Report(draining, 2));
+  BOOST_TEST(Find(worker)->record.draining);
+}
+
+// Guards against a worker that is not used since its report names the host or
+// address of one that has ended.
+BOOST_FIXTURE_TEST_CASE(AWorkerThatDoesNotRespondIsReplaced, Fixture) {
+  Configure(1, "pool");
+  jobs::WorkerRecord later = Unrelated();
+  later.host = worker.host;
+  later.address = "10.0.0.3:80";
+  jobs::WorkerRecord latest = Unrelated();
+  latest.incarnation = {jobs::WorkerId("latest"), 300};
+  latest.host = HostName("third");
+  latest.address = later.address;
+  const jobs::WorkerRecord* earlier = &worker;
+  BOOST_REQUIRE(Report(*earlier));
+  for (const jobs::WorkerRecord* next : {&later, &latest}) {
+    BOOST_REQUIRE(Report(*next));
+    BOOST_TEST(Find(*earlier) == nullptr);
+    BOOST_TEST(Find(*next) != nullptr);
+    earlier = next;
+  }
+}
+
+// Guards against a report on a pool that no configuration had and that takes
+// the place of a worker at work once one has it.
+BOOST_FIXTURE_TEST_CASE(AnUnlistedReportReplacesNoWorkerLater, Fixture) {
+  Configure(1, "pool");
+  BOOST_REQUIRE(Report(worker));
+  jobs::WorkerRecord foreign = Worker("foreign", "other", 200);
+  BOOST_REQUIRE(Report(foreign));
+  responding = {worker.incarnation};
+  Configure(2, "other");
+  BOOST_REQUIRE(Store([](jobs::Batch*) {}));
+  BOOST_TEST(Find(worker) != nullptr);
+  BOOST_TEST(Find(foreign) == nullptr);
+}
+
 /// A worker with one run that may leave or start again.
 struct LeavingWorker : Fixture {
   LeavingWorker() {
--- a/tests/zone_evacuation_test.cc
+++ b/tests/zone_evacuation_test.cc
@@ -378,7 +378,7 @@
   record.zone = ZoneName("za");
   BOOST_REQUIRE(
       Store([&](jobs::Batch* batch) { batch->workers.push_back(record); }));
-  WorkerRegistry registry(*replica);
+  WorkerRegistry registry(*replica, {});
   const auto is_cold_after = [&](Millis time) {
     return registry.IsCold(record.incarnation, loop.now() + time);
   };
