The ends that a worker has listed count before it is removed

Another scheduler calls the worker and keeps responses for 10 ms, and a list of a worker that has departed was dropped without a line.

Change: the leader asks a worker with runs for a last list before its leave is stored, and stores the ends in it first. Removals for other reasons (its host was moved, another worker responds at its address, a report replaces it) wait for the list that is under way. The ledger applies the ends of a batch before its worker records. A list with ends that still comes too late is logged (event 7011). This works since the worker responds until its leave is acknowledged, and lists each end until it is acknowledged.

--- a/src/base/event.cc
+++ b/src/base/event.cc
@@ -173,6 +173,9 @@
     {EventId::kCopyEnded, kInfo, "copy_ended",
      "Both runs of a speculative task have ended; `first` is the one that "
      "counts."},
+    {EventId::kRunEndsDropped, kWarn, "run_ends_dropped",
+     "A list with ends arrived after the departure of its worker; their tasks "
+     "run again."},
     {EventId::kRunUnsettled, kWarn, "run_unsettled",
      "It is not known for too long whether a run goes on; `lacks` says what "
      "its "
--- a/src/base/event.h
+++ b/src/base/event.h
@@ -88,6 +88,7 @@
   kRunEndsMissing = 7008,
   kCopyStarted = 7009,
   kCopyEnded = 7010,
+  kRunEndsDropped = 7011,
   kRunUnsettled = 7030,
   kInvariantViolated = 9001,
 };
--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -114,8 +114,6 @@
   ForgetOld(batch.now);
   if (batch.config && batch.config->version > config_.version)
     ApplyConfig(*batch.config);
-  for (const WorkerRecord& record : batch.workers)
-    ApplyWorker(record, batch.now);
   for (const Submission& submission : batch.submissions)
     ApplySubmission(submission, batch.now);
   for (const JobId& id : batch.cancels)
@@ -126,6 +124,10 @@
     ApplyOpening(opening, batch.now);
   for (const EndRecord& end : batch.ends)
     ApplyEnd(end, batch.now);
+  // After the ends: a worker that leaves or is replaced may have listed the
+  // ends of its runs just before.
+  for (const WorkerRecord& record : batch.workers)
+    ApplyWorker(record, batch.now);
   for (const ZoneChange& change : batch.zone_changes)
     ApplyZoneChange(change, batch.now);
   ApplyStarts(batch.starts, batch.now);
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -108,8 +108,12 @@
   admin_api_ = std::make_unique<AdminApi>(*replica_);
   WorkerRegistry::Hooks registry;
   registry.probe = [this](const jobs::WorkerIncarnation& incarnation,
-                          std::function<void(const Result<bool>&)> done) {
-    fleet_->RequestList(incarnation, std::move(done));
+                          const WorkerRegistry::Hooks::Asked& done) {
+    fleet_->Probe(incarnation, done);
+  };
+  registry.request_list = [this](const jobs::WorkerIncarnation& incarnation,
+                                 const WorkerRegistry::Hooks::Asked& done) {
+    fleet_->RequestList(incarnation, done);
   };
   registry_ = std::make_unique<WorkerRegistry>(*replica_, std::move(registry));
 
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -74,6 +74,7 @@
   ++leadership_epoch_;
   for (const ListWait& wait : std::exchange(list_waits_, {}))
     wait.done(Fail(ErrorCode::kNotLeader, "leadership has changed"));
+  departing_.clear();
   workers_.clear();
   checks_.clear();
   settling_.Clear();
@@ -411,8 +412,10 @@
                          const Result<HoldResponse>& response) {
   WorkerSession* session = FindSession(incarnation);
   const jobs::Worker* worker = replica_.ledger().FindWorker(incarnation);
-  if (session == nullptr || worker == nullptr)
+  if (session == nullptr || worker == nullptr) {
+    ReportDroppedEnds(incarnation, response);
     return;
+  }
   const TimePoint now = loop_.now();
   const bool listed =
       response && response.value().call.verdict == CallVerdict::kDone;
@@ -516,21 +519,4 @@
   });
 }
 
-void WorkerFleet::RecordDeparture(const jobs::WorkerIncarnation& incarnation,
-                                  const char* why) {
-  const jobs::Worker* worker = replica_.ledger().FindWorker(incarnation);
-  if (worker == nullptr)
-    return;
-  jobs::WorkerRecord record = worker->record;
-  record.departed = true;
-  LogEvent(EventId::kWorkerLost,
-           {{"worker", record.incarnation.Text()}, {"reason", why}});
-  jobs::Batch change;
-  change.workers.push_back(std::move(record));
-  replica_.Submit(change, [](const Status& stored) {
-    if (!stored)
-      LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
-  });
-}
-
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -69,15 +69,21 @@
   void Stop(const jobs::RunName& run,
             const jobs::WorkerIncarnation& incarnation,
             const char* reason);
+  /// Gets whether this incarnation has responded, or kNotLeader.
+  using Asked = std::function<void(const Result<bool>& responds)>;
   /// \brief Asks an incarnation for a list of its runs beside the regular
   /// holds, and stores the ends in it. It grants no lease.
-  /// \param done gets whether this incarnation has responded, or kNotLeader.
-  /// No earlier list of an incarnation that has not is under way any more, up
-  /// to options.order_timeout. Called once, possibly at once.
+  ///
+  /// If the incarnation does not respond, lists that it sent earlier may still
+  /// be under way: they are awaited, up to options.order_timeout.
+  /// \param done called once, possibly at once.
   void RequestList(const jobs::WorkerIncarnation& incarnation,
-                   std::function<void(const Result<bool>& responds)> done);
+                   const Asked& done);
+  /// \brief Like RequestList, but an incarnation that has not responded lately
+  /// is not asked: it would only take the timeout of a call.
+  void Probe(const jobs::WorkerIncarnation& incarnation, const Asked& done);
   /// \brief Records that an incarnation of a worker has ended, and its runs
-  /// with it.
+  /// with it, once the ends that it has listed are stored.
   void RecordDeparture(const jobs::WorkerIncarnation& incarnation,
                        const char* why);
   /// \returns the readiness or progress that the worker listed for a run; 0 if
@@ -207,9 +213,24 @@
   [[nodiscard]] static std::vector<jobs::EndRecord> NewEndsOf(
       const jobs::Worker& worker,
       const HoldResponse& list);
+  /// \param acknowledge whether the worker may forget the ends that are
+  /// stored, to list further ones.
+  void SendListRequest(const jobs::Worker& worker,
+                       bool acknowledge,
+                       const Asked& done);
+  void OnRequestedList(const jobs::WorkerIncarnation& incarnation,
+                       TimePoint deadline,
+                       const Result<HoldResponse>& response,
+                       const Asked& done);
   /// \brief Ends the waits of RequestList for lists that have arrived or that
   /// are overdue.
   void FinishListWaits(TimePoint now);
+  void StoreDeparture(const jobs::WorkerIncarnation& incarnation,
+                      const char* why);
+  /// \brief Logs the ends in a list that arrives after the departure of its
+  /// worker: their tasks run again.
+  static void ReportDroppedEnds(const jobs::WorkerIncarnation& incarnation,
+                                const Result<HoldResponse>& list);
   /// \brief Records the copies of the previous leader, from the ledger.
   void RecordEarlierCopies();
   /// \brief Records the copies among the starts of a stored batch.
@@ -258,9 +279,11 @@
   struct ListWait {
     jobs::WorkerIncarnation incarnation;
     TimePoint deadline;
-    std::function<void(const Result<bool>&)> done;
+    Asked done;
   };
   std::vector<ListWait> list_waits_;
+  /// Incarnations that are asked for a last list before they are removed.
+  std::set<jobs::WorkerIncarnation> departing_;
   std::uint64_t synced_ = 0;  ///< ledger batches that the sessions include
 };
 
--- a/src/scheduler/worker_fleet_lists.cc
+++ b/src/scheduler/worker_fleet_lists.cc
@@ -1,4 +1,5 @@
-// Lists that are requested beside the regular holds.
+// Lists that are requested beside the regular holds, and the departures of
+// workers, which have to wait for them.
 
 #include <utility>
 
@@ -19,56 +20,89 @@
   return ends;
 }
 
-void WorkerFleet::RequestList(
-    const jobs::WorkerIncarnation& incarnation,
-    std::function<void(const Result<bool>& responds)> done) {
-  const jobs::Worker* worker = replica_.ledger().FindWorker(incarnation);
-  const TimePoint now = loop_.now();
-  if (!leading_ || !replica_.HasLeaderLease(now)) {
+void WorkerFleet::RequestList(const jobs::WorkerIncarnation& incarnation,
+                              const Asked& done) {
+  if (!leading_ || !replica_.HasLeaderLease(loop_.now())) {
     done(Fail(ErrorCode::kNotLeader, "this host is not the leader"));
     return;
   }
-  // A worker that has not responded for long is not asked: the call would
-  // only take its timeout.
-  if (worker == nullptr || !IsPresent(incarnation, now)) {
+  if (const jobs::Worker* worker = replica_.ledger().FindWorker(incarnation))
+    SendListRequest(*worker, false, done);
+  else
     done(false);
-    return;
-  }
+}
+
+void WorkerFleet::Probe(const jobs::WorkerIncarnation& incarnation,
+                        const Asked& done) {
+  if (!leading_ || IsPresent(incarnation, loop_.now()))
+    RequestList(incarnation, done);
+  else
+    done(false);
+}
+
+void WorkerFleet::SendListRequest(const jobs::Worker& worker,
+                                  bool acknowledge,
+                                  const Asked& done) {
+  const TimePoint deadline = loop_.now() + options_.order_timeout;
   HoldCall call;
-  call.token = TokenFor(*worker);
+  call.token = TokenFor(worker);
   call.timeout = options_.order_timeout;
-  const TimePoint deadline = now + options_.order_timeout;
-  calls_.hold(
-      worker->record, call,
-      [this, incarnation, deadline, done = std::move(done),
-       epoch = leadership_epoch_](const Result<HoldResponse>& response) {
-        if (epoch != leadership_epoch_) {
-          done(Fail(ErrorCode::kNotLeader, "leadership has changed"));
-          return;
-        }
-        const jobs::Worker* present = replica_.ledger().FindWorker(incarnation);
-        if (present == nullptr) {
-          done(false);
-          return;
-        }
-        if (!response) {
-          LogEvent(EventId::kCallFailed, {{"call", "list"},
-                                          {"worker", incarnation.Text()},
-                                          {"error", response.error().Text()}});
-        }
-        const auto has_verdict = [&](CallVerdict verdict) {
-          return response && response.value().call.verdict == verdict;
-        };
-        if (has_verdict(CallVerdict::kDone))
-          RecordEnds(NewEndsOf(*present, response.value()), loop_.now());
-        if (response && !has_verdict(CallVerdict::kOtherIncarnation) &&
-            !has_verdict(CallVerdict::kOtherWorker)) {
-          done(true);
-          return;
-        }
-        list_waits_.push_back({incarnation, deadline, done});
-        FinishListWaits(loop_.now());
-      });
+  if (acknowledge)
+    call.last_end_sequence = worker.last_end_sequence;
+  calls_.hold(worker.record, call,
+              [this, incarnation = worker.record.incarnation, deadline, done,
+               epoch = leadership_epoch_](const Result<HoldResponse>& list) {
+                if (epoch == leadership_epoch_)
+                  OnRequestedList(incarnation, deadline, list, done);
+                else
+                  done(Fail(ErrorCode::kNotLeader, "leadership has changed"));
+              });
+}
+
+void WorkerFleet::OnRequestedList(const jobs::WorkerIncarnation& incarnation,
+                                  TimePoint deadline,
+                                  const Result<HoldResponse>& response,
+                                  const Asked& done) {
+  const jobs::Worker* worker = replica_.ledger().FindWorker(incarnation);
+  if (worker == nullptr) {
+    ReportDroppedEnds(incarnation, response);
+    done(false);
+    return;
+  }
+  if (!response) {
+    LogEvent(EventId::kCallFailed, {{"call", "list"},
+                                    {"worker", incarnation.Text()},
+                                    {"error", response.error().Text()}});
+  }
+  const auto has_verdict = [&](CallVerdict verdict) {
+    return response && response.value().call.verdict == verdict;
+  };
+  if (!response || has_verdict(CallVerdict::kOtherIncarnation) ||
+      has_verdict(CallVerdict::kOtherWorker)) {
+    list_waits_.push_back({incarnation, deadline, done});
+    FinishListWaits(loop_.now());
+    return;
+  }
+  if (!has_verdict(CallVerdict::kDone)) {
+    done(true);
+    return;
+  }
+  RecordEnds(NewEndsOf(*worker, response.value()), loop_.now());
+  if (response.value().complete()) {
+    done(true);
+    return;
+  }
+  // The worker lists further ends once these are acknowledged, and they may be
+  // acknowledged once they are stored.
+  replica_.Submit({}, [this, incarnation, done](const Status& stored) {
+    const jobs::Worker* current = replica_.ledger().FindWorker(incarnation);
+    if (!stored)
+      done(outcome::failure(stored.error()));
+    else if (current == nullptr)
+      done(false);
+    else
+      SendListRequest(*current, true, done);
+  });
 }
 
 void WorkerFleet::FinishListWaits(TimePoint now) {
@@ -85,4 +119,49 @@
     wait.done(false);
 }
 
+void WorkerFleet::ReportDroppedEnds(const jobs::WorkerIncarnation& incarnation,
+                                    const Result<HoldResponse>& list) {
+  if (!list || list.value().ended.empty())
+    return;
+  const std::vector<EndedRow>& ends = list.value().ended;
+  LogEvent(EventId::kRunEndsDropped, {{"worker", incarnation.Text()},
+                                      {"first", ends.front().end_sequence},
+                                      {"last", ends.back().end_sequence}});
+}
+
+void WorkerFleet::RecordDeparture(const jobs::WorkerIncarnation& incarnation,
+                                  const char* why) {
+  if (replica_.ledger().FindWorker(incarnation) == nullptr ||
+      !departing_.insert(incarnation).second) {
+    return;
+  }
+  Probe(incarnation, [this, incarnation, why](const Result<bool>& responds) {
+    departing_.erase(incarnation);
+    if (!responds || responds.value()) {
+      LogEvent(EventId::kWorkerLeaveUnclear,
+               {{"worker", incarnation.Text()},
+                {"reason", responds ? "responds" : responds.error().Text()}});
+      return;
+    }
+    StoreDeparture(incarnation, why);
+  });
+}
+
+void WorkerFleet::StoreDeparture(const jobs::WorkerIncarnation& incarnation,
+                                 const char* why) {
+  const jobs::Worker* worker = replica_.ledger().FindWorker(incarnation);
+  if (worker == nullptr)
+    return;
+  jobs::WorkerRecord record = worker->record;
+  record.departed = true;
+  LogEvent(EventId::kWorkerLost,
+           {{"worker", record.incarnation.Text()}, {"reason", why}});
+  jobs::Batch change;
+  change.workers.push_back(std::move(record));
+  replica_.Submit(change, [](const Status& stored) {
+    if (!stored)
+      LogEvent(EventId::kCallFailed, {{"error", stored.error().Text()}});
+  });
+}
+
 }  // namespace boragewinch::scheduler
--- a/src/scheduler/worker_registry.cc
+++ b/src/scheduler/worker_registry.cc
@@ -216,7 +216,19 @@
   }
   jobs::WorkerRecord record = worker->record;
   record.departed = true;
-  Store(record, done);
+  if (worker->runs.empty()) {
+    Store(record, done);
+    return;
+  }
+  // The message may overtake the list with the ends of its last runs. The
+  // worker responds until its leave is acknowledged.
+  hooks_.request_list(incarnation,
+                      [this, record, done](const Result<bool>& responds) {
+                        if (responds)
+                          Store(record, done);
+                        else
+                          done(outcome::failure(responds.error()));
+                      });
 }
 
 void WorkerRegistry::Store(const jobs::WorkerRecord& record, const Done& done) {
--- a/src/scheduler/worker_registry.h
+++ b/src/scheduler/worker_registry.h
@@ -19,11 +19,12 @@
   using Done = std::function<void(Status)>;
 
   struct Hooks {
-    /// Asks whether an incarnation still responds; see
-    /// WorkerFleet::RequestList.
-    std::function<void(const jobs::WorkerIncarnation&,
-                       std::function<void(const Result<bool>& responds)>)>
-        probe;
+    using Asked = std::function<void(const Result<bool>& responds)>;
+    /// Asks whether an incarnation still responds; see WorkerFleet::Probe.
+    std::function<void(const jobs::WorkerIncarnation&, const Asked&)> probe;
+    /// Stores the ends that an incarnation lists; see WorkerFleet::RequestList.
+    std::function<void(const jobs::WorkerIncarnation&, const Asked&)>
+        request_list;
   };
 
   WorkerRegistry(LedgerReplica& replica, Hooks hooks)
@@ -67,7 +68,8 @@
   /// incarnation, and copies of it may arrive late, after the worker has
   /// started again under its id. It counts only for an incarnation that has
   /// reported draining, and not soon after a restart: the runs of any other one
-  /// end when the worker lists their ends or their leases expire.
+  /// end when the worker lists their ends or their leases expire. The ends that
+  /// it lists are stored before its other runs are given up.
   void OnLeave(const jobs::WorkerId& id,
                jobs::UnixMillis wall_time,
                TimePoint now,
--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -280,6 +280,59 @@
   BOOST_TEST(builder.ledger().workers().empty());
 }
 
+// Guards against the loss of an end that is stored in one batch with the
+// departure or replacement of its worker (review/14): the task was done again,
+// or its failure did not count.
+BOOST_AUTO_TEST_CASE(AnEndCountsBesideTheDepartureOfItsWorker) {
+  const WorkerIncarnation incarnation = Builder::IncarnationOf("w");
+  WorkerRecord record;
+  record.incarnation = incarnation;
+  record.address = "w:80";
+  record.host = HostName("h");
+  record.pool = PoolName("p");
+  const auto with = [&record](const auto& change) {
+    WorkerRecord changed = record;
+    change(&changed);
+    return changed;
+  };
+  const WorkerRecord events[] = {
+      with([](WorkerRecord* departed) { departed->departed = true; }),
+      with([](WorkerRecord* restarted) {
+        restarted->incarnation.start_time = 2;
+      }),
+      with([](WorkerRecord* next) {
+        next->incarnation = Builder::IncarnationOf("next", 2);
+      })};
+  for (const WorkerRecord& event : events) {
+    for (const bool same_batch : {true, false}) {
+      BOOST_TEST_CONTEXT(event.incarnation.Text() << same_batch) {
+        Builder builder;
+        Batch batch;
+        batch.workers = {record};
+        builder.Apply(batch);
+        builder.Submit("done", {Builder::Tasks(1)});
+        builder.Submit("failed", {Builder::Tasks(1)});
+        const RunName done = Builder::Run("done", 0, 0);
+        const RunName failed = Builder::Run("failed", 0, 0);
+        builder.Start(done, "w").Start(failed, "w");
+        batch = {};
+        batch.ends = {{done, incarnation, RunEnd::kDone, "", 1},
+                      {failed, incarnation, RunEnd::kFailed, "", 2}};
+        if (!same_batch)
+          builder.Apply(std::exchange(batch, {}));
+        batch.workers = {event};
+        builder.Apply(batch);
+        BOOST_TEST((builder.job("done").state == JobState::kCompleted));
+        const Task* task = builder.ledger().FindTask(failed.task);
+        BOOST_REQUIRE(task != nullptr);
+        BOOST_TEST(task->failures == 1U);
+        BOOST_TEST(builder.ledger().FindWorker(incarnation) == nullptr);
+        BOOST_TEST(builder.ledger().UsageOf(CustomerName("c")).cpu_millis == 0);
+      }
+    }
+  }
+}
+
 // Guards against a worker that had left, or a key that was withdrawn, in use
 // again after a restart: late messages reach the restored ledger.
 BOOST_AUTO_TEST_CASE(WhatLeftStaysAwayAfterARestart) {
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -46,8 +46,9 @@
     };
     calls.stop = [this](const jobs::WorkerRecord&, const StopCall&,
                         const WorkerCalls::Done<CallResponse>&) { ++stops; };
-    calls.hold = [this](const jobs::WorkerRecord&, const HoldCall&,
+    calls.hold = [this](const jobs::WorkerRecord&, const HoldCall& call,
                         WorkerCalls::Done<HoldResponse> done) {
+      acknowledged = call.last_end_sequence;
       hold = std::move(done);
     };
     fleet.emplace(
@@ -91,6 +92,7 @@
   Metrics metrics;
   std::optional<WorkerFleet> fleet;
   WorkerCalls::Done<HoldResponse> hold;
+  std::int64_t acknowledged = 0;  ///< by the latest hold
   WorkerCalls::Done<CallResponse> start;
   int starts = 0;
   int stops = 0;
@@ -228,6 +230,46 @@
   BOOST_TEST((responds == false));
 }
 
+// Guards against the loss of ends beyond those that fit into one list.
+BOOST_FIXTURE_TEST_CASE(AFullListIsFollowedByTheNext, RequestedList) {
+  HoldResponse full;
+  for (std::size_t i = 1; i <= kMaxListedEnds; ++i) {
+    full.ended.push_back(
+        {static_cast<std::int64_t>(i), kRun, jobs::RunEnd::kStopped, ""});
+  }
+  Respond(full);
+  BOOST_TEST(!responds);
+  RunFor(Millis(50));
+  BOOST_REQUIRE(hold);
+  BOOST_TEST(acknowledged == static_cast<std::int64_t>(kMaxListedEnds));
+  List({});
+  BOOST_TEST((responds == true));
+}
+
+// Guards against the loss of an end of a worker whose address has passed to
+// another one: its list is still under way when that is found out.
+BOOST_FIXTURE_TEST_CASE(ADepartureWaitsForAnEarlierList, RequestedList) {
+  RespondWith(CallVerdict::kOtherWorker);
+  fleet->RecordDeparture(kWorker, "test");
+  fleet->RecordDeparture(kWorker, "test");
+  RespondWith(CallVerdict::kOtherWorker);
+  BOOST_TEST(!hold);
+  ListEnd();
+  RunFor(Millis(50));
+  BOOST_TEST(replica->ledger().FindWorker(kWorker) == nullptr);
+  BOOST_TEST((replica->ledger().FindJob(kRun.task.job)->state ==
+              jobs::JobState::kCompleted));
+}
+
+// Guards against a worker that is removed although it responds.
+BOOST_FIXTURE_TEST_CASE(AWorkerThatRespondsHasNotDeparted, RequestedList) {
+  List({kRun});
+  fleet->RecordDeparture(kWorker, "test");
+  List({kRun});
+  RunFor(Millis(50));
+  BOOST_TEST(replica->ledger().FindWorker(kWorker) != nullptr);
+}
+
 // Guards against a wait for a list that does not come.
 BOOST_FIXTURE_TEST_CASE(AnEarlierListIsAwaitedForALimitedTime, RequestedList) {
   Respond(Fail(ErrorCode::kTransport, "connection refused"));
--- a/tests/worker_registry_test.cc
+++ b/tests/worker_registry_test.cc
@@ -30,6 +30,16 @@
                const std::function<void(const Result<bool>&)>& done) {
           done(responding.count(incarnation) > 0);
         };
+    registry_hooks.request_list =
+        [this](const jobs::WorkerIncarnation&,
+               const std::function<void(const Result<bool>&)>& done) {
+          if (listed_end) {
+            jobs::Batch change;
+            change.ends.push_back(*listed_end);
+            replica->Submit(change, [](const Status&) {});
+          }
+          done(listed_end.has_value());
+        };
     registry.emplace(*replica, registry_hooks);
   }
 
@@ -76,6 +86,8 @@
 
   const jobs::WorkerRecord worker = Worker("real", "pool", 100);
   std::set<jobs::WorkerIncarnation> responding;  ///< workers that respond
+  /// Listed by each worker on request; none: the worker does not respond.
+  std::optional<jobs::EndRecord> listed_end;
   std::optional<WorkerRegistry> registry;
 };
 
@@ -284,6 +296,17 @@
   BOOST_TEST(Find(record) == nullptr);
 }
 
+// Guards against a second run of a task whose end was listed right before its
+// worker left: the leave overtook the list (review/14).
+BOOST_FIXTURE_TEST_CASE(TheEndsOfALeavingWorkerAreStored, LeavingWorker) {
+  Drain();
+  listed_end = {run, record.incarnation, jobs::RunEnd::kDone, "", 1};
+  Leave(kStart + 5'000);
+  BOOST_TEST(Find(record) == nullptr);
+  BOOST_TEST((replica->ledger().FindJob(run.task.job)->state ==
+              jobs::JobState::kCompleted));
+}
+
 // Guards against a second run of a task whose worker has started again: late
 // copies of the message with which its earlier incarnation left made the new
 // one draining, then dropped its runs (review/7).
