A job is queued until a worker is known to execute a run of it

Cause: the ledger took a job out of the count when its first start was decided, before it was sent. Whether the worker had responded was known to the leader alone, and a run that was given up unlisted or rejected left the job as begun.

Change: listed ends show that a job has begun; so do accepted starts and lists with its run, which the leader stores as `begun`. Such a record shares the next batch with other changes, or is stored after 250 ms; the figure may be 2 s old. New leaders and followers have it from the ledger.

ARepeatedSubmissionIsOneJob now has the run begin before it checks that the job still counts as begun; its checks are the same.

--- a/src/jobs/job_ledger.cc
+++ b/src/jobs/job_ledger.cc
@@ -122,6 +122,8 @@
     ApplyUnseenCancel(cancel, batch.now);
   for (const OpeningRecord& opening : batch.openings)
     ApplyOpening(opening, batch.now);
+  for (const RunName& run : batch.begun)
+    ApplyBegun(run);
   for (const EndRecord& end : batch.ends)
     ApplyEnd(end, batch.now);
   // After the ends: a worker that leaves or is replaced may have listed the
@@ -395,6 +397,8 @@
   // An inferred end has no effect once the run has ended.
   if (!existed && end.end_sequence == 0)
     return;
+  if (ReportedByWorker(end.how))
+    MarkBegun(job);
   Step& step = occurrence->second.steps[name.step];
   Task& task = step.tasks[name.index];
   const StepSpec& spec = job->spec->steps[name.step];
@@ -572,10 +576,20 @@
   worker->second.long_running_runs += spec.long_running ? 1 : 0;
   changed_workers_.push_back(start.worker);
   IndexJob(job);
-  if (job->state == JobState::kQueued) {
-    job->state = JobState::kRunning;
-    --queued_[job->queue];
+}
+
+void JobLedger::ApplyBegun(const RunName& run) {
+  if (const Task* task = FindTask(run.task);
+      task != nullptr && run.number <= task->last_run) {
+    MarkBegun(MutableJob(run.task.job));
   }
 }
 
+void JobLedger::MarkBegun(Job* job) {
+  if (job->state != JobState::kQueued)
+    return;
+  job->state = JobState::kRunning;
+  --queued_[job->queue];
+}
+
 }  // namespace boragewinch::jobs
--- a/src/jobs/job_ledger.h
+++ b/src/jobs/job_ledger.h
@@ -68,6 +68,8 @@
   std::shared_ptr<const JobSpec> spec;
   UnixMillis accepted = 0;
   UnixMillis finished = 0;
+  /// kQueued until a worker is known to execute one of its runs, or to have
+  /// executed it: a run that was decided may never begin.
   JobState state = JobState::kQueued;
   std::int64_t max_attempts = 1;
   std::map<std::uint32_t, Occurrence> occurrences;  ///< open ones
@@ -274,7 +276,8 @@
                             const WorkerIncarnation& worker) const;
   /// \returns the resources that a customer's runs use, fleet-wide.
   [[nodiscard]] Resources UsageOf(const CustomerName& customer) const;
-  /// \returns the number of accepted jobs of a queue without a started task.
+  /// \returns the number of accepted jobs of a queue of which no task is known
+  /// to have begun.
   [[nodiscard]] std::int64_t QueuedOf(const QueueName& queue) const;
   [[nodiscard]] QueueLoad LoadOf(const QueueName& queue) const;
   [[nodiscard]] const std::map<std::int64_t, Wave>& waves() const noexcept {
@@ -325,6 +328,9 @@
   void ApplyOpening(const OpeningRecord& opening, UnixMillis now);
   void ApplyEnd(const EndRecord& end, UnixMillis now);
   void ApplyStart(const StartRecord& start, UnixMillis now);
+  void ApplyBegun(const RunName& run);
+  /// \brief Records that a task of the job has begun.
+  void MarkBegun(Job* job);
   void ApplyZoneChange(const ZoneChange& change, UnixMillis now);
   /// \brief Applies the starts on workers that are not in an evacuated zone: a
   /// start may have been decided before the evacuation was stored. A gang with
--- a/src/jobs/job_types.h
+++ b/src/jobs/job_types.h
@@ -162,6 +162,11 @@
           ///< expired, or no longer has the run
 };
 
+/// \returns whether a worker reports this end, of a run that it has executed.
+[[nodiscard]] constexpr bool ReportedByWorker(RunEnd how) noexcept {
+  return how != RunEnd::kRejected && how != RunEnd::kLost;
+}
+
 inline constexpr EnumTable<RunEnd, 8> kRunEnds{{{
     {RunEnd::kDone, "done"},
     {RunEnd::kFailed, "failed"},
--- a/src/jobs/ledger_batch.h
+++ b/src/jobs/ledger_batch.h
@@ -127,6 +127,9 @@
   std::vector<JobId> cancels;
   std::vector<UnseenCancel> unseen_cancels;
   std::vector<OpeningRecord> openings;
+  /// Runs that their workers execute or have executed, of jobs that were not
+  /// known to have begun. Listed ends show the same, so most jobs need none.
+  std::vector<RunName> begun;
   std::vector<EndRecord> ends;
   std::vector<StartRecord> starts;
   std::vector<WaveOrder> waves;
@@ -137,7 +140,7 @@
   [[nodiscard]] bool empty() const noexcept {
     return !config && workers.empty() && submissions.empty() &&
            cancels.empty() && unseen_cancels.empty() && openings.empty() &&
-           ends.empty() && starts.empty() && waves.empty() &&
+           begun.empty() && ends.empty() && starts.empty() && waves.empty() &&
            progress.empty() && host_orders.empty() && zone_changes.empty();
   }
 
--- a/src/scheduler/scheduler_service.cc
+++ b/src/scheduler/scheduler_service.cc
@@ -291,6 +291,7 @@
   job_api_->OnPlan(planner_, now);
   const auto copies = PlanCopies(hooks, batch->starts, now);
   batch->starts.insert(batch->starts.end(), copies.begin(), copies.end());
+  fleet_->AddBegun(batch, now);
 }
 
 std::vector<jobs::StartRecord> SchedulerService::PlanCopies(
--- a/src/scheduler/worker_fleet.cc
+++ b/src/scheduler/worker_fleet.cc
@@ -16,6 +16,9 @@
 /// runs that become slow earlier than expected because the duration learnt for
 /// their queue has dropped.
 constexpr Millis kCheckInterval{500};
+/// Time for which a job that has begun may be shown as queued. Most of its
+/// records share a batch with starts and ends, at no further write to the disk.
+constexpr Millis kMaxBegunDelay{250};
 
 /// Detects workers that fail most of their tasks within a few tasks; a task
 /// takes about a second.
@@ -75,6 +78,7 @@
   for (const ListWait& wait : std::exchange(list_waits_, {}))
     wait.done(Fail(ErrorCode::kNotLeader, "leadership has changed"));
   departing_.clear();
+  begun_.clear();
   workers_.clear();
   checks_.clear();
   settling_.Clear();
@@ -364,6 +368,8 @@
     if (response && response.value().verdict == CallVerdict::kUnhealthy)
       RecordHealth(*worker, false, now);
   }
+  if (accepted)
+    RecordBegun(run, now);
   if (response && response.value().verdict == CallVerdict::kOtherWorker)
     RecordDeparture(incarnation, "another worker responds at its address");
   if (const auto how = session->OnStartResponse(run, response, now))
@@ -454,6 +460,10 @@
   const bool was_unresponsive = !session->HasRespondedRecently(now);
   std::vector<jobs::EndRecord> ends =
       session->OnHoldResponse(*worker, response.value(), now, &unexpected_runs);
+  for (const RunningRow& row : response.value().running) {
+    if (worker->runs.count(row.run) > 0)
+      RecordBegun(row.run, now);
+  }
   for (const jobs::RunName& run : unexpected_runs) {
     // The response may have waited through a pause of this process, in which
     // another leader started the run.
@@ -487,6 +497,27 @@
     CheckWhenDue(incarnation, now);
 }
 
+void WorkerFleet::RecordBegun(const jobs::RunName& run, TimePoint now) {
+  const jobs::Job* job = replica_.ledger().FindJob(run.task.job);
+  if (job != nullptr && job->state == jobs::JobState::kQueued)
+    begun_.try_emplace(run.task.job, Begun{run, now});
+}
+
+void WorkerFleet::AddBegun(jobs::Batch* batch, TimePoint now) {
+  std::erase_if(begun_, [this](const auto& item) {
+    const jobs::Job* job = replica_.ledger().FindJob(item.first);
+    return job == nullptr || job->state != jobs::JobState::kQueued;
+  });
+  const bool overdue =
+      std::any_of(begun_.begin(), begun_.end(), [now](const auto& item) {
+        return now - item.second.since >= kMaxBegunDelay;
+      });
+  if (batch->empty() && !overdue)
+    return;
+  for (const auto& [id, begun] : begun_)
+    batch->begun.push_back(begun.run);
+}
+
 void WorkerFleet::RecordEnds(std::vector<jobs::EndRecord> ends, TimePoint) {
   if (ends.empty())
     return;
--- a/src/scheduler/worker_fleet.h
+++ b/src/scheduler/worker_fleet.h
@@ -65,6 +65,9 @@
   /// or this leader took leadership too recently to know.
   [[nodiscard]] bool IsPresent(const jobs::WorkerIncarnation& incarnation,
                                TimePoint now) const;
+  /// \brief Adds the jobs that have begun and that the ledger still counts as
+  /// queued, if the batch is stored anyway or they have waited for long.
+  void AddBegun(jobs::Batch* batch, TimePoint now);
   /// \brief Stops a run that may be running. Repeated calls have no effect.
   void Stop(const jobs::RunName& run,
             const jobs::WorkerIncarnation& incarnation,
@@ -208,6 +211,8 @@
   void OnStart(const jobs::WorkerIncarnation& incarnation,
                const jobs::RunName& run,
                const Result<CallResponse>& response);
+  /// \brief Records that a worker executes the run.
+  void RecordBegun(const jobs::RunName& run, TimePoint now);
   void RecordEnds(std::vector<jobs::EndRecord> ends, TimePoint now);
   /// \returns the ends in a list that are not stored.
   [[nodiscard]] static std::vector<jobs::EndRecord> NewEndsOf(
@@ -284,6 +289,12 @@
   std::vector<ListWait> list_waits_;
   /// Incarnations that are asked for a last list before they are removed.
   std::set<jobs::WorkerIncarnation> departing_;
+  /// A run of a job that has begun, until the ledger shows that.
+  struct Begun {
+    jobs::RunName run;
+    TimePoint since;
+  };
+  std::map<jobs::JobId, Begun> begun_;
   std::uint64_t synced_ = 0;  ///< ledger batches that the sessions include
 };
 
--- a/tests/job_ledger_test.cc
+++ b/tests/job_ledger_test.cc
@@ -90,6 +90,7 @@
                         {"payload", {step}, 4, 1'000, Millis(50)}}};
   batch.cancels = {JobId("k")};
   batch.openings = {{JobId("j"), 3}};
+  batch.begun = {{{JobId("j"), 3, 1, 2}, 5}};
   batch.ends = {{Builder::Run("j", 0, 1, 2), worker.incarnation,
                  RunEnd::kLeaseExpired, "saved", 9}};
   batch.starts = {{Builder::Run("j", 0, 2, 7), worker.incarnation}};
@@ -106,6 +107,7 @@
   BOOST_TEST(spec.steps.at(0).best_effort);
   BOOST_TEST(read.cancels.at(0).str() == "k");
   BOOST_TEST(read.openings.at(0).occurrence == 3U);
+  BOOST_TEST((read.begun == batch.begun));
   BOOST_TEST((read.ends.at(0).run == batch.ends[0].run));
   BOOST_TEST(read.ends.at(0).checkpoint == "saved");
   BOOST_TEST(read.ends.at(0).end_sequence == 9);
@@ -119,12 +121,61 @@
   Builder builder;
   builder.AddWorker("w").Submit("job", {Builder::Tasks(2)});
   builder.Start(Builder::Run("job", 0, 0), "w");
+  builder.Begin(Builder::Run("job", 0, 0));
   builder.Submit("job", {Builder::Tasks(9)});
   BOOST_TEST(builder.job("job").spec->steps[0].tasks == 2);
   BOOST_TEST((builder.job("job").state == JobState::kRunning));
   BOOST_TEST(builder.ledger().QueuedOf(QueueName("q")) == 0);
 }
 
+// Guards against a job that counts as begun although no worker has executed a
+// run of it: its start was decided, and the worker is lost (review/15).
+BOOST_AUTO_TEST_CASE(AJobIsQueuedUntilARunHasBegun) {
+  Builder builder;
+  builder.AddWorker("w").AddWorker("v").Submit("job", {Builder::Tasks(2)});
+  const auto is_queued = [&builder](std::int64_t queued) {
+    BOOST_TEST(builder.ledger().QueuedOf(QueueName("q")) == queued);
+    BOOST_TEST((builder.job("job").state ==
+                (queued > 0 ? JobState::kQueued : JobState::kRunning)));
+    const auto restored = JobLedger::Restore(builder.ledger().Snapshot());
+    BOOST_REQUIRE(restored);
+    BOOST_TEST(restored.value().QueuedOf(QueueName("q")) == queued);
+  };
+  builder.Start(Builder::Run("job", 0, 0), "w");
+  builder.Start(Builder::Run("job", 0, 1), "w");
+  is_queued(1);
+  builder.End(Builder::Run("job", 0, 0), "w", RunEnd::kRejected);
+  builder.End(Builder::Run("job", 0, 1), "w", RunEnd::kLost);
+  is_queued(1);
+  builder.Start(Builder::Run("job", 0, 0, 2), "v");
+  // Not decided yet.
+  builder.Begin(Builder::Run("job", 0, 0, 3));
+  is_queued(1);
+  builder.Begin(Builder::Run("job", 0, 0, 2));
+  is_queued(0);
+  // A run that has begun counts for good.
+  builder.End(Builder::Run("job", 0, 0, 2), "v", RunEnd::kLost);
+  is_queued(0);
+}
+
+// Guards against a job whose end was reported and that still counts as queued,
+// and against counts that are wrong for a job that ends before it has begun.
+BOOST_AUTO_TEST_CASE(AReportedEndShowsThatAJobHasBegun) {
+  Builder builder;
+  builder.AddWorker("w");
+  for (const char* id : {"reported", "cancelled", "waiting"})
+    builder.Submit(id, {Builder::Tasks(2)});
+  builder.Start(Builder::Run("reported", 0, 0), "w");
+  builder.Start(Builder::Run("cancelled", 0, 0), "w");
+  BOOST_TEST(builder.ledger().QueuedOf(QueueName("q")) == 3);
+  builder.End(Builder::Run("reported", 0, 0), "w", RunEnd::kDone, 1);
+  BOOST_TEST(builder.ledger().QueuedOf(QueueName("q")) == 2);
+  builder.Cancel("cancelled");
+  builder.Begin(Builder::Run("cancelled", 0, 0));
+  BOOST_TEST(builder.ledger().QueuedOf(QueueName("q")) == 1);
+  BOOST_TEST((builder.job("cancelled").state == JobState::kCanceled));
+}
+
 // Guards against a job that is completed before all its tasks have ended, and
 // against steps that start before their dependencies are complete.
 BOOST_AUTO_TEST_CASE(StepsFollowTheirDependencies) {
--- a/tests/ledger_builder.h
+++ b/tests/ledger_builder.h
@@ -105,6 +105,13 @@
     return Apply(batch);
   }
 
+  /// \brief Records that a worker executes the run.
+  LedgerBuilder& Begin(const RunName& run) {
+    Batch batch;
+    batch.begun.push_back(run);
+    return Apply(batch);
+  }
+
   LedgerBuilder& End(const RunName& run,
                      const std::string& worker,
                      RunEnd how,
--- a/tests/worker_fleet_test.cc
+++ b/tests/worker_fleet_test.cc
@@ -99,6 +99,62 @@
   bool paused_before_send = false;  ///< the lease ends once a batch is stored
 };
 
+/// A job whose only start has been sent.
+struct SentStart : Fixture {
+  SentStart() {
+    List({});
+    StoreStart();
+    BOOST_REQUIRE(start);
+  }
+  /// \returns the runs that the fleet adds to a batch that is stored after
+  /// `delay`.
+  [[nodiscard]] std::vector<jobs::RunName> BegunAfter(Millis delay,
+                                                      bool empty = true) {
+    jobs::Batch batch;
+    if (!empty)
+      batch.cancels.emplace_back("other");
+    fleet->AddBegun(&batch, loop.now() + delay);
+    return batch.begun;
+  }
+};
+
+// Guards against a job that is shown as begun although its worker is silent
+// (review/15).
+BOOST_FIXTURE_TEST_CASE(AStartWithoutAResponseHasNotBegun, SentStart) {
+  BOOST_TEST(BegunAfter(Millis(2'000)).empty());
+  std::exchange(start, nullptr)(Fail(ErrorCode::kTimeout, "no response"));
+  BOOST_TEST(BegunAfter(Millis(2'000)).empty());
+  BOOST_TEST(replica->ledger().QueuedOf(QueueName("q")) == 1);
+}
+
+// Guards against a job that is shown as queued although it runs, and against a
+// write to the disk for each job.
+BOOST_FIXTURE_TEST_CASE(AnAcceptedStartHasBegun, SentStart) {
+  CallResponse accepted;
+  accepted.clock_ms = 500'000;
+  std::exchange(start, nullptr)(accepted);
+  BOOST_TEST(BegunAfter(Millis(0)).empty());
+  BOOST_TEST(BegunAfter(Millis(0), false).size() == 1U);
+  const std::vector<jobs::RunName> begun = BegunAfter(Millis(2'000));
+  BOOST_REQUIRE(begun.size() == 1U);
+  BOOST_TEST((begun.front() == kRun));
+  BOOST_REQUIRE(
+      Store([&](jobs::Batch* batch) { batch->begun.push_back(kRun); }));
+  BOOST_TEST(replica->ledger().QueuedOf(QueueName("q")) == 0);
+  BOOST_TEST(BegunAfter(Millis(2'000)).empty());
+}
+
+// Guards against a job that stays queued since the response to its start was
+// lost, or since the leader has changed.
+BOOST_FIXTURE_TEST_CASE(AListedRunHasBegun, SentStart) {
+  fleet->OnLeadership(true, loop.now());
+  fleet->Tick(loop.now());
+  BOOST_TEST(BegunAfter(Millis(2'000)).empty());
+  BOOST_REQUIRE(hold);
+  List({kRun});
+  BOOST_TEST(BegunAfter(Millis(2'000)).size() == 1U);
+}
+
 // Guards against an order that is sent after the lease has ended: the process
 // was paused between storing the start and sending it.
 BOOST_FIXTURE_TEST_CASE(AStartIsSentOnlyUnderALease, Fixture) {
